--- /dev/null
+++ b/cmd/celeryvalve/main.go
@@ -0,0 +1,4 @@
+// Command celeryvalve is the operators' client.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/celeryvalved/main.go
@@ -0,0 +1,4 @@
+// Command celeryvalved is the daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is the stand-ins of outside systems.
+package main
+
+func main() {}
--- /dev/null
+++ b/encoder/codec_test.go
@@ -0,0 +1,49 @@
+package encoder_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"celeryvalve/encoder"
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+type greeting struct {
+	Upstream identifier.Upstream
+	Count    int
+}
+
+func newCodec(t testing.TB) *encoder.Codec {
+	codec, err := encoder.New(encoder.Message[greeting]("Greeting"))
+	require.NoError(t, err)
+	return codec
+}
+
+func TestRoundTrip(t *testing.T) {
+	codec := newCodec(t)
+	data, err := codec.Encode(7, greeting{Upstream: "u1", Count: 3})
+	require.NoError(t, err)
+	header, msg, err := codec.Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, identifier.ConfigurationVersion(7), header.ConfigurationVersion)
+	require.Equal(t, &greeting{Upstream: "u1", Count: 3}, msg)
+}
+
+func FuzzDecode(f *testing.F) {
+	codec := newCodec(f)
+	data, err := codec.Encode(1, greeting{Upstream: "u1"})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte{})
+	f.Add([]byte{0x84, 0x01})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, msg, err := codec.Decode(data)
+		if err != nil {
+			require.Equal(t, explainer.Corrupt, explainer.KindOf(err))
+			return
+		}
+		require.NotNil(t, msg)
+	})
+}
