--- /dev/null
+++ b/limiter/rate.go
@@ -0,0 +1,58 @@
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+// Rate is the exponentially weighted rate of events, per second.
+type Rate struct {
+	horizon time.Duration
+	value   float64
+	last    time.Time
+}
+
+// NewRate returns a rate that forgets over the horizon.
+func NewRate(horizon time.Duration) *Rate {
+	return &Rate{horizon: horizon}
+}
+
+// Add takes in n events at now.
+func (r *Rate) Add(now time.Time, n float64) {
+	r.value = r.At(now) + n/r.horizon.Seconds()
+	r.last = now
+}
+
+// At returns the rate at now.
+func (r *Rate) At(now time.Time) float64 {
+	if r.last.IsZero() {
+		return 0
+	}
+	age := max(0, now.Sub(r.last))
+	return r.value * math.Exp(-age.Seconds()/r.horizon.Seconds())
+}
+
+// Mean is an exponentially weighted mean of durations.
+type Mean struct {
+	weight float64
+	value  time.Duration
+}
+
+// NewMean returns a mean in which each new value has the weight.
+func NewMean(weight float64) *Mean {
+	return &Mean{weight: weight}
+}
+
+// Add takes in one value.
+func (m *Mean) Add(value time.Duration) {
+	if m.value == 0 {
+		m.value = value
+		return
+	}
+	m.value += time.Duration(m.weight * float64(value-m.value))
+}
+
+// Value returns the mean, or zero before the first value.
+func (m *Mean) Value() time.Duration {
+	return m.value
+}
