--- a/cmd/celeryvalve/main.go
+++ b/cmd/celeryvalve/main.go
@@ -1,6 +1,14 @@
 // Command celeryvalve is the operators' client.
 package main
 
-import _ "net" // links the C library
+import (
+	"os"
 
-func main() {}
+	"github.com/jonboulle/clockwork"
+
+	"celeryvalve/commander"
+)
+
+func main() {
+	os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr, clockwork.NewRealClock()))
+}
--- /dev/null
+++ b/versioner/doc.go
@@ -0,0 +1,6 @@
+// Package versioner tells the version and build of a program.
+//
+// # Usage
+//
+//	fmt.Println(versioner.Text("celeryvalved"))
+package versioner
