router: decide admission, choice, retries and outcomes of an entry

One reducer over all events. It also holds the messages of the attempt exchange and the types of claims, which both ends use. An agent starts nothing before the body's end mark, so an attempt whose end mark was never sent counts as not handed over, and NotRun can be said of it.

--- /dev/null
+++ b/router/dispatch.go
@@ -0,0 +1,195 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+
+	"celeryvalve/asserter"
+	"celeryvalve/identifier"
+	"celeryvalve/limiter"
+)
+
+const (
+	choices         = 2
+	otherZoneFactor = 1.1
+	// The links between regions are thin, so another region must be much cheaper.
+	otherRegionFactor = 4
+)
+
+func (r *Reducer) dispatchAll() {
+	names := make([]identifier.Service, 0, len(r.services))
+	for name := range r.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		r.dispatch(r.services[name])
+	}
+}
+
+// dispatch starts waiting requests while an upstream has room for them.
+func (r *Reducer) dispatch(s *service) {
+	for s.queue.Len() > 0 {
+		usable := r.usableOf(s)
+		roomy := r.roomyOf(usable)
+		if len(roomy) == 0 {
+			return
+		}
+		item, ok := s.queue.PopWhere(func(id identifier.RequestID) bool {
+			q := r.requests[id]
+			return q == nil || len(r.fitting(s, q, roomy, len(usable))) > 0
+		})
+		if !ok {
+			return
+		}
+		q := r.requests[item.Value]
+		if q == nil {
+			continue
+		}
+		q.item = item
+		r.begin(s, q, r.choose(s, q, r.fitting(s, q, roomy, len(usable))))
+	}
+}
+
+func (r *Reducer) roomyOf(usable []*upstream) []*upstream {
+	var list []*upstream
+	for _, u := range usable {
+		if u.hasRoom(r.now) {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// fitting returns the upstreams that may run the request: not one that lost or
+// refused it, and for a suspect only where another upstream stays if this one
+// crashes, when the service has more than one.
+func (r *Reducer) fitting(s *service, q *request, roomy []*upstream, usable int) []*upstream {
+	if r.quarantine.suspects(q.Fingerprint) && s.peak > 1 && usable < 2 {
+		return nil
+	}
+	var list []*upstream
+	for _, u := range roomy {
+		if !q.avoid[u.view.Upstream] {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// choose returns the cheapest of a few of the candidates, of which some are of
+// the own region where it has any.
+func (r *Reducer) choose(s *service, q *request, candidates []*upstream) *upstream {
+	cost := func(u *upstream) float64 { return r.costOf(s, q, u) }
+	best, _ := limiter.Choose(q.nextRandom(), candidates, choices, cost)
+	near, ok := limiter.Choose(q.nextRandom(), r.nearOf(candidates), choices, cost)
+	if ok && cost(near) < cost(best) {
+		best = near
+	}
+	if u := r.affine(q, candidates); u != nil && cost(u) < cost(best) {
+		return u
+	}
+	return best
+}
+
+func (r *Reducer) nearOf(candidates []*upstream) []*upstream {
+	var near []*upstream
+	for _, u := range candidates {
+		if u.view.Region == r.cfg.Region {
+			near = append(near, u)
+		}
+	}
+	return near
+}
+
+// affine returns the candidate whose cache holds most of the request's prefix,
+// unless it has clearly more work than the mean of the candidates.
+func (r *Reducer) affine(q *request, candidates []*upstream) *upstream {
+	var best *upstream
+	bestMatch, total := 0.0, 0.0
+	for _, u := range candidates {
+		total += r.useOf(u)
+		if m := u.cache.match(q.Prefixes); m > bestMatch {
+			best, bestMatch = u, m
+		}
+	}
+	if best == nil || r.useOf(best) > maxAffinityLoad*total/float64(len(candidates))+1/float64(best.limit()) {
+		return nil
+	}
+	return best
+}
+
+func (r *Reducer) useOf(u *upstream) float64 {
+	return u.occupancy(r.now) / float64(u.limit())
+}
+
+func (r *Reducer) costOf(s *service, q *request, u *upstream) float64 {
+	use := (u.occupancy(r.now) + 1) / float64(u.limit())
+	cost := use * u.expectedLatency(r.now, s.latency.Value()).Seconds()
+	switch {
+	case u.view.Region != r.cfg.Region:
+		cost *= otherRegionFactor
+	case u.view.AvailabilityZone != r.cfg.AvailabilityZone:
+		cost *= otherZoneFactor
+	}
+	return cost * (1 - affinityCostFactor*u.cache.match(q.Prefixes))
+}
+
+// begin gives the request an attempt on the upstream.
+func (r *Reducer) begin(s *service, q *request, u *upstream) {
+	q.attempt = &attempt{
+		id:      q.nextAttemptID(),
+		holder:  q.ID,
+		target:  targetOf(u),
+		counted: true,
+	}
+	u.start(q.ID, r.now)
+	q.since = r.now
+	if q.Class == NonIdempotent {
+		q.phase = claiming
+		r.claim(q)
+		return
+	}
+	r.start(s, q)
+}
+
+// start hands the request over.
+func (r *Reducer) start(s *service, q *request) {
+	a := q.attempt
+	u := r.upstreams[a.target.Upstream]
+	if u == nil || !u.usable(r.now) || u.view.Incarnation != a.target.Incarnation {
+		q.token = a.token
+		r.requeue(q)
+		return
+	}
+	once := q.Class == Idempotent || (a.token != 0 && !q.mayHaveRun)
+	if !r.check.Check(asserter.AtMostOnce, once, fmt.Sprintf("request %s would start again", q.ID)) {
+		r.finish(q, Unknown, UpstreamLost, 0)
+		return
+	}
+	q.phase = attempting
+	q.token = 0
+	q.sends++
+	if q.sends == 1 {
+		s.budget.Sent()
+	}
+	a.handedOver = true
+	a.alone = r.quarantine.suspects(q.Fingerprint)
+	a.startedAt = r.now
+	a.lastProgress = r.now
+	u.start(q.ID, r.now)
+	r.emit(StartAttempt{
+		Request:  q.ID,
+		Attempt:  a.id,
+		Target:   a.target,
+		Token:    a.token,
+		Timeout:  q.Deadline.Sub(r.now),
+		Priority: r.organisations[q.Organisation].Priority,
+		Weight:   r.weightOf(q.Organisation),
+		Alone:    a.alone,
+	})
+}
+
+func targetOf(u *upstream) Target {
+	return Target{Upstream: u.view.Upstream, Incarnation: u.view.Incarnation, Address: u.view.Address}
+}
--- /dev/null
+++ b/router/message.go
@@ -0,0 +1,195 @@
+package router
+
+import (
+	"time"
+
+	"celeryvalve/encoder"
+	"celeryvalve/identifier"
+)
+
+// AttemptStart opens an attempt. The body follows in chunks and ends with
+// BodyEnd; the agent starts nothing before that.
+type AttemptStart struct {
+	Request      identifier.RequestID
+	Attempt      identifier.AttemptID
+	Upstream     identifier.Upstream
+	Incarnation  identifier.Incarnation
+	Organisation identifier.Organisation
+	Service      identifier.Service
+	Method       string
+	Path         string
+	Header       []HeaderField
+	Class        Class
+	Key          identifier.IdempotencyKey
+	Token        identifier.FencingToken
+	Timeout      time.Duration
+	Fingerprint  Fingerprint
+	Priority     Priority
+	Weight       float64
+	// Alone asks the agent to run nothing beside this attempt.
+	Alone      bool
+	BodyLength identifier.ByteCount
+	BodyDigest identifier.Digest
+}
+
+// BodyChunk carries a part of the request's body.
+type BodyChunk struct {
+	Attempt identifier.AttemptID
+	Offset  identifier.ByteCount
+	Data    []byte
+}
+
+// BodyEnd marks the end of the request's body. From here on the attempt may start.
+type BodyEnd struct {
+	Attempt identifier.AttemptID
+	Length  identifier.ByteCount
+}
+
+// AttemptAsk asks on a new stream after an attempt that was started on another.
+// An attempt that the agent has not seen is refused from then on. Otherwise the
+// answer continues at Offset.
+type AttemptAsk struct {
+	Request     identifier.RequestID
+	Attempt     identifier.AttemptID
+	Upstream    identifier.Upstream
+	Incarnation identifier.Incarnation
+	Offset      identifier.ByteCount
+	// WantHead asks for the response head again.
+	WantHead bool
+}
+
+// AttemptCancel gives up an attempt. An unseen or queued one is refused from
+// then on. A started one is stopped unless it is non-idempotent.
+type AttemptCancel struct {
+	Request     identifier.RequestID
+	Attempt     identifier.AttemptID
+	Upstream    identifier.Upstream
+	Incarnation identifier.Incarnation
+}
+
+// AttemptAccepted says that the attempt is queued or running.
+type AttemptAccepted struct {
+	Request identifier.RequestID
+	Attempt identifier.AttemptID
+	Load    LoadReport
+}
+
+// RefuseReason says why an agent refused an attempt.
+type RefuseReason string
+
+// The reasons for a refusal.
+const (
+	Busy             RefuseReason = "Busy"
+	Leaving          RefuseReason = "Leaving"
+	NotReady         RefuseReason = "NotReady"
+	Expired          RefuseReason = "Expired"
+	Unseen           RefuseReason = "Unseen"
+	Cancelled        RefuseReason = "Cancelled"
+	Suspected        RefuseReason = "Suspected"
+	Unclaimed        RefuseReason = "Unclaimed"
+	Superseded       RefuseReason = "Superseded"
+	OtherIncarnation RefuseReason = "OtherIncarnation"
+	DamagedBody      RefuseReason = "DamagedBody"
+)
+
+// AttemptRefused says that the attempt has not started and never will.
+type AttemptRefused struct {
+	Request    identifier.RequestID
+	Attempt    identifier.AttemptID
+	Reason     RefuseReason
+	RetryAfter time.Duration
+	Load       LoadReport
+}
+
+// AttemptAlive is sent at intervals while an attempt has nothing else to send.
+type AttemptAlive struct {
+	Request identifier.RequestID
+	Attempt identifier.AttemptID
+	Load    LoadReport
+}
+
+// GoneReason says why an agent can't tell or continue an attempt.
+type GoneReason string
+
+// The reasons for AttemptGone.
+const (
+	// Restarted: the attempt was for an earlier incarnation of the agent.
+	Restarted GoneReason = "Restarted"
+	// Forgotten: the attempt ended too long ago.
+	Forgotten GoneReason = "Forgotten"
+	// Unresumable: the bytes at the offset are no longer kept.
+	Unresumable GoneReason = "Unresumable"
+	// UpstreamBroke: the upstream's answer broke off.
+	UpstreamBroke GoneReason = "UpstreamBroke"
+	// UpstreamCrashed: the upstream crashed while the attempt ran.
+	UpstreamCrashed GoneReason = "UpstreamCrashed"
+	// TimedOut: the upstream sent nothing for the progress timeout.
+	TimedOut GoneReason = "TimedOut"
+	// Stopped: the attempt was cancelled after it started.
+	Stopped GoneReason = "Stopped"
+)
+
+// AttemptGone says that the attempt may have run and its answer can't be given.
+type AttemptGone struct {
+	Request identifier.RequestID
+	Attempt identifier.AttemptID
+	Reason  GoneReason
+	Load    LoadReport
+}
+
+// ResponseHead carries the status and header of the upstream's answer.
+type ResponseHead struct {
+	Request identifier.RequestID
+	Attempt identifier.AttemptID
+	Status  int
+	Header  []HeaderField
+	// Length is the declared length of the body, or -1.
+	Length identifier.ByteCount
+}
+
+// ResponseData carries a part of the answer's body.
+type ResponseData struct {
+	Request identifier.RequestID
+	Attempt identifier.AttemptID
+	Offset  identifier.ByteCount
+	Data    []byte
+}
+
+// ResponseEnd marks the end of a whole answer.
+type ResponseEnd struct {
+	Request identifier.RequestID
+	Attempt identifier.AttemptID
+	Length  identifier.ByteCount
+	Digest  identifier.Digest
+	Trailer []HeaderField
+	Load    LoadReport
+	Cache   CacheReport
+}
+
+// CacheReport carries recent events of an engine's prefix cache, late and with gaps.
+type CacheReport struct {
+	Sequence uint64
+	Stored   []PrefixHash
+	Removed  []PrefixHash
+}
+
+// PrefixHash identifies the beginning of a prompt up to a block's end.
+type PrefixHash uint64
+
+// Messages returns the entries of the attempt protocol for the codec.
+func Messages() []encoder.Entry {
+	return []encoder.Entry{
+		encoder.Message[AttemptStart]("AttemptStart"),
+		encoder.Message[BodyChunk]("BodyChunk"),
+		encoder.Message[BodyEnd]("BodyEnd"),
+		encoder.Message[AttemptAsk]("AttemptAsk"),
+		encoder.Message[AttemptCancel]("AttemptCancel"),
+		encoder.Message[AttemptAccepted]("AttemptAccepted"),
+		encoder.Message[AttemptRefused]("AttemptRefused"),
+		encoder.Message[AttemptAlive]("AttemptAlive"),
+		encoder.Message[AttemptGone]("AttemptGone"),
+		encoder.Message[ResponseHead]("ResponseHead"),
+		encoder.Message[ResponseData]("ResponseData"),
+		encoder.Message[ResponseEnd]("ResponseEnd"),
+	}
+}
--- /dev/null
+++ b/router/outcome.go
@@ -0,0 +1,87 @@
+package router
+
+import (
+	"time"
+
+	"celeryvalve/identifier"
+)
+
+// Class says whether a request may run more than once.
+type Class string
+
+// The classes of requests.
+const (
+	Idempotent    Class = "Idempotent"
+	NonIdempotent Class = "NonIdempotent"
+)
+
+// Outcome is what is known of a request when it is answered.
+type Outcome string
+
+// The outcomes.
+const (
+	// Completed: it ran and the answer is whole.
+	Completed Outcome = "Completed"
+	// NotRun: it provably did not run and will not.
+	NotRun Outcome = "NotRun"
+	// Failed: it ran, and the upstream answered with an error.
+	Failed Outcome = "Failed"
+	// Unknown: it may have run.
+	Unknown Outcome = "Unknown"
+)
+
+// Cause says why a request has its outcome.
+type Cause string
+
+// The causes of outcomes other than Completed.
+const (
+	UnknownService    Cause = "UnknownService"
+	Overloaded        Cause = "Overloaded"
+	DeadlineExceeded  Cause = "DeadlineExceeded"
+	NoUpstream        Cause = "NoUpstream"
+	Quarantined       Cause = "Quarantined"
+	KeyReused         Cause = "KeyReused"
+	ClaimsUnavailable Cause = "ClaimsUnavailable"
+	UpstreamLost      Cause = "UpstreamLost"
+	UpstreamError     Cause = "UpstreamError"
+	CallerLeft        Cause = "CallerLeft"
+	HolderLost        Cause = "HolderLost"
+	BrokenAnswer      Cause = "BrokenAnswer"
+)
+
+// Fingerprint identifies requests that are alike: same organisation, service,
+// method, path and body.
+type Fingerprint uint64
+
+// Priority orders requests inside an engine. Higher runs first.
+type Priority int
+
+// HeaderField is one line of an HTTP header.
+type HeaderField struct {
+	Name  string
+	Value string
+}
+
+// StoredAnswer is the outcome of a non-idempotent request as control keeps it.
+type StoredAnswer struct {
+	Outcome  Outcome
+	Status   int
+	Header   []HeaderField
+	Body     []byte
+	Trailer  []HeaderField
+	Digest   identifier.Digest
+	TooLarge bool // the body was larger than control keeps
+}
+
+// LoadReport is what an agent says of its upstream on each answer.
+type LoadReport struct {
+	Running   int
+	Queued    int
+	Limit     int
+	QueueRoom int
+	// Reported says that the upstream itself reports its load.
+	Reported bool
+	// Latency is the recent time to the first byte at the upstream.
+	Latency time.Duration
+	Leaving bool
+}
--- /dev/null
+++ b/router/tick.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"slices"
+
+	"celeryvalve/identifier"
+)
+
+// tick ends what took too long and starts what can start now.
+func (r *Reducer) tick() {
+	for _, s := range r.services {
+		for _, id := range s.queue.Expire(r.now) {
+			if q := r.requests[id]; q != nil {
+				r.giveUp(q, DeadlineExceeded, r.retryAfter(s))
+			}
+		}
+	}
+	for _, id := range r.requestIDs() {
+		if q := r.requests[id]; q != nil {
+			r.tickRequest(q)
+		}
+	}
+	r.dispatchAll()
+}
+
+func (r *Reducer) requestIDs() []identifier.RequestID {
+	ids := make([]identifier.RequestID, 0, len(r.requests))
+	for id := range r.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (r *Reducer) tickRequest(q *request) {
+	switch q.phase {
+	case queued:
+		r.tickQueued(q)
+	case claiming:
+		if r.now.Sub(q.since) > claimTimeout || !q.Deadline.After(r.now) {
+			r.finish(q, NotRun, ClaimsUnavailable, minRetryAfter)
+		}
+	case verifying:
+		if r.now.Sub(q.since) > claimTimeout {
+			r.finish(q, Unknown, UpstreamLost, 0)
+		}
+	case attempting:
+		r.tickAttempt(q)
+	}
+}
+
+// tickQueued gives up where no upstream could be used for some time.
+func (r *Reducer) tickQueued(q *request) {
+	s := r.services[q.Service]
+	if s == nil || r.now.Sub(q.since) < holdTimeout {
+		return
+	}
+	usable := r.usableOf(s)
+	if len(r.fitting(s, q, usable, len(usable))) == 0 {
+		r.unqueue(q)
+		r.giveUp(q, NoUpstream, minRetryAfter)
+	}
+}
+
+func (r *Reducer) tickAttempt(q *request) {
+	a := q.attempt
+	switch {
+	case !q.Deadline.After(r.now):
+		r.cancel(q, !a.foreign)
+		r.finish(q, Unknown, DeadlineExceeded, r.retryAfterOf(q))
+	case !a.askAt.IsZero() && !a.askAt.After(r.now):
+		r.ask(q, true)
+	case a.askAt.IsZero() && r.now.Sub(a.lastProgress) >= silentAfter:
+		r.ask(q, true)
+	case r.isSlow(q) && r.mayRetry(q):
+		r.cancel(q, true)
+		r.retry(q)
+	}
+}
+
+// isSlow reports whether an idempotent attempt has not begun to answer in time.
+func (r *Reducer) isSlow(q *request) bool {
+	s := r.services[q.Service]
+	if s == nil || s.policy.ProgressTimeout == 0 || q.Class != Idempotent {
+		return false
+	}
+	return !q.attempt.answering && r.now.Sub(q.attempt.startedAt) >= s.policy.ProgressTimeout
+}
