--- /dev/null
+++ b/submitter/submitter_test.go
@@ -0,0 +1,92 @@
+package submitter_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"celeryvalve/explainer"
+	"celeryvalve/submitter"
+)
+
+var addresses = []netip.AddrPort{
+	netip.MustParseAddrPort("127.0.0.1:1"),
+	netip.MustParseAddrPort("127.0.0.2:1"),
+	netip.MustParseAddrPort("127.0.0.3:1"),
+}
+
+type callerFunc func(addr netip.AddrPort) (any, error)
+
+func (f callerFunc) Call(_ context.Context, addr netip.AddrPort, _ any) (any, error) {
+	return f(addr)
+}
+
+// submit runs Submit while time passes whenever the submitter waits.
+func submit(ctx context.Context, clock *clockwork.FakeClock, s *submitter.Submitter) (any, error) {
+	stop, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for clock.BlockUntilContext(stop, 1) == nil {
+			clock.Advance(time.Second)
+		}
+	}()
+	return s.Submit(ctx, []byte("command"))
+}
+
+func TestSubmitFollowsTheLeader(t *testing.T) {
+	var asked []netip.AddrPort
+	clock := clockwork.NewFakeClock()
+	s := submitter.New(callerFunc(func(addr netip.AddrPort) (any, error) {
+		asked = append(asked, addr)
+		if addr != addresses[2] {
+			return &submitter.Refused{Kind: explainer.Unavailable, Leader: addresses[2]}, nil
+		}
+		return "done", nil
+	}), addresses, clock)
+	result, err := submit(t.Context(), clock, s)
+	require.NoError(t, err)
+	require.Equal(t, "done", result)
+	require.Equal(t, []netip.AddrPort{addresses[0], addresses[2]}, asked)
+}
+
+func TestSubmitPassesOverTheUnreachable(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := submitter.New(callerFunc(func(addr netip.AddrPort) (any, error) {
+		if addr == addresses[0] {
+			return nil, errors.New("unreachable")
+		}
+		return "done", nil
+	}), addresses, clock)
+	result, err := submit(t.Context(), clock, s)
+	require.NoError(t, err)
+	require.Equal(t, "done", result)
+}
+
+func TestSubmitReturnsARefusalForGood(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := submitter.New(callerFunc(func(netip.AddrPort) (any, error) {
+		return &submitter.Refused{Kind: explainer.InvalidInput, Problem: "bad command"}, nil
+	}), addresses, clock)
+	_, err := submit(t.Context(), clock, s)
+	require.Equal(t, explainer.InvalidInput, explainer.KindOf(err))
+}
+
+func TestSubmitWithoutALeaderEndsUnavailable(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	calls := 0
+	clock := clockwork.NewFakeClock()
+	s := submitter.New(callerFunc(func(netip.AddrPort) (any, error) {
+		calls++
+		if calls == len(addresses) {
+			cancel()
+		}
+		return nil, errors.New("unreachable")
+	}), addresses, clock)
+	_, err := submit(ctx, clock, s)
+	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
+}
