parser: read settings strictly and tell every fault at once

The TOML library stops at its first fault and has no types with units, so values are read by the library and stored by a decoder of our own that goes on after a fault.

Ruled out: one pass over the unstable parser alone, which would repeat the library's checks of duplicate keys and tables.

--- /dev/null
+++ b/parser/decode.go
@@ -0,0 +1,323 @@
+package parser
+
+import (
+	"encoding"
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+// Enumeration is a type of text with a fixed set of values.
+type Enumeration interface {
+	Values() []string
+}
+
+// Defaulter is an element of a map that has defaults. They are set before the
+// keys of a new element are read.
+type Defaulter interface {
+	SetDefaults()
+}
+
+// Decode reads data into a new T. The error lists every fault. The document
+// is never nil.
+func Decode[T any](file string, data []byte) (T, *Document, error) {
+	var value T
+	doc, err := DecodeInto(file, data, &value)
+	return value, doc, err
+}
+
+// DecodeInto reads data over value: keys that the file doesn't have keep what
+// value holds, elements of maps are changed key by key, and lists are replaced.
+// Maps are copied before they are changed, so that value may share them.
+// Value may be changed in part when there is an error.
+func DecodeInto[T any](file string, data []byte, value *T) (*Document, error) {
+	var faults explainer.Faults
+	doc := Collect(file, data, value, &faults)
+	return doc, faults.Err()
+}
+
+// Collect is DecodeInto for a caller that adds faults of its own to those of
+// decoding.
+func Collect[T any](file string, data []byte, value *T, faults *explainer.Faults) *Document {
+	doc, tree := newDocument(file, data, faults)
+	d := &decoder{doc: doc, faults: faults}
+	d.value("", tree, reflect.ValueOf(value).Elem())
+	return doc
+}
+
+type decoder struct {
+	doc    *Document
+	faults *explainer.Faults
+}
+
+func (d *decoder) fault(path Path, problem, remedy string) {
+	d.faults.Add(d.doc.Fault(path, problem, remedy))
+}
+
+// value stores source, as the TOML library read it, into target.
+func (d *decoder) value(path Path, source any, target reflect.Value) {
+	if d.text(path, source, target) {
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		d.structure(path, source, target)
+	case reflect.Map:
+		d.mapping(path, source, target)
+	case reflect.Slice:
+		d.list(path, source, target)
+	case reflect.Pointer:
+		fresh := reflect.New(target.Type().Elem())
+		if !target.IsNil() {
+			fresh.Elem().Set(target.Elem())
+		}
+		d.value(path, source, fresh.Elem())
+		target.Set(fresh)
+	default:
+		d.scalar(path, source, target)
+	}
+}
+
+// text handles the types that are read from a string.
+func (d *decoder) text(path Path, source any, target reflect.Value) bool {
+	parse, example := textParser(target)
+	if parse == nil {
+		return false
+	}
+	text, ok := source.(string)
+	if !ok {
+		d.fault(path, fmt.Sprintf("value is %s, not text", kindOf(source)), example)
+		return true
+	}
+	if err := parse(text); err != nil {
+		d.fault(path, err.Error(), example)
+	}
+	return true
+}
+
+// textParser returns how to read text into target, with an example for the
+// remedy, or nil when target is of another kind.
+func textParser(target reflect.Value) (parse func(string) error, example string) {
+	switch t := target.Addr().Interface().(type) {
+	case *time.Duration:
+		return store(t, ParseDuration), durationExample
+	case *identifier.BytesPerSecond:
+		return store(t, ParseRate), rateExample
+	case *identifier.ByteCount:
+		return store(t, ParseSize), sizeExample
+	case *netip.AddrPort:
+		return store(t, parseAddress), `write an IP number and a port, such as "10.0.0.7:7400"`
+	case encoding.TextUnmarshaler:
+		return func(text string) error { return t.UnmarshalText([]byte(text)) }, "correct the value"
+	}
+	if values, ok := target.Interface().(Enumeration); ok && target.Kind() == reflect.String {
+		return storeEnumeration(target, values.Values()), "write one of " + strings.Join(values.Values(), ", ")
+	}
+	return nil, ""
+}
+
+func store[V any](target *V, parse func(string) (V, error)) func(string) error {
+	return func(text string) error {
+		v, err := parse(text)
+		if err != nil {
+			return err
+		}
+		*target = v
+		return nil
+	}
+}
+
+func storeEnumeration(target reflect.Value, values []string) func(string) error {
+	return func(text string) error {
+		if !slices.Contains(values, text) {
+			return fmt.Errorf("value %q is not known", text)
+		}
+		target.SetString(text)
+		return nil
+	}
+}
+
+func parseAddress(text string) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return addr, fmt.Errorf("address %q is not an IP number with a port", text)
+	}
+	return addr, nil
+}
+
+func (d *decoder) structure(path Path, source any, target reflect.Value) {
+	table, ok := source.(map[string]any)
+	if !ok {
+		if source != nil {
+			d.mismatch(path, source, "a table")
+		}
+		return
+	}
+	for _, name := range sortedKeys(table) {
+		inner := path.Key(name)
+		field, ok := target.Type().FieldByName(name)
+		if !ok || !field.IsExported() {
+			d.fault(inner, "key is not known", "use one of "+strings.Join(fieldNames(target.Type()), ", "))
+			continue
+		}
+		d.value(inner, table[name], target.FieldByIndex(field.Index))
+	}
+}
+
+func (d *decoder) mapping(path Path, source any, target reflect.Value) {
+	table, ok := source.(map[string]any)
+	if !ok {
+		d.mismatch(path, source, "a table")
+		return
+	}
+	target.Set(cloneMap(target)) // the old map may be shared
+	for _, name := range sortedKeys(table) {
+		key := reflect.New(target.Type().Key()).Elem()
+		key.SetString(name)
+		element := reflect.New(target.Type().Elem())
+		if old := target.MapIndex(key); old.IsValid() {
+			element.Elem().Set(old)
+		} else if defaulter, ok := element.Interface().(Defaulter); ok {
+			defaulter.SetDefaults()
+		}
+		d.value(path.Key(name), table[name], element.Elem())
+		target.SetMapIndex(key, element.Elem())
+	}
+}
+
+func cloneMap(m reflect.Value) reflect.Value {
+	clone := reflect.MakeMapWithSize(m.Type(), m.Len())
+	it := m.MapRange()
+	for it.Next() {
+		clone.SetMapIndex(it.Key(), it.Value())
+	}
+	return clone
+}
+
+func (d *decoder) list(path Path, source any, target reflect.Value) {
+	elements, ok := source.([]any)
+	if !ok {
+		d.mismatch(path, source, "a list")
+		return
+	}
+	if len(elements) == 0 {
+		target.SetZero() // one form for "none", so that equal values compare equal
+		return
+	}
+	list := reflect.MakeSlice(target.Type(), len(elements), len(elements))
+	for i, element := range elements {
+		d.value(path.Index(i), element, list.Index(i))
+	}
+	target.Set(list)
+}
+
+func (d *decoder) scalar(path Path, source any, target reflect.Value) {
+	switch v := source.(type) {
+	case string:
+		if target.Kind() == reflect.String {
+			target.SetString(v)
+			return
+		}
+	case bool:
+		if target.Kind() == reflect.Bool {
+			target.SetBool(v)
+			return
+		}
+	case int64:
+		if d.integer(path, v, target) {
+			return
+		}
+	case float64:
+		if target.CanFloat() && !math.IsNaN(v) && !math.IsInf(v, 0) {
+			target.SetFloat(v)
+			return
+		}
+	}
+	d.mismatch(path, source, nameOfKind(target))
+}
+
+// integer stores a whole number, and reports false where target holds none.
+func (d *decoder) integer(path Path, n int64, target reflect.Value) bool {
+	switch {
+	case target.CanFloat():
+		target.SetFloat(float64(n))
+	case target.CanInt():
+		if target.OverflowInt(n) {
+			d.fault(path, fmt.Sprintf("number %d is too large", n), "write a smaller number")
+			return true
+		}
+		target.SetInt(n)
+	case target.CanUint():
+		if n < 0 || target.OverflowUint(uint64(n)) {
+			d.fault(path, fmt.Sprintf("number %d is out of range", n), "write a number from zero up")
+			return true
+		}
+		target.SetUint(uint64(n))
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *decoder) mismatch(path Path, source any, want string) {
+	d.fault(path, fmt.Sprintf("value is %s, not %s", kindOf(source), want), "write "+want)
+}
+
+func kindOf(source any) string {
+	switch source.(type) {
+	case string:
+		return "text"
+	case bool:
+		return "true or false"
+	case int64:
+		return "a whole number"
+	case float64:
+		return "a number"
+	case []any:
+		return "a list"
+	case map[string]any:
+		return "a table"
+	default:
+		return "a date or time"
+	}
+}
+
+func nameOfKind(target reflect.Value) string {
+	switch {
+	case target.CanInt(), target.CanUint():
+		return "a whole number"
+	case target.CanFloat():
+		return "a number"
+	case target.Kind() == reflect.Bool:
+		return "true or false"
+	default:
+		return "text"
+	}
+}
+
+func sortedKeys(table map[string]any) []string {
+	keys := make([]string, 0, len(table))
+	for key := range table {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func fieldNames(typ reflect.Type) []string {
+	var names []string
+	for _, field := range reflect.VisibleFields(typ) {
+		if field.IsExported() && !field.Anonymous {
+			names = append(names, field.Name)
+		}
+	}
+	return names
+}
