imitator: play engines, plain services and the origin of weights

The demo, the failure tests and the measurements need outside systems that behave as the usual ones do and misbehave on request. An engine streams OpenAI-style completions whose text names the weights and the prompt's hash, takes fenced orders and checks every file's digest before it serves it. A service counts runs per idempotency key. The origin counts bytes per file and limits its rate. Each keeps its runs through a crash for history checks.

Ruled out: ending the process at a crash. One process plays many engines, so a crash closes the listener and every connection of one of them instead.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,6 +1,42 @@
-// Command standin is the stand-ins of outside systems.
+// Command standin plays the outside systems that the product deals with.
 package main
 
-import _ "net" // links the C library
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() {}
+	"github.com/alecthomas/kong"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+)
+
+// commands are the stand-ins, one command each.
+type commands struct {
+	Engine  engineCommand  `cmd:"" help:"Play model engines."`
+	Service serviceCommand `cmd:"" help:"Play plain services, whose bookings must not be repeated."`
+	Origin  originCommand  `cmd:"" help:"Play the origin of weights, with its rate limit."`
+	Weights weightsCommand `cmd:"" help:"Write pseudo-random weights with their manifest and print the manifest's digest."`
+}
+
+// environment is what every command is run with.
+type environment struct {
+	ctx   context.Context
+	clock clockwork.Clock
+	log   *zap.Logger
+	out   *os.File
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("standin"),
+		kong.Description("Stand-ins of outside systems for demos, tests and measurements."),
+		kong.UsageOnError())
+	log, err := zap.NewProduction()
+	k.FatalIfErrorf(err)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err = k.Run(&environment{ctx: ctx, clock: clockwork.NewRealClock(), log: log, out: os.Stdout})
+	k.FatalIfErrorf(err)
+}
