parser: add the address of the operators' API

Operators speak HTTPS with their own keys on a control replica; metrics and health stay on plain HTTP, where collectors reach them without keys.

--- a/parser/check.go
+++ b/parser/check.go
@@ -56,7 +56,7 @@
 	c.required("Region", string(s.Region), "name the region")
 	c.required("AvailabilityZone", string(s.AvailabilityZone), "name the availability zone")
 	c.requiredAddress("Listen", s.Listen, "set the address for the system's other processes")
-	c.requiredAddress("Admin", s.Admin, "set the address for metrics, health and operators")
+	c.requiredAddress("Admin", s.Admin, "set the address for metrics and health")
 }
 
 func (c *settingsCheck) roles() {
@@ -74,6 +74,11 @@
 	if s.Has(Entry) {
 		c.requiredAddress("Entry.Listen", s.Entry.Listen, "set the address for callers, or leave Entry out of Roles")
 	}
+	if s.Has(Control) {
+		c.requiredAddress("Control.Operators", s.Control.Operators, "set the HTTPS address for operators, or leave Control out of Roles")
+	} else if s.Control.Operators.IsValid() {
+		c.fault("Control.Operators", "operators' API belongs to role Control, which Roles leaves out", "add the role, or remove the key")
+	}
 	c.unused(Entry, "Entry")
 	c.unused(Agent, "Agent")
 }
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -78,7 +78,7 @@
 	Roles            []Role                      // empty means all three
 	DataFolder       string                      // on a disk; needed by Control
 	Listen           netip.AddrPort              // QUIC, for the system's other processes
-	Admin            netip.AddrPort              // HTTP, for metrics, health and operators
+	Admin            netip.AddrPort              // HTTP, for metrics and health
 	Keys             KeySettings
 	Log              LogSettings
 	Control          ControlSettings
@@ -90,7 +90,7 @@
 // KeySettings says where the keys of mutual TLS are: in Folder, or in three
 // files named one by one.
 type KeySettings struct {
-	Folder      string // holds authority.pem, certificate.pem and key.pem
+	Folder      string // holds authority.pem, NAME.pem and NAME-key.pem, NAME being that of the process
 	Authority   string // file with the authority's certificates
 	Certificate string // file with this process's certificate
 	PrivateKey  string // file with this process's private key
@@ -107,6 +107,8 @@
 	// Members are the control processes to ask first. For a process of role
 	// Control they are also the members of a new, empty log.
 	Members []Member
+	// Operators is the HTTPS address of the operators' API on role Control.
+	Operators netip.AddrPort
 }
 
 // Member is one control process.
@@ -160,8 +162,11 @@
 		Admin:            netip.MustParseAddrPort("127.0.0.1:7401"),
 		Keys:             KeySettings{Folder: "keys"},
 		Log:              LogSettings{Format: LogText, Level: LogInfo},
-		Control:          ControlSettings{Members: []Member{{Name: defaultName, Address: listen}}},
-		Entry:            EntrySettings{Listen: netip.MustParseAddrPort("127.0.0.1:8080")},
+		Control: ControlSettings{
+			Members:   []Member{{Name: defaultName, Address: listen}},
+			Operators: netip.MustParseAddrPort("127.0.0.1:7402"),
+		},
+		Entry: EntrySettings{Listen: netip.MustParseAddrPort("127.0.0.1:8080")},
 		Agent: AgentSettings{
 			Upstream:        defaultUpstream,
 			Service:         defaultService,
@@ -204,6 +209,7 @@
 	}
 	s.DataFolder = ""
 	s.Control.Members = nil
+	s.Control.Operators = netip.AddrPort{}
 	s.Agent.Upstream = ""
 	s.Agent.Service = ""
 	s.Agent.UpstreamAddress = netip.AddrPort{}
