admitter: decide which attempts an upstream runs

The agent's last check before work starts: attempts by id, claims, leaving, suspects, a fair queue for all entries and the upstream's adaptive limit. A refusal is a proof, since a refused or unseen attempt is refused from then on.

--- /dev/null
+++ b/admitter/crash.go
@@ -0,0 +1,104 @@
+package admitter
+
+import (
+	"slices"
+
+	"celeryvalve/identifier"
+	"celeryvalve/router"
+)
+
+func (r *Reducer) upstreamChanged(e UpstreamChanged) {
+	if e.Crashed {
+		r.crash()
+	}
+	r.ready = e.Ready
+	if !r.ready {
+		r.refuseQueued(router.NotReady)
+		return
+	}
+	r.dispatch()
+}
+
+// crash ends every running attempt and makes its request a suspect, or refuses
+// the one that ran alone because it was a suspect already.
+func (r *Reducer) crash() {
+	r.ready = false
+	r.limit.Reset()
+	report := CrashReport{Upstream: r.cfg.Upstream, Incarnation: r.cfg.Incarnation}
+	for _, id := range r.runningIDs() {
+		a := r.running[id]
+		delete(r.running, id)
+		a.crashed = true
+		a.end = Broke
+		a.set(endedState, r.now)
+		r.suspect(a, &report)
+		r.emit(Stop{Attempt: id})
+		r.tellAllGone(a)
+	}
+	if r.alone != nil && r.alone.state != queuedState {
+		r.alone = nil
+	}
+	if len(report.Suspects) > 0 {
+		r.emit(ReportCrash{Report: report})
+	}
+}
+
+func (r *Reducer) suspect(a *attempt, report *CrashReport) {
+	f := a.start.Fingerprint
+	if f == 0 {
+		return
+	}
+	report.Suspects = append(report.Suspects, f)
+	if a.isAlone() {
+		report.Alone = true
+		r.refused[f] = true
+		delete(r.suspects, f)
+		return
+	}
+	r.suspects[f] = true
+}
+
+// clearSuspect takes the request from the suspects after it ran alone and whole.
+func (r *Reducer) clearSuspect(a *attempt) {
+	f := a.start.Fingerprint
+	if !a.isAlone() || f == 0 {
+		return
+	}
+	delete(r.suspects, f)
+	r.emit(ReportCleared{Fingerprint: f})
+}
+
+// quarantineChanged replaces the lists. What was learned here and is not listed
+// was cleared by control or an operator.
+func (r *Reducer) quarantineChanged(e QuarantineChanged) {
+	clear(r.suspects)
+	clear(r.refused)
+	for _, f := range e.Suspects {
+		r.suspects[f] = true
+	}
+	for _, f := range e.Refused {
+		r.refused[f] = true
+	}
+}
+
+func (r *Reducer) runningIDs() []identifier.AttemptID {
+	ids := make([]identifier.AttemptID, 0, len(r.running))
+	for id := range r.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Suspects returns what this agent holds as suspect and as refused.
+func (r *Reducer) Suspects() (suspects, refused []router.Fingerprint) {
+	for f := range r.suspects {
+		suspects = append(suspects, f)
+	}
+	for f := range r.refused {
+		refused = append(refused, f)
+	}
+	slices.Sort(suspects)
+	slices.Sort(refused)
+	return suspects, refused
+}
