forwarder: keep the last bytes of an answer of declared length

The end of the answer went through the path of its bytes and replaced the ones held back. Found on review; the new test covers declared, empty and HEAD answers.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -32,6 +32,24 @@
 	require.Empty(t, got.header.Get("X-Private"))
 }
 
+func TestAnswerOfDeclaredLength(t *testing.T) {
+	b := newBench(t)
+	b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/empty" {
+			_, _ = io.WriteString(w, strings.Repeat("x", 300_000))
+		}
+	})
+	got := b.send(t.Context(), http.MethodGet, "/full", nil)
+	require.NoError(t, got.err)
+	require.Len(t, got.body, 300_000)
+	got = b.send(t.Context(), http.MethodGet, "/empty", nil)
+	require.NoError(t, got.err)
+	require.Equal(t, router.Completed, got.outcome)
+	got = b.send(t.Context(), http.MethodHead, "/full", nil)
+	require.NoError(t, got.err)
+	require.Equal(t, router.Completed, got.outcome)
+}
+
 func TestResendGetsTheStoredOutcome(t *testing.T) {
 	b := newBench(t)
 	var runs atomic.Int32
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -168,7 +168,7 @@
 		if !p.buffered {
 			p.start(outcomeOf(part.head.Status))
 		}
-	case part.trailer != nil:
+	case len(part.data) == 0:
 		copyTrailer(p.w.Header(), part.trailer)
 	case p.buffered:
 		p.body = append(p.body, part.data...)
