--- /dev/null
+++ b/configurer/configuration.go
@@ -0,0 +1,181 @@
+package configurer
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"time"
+
+	"celeryvalve/identifier"
+	"celeryvalve/parser"
+)
+
+// Configuration is one numbered version of everything that operators declare.
+type Configuration struct {
+	Version identifier.ConfigurationVersion
+	Objects
+	// Stamps has the version that last changed each object. A stamp without an
+	// object is the tombstone of a removed one.
+	Stamps map[Ref]identifier.ConfigurationVersion
+	// Floor is the oldest version from which a delta can be made.
+	Floor identifier.ConfigurationVersion
+}
+
+// Objects are the parts of a configuration. They are the tables of a patch file.
+type Objects struct {
+	Organisations map[identifier.Organisation]Organisation
+	Operators     map[identifier.Operator]Operator
+	Models        map[identifier.Model]Model
+	Adapters      map[identifier.Adapter]Adapter
+	Services      map[identifier.Service]Service
+	Transfers     Transfers
+}
+
+// Organisation is a customer on whose behalf requests are made.
+type Organisation struct {
+	Share        int                 // weight of its fair share
+	TokenDigests []identifier.Digest // SHA-256 of its callers' bearer tokens
+}
+
+// Operator is someone who may submit patches.
+type Operator struct {
+	TokenDigest identifier.Digest // SHA-256 of the operator's bearer token
+}
+
+// Model is a model of the origin.
+type Model struct {
+	Versions map[identifier.WeightVersion]Release
+}
+
+// Adapter is loaded beside one model.
+type Adapter struct {
+	Model    identifier.Model
+	Versions map[identifier.WeightVersion]Release
+}
+
+// Release is one version of the weights of a model or adapter. The digest of
+// its manifest never changes once it is declared.
+type Release struct {
+	Manifest identifier.Digest
+	Source   string // path of the manifest at the origin and the weight store
+}
+
+// Service is a set of upstreams that run the same declared work.
+type Service struct {
+	Kind               parser.UpstreamKind
+	Model              identifier.Model         // Engine only
+	Version            identifier.WeightVersion // of the model
+	Adapters           map[identifier.Adapter]identifier.WeightVersion
+	IdempotentMethods  []string                  // HTTP methods that may be repeated
+	IdempotentPaths    []string                  // prefixes that may be repeated with any method
+	NonIdempotentPaths []string                  // prefixes that may not be repeated with any method
+	Priority           int                       // higher goes first
+	Deadline           time.Duration             // of a request that names none
+	QueueLimit         int                       // requests that wait at one entry
+	RetryBudget        float64                   // retries per request, over the service
+	Concurrency        Concurrency               // of each upstream
+	ReportsLoad        bool                      // upstreams report their load
+	Organisations      []identifier.Organisation // that may call it; empty means all
+	Favour             Favour                    // Inherit means that of Transfers
+	PauseRollout       bool                      // upstreams keep what they have loaded
+	Objectives         Objectives
+}
+
+// Concurrency bounds what the limiter may choose for one upstream.
+type Concurrency struct {
+	Minimum int
+	Maximum int
+}
+
+// Objectives are what the service promises its callers and operators.
+type Objectives struct {
+	FirstToken    time.Duration // from the request to the first byte of the answer
+	BetweenTokens time.Duration // between two parts of the answer
+	ReadyWithin   time.Duration // from an accepted version until upstreams serve it
+	Target        float64       // fraction of requests that must meet them
+}
+
+// Favour is which measure transfers of weights put first.
+type Favour string
+
+// The measures.
+const (
+	TimeToReplicas Favour = "TimeToReplicas" // uses the origin up to OriginCopies
+	OriginBytes    Favour = "OriginBytes"    // reads one copy from the origin
+	Inherit        Favour = "Inherit"        // of a service: that of Transfers
+)
+
+// Values returns the names of the measures.
+func (Favour) Values() []string {
+	return []string{string(TimeToReplicas), string(OriginBytes), string(Inherit)}
+}
+
+// Transfers says where weights come from and what their transfer may use. A
+// rate of zero means no limit.
+type Transfers struct {
+	Favour               Favour
+	OriginAddress        string // URL
+	StoreAddress         string // URL of the rate-limited weight store
+	OriginRate           identifier.BytesPerSecond
+	ThinLinkRate         identifier.BytesPerSecond // between two regions
+	InstanceUploadRate   identifier.BytesPerSecond
+	InstanceDownloadRate identifier.BytesPerSecond
+	OriginCopies         int // copies of one release that may be read from the origin
+}
+
+const (
+	defaultDeadline           = 30 * time.Second
+	defaultQueueLimit         = 64
+	defaultRetryBudget        = 0.1
+	defaultMaximumConcurrency = 64
+	defaultFirstToken         = 2 * time.Second
+	defaultBetweenTokens      = 200 * time.Millisecond
+	defaultReadyWithin        = 5 * time.Minute
+	defaultTarget             = 0.99
+	defaultOriginCopies       = 4
+	defaultThinLinkRate       = 20e6 / 8 // bytes per second
+)
+
+// New returns version 0: no objects, and the defaults of transfers.
+func New() Configuration {
+	return Configuration{Objects: Objects{Transfers: Transfers{
+		Favour:       TimeToReplicas,
+		ThinLinkRate: defaultThinLinkRate,
+		OriginCopies: defaultOriginCopies,
+	}}}
+}
+
+// SetDefaults sets what a new organisation has unless its patch says otherwise.
+func (o *Organisation) SetDefaults() {
+	o.Share = 1
+}
+
+// SetDefaults sets what a new service has unless its patch says otherwise.
+func (s *Service) SetDefaults() {
+	s.IdempotentMethods = []string{"GET", "HEAD", "OPTIONS"}
+	s.Favour = Inherit
+	s.Deadline = defaultDeadline
+	s.QueueLimit = defaultQueueLimit
+	s.RetryBudget = defaultRetryBudget
+	s.Concurrency = Concurrency{Minimum: 1, Maximum: defaultMaximumConcurrency}
+	s.Objectives = Objectives{
+		FirstToken:    defaultFirstToken,
+		BetweenTokens: defaultBetweenTokens,
+		ReadyWithin:   defaultReadyWithin,
+		Target:        defaultTarget,
+	}
+}
+
+// Print renders the objects as TOML, in the form of a patch.
+func (c Configuration) Print() []byte {
+	return parser.Format(c.Objects)
+}
+
+// Digest is equal for equal objects. Two configurations with one version and
+// different digests must never exist.
+func (c Configuration) Digest() identifier.Digest {
+	text, err := json.Marshal(c.Objects) // sorts the keys of maps
+	if err != nil {
+		return identifier.Digest{} // can't be: decoding refuses what JSON can't hold
+	}
+	return sha256.Sum256(text)
+}
--- a/parser/decode.go
+++ b/parser/decode.go
@@ -164,7 +164,7 @@
 	for _, name := range sortedKeys(table) {
 		inner := path.Key(name)
 		field, ok := target.Type().FieldByName(name)
-		if !ok || !field.IsExported() {
+		if !ok || !field.IsExported() || field.Anonymous {
 			d.fault(inner, "key is not known", "use one of "+strings.Join(fieldNames(target.Type()), ", "))
 			continue
 		}
@@ -191,6 +191,9 @@
 		d.value(path.Key(name), table[name], element.Elem())
 		target.SetMapIndex(key, element.Elem())
 	}
+	if target.Len() == 0 {
+		target.SetZero()
+	}
 }
 
 func cloneMap(m reflect.Value) reflect.Value {
--- a/parser/print.go
+++ b/parser/print.go
@@ -25,6 +25,30 @@
 	return []byte(strings.TrimPrefix(f.String(), "\n"))
 }
 
+// Flatten returns the text of each value of a struct that isn't zero, by path. A
+// map's element without such a value is there as an empty table.
+func Flatten(value any) map[Path]string {
+	flat := make(map[Path]string)
+	flatten(flat, "", reflect.ValueOf(value))
+	return flat
+}
+
+func flatten(flat map[Path]string, path Path, table reflect.Value) {
+	for _, m := range membersOf(table) {
+		inner := path.Key(m.name)
+		before := len(flat)
+		switch {
+		case isTable(m.value):
+			flatten(flat, inner, m.value)
+		case !m.value.IsZero():
+			flat[inner] = formatValue(m.value)
+		}
+		if table.Kind() == reflect.Map && len(flat) == before {
+			flat[inner] = "{}"
+		}
+	}
+}
+
 type formatter struct {
 	strings.Builder
 }
@@ -50,7 +74,7 @@
 }
 
 func (f *formatter) keyValue(m member) {
-	if (m.value.Kind() == reflect.Pointer || m.value.Kind() == reflect.Slice) && m.value.IsNil() {
+	if m.value.Kind() == reflect.Pointer && m.value.IsNil() {
 		return
 	}
 	text := formatValue(m.value)
@@ -83,9 +107,9 @@
 		sort.Slice(members, func(i, j int) bool { return members[i].name < members[j].name })
 		return members
 	}
-	for i := range table.NumField() {
-		if field := table.Type().Field(i); field.IsExported() {
-			members = append(members, member{field.Name, table.Field(i)})
+	for _, field := range reflect.VisibleFields(table.Type()) {
+		if field.IsExported() && !field.Anonymous {
+			members = append(members, member{field.Name, table.FieldByIndex(field.Index)})
 		}
 	}
 	return members
