controller: add the replicated state of control and the leader's leases

One state machine holds patches with their first answers and history, claims, members with fencing tokens, leases on the origin and the quarantine. Every command may be applied again, since a submitter that lost the answer resends.

Claims: a lost holder makes a claim Unknown at once, and nothing frees it but the proof that its attempt was refused. Time frees only settled claims. Ruled out: freeing a held claim after a while, which could run its key twice.

The configuration is bounded to 2 MiB so that no frame that carries one is too large to be read.

--- a/configurer/patch.go
+++ b/configurer/patch.go
@@ -13,6 +13,10 @@
 // MaximumPatch is the largest patch file, in bytes.
 const MaximumPatch identifier.ByteCount = 256 << 10
 
+// MaximumConfiguration is the largest configuration, printed, in bytes. It keeps
+// every message and frame that carries one within the encoder's limit.
+const MaximumConfiguration identifier.ByteCount = 2 << 20
+
 // Patch is a change to one version of the configuration. Its source is kept as
 // it was written: what it sets is read over the objects of its base, field by
 // field, and faults bear the positions of the file.
@@ -76,7 +80,12 @@
 	if err := faults.Err(); err != nil {
 		return c, err
 	}
-	return c.next(objects), nil
+	next := c.next(objects)
+	if identifier.ByteCount(len(next.Print())) > MaximumConfiguration {
+		return c, explainer.New(explainer.InvalidInput,
+			fmt.Sprintf("configuration would be larger than %s", parser.FormatSize(MaximumConfiguration)), "remove what isn't used")
+	}
+	return next, nil
 }
 
 // patchObjects removes first and sets then, so that one patch can replace an object.
--- /dev/null
+++ b/controller/claims.go
@@ -0,0 +1,365 @@
+package controller
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"celeryvalve/asserter"
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+const (
+	// ClaimRetention is how long the outcome of a key is kept after it was settled.
+	// A resend that comes later runs again.
+	ClaimRetention = 6 * time.Hour
+	// MaximumClaims is how many claims are kept. Further ones are answered Full:
+	// forgetting a claim early could run its key twice.
+	MaximumClaims = 65536
+	// MaximumOrganisationClaims is how many of them one organisation may have.
+	MaximumOrganisationClaims = MaximumClaims / 4
+	// MaximumAnswer is the largest answer that is kept for resends.
+	MaximumAnswer identifier.ByteCount = 16 << 10
+	// AnswerBudget bounds the size of all answers together. The oldest are dropped;
+	// their outcomes stay.
+	AnswerBudget identifier.ByteCount = 8 << 20
+	// MaximumKey bounds the length of an idempotency key, in bytes.
+	MaximumKey = 256
+	// FreedAttemptsKept is how many attempts that were refused are remembered for
+	// each key, so that a late claim of one doesn't hold the key.
+	FreedAttemptsKept = 16
+
+	claimRetryAfter = 30 * time.Second // of an answer Full
+	voidSettlements = 1024             // entries of the queue that may be void, at least
+)
+
+// ClaimState is where a claim stands.
+type ClaimState string
+
+// The states of claims.
+const (
+	ClaimHeld    ClaimState = "Held"    // the attempt may be running
+	ClaimSettled ClaimState = "Settled" // the key has its outcome
+	ClaimFree    ClaimState = "Free"    // no attempt ran or will
+)
+
+// ClaimRecord is the claim on one key.
+type ClaimRecord struct {
+	Claim
+	State         ClaimState
+	Token         identifier.FencingToken
+	HolderToken   identifier.FencingToken // of the upstream, when the claim was granted
+	At            Instant                 // of the grant
+	Outcome       Outcome
+	Answer        []byte
+	AnswerDropped bool
+	SettledAt     Instant
+	Sequence      uint64                 // of the settlement, over all claims
+	Freed         []identifier.AttemptID // latest last
+}
+
+// ClaimCounts tells how full the claims are.
+type ClaimCounts struct {
+	Held    int
+	Settled int
+	Free    int
+	Answers identifier.ByteCount
+}
+
+type claimKey struct {
+	organisation identifier.Organisation
+	service      identifier.Service
+	key          identifier.IdempotencyKey
+}
+
+// settlement is one entry of the queue of settled claims. It is void when the
+// claim has another sequence by now.
+type settlement struct {
+	key      claimKey
+	sequence uint64
+}
+
+type claims struct {
+	records  map[claimKey]*ClaimRecord
+	perOwner map[identifier.Organisation]int
+	held     map[identifier.Upstream]map[claimKey]*ClaimRecord // held claims of each upstream
+	settled  []settlement                                      // oldest first
+	answered []settlement                                      // those with an answer, oldest first
+	answers  identifier.ByteCount
+	sequence uint64
+}
+
+func newClaims() claims {
+	return claims{
+		records:  make(map[claimKey]*ClaimRecord),
+		perOwner: make(map[identifier.Organisation]int),
+		held:     make(map[identifier.Upstream]map[claimKey]*ClaimRecord),
+	}
+}
+
+// claim grants the key to one attempt, or tells who has it.
+func (s *State) claim(m *Claim) any {
+	if m.Key == "" || len(m.Key) > MaximumKey || m.Attempt == "" {
+		return &Rejected{Kind: explainer.InvalidInput, Problem: "claim has no attempt, or its key is empty or too long",
+			Remedy: fmt.Sprintf("send an idempotency key of up to %d bytes", MaximumKey)}
+	}
+	c := &s.core.claims
+	record, ok := c.records[keyOf(m)]
+	switch {
+	case !ok && m.Replaces != 0:
+		return &ClaimAnswer{Status: Fenced} // what it replaces was settled and forgotten
+	case !ok && c.full(m.Organisation):
+		return &ClaimAnswer{Status: Full, RetryAfter: claimRetryAfter}
+	case !ok:
+		record = &ClaimRecord{Claim: *m, State: ClaimFree}
+	case record.BodyDigest != m.BodyDigest:
+		return &ClaimAnswer{Status: Mismatch}
+	case record.State == ClaimSettled:
+		return record.answer(Settled)
+	case record.State == ClaimHeld && record.Attempt == m.Attempt:
+		return record.answer(Granted)
+	case record.State == ClaimHeld && record.Token != m.Replaces:
+		return record.answer(InProgress)
+	}
+	return s.grant(record, m)
+}
+
+// grant gives the key to the attempt, unless the attempt was refused before or
+// its upstream isn't current.
+func (s *State) grant(record *ClaimRecord, m *Claim) any {
+	c := &s.core.claims
+	member, ok := s.core.members.current(m.Upstream, m.Incarnation)
+	if !ok || slices.Contains(record.Freed, m.Attempt) {
+		return &ClaimAnswer{Status: Fenced}
+	}
+	token, ok := s.nextToken()
+	once := record.State != ClaimSettled && token > record.Token
+	if !ok || !s.assert.Check(asserter.AtMostOnce, once, fmt.Sprintf("key %q is claimed again after it ran", m.Key)) {
+		return &ClaimAnswer{Status: Fenced}
+	}
+	if record.State == ClaimHeld {
+		c.release(record) // its agent refuses the attempt from now on
+	}
+	c.add(record)
+	record.Claim = *m
+	record.State = ClaimHeld
+	record.Token = token
+	record.HolderToken = member.Token
+	record.At = s.core.now
+	record.Sequence = 0
+	c.hold(record)
+	return record.answer(Granted)
+}
+
+func (c *core) settle(m *Settle) any {
+	record, ok := c.claims.records[claimKey{m.Organisation, m.Service, m.Key}]
+	if !ok {
+		return &SettleAnswer{}
+	}
+	if record.Token != m.Token || !record.accepts(m.Outcome) {
+		return &SettleAnswer{Outcome: record.outcome()}
+	}
+	if m.Outcome == NotRun {
+		c.claims.free(c.now, record)
+		return &SettleAnswer{Changed: true, Outcome: NotRun}
+	}
+	c.claims.settle(c.now, record, m.Outcome, m.Answer)
+	return &SettleAnswer{Changed: true, Outcome: m.Outcome}
+}
+
+// accepts reports whether the outcome may follow what is known.
+func (r *ClaimRecord) accepts(outcome Outcome) bool {
+	switch outcome {
+	case Completed, Failed:
+		return r.State == ClaimHeld || (r.State == ClaimSettled && r.Outcome == Unknown)
+	case Unknown, NotRun:
+		return r.State == ClaimHeld
+	default:
+		return false
+	}
+}
+
+// outcome returns what is known: nothing while the claim is held.
+func (r *ClaimRecord) outcome() Outcome {
+	if r.State == ClaimFree {
+		return NotRun
+	}
+	return r.Outcome
+}
+
+func (r *ClaimRecord) answer(status ClaimStatus) *ClaimAnswer {
+	return &ClaimAnswer{
+		Status:        status,
+		Token:         r.Token,
+		Request:       r.Request,
+		Attempt:       r.Attempt,
+		Upstream:      r.Upstream,
+		Incarnation:   r.Incarnation,
+		Entry:         r.Entry,
+		Outcome:       r.Outcome,
+		Answer:        r.Answer,
+		AnswerDropped: r.AnswerDropped,
+	}
+}
+
+func (c *claims) full(organisation identifier.Organisation) bool {
+	return len(c.records) >= MaximumClaims || c.perOwner[organisation] >= MaximumOrganisationClaims
+}
+
+func (c *claims) add(record *ClaimRecord) {
+	key := keyOf(&record.Claim)
+	if _, ok := c.records[key]; ok {
+		return
+	}
+	c.records[key] = record
+	c.perOwner[record.Organisation]++
+}
+
+func (c *claims) hold(record *ClaimRecord) {
+	held := c.held[record.Upstream]
+	if held == nil {
+		held = make(map[claimKey]*ClaimRecord)
+		c.held[record.Upstream] = held
+	}
+	held[keyOf(&record.Claim)] = record
+}
+
+// letGo takes the claim off its upstream's list.
+func (c *claims) letGo(record *ClaimRecord) {
+	held := c.held[record.Upstream]
+	delete(held, keyOf(&record.Claim))
+	if len(held) == 0 {
+		delete(c.held, record.Upstream)
+	}
+}
+
+// release remembers that the holder's attempt is refused for ever.
+func (c *claims) release(record *ClaimRecord) {
+	c.letGo(record)
+	record.Freed = append(record.Freed, record.Attempt)
+	if len(record.Freed) > FreedAttemptsKept {
+		record.Freed = slices.Clone(record.Freed[1:])
+	}
+}
+
+func (c *claims) free(now Instant, record *ClaimRecord) {
+	c.release(record)
+	record.State = ClaimFree
+	c.enqueue(now, record)
+}
+
+func (c *claims) settle(now Instant, record *ClaimRecord, outcome Outcome, answer []byte) {
+	c.letGo(record)
+	record.State = ClaimSettled
+	record.Outcome = outcome
+	record.AnswerDropped = identifier.ByteCount(len(answer)) > MaximumAnswer
+	if !record.AnswerDropped {
+		record.Answer = answer
+	}
+	c.enqueue(now, record)
+	c.keepAnswer(record)
+}
+
+// enqueue starts the retention of a claim that isn't held any more.
+func (c *claims) enqueue(now Instant, record *ClaimRecord) {
+	c.sequence++
+	record.Sequence = c.sequence
+	record.SettledAt = now
+	c.settled = append(c.settled, settlement{keyOf(&record.Claim), record.Sequence})
+	if len(c.settled) > 2*len(c.records)+voidSettlements {
+		c.settled = slices.DeleteFunc(c.settled, c.void)
+	}
+}
+
+// void reports whether the claim was settled or granted again since.
+func (c *claims) void(s settlement) bool {
+	record, ok := c.records[s.key]
+	return !ok || record.Sequence != s.sequence
+}
+
+func (c *claims) keepAnswer(record *ClaimRecord) {
+	if len(record.Answer) == 0 {
+		return
+	}
+	c.answers += identifier.ByteCount(len(record.Answer))
+	c.answered = append(c.answered, settlement{keyOf(&record.Claim), record.Sequence})
+	for c.answers > AnswerBudget {
+		oldest := c.answered[0]
+		c.answered = c.answered[1:]
+		if !c.void(oldest) {
+			c.dropAnswer(c.records[oldest.key])
+		}
+	}
+}
+
+func (c *claims) dropAnswer(record *ClaimRecord) {
+	if len(record.Answer) == 0 {
+		return
+	}
+	c.answers -= identifier.ByteCount(len(record.Answer))
+	record.Answer = nil
+	record.AnswerDropped = true
+}
+
+// lose settles what a lost holder may have run. Only its agent could say more,
+// and may still do so under the claim's token.
+func (c *claims) lose(now Instant, upstream identifier.Upstream, token identifier.FencingToken) {
+	lost := make([]*ClaimRecord, 0, len(c.held[upstream]))
+	for _, record := range c.held[upstream] {
+		if record.HolderToken <= token {
+			lost = append(lost, record)
+		}
+	}
+	slices.SortFunc(lost, func(a, b *ClaimRecord) int { return cmp.Compare(a.Token, b.Token) })
+	for _, record := range lost {
+		c.settle(now, record, Unknown, nil)
+	}
+}
+
+// expire forgets claims that were settled long enough ago. A held claim is
+// never forgotten by time.
+func (c *claims) expire(now Instant) {
+	for len(c.settled) > 0 {
+		oldest := c.settled[0]
+		if c.void(oldest) {
+			c.settled = c.settled[1:]
+			continue
+		}
+		record := c.records[oldest.key]
+		if record.SettledAt.after(ClaimRetention) > now {
+			return
+		}
+		c.settled = c.settled[1:]
+		c.drop(oldest.key, record)
+	}
+}
+
+func (c *claims) drop(key claimKey, record *ClaimRecord) {
+	c.dropAnswer(record)
+	delete(c.records, key)
+	c.perOwner[key.organisation]--
+	if c.perOwner[key.organisation] == 0 {
+		delete(c.perOwner, key.organisation)
+	}
+}
+
+func (c *claims) counts() ClaimCounts {
+	counts := ClaimCounts{Answers: c.answers}
+	for _, record := range c.records {
+		switch record.State {
+		case ClaimHeld:
+			counts.Held++
+		case ClaimSettled:
+			counts.Settled++
+		case ClaimFree:
+			counts.Free++
+		}
+	}
+	return counts
+}
+
+func keyOf(m *Claim) claimKey {
+	return claimKey{m.Organisation, m.Service, m.Key}
+}
--- /dev/null
+++ b/controller/state.go
@@ -0,0 +1,176 @@
+package controller
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"celeryvalve/asserter"
+	"celeryvalve/configurer"
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+// State is the replicated state machine. Apply, Snapshot and Restore are called
+// by one goroutine; the read accessors are safe beside them.
+type State struct {
+	assert asserter.Asserter
+
+	mu   sync.RWMutex
+	core core
+}
+
+// core is everything that a snapshot holds.
+type core struct {
+	index      Index   // of the last command
+	now        Instant // the latest time that the log gave
+	patches    patches
+	members    members
+	claims     claims
+	origin     origin
+	quarantine quarantine
+}
+
+// New returns the state of an empty log.
+func New(assert asserter.Asserter) *State {
+	return &State{assert: assert, core: newCore()}
+}
+
+func newCore() core {
+	return core{
+		patches:    newPatches(),
+		members:    newMembers(),
+		claims:     newClaims(),
+		origin:     newOrigin(),
+		quarantine: newQuarantine(),
+	}
+}
+
+// Apply carries out one command and returns a pointer to its answer. Bytes that
+// are no command are Rejected and change nothing but the position.
+func (s *State) Apply(index uint64, at time.Time, data []byte) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if Index(index) <= s.core.index {
+		return &Rejected{Kind: explainer.Internal, Problem: fmt.Sprintf("entry %d is applied already", index),
+			Remedy: "apply each entry of the log once, in order"}
+	}
+	s.core.index = Index(index)
+	s.core.now = max(s.core.now, Instant(at.UnixNano()))
+	command, err := DecodeCommand(data)
+	if err != nil {
+		return &Rejected{Kind: explainer.Corrupt, Problem: err.Error(), Remedy: "run the same release on every replica"}
+	}
+	s.core.expire()
+	return s.dispatch(command)
+}
+
+func (s *State) dispatch(command any) any {
+	c := &s.core
+	switch m := command.(type) {
+	case *SubmitPatch:
+		return s.submit(m.Patch)
+	case *Announce:
+		return s.announce(m)
+	case *Ready:
+		return c.ready(m)
+	case *Leave:
+		return c.leave(m)
+	case *Expire:
+		return c.expireMember(m)
+	case *Claim:
+		return s.claim(m)
+	case *Settle:
+		return c.settle(m)
+	case *LeaseOrigin:
+		return s.leaseOrigin(m)
+	case *ReturnOrigin:
+		return c.returnOrigin(m)
+	case *ReportCrash:
+		return c.reportCrash(m)
+	case *ClearSuspects:
+		return c.clearSuspects(m)
+	default:
+		return &Rejected{Kind: explainer.Internal, Problem: fmt.Sprintf("command %T has no handler", command),
+			Remedy: "report this"}
+	}
+}
+
+// expire drops what was kept long enough by now.
+func (c *core) expire() {
+	c.claims.expire(c.now)
+	c.quarantine.expire(c.now, c.index)
+}
+
+// Index returns the position of the last command.
+func (s *State) Index() Index {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.core.index
+}
+
+// Configuration returns the current configuration, which is immutable.
+func (s *State) Configuration() configurer.Configuration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.core.patches.current
+}
+
+// PatchHistory returns up to n of the latest versions, the latest first.
+func (s *State) PatchHistory(n int) []Record {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.core.patches.latest(n)
+}
+
+// ShowVersion returns the configuration of a version that is still kept.
+func (s *State) ShowVersion(version identifier.ConfigurationVersion) (configurer.Configuration, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.core.patches.show(version)
+}
+
+// Members returns every member.
+func (s *State) Members() MemberDelta {
+	return s.MembersSince(0)
+}
+
+// MembersSince returns the members that changed after the index, and those that
+// are gone.
+func (s *State) MembersSince(index Index) MemberDelta {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.core.members.since(index)
+}
+
+// Claims returns how many claims there are, and how large their answers are.
+func (s *State) Claims() ClaimCounts {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.core.claims.counts()
+}
+
+// ClaimOf returns the claim on a key.
+func (s *State) ClaimOf(organisation identifier.Organisation, service identifier.Service, key identifier.IdempotencyKey) (ClaimRecord, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	record, ok := s.core.claims.records[claimKey{organisation, service, key}]
+	if !ok {
+		return ClaimRecord{}, false
+	}
+	return *record, true
+}
+
+// OriginUse returns what was granted of each manifest.
+func (s *State) OriginUse() []OriginUse {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.core.origin.use()
+}
+
+// Suspects returns the requests that were in flight when upstreams crashed.
+func (s *State) Suspects() Suspects {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.core.quarantine.list()
+}
