--- /dev/null
+++ b/recorder/filesystem.go
@@ -0,0 +1,110 @@
+package recorder
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+
+	"celeryvalve/explainer"
+)
+
+// File is a file that is written from front to back.
+type File interface {
+	io.Writer
+	Sync() error
+	Close() error
+}
+
+// FileSystem is what the recorder needs of a disk.
+type FileSystem interface {
+	// MakeFolder makes the folder and its parents, and syncs its entry.
+	MakeFolder(path string) error
+	// List returns the names in the folder in ascending order.
+	List(folder string) ([]string, error)
+	// Read returns the whole file.
+	Read(path string) ([]byte, error)
+	// Create makes an empty file in place of any that exists.
+	Create(path string) (File, error)
+	Rename(from, to string) error
+	Remove(path string) error
+	// SyncFolder makes creations, renames and removals in the folder last.
+	SyncFolder(path string) error
+	// Lock takes the file for this process until the result is closed.
+	Lock(path string) (io.Closer, error)
+}
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// Disk is the FileSystem of the operating system.
+type Disk struct{}
+
+// MakeFolder implements FileSystem.
+func (d Disk) MakeFolder(path string) error {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return err
+	}
+	return d.SyncFolder(filepath.Dir(path))
+}
+
+// List implements FileSystem.
+func (Disk) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// Read implements FileSystem.
+func (Disk) Read(path string) ([]byte, error) {
+	return os.ReadFile(path)
+}
+
+// Create implements FileSystem.
+func (Disk) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND, fileMode)
+}
+
+// Rename implements FileSystem.
+func (Disk) Rename(from, to string) error {
+	return os.Rename(from, to)
+}
+
+// Remove implements FileSystem.
+func (Disk) Remove(path string) error {
+	return os.Remove(path)
+}
+
+// SyncFolder implements FileSystem.
+func (Disk) SyncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	err = f.Sync()
+	return errors.Join(err, f.Close())
+}
+
+// Lock implements FileSystem.
+func (Disk) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, explainer.Wrap(err, explainer.Conflict, "data folder "+filepath.Dir(path)+" is in use by another process",
+			"stop the other process, or give this one its own data folder")
+	}
+	return f, nil
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,350 @@
+package recorder
+
+import (
+	"io"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+// DefaultSegmentBytes is the size after which the log goes on in a new segment.
+const DefaultSegmentBytes identifier.ByteCount = 4 << 20
+
+const lockFile = "Lock"
+
+// Config says where a recorder keeps its files.
+type Config struct {
+	// Folder is the data folder. The recorder owns everything in it.
+	Folder string
+	// Name is the replica's name in the settings. It outlives a lost disk.
+	Name string
+	// SegmentBytes is the size of a segment, or 0 for DefaultSegmentBytes.
+	SegmentBytes identifier.ByteCount
+}
+
+// Batch is what one call of Append makes last, as a whole.
+type Batch struct {
+	HardState *HardState
+	// Entries follow each other. They take the place of any from their first index on.
+	Entries []Entry
+}
+
+// State is what a recorder holds when it is opened.
+type State struct {
+	HardState HardState
+	Snapshot  *Snapshot
+	// Entries are those after Snapshot.
+	Entries []Entry
+}
+
+// Recorder keeps the state of one replica on a disk. It is safe for concurrent use.
+type Recorder struct {
+	fs      FileSystem
+	cfg     Config
+	replica identifier.Replica
+
+	mu        sync.Mutex
+	err       error
+	lock      io.Closer
+	loaded    State
+	hardState HardState
+	last      Position
+	snapshot  Position
+	segments  []segment
+	next      sequence
+	file      File
+	mark      File
+	written   int64
+}
+
+// Open reads the data folder, or makes it. It returns an error of kind Corrupt
+// where anything that was synced is damaged or missing.
+func Open(fs FileSystem, cfg Config, random io.Reader) (*Recorder, error) {
+	if cfg.SegmentBytes == 0 {
+		cfg.SegmentBytes = DefaultSegmentBytes
+	}
+	if err := fs.MakeFolder(cfg.Folder); err != nil {
+		return nil, failed(err, "creation of the data folder")
+	}
+	lock, err := fs.Lock(filepath.Join(cfg.Folder, lockFile))
+	if err != nil {
+		return nil, err
+	}
+	r := &Recorder{fs: fs, cfg: cfg, lock: lock}
+	if err := r.load(random); err != nil {
+		_ = lock.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Recorder) load(random io.Reader) error {
+	if err := r.removeTemporaryFiles(); err != nil {
+		return err
+	}
+	names, err := r.fs.List(r.cfg.Folder)
+	if err != nil {
+		return failed(err, "list of the data folder")
+	}
+	if err := r.loadIdentity(names, random); err != nil {
+		return err
+	}
+	snapshot, err := r.loadSnapshot(names)
+	if err != nil {
+		return err
+	}
+	log, err := r.loadSegments(names)
+	if err != nil {
+		return err
+	}
+	reset, err := r.join(snapshot, log)
+	if err != nil {
+		return err
+	}
+	if err := r.openSegment(reset); err != nil {
+		return err
+	}
+	return r.compact()
+}
+
+// join puts snapshot and log together. A log that lacks the snapshot's entry was
+// left by an interrupted installation of the snapshot, and is reset.
+func (r *Recorder) join(snapshot *Snapshot, log *replay) (reset *Position, err error) {
+	r.hardState = log.hardState
+	r.next = log.next
+	r.last = log.last()
+	r.loaded = State{HardState: log.hardState, Snapshot: snapshot, Entries: log.entries}
+	if snapshot == nil {
+		if log.begin.Index > 0 {
+			return nil, corrupt("folder %s lacks the snapshot of entry %d", r.cfg.Folder, log.begin.Index)
+		}
+		return nil, nil
+	}
+	position := snapshot.Position
+	if len(r.segments) == 0 {
+		return nil, corrupt("folder %s holds a snapshot but no segment of the log", r.cfg.Folder)
+	}
+	if log.begin.Index > position.Index {
+		return nil, corrupt("log in %s begins after entry %d, but the snapshot is of entry %d",
+			r.cfg.Folder, log.begin.Index, position.Index)
+	}
+	if at, ok := log.at(position.Index); ok && at == position {
+		r.loaded.Entries = log.entries[position.Index-log.begin.Index:]
+		return nil, nil
+	}
+	r.loaded.Entries = nil
+	r.last = position
+	return &position, nil
+}
+
+func (r *Recorder) removeTemporaryFiles() error {
+	names, err := r.fs.List(r.cfg.Folder)
+	if err != nil {
+		return failed(err, "list of the data folder")
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, temporarySuffix) {
+			continue
+		}
+		if err := r.fs.Remove(filepath.Join(r.cfg.Folder, name)); err != nil {
+			return failed(err, "removal of "+name)
+		}
+	}
+	return nil
+}
+
+// Replica returns the identity of the disk.
+func (r *Recorder) Replica() identifier.Replica {
+	return r.replica
+}
+
+// Name returns the replica's name in the settings.
+func (r *Recorder) Name() string {
+	return r.cfg.Name
+}
+
+// State returns what was on the disk when it was opened. The second call and
+// later ones return an empty state, so that the memory can be freed.
+func (r *Recorder) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.loaded
+	r.loaded = State{}
+	return state
+}
+
+// Err returns the error that stopped the recorder, or nil while it works.
+func (r *Recorder) Err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err
+}
+
+// Append makes the batch last. Without an error the batch is synced.
+func (r *Recorder) Append(b Batch) error {
+	return r.do(func() error {
+		if b.HardState != nil {
+			r.hardState = *b.HardState
+		}
+		if len(b.Entries) > 0 {
+			r.last = b.Entries[len(b.Entries)-1].Position()
+		}
+		if err := r.write(body{HardState: b.HardState, Entries: b.Entries}); err != nil {
+			return err
+		}
+		if r.written < int64(r.cfg.SegmentBytes) {
+			return nil
+		}
+		return r.rotate(nil)
+	})
+}
+
+// SaveSnapshot makes a snapshot of the replica's own applied entries last and
+// removes the segments that it covers.
+func (r *Recorder) SaveSnapshot(s Snapshot) error {
+	return r.do(func() error {
+		if s.Position.Index <= r.snapshot.Index {
+			return nil
+		}
+		if err := r.writeSnapshot(s); err != nil {
+			return err
+		}
+		if err := r.rotate(nil); err != nil {
+			return err
+		}
+		return r.compact()
+	})
+}
+
+// InstallSnapshot makes another replica's snapshot last in place of the whole log.
+func (r *Recorder) InstallSnapshot(s Snapshot) error {
+	return r.do(func() error {
+		if err := r.writeSnapshot(s); err != nil {
+			return err
+		}
+		r.last = s.Position
+		if err := r.rotate(&s.Position); err != nil {
+			return err
+		}
+		return r.compact()
+	})
+}
+
+// Close ends the recorder. Later calls return an error.
+func (r *Recorder) Close() error {
+	return r.do(func() error {
+		err := r.closeSegment()
+		r.err = explainer.New(explainer.Unavailable, "recorder is closed", "")
+		if lockErr := r.lock.Close(); err == nil {
+			err = lockErr
+		}
+		return err
+	})
+}
+
+// do runs one change and stops the recorder where it fails.
+func (r *Recorder) do(change func() error) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err != nil {
+		return r.err
+	}
+	err := change()
+	if err != nil {
+		r.err = err
+	}
+	return err
+}
+
+// write adds one frame to the segment, syncs it and only then marks it as synced.
+func (r *Recorder) write(b body) error {
+	content, err := bodyEncoder.Marshal(b)
+	if err != nil {
+		return err
+	}
+	data := appendFrame(make([]byte, 0, frameHeadBytes+len(content)), r.next, content)
+	if _, err := r.file.Write(data); err != nil {
+		return failed(err, "write of the log")
+	}
+	if err := r.file.Sync(); err != nil {
+		return failed(err, "sync of the log")
+	}
+	r.next++
+	r.written += int64(len(data))
+	if _, err := r.mark.Write(appendMark(nil, r.written)); err != nil {
+		return failed(err, "write of the mark of the log")
+	}
+	return nil
+}
+
+func (r *Recorder) rotate(reset *Position) error {
+	if err := r.closeSegment(); err != nil {
+		return err
+	}
+	return r.openSegment(reset)
+}
+
+func (r *Recorder) closeSegment() error {
+	if err := r.mark.Sync(); err != nil {
+		return failed(err, "sync of the mark of the log")
+	}
+	if err := r.mark.Close(); err != nil {
+		return failed(err, "close of the mark of the log")
+	}
+	if err := r.file.Close(); err != nil {
+		return failed(err, "close of the log")
+	}
+	return nil
+}
+
+// openSegment begins a new segment with a frame that holds all that later
+// frames build on, so that earlier segments can go.
+func (r *Recorder) openSegment(reset *Position) error {
+	number := uint64(1)
+	if len(r.segments) > 0 {
+		number = r.segments[len(r.segments)-1].number + 1
+	}
+	file, err := r.fs.Create(filepath.Join(r.cfg.Folder, segmentName(number)))
+	if err != nil {
+		return failed(err, "creation of a segment")
+	}
+	mark, err := r.fs.Create(filepath.Join(r.cfg.Folder, markName(number)))
+	if err != nil {
+		_ = file.Close()
+		return failed(err, "creation of a mark")
+	}
+	r.file, r.mark, r.written = file, mark, 0
+	hardState, begin := r.hardState, r.last
+	if reset != nil {
+		begin = *reset
+	}
+	if err := r.fs.SyncFolder(r.cfg.Folder); err != nil {
+		return failed(err, "sync of the data folder")
+	}
+	if err := r.write(body{HardState: &hardState, Begin: &begin, Reset: reset}); err != nil {
+		return err
+	}
+	r.segments = append(r.segments, segment{number: number, begin: begin.Index})
+	return nil
+}
+
+// compact removes the segments whose entries the snapshot all covers.
+func (r *Recorder) compact() error {
+	for len(r.segments) > 1 && r.segments[1].begin <= r.snapshot.Index {
+		number := r.segments[0].number
+		for _, name := range []string{markName(number), segmentName(number)} {
+			if err := r.fs.Remove(filepath.Join(r.cfg.Folder, name)); err != nil {
+				return failed(err, "removal of "+name)
+			}
+		}
+		// Synced one by one: a gap between segments must not show after a crash.
+		if err := r.fs.SyncFolder(r.cfg.Folder); err != nil {
+			return failed(err, "sync of the data folder")
+		}
+		r.segments = r.segments[1:]
+	}
+	return nil
+}
--- /dev/null
+++ b/recorder/snapshot.go
@@ -0,0 +1,104 @@
+package recorder
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+)
+
+const (
+	snapshotPrefix  = "Snapshot-"
+	temporarySuffix = ".tmp"
+)
+
+func snapshotName(index Index) string {
+	return fmt.Sprintf("%s%016x", snapshotPrefix, uint64(index))
+}
+
+// writeSnapshot makes the snapshot last, then removes the older ones.
+func (r *Recorder) writeSnapshot(s Snapshot) error {
+	content, err := bodyEncoder.Marshal(s)
+	if err != nil {
+		return err
+	}
+	name := snapshotName(s.Position.Index)
+	if err := r.replaceFile(name, appendFrame(nil, 0, content)); err != nil {
+		return err
+	}
+	r.snapshot = s.Position
+	return r.removeOlderSnapshots(name)
+}
+
+func (r *Recorder) removeOlderSnapshots(newest string) error {
+	names, err := r.fs.List(r.cfg.Folder)
+	if err != nil {
+		return failed(err, "list of the data folder")
+	}
+	for _, name := range names {
+		if strings.HasPrefix(name, snapshotPrefix) && name < newest {
+			if err := r.fs.Remove(filepath.Join(r.cfg.Folder, name)); err != nil {
+				return failed(err, "removal of "+name)
+			}
+		}
+	}
+	return nil
+}
+
+// loadSnapshot reads the newest snapshot, if there is one.
+func (r *Recorder) loadSnapshot(names []string) (*Snapshot, error) {
+	newest := ""
+	for _, name := range names {
+		if strings.HasPrefix(name, snapshotPrefix) {
+			newest = max(newest, name)
+		}
+	}
+	if newest == "" {
+		return nil, nil
+	}
+	path := filepath.Join(r.cfg.Folder, newest)
+	data, err := r.fs.Read(path)
+	if err != nil {
+		return nil, failed(err, "read of "+newest)
+	}
+	_, content, size, ok := readFrame(data)
+	if !ok || size != len(data) {
+		return nil, corrupt("snapshot %s is damaged", path)
+	}
+	var s Snapshot
+	if err := bodyDecoder.Unmarshal(content, &s); err != nil {
+		return nil, corrupt("snapshot %s is damaged: %v", path, err)
+	}
+	if snapshotName(s.Position.Index) != newest {
+		return nil, corrupt("snapshot %s is of entry %d", path, s.Position.Index)
+	}
+	r.snapshot = s.Position
+	return &s, r.removeOlderSnapshots(newest)
+}
+
+// replaceFile writes the whole file under a temporary name, syncs it, and only
+// then gives it its name.
+func (r *Recorder) replaceFile(name string, data []byte) error {
+	path := filepath.Join(r.cfg.Folder, name)
+	f, err := r.fs.Create(path + temporarySuffix)
+	if err != nil {
+		return failed(err, "creation of "+name)
+	}
+	if _, err := f.Write(data); err != nil {
+		_ = f.Close()
+		return failed(err, "write of "+name)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return failed(err, "sync of "+name)
+	}
+	if err := f.Close(); err != nil {
+		return failed(err, "close of "+name)
+	}
+	if err := r.fs.Rename(path+temporarySuffix, path); err != nil {
+		return failed(err, "rename of "+name)
+	}
+	if err := r.fs.SyncFolder(r.cfg.Folder); err != nil {
+		return failed(err, "sync of the data folder")
+	}
+	return nil
+}
