--- /dev/null
+++ b/replicator/follower.go
@@ -0,0 +1,138 @@
+package replicator
+
+import "celeryvalve/recorder"
+
+// handleAppend takes in the leader's entries.
+func (r *Replicator) handleAppend(m *AppendRequest) {
+	previous, entries, ok := r.skipCommitted(m.Previous, m.Entries)
+	if !ok {
+		return
+	}
+	own, held := r.log.at(previous.Index)
+	if !held || own.Term != previous.Term {
+		r.refuseAppend(m, held)
+		return
+	}
+	if !r.check(own == previous, "entry %d of term %d differs from the leader's", own.Index, own.Term) {
+		return
+	}
+	appended, ok := r.mergeEntries(entries)
+	if !ok {
+		return
+	}
+	match := previous.Index + recorder.Index(len(entries))
+	r.commitTo(min(m.Commit, match))
+	r.acceptAppend(m, match, appended)
+}
+
+// skipCommitted leaves out what lies at or before the commit index: it can't
+// differ from the leader's log.
+func (r *Replicator) skipCommitted(previous recorder.Position, entries []recorder.Entry) (recorder.Position, []recorder.Entry, bool) {
+	if previous.Index >= r.commit {
+		return previous, entries, true
+	}
+	for len(entries) > 0 && entries[0].Index <= r.commit {
+		own, held := r.log.at(entries[0].Index)
+		same := !held || own == entries[0].Position()
+		if !r.check(same, "committed entry %d differs from the leader's", entries[0].Index) {
+			return previous, nil, false
+		}
+		entries = entries[1:]
+	}
+	committed, _ := r.log.at(r.commit)
+	return committed, entries, true
+}
+
+// mergeEntries adds the entries that the log lacks, in place of any that differ.
+// It reports whether it added any.
+func (r *Replicator) mergeEntries(entries []recorder.Entry) (appended, ok bool) {
+	for len(entries) > 0 {
+		own, held := r.log.at(entries[0].Index)
+		if !held || own.Term != entries[0].Term {
+			break
+		}
+		if !r.check(own == entries[0].Position(), "entry %d of term %d differs from the leader's", own.Index, own.Term) {
+			return false, false
+		}
+		entries = entries[1:]
+	}
+	if len(entries) == 0 {
+		return false, true
+	}
+	first := entries[0].Index
+	if first <= r.log.last().Index && !r.truncate(first) {
+		return false, false
+	}
+	if !r.checkChain(entries) {
+		return false, false
+	}
+	r.log.append(entries...)
+	r.noteMembership(entries)
+	r.persistEntries(append([]recorder.Entry(nil), entries...))
+	return true, true
+}
+
+func (r *Replicator) truncate(first recorder.Index) bool {
+	if !r.check(first > r.commit, "entry %d would be replaced, but %d is committed", first, r.commit) {
+		return false
+	}
+	r.log.truncate(first)
+	r.disk.forgetStable(first)
+	if r.membershipAt >= first {
+		r.findMembership()
+	}
+	return true
+}
+
+// checkChain asserts that the entries continue the log without a gap.
+func (r *Replicator) checkChain(entries []recorder.Entry) bool {
+	previous := r.log.last()
+	for _, e := range entries {
+		follows := e.Index == previous.Index+1 && e.Chain == e.ChainAfter(previous.Chain)
+		if !r.check(follows, "entry %d does not follow entry %d", e.Index, previous.Index) {
+			return false
+		}
+		previous = e.Position()
+	}
+	return true
+}
+
+// acceptAppend confirms entries once they are synced. Without new entries it
+// confirms at once what is synced already, so that heartbeats need no disk.
+func (r *Replicator) acceptAppend(m *AppendRequest, match recorder.Index, appended bool) {
+	response := &AppendResponse{Envelope: r.envelopeTo(m.From), Accepted: true, Match: match, Round: m.Round}
+	after := r.disk.hardState
+	if appended {
+		after = r.disk.issued
+	} else {
+		response.Match = min(match, r.disk.stable)
+	}
+	r.sendAfter(after, Send{To: m.Addr, Message: response})
+}
+
+func (r *Replicator) refuseAppend(m *AppendRequest, held bool) {
+	hint := r.log.last().Index
+	if held {
+		hint = max(r.log.beforeTerm(m.Previous.Index), r.commit)
+	}
+	response := &AppendResponse{
+		Envelope: r.envelopeTo(m.From),
+		Refused:  m.Previous.Index,
+		Hint:     hint,
+		Round:    m.Round,
+	}
+	r.sendAfter(r.disk.hardState, Send{To: m.Addr, Message: response})
+}
+
+// commitTo applies the entries up to index.
+func (r *Replicator) commitTo(index recorder.Index) {
+	if index <= r.commit {
+		return
+	}
+	if !r.check(index <= r.log.last().Index, "commit index %d lies behind the log's end", index) {
+		return
+	}
+	entries := r.log.between(r.commit+1, index)
+	r.commit = index
+	r.emit(Apply{Entries: entries})
+}
--- /dev/null
+++ b/replicator/log.go
@@ -0,0 +1,97 @@
+package replicator
+
+import (
+	"celeryvalve/identifier"
+	"celeryvalve/recorder"
+)
+
+// log holds the entries after begin, which a snapshot or nothing precedes.
+type log struct {
+	begin   recorder.Position
+	entries []recorder.Entry
+}
+
+func (l *log) last() recorder.Position {
+	if len(l.entries) == 0 {
+		return l.begin
+	}
+	return l.entries[len(l.entries)-1].Position()
+}
+
+// at returns the position of the index, if the log holds it or begins there.
+func (l *log) at(index recorder.Index) (recorder.Position, bool) {
+	if index == l.begin.Index {
+		return l.begin, true
+	}
+	e, ok := l.entry(index)
+	return e.Position(), ok
+}
+
+func (l *log) entry(index recorder.Index) (recorder.Entry, bool) {
+	if index <= l.begin.Index || index > l.last().Index {
+		return recorder.Entry{}, false
+	}
+	return l.entries[index-l.begin.Index-1], true
+}
+
+// between returns a copy of the entries from first to last, both included.
+func (l *log) between(first, last recorder.Index) []recorder.Entry {
+	if first > last {
+		return nil
+	}
+	from, to := first-l.begin.Index-1, last-l.begin.Index
+	return append([]recorder.Entry(nil), l.entries[from:to]...)
+}
+
+// batch returns entries from first on, at most n and at most about size bytes.
+func (l *log) batch(first recorder.Index, n int, size identifier.ByteCount) []recorder.Entry {
+	last := first
+	var sum identifier.ByteCount
+	for ; last <= l.last().Index && int(last-first) < n; last++ {
+		e, _ := l.entry(last)
+		sum += identifier.ByteCount(len(e.Data))
+		if sum > size && last > first {
+			break
+		}
+	}
+	return l.between(first, last-1)
+}
+
+func (l *log) append(entries ...recorder.Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on.
+func (l *log) truncate(index recorder.Index) {
+	l.entries = l.entries[:index-l.begin.Index-1]
+}
+
+// compact drops the entries up to index.
+func (l *log) compact(index recorder.Index) {
+	position, ok := l.at(index)
+	if !ok {
+		return
+	}
+	l.entries = l.between(index+1, l.last().Index)
+	l.begin = position
+}
+
+// reset empties the log, which goes on after position.
+func (l *log) reset(position recorder.Position) {
+	l.begin = position
+	l.entries = nil
+}
+
+// beforeTerm returns the last index at or before index whose term is lower.
+func (l *log) beforeTerm(index recorder.Index) recorder.Index {
+	position, ok := l.at(index)
+	if !ok {
+		return l.begin.Index
+	}
+	term := position.Term
+	for index > l.begin.Index && position.Term == term {
+		index--
+		position, _ = l.at(index)
+	}
+	return index
+}
--- /dev/null
+++ b/replicator/replicator.go
@@ -0,0 +1,188 @@
+package replicator
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"celeryvalve/asserter"
+	"celeryvalve/recorder"
+)
+
+// Role is what a replica does in its term.
+type Role string
+
+// The roles of a replica.
+const (
+	Follower     Role = "Follower"
+	PreCandidate Role = "PreCandidate"
+	Candidate    Role = "Candidate"
+	Leader       Role = "Leader"
+)
+
+// Replicator is the consensus of one replica. It is not safe for concurrent use.
+type Replicator struct {
+	cfg     Config
+	assert  asserter.Asserter
+	halted  bool
+	now     time.Time
+	effects []Effect
+
+	cluster recorder.Cluster
+	term    recorder.Term
+	vote    replica
+	role    Role
+	leader  peer
+
+	log        log
+	snapshot   recorder.Snapshot
+	membership recorder.Membership
+	// membershipAt is the entry that brought membership.
+	membershipAt recorder.Index
+	commit       recorder.Index
+
+	disk     disk
+	election election
+	incoming incoming
+	joiners  map[string]joiner
+
+	// Of the leader only.
+	progress     map[replica]*progress
+	round        Round
+	reads        reads
+	transfer     *transfer
+	change       *change
+	pendingBytes int
+}
+
+// peer is another replica and where it takes messages.
+type peer struct {
+	replica replica
+	addr    netip.AddrPort
+}
+
+// New returns the replicator of a replica with the stored state.
+func New(cfg Config, state recorder.State, assert asserter.Asserter) *Replicator {
+	r := &Replicator{
+		cfg:      cfg.withDefaults(),
+		assert:   assert,
+		cluster:  state.HardState.Cluster,
+		term:     state.HardState.Term,
+		vote:     state.HardState.Vote,
+		role:     Follower,
+		joiners:  make(map[string]joiner),
+		election: election{rearm: true},
+	}
+	if state.Snapshot != nil {
+		r.snapshot = *state.Snapshot
+		r.log.reset(state.Snapshot.Position)
+		r.commit = state.Snapshot.Position.Index
+	}
+	r.log.append(state.Entries...)
+	r.disk.stable = r.log.last().Index
+	r.findMembership()
+	return r
+}
+
+// Reduce takes in one event and returns what the shell has to do, in order.
+func (r *Replicator) Reduce(now time.Time, event Event) []Effect {
+	if r.halted {
+		return nil
+	}
+	if now.After(r.now) {
+		r.now = now
+	}
+	r.effects = nil
+	r.dispatch(event)
+	effects := r.effects
+	r.effects = nil
+	return effects
+}
+
+func (r *Replicator) dispatch(event Event) {
+	switch ev := event.(type) {
+	case Ticked:
+		r.tick(ev.Jitter)
+	case Received:
+		r.receive(ev.Message)
+	case Persisted:
+		r.persisted(ev.Sequence)
+	case Proposed:
+		r.propose(ev.Proposals)
+	case ReadRequested:
+		r.read(ev.ID)
+	case SnapshotTaken:
+		r.compact(ev.Snapshot)
+	case AdmitRequested:
+		r.admit(ev.ID, ev.Name)
+	case RemoveRequested:
+		r.remove(ev.ID, ev.Name)
+	case TransferRequested:
+		r.startTransfer(ev.ID)
+	}
+}
+
+func (r *Replicator) emit(e Effect) {
+	if !r.halted {
+		r.effects = append(r.effects, e)
+	}
+}
+
+// check asserts an invariant of consensus. Where it fails the replica halts.
+func (r *Replicator) check(ok bool, format string, args ...any) bool {
+	if ok {
+		return true
+	}
+	detail := fmt.Sprintf("replica %s: ", r.cfg.Replica) + fmt.Sprintf(format, args...)
+	if !r.assert.Check(asserter.VersionsOnlyRise, false, detail) {
+		r.emit(Halted{Detail: detail})
+		r.halted = true
+	}
+	return false
+}
+
+func (r *Replicator) tick(jitter float64) {
+	if r.election.rearm {
+		r.election.rearm = false
+		r.election.jitter = jitter
+		if r.election.heard.IsZero() {
+			r.election.heard = r.now
+		}
+	}
+	if r.empty() {
+		r.discover()
+	}
+	if r.role == Leader {
+		r.tickLeader()
+		return
+	}
+	if r.electionDue() {
+		r.prepareCampaign()
+	}
+}
+
+// envelope addresses a message of the current term.
+func (r *Replicator) envelopeTo(to replica) Envelope {
+	return Envelope{Cluster: r.cluster, From: r.cfg.Replica, Addr: r.cfg.Addr, To: to, Term: r.term}
+}
+
+func (r *Replicator) send(addr netip.AddrPort, m Message) {
+	r.emit(Send{To: addr, Message: m})
+}
+
+// empty reports whether the replica holds no entry of any cluster.
+func (r *Replicator) empty() bool {
+	return r.log.last().Index == 0
+}
+
+func (r *Replicator) isLeader() bool {
+	return r.role == Leader
+}
+
+func (r *Replicator) hardState() recorder.HardState {
+	return recorder.HardState{Cluster: r.cluster, Term: r.term, Vote: r.vote}
+}
+
+func (r *Replicator) roleChanged() {
+	r.emit(RoleChanged{Role: r.role, Term: r.term, Leader: r.leader.addr})
+}
--- /dev/null
+++ b/replicator/snapshot.go
@@ -0,0 +1,145 @@
+package replicator
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"celeryvalve/identifier"
+	"celeryvalve/recorder"
+)
+
+// outgoing is a snapshot on its way to a member. It stays the same one even
+// when the leader takes newer snapshots meanwhile.
+type outgoing struct {
+	snapshot recorder.Snapshot
+	checksum uint64
+	offset   identifier.ByteCount
+}
+
+// incoming is a snapshot of which some chunks have arrived.
+type incoming struct {
+	position recorder.Position
+	checksum uint64
+	data     []byte
+}
+
+// compact takes over a snapshot that the shell has saved.
+func (r *Replicator) compact(s recorder.Snapshot) {
+	if s.Position.Index <= r.snapshot.Position.Index {
+		return
+	}
+	if !r.check(s.Position.Index <= r.commit, "snapshot of entry %d, which is not committed", s.Position.Index) {
+		return
+	}
+	r.snapshot = s
+	keep := recorder.Index(r.cfg.KeepEntries)
+	if s.Position.Index > keep && s.Position.Index-keep > r.log.begin.Index {
+		r.log.compact(s.Position.Index - keep)
+	}
+}
+
+func (r *Replicator) startSnapshot(m recorder.Member, p *progress) {
+	p.snapshot = &outgoing{snapshot: r.snapshot, checksum: xxhash.Sum64(r.snapshot.Data)}
+	p.inflight = 0
+	r.sendChunk(m, p)
+}
+
+func (r *Replicator) sendChunk(m recorder.Member, p *progress) {
+	s := p.snapshot
+	total := identifier.ByteCount(len(s.snapshot.Data))
+	end := min(s.offset+r.cfg.SnapshotChunk, total)
+	p.sentAt = r.now
+	p.beatAt = r.now
+	r.send(m.Addr, &SnapshotRequest{
+		Envelope:   r.envelopeTo(m.Replica),
+		Position:   s.snapshot.Position,
+		Membership: s.snapshot.Membership,
+		Offset:     s.offset,
+		Total:      total,
+		Checksum:   s.checksum,
+		Data:       s.snapshot.Data[s.offset:end],
+		Round:      r.round,
+	})
+}
+
+func (r *Replicator) handleSnapshotResponse(m *SnapshotResponse) {
+	p := r.progress[m.From]
+	member, ok := r.membership.Find(m.From)
+	if p == nil || !ok {
+		return
+	}
+	p.heardAt = r.now
+	p.round = max(p.round, m.Round)
+	if p.snapshot != nil && p.snapshot.snapshot.Position.Index == m.Index {
+		r.continueSnapshot(member, p, m)
+	}
+	r.completeReads()
+	r.advanceRepair()
+}
+
+func (r *Replicator) continueSnapshot(member recorder.Member, p *progress, m *SnapshotResponse) {
+	if m.Installed {
+		p.snapshot = nil
+		p.probing = true
+		p.next = m.Index + 1
+		r.accepted(p, m.Index)
+		r.replicate(member, p)
+		return
+	}
+	if m.Offset == p.snapshot.offset || m.Offset > identifier.ByteCount(len(p.snapshot.snapshot.Data)) {
+		return
+	}
+	p.snapshot.offset = m.Offset
+	r.sendChunk(member, p)
+}
+
+// handleSnapshot takes in one chunk, and installs the snapshot with the last.
+func (r *Replicator) handleSnapshot(m *SnapshotRequest) {
+	if m.Position.Index <= r.commit {
+		r.answerSnapshot(m, SnapshotResponse{Installed: true}, r.disk.issued)
+		return
+	}
+	if r.incoming.position != m.Position || r.incoming.checksum != m.Checksum {
+		r.incoming = incoming{position: m.Position, checksum: m.Checksum}
+	}
+	in := &r.incoming
+	if m.Offset == identifier.ByteCount(len(in.data)) {
+		in.data = append(in.data, m.Data...)
+	}
+	if identifier.ByteCount(len(in.data)) < m.Total {
+		r.answerSnapshot(m, SnapshotResponse{Offset: identifier.ByteCount(len(in.data))}, r.disk.hardState)
+		return
+	}
+	data := in.data
+	r.incoming = incoming{}
+	if xxhash.Sum64(data) != m.Checksum {
+		r.answerSnapshot(m, SnapshotResponse{}, r.disk.hardState)
+		return
+	}
+	r.install(recorder.Snapshot{Position: m.Position, Membership: m.Membership.Clone(), Data: data})
+	r.answerSnapshot(m, SnapshotResponse{Installed: true}, r.disk.issued)
+}
+
+func (r *Replicator) answerSnapshot(m *SnapshotRequest, response SnapshotResponse, after Sequence) {
+	response.Envelope = r.envelopeTo(m.From)
+	response.Index = m.Position.Index
+	response.Round = m.Round
+	r.sendAfter(after, Send{To: m.Addr, Message: &response})
+}
+
+// install replaces the log by the snapshot. A log that holds the snapshot's
+// entry is kept, and only committed up to there.
+func (r *Replicator) install(s recorder.Snapshot) {
+	if own, ok := r.log.at(s.Position.Index); ok && own.Term == s.Position.Term {
+		if r.check(own == s.Position, "entry %d differs from the snapshot's", own.Index) {
+			r.commitTo(s.Position.Index)
+		}
+		return
+	}
+	r.log.reset(s.Position)
+	r.disk.forgetStable(s.Position.Index + 1)
+	r.snapshot = s
+	r.commit = s.Position.Index
+	r.findMembership()
+	r.persist(Persist{Install: &s}, s.Position.Index)
+	r.emit(Restore{Snapshot: s})
+}
