verifier: add manifests and proofs of verified chunks and weights

Proofs (Chunk, Weights) are values that only a check can make, which keeps partial or mixed weights out of an order by type.

--- /dev/null
+++ b/verifier/build.go
@@ -0,0 +1,70 @@
+package verifier
+
+import (
+	"crypto/sha256"
+	"errors"
+	"io"
+	"io/fs"
+
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+// Description is what a manifest says besides its files.
+type Description struct {
+	Model         identifier.Model
+	Adapter       identifier.Adapter
+	WeightVersion identifier.WeightVersion
+	ChunkSize     identifier.ByteCount
+}
+
+// Build makes the manifest of every regular file under fsys, in order of paths.
+// A file at ManifestPath is left out.
+func Build(d Description, fsys fs.FS) (*Manifest, error) {
+	if d.ChunkSize <= 0 || d.ChunkSize > MaxChunkSize {
+		return nil, malformed("ChunkSize is out of range", nil)
+	}
+	m := &Manifest{Model: d.Model, Adapter: d.Adapter, WeightVersion: d.WeightVersion, ChunkSize: d.ChunkSize}
+	err := fs.WalkDir(fsys, ".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || !entry.Type().IsRegular() || path == ManifestPath {
+			return err
+		}
+		f, err := buildFile(fsys, path, d.ChunkSize)
+		m.Files = append(m.Files, f)
+		return err
+	})
+	if err != nil {
+		return nil, explainer.Wrap(err, explainer.Unavailable, "files of the weights can't be read",
+			"check that the folder exists and is readable")
+	}
+	if err := m.finish(); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func buildFile(fsys fs.FS, path string, chunkSize identifier.ByteCount) (File, error) {
+	f := File{Path: path, Chunks: []identifier.Digest{}}
+	r, err := fsys.Open(path)
+	if err != nil {
+		return f, err
+	}
+	defer func() { _ = r.Close() }()
+	whole := sha256.New()
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := io.ReadFull(r, buf)
+		if n > 0 {
+			f.Size += identifier.ByteCount(n)
+			f.Chunks = append(f.Chunks, identifier.DigestOf(buf[:n]))
+			_, _ = whole.Write(buf[:n])
+		}
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			f.Digest = identifier.Digest(whole.Sum(nil))
+			return f, nil
+		}
+		if err != nil {
+			return f, err
+		}
+	}
+}
--- /dev/null
+++ b/verifier/chunk.go
@@ -0,0 +1,52 @@
+package verifier
+
+import (
+	"fmt"
+
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+// Chunk proves that some bytes were checked against a digest. Only a check
+// makes one; the zero value proves nothing.
+type Chunk struct {
+	digest identifier.Digest
+	size   identifier.ByteCount
+}
+
+// Digest returns the digest that the bytes match.
+func (c Chunk) Digest() identifier.Digest {
+	return c.digest
+}
+
+// Size returns how many bytes were checked.
+func (c Chunk) Size() identifier.ByteCount {
+	return c.size
+}
+
+// VerifyChunk checks data against the chunk's digest and size.
+func (m *Manifest) VerifyChunk(i ChunkIndex, data []byte) (Chunk, error) {
+	location, ok := m.Chunk(i)
+	if !ok {
+		return Chunk{}, explainer.New(explainer.NotFound, fmt.Sprintf("manifest has no chunk %d", i),
+			"ask for a chunk of the same manifest")
+	}
+	if identifier.ByteCount(len(data)) != location.Size {
+		return Chunk{}, corruptChunk(i, fmt.Sprintf("has %d bytes, not %d", len(data), location.Size))
+	}
+	return VerifyBytes(location.Digest, data)
+}
+
+// VerifyBytes checks data against a digest.
+func VerifyBytes(digest identifier.Digest, data []byte) (Chunk, error) {
+	if identifier.DigestOf(data) != digest {
+		return Chunk{}, explainer.New(explainer.Corrupt, fmt.Sprintf("chunk does not match digest %s", digest),
+			"fetch the chunk from another source")
+	}
+	return Chunk{digest: digest, size: identifier.ByteCount(len(data))}, nil
+}
+
+func corruptChunk(i ChunkIndex, problem string) error {
+	return explainer.New(explainer.Corrupt, fmt.Sprintf("chunk %d %s", i, problem),
+		"fetch the chunk from another source")
+}
--- /dev/null
+++ b/verifier/weights.go
@@ -0,0 +1,62 @@
+package verifier
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"io"
+
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+// Weights prove that every byte of every file of one manifest was read back and
+// verified. Only VerifyFiles makes them; the zero value proves nothing.
+type Weights struct {
+	manifest *Manifest
+}
+
+// Manifest returns the manifest, or nil for the zero value.
+func (w Weights) Manifest() *Manifest {
+	return w.manifest
+}
+
+// IsZero reports whether the value proves nothing.
+func (w Weights) IsZero() bool {
+	return w.manifest == nil
+}
+
+// Open opens a file of the manifest for reading.
+type Open func(file File) (io.ReadCloser, error)
+
+// VerifyFiles reads every file and checks its size and digest.
+func (m *Manifest) VerifyFiles(open Open) (Weights, error) {
+	if m.digest.IsZero() {
+		return Weights{}, malformed("manifest was neither parsed nor built", nil)
+	}
+	for _, f := range m.Files {
+		if err := verifyFile(f, open); err != nil {
+			return Weights{}, err
+		}
+	}
+	return Weights{manifest: m}, nil
+}
+
+func verifyFile(f File, open Open) error {
+	r, err := open(f)
+	if err != nil {
+		return explainer.Wrap(err, explainer.Unavailable, fmt.Sprintf("file %q can't be opened", f.Path),
+			"fetch its chunks again")
+	}
+	defer func() { _ = r.Close() }()
+	h := sha256.New()
+	n, err := io.Copy(h, r)
+	if err != nil {
+		return explainer.Wrap(err, explainer.Unavailable, fmt.Sprintf("file %q can't be read", f.Path),
+			"fetch its chunks again")
+	}
+	if identifier.ByteCount(n) != f.Size || identifier.Digest(h.Sum(nil)) != f.Digest {
+		return explainer.New(explainer.Corrupt, fmt.Sprintf("file %q does not match its digest", f.Path),
+			"build the manifest again: its chunks and file digest disagree")
+	}
+	return nil
+}
