fetcher: add the reducer of transfers over striped trees

Each member waits only at its ancestors of a stripe's tree, computed from the members alone, so waiting never forms a cycle; other members are only asked for what they already hold.

--- /dev/null
+++ b/fetcher/fetcher.go
@@ -0,0 +1,380 @@
+package fetcher
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"celeryvalve/asserter"
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+// Fetcher is the reducer of one agent's transfers. It is not safe for concurrent use.
+type Fetcher struct {
+	cfg       Config
+	asserter  asserter.Asserter
+	transfers map[identifier.Digest]*transfer
+	order     []identifier.Digest // of arrival
+	stored    map[identifier.Digest]verifier.Chunk
+	serving   map[RequestID]*serving
+	sending   int
+	sent      float64 // the share up to which transfers were served
+	// originAfter is when a source may be read again.
+	originAfter map[string]time.Time
+	pacer       pacer
+}
+
+// New returns a reducer without transfers.
+func New(cfg Config, a asserter.Asserter) *Fetcher {
+	return &Fetcher{
+		cfg:         cfg,
+		asserter:    a,
+		transfers:   make(map[identifier.Digest]*transfer),
+		stored:      make(map[identifier.Digest]verifier.Chunk),
+		serving:     make(map[RequestID]*serving),
+		originAfter: make(map[string]time.Time),
+		pacer:       newPacer(cfg),
+	}
+}
+
+// Reduce takes in one event and returns what has to be done.
+func (f *Fetcher) Reduce(now time.Time, event Event) []Effect {
+	switch e := event.(type) {
+	case Wanted:
+		return f.wanted(now, e)
+	case Cancelled:
+		return f.cancel(now, e.Manifest)
+	case ChunkRestored:
+		return f.restored(now, e.Chunk)
+	case ChunkRequested:
+		return f.requested(now, e)
+	case RequestEnded:
+		return f.ended(e)
+	case DelayMeasured:
+		return f.pacer.measured(now, e.Delay)
+	case Ticked:
+		return f.ticked(now)
+	case ManifestArrived:
+		return f.manifestArrived(now, e)
+	case FilesVerified:
+		return f.filesVerified(e)
+	}
+	return f.reduceTransfer(now, event)
+}
+
+// reduceTransfer takes in events of one known transfer.
+func (f *Fetcher) reduceTransfer(now time.Time, event Event) []Effect {
+	t := f.transfers[manifestOf(event)]
+	if t == nil {
+		return nil
+	}
+	var effects []Effect
+	switch e := event.(type) {
+	case Paused:
+		t.paused = true
+	case Resumed:
+		t.paused = false
+		t.resetProgress(now)
+	case PeersChanged:
+		effects = f.peersChanged(now, t, e.Peers)
+	case ManifestFailed:
+		effects = f.manifestFailed(now, t, e)
+	case ChunkArrived:
+		effects = f.chunkArrived(now, t, e)
+	case ChunkFailed:
+		effects = f.failed(now, t, e)
+	case OriginLeaseAnswered:
+		f.leaseAnswered(now, t, e)
+	case FilesRefused:
+		effects = f.refuse(t, e.Problem, "build the manifest again and declare a new version")
+	}
+	return append(effects, f.pump(now, t)...)
+}
+
+func manifestOf(event Event) identifier.Digest {
+	switch e := event.(type) {
+	case Paused:
+		return e.Manifest
+	case Resumed:
+		return e.Manifest
+	case PeersChanged:
+		return e.Manifest
+	case ManifestFailed:
+		return e.Manifest
+	case ChunkArrived:
+		return e.Manifest
+	case ChunkFailed:
+		return e.Manifest
+	case OriginLeaseAnswered:
+		return e.Manifest
+	case FilesRefused:
+		return e.Manifest
+	}
+	return identifier.Digest{}
+}
+
+// wanted starts a transfer, or takes in its new priority and favour.
+func (f *Fetcher) wanted(now time.Time, e Wanted) []Effect {
+	if t := f.transfers[e.Manifest]; t != nil {
+		replan := t.want.Favour != e.Favour
+		t.want = e
+		if replan && t.plan != nil {
+			t.replan(now, f.cfg.Self)
+		}
+		return f.pump(now, t)
+	}
+	var effects []Effect
+	t := newTransfer(now, e)
+	t.share = f.sent
+	for _, id := range slices.Clone(f.order) {
+		if f.transfers[id].want.Name == e.Name {
+			effects = append(effects, f.supersede(id)...)
+		}
+	}
+	f.transfers[e.Manifest] = t
+	f.order = append(f.order, e.Manifest)
+	return append(effects, FetchManifest{Manifest: e.Manifest, Source: e.Source})
+}
+
+// supersede stops fetching for an older version. Its chunks are kept until the
+// manifest of the newer one tells which it shares.
+func (f *Fetcher) supersede(id identifier.Digest) []Effect {
+	t := f.transfers[id]
+	t.superseded = true
+	var effects []Effect
+	for _, i := range t.fetching() {
+		source := t.fetches[i].source
+		t.end(i, source)
+		effects = append(effects, CancelFetch{Manifest: id, Chunk: i, Source: source})
+	}
+	return effects
+}
+
+// manifestArrived opens the transfer of the manifest.
+func (f *Fetcher) manifestArrived(now time.Time, e ManifestArrived) []Effect {
+	t := f.transfers[e.Manifest.Digest()]
+	if t == nil || t.manifest != nil {
+		return nil
+	}
+	t.open(now, e.Manifest, f.cfg.Stripes)
+	effects := f.dropSuperseded(now, t)
+	effects = append(effects, f.admit(now, t)...)
+	return append(effects, f.pump(now, t)...)
+}
+
+// dropSuperseded gives up older versions of the same name, but for what the
+// newer one shares with them.
+func (f *Fetcher) dropSuperseded(now time.Time, t *transfer) []Effect {
+	var effects []Effect
+	for _, id := range slices.Clone(f.order) {
+		old := f.transfers[id]
+		if old != t && old.superseded && old.want.Name == t.want.Name {
+			effects = append(effects, f.cancel(now, id)...)
+		}
+	}
+	return effects
+}
+
+// admit starts fetching where the chunks fit into the store.
+func (f *Fetcher) admit(now time.Time, t *transfer) []Effect {
+	var used identifier.ByteCount
+	for _, other := range f.transfers {
+		if other != t && other.manifest != nil && other.stage != WaitingForSpace && other.stage != Refused {
+			used += other.manifest.Size()
+		}
+	}
+	if t.manifest.Size() > f.cfg.StoreLimit {
+		return f.refuse(t, fmt.Sprintf("weights of %d bytes exceed the store limit of %d", t.manifest.Size(), f.cfg.StoreLimit),
+			"raise the agent's store limit, or declare smaller weights")
+	}
+	if used+t.manifest.Size() > f.cfg.StoreLimit {
+		t.stage = WaitingForSpace
+		return nil
+	}
+	t.stage = Fetching
+	t.replan(now, f.cfg.Self)
+	var effects []Effect
+	for i := range t.manifest.Chunks() {
+		location, _ := t.manifest.Chunk(verifier.ChunkIndex(i))
+		if chunk, ok := f.stored[location.Digest]; ok && !t.have.has(i) {
+			effects = append(effects, f.reuse(t, chunk)...)
+		}
+	}
+	return append(effects, f.finish(t)...)
+}
+
+// reuse holds a chunk that is stored already.
+func (f *Fetcher) reuse(t *transfer, chunk verifier.Chunk) []Effect {
+	fresh := t.hold(chunk.Digest())
+	t.counts.reused += chunk.Size() * identifier.ByteCount(len(fresh))
+	return f.offer(t, fresh)
+}
+
+// restored takes in a chunk from before a restart.
+func (f *Fetcher) restored(now time.Time, chunk verifier.Chunk) []Effect {
+	f.stored[chunk.Digest()] = chunk
+	var effects []Effect
+	for _, id := range f.order {
+		t := f.transfers[id]
+		if t.stage == Fetching {
+			effects = append(effects, f.reuse(t, chunk)...)
+			effects = append(effects, f.finish(t)...)
+			effects = append(effects, f.pump(now, t)...)
+		}
+	}
+	return effects
+}
+
+// chunkArrived takes in a chunk that the shell has stored. Every transfer that
+// needs it holds it from now on.
+func (f *Fetcher) chunkArrived(now time.Time, t *transfer, e ChunkArrived) []Effect {
+	ok := f.asserter.Check(asserter.VerifiedWeights, !e.Chunk.Digest().IsZero(), "a chunk arrived without a proof")
+	if !ok {
+		return nil
+	}
+	if t.manifest == nil || len(t.manifest.Indices(e.Chunk.Digest())) == 0 || t.stage == Refused {
+		return nil
+	}
+	f.stored[e.Chunk.Digest()] = e.Chunk
+	effects := f.arrived(now, t, e)
+	for _, id := range f.order {
+		other := f.transfers[id]
+		if other != t && other.stage == Fetching {
+			effects = append(effects, f.reuse(other, e.Chunk)...)
+			effects = append(effects, f.finish(other)...)
+		}
+	}
+	return effects
+}
+
+// filesVerified hands on complete weights.
+func (f *Fetcher) filesVerified(e FilesVerified) []Effect {
+	if e.Weights.IsZero() {
+		f.asserter.Check(asserter.VerifiedWeights, false, "weights were handed on without a proof")
+		return nil
+	}
+	t := f.transfers[e.Weights.Manifest().Digest()]
+	if t == nil || t.stage != Verifying {
+		return nil
+	}
+	if !f.asserter.Check(asserter.VerifiedWeights, t.have.count() == t.manifest.Chunks(), "weights with missing chunks were verified") {
+		return nil
+	}
+	t.stage = Complete
+	return []Effect{Completed{Name: t.want.Name, Weights: e.Weights}}
+}
+
+// manifestFailed plans the next attempt at the manifest.
+func (f *Fetcher) manifestFailed(now time.Time, t *transfer, e ManifestFailed) []Effect {
+	if t.manifest != nil {
+		return nil
+	}
+	t.retry = now.Add(max(e.RetryAfter, f.cfg.RetryDelay))
+	if e.Reason != Corrupt {
+		return nil
+	}
+	t.problem = "the origin's content under this version's name does not match the pinned digest"
+	return []Effect{
+		BlamePeer{Manifest: e.Manifest, Source: Origin, Reason: Corrupt},
+		Failed{Manifest: e.Manifest, Problem: t.problem, Remedy: "restore the origin's content, or declare the new content as a new version"},
+	}
+}
+
+// refuse ends a transfer that an operator has to mend.
+func (f *Fetcher) refuse(t *transfer, problem, remedy string) []Effect {
+	t.stage = Refused
+	t.problem = problem
+	return []Effect{Failed{Manifest: t.want.Manifest, Problem: problem, Remedy: remedy}}
+}
+
+// peersChanged takes in the members of a transfer.
+func (f *Fetcher) peersChanged(now time.Time, t *transfer, peers []Peer) []Effect {
+	current := make(map[identifier.Upstream]Peer, len(peers))
+	for _, p := range peers {
+		current[p.Upstream] = p
+	}
+	var effects []Effect
+	for _, old := range t.peers {
+		if p, ok := current[old.Upstream]; ok && p.Incarnation == old.Incarnation && p.Address == old.Address {
+			continue
+		}
+		effects = append(effects, f.withdraw(t, Source{Peer: old.Upstream})...)
+		t.forgive(old.Upstream)
+	}
+	t.peers = slices.Clone(peers)
+	if t.stage == Fetching || t.stage == Complete || t.stage == Verifying {
+		t.replan(now, f.cfg.Self)
+	}
+	for _, p := range t.probes {
+		p.candidates, p.next = nil, 0
+	}
+	return effects
+}
+
+// cancel gives up a transfer.
+func (f *Fetcher) cancel(now time.Time, id identifier.Digest) []Effect {
+	if f.transfers[id] == nil {
+		return nil
+	}
+	effects := f.supersede(id)
+	effects = append(effects, f.refuseTransfer(id)...)
+	t := f.transfers[id]
+	delete(f.transfers, id)
+	f.order = slices.DeleteFunc(f.order, func(d identifier.Digest) bool { return d == id })
+	effects = append(effects, f.drop(t)...)
+	for _, other := range slices.Clone(f.order) {
+		o := f.transfers[other]
+		if o.stage == WaitingForSpace {
+			effects = append(effects, f.admit(now, o)...)
+			effects = append(effects, f.pump(now, o)...)
+		}
+	}
+	return effects
+}
+
+// drop gives up the chunks of a transfer that no other one needs.
+func (f *Fetcher) drop(t *transfer) []Effect {
+	if t.manifest == nil {
+		return nil
+	}
+	var unused []identifier.Digest
+	for i := range t.manifest.Chunks() {
+		location, _ := t.manifest.Chunk(verifier.ChunkIndex(i))
+		if _, ok := f.stored[location.Digest]; !ok || f.needed(location.Digest) {
+			continue
+		}
+		delete(f.stored, location.Digest)
+		unused = append(unused, location.Digest)
+	}
+	if len(unused) == 0 {
+		return nil
+	}
+	return []Effect{DropChunks{Digests: unused}}
+}
+
+func (f *Fetcher) needed(digest identifier.Digest) bool {
+	for _, t := range f.transfers {
+		if t.manifest != nil && len(t.manifest.Indices(digest)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ticked drives deadlines and retries.
+func (f *Fetcher) ticked(now time.Time) []Effect {
+	effects := f.refuseStale(now)
+	for _, id := range slices.Clone(f.order) {
+		t := f.transfers[id]
+		if t.manifest == nil && !t.superseded && !t.retry.IsZero() && !now.Before(t.retry) {
+			t.retry = time.Time{}
+			effects = append(effects, FetchManifest{Manifest: id, Source: t.want.Source})
+		}
+		if t.active() {
+			effects = append(effects, f.checkProgress(now, t)...)
+			effects = append(effects, f.pump(now, t)...)
+		}
+	}
+	return effects
+}
--- /dev/null
+++ b/fetcher/message.go
@@ -0,0 +1,32 @@
+package fetcher
+
+import (
+	"time"
+
+	"celeryvalve/encoder"
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+// ChunkRequest opens a stream that brings one chunk.
+type ChunkRequest struct {
+	Manifest identifier.Digest
+	Chunk    verifier.ChunkIndex
+	Upstream identifier.Upstream
+	Wait     bool
+}
+
+// ChunkAnswer is the only answer on the stream. Data is set where Refused is not.
+type ChunkAnswer struct {
+	Refused    Reason
+	RetryAfter time.Duration
+	Data       []byte
+}
+
+// Messages returns the messages between agents.
+func Messages() []encoder.Entry {
+	return []encoder.Entry{
+		encoder.Message[ChunkRequest]("FetcherChunkRequest"),
+		encoder.Message[ChunkAnswer]("FetcherChunkAnswer"),
+	}
+}
--- /dev/null
+++ b/fetcher/plan.go
@@ -0,0 +1,192 @@
+package fetcher
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"celeryvalve/identifier"
+)
+
+// notRoot marks a position that does not read from the origin.
+const notRoot = -1
+
+// position is one member's place in the tree of a stripe.
+type position struct {
+	// ancestors lead from the parent to the root.
+	ancestors []Peer
+	// copyNumber is the copy of the origin that the member reads, or notRoot.
+	copyNumber int
+}
+
+// tree is the tree of one stripe. Members are numbers of the plan's peers.
+type tree struct {
+	// order lists the members of every region from its root to its leaves.
+	order []int
+	// parent is the member that a member asks, or noParent.
+	parent []int
+	// children is how many members ask a member.
+	children []int
+	// copies numbers the roots. Other members have notRoot.
+	copies []int
+}
+
+const noParent = -1
+
+// plan holds the trees of every stripe of a transfer. Equal members make an
+// equal plan on every instance.
+type plan struct {
+	peers []Peer
+	index map[identifier.Upstream]int
+	trees []tree
+}
+
+// planner builds the trees so that no member's uploads exceed the others' by much.
+type planner struct {
+	seed    identifier.Digest
+	peers   []Peer
+	regions [][]int
+	load    []int
+	stripes int
+}
+
+// newPlan builds the trees over peers. roots is how many trees, over all
+// stripes, start at the origin; it is at least one for each stripe.
+func newPlan(seed identifier.Digest, peers []Peer, stripes, roots int) *plan {
+	peers = slices.Clone(peers)
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	p := planner{seed: seed, peers: peers, load: make([]int, len(peers)), stripes: stripes}
+	out := &plan{peers: peers, index: make(map[identifier.Upstream]int, len(peers))}
+	for i, peer := range peers {
+		out.index[peer.Upstream] = i
+		if i == 0 || peers[i-1].Region != peer.Region {
+			p.regions = append(p.regions, nil)
+		}
+		last := len(p.regions) - 1
+		p.regions[last] = append(p.regions[last], i)
+	}
+	for s := range stripes {
+		share := roots / stripes
+		if s < roots%stripes {
+			share++
+		}
+		out.trees = append(out.trees, p.tree(s, max(1, share)))
+	}
+	return out
+}
+
+// place returns the member's position in the stripe's tree.
+func (p *plan) place(stripe int, member identifier.Upstream) position {
+	t := p.trees[stripe]
+	at := p.index[member]
+	pos := position{copyNumber: t.copies[at]}
+	for at = t.parent[at]; at != noParent; at = t.parent[at] {
+		pos.ancestors = append(pos.ancestors, p.peers[at])
+	}
+	return pos
+}
+
+// children returns how many members ask the member for the stripe.
+func (p *plan) children(stripe int, name identifier.Upstream) int {
+	i, ok := p.index[name]
+	if !ok {
+		return 0
+	}
+	return p.trees[stripe].children[i]
+}
+
+// tree builds one stripe's tree: the regions form a chain by their roots.
+func (p *planner) tree(stripe, roots int) tree {
+	n := len(p.peers)
+	t := tree{parent: make([]int, n), children: make([]int, n), copies: make([]int, n)}
+	for i := range n {
+		t.parent[i] = noParent
+		t.copies[i] = notRoot
+	}
+	last := noParent
+	for i := range p.regions {
+		region := p.regions[(i+stripe)%len(p.regions)]
+		feedsNext := i+1 < len(p.regions) && i+1 >= roots
+		order := p.region(&t, stripe, region, feedsNext)
+		if i < roots {
+			t.copies[order[0]] = i
+		} else {
+			t.connect(order[0], last)
+		}
+		last = order[0]
+		t.order = append(t.order, order...)
+	}
+	return t
+}
+
+func (t *tree) connect(child, parent int) {
+	t.parent[child] = parent
+	t.children[parent]++
+}
+
+// region builds the part of the tree inside one region and returns its members
+// from the root to the leaves.
+func (p *planner) region(t *tree, stripe int, region []int, feedsNext bool) []int {
+	order, inner := p.order(stripe, region)
+	edges := len(order) - 1
+	if feedsNext {
+		edges++
+	}
+	next := 1
+	for i, member := range order[:inner] {
+		share := edges / inner
+		if i < edges%inner {
+			share++
+		}
+		p.load[member] += share
+		if i == 0 && feedsNext {
+			share--
+		}
+		share = max(share, min(1, inner-1))
+		for ; share > 0 && next < len(order); share-- {
+			t.connect(order[next], member)
+			next++
+		}
+	}
+	for ; next < len(order); next++ {
+		t.connect(order[next], order[0])
+	}
+	return order
+}
+
+// order returns the region's members with the inner ones, which have uploaded
+// least so far, in front. Members of a zone stand together.
+func (p *planner) order(stripe int, region []int) ([]int, int) {
+	inner := len(region) / p.stripes
+	if stripe < len(region)%p.stripes {
+		inner++
+	}
+	inner = max(1, inner)
+	hashes := make(map[int]uint64, len(region))
+	for _, member := range region {
+		hashes[member] = p.hash(stripe, p.peers[member].Upstream)
+	}
+	order := slices.Clone(region)
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(p.load[a], p.load[b]), cmp.Compare(hashes[a], hashes[b]))
+	})
+	byZone := func(a, b int) int {
+		return cmp.Or(cmp.Compare(p.peers[a].AvailabilityZone, p.peers[b].AvailabilityZone),
+			cmp.Compare(hashes[a], hashes[b]))
+	}
+	slices.SortFunc(order[:inner], byZone)
+	slices.SortFunc(order[inner:], byZone)
+	return order, inner
+}
+
+func (p *planner) hash(stripe int, member identifier.Upstream) uint64 {
+	buf := make([]byte, 0, len(p.seed)+8+len(member))
+	buf = append(buf, p.seed[:]...)
+	buf = binary.BigEndian.AppendUint64(buf, uint64(stripe))
+	buf = append(buf, member...)
+	return xxhash.Sum64(buf)
+}
--- /dev/null
+++ b/fetcher/pull.go
@@ -0,0 +1,316 @@
+package fetcher
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+// probe asks one member after the other for a chunk that no ancestor brings.
+type probe struct {
+	holder     identifier.Upstream // asked first
+	candidates []Peer
+	next       int
+	after      time.Time
+	exhausted  bool // no candidate holds the chunk
+}
+
+// pump asks for as many chunks as the windows allow.
+func (f *Fetcher) pump(now time.Time, t *transfer) []Effect {
+	if !t.active() {
+		return nil
+	}
+	var effects []Effect
+	for n := range t.stripes {
+		s := &t.stripes[n]
+		if s.lowest == s.end {
+			continue
+		}
+		parent, ok := t.ancestor(now, s)
+		if s.place.copyNumber != notRoot || !ok {
+			effects = append(effects, f.origin(now, t, n)...)
+			continue
+		}
+		effects = append(effects, f.ask(now, t, s, parent)...)
+	}
+	return append(effects, f.pull(now, t)...)
+}
+
+// ask fills the stripe's window with requests to the ancestor.
+func (f *Fetcher) ask(now time.Time, t *transfer, s *stripe, parent Peer) []Effect {
+	var effects []Effect
+	for i := s.lowest; i < s.end && s.waiting < f.cfg.Window; i++ {
+		if t.have.has(int(i)) {
+			continue
+		}
+		if _, ok := t.fetches[i]; ok {
+			continue
+		}
+		if s.waiting == 0 {
+			s.lastProgress = now
+		}
+		t.begin(now, i, fetch{source: Source{Peer: parent.Upstream}, wait: true})
+		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: parent, Wait: true})
+	}
+	return effects
+}
+
+// pull asks members that are not ancestors for chunks that they may hold.
+func (f *Fetcher) pull(now time.Time, t *transfer) []Effect {
+	if len(t.probes) == 0 {
+		return nil
+	}
+	var effects []Effect
+	for _, i := range slices.Sorted(maps.Keys(t.probes)) {
+		p := t.probes[i]
+		if t.pulls >= f.cfg.Pulls {
+			break
+		}
+		if _, ok := t.fetches[i]; ok || p.exhausted || now.Before(p.after) {
+			continue
+		}
+		peer, ok := f.candidate(now, t, i, p)
+		if !ok {
+			f.exhaust(now, t, i, p)
+			continue
+		}
+		t.begin(now, i, fetch{source: Source{Peer: peer.Upstream}})
+		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: peer})
+	}
+	return effects
+}
+
+// exhaust ends a probe that no candidate answered. A member that has an
+// ancestor waits there again; a root may now read the chunk from the origin.
+func (f *Fetcher) exhaust(now time.Time, t *transfer, i verifier.ChunkIndex, p *probe) {
+	s := &t.stripes[t.stripeOf(i)]
+	_, ok := t.ancestor(now, s)
+	if ok && s.place.copyNumber == notRoot {
+		delete(t.probes, i)
+		return
+	}
+	p.exhausted = true
+}
+
+// candidate returns the next member to probe.
+func (f *Fetcher) candidate(now time.Time, t *transfer, i verifier.ChunkIndex, p *probe) (Peer, bool) {
+	n := t.stripeOf(i)
+	if p.candidates == nil {
+		p.candidates = f.candidates(t, n, p.holder)
+	}
+	for p.next < len(p.candidates) && p.next < f.cfg.HolderProbes {
+		peer := p.candidates[p.next]
+		p.next++
+		if !t.suspected(now, &t.stripes[n], peer.Upstream) {
+			return peer, true
+		}
+	}
+	return Peer{}, false
+}
+
+// candidates lists members by how likely they hold chunks of the stripe: the
+// known holder, the region's members from the root down, the other regions'.
+func (f *Fetcher) candidates(t *transfer, n int, holder identifier.Upstream) []Peer {
+	var first, near, far []Peer
+	tr := t.plan.trees[n]
+	for _, member := range tr.order {
+		peer := t.plan.peers[member]
+		parent := tr.parent[member]
+		crosses := parent == noParent || t.plan.peers[parent].Region != peer.Region
+		switch {
+		case peer.Upstream == f.cfg.Self.Upstream:
+		case peer.Upstream == holder:
+			first = slices.Insert(first, 0, peer)
+		case crosses:
+			first = append(first, peer)
+		case peer.Region == f.cfg.Self.Region:
+			near = append(near, peer)
+		default:
+			far = append(far, peer)
+		}
+	}
+	return slices.Concat(first, near, far)
+}
+
+// arrived takes in a verified chunk.
+func (f *Fetcher) arrived(now time.Time, t *transfer, e ChunkArrived) []Effect {
+	var effects []Effect
+	fresh := t.hold(e.Chunk.Digest())
+	for _, i := range t.manifest.Indices(e.Chunk.Digest()) {
+		if t.end(i, e.Source) {
+			f.progressed(now, t, i)
+			continue
+		}
+		if fetch, ok := t.fetches[i]; ok {
+			t.end(i, fetch.source)
+			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
+		}
+	}
+	size := e.Chunk.Size()
+	if e.Source.IsOrigin() {
+		t.counts.fromOrigin += size
+	} else {
+		t.counts.fromPeers += size
+	}
+	effects = append(effects, f.offer(t, fresh)...)
+	return append(effects, f.finish(t)...)
+}
+
+// progressed notes that a source of the stripe works.
+func (f *Fetcher) progressed(now time.Time, t *transfer, i verifier.ChunkIndex) {
+	s := &t.stripes[t.stripeOf(i)]
+	t.arrivals++
+	s.renewals = 0
+	s.arrivals = t.arrivals
+	s.lastProgress = now
+	t.lastProgress = now
+}
+
+// finish has the files verified once every chunk is held.
+func (f *Fetcher) finish(t *transfer) []Effect {
+	if t.stage != Fetching || !t.complete() {
+		return nil
+	}
+	t.stage = Verifying
+	return []Effect{VerifyFiles{Manifest: t.want.Manifest}}
+}
+
+// failed handles the end of a fetch without the chunk.
+func (f *Fetcher) failed(now time.Time, t *transfer, e ChunkFailed) []Effect {
+	fetch, ok := t.fetches[e.Chunk]
+	if !ok || !t.end(e.Chunk, e.Source) {
+		return nil
+	}
+	if e.Source.IsOrigin() {
+		return f.originFailed(now, t, e, fetch.expires)
+	}
+	s := &t.stripes[t.stripeOf(e.Chunk)]
+	delay := max(e.RetryAfter, f.cfg.RetryDelay)
+	switch e.Reason {
+	case Corrupt:
+		effects := f.blame(t, e.Source, e.Reason)
+		t.suspects[e.Source.Peer] = suspicion{until: now.Add(corruptSetAside), reason: e.Reason}
+		t.probes[e.Chunk] = &probe{}
+		return append(effects, f.withdraw(t, e.Source)...)
+	case Unreachable, Stalled:
+		effects := f.blame(t, e.Source, e.Reason)
+		t.suspects[e.Source.Peer] = suspicion{until: now.Add(f.cfg.SetAside), reason: e.Reason}
+		return append(effects, f.withdraw(t, e.Source)...)
+	case Busy:
+		if p := t.probes[e.Chunk]; p != nil {
+			p.next = max(0, p.next-1)
+			p.after = now.Add(delay)
+		}
+	}
+	if !fetch.wait {
+		return nil
+	}
+	if e.Reason == NotHeld && s.renewals < maxRenewals {
+		s.renewals++
+		s.lastProgress = now
+		return nil
+	}
+	s.passedOver[e.Source.Peer] = now.Add(delay)
+	return nil
+}
+
+// maxRenewals is how often in a row an ancestor may answer that it does not hold
+// a chunk yet. It shows that it is alive; its own source may be the one at fault.
+const maxRenewals = 8
+
+// corruptSetAside is how long a peer that sent corrupt bytes gets no request.
+const corruptSetAside = time.Hour
+
+// originFailed handles a read that brought no chunk. A read that brought no
+// byte leaves its lease unspent.
+func (f *Fetcher) originFailed(now time.Time, t *transfer, e ChunkFailed, expires time.Time) []Effect {
+	s := &t.stripes[t.stripeOf(e.Chunk)]
+	delay := max(e.RetryAfter, f.cfg.RetryDelay)
+	f.originAfter[t.want.Source] = now.Add(delay)
+	switch e.Reason {
+	case RateLimited:
+		s.unspend(e.Chunk, expires)
+		return nil
+	case Unreachable, Missing:
+		s.unspend(e.Chunk, expires)
+	}
+	return f.blame(t, e.Source, e.Reason)
+}
+
+// unspend gives a lease back to a chunk that was not read.
+func (s *stripe) unspend(i verifier.ChunkIndex, expires time.Time) {
+	delete(s.lease.spent, i)
+	s.lease.unread[i] = expires
+}
+
+// blame counts a fault of a source.
+func (f *Fetcher) blame(t *transfer, source Source, reason Reason) []Effect {
+	t.counts.blamed[source]++
+	return []Effect{BlamePeer{Manifest: t.want.Manifest, Source: source, Reason: reason}}
+}
+
+// withdraw breaks off every fetch from the source.
+func (f *Fetcher) withdraw(t *transfer, source Source) []Effect {
+	var effects []Effect
+	for _, i := range t.fetching() {
+		if t.end(i, source) {
+			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: source})
+		}
+	}
+	return effects
+}
+
+// checkProgress passes over sources that broke the progress deadline.
+func (f *Fetcher) checkProgress(now time.Time, t *transfer) []Effect {
+	var effects []Effect
+	for n := range t.stripes {
+		s := &t.stripes[n]
+		if s.waiting == 0 || now.Sub(s.lastProgress) < f.cfg.ProgressDeadline {
+			continue
+		}
+		idle := now.Sub(t.lastProgress) >= f.cfg.ProgressDeadline
+		if !idle && t.arrivals-s.arrivals < arrivalsToDeadline*len(t.stripes) {
+			continue
+		}
+		effects = append(effects, f.stalled(now, t, s)...)
+		s.lastProgress = now
+	}
+	for _, i := range t.fetching() {
+		fetch := t.fetches[i]
+		if !fetch.wait && !fetch.source.IsOrigin() && now.Sub(fetch.since) >= f.cfg.ProgressDeadline {
+			effects = append(effects, f.failed(now, t, ChunkFailed{Chunk: i, Source: fetch.source, Reason: Stalled})...)
+			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
+		}
+	}
+	return effects
+}
+
+// arrivalsToDeadline is how many chunks of each other stripe may come before a
+// silent one counts as stalled. A link that is full, not stalled, brings fewer.
+const arrivalsToDeadline = 4
+
+// stalled passes over the source of the stripe's oldest fetch for this stripe.
+func (f *Fetcher) stalled(now time.Time, t *transfer, s *stripe) []Effect {
+	var effects []Effect
+	blamed := make(map[Source]bool)
+	for i := s.lowest; i < s.end; i++ {
+		fetch, ok := t.fetches[i]
+		if !ok || !fetch.wait && !fetch.source.IsOrigin() {
+			continue
+		}
+		if fetch.source.IsOrigin() {
+			continue // the shell ends origin reads at their own deadline
+		}
+		t.end(i, fetch.source)
+		effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
+		if !blamed[fetch.source] {
+			blamed[fetch.source] = true
+			s.passedOver[fetch.source.Peer] = now.Add(f.cfg.SetAside)
+			effects = append(effects, f.blame(t, fetch.source, Stalled)...)
+		}
+	}
+	return effects
+}
--- /dev/null
+++ b/fetcher/serve.go
@@ -0,0 +1,195 @@
+package fetcher
+
+import (
+	"slices"
+	"time"
+
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+// serving is a peer's request that is kept or being sent.
+type serving struct {
+	request ChunkRequested
+	since   time.Time
+	sending bool
+}
+
+// requested takes in a peer's request.
+func (f *Fetcher) requested(now time.Time, e ChunkRequested) []Effect {
+	t := f.transfers[e.Manifest]
+	refuse := func(reason Reason) []Effect {
+		return []Effect{RefuseChunk{Request: e.Request, Reason: reason, RetryAfter: f.cfg.RetryDelay}}
+	}
+	switch {
+	case t == nil:
+		return refuse(NotWanted)
+	case len(f.serving) >= f.cfg.UploadQueue:
+		return refuse(Busy)
+	case t.manifest == nil && !e.Wait:
+		return refuse(NotHeld)
+	case t.manifest != nil && (e.Chunk < 0 || int(e.Chunk) >= t.manifest.Chunks()):
+		return refuse(NotHeld)
+	}
+	if t.manifest != nil && t.have.has(int(e.Chunk)) {
+		if !e.Wait && len(t.ready) > f.cfg.Uploads {
+			return refuse(Busy)
+		}
+		f.serving[e.Request] = &serving{request: e, since: now}
+		t.ready = append(t.ready, e.Request)
+		return f.send()
+	}
+	if !e.Wait {
+		return refuse(NotHeld)
+	}
+	f.serving[e.Request] = &serving{request: e, since: now}
+	t.waiters[e.Chunk] = append(t.waiters[e.Chunk], e)
+	return nil
+}
+
+// offer answers the requests that waited for chunks. Peers that hand the chunk
+// on to most others come first.
+func (f *Fetcher) offer(t *transfer, fresh []verifier.ChunkIndex) []Effect {
+	for _, i := range fresh {
+		waiters := t.waiters[i]
+		delete(t.waiters, i)
+		if t.plan != nil {
+			n := t.stripeOf(i)
+			slices.SortStableFunc(waiters, func(a, b ChunkRequested) int {
+				return t.plan.children(n, b.Peer) - t.plan.children(n, a.Peer)
+			})
+		}
+		for _, e := range waiters {
+			t.ready = append(t.ready, e.Request)
+		}
+	}
+	return f.send()
+}
+
+// send starts uploads while slots are free. The transfer that has sent least
+// for its priority goes first.
+func (f *Fetcher) send() []Effect {
+	var effects []Effect
+	for f.sending < f.cfg.Uploads {
+		t := f.nextToSend()
+		if t == nil {
+			break
+		}
+		id := t.ready[0]
+		t.ready = t.ready[1:]
+		s := f.serving[id]
+		if s == nil {
+			continue
+		}
+		location, _ := t.manifest.Chunk(s.request.Chunk)
+		s.sending = true
+		f.sending++
+		f.sent = max(f.sent, t.share)
+		t.share = f.sent + float64(location.Size)/weight(t.want.Priority)
+		effects = append(effects, SendChunk{
+			Request:  id,
+			Manifest: t.want.Manifest,
+			Chunk:    s.request.Chunk,
+			Digest:   location.Digest,
+			Peer:     s.request.Peer,
+		})
+	}
+	return effects
+}
+
+// nextToSend returns the transfer with ready requests that comes first.
+func (f *Fetcher) nextToSend() *transfer {
+	var best *transfer
+	for _, id := range f.order {
+		t := f.transfers[id]
+		if len(t.ready) > 0 && (best == nil || t.share < best.share) {
+			best = t
+		}
+	}
+	return best
+}
+
+// weight returns the share of a priority against priority 0.
+func weight(p Priority) float64 {
+	const step = 2 // each priority gets twice the share of the one below
+	w := 1.0
+	for range min(max(p, 0), 16) {
+		w *= step
+	}
+	return w
+}
+
+// ended forgets a request.
+func (f *Fetcher) ended(e RequestEnded) []Effect {
+	s := f.serving[e.Request]
+	if s == nil {
+		return nil
+	}
+	delete(f.serving, e.Request)
+	if s.sending {
+		f.sending--
+	}
+	if t := f.transfers[s.request.Manifest]; t != nil {
+		t.forgetWaiter(s.request)
+	}
+	return f.send()
+}
+
+func (t *transfer) forgetWaiter(e ChunkRequested) {
+	list := slices.DeleteFunc(t.waiters[e.Chunk], func(w ChunkRequested) bool { return w.Request == e.Request })
+	if len(list) == 0 {
+		delete(t.waiters, e.Chunk)
+		return
+	}
+	t.waiters[e.Chunk] = list
+}
+
+// refuseStale answers requests that waited long, so that the peers know that
+// this member is alive. They ask again.
+func (f *Fetcher) refuseStale(now time.Time) []Effect {
+	var stale []RequestID
+	for _, id := range f.order {
+		t := f.transfers[id]
+		for chunk, waiters := range t.waiters {
+			if now.Sub(t.progressOf(chunk)) < f.cfg.ProgressDeadline/2 {
+				continue
+			}
+			for _, w := range waiters {
+				if now.Sub(f.serving[w.Request].since) >= f.cfg.ProgressDeadline/2 {
+					stale = append(stale, w.Request)
+				}
+			}
+		}
+	}
+	return f.refuseAll(stale, NotHeld)
+}
+
+// progressOf returns when the stripe of the chunk last made progress.
+func (t *transfer) progressOf(i verifier.ChunkIndex) time.Time {
+	if t.manifest == nil || int(i) >= t.manifest.Chunks() {
+		return time.Time{}
+	}
+	return t.stripes[t.stripeOf(i)].lastProgress
+}
+
+// refuseAll ends the requests with the reason.
+func (f *Fetcher) refuseAll(ids []RequestID, reason Reason) []Effect {
+	slices.Sort(ids)
+	var effects []Effect
+	for _, id := range ids {
+		effects = append(effects, RefuseChunk{Request: id, Reason: reason, RetryAfter: f.cfg.RetryDelay})
+		effects = append(effects, f.ended(RequestEnded{Request: id})...)
+	}
+	return effects
+}
+
+// refuseTransfer ends every request for a manifest that is given up.
+func (f *Fetcher) refuseTransfer(manifest identifier.Digest) []Effect {
+	var ids []RequestID
+	for id, s := range f.serving {
+		if s.request.Manifest == manifest && !s.sending {
+			ids = append(ids, id)
+		}
+	}
+	return f.refuseAll(ids, NotWanted)
+}
--- /dev/null
+++ b/fetcher/transfer.go
@@ -0,0 +1,247 @@
+package fetcher
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+// Stage is how far a transfer is.
+type Stage string
+
+// The stages.
+const (
+	WaitingForManifest Stage = "WaitingForManifest"
+	WaitingForSpace    Stage = "WaitingForSpace"
+	Fetching           Stage = "Fetching"
+	Verifying          Stage = "Verifying"
+	Complete           Stage = "Complete"
+	Refused            Stage = "Refused"
+)
+
+// fetch is a chunk that was asked for and has not come yet.
+type fetch struct {
+	source Source
+	since  time.Time
+	// wait: the source keeps the request until it holds the chunk.
+	wait bool
+	// expires ends the lease of an origin read.
+	expires time.Time
+}
+
+// stripe is the state of a run of consecutive chunks.
+type stripe struct {
+	first, end   verifier.ChunkIndex // chunks [first, end)
+	lowest       verifier.ChunkIndex // every chunk below is held
+	place        position
+	waiting      int       // fetches from the current ancestor
+	originReads  int       // fetches from the origin
+	lastProgress time.Time // when a chunk last came or an ancestor was chosen
+	arrivals     int       // the transfer's arrivals at that time
+	renewals     int       // answers in a row without a chunk
+	lease        lease
+	// passedOver holds sources that brought nothing for this stripe, and until when.
+	passedOver map[identifier.Upstream]time.Time
+}
+
+// transfer is the fetching of one manifest.
+type transfer struct {
+	want         Wanted
+	stage        Stage
+	paused       bool
+	superseded   bool
+	ready        []RequestID
+	manifest     *verifier.Manifest
+	have         bitset
+	held         int
+	heldSize     identifier.ByteCount
+	fetches      map[verifier.ChunkIndex]fetch
+	stripes      []stripe
+	peers        []Peer
+	plan         *plan
+	suspects     map[identifier.Upstream]suspicion
+	pulls        int
+	probes       map[verifier.ChunkIndex]*probe
+	share        float64 // bytes sent for the transfer over its weight
+	retry        time.Time
+	started      time.Time
+	counts       counts
+	waiters      map[verifier.ChunkIndex][]ChunkRequested
+	problem      string
+	arrivals     int       // chunks that came
+	lastProgress time.Time // when the last one came
+}
+
+// suspicion keeps a source from being asked.
+type suspicion struct {
+	until  time.Time
+	reason Reason
+}
+
+// counts are the figures of a transfer that operators see.
+type counts struct {
+	fromOrigin, fromPeers, reused identifier.ByteCount
+	blamed                        map[Source]int
+	originAgain                   int
+}
+
+func newTransfer(now time.Time, want Wanted) *transfer {
+	return &transfer{
+		want:     want,
+		stage:    WaitingForManifest,
+		started:  now,
+		fetches:  make(map[verifier.ChunkIndex]fetch),
+		suspects: make(map[identifier.Upstream]suspicion),
+		probes:   make(map[verifier.ChunkIndex]*probe),
+		waiters:  make(map[verifier.ChunkIndex][]ChunkRequested),
+		counts:   counts{blamed: make(map[Source]int)},
+	}
+}
+
+// open takes in the manifest and cuts its chunks into stripes.
+func (t *transfer) open(now time.Time, m *verifier.Manifest, stripes int) {
+	t.manifest = m
+	t.stage = Fetching
+	t.have = newBitset(m.Chunks())
+	n := max(1, min(stripes, m.Chunks()))
+	t.stripes = make([]stripe, n)
+	for i := range t.stripes {
+		first := verifier.ChunkIndex(i * m.Chunks() / n)
+		t.stripes[i] = stripe{
+			first:        first,
+			lowest:       first,
+			end:          verifier.ChunkIndex((i + 1) * m.Chunks() / n),
+			lastProgress: now,
+			lease:        newLease(),
+			passedOver:   make(map[identifier.Upstream]time.Time),
+		}
+	}
+}
+
+// stripeOf returns the stripe that holds the chunk.
+func (t *transfer) stripeOf(i verifier.ChunkIndex) int {
+	n, found := slices.BinarySearchFunc(t.stripes, i, func(s stripe, i verifier.ChunkIndex) int {
+		return int(s.first - i)
+	})
+	if !found {
+		n--
+	}
+	return n
+}
+
+// replan computes the trees from the members.
+func (t *transfer) replan(now time.Time, self Peer) {
+	if t.manifest == nil {
+		return
+	}
+	peers := slices.Clone(t.peers)
+	if !slices.ContainsFunc(peers, func(p Peer) bool { return p.Upstream == self.Upstream }) {
+		peers = append(peers, self)
+	}
+	n := len(t.stripes)
+	t.plan = newPlan(t.want.Manifest, peers, n, originRoots(t.want.Favour, n))
+	for i := range t.stripes {
+		t.stripes[i].place = t.plan.place(i, self.Upstream)
+		t.stripes[i].lastProgress = now
+	}
+}
+
+// hold marks every place of the digest as held and returns the new ones.
+func (t *transfer) hold(digest identifier.Digest) []verifier.ChunkIndex {
+	var fresh []verifier.ChunkIndex
+	for _, i := range t.manifest.Indices(digest) {
+		if t.have.has(int(i)) {
+			continue
+		}
+		location, _ := t.manifest.Chunk(i)
+		t.have.add(int(i))
+		t.held++
+		t.heldSize += location.Size
+		delete(t.probes, i)
+		fresh = append(fresh, i)
+		s := &t.stripes[t.stripeOf(i)]
+		for s.lowest < s.end && t.have.has(int(s.lowest)) {
+			s.lowest++
+		}
+	}
+	return fresh
+}
+
+// complete reports whether every chunk is held.
+func (t *transfer) complete() bool {
+	return t.manifest != nil && t.held == t.manifest.Chunks()
+}
+
+// active reports whether chunks may be asked for.
+func (t *transfer) active() bool {
+	return t.stage == Fetching && !t.paused && !t.superseded && t.plan != nil
+}
+
+// begin records a fetch.
+func (t *transfer) begin(now time.Time, i verifier.ChunkIndex, f fetch) {
+	f.since = now
+	t.fetches[i] = f
+	t.count(i, f, 1)
+}
+
+// end forgets a fetch and reports whether it was from the source.
+func (t *transfer) end(i verifier.ChunkIndex, source Source) bool {
+	f, ok := t.fetches[i]
+	if !ok || f.source != source {
+		return false
+	}
+	delete(t.fetches, i)
+	t.count(i, f, -1)
+	return true
+}
+
+// count keeps the number of fetches of each sort.
+func (t *transfer) count(i verifier.ChunkIndex, f fetch, n int) {
+	s := &t.stripes[t.stripeOf(i)]
+	switch {
+	case f.source.IsOrigin():
+		s.originReads += n
+	case f.wait:
+		s.waiting += n
+	default:
+		t.pulls += n
+	}
+}
+
+// suspected reports whether the source is set aside for the stripe.
+func (t *transfer) suspected(now time.Time, s *stripe, peer identifier.Upstream) bool {
+	return now.Before(t.suspects[peer].until) || now.Before(s.passedOver[peer])
+}
+
+// ancestor returns the nearest ancestor that is not set aside.
+func (t *transfer) ancestor(now time.Time, s *stripe) (Peer, bool) {
+	for _, peer := range s.place.ancestors {
+		if !t.suspected(now, s, peer.Upstream) {
+			return peer, true
+		}
+	}
+	return Peer{}, false
+}
+
+// fetching returns the chunks that are asked for, in order.
+func (t *transfer) fetching() []verifier.ChunkIndex {
+	return slices.Sorted(maps.Keys(t.fetches))
+}
+
+// resetProgress starts the progress deadlines anew.
+func (t *transfer) resetProgress(now time.Time) {
+	for i := range t.stripes {
+		t.stripes[i].lastProgress = now
+	}
+}
+
+// forgive ends every suspicion of a member that left or came back.
+func (t *transfer) forgive(peer identifier.Upstream) {
+	delete(t.suspects, peer)
+	for i := range t.stripes {
+		delete(t.stripes[i].passedOver, peer)
+	}
+}
--- a/verifier/manifest.go
+++ b/verifier/manifest.go
@@ -41,9 +41,10 @@
 	ChunkSize     identifier.ByteCount
 	Files         []File
 
-	digest identifier.Digest
-	chunks []Location
-	size   identifier.ByteCount
+	digest  identifier.Digest
+	chunks  []Location
+	indices map[identifier.Digest][]ChunkIndex
+	size    identifier.ByteCount
 }
 
 // Location says which bytes a chunk holds and where they stand.
@@ -116,6 +117,11 @@
 	return m.chunks[i], true
 }
 
+// Indices returns which chunks have the digest. The caller must not change them.
+func (m *Manifest) Indices(digest identifier.Digest) []ChunkIndex {
+	return m.indices[digest]
+}
+
 // finish checks the fields and fills in what is derived from them.
 func (m *Manifest) finish() error {
 	if (m.Model == "") == (m.Adapter == "") {
@@ -130,6 +136,7 @@
 	if len(m.Files) == 0 {
 		return malformed("manifest has no Files", nil)
 	}
+	m.indices = make(map[identifier.Digest][]ChunkIndex)
 	seen := make(map[string]bool, len(m.Files))
 	for i, f := range m.Files {
 		if seen[f.Path] {
@@ -166,6 +173,7 @@
 	}
 	for i, digest := range f.Chunks {
 		offset := identifier.ByteCount(i) * m.ChunkSize
+		m.indices[digest] = append(m.indices[digest], ChunkIndex(len(m.chunks)))
 		m.chunks = append(m.chunks, Location{
 			Digest: digest,
 			File:   file,
