linker: forward TCP and UDP with a rate, a delay and faults

Failure tests and measurements need links that are thin, slow, cut, frozen, lossy, or that lose track of the connections that are open.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	Engine  engineCommand  `cmd:"" help:"Play model engines."`
 	Service serviceCommand `cmd:"" help:"Play plain services, whose bookings must not be repeated."`
 	Origin  originCommand  `cmd:"" help:"Play the origin of weights, with its rate limit."`
+	Link    linkCommand    `cmd:"" help:"Forward TCP and UDP with a rate, a delay and faults."`
 	Weights weightsCommand `cmd:"" help:"Write pseudo-random weights with their manifest and print the manifest's digest."`
 }
 
