generator: play callers in an open loop and check what they were told

The measurements need callers that do not slow down with the system: requests come as a Poisson process with a fixed seed, over classes and organisations by weight, some keyed ones are sent twice, and latency counts from the time a request was due. Each answer is checked to be whole and the caller's own, from the text that the stand-in engine derives from the prompt. The check compares the records with the runs of the stand-ins: a key that ran twice, a NotRun that ran, a Completed that did not run or was not whole.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,6 +18,8 @@
 	Service serviceCommand `cmd:"" help:"Play plain services, whose bookings must not be repeated."`
 	Origin  originCommand  `cmd:"" help:"Play the origin of weights, with its rate limit."`
 	Link    linkCommand    `cmd:"" help:"Forward TCP and UDP with a rate, a delay and faults."`
+	Load    loadCommand    `cmd:"" help:"Play callers and print what they saw as JSON."`
+	Check   checkCommand   `cmd:"" help:"Compare what callers saw with what stand-ins ran."`
 	Weights weightsCommand `cmd:"" help:"Write pseudo-random weights with their manifest and print the manifest's digest."`
 }
 
