standin: send single requests, count runs and print the origin's counters

Paths of the default load mix start with their service, as the entry expects, and callers carry a bearer token instead of naming their organisation. The manifest takes the layout of package verifier, whose digest is taken over compact JSON.

--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"time"
@@ -15,6 +16,9 @@
 // idleConnections bounds the connections that the callers keep to one entry.
 const idleConnections = 1024
 
+// authorization is the header that carries a caller's credential.
+const authorization = "Authorization"
+
 type loadCommand struct {
 	Entry     []string      `help:"Base URL of an entry; may be repeated." placeholder:"URL"`
 	Plan      string        `help:"Plan as a JSON file; without it the default mix." type:"existingfile" placeholder:"FILE"`
@@ -22,6 +26,7 @@
 	Rate      float64       `help:"Mean requests a second, instead of the plan's."`
 	Duration  time.Duration `help:"How long to send, instead of the plan's."`
 	Seed      uint64        `help:"Seed of times and mix, instead of the plan's."`
+	Token     string        `help:"Bearer token of every caller, unless the plan gives one." placeholder:"TOKEN"`
 	Records   string        `help:"File to write each request's record to." type:"path" placeholder:"FILE"`
 }
 
@@ -76,9 +81,22 @@
 	if c.Seed > 0 {
 		plan.Seed = c.Seed
 	}
+	for i := range plan.Callers {
+		plan.Callers[i].Headers = withToken(plan.Callers[i].Headers, c.Token)
+	}
 	return plan, nil
 }
 
+// withToken adds the token to the headers where they have no credential.
+func withToken(headers map[string]string, token string) map[string]string {
+	if token == "" || headers[authorization] != "" {
+		return headers
+	}
+	added := map[string]string{authorization: "Bearer " + token}
+	maps.Copy(added, headers)
+	return added
+}
+
 type checkCommand struct {
 	Records string   `help:"File of records that standin load wrote." required:"" type:"existingfile" placeholder:"FILE"`
 	Runs    []string `help:"Base URL of a stand-in whose runs count; may be repeated." required:"" placeholder:"URL"`
@@ -96,7 +114,7 @@
 	}
 	var runs []imitator.Run
 	for _, base := range c.Runs {
-		more, err := fetchRuns(env, base)
+		more, err := readRuns(env, base)
 		if err != nil {
 			return err
 		}
@@ -113,17 +131,3 @@
 	_, err = fmt.Fprintf(env.out, "%d requests and %d runs agree\n", len(records), len(runs))
 	return err
 }
-
-func fetchRuns(env *environment, base string) ([]imitator.Run, error) {
-	req, err := http.NewRequestWithContext(env.ctx, http.MethodGet, base+"/runs", nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var runs []imitator.Run
-	return runs, json.NewDecoder(resp.Body).Decode(&runs)
-}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,13 +14,16 @@
 
 // commands are the stand-ins, one command each.
 type commands struct {
-	Engine  engineCommand  `cmd:"" help:"Play model engines."`
-	Service serviceCommand `cmd:"" help:"Play plain services, whose bookings must not be repeated."`
-	Origin  originCommand  `cmd:"" help:"Play the origin of weights, with its rate limit."`
-	Link    linkCommand    `cmd:"" help:"Forward TCP and UDP with a rate, a delay and faults."`
-	Load    loadCommand    `cmd:"" help:"Play callers and print what they saw as JSON."`
-	Check   checkCommand   `cmd:"" help:"Compare what callers saw with what stand-ins ran."`
-	Weights weightsCommand `cmd:"" help:"Write pseudo-random weights with their manifest and print the manifest's digest."`
+	Engine   engineCommand   `cmd:"" help:"Play model engines."`
+	Service  serviceCommand  `cmd:"" help:"Play plain services, whose bookings must not be repeated."`
+	Origin   originCommand   `cmd:"" help:"Play the origin of weights, with its rate limit."`
+	Link     linkCommand     `cmd:"" help:"Forward TCP and UDP with a rate, a delay and faults."`
+	Load     loadCommand     `cmd:"" help:"Play callers and print what they saw as JSON."`
+	Check    checkCommand    `cmd:"" help:"Compare what callers saw with what stand-ins ran."`
+	Request  requestCommand  `cmd:"" help:"Send one request and print its answer."`
+	Runs     runsCommand     `cmd:"" help:"Print how many runs a stand-in made."`
+	Counters countersCommand `cmd:"" help:"Print what was read from an origin."`
+	Weights  weightsCommand  `cmd:"" help:"Write pseudo-random weights with their manifest and print the manifest's digest."`
 }
 
 // environment is what every command is run with.
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -159,8 +159,8 @@
 
 type weightsCommand struct {
 	Folder    string  `help:"Folder to write below." required:"" type:"path"`
-	Model     string  `help:"Name of the model." required:""`
-	Adapter   string  `help:"Name of the adapter, for the weights of an adapter."`
+	Model     string  `help:"Name of the model." xor:"Name" required:""`
+	Adapter   string  `help:"Name of the adapter, for the weights of an adapter." xor:"Name" required:""`
 	Version   string  `help:"Name of the version." required:""`
 	Size      size    `help:"Size of all files together." default:"8MiB"`
 	Files     int     `help:"Number of files." default:"3"`
--- a/generator/generator.go
+++ b/generator/generator.go
@@ -127,7 +127,6 @@
 func setHeaders(req *http.Request, a arrival, rec *Record) {
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(imitator.HeaderRequestID, string(rec.RequestID))
-	req.Header.Set(imitator.HeaderOrganisation, string(a.caller.Organisation))
 	if a.key != "" {
 		req.Header.Set(imitator.HeaderIdempotencyKey, string(a.key))
 	}
--- a/generator/generator_test.go
+++ b/generator/generator_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,15 +24,15 @@
 	process := imitator.NewProcess(clock, sw, history, func() {})
 	engine := imitator.NewEngine(imitator.EngineConfig{BatchSize: 64}, process).Handler()
 	service := imitator.NewService(imitator.ServiceConfig{Concurrency: 64, Name: "b"}, process).Handler()
-	order := httptest.NewRequest(http.MethodPost, "/orders/load", jsonBody(t, imitator.Order{Model: "drafter", Version: "1"}))
+	order := httptest.NewRequest(http.MethodPost, "/orders/load", jsonBody(t, imitator.Order{Model: "summaries", Version: "1"}))
 	engine.ServeHTTP(httptest.NewRecorder(), order)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(generator.HeaderOutcome, string(generator.Completed))
-		if r.URL.Path == "/v1/completions" {
-			engine.ServeHTTP(w, r)
+		if strings.HasPrefix(r.URL.Path, "/drafting/") {
+			http.StripPrefix("/drafting", engine).ServeHTTP(w, r)
 			return
 		}
-		service.ServeHTTP(w, r)
+		http.StripPrefix("/"+strings.Split(r.URL.Path, "/")[1], service).ServeHTTP(w, r)
 	}))
 	t.Cleanup(srv.Close)
 	return srv.URL, history
--- a/generator/plan.go
+++ b/generator/plan.go
@@ -72,7 +72,7 @@
 }
 
 // DefaultPlan is the mix of the callback service: drafting, booking and records
-// for ten organisations, two of them large.
+// for ten organisations, two of them large. A path starts with its service.
 func DefaultPlan() Plan {
 	plan := Plan{
 		Rate:     20,
@@ -80,11 +80,11 @@
 		Timeout:  imitator.Duration(30 * time.Second),
 		Seed:     1,
 		Classes: []Class{
-			{Name: "drafting", Weight: 6, Method: "POST", Path: "/v1/completions", Answer: Stream,
-				Body: `{"model":"drafter","prompt":"Summarise case {n}.","max_tokens":32,"stream":true}`},
-			{Name: "booking", Weight: 2, Method: "POST", Path: "/slots", Answer: Plain, Body: `{"Slot":{n}}`,
+			{Name: "drafting", Weight: 6, Method: "POST", Path: "/drafting/v1/completions", Answer: Stream,
+				Body: `{"model":"summaries","prompt":"Summarise case {n}.","max_tokens":32,"stream":true}`},
+			{Name: "booking", Weight: 2, Method: "POST", Path: "/booking/slots", Answer: Plain, Body: `{"Slot":{n}}`,
 				Keyed: true, ResendFraction: 0.3, ResendAfter: imitator.Duration(100 * time.Millisecond)},
-			{Name: "records", Weight: 2, Method: "GET", Path: "/records/{n}", Answer: Plain},
+			{Name: "records", Weight: 2, Method: "GET", Path: "/records/records/{n}", Answer: Plain},
 		},
 	}
 	for i := range 10 {
--- a/imitator/weights.go
+++ b/imitator/weights.go
@@ -19,13 +19,13 @@
 	ManifestName = "Manifest.json"
 )
 
-// Manifest lists the files of one version of a model or adapter.
+// Manifest lists the files of one version of a model or of an adapter.
 type Manifest struct {
-	Model     identifier.Model
-	Adapter   identifier.Adapter
-	Version   identifier.WeightVersion
-	ChunkSize identifier.ByteCount
-	Files     []ManifestFile
+	Model         identifier.Model   `json:",omitempty"`
+	Adapter       identifier.Adapter `json:",omitempty"`
+	WeightVersion identifier.WeightVersion
+	ChunkSize     identifier.ByteCount
+	Files         []ManifestFile
 }
 
 // ManifestFile is one file with the digests of its chunks.
@@ -53,10 +53,14 @@
 }
 
 // WriteWeights writes pseudo-random files and their manifest to
-// Folder/Model/Version, or Folder/Model/Adapter/Version for an adapter. It
-// returns the digest of the manifest's bytes.
+// Folder/Model/Version or Folder/Adapter/Version. It returns the digest of the
+// manifest's bytes.
 func WriteWeights(cfg WeightsConfig) (identifier.Digest, error) {
 	var none identifier.Digest
+	if (cfg.Model == "") == (cfg.Adapter == "") {
+		return none, explainer.New(explainer.InvalidInput, "weights are not of one model or adapter",
+			"set either the model or the adapter")
+	}
 	if cfg.Files < 1 || cfg.ChunkSize < 1 || cfg.Size < identifier.ByteCount(cfg.Files) {
 		return none, explainer.New(explainer.InvalidInput, "weights are empty",
 			"set files and chunk size to at least one, and the size to at least one byte a file")
@@ -65,7 +69,7 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return none, err
 	}
-	manifest := Manifest{Model: cfg.Model, Adapter: cfg.Adapter, Version: cfg.Version, ChunkSize: cfg.ChunkSize}
+	manifest := Manifest{Model: cfg.Model, Adapter: cfg.Adapter, WeightVersion: cfg.Version, ChunkSize: cfg.ChunkSize}
 	for i := range cfg.Files {
 		file, err := writeWeightFile(cfg, folder, i)
 		if err != nil {
@@ -73,7 +77,7 @@
 		}
 		manifest.Files = append(manifest.Files, file)
 	}
-	data, err := json.MarshalIndent(manifest, "", " ")
+	data, err := json.Marshal(manifest)
 	if err != nil {
 		return none, err
 	}
