--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -39,6 +39,8 @@
 	Current() identifier.ConfigurationVersion
 	// Observe is told the version that a peer's message carried.
 	Observe(peer netip.AddrPort, version identifier.ConfigurationVersion)
+	// Await waits a bounded time until the version is in force here.
+	Await(ctx context.Context, version identifier.ConfigurationVersion)
 }
 
 // Handler serves one stream that a peer opened. The stream is closed when it returns.
@@ -195,6 +197,7 @@
 		s.Cancel()
 		return
 	}
+	e.versions.Await(ctx, header.ConfigurationVersion)
 	h(ctx, s, first)
 }
 
--- a/connector/endpoint_test.go
+++ b/connector/endpoint_test.go
@@ -35,6 +35,8 @@
 	}
 }
 
+func (v *versions) Await(context.Context, identifier.ConfigurationVersion) {}
+
 func newFolder(t *testing.T, names ...string) string {
 	folder := t.TempDir()
 	authority, err := certifier.CreateAuthority(folder, time.Now())
