--- /dev/null
+++ b/publisher/publisher.go
@@ -0,0 +1,304 @@
+package publisher
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"celeryvalve/certifier"
+	"celeryvalve/configurer"
+	"celeryvalve/connector"
+	"celeryvalve/identifier"
+	"celeryvalve/subscriber"
+)
+
+const (
+	// CoalesceTime is how long changes are gathered into one update.
+	CoalesceTime  = 200 * time.Millisecond
+	renewInterval = time.Second
+	renewTimeout  = 2 * time.Second
+)
+
+// State is the applied state of the replica.
+type State interface {
+	Configuration() configurer.Configuration
+	// MembersSince returns the changes after the index, or the whole list.
+	MembersSince(index uint64) subscriber.MembersUpdate
+}
+
+// Caller sends one request to an address and returns its answer.
+type Caller interface {
+	Call(ctx context.Context, addr netip.AddrPort, request any) (any, error)
+}
+
+// Leader tells where the leader is.
+type Leader interface {
+	Leader() (netip.AddrPort, bool)
+}
+
+// Publisher serves subscriptions.
+type Publisher struct {
+	state  State
+	caller Caller
+	leader Leader
+	clock  clockwork.Clock
+	logger *zap.Logger
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu            sync.Mutex
+	changed       chan struct{}
+	subscriptions map[*subscription]bool
+}
+
+// New returns a publisher that is not started.
+func New(state State, caller Caller, leader Leader, clock clockwork.Clock, logger *zap.Logger) *Publisher {
+	return &Publisher{
+		state:         state,
+		caller:        caller,
+		leader:        leader,
+		clock:         clock,
+		logger:        logger.Named("publisher"),
+		changed:       make(chan struct{}),
+		subscriptions: make(map[*subscription]bool),
+	}
+}
+
+// Start begins to renew leases.
+func (p *Publisher) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.done.Add(1)
+	go func() {
+		defer p.done.Done()
+		p.renewAll(ctx)
+	}()
+}
+
+// Stop ends the renewals.
+func (p *Publisher) Stop() {
+	if p.cancel != nil {
+		p.cancel()
+	}
+	p.done.Wait()
+}
+
+// Notify says that the applied state changed.
+func (p *Publisher) Notify() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Serve follows one subscription until the stream ends.
+func (p *Publisher) Serve(ctx context.Context, s *connector.Stream, first any) {
+	request, ok := first.(*subscriber.Subscribe)
+	if !ok || (request.Need.All && !s.Peer().Has(certifier.Entry) && !s.Peer().Has(certifier.Control)) {
+		p.logger.Warn("Refused a subscription.", zap.String("peer", s.Peer().Name))
+		return
+	}
+	sub := p.add(request)
+	defer p.remove(sub)
+	ctx, cancel := context.WithCancel(ctx)
+	var reports sync.WaitGroup
+	reports.Go(func() {
+		defer cancel()
+		p.takeReports(ctx, s, sub)
+	})
+	p.sendUpdates(ctx, s, sub)
+	cancel()
+	reports.Wait()
+}
+
+func (p *Publisher) add(request *subscriber.Subscribe) *subscription {
+	sub := &subscription{
+		process:     request.Process,
+		need:        request.Need,
+		upstream:    request.Upstream,
+		since:       p.clock.Now(),
+		sentVersion: request.Have,
+		sentIndex:   request.HaveMembers,
+		everything:  request.Need.All,
+	}
+	if !sub.everything {
+		sub.services = relatedServices(p.state.Configuration(), request.Need)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.subscriptions[sub] = true
+	return sub
+}
+
+func (p *Publisher) remove(sub *subscription) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.subscriptions, sub)
+}
+
+func (p *Publisher) sendUpdates(ctx context.Context, s *connector.Stream, sub *subscription) {
+	idle := p.clock.NewTicker(subscriber.UpdateInterval)
+	defer idle.Stop()
+	for {
+		update, changed := p.nextUpdate(sub)
+		if update != nil && s.Send(update) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle.Chan():
+			if s.Send(&subscriber.Update{Renewed: p.renewedOf(sub)}) != nil {
+				return
+			}
+		case <-changed:
+			p.coalesce(ctx)
+		}
+	}
+}
+
+func (p *Publisher) coalesce(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-p.clock.After(CoalesceTime):
+	}
+}
+
+func (p *Publisher) nextUpdate(sub *subscription) (*subscriber.Update, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return sub.next(p.state), p.changed
+}
+
+func (p *Publisher) renewedOf(sub *subscription) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return sub.renewed
+}
+
+func (p *Publisher) takeReports(ctx context.Context, s *connector.Stream, sub *subscription) {
+	for {
+		msg, err := s.Receive(ctx)
+		if err != nil {
+			return
+		}
+		report, ok := msg.(*subscriber.Report)
+		if !ok {
+			return
+		}
+		p.mu.Lock()
+		sub.report = *report
+		sub.reportedAt = p.clock.Now()
+		if report.Transfers != nil {
+			sub.transfers = report.Transfers
+		}
+		if report.Upstream != "" {
+			sub.pending = report.Sequence
+		}
+		p.mu.Unlock()
+	}
+}
+
+func (p *Publisher) renewAll(ctx context.Context) {
+	ticker := p.clock.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			p.renew(ctx)
+		}
+	}
+}
+
+// renew brings the pending renewals to the leader. They stay pending when it
+// can't be reached.
+func (p *Publisher) renew(ctx context.Context) {
+	asked := p.pendingRenewals()
+	leader, ok := p.leader.Leader()
+	if len(asked) == 0 || !ok {
+		return
+	}
+	request := &RenewLeases{}
+	for _, renewal := range asked {
+		request.Renewals = append(request.Renewals, renewal.Renewal)
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	msg, err := p.caller.Call(ctx, leader, request)
+	answer, ok := msg.(*RenewAnswer)
+	if err != nil || !ok || !answer.Leading {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for sub, renewal := range asked {
+		if slices.Contains(answer.Refused, renewal.Upstream) {
+			sub.superseded = true
+			continue
+		}
+		sub.superseded = false
+		sub.renewed = renewal.sequence
+	}
+}
+
+type pendingRenewal struct {
+	Renewal
+	sequence uint64
+}
+
+func (p *Publisher) pendingRenewals() map[*subscription]pendingRenewal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	asked := make(map[*subscription]pendingRenewal)
+	for sub := range p.subscriptions {
+		if sub.pending > sub.renewed {
+			renewal := Renewal{Upstream: sub.report.Upstream, Incarnation: sub.report.Incarnation}
+			asked[sub] = pendingRenewal{Renewal: renewal, sequence: sub.pending}
+		}
+	}
+	return asked
+}
+
+// Subscriber is what is known of one subscriber, for operators.
+type Subscriber struct {
+	Process   string
+	Upstream  identifier.Upstream
+	Version   identifier.ConfigurationVersion
+	Reported  time.Time
+	Transfers []subscriber.Transfer
+}
+
+// Subscribers returns every subscriber of this replica.
+func (p *Publisher) Subscribers() []Subscriber {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]Subscriber, 0, len(p.subscriptions))
+	for sub := range p.subscriptions {
+		list = append(list, Subscriber{
+			Process:   sub.process,
+			Upstream:  sub.upstream,
+			Version:   sub.report.Version,
+			Reported:  sub.reportedAt,
+			Transfers: sub.transfers,
+		})
+	}
+	slices.SortFunc(list, func(a, b Subscriber) int {
+		switch {
+		case a.Process < b.Process:
+			return -1
+		case a.Process > b.Process:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return list
+}
