--- /dev/null
+++ b/loader/files.go
@@ -0,0 +1,107 @@
+package loader
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"net/http"
+	"net/url"
+	"path"
+	"strings"
+	"sync"
+	"time"
+
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+// FilesPath is the prefix of the paths under which files are served.
+const FilesPath = "/Weights/"
+
+// OpenFile opens a file of a manifest from stored chunks.
+type OpenFile func(m *verifier.Manifest, f verifier.File) (io.ReadSeekCloser, error)
+
+// Files serves the files of verified weights to the engine, by
+// /Weights/<digest of the manifest>/<path>. It is safe for concurrent use.
+type Files struct {
+	base string
+	open OpenFile
+
+	mu      sync.Mutex
+	weights map[identifier.Digest]verifier.Weights
+}
+
+// NewFiles returns a server of files. base is the URL at which the engine reaches it.
+func NewFiles(base string, open OpenFile) *Files {
+	return &Files{
+		base:    strings.TrimSuffix(base, "/"),
+		open:    open,
+		weights: make(map[identifier.Digest]verifier.Weights),
+	}
+}
+
+// offer serves the files of the weights from now on.
+func (s *Files) offer(w verifier.Weights) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.weights[w.Manifest().Digest()] = w
+}
+
+// withdraw no longer serves the files of the manifest.
+func (s *Files) withdraw(manifest identifier.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.weights, manifest)
+}
+
+// list tells the engine where to read the files of the weights.
+func (s *Files) list(w verifier.Weights) []orderFile {
+	m := w.Manifest()
+	out := make([]orderFile, 0, len(m.Files))
+	for _, f := range m.Files {
+		u := url.URL{Path: path.Join(FilesPath, m.Digest().String(), f.Path)}
+		out = append(out, orderFile{Path: f.Path, Size: f.Size, Digest: f.Digest, URL: s.base + u.EscapedPath()})
+	}
+	return out
+}
+
+// ServeHTTP answers GET and HEAD of a file, with ranges.
+func (s *Files) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m, f, err := s.find(r.URL.Path)
+	if err != nil || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		http.NotFound(w, r)
+		return
+	}
+	content, err := s.open(m, f)
+	if err != nil {
+		http.Error(w, explainer.Wrap(err, explainer.Unavailable, "file can't be opened", "the agent fetches it again").Error(),
+			http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { _ = content.Close() }()
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Etag", `"`+f.Digest.String()+`"`)
+	http.ServeContent(w, r, f.Path, time.Time{}, content)
+}
+
+// find returns the file that a path names.
+func (s *Files) find(name string) (*verifier.Manifest, verifier.File, error) {
+	digestText, file, _ := strings.Cut(strings.TrimPrefix(name, FilesPath), "/")
+	digest, err := identifier.ParseDigest(digestText)
+	if err != nil {
+		return nil, verifier.File{}, err
+	}
+	s.mu.Lock()
+	w, ok := s.weights[digest]
+	s.mu.Unlock()
+	if !ok {
+		return nil, verifier.File{}, fs.ErrNotExist
+	}
+	for _, f := range w.Manifest().Files {
+		if f.Path == file {
+			return w.Manifest(), f, nil
+		}
+	}
+	return nil, verifier.File{}, errors.New("no such file")
+}
