router, admitter: fit claims and crash reports to control

Control may fence a claim whose upstream left, and counts a crash once by the number that the agent gives it. Answers over 12 KiB are not kept for resends: control drops larger ones.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -51,6 +51,7 @@
 	latency    *limiter.Mean
 	duration   *limiter.Mean
 	congested  time.Time
+	crashes    uint64
 	suspects   map[router.Fingerprint]bool
 	refused    map[router.Fingerprint]bool
 	ready      bool
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -109,7 +109,10 @@
 	r.Reduce(epoch, admitter.AttemptArrived{Start: start("a", router.Idempotent), Stream: 1})
 	r.Reduce(epoch, admitter.AttemptArrived{Start: innocent, Stream: 2})
 	report := only[admitter.ReportCrash](t, r.Reduce(epoch, admitter.UpstreamChanged{Crashed: true}))
-	require.Equal(t, []router.Fingerprint{7, 8}, report.Report.Suspects)
+	require.Equal(t, []admitter.InFlight{
+		{Fingerprint: 7, Organisation: "housing", Service: "drafting"},
+		{Fingerprint: 8, Organisation: "housing", Service: "drafting"},
+	}, report.Report.Suspects)
 	r.Reduce(epoch, admitter.UpstreamChanged{Ready: true})
 
 	only[admitter.Run](t, r.Reduce(epoch, admitter.AttemptArrived{Start: start("a2", router.Idempotent), Stream: 3}))
--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -24,7 +24,8 @@
 func (r *Reducer) crash() {
 	r.ready = false
 	r.limit.Reset()
-	report := CrashReport{Upstream: r.cfg.Upstream, Incarnation: r.cfg.Incarnation}
+	r.crashes++
+	report := CrashReport{Upstream: r.cfg.Upstream, Incarnation: r.cfg.Incarnation, Crash: r.crashes}
 	for _, id := range r.runningIDs() {
 		a := r.running[id]
 		delete(r.running, id)
@@ -48,7 +49,11 @@
 	if f == 0 {
 		return
 	}
-	report.Suspects = append(report.Suspects, f)
+	report.Suspects = append(report.Suspects, InFlight{
+		Fingerprint:  f,
+		Organisation: a.start.Organisation,
+		Service:      a.start.Service,
+	})
 	if a.isAlone() {
 		report.Alone = true
 		r.refused[f] = true
--- a/admitter/effect.go
+++ b/admitter/effect.go
@@ -49,11 +49,20 @@
 	Attempt identifier.AttemptID
 }
 
+// InFlight is a request that was running when the upstream crashed.
+type InFlight struct {
+	Fingerprint  router.Fingerprint
+	Organisation identifier.Organisation
+	Service      identifier.Service
+}
+
 // CrashReport names what was running when the upstream crashed.
 type CrashReport struct {
 	Upstream    identifier.Upstream
 	Incarnation identifier.Incarnation
-	Suspects    []router.Fingerprint
+	// Crash numbers the crashes that this incarnation of the agent saw.
+	Crash    uint64
+	Suspects []InFlight
 	// Alone says that the one suspect was running alone, as a suspect.
 	Alone bool
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -18,7 +18,7 @@
 	resumeWindow identifier.ByteCount = 2 << 20
 	chunkSize    identifier.ByteCount = 64 << 10
 	// maxStored bounds the body that control keeps of a non-idempotent answer.
-	maxStored identifier.ByteCount = 256 << 10
+	maxStored identifier.ByteCount = 12 << 10
 )
 
 // run is one attempt with its body and its answer.
--- a/router/claim.go
+++ b/router/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"celeryvalve/identifier"
 )
@@ -37,6 +38,8 @@
 	Stored ClaimStatus = "Stored"
 	// Mismatched: the key was used with another body.
 	Mismatched ClaimStatus = "Mismatched"
+	// Fenced: the upstream or the attempt is no longer current. Nothing was granted.
+	Fenced ClaimStatus = "Fenced"
 	// Unavailable: no quorum answered in time.
 	Unavailable ClaimStatus = "Unavailable"
 )
@@ -51,6 +54,8 @@
 	Upstream    identifier.Upstream
 	Incarnation identifier.Incarnation
 	Answer      StoredAnswer
+	// RetryAfter is set where control can't take the claim now.
+	RetryAfter time.Duration
 }
 
 // Settlement ends a claim under its token. Control keeps Completed and Failed
--- a/router/claims.go
+++ b/router/claims.go
@@ -39,11 +39,27 @@
 		r.join(q, answer)
 	case Mismatched:
 		r.finish(q, NotRun, KeyReused, 0)
+	case Fenced:
+		r.fenced(q)
 	default:
-		r.finish(q, NotRun, ClaimsUnavailable, minRetryAfter)
+		r.finish(q, NotRun, ClaimsUnavailable, max(answer.RetryAfter, minRetryAfter))
 	}
 }
 
+// fenced goes on where control no longer takes the attempt: its upstream left the
+// members, or what it replaces is settled.
+func (r *Reducer) fenced(q *request) {
+	r.failUpstream(q)
+	q.token = 0
+	q.refusals++
+	r.release(q)
+	if q.refusals > maxRefusals {
+		r.giveUp(q, NoUpstream, minRetryAfter)
+		return
+	}
+	r.requeue(q)
+}
+
 func (r *Reducer) takeGrant(q *request, answer ClaimAnswer) {
 	q.attempt.token = answer.Token
 	s := r.services[q.Service]
