--- a/router/attempt.go
+++ b/router/attempt.go
@@ -111,6 +111,11 @@
 		r.lose(q, BrokenAnswer)
 		return
 	}
+	if e.Reason == OtherIncarnation && (a.accepted || a.asks > 0) {
+		// An earlier incarnation had it, and this one can't speak for it.
+		r.lose(q, UpstreamLost)
+		return
+	}
 	r.noteRefusal(q, e)
 	q.token = a.token
 	q.refusals++
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -84,3 +85,144 @@
 	require.Equal(t, router.NotRun, answer.Outcome)
 	require.NotZero(t, answer.RetryAfter)
 }
+
+// handOver brings a non-idempotent request to its first attempt.
+func handOver(t *testing.T, r *router.Reducer, id identifier.RequestID) router.StartAttempt {
+	claim := only[router.Claim](t, r.Reduce(epoch, arrival(id, router.NonIdempotent)))
+	return only[router.StartAttempt](t, r.Reduce(epoch, router.ClaimAnswered{Request: id, Attempt: claim.Claim.Attempt,
+		Answer: router.ClaimAnswer{Status: router.Granted, Token: 5}}))
+}
+
+func TestRefusalOfALaterIncarnationProvesNothing(t *testing.T) {
+	r := newReducer("u1")
+	start := handOver(t, r, "r1")
+	r.Reduce(epoch, router.AttemptWasAccepted{Request: "r1", Attempt: start.Attempt})
+	effects := r.Reduce(epoch, router.AttemptWasRefused{Request: "r1", Attempt: start.Attempt, Reason: router.OtherIncarnation})
+	only[router.Claim](t, effects) // asks control for a stored outcome
+	effects = r.Reduce(epoch, router.ClaimAnswered{Request: "r1", Attempt: start.Attempt,
+		Answer: router.ClaimAnswer{Status: router.Granted, Token: 5}})
+	require.Equal(t, router.Unknown, only[router.Answer](t, effects).Outcome)
+}
+
+func TestConfirmedRefusalMovesTheClaimToAnotherUpstream(t *testing.T) {
+	r := newReducer("u1", "u2")
+	start := handOver(t, r, "r1")
+	effects := r.Reduce(epoch, router.AttemptWasRefused{Request: "r1", Attempt: start.Attempt, Reason: router.Leaving})
+	claim := only[router.Claim](t, effects).Claim
+	require.Equal(t, start.Token, claim.Replaces)
+	require.NotEqual(t, start.Target.Upstream, claim.Upstream)
+	require.NotEqual(t, start.Attempt, claim.Attempt)
+}
+
+func TestResendAsksTheHolderAndReplacesAnUnseenAttempt(t *testing.T) {
+	r := newReducer("u1")
+	claim := only[router.Claim](t, r.Reduce(epoch, arrival("r2", router.NonIdempotent)))
+	held := router.ClaimAnswer{Status: router.Held, Token: 3, Request: "r1", Attempt: "r1/1", Upstream: "u1", Incarnation: 1}
+	ask := only[router.AskAttempt](t, r.Reduce(epoch, router.ClaimAnswered{Request: "r2", Attempt: claim.Claim.Attempt, Answer: held}))
+	require.Equal(t, identifier.RequestID("r1"), ask.Holder)
+	effects := r.Reduce(epoch, router.AttemptWasRefused{Request: "r2", Attempt: "r1/1", Reason: router.Unseen})
+	require.Equal(t, identifier.FencingToken(3), only[router.Claim](t, effects).Claim.Replaces)
+}
+
+func TestLostHolderMakesTheOutcomeUnknown(t *testing.T) {
+	r := newReducer("u1")
+	claim := only[router.Claim](t, r.Reduce(epoch, arrival("r2", router.NonIdempotent)))
+	held := router.ClaimAnswer{Status: router.Held, Token: 3, Request: "r1", Attempt: "r1/1", Upstream: "u9", Incarnation: 1}
+	effects := r.Reduce(epoch, router.ClaimAnswered{Request: "r2", Attempt: claim.Claim.Attempt, Answer: held})
+	require.Equal(t, router.Unknown, only[router.Answer](t, effects).Outcome)
+	require.Equal(t, router.Unknown, only[router.Settle](t, effects).Settlement.Answer.Outcome)
+}
+
+func TestSilentAttemptIsAskedAfterOnAFreshConnection(t *testing.T) {
+	r := newReducer("u1", "u2")
+	start := only[router.StartAttempt](t, r.Reduce(epoch, arrival("r1", router.Idempotent)))
+	ask := only[router.AskAttempt](t, r.Reduce(epoch.Add(3*time.Second), router.Ticked{}))
+	require.True(t, ask.Fresh)
+	require.Equal(t, start.Attempt, ask.Attempt)
+}
+
+func TestRetryGoesToAnotherUpstreamWithinTheBudget(t *testing.T) {
+	r := newReducer("u1", "u2")
+	sends := 0
+	for i := range 200 {
+		id := identifier.RequestID(fmt.Sprintf("r%d", i))
+		now := epoch.Add(time.Duration(i) * time.Second / 10)
+		e := arrival(id, router.Idempotent)
+		e.Random = uint64(i)
+		e.Deadline = now.Add(time.Minute)
+		effects := r.Reduce(now, e)
+		for answered := false; !answered; sends++ {
+			start := only[router.StartAttempt](t, effects)
+			effects = r.Reduce(now, router.AttemptBroke{Request: id, Attempt: start.Attempt, Kind: router.Gone, Reason: router.UpstreamBroke})
+			answered = r.Pending() == 0
+		}
+		require.Equal(t, router.Unknown, only[router.Answer](t, effects).Outcome)
+	}
+	require.LessOrEqual(t, sends, 200+200/10+10)
+}
+
+func TestLeavingUpstreamIsNotChosen(t *testing.T) {
+	r := newReducer("u1", "u2")
+	leaving := view("u1")
+	leaving.Leaving = true
+	r.Reduce(epoch, router.UpstreamsChanged{Upstreams: []router.UpstreamView{leaving, view("u2")}})
+	for i := range 8 {
+		e := arrival(identifier.RequestID(fmt.Sprintf("r%d", i)), router.Idempotent)
+		e.Random = uint64(i)
+		require.Equal(t, identifier.Upstream("u2"), only[router.StartAttempt](t, r.Reduce(epoch, e)).Target.Upstream)
+	}
+}
+
+func TestLateAndCrossedMessagesChangeNothing(t *testing.T) {
+	r := newReducer("u1", "u2")
+	first := only[router.StartAttempt](t, r.Reduce(epoch, arrival("r1", router.Idempotent)))
+	effects := r.Reduce(epoch, router.AttemptBroke{Request: "r1", Attempt: first.Attempt, Kind: router.Gone, Reason: router.TimedOut})
+	second := only[router.StartAttempt](t, effects)
+	require.Empty(t, r.Reduce(epoch, router.AttemptAnswering{Request: "r1", Attempt: first.Attempt, Status: 200}))
+	require.Empty(t, r.Reduce(epoch, router.AttemptEnded{Request: "r1", Attempt: first.Attempt, Status: 200}))
+	require.Empty(t, r.Reduce(epoch, router.AttemptEnded{Request: "r2", Attempt: second.Attempt, Status: 200}))
+	require.Equal(t, 1, r.Pending())
+}
+
+func TestSuspectSparesTheLastUpstream(t *testing.T) {
+	r := newReducer("u1", "u2")
+	start := only[router.StartAttempt](t, r.Reduce(epoch, arrival("r1", router.Idempotent)))
+	effects := r.Reduce(epoch, router.AttemptBroke{Request: "r1", Attempt: start.Attempt, Kind: router.Gone, Reason: router.UpstreamCrashed})
+	require.Empty(t, effects, "only one upstream is left, so the suspect waits")
+	views := []router.UpstreamView{view("u1"), view("u2")}
+	views[0].Incarnation, views[1].Incarnation = 2, 2
+	alone := only[router.StartAttempt](t, r.Reduce(epoch, router.UpstreamsChanged{Upstreams: views}))
+	require.True(t, alone.Alone)
+	effects = r.Reduce(epoch, router.AttemptBroke{Request: "r1", Attempt: alone.Attempt, Kind: router.Gone, Reason: router.UpstreamCrashed})
+	require.Equal(t, router.Quarantined, only[router.Answer](t, effects).Cause)
+	refused := only[router.Answer](t, r.Reduce(epoch, arrival("r2", router.Idempotent)))
+	require.Equal(t, router.NotRun, refused.Outcome)
+	require.Equal(t, router.Quarantined, refused.Cause)
+}
+
+func TestPrefixAffinityYieldsToLoad(t *testing.T) {
+	r := newReducer("u1", "u2")
+	send := func(i int) router.StartAttempt {
+		e := arrival(identifier.RequestID(fmt.Sprintf("r%d", i)), router.Idempotent)
+		e.Random, e.Prefixes = uint64(i), []router.PrefixHash{1, 2}
+		return only[router.StartAttempt](t, r.Reduce(epoch, e))
+	}
+	first := send(0)
+	r.Reduce(epoch, router.AttemptEnded{Request: "r0", Attempt: first.Attempt, Status: 200})
+	counts := make(map[identifier.Upstream]int)
+	for i := range 8 {
+		counts[send(i+1).Target.Upstream]++
+	}
+	require.Len(t, counts, 2, "the one that holds the prefix doesn't get everything")
+	require.GreaterOrEqual(t, counts[first.Target.Upstream], 4)
+}
+
+func TestPolicyFollowsWhatUpstreamsHold(t *testing.T) {
+	r := newReducer("u1")
+	policy := router.Policy{Services: []router.ServicePolicy{{Service: drafting, Version: "2"}}}
+	r.Reduce(epoch, router.PolicyChanged{Policy: policy})
+	require.Empty(t, r.Reduce(epoch, arrival("r1", router.Idempotent)))
+	answer := only[router.Answer](t, r.Reduce(epoch.Add(3*time.Second), router.Ticked{}))
+	require.Equal(t, router.NoUpstream, answer.Cause)
+	require.Equal(t, router.NotRun, answer.Outcome)
+}
