--- /dev/null
+++ b/administrator/reads.go
@@ -0,0 +1,173 @@
+package administrator
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+
+	"celeryvalve/configurer"
+	"celeryvalve/identifier"
+	"celeryvalve/publisher"
+)
+
+func (s *Server) version(ctx context.Context, _ identifier.Operator, _ *http.Request) (any, error) {
+	current := s.deps.State.Configuration().Version
+	subscribers, unheard := s.gather(ctx)
+	answer := VersionView{
+		Version:   current,
+		Processes: make(map[identifier.ConfigurationVersion]int),
+		Unheard:   unheard,
+	}
+	if leader, ok := s.deps.Replica.Leader(); ok {
+		answer.Leader = leader.String()
+	}
+	for _, sub := range subscribers {
+		answer.Processes[sub.Version]++
+		if sub.Version < current {
+			answer.Lagging = append(answer.Lagging, Lagging{Process: sub.Process, Version: sub.Version, Reported: sub.Reported})
+		}
+	}
+	return answer, nil
+}
+
+// gather returns the subscribers of every replica, and the replicas that did not
+// answer.
+func (s *Server) gather(ctx context.Context) ([]publisher.Subscriber, []string) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	members := s.deps.Replica.Status().Members
+	type share struct {
+		name        string
+		subscribers []publisher.Subscriber
+		ok          bool
+	}
+	shares := make(chan share, len(members))
+	for _, m := range members {
+		go func() {
+			msg, err := s.deps.Caller.Call(ctx, m.Addr, &StatusRequest{})
+			answer, ok := msg.(*StatusAnswer)
+			if err != nil || !ok {
+				shares <- share{name: m.Name}
+				return
+			}
+			shares <- share{name: m.Name, subscribers: answer.Subscribers, ok: true}
+		}()
+	}
+	var all []publisher.Subscriber
+	var unheard []string
+	for range members {
+		got := <-shares
+		if !got.ok {
+			unheard = append(unheard, got.name)
+		}
+		all = append(all, got.subscribers...)
+	}
+	slices.Sort(unheard)
+	return all, unheard
+}
+
+func (s *Server) configuration(_ context.Context, _ identifier.Operator, r *http.Request) (any, error) {
+	cfg, err := s.shown(r, "Version")
+	if err != nil {
+		return nil, err
+	}
+	return ConfigurationView{Version: cfg.Version, Source: string(cfg.Print())}, nil
+}
+
+// shown returns the version that the parameter names, or the current one.
+func (s *Server) shown(r *http.Request, parameter string) (configurer.Configuration, error) {
+	current := s.deps.State.Configuration()
+	version, err := versionParameter(r, parameter, current.Version)
+	if err != nil || version == current.Version {
+		return current, err
+	}
+	return s.deps.State.ShowVersion(version)
+}
+
+func (s *Server) history(_ context.Context, _ identifier.Operator, r *http.Request) (any, error) {
+	limit, err := versionParameter(r, "Limit", defaultHistory)
+	if err != nil {
+		return nil, err
+	}
+	answer := HistoryView{}
+	for _, record := range s.deps.State.PatchHistory(int(limit)) {
+		answer.Patches = append(answer.Patches, record.Summary)
+	}
+	return answer, nil
+}
+
+func (s *Server) diff(_ context.Context, _ identifier.Operator, r *http.Request) (any, error) {
+	from, err := s.shown(r, "From")
+	if err != nil {
+		return nil, err
+	}
+	to, err := s.shown(r, "To")
+	if err != nil {
+		return nil, err
+	}
+	return DiffView{From: from.Version, To: to.Version, Changes: configurer.Diff(from, to)}, nil
+}
+
+func (s *Server) services(context.Context, identifier.Operator, *http.Request) (any, error) {
+	cfg := s.deps.State.Configuration()
+	views := make(map[identifier.Service]*ServiceView)
+	for name, service := range cfg.Services {
+		views[name] = &ServiceView{Service: name, Model: service.Model, Version: service.Version}
+	}
+	for _, member := range s.deps.State.Members().Members {
+		v, ok := views[member.Service]
+		if !ok {
+			continue
+		}
+		v.Upstreams++
+		if member.Serving && !member.Leaving && member.Model == v.Model && member.Version == v.Version {
+			v.Ready++
+		}
+	}
+	answer := ServicesView{}
+	for _, name := range slices.Sorted(maps.Keys(views)) {
+		answer.Services = append(answer.Services, *views[name])
+	}
+	return answer, nil
+}
+
+func (s *Server) upstreams(context.Context, identifier.Operator, *http.Request) (any, error) {
+	return UpstreamsView{Upstreams: s.deps.State.Members().Members}, nil
+}
+
+func (s *Server) transfers(ctx context.Context, _ identifier.Operator, _ *http.Request) (any, error) {
+	subscribers, unheard := s.gather(ctx)
+	answer := TransfersView{Origin: s.deps.State.OriginUse(), Unheard: unheard}
+	for _, sub := range subscribers {
+		for _, transfer := range sub.Transfers {
+			answer.Transfers = append(answer.Transfers, TransferView{Process: sub.Process, Upstream: sub.Upstream, Transfer: transfer})
+		}
+	}
+	return answer, nil
+}
+
+func (s *Server) quarantine(context.Context, identifier.Operator, *http.Request) (any, error) {
+	return QuarantineView{Suspects: s.deps.State.Suspects()}, nil
+}
+
+func (s *Server) replicas(context.Context, identifier.Operator, *http.Request) (any, error) {
+	status := s.deps.Replica.Status()
+	answer := ReplicasView{}
+	if leader, ok := s.deps.Replica.Leader(); ok {
+		answer.Leader = leader.String()
+	}
+	for _, m := range status.Members {
+		answer.Replicas = append(answer.Replicas, ReplicaView{
+			Name:    m.Name,
+			Address: m.Addr.String(),
+			Replica: m.Replica,
+			Voter:   m.Voter,
+			Match:   uint64(m.Match),
+		})
+	}
+	for _, j := range status.Joiners {
+		answer.Waiting = append(answer.Waiting, ReplicaView{Name: j.Name, Address: j.Addr.String(), Replica: j.Replica})
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/administrator/writes.go
@@ -0,0 +1,85 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"celeryvalve/configurer"
+	"celeryvalve/controller"
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+func readBody[T any](r *http.Request) (T, error) {
+	var body T
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&body); err != nil {
+		return body, explainer.Wrap(err, explainer.InvalidInput, "the body is malformed", "use a client of the same release")
+	}
+	return body, nil
+}
+
+// submitPatch answers an accepted or resent patch with its PatchAnswer, a lost
+// race with Conflict and a faulty patch with InvalidInput.
+func (s *Server) submitPatch(ctx context.Context, operator identifier.Operator, r *http.Request) (any, error) {
+	body, err := readBody[PatchSubmission](r)
+	if err != nil {
+		return nil, err
+	}
+	if body.ID == "" {
+		return nil, explainer.New(explainer.InvalidInput, "the patch has no id", "name it, and resend it under the same id")
+	}
+	if _, err := configurer.ParsePatch(body.File, []byte(body.Source)); err != nil {
+		return nil, err
+	}
+	patch := configurer.Patch{
+		ID:       body.ID,
+		Base:     body.Base,
+		Operator: operator,
+		File:     body.File,
+		Source:   []byte(body.Source),
+	}
+	return s.submit(ctx, &controller.SubmitPatch{Patch: patch})
+}
+
+func (s *Server) submit(ctx context.Context, command any) (any, error) {
+	data, err := controller.EncodeCommand(command)
+	if err != nil {
+		return nil, err
+	}
+	result, err := s.deps.Submitter.Submit(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	if rejected, ok := result.(*controller.Rejected); ok {
+		return nil, rejected.Err()
+	}
+	return result, nil
+}
+
+func (s *Server) clearQuarantine(ctx context.Context, operator identifier.Operator, r *http.Request) (any, error) {
+	body, err := readBody[ClearSubmission](r)
+	if err != nil {
+		return nil, err
+	}
+	return s.submit(ctx, &controller.ClearSuspects{Fingerprints: body.Fingerprints, Operator: operator})
+}
+
+// Done answers a command that has no other result.
+type Done struct {
+	Name string
+}
+
+func (s *Server) admitReplica(ctx context.Context, _ identifier.Operator, r *http.Request) (any, error) {
+	name := mux.Vars(r)["Name"]
+	return Done{Name: name}, s.deps.Replica.AdmitMember(ctx, name)
+}
+
+func (s *Server) removeReplica(ctx context.Context, _ identifier.Operator, r *http.Request) (any, error) {
+	name := mux.Vars(r)["Name"]
+	return Done{Name: name}, s.deps.Replica.RemoveMember(ctx, name)
+}
--- a/commander/run.go
+++ b/commander/run.go
@@ -26,10 +26,23 @@
 
 // commandLine is every command with its flags.
 type commandLine struct {
-	Output  string           `help:"Form of the output: text for people, json for programs." enum:"text,json" default:"text"`
-	Version kong.VersionFlag `name:"build" help:"Print the version and build of this program."`
+	Output string           `help:"Form of the output: text for people, json for programs." enum:"text,json" default:"text"`
+	Build  kong.VersionFlag `help:"Print the version and build of this program."`
 
-	Keys keysCommand `cmd:"" help:"Make, issue, renew and rotate the keys of processes and operators."`
+	Control    []string `help:"URLs of the operators' API on the control replicas." default:"https://127.0.0.1:7402" env:"CELERYVALVE_CONTROL"`
+	KeysFolder string   `name:"keys" help:"Folder of the operator's key." default:"keys" type:"path" env:"CELERYVALVE_KEYS"`
+	Name       string   `help:"Name of the operator in the key." default:"operator" env:"CELERYVALVE_NAME"`
+
+	Keys       keysCommand       `cmd:"" help:"Make, issue, renew and rotate the keys of processes and operators."`
+	Validate   validateCommand   `cmd:"" help:"Check a settings or patch file and list every fault."`
+	Patch      patchCommand      `cmd:"" help:"Change the configuration and look at its versions."`
+	Version    versionCommand    `cmd:"" help:"Show which version is in force, where, and who lags."`
+	Services   servicesCommand   `cmd:"" help:"List the services and how many upstreams are ready."`
+	Upstreams  upstreamsCommand  `cmd:"" help:"List every upstream."`
+	Wait       waitCommand       `cmd:"" help:"Wait until a service is ready."`
+	Transfers  transfersCommand  `cmd:"" help:"Follow the weights on every instance."`
+	Quarantine quarantineCommand `cmd:"" help:"List and clear requests that crashed upstreams."`
+	Replica    replicaCommand    `cmd:"" help:"List, admit and remove control replicas."`
 }
 
 // session is what a command runs with.
@@ -38,6 +51,7 @@
 	stderr io.Writer
 	clock  clockwork.Clock
 	output string
+	line   *commandLine
 }
 
 // print writes text, or the value as JSON when that was asked for.
@@ -74,7 +88,7 @@
 		fmt.Fprintf(stderr, "celeryvalve: %v (see celeryvalve --help)\n", err)
 		return ExitInvalid
 	}
-	err = ctx.Run(&session{w: w, stderr: stderr, clock: clock, output: line.Output})
+	err = ctx.Run(&session{w: w, stderr: stderr, clock: clock, output: line.Output, line: &line})
 	if err != nil {
 		fmt.Fprintf(stderr, "celeryvalve: %v\n", err)
 	}
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -36,6 +36,11 @@
 	return Entry{kind: kind, typ: reflect.TypeFor[T]()}
 }
 
+// Kind returns the kind of the entry's messages.
+func (e Entry) Kind() Kind {
+	return e.kind
+}
+
 type frame struct {
 	_                    struct{} `cbor:",toarray"`
 	Format               uint
