transferrer: move the bytes that the fetcher decides about

A peer's request is one stream that the peer may withdraw.

A chunk that comes after its transfer was cancelled is dropped, as are restored chunks that no manifest names; both would have filled the store.

--- a/fetcher/event.go
+++ b/fetcher/event.go
@@ -79,6 +79,8 @@
 	Busy Reason = "Busy"
 	// RateLimited: the origin or weight store asks to come back later.
 	RateLimited Reason = "RateLimited"
+	// NotStored: the chunk came, but this agent could not store it.
+	NotStored Reason = "NotStored"
 	// Missing: the origin does not have what the manifest names.
 	Missing Reason = "Missing"
 )
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -1,6 +1,7 @@
 package fetcher
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"time"
@@ -67,7 +68,7 @@
 func (f *Fetcher) reduceTransfer(now time.Time, event Event) []Effect {
 	t := f.transfers[manifestOf(event)]
 	if t == nil {
-		return nil
+		return f.dropLate(event)
 	}
 	var effects []Effect
 	switch e := event.(type) {
@@ -92,6 +93,19 @@
 	return append(effects, f.pump(now, t)...)
 }
 
+// dropLate gives up a chunk that came after its transfer was cancelled.
+func (f *Fetcher) dropLate(event Event) []Effect {
+	e, ok := event.(ChunkArrived)
+	if !ok {
+		return nil
+	}
+	digest := e.Chunk.Digest()
+	if _, stored := f.stored[digest]; stored {
+		return nil
+	}
+	return []Effect{DropChunks{Digests: []identifier.Digest{digest}}}
+}
+
 func manifestOf(event Event) identifier.Digest {
 	switch e := event.(type) {
 	case Paused:
@@ -159,6 +173,7 @@
 	}
 	t.open(now, e.Manifest, f.cfg.Stripes)
 	effects := f.dropSuperseded(now, t)
+	effects = append(effects, f.dropUnused()...)
 	effects = append(effects, f.admit(now, t)...)
 	return append(effects, f.pump(now, t)...)
 }
@@ -353,6 +368,29 @@
 	return []Effect{DropChunks{Digests: unused}}
 }
 
+// dropUnused gives up restored chunks of no known manifest, once all are known.
+func (f *Fetcher) dropUnused() []Effect {
+	var unused []identifier.Digest
+	for _, t := range f.transfers {
+		if t.manifest == nil {
+			return nil
+		}
+	}
+	for digest := range f.stored {
+		if !f.needed(digest) {
+			unused = append(unused, digest)
+		}
+	}
+	if len(unused) == 0 {
+		return nil
+	}
+	slices.SortFunc(unused, func(a, b identifier.Digest) int { return bytes.Compare(a[:], b[:]) })
+	for _, digest := range unused {
+		delete(f.stored, digest)
+	}
+	return []Effect{DropChunks{Digests: unused}}
+}
+
 func (f *Fetcher) needed(digest identifier.Digest) bool {
 	for _, t := range f.transfers {
 		if t.manifest != nil && len(t.manifest.Indices(digest)) > 0 {
--- a/fetcher/pull.go
+++ b/fetcher/pull.go
@@ -234,6 +234,8 @@
 	case RateLimited:
 		s.unspend(e.Chunk, expires)
 		return nil
+	case NotStored:
+		return nil
 	case Unreachable, Missing:
 		s.unspend(e.Chunk, expires)
 	}
--- /dev/null
+++ b/transferrer/peer.go
@@ -0,0 +1,184 @@
+package transferrer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"celeryvalve/connector"
+	"celeryvalve/explainer"
+	"celeryvalve/fetcher"
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+// Stream is one exchange with a peer.
+type Stream interface {
+	Send(msg any) error
+	Receive(ctx context.Context) (any, error)
+	Cancel()
+}
+
+// Dialer opens streams to peers.
+type Dialer interface {
+	Open(ctx context.Context, addr netip.AddrPort, first any) (Stream, error)
+}
+
+// Lessor grants the right to read from the origin. Control is one.
+type Lessor interface {
+	Lease(ctx context.Context, ask fetcher.AskOriginLease) (fetcher.OriginLeaseAnswered, error)
+}
+
+type endpointDialer struct{ endpoint *connector.Endpoint }
+
+// Connect returns a dialer of the endpoint's streams.
+func Connect(endpoint *connector.Endpoint) Dialer {
+	return endpointDialer{endpoint: endpoint}
+}
+
+// Open opens a stream and sends its first message.
+func (d endpointDialer) Open(ctx context.Context, addr netip.AddrPort, first any) (Stream, error) {
+	s, err := d.endpoint.Open(ctx, addr, first)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// askPeer asks a peer for a chunk and returns its bytes, not yet verified.
+func (t *Transferrer) askPeer(ctx context.Context, e fetcher.FetchChunkFromPeer) ([]byte, error) {
+	request := &fetcher.ChunkRequest{
+		Manifest: e.Manifest, Chunk: e.Chunk, Upstream: t.cfg.Fetcher.Self.Upstream, Wait: e.Wait,
+	}
+	s, err := t.dialer.Open(ctx, e.Peer.Address, request)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Cancel()
+	msg, err := s.Receive(ctx)
+	if err != nil {
+		return nil, err
+	}
+	answer, ok := msg.(*fetcher.ChunkAnswer)
+	if !ok {
+		return nil, explainer.New(explainer.Corrupt, fmt.Sprintf("peer answers with %T", msg), "run compatible releases")
+	}
+	if answer.Refused != "" {
+		return nil, &failure{reason: answer.Refused, retryAfter: answer.RetryAfter}
+	}
+	return answer.Data, t.download.wait(ctx, len(answer.Data))
+}
+
+// served is a peer's request at this agent.
+type served struct {
+	stream Stream
+	answer chan reply
+}
+
+// reply is what the reducer decides about a request: a chunk, or a refusal.
+type reply struct {
+	digest  identifier.Digest
+	refused fetcher.Reason
+	after   time.Duration
+}
+
+// Handle answers a stream of the connector. It fits connector.Handler.
+func (t *Transferrer) Handle(ctx context.Context, s *connector.Stream, first any) {
+	t.Serve(ctx, s, first)
+}
+
+// Serve answers one stream whose first message is a fetcher.ChunkRequest. It
+// returns when the request is answered or withdrawn.
+func (t *Transferrer) Serve(ctx context.Context, s Stream, first any) {
+	request, ok := first.(*fetcher.ChunkRequest)
+	if !ok {
+		s.Cancel()
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	id, answer := t.register(s)
+	go func() {
+		_, _ = s.Receive(ctx) // ends when the peer withdraws its request
+		cancel()
+	}()
+	t.Send(ctx, fetcher.ChunkRequested{
+		Request: id, Manifest: request.Manifest, Chunk: request.Chunk, Peer: request.Upstream, Wait: request.Wait,
+	})
+	select {
+	case <-ctx.Done():
+	case r := <-answer:
+		t.answer(ctx, s, request, r)
+	}
+	t.unregister(id)
+	t.Send(t.ctx, fetcher.RequestEnded{Request: id})
+}
+
+// answer sends what the reducer decided, inside the budgets.
+func (t *Transferrer) answer(ctx context.Context, s Stream, request *fetcher.ChunkRequest, r reply) {
+	if r.refused != "" {
+		_ = s.Send(&fetcher.ChunkAnswer{Refused: r.refused, RetryAfter: r.after})
+		return
+	}
+	data, err := t.store.Get(r.digest)
+	if err != nil {
+		t.warn("Stored chunk can't be read.", err)
+		_ = s.Send(&fetcher.ChunkAnswer{Refused: fetcher.NotHeld})
+		return
+	}
+	if t.crosses(request.Upstream) {
+		err = t.thin.wait(ctx, len(data))
+	}
+	if err == nil {
+		err = t.upload.wait(ctx, len(data))
+	}
+	if err == nil {
+		err = s.Send(&fetcher.ChunkAnswer{Data: data})
+	}
+	if err == nil {
+		t.counters.sent.Add(len(data))
+	}
+}
+
+func (t *Transferrer) register(s Stream) (fetcher.RequestID, <-chan reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastRequest++
+	answer := make(chan reply, 1)
+	t.requests[t.lastRequest] = served{stream: s, answer: answer}
+	return t.lastRequest, answer
+}
+
+func (t *Transferrer) unregister(id fetcher.RequestID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.requests, id)
+}
+
+// decide hands the reducer's decision to the request, if it is still open.
+func (t *Transferrer) decide(id fetcher.RequestID, r reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.requests[id]; ok {
+		s.answer <- r
+		delete(t.requests, id)
+	}
+}
+
+// crosses reports whether the peer is in another region.
+func (t *Transferrer) crosses(peer identifier.Upstream) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	region, ok := t.regions[peer]
+	return ok && region != t.cfg.Fetcher.Self.Region
+}
+
+// verify checks fetched bytes.
+func verify(m *verifier.Manifest, i verifier.ChunkIndex, data []byte) (verifier.Chunk, error) {
+	chunk, err := m.VerifyChunk(i, data)
+	if err != nil {
+		return chunk, &failure{reason: fetcher.Corrupt, cause: err}
+	}
+	return chunk, nil
+}
--- /dev/null
+++ b/transferrer/transferrer.go
@@ -0,0 +1,358 @@
+package transferrer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"celeryvalve/asserter"
+	"celeryvalve/fetcher"
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+// Config holds the settings of one agent's shell.
+type Config struct {
+	Fetcher fetcher.Config
+	// ThinLinkBudget bounds the rate of uploads to other regions.
+	ThinLinkBudget identifier.BytesPerSecond
+	// OriginStall is how long a read from the origin may bring nothing.
+	OriginStall time.Duration
+	// LeaseTimeout bounds a request to control.
+	LeaseTimeout time.Duration
+}
+
+const (
+	tickInterval = 250 * time.Millisecond
+	eventBacklog = 256
+)
+
+// fetchKey names a fetch under way.
+type fetchKey struct {
+	manifest identifier.Digest
+	chunk    verifier.ChunkIndex
+	source   fetcher.Source
+}
+
+// counters are the metrics of an agent's transfers.
+type counters struct {
+	fromOrigin, fromPeers, sent, corrupt *metrics.Counter
+}
+
+// Transferrer is the shell around one fetcher.Fetcher.
+type Transferrer struct {
+	cfg      Config
+	clock    clockwork.Clock
+	store    *Store
+	dialer   Dialer
+	lessor   Lessor
+	log      *zap.Logger
+	origin   *origin
+	upload   *budget
+	download *budget
+	thin     *budget
+	counters counters
+	events   chan fetcher.Event
+	work     sync.WaitGroup
+	// ctx ends with Run, and with it everything under way.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// OnEffect is told about Completed, Failed and BlamePeer, on the goroutine of
+	// Run. It must be set before Run and must not block.
+	OnEffect func(fetcher.Effect)
+
+	mu          sync.Mutex
+	fetcher     *fetcher.Fetcher
+	manifests   map[identifier.Digest]*verifier.Manifest
+	fetches     map[fetchKey]context.CancelFunc
+	requests    map[fetcher.RequestID]served
+	lastRequest fetcher.RequestID
+	regions     map[identifier.Upstream]identifier.Region
+}
+
+// New returns a shell that is not running. set takes its metrics.
+func New(cfg Config, clock clockwork.Clock, store *Store, dialer Dialer, lessor Lessor,
+	set *metrics.Set, log *zap.Logger, a asserter.Asserter) *Transferrer {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Transferrer{
+		cfg:      cfg,
+		clock:    clock,
+		store:    store,
+		dialer:   dialer,
+		lessor:   lessor,
+		log:      log.Named("transferrer"),
+		upload:   newBudget(cfg.Fetcher.UploadBudget),
+		download: newBudget(cfg.Fetcher.DownloadBudget),
+		thin:     newBudget(cfg.ThinLinkBudget),
+		counters: counters{
+			fromOrigin: set.NewCounter(`celeryvalve_weights_received_bytes_total{source="Origin"}`),
+			fromPeers:  set.NewCounter(`celeryvalve_weights_received_bytes_total{source="Peers"}`),
+			sent:       set.NewCounter(`celeryvalve_weights_sent_bytes_total`),
+			corrupt:    set.NewCounter(`celeryvalve_weights_corrupt_chunks_total`),
+		},
+		events:    make(chan fetcher.Event, eventBacklog),
+		ctx:       ctx,
+		cancel:    cancel,
+		OnEffect:  func(fetcher.Effect) {},
+		fetcher:   fetcher.New(cfg.Fetcher, a),
+		manifests: make(map[identifier.Digest]*verifier.Manifest),
+		fetches:   make(map[fetchKey]context.CancelFunc),
+		requests:  make(map[fetcher.RequestID]served),
+		regions:   make(map[identifier.Upstream]identifier.Region),
+	}
+	t.origin = &origin{
+		client:  &http.Client{},
+		clock:   clock,
+		stall:   cfg.OriginStall,
+		budget:  t.download,
+		etags:   make(map[string]string),
+		changed: t.originChanged,
+	}
+	return t
+}
+
+// Send hands an event to the reducer. It blocks while the backlog is full, and
+// gives up when ctx or Run ends.
+func (t *Transferrer) Send(ctx context.Context, e fetcher.Event) {
+	select {
+	case t.events <- e:
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+}
+
+// Snapshot returns the progress of every transfer.
+func (t *Transferrer) Snapshot() []fetcher.Progress {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fetcher.Snapshot(t.clock.Now())
+}
+
+// Run restores stored chunks and works until ctx ends. It may be called once.
+func (t *Transferrer) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, t.cancel)
+	defer stop()
+	defer t.work.Wait()
+	defer t.cancel()
+	chunks, err := t.store.Restore()
+	if err != nil {
+		return err
+	}
+	for _, chunk := range chunks {
+		t.handle(fetcher.ChunkRestored{Chunk: chunk})
+	}
+	ticker := t.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return nil
+		case e := <-t.events:
+			t.handle(e)
+		case <-ticker.Chan():
+			t.handle(fetcher.Ticked{})
+		}
+	}
+}
+
+// handle feeds one event to the reducer and carries out what it decides.
+func (t *Transferrer) handle(e fetcher.Event) {
+	t.mu.Lock()
+	switch e := e.(type) {
+	case fetcher.ManifestArrived:
+		t.manifests[e.Manifest.Digest()] = e.Manifest
+	case fetcher.Cancelled:
+		delete(t.manifests, e.Manifest)
+	case fetcher.PeersChanged:
+		for _, p := range e.Peers {
+			t.regions[p.Upstream] = p.Region
+		}
+	}
+	effects := t.fetcher.Reduce(t.clock.Now(), e)
+	t.mu.Unlock()
+	for _, effect := range effects {
+		t.carry(effect)
+	}
+}
+
+// carry carries out one effect without blocking.
+func (t *Transferrer) carry(effect fetcher.Effect) {
+	switch e := effect.(type) {
+	case fetcher.FetchManifest:
+		t.work.Go(func() { t.fetchManifest(e) })
+	case fetcher.FetchChunkFromPeer:
+		source := fetcher.Source{Peer: e.Peer.Upstream}
+		t.fetch(fetchKey{e.Manifest, e.Chunk, source}, time.Time{}, func(ctx context.Context) ([]byte, error) {
+			return t.askPeer(ctx, e)
+		})
+	case fetcher.FetchChunkFromOrigin:
+		t.fetch(fetchKey{e.Manifest, e.Chunk, fetcher.Origin}, e.Expires, func(ctx context.Context) ([]byte, error) {
+			m := t.manifest(e.Manifest)
+			l, _ := m.Chunk(e.Chunk)
+			return t.origin.chunk(ctx, e.Source, m, l)
+		})
+	case fetcher.CancelFetch:
+		t.cancelFetch(fetchKey{e.Manifest, e.Chunk, e.Source})
+	case fetcher.AskOriginLease:
+		t.work.Go(func() { t.askLease(e) })
+	case fetcher.SendChunk:
+		t.decide(e.Request, reply{digest: e.Digest})
+	case fetcher.RefuseChunk:
+		t.decide(e.Request, reply{refused: e.Reason, after: e.RetryAfter})
+	case fetcher.VerifyFiles:
+		m := t.manifest(e.Manifest)
+		t.work.Go(func() { t.verifyFiles(m) })
+	case fetcher.DropChunks:
+		t.store.Drop(e.Digests)
+	case fetcher.SetBudgets:
+		t.upload.set(e.Upload)
+		t.download.set(e.Download)
+	default:
+		t.report(effect)
+	}
+}
+
+// report logs what operators should know and hands it on.
+func (t *Transferrer) report(effect fetcher.Effect) {
+	switch e := effect.(type) {
+	case fetcher.BlamePeer:
+		if e.Reason == fetcher.Corrupt {
+			t.counters.corrupt.Inc()
+		}
+		t.log.Warn("Source failed.", zap.String("Peer", string(e.Source.Peer)), zap.String("Reason", string(e.Reason)))
+	case fetcher.Failed:
+		t.log.Error("Transfer needs an operator.", zap.String("Problem", e.Problem), zap.String("Remedy", e.Remedy))
+	case fetcher.Completed:
+		t.log.Info("Weights are verified.", zap.Stringer("Manifest", e.Weights.Manifest().Digest()))
+	}
+	t.OnEffect(effect)
+}
+
+func (t *Transferrer) warn(message string, err error) {
+	t.log.Warn(message, zap.Error(err))
+}
+
+func (t *Transferrer) originChanged(file string) {
+	t.log.Warn("Origin's file changed under its name.", zap.String("URL", file))
+}
+
+func (t *Transferrer) manifest(digest identifier.Digest) *verifier.Manifest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.manifests[digest]
+}
+
+func (t *Transferrer) fetchManifest(e fetcher.FetchManifest) {
+	m, err := t.origin.manifest(t.ctx, e.Source, e.Manifest)
+	if err != nil {
+		t.warn("Manifest can't be fetched.", err)
+		f := failureOf(err)
+		t.Send(t.ctx, fetcher.ManifestFailed{Manifest: e.Manifest, Reason: f.reason, RetryAfter: f.retryAfter})
+		return
+	}
+	t.Send(t.ctx, fetcher.ManifestArrived{Manifest: m})
+}
+
+// fetch runs get, verifies what it brings and reports the outcome, unless it is
+// cancelled. A non-zero deadline ends it.
+func (t *Transferrer) fetch(key fetchKey, deadline time.Time, get func(context.Context) ([]byte, error)) {
+	ctx, cancel := t.bounded(deadline)
+	t.mu.Lock()
+	t.fetches[key] = cancel
+	m := t.manifests[key.manifest]
+	t.mu.Unlock()
+	t.work.Go(func() {
+		defer cancel()
+		data, err := get(ctx)
+		var chunk verifier.Chunk
+		if err == nil {
+			t.countReceived(key.source, len(data))
+			chunk, err = verify(m, key.chunk, data)
+		}
+		if !t.endFetch(key) {
+			return
+		}
+		if err == nil {
+			err = t.keep(chunk, data)
+		}
+		if err != nil {
+			f := failureOf(err)
+			t.Send(t.ctx, fetcher.ChunkFailed{
+				Manifest: key.manifest, Chunk: key.chunk, Source: key.source, Reason: f.reason, RetryAfter: f.retryAfter,
+			})
+			return
+		}
+		t.Send(t.ctx, fetcher.ChunkArrived{Manifest: key.manifest, Chunk: chunk, Source: key.source})
+	})
+}
+
+// bounded returns a context that ends at the deadline, if there is one.
+func (t *Transferrer) bounded(deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(t.ctx)
+	}
+	return clockwork.WithDeadline(t.ctx, t.clock, deadline)
+}
+
+// keep stores a verified chunk.
+func (t *Transferrer) keep(chunk verifier.Chunk, data []byte) error {
+	err := t.store.Put(chunk, data)
+	if err != nil {
+		t.warn("Chunk can't be stored.", err)
+		return &failure{reason: fetcher.NotStored, cause: err}
+	}
+	return nil
+}
+
+func (t *Transferrer) countReceived(source fetcher.Source, n int) {
+	if source.IsOrigin() {
+		t.counters.fromOrigin.Add(n)
+		return
+	}
+	t.counters.fromPeers.Add(n)
+}
+
+// endFetch forgets a fetch and reports whether it was still wanted.
+func (t *Transferrer) endFetch(key fetchKey) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.fetches[key]
+	delete(t.fetches, key)
+	return ok
+}
+
+func (t *Transferrer) cancelFetch(key fetchKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if cancel, ok := t.fetches[key]; ok {
+		cancel()
+		delete(t.fetches, key)
+	}
+}
+
+func (t *Transferrer) askLease(e fetcher.AskOriginLease) {
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.LeaseTimeout)
+	defer cancel()
+	answer, err := t.lessor.Lease(ctx, e)
+	if err != nil {
+		t.warn("Origin lease can't be had.", err)
+		answer = fetcher.OriginLeaseAnswered{Manifest: e.Manifest, Chunks: e.Chunks, Copy: e.Copy}
+	}
+	t.Send(t.ctx, answer)
+}
+
+// verifyFiles reads every file back from the store.
+func (t *Transferrer) verifyFiles(m *verifier.Manifest) {
+	weights, err := m.VerifyFiles(func(f verifier.File) (io.ReadCloser, error) { return t.store.Open(m, f) })
+	if err != nil {
+		t.Send(t.ctx, fetcher.FilesRefused{Manifest: m.Digest(), Problem: err.Error()})
+		return
+	}
+	t.Send(t.ctx, fetcher.FilesVerified{Weights: weights})
+}
