reporter: compute the burn of service-level objectives and show it

Operators need to see whether summaries are ready in time, how fast tokens come, whether anything was lost or doubled, and how rollouts stand, per service and organisation. Burn rates over pairs of windows tell what matters now from what is over; an objective of 100% has no budget and fires on any bad event.

Ruled out: gonum's plots. Their SVG has fixed colours, which can't follow the reader's light or dark setting.

The page was not looked at in a browser: the machine has none.

--- /dev/null
+++ b/reporter/report.go
@@ -0,0 +1,213 @@
+package reporter
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"celeryvalve/identifier"
+)
+
+// maxPoints bounds the points of a plot.
+const maxPoints = 240
+
+// Burn is the burn rate in the two windows of an alert.
+type Burn struct {
+	Alert Alert
+	Long  float64
+	Short float64
+	// BadLong and BadShort count the bad events.
+	BadLong  uint64
+	BadShort uint64
+	Firing   bool
+}
+
+// Point is one value of a plot.
+type Point struct {
+	Time time.Time
+	Burn float64
+}
+
+// Status is where one objective stands for one service and organisation.
+type Status struct {
+	Objective Objective
+	Service   identifier.Service
+	// Organisation is empty for the service as a whole.
+	Organisation identifier.Organisation
+	Good         uint64
+	Total        uint64
+	Bad          uint64
+	// Attained is the share of good events in the period, 1 without events.
+	Attained float64
+	// BudgetLeft is the share of the error budget that is left: below 0 it is
+	// overspent. With no budget it is 1, or -1 after a bad event.
+	BudgetLeft float64
+	Severity   Severity
+	Burns      []Burn
+	// Plot is the burn rate over the long window of the first alert.
+	Plot []Point `json:",omitempty"`
+}
+
+// Report is the state of every objective at one moment.
+type Report struct {
+	Time time.Time
+	// Covered is the time over which there are samples, at most the period.
+	Covered    Duration
+	Severity   Severity
+	Objectives Objectives
+	Statuses   []Status
+	Rollouts   []RolloutStatus
+}
+
+// Reporter computes reports against fixed objectives.
+type Reporter struct {
+	objectives Objectives
+}
+
+// New returns a reporter.
+func New(objectives Objectives) *Reporter {
+	return &Reporter{objectives: objectives}
+}
+
+// Report computes where every objective stands at the last snapshot. What burns
+// most comes first, and a service before its organisations.
+func (r *Reporter) Report(snapshots []Snapshot) Report {
+	report := Report{Objectives: r.objectives}
+	if len(snapshots) == 0 {
+		return report
+	}
+	snapshots = slices.Clone(snapshots)
+	sort.SliceStable(snapshots, func(i, j int) bool { return snapshots[i].Time.Before(snapshots[j].Time) })
+	first, last := snapshots[0], snapshots[len(snapshots)-1]
+	report.Time = last.Time
+	report.Covered = min(Duration(last.Time.Sub(first.Time)), r.objectives.Period)
+	for key, s := range seriesOf(snapshots) {
+		for _, objective := range r.objectives.Objectives {
+			if objective.Indicator == key.indicator && objective.covers(key.service) {
+				report.Statuses = append(report.Statuses, r.status(objective, key, s, last.Time))
+			}
+		}
+	}
+	report.Rollouts = rolloutStatuses(snapshots, r.objectives.Rollouts)
+	report.sort()
+	for _, status := range report.Statuses {
+		report.Severity = max(report.Severity, status.Severity)
+	}
+	for _, rollout := range report.Rollouts {
+		report.Severity = max(report.Severity, rollout.Severity)
+	}
+	return report
+}
+
+func (r *Reporter) status(objective Objective, key seriesKey, s *series, now time.Time) Status {
+	events := s.between(now, r.objectives.Period)
+	status := Status{
+		Objective:    objective,
+		Service:      key.service,
+		Organisation: key.organisation,
+		Good:         events.good,
+		Total:        events.total,
+		Bad:          events.bad(),
+		Attained:     1,
+		BudgetLeft:   budgetLeft(events, objective.Target),
+	}
+	if events.total > 0 {
+		status.Attained = float64(events.good) / float64(events.total)
+	}
+	for _, alert := range r.objectives.Alerts {
+		burn := burnOf(alert, objective.Target, s, now)
+		status.Burns = append(status.Burns, burn)
+		if burn.Firing {
+			status.Severity = max(status.Severity, alert.Severity)
+		}
+	}
+	if key.organisation == everyOrganisation && len(r.objectives.Alerts) > 0 {
+		status.Plot = plot(s, objective.Target, r.objectives.Alerts[0].Long)
+	}
+	return status
+}
+
+// budgetLeft returns the share of the error budget that events leave.
+func budgetLeft(events counts, target float64) float64 {
+	budget := 1 - target
+	switch {
+	case events.bad() == 0:
+		return 1
+	case budget <= 0:
+		return -1
+	default:
+		return 1 - float64(events.bad())/float64(events.total)/budget
+	}
+}
+
+// burnOf computes both windows of an alert. Without an error budget the alert
+// fires on any bad event in the short window.
+func burnOf(alert Alert, target float64, s *series, now time.Time) Burn {
+	long := s.between(now, alert.Long)
+	short := s.between(now, alert.Short)
+	burn := Burn{
+		Alert:    alert,
+		Long:     burnRate(long, target),
+		Short:    burnRate(short, target),
+		BadLong:  long.bad(),
+		BadShort: short.bad(),
+	}
+	if target >= 1 {
+		burn.Firing = burn.BadShort > 0
+	} else {
+		burn.Firing = burn.Long >= alert.Threshold && burn.Short >= alert.Threshold
+	}
+	return burn
+}
+
+// burnRate returns the share of bad events over the error budget, or the number
+// of bad events where there is no budget.
+func burnRate(events counts, target float64) float64 {
+	if events.total == 0 {
+		return 0
+	}
+	budget := 1 - target
+	if budget <= 0 {
+		return float64(events.bad())
+	}
+	return float64(events.bad()) / float64(events.total) / budget
+}
+
+// plot returns at most maxPoints burn rates over the window, evenly picked.
+func plot(s *series, target float64, window Duration) []Point {
+	step := max(1, int(math.Ceil(float64(len(s.times))/maxPoints)))
+	var points []Point
+	for i := len(s.times) - 1; i >= 0; i -= step {
+		at := s.times[i]
+		points = append(points, Point{Time: at, Burn: burnRate(s.between(at, window), target)})
+	}
+	slices.Reverse(points)
+	return points
+}
+
+// sort orders services by their worst severity, then by name, and each service's
+// own statuses before those of its organisations.
+func (r *Report) sort() {
+	worst := make(map[identifier.Service]Severity)
+	for _, s := range r.Statuses {
+		worst[s.Service] = max(worst[s.Service], s.Severity)
+	}
+	order := make(map[Indicator]int)
+	for i, o := range r.Objectives.Objectives {
+		order[o.Indicator] = i
+	}
+	slices.SortFunc(r.Statuses, func(a, b Status) int {
+		if d := worst[b.Service] - worst[a.Service]; d != 0 {
+			return int(d)
+		}
+		if d := strings.Compare(string(a.Service), string(b.Service)); d != 0 {
+			return d
+		}
+		if d := strings.Compare(string(a.Organisation), string(b.Organisation)); d != 0 {
+			return d
+		}
+		return order[a.Objective.Indicator] - order[b.Objective.Indicator]
+	})
+}
--- /dev/null
+++ b/reporter/rollout.go
@@ -0,0 +1,117 @@
+package reporter
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"celeryvalve/identifier"
+)
+
+// RolloutStatus is where one rollout stands against its limits.
+type RolloutStatus struct {
+	Rollout
+	Limits RolloutLimits
+	// Elapsed is the time since the declaration, up to the end.
+	Elapsed Duration
+	// Progress is the share of the bytes that the replicas hold.
+	Progress float64
+	// Rate is the growth of Received between the last two snapshots.
+	Rate identifier.BytesPerSecond
+	// Remaining is the time until all bytes are there at that rate; zero if not known.
+	Remaining Duration
+	// Copies is how many copies were read from the origin.
+	Copies float64
+	// Stalled says that bytes are missing and none came since the last snapshot.
+	Stalled  bool
+	Severity Severity
+}
+
+// Done reports whether every wanted replica was ready.
+func (s RolloutStatus) Done() bool {
+	return !s.Finished.IsZero()
+}
+
+type rolloutKey struct {
+	service identifier.Service
+	model   identifier.Model
+	adapter identifier.Adapter
+	version identifier.WeightVersion
+}
+
+func (r Rollout) key() rolloutKey {
+	return rolloutKey{r.Service, r.Model, r.Adapter, r.Version}
+}
+
+// rolloutStatuses returns the rollouts of the last snapshot, those that run first.
+func rolloutStatuses(snapshots []Snapshot, limits RolloutLimits) []RolloutStatus {
+	last := snapshots[len(snapshots)-1]
+	before := make(map[rolloutKey]Rollout)
+	var since time.Duration
+	if len(snapshots) > 1 {
+		previous := snapshots[len(snapshots)-2]
+		since = last.Time.Sub(previous.Time)
+		for _, r := range previous.Rollouts {
+			before[r.key()] = r
+		}
+	}
+	var list []RolloutStatus
+	for _, r := range last.Rollouts {
+		previous, known := before[r.key()]
+		status := newRolloutStatus(r, limits, last.Time)
+		if known && since > 0 && !status.Done() {
+			status.project(previous, since)
+		}
+		status.Severity = status.severity()
+		list = append(list, status)
+	}
+	slices.SortStableFunc(list, func(a, b RolloutStatus) int {
+		if a.Done() != b.Done() {
+			if b.Done() {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(string(a.Service), string(b.Service))
+	})
+	return list
+}
+
+func newRolloutStatus(r Rollout, limits RolloutLimits, now time.Time) RolloutStatus {
+	status := RolloutStatus{Rollout: r, Limits: limits}
+	end := now
+	if status.Done() {
+		end = r.Finished
+	}
+	status.Elapsed = Duration(end.Sub(r.Declared))
+	if whole := float64(r.Size) * float64(r.Wanted); whole > 0 {
+		status.Progress = min(1, float64(r.Received)/whole)
+	}
+	if r.Size > 0 {
+		status.Copies = float64(r.FromOrigin) / float64(r.Size)
+	}
+	return status
+}
+
+// project derives the rate and the time that remains from the previous snapshot.
+func (s *RolloutStatus) project(previous Rollout, since time.Duration) {
+	s.Rate = identifier.BytesPerSecond(float64(s.Received-previous.Received) / since.Seconds())
+	missing := float64(s.Size)*float64(s.Wanted) - float64(s.Received)
+	s.Stalled = missing > 0 && s.Rate <= 0
+	if s.Rate > 0 && missing > 0 {
+		s.Remaining = Duration(missing / float64(s.Rate) * float64(time.Second))
+	}
+}
+
+// severity pages for a limit that a running rollout has broken, and files a
+// ticket for one that will be broken or that a finished rollout broke.
+func (s RolloutStatus) severity() Severity {
+	broken := s.Elapsed > s.Limits.TimeToReplicas || s.Copies > s.Limits.OriginCopies
+	if broken && !s.Done() {
+		return Page
+	}
+	if broken || s.Stalled || s.Elapsed+s.Remaining > s.Limits.TimeToReplicas {
+		return Ticket
+	}
+	return None
+}
