--- a/imitator/origin_test.go
+++ b/imitator/origin_test.go
@@ -1,7 +1,6 @@
 package imitator_test
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -15,18 +14,19 @@
 
 	"celeryvalve/identifier"
 	"celeryvalve/imitator"
+	"celeryvalve/verifier"
 )
 
-func writeWeights(t *testing.T, folder string, version identifier.WeightVersion) imitator.Manifest {
+func writeWeights(t *testing.T, folder string, version identifier.WeightVersion) *verifier.Manifest {
 	digest, err := imitator.WriteWeights(imitator.WeightsConfig{
 		Folder: folder, Model: "m", Version: version, ChunkSize: 1000, Size: 10_001, Files: 3, Shared: 0.5, Seed: 1,
 	})
 	require.NoError(t, err)
-	data, err := os.ReadFile(filepath.Join(folder, "m", string(version), imitator.ManifestName))
+	data, err := os.ReadFile(filepath.Join(folder, "m", string(version), verifier.ManifestPath))
 	require.NoError(t, err)
 	require.Equal(t, identifier.DigestOf(data), digest)
-	var manifest imitator.Manifest
-	require.NoError(t, json.Unmarshal(data, &manifest))
+	manifest, err := verifier.ParsePinned(data, digest)
+	require.NoError(t, err)
 	return manifest
 }
 
@@ -79,7 +79,7 @@
 	require.NoError(t, err)
 	srv := httptest.NewServer(origin.Handler())
 	defer srv.Close()
-	url := srv.URL + "/m/1/weights-0.bin"
+	url := srv.URL + "/m/1/weights-000.bin"
 
 	resp, body := get(t, url, "bytes=100-199")
 	require.Equal(t, http.StatusPartialContent, resp.StatusCode)
@@ -89,7 +89,7 @@
 	for range 5 {
 		get(t, url, "")
 	}
-	resp, _ = get(t, srv.URL+"/m/1/weights-0.bin", "")
+	resp, _ = get(t, srv.URL+"/m/1/weights-000.bin", "")
 	require.Equal(t, http.StatusTooManyRequests, resp.StatusCode)
 	require.Equal(t, "1", resp.Header.Get("Retry-After"))
 	clock.Advance(time.Second)
@@ -103,5 +103,5 @@
 	require.NotEqual(t, etag, changed.Header.Get("Etag"))
 	counters := origin.Counters()
 	require.Equal(t, 1, counters.Refused)
-	require.Equal(t, identifier.ByteCount(100+5*3333+30), counters.Files["m/1/weights-0.bin"])
+	require.Equal(t, identifier.ByteCount(100+5*3333+30), counters.Files["m/1/weights-000.bin"])
 }
--- a/imitator/weights.go
+++ b/imitator/weights.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -10,31 +9,11 @@
 
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
+	"celeryvalve/verifier"
 )
 
-const (
-	// DefaultChunkSize is the chunk size of generated weights, in bytes.
-	DefaultChunkSize identifier.ByteCount = 256 << 10
-	// ManifestName is the name of the manifest beside its files.
-	ManifestName = "Manifest.json"
-)
-
-// Manifest lists the files of one version of a model or of an adapter.
-type Manifest struct {
-	Model         identifier.Model   `json:",omitempty"`
-	Adapter       identifier.Adapter `json:",omitempty"`
-	WeightVersion identifier.WeightVersion
-	ChunkSize     identifier.ByteCount
-	Files         []ManifestFile
-}
-
-// ManifestFile is one file with the digests of its chunks.
-type ManifestFile struct {
-	Path   string
-	Size   identifier.ByteCount
-	Digest identifier.Digest
-	Chunks []identifier.Digest
-}
+// DefaultChunkSize is the chunk size of generated weights, in bytes.
+const DefaultChunkSize identifier.ByteCount = 256 << 10
 
 // WeightsConfig says which weights to generate.
 type WeightsConfig struct {
@@ -57,10 +36,6 @@
 // manifest's bytes.
 func WriteWeights(cfg WeightsConfig) (identifier.Digest, error) {
 	var none identifier.Digest
-	if (cfg.Model == "") == (cfg.Adapter == "") {
-		return none, explainer.New(explainer.InvalidInput, "weights are not of one model or adapter",
-			"set either the model or the adapter")
-	}
 	if cfg.Files < 1 || cfg.ChunkSize < 1 || cfg.Size < identifier.ByteCount(cfg.Files) {
 		return none, explainer.New(explainer.InvalidInput, "weights are empty",
 			"set files and chunk size to at least one, and the size to at least one byte a file")
@@ -69,39 +44,39 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return none, err
 	}
-	manifest := Manifest{Model: cfg.Model, Adapter: cfg.Adapter, WeightVersion: cfg.Version, ChunkSize: cfg.ChunkSize}
 	for i := range cfg.Files {
-		file, err := writeWeightFile(cfg, folder, i)
-		if err != nil {
+		if err := writeWeightFile(cfg, folder, i); err != nil {
 			return none, err
 		}
-		manifest.Files = append(manifest.Files, file)
 	}
-	data, err := json.Marshal(manifest)
+	manifest, err := verifier.Build(verifier.Description{
+		Model:         cfg.Model,
+		Adapter:       cfg.Adapter,
+		WeightVersion: cfg.Version,
+		ChunkSize:     cfg.ChunkSize,
+	}, os.DirFS(folder))
 	if err != nil {
 		return none, err
 	}
-	if err := os.WriteFile(filepath.Join(folder, ManifestName), data, 0o644); err != nil {
+	data, err := manifest.Encode()
+	if err != nil {
 		return none, err
 	}
-	return identifier.DigestOf(data), nil
+	return manifest.Digest(), os.WriteFile(filepath.Join(folder, verifier.ManifestPath), data, 0o644)
 }
 
 // writeWeightFile writes file i; the last file takes what the division leaves.
-func writeWeightFile(cfg WeightsConfig, folder string, i int) (ManifestFile, error) {
+func writeWeightFile(cfg WeightsConfig, folder string, i int) error {
 	size := cfg.Size / identifier.ByteCount(cfg.Files)
 	if i == cfg.Files-1 {
 		size += cfg.Size % identifier.ByteCount(cfg.Files)
 	}
-	file := ManifestFile{Path: fmt.Sprintf("weights-%d.bin", i), Size: size}
 	data := make([]byte, 0, size)
 	for chunk := 0; identifier.ByteCount(len(data)) < size; chunk++ {
 		n := min(cfg.ChunkSize, size-identifier.ByteCount(len(data)))
 		data = append(data, randomChunk(cfg, i, chunk, n)...)
-		file.Chunks = append(file.Chunks, identifier.DigestOf(data[identifier.ByteCount(len(data))-n:]))
 	}
-	file.Digest = identifier.DigestOf(data)
-	return file, os.WriteFile(filepath.Join(folder, file.Path), data, 0o644)
+	return os.WriteFile(filepath.Join(folder, fmt.Sprintf("weights-%03d.bin", i)), data, 0o644)
 }
 
 func randomChunk(cfg WeightsConfig, file, chunk int, n identifier.ByteCount) []byte {
