generator: take an answer that broke off as one without an outcome

The entry sends the outcome of a stream with its head, and closes the connection when the stream breaks, so the header holds only for answers that end whole. The check took each of them for a Completed that was not whole. Records also carry the entry's own id of the request, which is what upstreams record, and callers tell their deadline. Cache events of the engine carry the parent and the text of their block, so that whoever reads them can compute own hashes of prefixes.

--- a/generator/answer.go
+++ b/generator/answer.go
@@ -40,15 +40,15 @@
 	return p.Choices[0].Text + p.Choices[0].Delta.Content + p.Choices[0].Message.Content
 }
 
-// readStream reads a streamed completion up to its end mark and notes the times
-// of its tokens.
-func readStream(body io.Reader, prompt string, clock clockwork.Clock, rec *Record) {
+// readStream reads a streamed completion up to its end and notes the times of its
+// tokens.
+func readStream(body io.Reader, prompt string, clock clockwork.Clock, rec *Record) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLine)
 	var text strings.Builder
 	last := rec.Due
 	ended := false
-	for lines.Scan() && !ended {
+	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), dataPrefix)
 		if !ok {
 			continue
@@ -58,9 +58,9 @@
 			continue
 		}
 		var part answerPart
-		if err := json.Unmarshal([]byte(data), &part); err != nil || part.Error != nil {
-			rec.Fault = "stream has a malformed or error event"
-			return
+		if err := json.Unmarshal([]byte(data), &part); err != nil || part.Error != nil || ended {
+			rec.Fault = "stream has a malformed event, an error event or one after its end mark"
+			return nil
 		}
 		text.WriteString(part.text())
 		last = noteToken(rec, last, clock.Now())
@@ -71,6 +71,7 @@
 	case !answers(text.String(), prompt):
 		rec.Fault = "answer is not whole or belongs to another request"
 	}
+	return lines.Err()
 }
 
 // noteToken notes the time of one more token and returns it.
@@ -86,27 +87,29 @@
 }
 
 // readWhole reads a completion in one piece.
-func readWhole(body io.Reader, prompt string, rec *Record) {
+func readWhole(body io.Reader, prompt string, rec *Record) error {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
 	var part answerPart
-	if err := json.NewDecoder(body).Decode(&part); err != nil {
-		rec.Fault = "answer is cut off or malformed"
-		return
+	if err := json.Unmarshal(data, &part); err != nil {
+		rec.Fault = "answer is malformed"
+		return nil
 	}
 	text := part.text()
 	rec.Tokens = len(strings.Fields(text))
 	if !answers(text, prompt) {
 		rec.Fault = "answer is not whole or belongs to another request"
 	}
+	return nil
 }
 
 // readPlain reads any other answer. Its length is checked by net/http.
-func readPlain(body io.Reader, rec *Record) {
+func readPlain(body io.Reader, rec *Record) error {
 	data, err := io.ReadAll(body)
-	if err != nil {
-		rec.Fault = "answer is cut off"
-		return
-	}
 	rec.Digest = identifier.DigestOf(data)
+	return err
 }
 
 // answers reports whether text is the stand-in engine's whole answer to prompt.
--- a/generator/generator.go
+++ b/generator/generator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -85,7 +86,7 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		rec.Fault = "no answer before the timeout"
 	case err != nil:
-		rec.Fault = "connection failed"
+		rec.Fault = "connection failed or broke off"
 	}
 	rec.Latency = imitator.Duration(g.clock.Since(due))
 	g.mu.Lock()
@@ -101,32 +102,41 @@
 	if err != nil {
 		return err
 	}
-	setHeaders(req, a, rec)
+	setHeaders(req, a, rec, time.Duration(g.plan.Timeout))
 	resp, err := g.client.Do(req)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	rec.Status = resp.StatusCode
-	rec.setOutcome(resp.Header)
-	if id := resp.Header.Get(imitator.HeaderRequestID); id != "" {
+	if id := resp.Header.Get(HeaderRequest); id != "" {
 		rec.RequestID = identifier.RequestID(id)
 	}
+	rec.setOutcome(resp.Header)
+	if err := g.read(resp.Body, a.class.Answer, promptOf(body), rec); err != nil {
+		rec.Outcome = Unnamed // the header holds only for an answer that ends whole
+		return err
+	}
+	rec.setOutcome(resp.Trailer)
+	return nil
+}
+
+// read reads the answer and returns the error that cut it off.
+func (g *Generator) read(body io.Reader, kind AnswerKind, prompt string, rec *Record) error {
 	switch {
-	case rec.Status >= 300 || a.class.Answer == Plain:
-		readPlain(resp.Body, rec)
-	case a.class.Answer == Stream:
-		readStream(resp.Body, promptOf(body), g.clock, rec)
+	case rec.Status >= http.StatusMultipleChoices || kind == Plain:
+		return readPlain(body, rec)
+	case kind == Stream:
+		return readStream(body, prompt, g.clock, rec)
 	default:
-		readWhole(resp.Body, promptOf(body), rec)
+		return readWhole(body, prompt, rec)
 	}
-	rec.setOutcome(resp.Trailer) // a stream's outcome is known only at its end
-	return nil
 }
 
-func setHeaders(req *http.Request, a arrival, rec *Record) {
+func setHeaders(req *http.Request, a arrival, rec *Record, timeout time.Duration) {
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(imitator.HeaderRequestID, string(rec.RequestID))
+	req.Header.Set(HeaderDeadline, timeout.String())
 	if a.key != "" {
 		req.Header.Set(imitator.HeaderIdempotencyKey, string(a.key))
 	}
--- a/generator/record.go
+++ b/generator/record.go
@@ -8,8 +8,15 @@
 	"celeryvalve/imitator"
 )
 
-// HeaderOutcome is the header of an answer that names the request's outcome.
-const HeaderOutcome = "Celeryvalve-Outcome"
+// The headers of the system under test.
+const (
+	// HeaderOutcome names the outcome of the request on its answer.
+	HeaderOutcome = "Celeryvalve-Outcome"
+	// HeaderRequest is the system's own id of the request, on its answer.
+	HeaderRequest = "Celeryvalve-Request"
+	// HeaderDeadline tells the system how long the caller waits.
+	HeaderDeadline = "Celeryvalve-Deadline"
+)
 
 // Outcome is what the system says of a request.
 type Outcome string
@@ -20,7 +27,7 @@
 	NotRun    Outcome = "NotRun"
 	Failed    Outcome = "Failed"
 	Unknown   Outcome = "Unknown"
-	// Unnamed is an answer without an outcome, or none at all.
+	// Unnamed is an answer without an outcome, one that broke off, or none at all.
 	Unnamed Outcome = "Unnamed"
 )
 
--- a/imitator/cache.go
+++ b/imitator/cache.go
@@ -30,22 +30,32 @@
 	Evicted CacheAction = "Evicted"
 )
 
+// CacheBlock is one block of a prompt. Its digest covers the weights and all
+// blocks before it, so equal digests mean an equal prefix.
+type CacheBlock struct {
+	Block identifier.Digest
+	// Parent is the block before it, or the digest of the weights' name.
+	Parent identifier.Digest
+	Text   string
+}
+
 // CacheEvent tells of one block. Sequence numbers have gaps where events are lost.
 type CacheEvent struct {
 	Sequence uint64
 	Action   CacheAction
-	Block    identifier.Digest
-	at       time.Time
+	CacheBlock
+	at time.Time
 }
 
-// BlocksOf returns the chained digests of the whole blocks of the prompt under
-// the weights: equal digests mean an equal prefix.
-func BlocksOf(served Served, prompt string) []identifier.Digest {
-	var blocks []identifier.Digest
-	previous := identifier.DigestOf([]byte(served.String()))
+// BlocksOf returns the whole blocks of the prompt under the weights.
+func BlocksOf(served Served, prompt string) []CacheBlock {
+	var blocks []CacheBlock
+	parent := identifier.DigestOf([]byte(served.String()))
 	for len(prompt) >= CacheBlockBytes {
-		previous = identifier.DigestOf(append(previous[:], prompt[:CacheBlockBytes]...))
-		blocks = append(blocks, previous)
+		text := prompt[:CacheBlockBytes]
+		block := identifier.DigestOf(append(parent[:], text...))
+		blocks = append(blocks, CacheBlock{Block: block, Parent: parent, Text: text})
+		parent = block
 		prompt = prompt[CacheBlockBytes:]
 	}
 	return blocks
@@ -80,7 +90,7 @@
 }
 
 // use stores the blocks and returns the fraction that was held already.
-func (c *prefixCache) use(blocks []identifier.Digest) float64 {
+func (c *prefixCache) use(blocks []CacheBlock) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(blocks) == 0 {
@@ -88,28 +98,28 @@
 	}
 	hits := 0
 	for _, block := range blocks {
-		if element, ok := c.blocks[block]; ok {
+		if element, ok := c.blocks[block.Block]; ok {
 			c.recent.MoveToFront(element)
 			hits++
 			continue
 		}
-		c.blocks[block] = c.recent.PushFront(block)
+		c.blocks[block.Block] = c.recent.PushFront(block)
 		c.publish(Stored, block)
 	}
 	for c.recent.Len() > c.capacity {
-		block := c.recent.Remove(c.recent.Back()).(identifier.Digest)
-		delete(c.blocks, block)
+		block := c.recent.Remove(c.recent.Back()).(CacheBlock)
+		delete(c.blocks, block.Block)
 		c.publish(Evicted, block)
 	}
 	return float64(hits) / float64(len(blocks))
 }
 
-func (c *prefixCache) publish(action CacheAction, block identifier.Digest) {
+func (c *prefixCache) publish(action CacheAction, block CacheBlock) {
 	c.sequence++
 	if c.rng.Float64() < c.loss {
 		return
 	}
-	event := CacheEvent{Sequence: c.sequence, Action: action, Block: block, at: c.clock.Now()}
+	event := CacheEvent{Sequence: c.sequence, Action: action, CacheBlock: block, at: c.clock.Now()}
 	for reader := range c.readers {
 		select {
 		case reader <- event:
