--- a/imitator/weights.go
+++ b/imitator/weights.go
@@ -32,8 +32,8 @@
 }
 
 // WriteWeights writes pseudo-random files and their manifest to
-// Folder/Model/Version or Folder/Adapter/Version. It returns the digest of the
-// manifest's bytes.
+// Folder/Model/Version, or Folder/Model/Adapter/Version for an adapter. It
+// returns the digest of the manifest's bytes.
 func WriteWeights(cfg WeightsConfig) (identifier.Digest, error) {
 	var none identifier.Digest
 	if cfg.Files < 1 || cfg.ChunkSize < 1 || cfg.Size < identifier.ByteCount(cfg.Files) {
@@ -50,19 +50,15 @@
 		}
 	}
 	manifest, err := verifier.Build(verifier.Description{
-		Model:         cfg.Model,
-		Adapter:       cfg.Adapter,
-		WeightVersion: cfg.Version,
-		ChunkSize:     cfg.ChunkSize,
+		Model:     cfg.Model,
+		Adapter:   cfg.Adapter,
+		Version:   cfg.Version,
+		ChunkSize: cfg.ChunkSize,
 	}, os.DirFS(folder))
 	if err != nil {
 		return none, err
 	}
-	data, err := manifest.Encode()
-	if err != nil {
-		return none, err
-	}
-	return manifest.Digest(), os.WriteFile(filepath.Join(folder, verifier.ManifestPath), data, 0o644)
+	return manifest.Digest(), os.WriteFile(filepath.Join(folder, verifier.ManifestPath), manifest.Encode(), 0o644)
 }
 
 // writeWeightFile writes file i; the last file takes what the division leaves.
