--- a/cmd/standin/inspect.go
+++ b/cmd/standin/inspect.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"sort"
 	"strings"
+	"syscall"
 	"time"
 
 	"celeryvalve/identifier"
@@ -22,14 +24,32 @@
 	Body    string        `help:"Body of the request."`
 	Stream  bool          `help:"Print the answer as it comes; fail if its end mark is missing."`
 	Timeout time.Duration `help:"How long to wait for the whole answer." default:"30s"`
+	Retry   time.Duration `help:"How long to try again while nobody listens." default:"0s"`
 }
 
+// retryPause is the time between tries to connect.
+const retryPause = 20 * time.Millisecond
+
 // Run prints the status, the product's headers, the body and the trailers.
 func (c *requestCommand) Run(env *environment) error {
-	req, err := http.NewRequestWithContext(env.ctx, c.Method, c.URL, strings.NewReader(c.Body))
+	resp, err := c.send(env)
+	for start := env.clock.Now(); errors.Is(err, syscall.ECONNREFUSED) && env.clock.Since(start) < c.Retry; {
+		env.clock.Sleep(retryPause)
+		resp, err = c.send(env)
+	}
 	if err != nil {
 		return err
 	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.print(env, resp)
+}
+
+// send sends the request once.
+func (c *requestCommand) send(env *environment) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(env.ctx, c.Method, c.URL, strings.NewReader(c.Body))
+	if err != nil {
+		return nil, err
+	}
 	req.Header.Set("Content-Type", "application/json")
 	for name, value := range map[string]string{
 		authorization:                 bearer(c.Token),
@@ -40,11 +60,11 @@
 			req.Header.Set(name, value)
 		}
 	}
-	resp, err := (&http.Client{Timeout: c.Timeout}).Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
+	return (&http.Client{Timeout: c.Timeout}).Do(req)
+}
+
+// print prints the answer and fails unless it is a whole success.
+func (c *requestCommand) print(env *environment, resp *http.Response) error {
 	_, _ = fmt.Fprintln(env.out, resp.Status)
 	printHeader(env.out, resp.Header)
 	var copied strings.Builder
