reporter: take objectives from the configuration

Targets and limits were constants of two deployments, beside the Objectives that each service declares in the configuration: two places that could differ.

--- a/reporter/doc.go
+++ b/reporter/doc.go
@@ -17,7 +17,7 @@
 //
 // # Usage
 //
-//	report := reporter.New(reporter.CallbackObjectives()).Report(snapshots)
+//	report := reporter.New(reporter.FromConfiguration(cfg)).Report(snapshots)
 //	err := report.WriteText(os.Stdout)
 //	err = report.WriteJSON(w)
 //	err = report.WriteHTML(w)
--- a/reporter/objective.go
+++ b/reporter/objective.go
@@ -1,42 +1,26 @@
 package reporter
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"celeryvalve/configurer"
 	"celeryvalve/identifier"
+	"celeryvalve/parser"
 )
 
-// The limits behind the indicators that have one.
-const (
-	FirstTokenLimit    = 960 * time.Millisecond
-	BetweenTokensLimit = 48 * time.Millisecond
-)
-
-// Objective is the share of an indicator's events that must be good.
+// Objective is the share of an indicator's events of one service that must be good.
 type Objective struct {
+	Service   identifier.Service
 	Indicator Indicator
 	// Description says it in the words of operators.
 	Description string
 	// Target is the share that must be good. At 1 there is no error budget.
 	Target float64
-	// Services limits the objective to some services. Empty means every one
-	// that counts the indicator.
-	Services []identifier.Service `json:",omitempty"`
-}
-
-func (o Objective) covers(service identifier.Service) bool {
-	if len(o.Services) == 0 {
-		return true
-	}
-	for _, s := range o.Services {
-		if s == service {
-			return true
-		}
-	}
-	return false
 }
 
-// RolloutLimits are the limits that each rollout is held against.
+// RolloutLimits are the limits that each rollout of a service is held against.
 type RolloutLimits struct {
 	TimeToReplicas Duration
 	// OriginCopies is how many copies may be read from the origin.
@@ -57,7 +41,7 @@
 	// Period is the time over which an error budget is spent.
 	Period     Duration
 	Objectives []Objective
-	Rollouts   RolloutLimits
+	Rollouts   map[identifier.Service]RolloutLimits
 	Alerts     []Alert
 }
 
@@ -65,6 +49,10 @@
 	hour = Duration(time.Hour)
 	day  = 24 * hour
 
+	// copiesOfOriginBytes is how many copies a service that favours OriginBytes
+	// may read: one, and what is read again because its holders were lost.
+	copiesOfOriginBytes = 1.10
+
 	// objectivePeriod is the time over which an error budget is spent.
 	objectivePeriod = 30 * day
 )
@@ -79,33 +67,52 @@
 	}
 }
 
-func requestObjectives(inTime string) []Objective {
-	return []Objective{
-		{Indicator: ReadyInTime, Target: 0.999, Description: inTime},
-		{Indicator: FirstToken, Target: 0.95, Description: "first token within " + FirstTokenLimit.String()},
-		{Indicator: BetweenTokens, Target: 0.95, Description: "next token within " + BetweenTokensLimit.String()},
-		{Indicator: Exactness, Target: 1, Description: "nothing lost or doubled"},
+// FromConfiguration returns the objectives that the configuration declares for
+// its services.
+func FromConfiguration(cfg configurer.Configuration) Objectives {
+	objectives := Objectives{
+		Period:   objectivePeriod,
+		Alerts:   defaultAlerts(),
+		Rollouts: make(map[identifier.Service]RolloutLimits),
+	}
+	for _, name := range slices.Sorted(maps.Keys(cfg.Services)) {
+		service := cfg.Services[name]
+		objectives.Objectives = append(objectives.Objectives, objectivesOf(name, service)...)
+		if service.Kind == parser.Engine {
+			objectives.Rollouts[name] = rolloutLimits(service, cfg.Transfers)
+		}
 	}
+	return objectives
 }
 
-// CallbackObjectives are those of the callback service, which weighs the time to
-// N replicas more than the origin's bytes.
-func CallbackObjectives() Objectives {
-	return Objectives{
-		Period:     objectivePeriod,
-		Objectives: requestObjectives("summaries ready in time"),
-		Rollouts:   RolloutLimits{TimeToReplicas: Duration(5 * time.Minute), OriginCopies: 4},
-		Alerts:     defaultAlerts(),
+// objectivesOf returns those of one service. Only engines answer in tokens.
+func objectivesOf(name identifier.Service, service configurer.Service) []Objective {
+	declared := service.Objectives
+	list := []Objective{
+		{Service: name, Indicator: ReadyInTime, Target: declared.Target, Description: "answered in time"},
+		{Service: name, Indicator: Exactness, Target: 1, Description: "nothing lost or doubled"},
 	}
+	if service.Kind != parser.Engine {
+		return list
+	}
+	return append(list,
+		Objective{Service: name, Indicator: FirstToken, Target: declared.Target,
+			Description: "first token within " + Duration(declared.FirstToken).String()},
+		Objective{Service: name, Indicator: BetweenTokens, Target: declared.Target,
+			Description: "next token within " + Duration(declared.BetweenTokens).String()})
 }
 
-// CirculationObjectives are those of Mezghani Circulation Conseil, which weighs
-// the origin's bytes more.
-func CirculationObjectives() Objectives {
-	return Objectives{
-		Period:     objectivePeriod,
-		Objectives: requestObjectives("orders drafted in time"),
-		Rollouts:   RolloutLimits{TimeToReplicas: Duration(10 * time.Minute), OriginCopies: 1.02},
-		Alerts:     defaultAlerts(),
+func rolloutLimits(service configurer.Service, transfers configurer.Transfers) RolloutLimits {
+	favour := service.Favour
+	if favour == configurer.Inherit {
+		favour = transfers.Favour
+	}
+	limits := RolloutLimits{
+		TimeToReplicas: Duration(service.Objectives.ReadyWithin),
+		OriginCopies:   float64(transfers.OriginCopies),
+	}
+	if favour == configurer.OriginBytes {
+		limits.OriginCopies = copiesOfOriginBytes
 	}
+	return limits
 }
--- a/reporter/report.go
+++ b/reporter/report.go
@@ -85,7 +85,7 @@
 	report.Covered = min(Duration(last.Time.Sub(first.Time)), r.objectives.Period)
 	for key, s := range seriesOf(snapshots) {
 		for _, objective := range r.objectives.Objectives {
-			if objective.Indicator == key.indicator && objective.covers(key.service) {
+			if objective.Indicator == key.indicator && objective.Service == key.service {
 				report.Statuses = append(report.Statuses, r.status(objective, key, s, last.Time))
 			}
 		}
--- a/reporter/rollout.go
+++ b/reporter/rollout.go
@@ -43,8 +43,9 @@
 	return rolloutKey{r.Service, r.Model, r.Adapter, r.Version}
 }
 
-// rolloutStatuses returns the rollouts of the last snapshot, those that run first.
-func rolloutStatuses(snapshots []Snapshot, limits RolloutLimits) []RolloutStatus {
+// rolloutStatuses returns the rollouts of the last snapshot whose service has
+// limits, those that run first.
+func rolloutStatuses(snapshots []Snapshot, limits map[identifier.Service]RolloutLimits) []RolloutStatus {
 	last := snapshots[len(snapshots)-1]
 	before := make(map[rolloutKey]Rollout)
 	var since time.Duration
@@ -57,8 +58,12 @@
 	}
 	var list []RolloutStatus
 	for _, r := range last.Rollouts {
+		limit, ok := limits[r.Service]
+		if !ok {
+			continue
+		}
 		previous, known := before[r.key()]
-		status := newRolloutStatus(r, limits, last.Time)
+		status := newRolloutStatus(r, limit, last.Time)
 		if known && since > 0 && !status.Done() {
 			status.project(previous, since)
 		}
--- a/reporter/text.go
+++ b/reporter/text.go
@@ -44,12 +44,12 @@
 	if len(r.Rollouts) == 0 {
 		return
 	}
-	fmt.Fprintf(w, "\nRollouts, within %s and %.2f copies from the origin\n\n",
-		r.Objectives.Rollouts.TimeToReplicas, r.Objectives.Rollouts.OriginCopies)
+	fmt.Fprintln(w)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "SERVICE\tWEIGHTS\tPROGRESS\tREPLICAS\tORIGIN COPIES\tREADY WITHIN\tSTATE\tSEVERITY")
 	for _, s := range r.Rollouts {
-		fmt.Fprintf(t, "%s\t%s\t%s %3.0f%%\t%d of %d ready\t%.2f copies\t%s\t%s\n", s.Service, weightsText(s.Rollout),
-			bar(s.Progress), 100*s.Progress, s.Ready, s.Wanted, s.Copies, stateText(s), s.Severity)
+		fmt.Fprintf(t, "%s\t%s\t%s %3.0f%%\t%d of %d\t%.2f of %.2f\t%s\t%s\t%s\n", s.Service, weightsText(s.Rollout), bar(s.Progress),
+			100*s.Progress, s.Ready, s.Wanted, s.Copies, s.Limits.OriginCopies, s.Limits.TimeToReplicas, stateText(s), s.Severity)
 	}
 	_ = t.Flush()
 }
