--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
@@ -39,6 +40,7 @@
 	// Of the loop's goroutine only.
 	membership recorder.Membership
 	applied    recorder.Position
+	appliedAt  time.Time
 	snapshotAt recorder.Index
 
 	// mu guards the fields below.
@@ -84,6 +86,7 @@
 				"run a release that can read it, or replace this replica")
 		}
 		c.applied = s.Position
+		c.appliedAt = s.At
 		c.membership = s.Membership
 		c.snapshotAt = s.Position.Index
 		c.reached = s.Position.Index
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -89,6 +89,7 @@
 		case recorder.Noop:
 		}
 		c.applied = e.Position()
+		c.appliedAt = e.At
 		c.reach(e.Index)
 		c.waiters.applied(e, result)
 	}
@@ -110,7 +111,12 @@
 		return
 	}
 	c.snapshotAt = c.applied.Index
-	c.writer.put(job{snapshot: &recorder.Snapshot{Position: c.applied, Membership: c.membership.Clone(), Data: data}})
+	c.writer.put(job{snapshot: &recorder.Snapshot{
+		Position:   c.applied,
+		At:         c.appliedAt,
+		Membership: c.membership.Clone(),
+		Data:       data,
+	}})
 }
 
 func (c *Coordinator) restore(s recorder.Snapshot) {
@@ -120,6 +126,7 @@
 		return
 	}
 	c.applied = s.Position
+	c.appliedAt = s.At
 	c.membership = s.Membership.Clone()
 	c.snapshotAt = s.Position.Index
 	c.reach(s.Position.Index)
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -141,7 +141,9 @@
 
 // Snapshot is the state of the state machine after the entry at Position.
 type Snapshot struct {
-	Position   Position
+	Position Position
+	// At is the time of the entry at Position.
+	At         time.Time
 	Membership Membership
 	Data       []byte
 }
--- a/recorder/snapshot.go
+++ b/recorder/snapshot.go
@@ -71,6 +71,7 @@
 	if snapshotName(s.Position.Index) != newest {
 		return nil, corrupt("snapshot %s is of entry %d", path, s.Position.Index)
 	}
+	s.At = s.At.UTC()
 	r.snapshot = s.Position
 	return &s, r.removeOlderSnapshots(newest)
 }
--- a/replicator/discovery.go
+++ b/replicator/discovery.go
@@ -45,7 +45,7 @@
 	for _, f := range founders {
 		m := recorder.Member{Replica: r.cfg.Replica, Name: f.Name, Addr: f.Addr, Voter: true}
 		if f.Name != r.cfg.Name {
-			j, ok := r.joiners[f.Name]
+			j, ok := r.vacant[f.Name]
 			if !ok || r.now.Sub(j.at) > r.cfg.answerLifetime() {
 				return
 			}
@@ -73,10 +73,13 @@
 	r.send(m.Addr, &HelloResponse{Envelope: r.envelopeTo(m.From), Name: r.cfg.Name, Empty: r.empty()})
 }
 
+// handleHelloResponse notes whether a founder is empty. Only an answer to this
+// disk counts: a Hello may have been on its way since before an earlier disk of
+// this replica founded the cluster.
 func (r *Replicator) handleHelloResponse(m *HelloResponse) {
 	if !m.Empty {
-		delete(r.joiners, m.Name)
+		delete(r.vacant, m.Name)
 		return
 	}
-	r.joiners[m.Name] = joiner{peer: peer{replica: m.From, addr: m.Addr}, at: r.now}
+	r.vacant[m.Name] = joiner{peer: peer{replica: m.From, addr: m.Addr}, at: r.now}
 }
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -64,13 +64,14 @@
 		if m.Replica == r.cfg.Replica || r.progress[m.Replica] != nil {
 			continue
 		}
-		r.progress[m.Replica] = &progress{next: r.log.last().Index + 1, probing: true, heardAt: r.now}
+		r.progress[m.Replica] = &progress{next: max(r.log.last().Index, 1), probing: true, heardAt: r.now}
 	}
 }
 
-// appendOwn appends entries of the leader and syncs and sends them.
+// appendOwn appends entries of the leader and syncs them. Their time never lies
+// before that of an earlier entry, whatever the leaders' clocks say.
 func (r *Replicator) appendOwn(entries ...recorder.Entry) {
-	at := r.lastTime()
+	at := r.log.timeOf(r.log.last().Index)
 	if wall := r.now.UTC().Truncate(time.Microsecond); wall.After(at) {
 		at = wall
 	}
@@ -86,15 +87,6 @@
 	r.persistEntries(append([]recorder.Entry(nil), entries...))
 }
 
-// lastTime returns the time of the last entry, below which no later one may go.
-func (r *Replicator) lastTime() time.Time {
-	e, ok := r.log.entry(r.log.last().Index)
-	if !ok {
-		return time.Time{}
-	}
-	return e.At
-}
-
 func (r *Replicator) propose(proposals []Proposal) {
 	if !r.isLeader() {
 		for _, p := range proposals {
@@ -251,9 +243,9 @@
 		r.sendChunk(m, p)
 		return
 	}
-	if p.inflight > 0 {
-		p.inflight = 0
-		p.next = min(p.next, max(p.match+1, 1))
+	p.inflight = 0
+	if !p.probing && p.match < r.log.last().Index {
+		p.next = p.match + 1
 		p.probing = true
 	}
 	r.replicate(m, p)
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -1,13 +1,17 @@
 package replicator
 
 import (
+	"time"
+
 	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 )
 
 // log holds the entries after begin, which a snapshot or nothing precedes.
 type log struct {
-	begin   recorder.Position
+	begin recorder.Position
+	// beginAt is the time of the entry at begin.
+	beginAt time.Time
 	entries []recorder.Entry
 }
 
@@ -72,16 +76,27 @@
 	if !ok {
 		return
 	}
+	l.beginAt = l.timeOf(index)
 	l.entries = l.between(index+1, l.last().Index)
 	l.begin = position
 }
 
-// reset empties the log, which goes on after position.
-func (l *log) reset(position recorder.Position) {
-	l.begin = position
+// reset empties the log, which goes on after the snapshot.
+func (l *log) reset(s recorder.Snapshot) {
+	l.begin = s.Position
+	l.beginAt = s.At
 	l.entries = nil
 }
 
+// timeOf returns the time of the entry with the index, which the log holds or
+// begins with.
+func (l *log) timeOf(index recorder.Index) time.Time {
+	if e, ok := l.entry(index); ok {
+		return e.At
+	}
+	return l.beginAt
+}
+
 // beforeTerm returns the last index at or before index whose term is lower.
 func (l *log) beforeTerm(index recorder.Index) recorder.Index {
 	position, ok := l.at(index)
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"celeryvalve/encoder"
 	"celeryvalve/identifier"
@@ -77,6 +78,7 @@
 type SnapshotRequest struct {
 	Envelope
 	Position   recorder.Position
+	At         time.Time
 	Membership recorder.Membership
 	Offset     identifier.ByteCount
 	Total      identifier.ByteCount
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -44,7 +44,10 @@
 	disk     disk
 	election election
 	incoming incoming
-	joiners  map[string]joiner
+	// joiners are new replicas that announced themselves, by name.
+	joiners map[string]joiner
+	// vacant are the founders that told this empty replica that they are empty too.
+	vacant map[string]joiner
 
 	// Of the leader only.
 	progress     map[replica]*progress
@@ -71,11 +74,12 @@
 		vote:     state.HardState.Vote,
 		role:     Follower,
 		joiners:  make(map[string]joiner),
+		vacant:   make(map[string]joiner),
 		election: election{rearm: true},
 	}
 	if state.Snapshot != nil {
 		r.snapshot = *state.Snapshot
-		r.log.reset(state.Snapshot.Position)
+		r.log.reset(*state.Snapshot)
 		r.commit = state.Snapshot.Position.Index
 	}
 	r.log.append(state.Entries...)
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -52,6 +52,7 @@
 	r.send(m.Addr, &SnapshotRequest{
 		Envelope:   r.envelopeTo(m.Replica),
 		Position:   s.snapshot.Position,
+		At:         s.snapshot.At,
 		Membership: s.snapshot.Membership,
 		Offset:     s.offset,
 		Total:      total,
@@ -115,7 +116,12 @@
 		r.answerSnapshot(m, SnapshotResponse{}, r.disk.hardState)
 		return
 	}
-	r.install(recorder.Snapshot{Position: m.Position, Membership: m.Membership.Clone(), Data: data})
+	r.install(recorder.Snapshot{
+		Position:   m.Position,
+		At:         m.At.UTC(),
+		Membership: m.Membership.Clone(),
+		Data:       data,
+	})
 	r.answerSnapshot(m, SnapshotResponse{Installed: true}, r.disk.issued)
 }
 
@@ -135,7 +141,7 @@
 		}
 		return
 	}
-	r.log.reset(s.Position)
+	r.log.reset(s)
 	r.disk.forgetStable(s.Position.Index + 1)
 	r.snapshot = s
 	r.commit = s.Position.Index
