--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -1,8 +1,10 @@
 package recorder
 
 import (
+	"fmt"
 	"io"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 
@@ -51,13 +53,14 @@
 	lock      io.Closer
 	loaded    State
 	hardState HardState
-	last      Position
 	snapshot  Position
-	segments  []segment
-	next      sequence
-	file      File
-	mark      File
-	written   int64
+	// tail holds the positions of the entries after snapshot.
+	tail     []Position
+	segments []segment
+	next     sequence
+	file     File
+	mark     File
+	written  int64
 }
 
 // Open reads the data folder, or makes it. It returns an error of kind Corrupt
@@ -115,12 +118,12 @@
 func (r *Recorder) join(snapshot *Snapshot, log *replay) (reset *Position, err error) {
 	r.hardState = log.hardState
 	r.next = log.next
-	r.last = log.last()
 	r.loaded = State{HardState: log.hardState, Snapshot: snapshot, Entries: log.entries}
 	if snapshot == nil {
 		if log.begin.Index > 0 {
 			return nil, corrupt("folder %s lacks the snapshot of entry %d", r.cfg.Folder, log.begin.Index)
 		}
+		r.noteEntries(log.entries)
 		return nil, nil
 	}
 	position := snapshot.Position
@@ -133,13 +136,28 @@
 	}
 	if at, ok := log.at(position.Index); ok && at == position {
 		r.loaded.Entries = log.entries[position.Index-log.begin.Index:]
+		r.noteEntries(r.loaded.Entries)
 		return nil, nil
 	}
 	r.loaded.Entries = nil
-	r.last = position
 	return &position, nil
 }
 
+// last returns the position of the last entry.
+func (r *Recorder) last() Position {
+	if len(r.tail) == 0 {
+		return r.snapshot
+	}
+	return r.tail[len(r.tail)-1]
+}
+
+// noteEntries puts the positions in place of any from the first index on.
+func (r *Recorder) noteEntries(entries []Entry) {
+	for _, e := range entries {
+		r.tail = append(r.tail[:e.Index-r.snapshot.Index-1], e.Position())
+	}
+}
+
 func (r *Recorder) removeTemporaryFiles() error {
 	names, err := r.fs.List(r.cfg.Folder)
 	if err != nil {
@@ -183,15 +201,21 @@
 	return r.err
 }
 
-// Append makes the batch last. Without an error the batch is synced.
+// Append makes the batch last. Without an error the batch is synced. A call that
+// is cut short leaves what was there before, all of the batch, or its hard state
+// with the replaced entries gone.
 func (r *Recorder) Append(b Batch) error {
 	return r.do(func() error {
+		if err := r.checkBatch(b); err != nil {
+			return err
+		}
 		if b.HardState != nil {
 			r.hardState = *b.HardState
 		}
-		if len(b.Entries) > 0 {
-			r.last = b.Entries[len(b.Entries)-1].Position()
+		if err := r.truncate(b.Entries); err != nil {
+			return err
 		}
+		r.noteEntries(b.Entries)
 		if err := r.write(body{HardState: b.HardState, Entries: b.Entries}); err != nil {
 			return err
 		}
@@ -202,6 +226,30 @@
 	})
 }
 
+// checkBatch refuses entries that would leave a gap or replace the snapshot.
+func (r *Recorder) checkBatch(b Batch) error {
+	if len(b.Entries) == 0 {
+		return nil
+	}
+	first := b.Entries[0].Index
+	if first <= r.snapshot.Index || first > r.last().Index+1 {
+		return explainer.New(explainer.Internal,
+			fmt.Sprintf("entry %d does not follow the log from %d to %d", first, r.snapshot.Index, r.last().Index), "")
+	}
+	return nil
+}
+
+// truncate begins a new segment where entries of earlier segments are replaced,
+// so that a segment never depends on what an earlier one holds beyond its begin.
+func (r *Recorder) truncate(entries []Entry) error {
+	begin := r.segments[len(r.segments)-1].begin
+	if len(entries) == 0 || entries[0].Index > begin {
+		return nil
+	}
+	r.tail = r.tail[:entries[0].Index-r.snapshot.Index-1]
+	return r.rotate(nil)
+}
+
 // SaveSnapshot makes a snapshot of the replica's own applied entries last and
 // removes the segments that it covers.
 func (r *Recorder) SaveSnapshot(s Snapshot) error {
@@ -209,9 +257,14 @@
 		if s.Position.Index <= r.snapshot.Index {
 			return nil
 		}
+		if s.Position.Index > r.last().Index {
+			return explainer.New(explainer.Internal, "a snapshot goes beyond the log", "")
+		}
+		tail := slices.Clone(r.tail[s.Position.Index-r.snapshot.Index:])
 		if err := r.writeSnapshot(s); err != nil {
 			return err
 		}
+		r.tail = tail
 		if err := r.rotate(nil); err != nil {
 			return err
 		}
@@ -225,7 +278,7 @@
 		if err := r.writeSnapshot(s); err != nil {
 			return err
 		}
-		r.last = s.Position
+		r.tail = nil
 		if err := r.rotate(&s.Position); err != nil {
 			return err
 		}
@@ -317,7 +370,7 @@
 		return failed(err, "creation of a mark")
 	}
 	r.file, r.mark, r.written = file, mark, 0
-	hardState, begin := r.hardState, r.last
+	hardState, begin := r.hardState, r.last()
 	if reset != nil {
 		begin = *reset
 	}
--- a/recorder/segment.go
+++ b/recorder/segment.go
@@ -17,7 +17,8 @@
 // segment is one file of the log.
 type segment struct {
 	number uint64
-	// begin is the last index of the log before this segment.
+	// begin is the last index of the log before this segment. No entry in it
+	// has this index or a lower one.
 	begin Index
 }
 
@@ -50,6 +51,8 @@
 	entries   []Entry
 	next      sequence
 	started   bool
+	// segmentBegin is the index that the last segment begins after.
+	segmentBegin Index
 }
 
 func (p *replay) last() Position {
@@ -82,8 +85,17 @@
 		p.begin = *b.Reset
 		p.entries = nil
 	}
-	if b.Begin != nil && *b.Begin != p.last() {
-		return fmt.Errorf("segment begins after entry %d, but the log ends at entry %d", b.Begin.Index, p.last().Index)
+	if b.Begin != nil && b.Begin.Index < p.begin.Index {
+		// The segments that held this position are gone: the snapshot covers it.
+		p.begin = *b.Begin
+		p.entries = nil
+	}
+	if b.Begin != nil {
+		if at, ok := p.at(b.Begin.Index); !ok || at != *b.Begin {
+			return fmt.Errorf("segment begins after entry %d, which the log to entry %d lacks", b.Begin.Index, p.last().Index)
+		}
+		p.entries = p.entries[:b.Begin.Index-p.begin.Index]
+		p.segmentBegin = b.Begin.Index
 	}
 	p.started = true
 	for _, e := range b.Entries {
@@ -119,10 +131,11 @@
 		if i > 0 && n != numbers[i-1]+1 {
 			return nil, corrupt("segment %s is missing", filepath.Join(r.cfg.Folder, segmentName(n-1)))
 		}
-		r.segments = append(r.segments, segment{number: n, begin: p.last().Index})
-		if err := r.loadSegment(p, n, i == len(numbers)-1); err != nil {
+		begin, err := r.loadSegment(p, n, i == len(numbers)-1)
+		if err != nil {
 			return nil, err
 		}
+		r.segments = append(r.segments, segment{number: n, begin: begin})
 	}
 	return p, nil
 }
@@ -144,29 +157,30 @@
 	return nil
 }
 
-func (r *Recorder) loadSegment(p *replay, number uint64, last bool) error {
+// loadSegment takes in one segment and returns the index that it begins after.
+func (r *Recorder) loadSegment(p *replay, number uint64, last bool) (begin Index, err error) {
 	path := filepath.Join(r.cfg.Folder, segmentName(number))
 	data, err := r.fs.Read(path)
 	if err != nil {
-		return failed(err, "read of "+path)
+		return 0, failed(err, "read of "+path)
 	}
 	synced, err := r.loadMark(number)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	whole, err := p.read(data)
 	if err != nil {
-		return corrupt("segment %s is damaged: %v", path, err)
+		return 0, corrupt("segment %s is damaged: %v", path, err)
 	}
 	if whole < len(data) || int64(whole) < synced {
 		if err := checkTorn(p, data, whole, synced, last); err != nil {
-			return corrupt("segment %s is damaged at byte %d: %v", path, whole, err)
+			return 0, corrupt("segment %s is damaged at byte %d: %v", path, whole, err)
 		}
 	}
 	if !last || int64(whole) == synced && whole == len(data) {
-		return nil
+		return p.segmentBegin, nil
 	}
-	return r.rewriteSegment(number, data[:whole])
+	return p.segmentBegin, r.rewriteSegment(number, data[:whole])
 }
 
 // checkTorn tells whether the bytes after whole can be one write that was cut
--- a/replicator/randomised_test.go
+++ b/replicator/randomised_test.go
@@ -71,7 +71,18 @@
 			}
 			pause(t)
 		},
-		"read":  func(t *rapid.T) { w.read(ask(t)); pause(t) },
+		"read": func(t *rapid.T) {
+			for _, n := range w.nodes {
+				w.read(n)
+			}
+			pause(t)
+		},
+		"thawAndRead": func(t *rapid.T) {
+			n := pick(t)
+			n.thaw()
+			w.read(n)
+			pause(t)
+		},
 		"crash": func(t *rapid.T) { pick(t).crash(); pause(t) },
 		"restart": func(t *rapid.T) {
 			if n := pick(t); !n.running {
@@ -120,17 +131,21 @@
 			if leader == nil {
 				t.Skip("no leader")
 			}
-			for _, j := range leader.reducer.Status().Joiners {
-				w.admit(leader, j.Name)
+			for _, n := range w.nodes {
+				for _, j := range n.reducer.Status().Joiners {
+					w.admit(n, j.Name)
+				}
 			}
 			pause(t)
 		},
 		"remove": func(t *rapid.T) {
-			if !w.whole() {
+			if w.lostVoters() > 0 || len(w.membership().Members) < 3 {
 				t.Skip("members are missing")
 			}
-			w.nextID++
-			ask(t).feed(replicator.RemoveRequested{ID: w.nextID, Name: pick(t).name})
+			for _, n := range w.nodes {
+				w.nextID++
+				n.feed(replicator.RemoveRequested{ID: w.nextID, Name: pick(t).name})
+			}
 			pause(t)
 		},
 	}
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -481,10 +481,10 @@
 	return w.settled() && w.lostVoters() < (len(w.nodes)-1)/2
 }
 
-// repairing reports whether any replica takes the node for a member.
+// repairing reports whether any member takes the node for a member too.
 func (w *world) repairing(n *node) bool {
 	for _, other := range w.nodes {
-		if other == n {
+		if _, member := w.membership().Find(other.replica); other == n || !member {
 			continue
 		}
 		for _, m := range other.reducer.Status().Members {
