parser: print settings of single roles so that they can be read back

Print wrote the tables of roles that the process doesn't have, and ParseSettings refuses those. The fuzz target missed it for want of a valid seed with Roles; it has one now.

--- a/parser/print.go
+++ b/parser/print.go
@@ -12,9 +12,15 @@
 	"celeryvalve/identifier"
 )
 
-// Print renders the settings as TOML. ParseSettings reads the same settings back.
+// Print renders the settings as TOML, without the tables of roles that the
+// process doesn't have. ParseSettings reads the same settings back.
 func Print(s Settings) []byte {
-	return Format(s)
+	f := formatter{hidden: make(map[Path]bool)}
+	for _, role := range []Role{Entry, Agent} {
+		f.hidden[Path(role)] = !s.Has(role)
+	}
+	f.table("", reflect.ValueOf(s))
+	return f.text()
 }
 
 // Format renders a struct as TOML that DecodeInto reads back: scalars first,
@@ -22,7 +28,7 @@
 func Format(value any) []byte {
 	var f formatter
 	f.table("", reflect.ValueOf(value))
-	return []byte(strings.TrimPrefix(f.String(), "\n"))
+	return f.text()
 }
 
 // Flatten returns the text of each value of a struct that isn't zero, by path. A
@@ -51,6 +57,11 @@
 
 type formatter struct {
 	strings.Builder
+	hidden map[Path]bool // tables that are left out
+}
+
+func (f *formatter) text() []byte {
+	return []byte(strings.TrimPrefix(f.String(), "\n"))
 }
 
 // member is one key of a table with its value.
@@ -85,7 +96,7 @@
 }
 
 func (f *formatter) header(path Path, table reflect.Value) {
-	if table.Kind() == reflect.Map && table.Len() == 0 {
+	if f.hidden[path] || (table.Kind() == reflect.Map && table.Len() == 0) {
 		return
 	}
 	for _, m := range membersOf(table) {
--- a/parser/settings_test.go
+++ b/parser/settings_test.go
@@ -33,6 +33,20 @@
 	require.Equal(t, s, again)
 }
 
+func TestPrintOfOneRoleIsReadBack(t *testing.T) {
+	const entry = `Name = "e1"
+Roles = ["Entry"]
+[[Control.Members]]
+Name = "c1"
+Address = "10.0.0.1:7400"
+`
+	s, err := parser.ParseSettings("entry.toml", []byte(entry))
+	require.NoError(t, err)
+	again, err := parser.ParseSettings("printed.toml", parser.Print(s))
+	require.NoError(t, err, "%s", parser.Print(s))
+	require.Equal(t, s, again)
+}
+
 func TestParseSettingsTellsEveryFaultAtOnce(t *testing.T) {
 	const file = `Name = "a"
 Listen = "localhost:7400"
@@ -130,6 +144,7 @@
 
 func FuzzParseSettings(f *testing.F) {
 	f.Add([]byte("Roles = [\"Entry\"]\n[[Control.Members]]\nName=\"a\"\n"))
+	f.Add([]byte("Roles = [\"Entry\"]\n[[Control.Members]]\nName=\"a\"\nAddress=\"10.0.0.1:1\"\n"))
 	f.Add(parser.Print(parser.Defaults()))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := parser.ParseSettings("fuzz.toml", data)
