--- a/controller/quarantine.go
+++ b/controller/quarantine.go
@@ -52,6 +52,7 @@
 	crashes  []Crash // oldest first
 	seen     map[Crash]bool
 	changed  Index
+	check    Instant // nothing expires before it
 }
 
 func newQuarantine() quarantine {
@@ -124,11 +125,18 @@
 
 // expire drops suspects that crashed nothing for the time of retention.
 func (q *quarantine) expire(now Instant, index Index) {
+	if now < q.check {
+		return
+	}
+	q.check = now.after(QuarantineRetention)
 	for fingerprint, s := range q.suspects {
-		if s.Last.after(QuarantineRetention) <= now {
-			delete(q.suspects, fingerprint)
-			q.changed = index
+		expires := s.Last.after(QuarantineRetention)
+		if expires > now {
+			q.check = min(q.check, expires)
+			continue
 		}
+		delete(q.suspects, fingerprint)
+		q.changed = index
 	}
 }
 
