assembler: build the daemon of its roles

configurer sends services that share weights as one slice, so that every agent plans transfers over the same members; a change of any service sends the slice again, since it may have begun or ceased to share.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -69,17 +69,15 @@
 	onChange   func()
 }
 
-// New returns an announcer that is not started. progress tells the transfers for
-// the reports.
-func New(announcement controller.Announce, submitter Submitter, progress func() []subscriber.Transfer,
-	clock clockwork.Clock, logger *zap.Logger) *Announcer {
+// New returns an announcer that is not started.
+func New(announcement controller.Announce, submitter Submitter, clock clockwork.Clock, logger *zap.Logger) *Announcer {
 	return &Announcer{
 		announcement: announcement,
 		submitter:    submitter,
 		clock:        clock,
 		logger:       logger.Named("announcer"),
-		progress:     progress,
 		wake:         make(chan struct{}, 1),
+		progress:     func() []subscriber.Transfer { return nil },
 		onChange:     func() {},
 	}
 }
@@ -89,6 +87,11 @@
 	a.onChange = f
 }
 
+// OnReport lets f tell the transfers for every report. Call it before Start.
+func (a *Announcer) OnReport(f func() []subscriber.Transfer) {
+	a.progress = f
+}
+
 // Start begins to announce in the background.
 func (a *Announcer) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/assembler/claims.go
@@ -0,0 +1,143 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"celeryvalve/admitter"
+	"celeryvalve/controller"
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+	"celeryvalve/router"
+	"celeryvalve/submitter"
+)
+
+// claims reaches control's claims for entries and agents.
+type claims struct {
+	process   string
+	submitter *submitter.Submitter
+}
+
+// submit sends the command and returns an answer of type T.
+func submit[T any](ctx context.Context, s *submitter.Submitter, command any) (T, error) {
+	var none T
+	data, err := controller.EncodeCommand(command)
+	if err != nil {
+		return none, err
+	}
+	result, err := s.Submit(ctx, data)
+	if err != nil {
+		return none, err
+	}
+	switch answer := result.(type) {
+	case *controller.Rejected:
+		return none, answer.Err()
+	case T:
+		return answer, nil
+	default:
+		return none, explainer.New(explainer.Internal, fmt.Sprintf("control answered %T to %T", result, command),
+			"check that both processes run compatible releases")
+	}
+}
+
+// Claim asks for the right to start a non-idempotent request.
+func (c claims) Claim(ctx context.Context, r router.ClaimRequest) (router.ClaimAnswer, error) {
+	answer, err := submit[*controller.ClaimAnswer](ctx, c.submitter, &controller.Claim{
+		Organisation: r.Organisation,
+		Service:      r.Service,
+		Key:          r.Key,
+		BodyDigest:   r.BodyDigest,
+		Request:      r.Request,
+		Attempt:      r.Attempt,
+		Upstream:     r.Upstream,
+		Incarnation:  r.Incarnation,
+		Entry:        c.process,
+		Replaces:     r.Replaces,
+	})
+	if err != nil {
+		return router.ClaimAnswer{}, err
+	}
+	return claimAnswerOf(answer)
+}
+
+var claimStatuses = map[controller.ClaimStatus]router.ClaimStatus{
+	controller.Granted:    router.Granted,
+	controller.InProgress: router.Held,
+	controller.Settled:    router.Stored,
+	controller.Mismatch:   router.Mismatched,
+	controller.Full:       router.Unavailable,
+	controller.Fenced:     router.Unavailable,
+}
+
+func claimAnswerOf(a *controller.ClaimAnswer) (router.ClaimAnswer, error) {
+	answer := router.ClaimAnswer{
+		Status:      claimStatuses[a.Status],
+		Token:       a.Token,
+		Request:     a.Request,
+		Attempt:     a.Attempt,
+		Upstream:    a.Upstream,
+		Incarnation: a.Incarnation,
+	}
+	if a.Status != controller.Settled {
+		return answer, nil
+	}
+	if len(a.Answer) > 0 {
+		if err := cbor.Unmarshal(a.Answer, &answer.Answer); err != nil {
+			return answer, explainer.Wrap(err, explainer.Corrupt, "the stored answer is malformed",
+				"check that all processes run compatible releases")
+		}
+	}
+	answer.Answer.Outcome = router.Outcome(a.Outcome)
+	return answer, nil
+}
+
+// Settle ends a claim under its token.
+func (c claims) Settle(ctx context.Context, s router.Settlement) error {
+	stored, err := cbor.Marshal(s.Answer)
+	if err != nil {
+		return err
+	}
+	_, err = submit[*controller.SettleAnswer](ctx, c.submitter, &controller.Settle{
+		Organisation: s.Organisation,
+		Service:      s.Service,
+		Key:          s.Key,
+		Token:        s.Token,
+		Outcome:      controller.Outcome(s.Answer.Outcome),
+		Answer:       stored,
+	})
+	return err
+}
+
+// crashes tells control about requests that crashed the upstream.
+type crashes struct {
+	service   identifier.Service
+	submitter *submitter.Submitter
+	number    atomic.Uint64
+}
+
+// ReportCrash tells which requests were in flight at a crash.
+func (c *crashes) ReportCrash(ctx context.Context, r admitter.CrashReport) error {
+	command := &controller.ReportCrash{
+		Upstream:    r.Upstream,
+		Incarnation: r.Incarnation,
+		Crash:       c.number.Add(1),
+	}
+	for _, fingerprint := range r.Suspects {
+		command.InFlight = append(command.InFlight, controller.InFlight{
+			Fingerprint: controller.Fingerprint(fingerprint),
+			Service:     c.service,
+		})
+	}
+	_, err := submit[*controller.QuarantineAnswer](ctx, c.submitter, command)
+	return err
+}
+
+// ReportCleared tells that a suspect ran alone to its end.
+func (c *crashes) ReportCleared(ctx context.Context, fingerprint router.Fingerprint) error {
+	command := &controller.ClearSuspects{Fingerprints: []controller.Fingerprint{controller.Fingerprint(fingerprint)}}
+	_, err := submit[*controller.QuarantineAnswer](ctx, c.submitter, command)
+	return err
+}
--- /dev/null
+++ b/assembler/control.go
@@ -0,0 +1,239 @@
+package assembler
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"celeryvalve/administrator"
+	"celeryvalve/asserter"
+	"celeryvalve/certifier"
+	"celeryvalve/configurer"
+	"celeryvalve/connector"
+	"celeryvalve/controller"
+	"celeryvalve/coordinator"
+	"celeryvalve/explainer"
+	"celeryvalve/parser"
+	"celeryvalve/publisher"
+	"celeryvalve/recorder"
+	"celeryvalve/submitter"
+	"celeryvalve/subscriber"
+)
+
+const controlFolder = "control"
+
+func controlOptions() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			newRecorder,
+			controller.New,
+			newCoordinator,
+			newPublisher,
+			newKeeper,
+			newAdministrator,
+		),
+		fx.Invoke(serveControl),
+	)
+}
+
+// machine tells the publisher about every change of the replicated state.
+type machine struct {
+	*controller.State
+	changed func()
+}
+
+// Apply takes in one command.
+func (m *machine) Apply(index uint64, at time.Time, data []byte) any {
+	result := m.State.Apply(index, at, data)
+	m.changed()
+	return result
+}
+
+// Restore replaces the whole state.
+func (m *machine) Restore(data []byte) error {
+	err := m.State.Restore(data)
+	m.changed()
+	return err
+}
+
+// transport sends the messages between replicas.
+type transport struct {
+	endpoint *connector.Endpoint
+}
+
+// Send sends the message or drops it.
+func (t transport) Send(to netip.AddrPort, msg any) {
+	t.endpoint.Post(to, msg)
+}
+
+// replicaParts are what a replica is made of, before it starts.
+type replicaParts struct {
+	fx.Out
+
+	Machine     *machine
+	Coordinator *coordinator.Coordinator
+}
+
+func newRecorder(lc fx.Lifecycle, settings parser.Settings) (*recorder.Recorder, error) {
+	cfg := recorder.Config{Folder: filepath.Join(settings.DataFolder, controlFolder), Name: settings.Name}
+	store, err := recorder.Open(recorder.Disk{}, cfg, rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StopHook(store.Close))
+	return store, nil
+}
+
+func newCoordinator(settings parser.Settings, store *recorder.Recorder, state *controller.State, e *connector.Endpoint,
+	clock clockwork.Clock, a asserter.Asserter, logger *zap.Logger) replicaParts {
+	m := &machine{State: state, changed: func() {}}
+	cfg := coordinator.Config{Name: settings.Name, Addr: settings.Listen}
+	for _, member := range settings.Control.Members {
+		cfg.Members = append(cfg.Members, coordinator.Member{Name: member.Name, Addr: member.Address})
+	}
+	return replicaParts{
+		Machine:     m,
+		Coordinator: coordinator.New(cfg, store, m, transport{e}, clock, a, logger),
+	}
+}
+
+// appliedState shows the replicated state to the publisher.
+type appliedState struct {
+	*controller.State
+}
+
+// MembersSince returns the members that changed after the index.
+func (s appliedState) MembersSince(index uint64) subscriber.MembersUpdate {
+	delta := s.State.MembersSince(controller.Index(index))
+	update := subscriber.MembersUpdate{Index: uint64(delta.Index), Whole: delta.Whole, Removed: delta.Removed}
+	for _, m := range delta.Members {
+		update.Changed = append(update.Changed, memberOf(m))
+	}
+	return update
+}
+
+func memberOf(m controller.Member) subscriber.Member {
+	// State refuses to register an address that is not an IP number and a port.
+	address, _ := netip.ParseAddrPort(m.Address)
+	return subscriber.Member{
+		Upstream:         m.Upstream,
+		Incarnation:      m.Incarnation,
+		Address:          address,
+		Instance:         m.Instance,
+		Region:           m.Region,
+		AvailabilityZone: m.AvailabilityZone,
+		Service:          m.Service,
+		ReportsLoad:      m.ReportsLoad,
+		Leaving:          m.Leaving,
+		Ready:            m.Serving,
+		Model:            m.Model,
+		Version:          m.Version,
+		Adapters:         m.Adapters,
+	}
+}
+
+// Configuration returns the configuration in force.
+func (s appliedState) Configuration() configurer.Configuration {
+	return s.State.Configuration()
+}
+
+func newPublisher(state *controller.State, e *connector.Endpoint, c *coordinator.Coordinator, clock clockwork.Clock,
+	logger *zap.Logger) *publisher.Publisher {
+	return publisher.New(appliedState{state}, e, c, clock, logger)
+}
+
+func newAdministrator(settings parser.Settings, source *certifier.Source, state *controller.State,
+	c *coordinator.Coordinator, s *submitter.Submitter, p *publisher.Publisher, e *connector.Endpoint,
+	logger *zap.Logger) *administrator.Server {
+	deps := administrator.Dependencies{State: state, Replica: c, Submitter: s, Publisher: p, Caller: e}
+	return administrator.New(settings.Control.Operators, source, deps, logger)
+}
+
+// controlParts are what serveControl ties together.
+type controlParts struct {
+	fx.In
+
+	Lifecycle     fx.Lifecycle
+	Endpoint      *connector.Endpoint
+	Machine       *machine
+	Coordinator   *coordinator.Coordinator
+	Publisher     *publisher.Publisher
+	Keeper        *keeper
+	Administrator *administrator.Server
+	Metrics       *metrics.Set
+	Logger        *zap.Logger
+}
+
+func serveControl(parts controlParts) {
+	parts.Machine.changed = parts.Publisher.Notify
+	for _, entry := range coordinator.Messages() {
+		parts.Endpoint.Handle(entry.Kind(), receiveReplicas(parts.Coordinator, parts.Logger))
+	}
+	parts.Endpoint.Handle(subscriber.SubscribeKind, parts.Publisher.Serve)
+	parts.Endpoint.Handle(publisher.RenewKind, parts.Keeper.serve)
+	parts.Endpoint.Handle(administrator.StatusKind, parts.Administrator.ServeStatus)
+	server := submitter.NewServer(parts.Coordinator, permitCommand, parts.Logger)
+	parts.Endpoint.Handle(submitter.Kind, server.Serve)
+	parts.Metrics.NewGauge("celeryvalve_control_leader", func() float64 {
+		if parts.Coordinator.IsLeader() {
+			return 1
+		}
+		return 0
+	})
+	parts.Lifecycle.Append(fx.StartStopHook(parts.Coordinator.Start, parts.Coordinator.Stop))
+	parts.Lifecycle.Append(fx.StartStopHook(parts.Keeper.start, parts.Keeper.stop))
+	parts.Lifecycle.Append(fx.StartStopHook(parts.Publisher.Start, parts.Publisher.Stop))
+	parts.Lifecycle.Append(fx.StartStopHook(parts.Administrator.Start, parts.Administrator.Stop))
+}
+
+// receiveReplicas hands the messages of other replicas to the coordinator.
+func receiveReplicas(c *coordinator.Coordinator, logger *zap.Logger) connector.Handler {
+	return func(ctx context.Context, s *connector.Stream, first any) {
+		if !s.Peer().Has(certifier.Control) {
+			logger.Warn("Refused a replica without the role Control.", zap.String("peer", s.Peer().Name))
+			return
+		}
+		for msg, err := first, error(nil); err == nil; msg, err = s.Receive(ctx) {
+			c.Receive(s.Peer().Address, msg)
+		}
+	}
+}
+
+// permitCommand lets each role submit its own commands only.
+func permitCommand(peer connector.Peer, data []byte) error {
+	command, err := controller.DecodeCommand(data)
+	if err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(rolesFor(command), peer.Has) {
+		return explainer.New(explainer.Denied, fmt.Sprintf("%q may not submit %T", peer.Name, command),
+			"issue its key with the role that it needs")
+	}
+	return nil
+}
+
+// rolesFor returns the roles that may submit the command. Operators' commands
+// come through the control replica that took them.
+func rolesFor(command any) []certifier.Role {
+	switch command.(type) {
+	case *controller.SubmitPatch, *controller.Expire:
+		return []certifier.Role{certifier.Control}
+	case *controller.ClearSuspects:
+		return []certifier.Role{certifier.Control, certifier.Agent}
+	case *controller.Claim:
+		return []certifier.Role{certifier.Entry}
+	case *controller.Settle:
+		return []certifier.Role{certifier.Entry, certifier.Agent}
+	default:
+		return []certifier.Role{certifier.Agent}
+	}
+}
--- /dev/null
+++ b/assembler/entry.go
@@ -0,0 +1,180 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"celeryvalve/asserter"
+	"celeryvalve/configurer"
+	"celeryvalve/connector"
+	"celeryvalve/explainer"
+	"celeryvalve/exposer"
+	"celeryvalve/forwarder"
+	"celeryvalve/identifier"
+	"celeryvalve/parser"
+	"celeryvalve/router"
+	"celeryvalve/submitter"
+	"celeryvalve/subscriber"
+)
+
+func entryOptions() fx.Option {
+	return fx.Options(
+		fx.Provide(newForwarder),
+		fx.Invoke(serveEntry),
+	)
+}
+
+// organisations knows callers by the tokens of the configuration in force.
+type organisations struct {
+	book *subscriber.Book
+}
+
+// Authenticate returns the organisation whose token it is.
+func (o organisations) Authenticate(token string) (identifier.Organisation, error) {
+	digest := identifier.DigestOf([]byte(token))
+	organisation, ok := o.book.Configuration().Organisation(digest)
+	if !ok {
+		return "", explainer.New(explainer.Denied, "the bearer token is of no organisation",
+			"send the token that the operator gave you in the header Authorization")
+	}
+	return organisation, nil
+}
+
+func newForwarder(settings parser.Settings, e *connector.Endpoint, book *subscriber.Book, s *submitter.Submitter,
+	clock clockwork.Clock, set *metrics.Set, a asserter.Asserter, logger *zap.Logger) *forwarder.Forwarder {
+	cfg := forwarder.Config{Region: settings.Region, AvailabilityZone: settings.AvailabilityZone}
+	return forwarder.New(cfg, forwarder.Dependencies{
+		Opener:        forwarder.Through(e),
+		Claims:        claims{process: settings.Name, submitter: s},
+		Organisations: organisations{book},
+		Clock:         clock,
+		Logger:        logger,
+		Check:         a,
+		Metrics:       set,
+	})
+}
+
+// entryParts are what serveEntry ties together.
+type entryParts struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  parser.Settings
+	Book      *subscriber.Book
+	Forwarder *forwarder.Forwarder
+	Exposer   *exposer.Exposer
+	Logger    *zap.Logger
+}
+
+func serveEntry(parts entryParts) {
+	follow := func() {
+		cfg := parts.Book.Configuration()
+		parts.Forwarder.ChangePolicy(policyOf(cfg), serviceSettingsOf(cfg))
+		members, _ := parts.Book.Members()
+		parts.Forwarder.ChangeUpstreams(viewsOf(members))
+	}
+	parts.Book.Watch(follow)
+	var draining atomic.Bool
+	parts.Exposer.Require("entry", func() error {
+		if draining.Load() {
+			return explainer.New(explainer.Unavailable, "the entry is draining", "send requests to another entry")
+		}
+		return nil
+	})
+	server := parts.Forwarder.Server(parts.Settings.Entry.Listen)
+	parts.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			parts.Forwarder.Start()
+			return listen(server, parts.Logger)
+		},
+		OnStop: func(ctx context.Context) error {
+			draining.Store(true)
+			return drainEntry(ctx, parts.Forwarder, server)
+		},
+	})
+}
+
+func listen(server *http.Server, logger *zap.Logger) error {
+	listener, err := net.Listen("tcp", server.Addr)
+	if err != nil {
+		return explainer.Wrap(err, explainer.Unavailable, "can't listen on TCP "+server.Addr,
+			"choose an address of this machine that no other process uses")
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logger.Error("Serving callers ended.", zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// drainEntry answers the requests under way, then ends the connections.
+func drainEntry(ctx context.Context, f *forwarder.Forwarder, server *http.Server) error {
+	err := f.Drain(ctx)
+	err = errors.Join(err, server.Shutdown(ctx))
+	f.Stop()
+	return err
+}
+
+func policyOf(cfg configurer.Configuration) router.Policy {
+	var policy router.Policy
+	for _, name := range slices.Sorted(maps.Keys(cfg.Services)) {
+		service := cfg.Services[name]
+		policy.Services = append(policy.Services, router.ServicePolicy{
+			Service:    name,
+			Model:      service.Model,
+			Version:    service.Version,
+			MaxQueued:  service.QueueLimit,
+			RetryRatio: service.RetryBudget,
+		})
+	}
+	for _, name := range slices.Sorted(maps.Keys(cfg.Organisations)) {
+		policy.Organisations = append(policy.Organisations, router.OrganisationPolicy{
+			Organisation: name,
+			Weight:       float64(cfg.Organisations[name].Share),
+		})
+	}
+	return policy
+}
+
+func serviceSettingsOf(cfg configurer.Configuration) []forwarder.ServiceSettings {
+	var list []forwarder.ServiceSettings
+	for name, service := range cfg.Services {
+		list = append(list, forwarder.ServiceSettings{
+			Service:    name,
+			Repeatable: slices.Contains(service.IdempotentMethods, http.MethodPost),
+		})
+	}
+	return list
+}
+
+func viewsOf(members []subscriber.Member) []router.UpstreamView {
+	views := make([]router.UpstreamView, 0, len(members))
+	for _, m := range members {
+		views = append(views, router.UpstreamView{
+			Upstream:         m.Upstream,
+			Incarnation:      m.Incarnation,
+			Address:          m.Address,
+			Region:           m.Region,
+			AvailabilityZone: m.AvailabilityZone,
+			Service:          m.Service,
+			Model:            m.Model,
+			Version:          m.Version,
+			Adapters:         slices.Sorted(maps.Keys(m.Adapters)),
+			Ready:            m.Ready,
+			Leaving:          m.Leaving,
+			ReportsLoad:      m.ReportsLoad,
+		})
+	}
+	return views
+}
--- /dev/null
+++ b/assembler/process.go
@@ -0,0 +1,205 @@
+package assembler
+
+import (
+	"context"
+	"net/netip"
+	"os"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"celeryvalve/administrator"
+	"celeryvalve/asserter"
+	"celeryvalve/certifier"
+	"celeryvalve/configurer"
+	"celeryvalve/connector"
+	"celeryvalve/controller"
+	"celeryvalve/coordinator"
+	"celeryvalve/encoder"
+	"celeryvalve/explainer"
+	"celeryvalve/exposer"
+	"celeryvalve/fetcher"
+	"celeryvalve/identifier"
+	"celeryvalve/parser"
+	"celeryvalve/publisher"
+	"celeryvalve/router"
+	"celeryvalve/submitter"
+	"celeryvalve/subscriber"
+)
+
+// options is the daemon of the settings. The endpoint is made first, so that it
+// starts before and stops after everything that talks through it.
+func options(settings parser.Settings, logger *zap.Logger) fx.Option {
+	all := []fx.Option{
+		fx.Supply(settings, logger),
+		fx.Provide(
+			clockwork.NewRealClock,
+			metrics.NewSet,
+			newAsserter,
+			newSource,
+			newBook,
+			newCodec,
+			newEndpoint,
+			newExposer,
+			newSubmitter,
+		),
+		fx.Invoke(connectBook),
+	}
+	if settings.Has(parser.Control) {
+		all = append(all, controlOptions())
+	}
+	if settings.Has(parser.Agent) {
+		all = append(all, agentOptions())
+	}
+	if settings.Has(parser.Entry) {
+		all = append(all, entryOptions())
+	}
+	if !settings.Has(parser.Agent) {
+		all = append(all, fx.Invoke(subscribeWithoutUpstream))
+	}
+	return fx.Options(all...)
+}
+
+// newAsserter logs and counts breaches of invariants; the caller fails safe.
+func newAsserter(set *metrics.Set, logger *zap.Logger) asserter.Asserter {
+	logger = logger.Named("asserter")
+	return asserter.Reporting{Report: func(invariant asserter.Invariant, detail string) {
+		set.GetOrCreateCounter(`celeryvalve_invariant_breaches_total{invariant="` + string(invariant) + `"}`).Inc()
+		logger.Error("An invariant is broken.", zap.String("invariant", string(invariant)), zap.String("detail", detail))
+	}}
+}
+
+// newSource serves the keys of the settings. The embedded default makes an
+// authority and its own key when there are none.
+func newSource(settings parser.Settings, clock clockwork.Clock, logger *zap.Logger) (*certifier.Source, error) {
+	keys := settings.Keys
+	if keys.Folder == "" {
+		return certifier.NewSource(certifier.Paths{
+			Authority:   keys.Authority,
+			Certificate: keys.Certificate,
+			PrivateKey:  keys.PrivateKey,
+		}), nil
+	}
+	paths := certifier.PathsIn(keys.Folder, settings.Name)
+	if len(settings.Roles) == 0 {
+		if err := makeOwnKeys(settings, paths, clock, logger); err != nil {
+			return nil, err
+		}
+	}
+	return certifier.NewSource(paths), nil
+}
+
+func makeOwnKeys(settings parser.Settings, paths certifier.Paths, clock clockwork.Clock, logger *zap.Logger) error {
+	if _, err := os.Stat(paths.Certificate); err == nil {
+		return nil
+	}
+	authority, err := certifier.OpenAuthority(settings.Keys.Folder)
+	if explainer.KindOf(err) == explainer.NotFound {
+		authority, err = certifier.CreateAuthority(settings.Keys.Folder, clock.Now())
+	}
+	if err != nil {
+		return err
+	}
+	logger.Info("Made keys for a process with all roles.", zap.String("folder", settings.Keys.Folder))
+	roles := []certifier.Role{certifier.Entry, certifier.Control, certifier.Agent}
+	if err := authority.Issue(settings.Name, roles, clock.Now()); err != nil {
+		return err
+	}
+	return authority.Issue("operator", []certifier.Role{certifier.Operator}, clock.Now())
+}
+
+// newBook holds all of the configuration on entries and control, and the slice
+// of one service on agents.
+func newBook(settings parser.Settings, a asserter.Asserter) *subscriber.Book {
+	return subscriber.NewBook(needOf(settings), a)
+}
+
+func needOf(settings parser.Settings) configurer.Need {
+	if settings.Has(parser.Entry) || settings.Has(parser.Control) {
+		return configurer.Need{All: true}
+	}
+	return configurer.Need{Services: []identifier.Service{settings.Agent.Service}}
+}
+
+func newCodec() (*encoder.Codec, error) {
+	var entries []encoder.Entry
+	entries = append(entries, subscriber.Messages()...)
+	entries = append(entries, publisher.Messages()...)
+	entries = append(entries, submitter.Messages()...)
+	entries = append(entries, administrator.Messages()...)
+	entries = append(entries, coordinator.Messages()...)
+	entries = append(entries, controller.Messages()...)
+	entries = append(entries, router.Messages()...)
+	entries = append(entries, fetcher.Messages()...)
+	return encoder.New(entries...)
+}
+
+func newEndpoint(lc fx.Lifecycle, settings parser.Settings, codec *encoder.Codec, source *certifier.Source,
+	book *subscriber.Book, set *metrics.Set, logger *zap.Logger) *connector.Endpoint {
+	e := connector.New(connector.Config{Listen: settings.Listen}, codec, source, book, logger)
+	set.NewGauge("celeryvalve_control_bytes_sent", func() float64 {
+		sent, _ := e.Traffic()
+		return float64(sent)
+	})
+	set.NewGauge("celeryvalve_control_bytes_received", func() float64 {
+		_, received := e.Traffic()
+		return float64(received)
+	})
+	set.NewGauge("celeryvalve_configuration_version", func() float64 { return float64(book.Current()) })
+	lc.Append(fx.StartStopHook(e.Start, e.Stop))
+	return e
+}
+
+func connectBook(book *subscriber.Book, e *connector.Endpoint) {
+	book.Connect(e)
+	e.Handle(subscriber.ConfigurationRequestKind, book.ServeRequest)
+}
+
+func newExposer(lc fx.Lifecycle, settings parser.Settings, set *metrics.Set, book *subscriber.Book,
+	logger *zap.Logger) *exposer.Exposer {
+	e := exposer.New(settings.Admin, set, logger)
+	e.Require("configuration", func() error {
+		if book.Current() == 0 {
+			return explainer.New(explainer.Unavailable, "no configuration is in force here", "wait for control, or submit the first patch")
+		}
+		return nil
+	})
+	lc.Append(fx.StartStopHook(e.Start, e.Stop))
+	return e
+}
+
+func controlAddresses(settings parser.Settings) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(settings.Control.Members))
+	for _, m := range settings.Control.Members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+func newSubmitter(settings parser.Settings, e *connector.Endpoint, clock clockwork.Clock) *submitter.Submitter {
+	return submitter.New(e, controlAddresses(settings), clock)
+}
+
+func subscribeWithoutUpstream(lc fx.Lifecycle, settings parser.Settings, book *subscriber.Book,
+	e *connector.Endpoint, clock clockwork.Clock, logger *zap.Logger) {
+	subscribe(lc, settings, book, e, nil, clock, logger)
+}
+
+func subscribe(lc fx.Lifecycle, settings parser.Settings, book *subscriber.Book, e *connector.Endpoint,
+	holder subscriber.Holder, clock clockwork.Clock, logger *zap.Logger) {
+	cfg := subscriber.Config{
+		Process:   settings.Name,
+		Need:      needOf(settings),
+		Addresses: controlAddresses(settings),
+	}
+	if holder != nil {
+		cfg.Upstream = settings.Agent.Upstream
+	}
+	s := subscriber.New(cfg, book, e, holder, clock, logger)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { s.Start(); return nil },
+		OnStop:  func(context.Context) error { s.Stop(); return nil },
+	})
+}
--- a/cmd/celeryvalved/main.go
+++ b/cmd/celeryvalved/main.go
@@ -1,6 +1,12 @@
 // Command celeryvalved is the daemon.
 package main
 
-import _ "net" // links the C library
+import (
+	"os"
 
-func main() {}
+	"celeryvalve/assembler"
+)
+
+func main() {
+	os.Exit(assembler.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/configurer/delta.go
+++ b/configurer/delta.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
@@ -25,9 +26,12 @@
 // Need is what a process must know of the configuration.
 type Need struct {
 	All      bool                 // everything but operators: an entry
-	Services []identifier.Service // each with its model and adapters, and the transfers: an agent
+	Services []identifier.Service // with those that share their weights, and the transfers: an agent
 }
 
+// servicesPrefix begins the reference of every service.
+const servicesPrefix = "Services."
+
 // TombstonesKept is how many removed objects are remembered. A process that is
 // further behind gets a whole configuration in place of a delta.
 const TombstonesKept = 1024
@@ -155,12 +159,9 @@
 // closure returns the objects that the need's services use, and the services.
 func (c Configuration) closure(need Need) []Ref {
 	refs := []Ref{transfersRef}
-	for _, name := range need.Services {
+	for _, name := range c.Related(need) {
 		refs = append(refs, refOf("Services", string(name)))
-		service, ok := c.Services[name]
-		if !ok {
-			continue
-		}
+		service := c.Services[name]
 		if service.Model != "" {
 			refs = append(refs, refOf("Models", string(service.Model)))
 		}
@@ -171,12 +172,19 @@
 	return refs
 }
 
+// changedSince reports whether the slice of the need may have changed. Any change
+// of a service counts: it may have begun or ceased to share weights.
 func (c Configuration) changedSince(have identifier.ConfigurationVersion, need Need) bool {
 	for _, ref := range c.closure(need) {
 		if c.Stamps[ref] > have {
 			return true
 		}
 	}
+	for ref, stamp := range c.Stamps {
+		if stamp > have && strings.HasPrefix(string(ref), servicesPrefix) {
+			return true
+		}
+	}
 	return false
 }
 
--- /dev/null
+++ b/configurer/related.go
@@ -0,0 +1,36 @@
+package configurer
+
+import (
+	"maps"
+	"slices"
+
+	"celeryvalve/identifier"
+)
+
+// Related returns, by name, the services of the need and those that use a model
+// or an adapter of theirs: the upstreams of all of them exchange weights.
+func (c Configuration) Related(need Need) []identifier.Service {
+	var related []identifier.Service
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		if need.All || c.sharesWeights(name, need.Services) {
+			related = append(related, name)
+		}
+	}
+	return related
+}
+
+func (c Configuration) sharesWeights(name identifier.Service, needed []identifier.Service) bool {
+	a := c.Services[name]
+	for _, other := range needed {
+		b := c.Services[other]
+		if name == other || (a.Model != "" && a.Model == b.Model) {
+			return true
+		}
+		for adapter := range a.Adapters {
+			if _, ok := b.Adapters[adapter]; ok {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/exposer/exposer.go
+++ b/exposer/exposer.go
@@ -34,6 +34,7 @@
 
 	mu         sync.Mutex
 	conditions map[string]Condition
+	mounts     map[string]http.Handler
 }
 
 // New returns an exposer of the metrics in set that is not started.
@@ -43,6 +44,7 @@
 		set:        set,
 		logger:     logger.Named("exposer"),
 		conditions: make(map[string]Condition),
+		mounts:     make(map[string]http.Handler),
 	}
 }
 
@@ -53,6 +55,11 @@
 	e.conditions[name] = condition
 }
 
+// Mount serves everything below the prefix by h. Call it before Start.
+func (e *Exposer) Mount(prefix string, h http.Handler) {
+	e.mounts[prefix] = h
+}
+
 // Start binds the address and serves.
 func (e *Exposer) Start() error {
 	listener, err := net.Listen("tcp", e.listen.String())
@@ -88,6 +95,9 @@
 	r.HandleFunc("/metrics", e.serveMetrics).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", serveHealth).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", e.serveReadiness).Methods(http.MethodGet)
+	for prefix, h := range e.mounts {
+		r.PathPrefix(prefix).Handler(h)
+	}
 	return r
 }
 
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -128,7 +128,7 @@
 		everything:  request.Need.All,
 	}
 	if !sub.everything {
-		sub.services = relatedServices(p.state.Configuration(), request.Need)
+		sub.services = p.state.Configuration().Related(request.Need)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/publisher/subscription.go
+++ b/publisher/subscription.go
@@ -1,7 +1,6 @@
 package publisher
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -55,7 +54,7 @@
 // nextMembers returns the members that changed among the services that matter to
 // the subscriber. When those services change, it returns all of them.
 func (s *subscription) nextMembers(state State, cfg configurer.Configuration) *subscriber.MembersUpdate {
-	services := relatedServices(cfg, s.need)
+	services := cfg.Related(s.need)
 	if !s.everything && !slices.Equal(services, s.services) {
 		s.services = services
 		s.sentIndex = 0
@@ -75,31 +74,3 @@
 	}
 	return &update
 }
-
-// relatedServices returns the services that use a model or adapter that the
-// needed services use too: their upstreams exchange weights.
-func relatedServices(cfg configurer.Configuration, need configurer.Need) []identifier.Service {
-	var related []identifier.Service
-	for _, name := range slices.Sorted(maps.Keys(cfg.Services)) {
-		if sharesWeights(cfg, name, need.Services) {
-			related = append(related, name)
-		}
-	}
-	return related
-}
-
-func sharesWeights(cfg configurer.Configuration, name identifier.Service, needed []identifier.Service) bool {
-	a := cfg.Services[name]
-	for _, other := range needed {
-		b := cfg.Services[other]
-		if name == other || (a.Model != "" && a.Model == b.Model) {
-			return true
-		}
-		for adapter := range a.Adapters {
-			if _, ok := b.Adapters[adapter]; ok {
-				return true
-			}
-		}
-	}
-	return false
-}
