replicator: refuse to replace a member that answers

An announcement that was long under way could admit a disk that had itself been lost and replaced; its learner then stood in the way of every later change. A member that answers is no longer replaced, and RemoveRequested takes back an admission.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -158,7 +158,8 @@
 	return err
 }
 
-// RemoveMember removes the member of that name. It works on the leader only.
+// RemoveMember removes the member of that name, or takes back its admission
+// while it is a learner. It works on the leader only.
 func (c *Coordinator) RemoveMember(ctx context.Context, name string) error {
 	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
 		return replicator.RemoveRequested{ID: id, Name: name}
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -62,7 +62,8 @@
 	Name string
 }
 
-// RemoveRequested asks to remove the member of that name.
+// RemoveRequested asks to remove the member of that name, or to take back its
+// admission while it is a learner.
 type RemoveRequested struct {
 	ID   RequestID
 	Name string
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -46,6 +46,9 @@
 	return ""
 }
 
+// admit adds the new replica as a learner. A voter of the same name must have
+// fallen silent: an announcement that was long under way could otherwise stand
+// for a disk that is itself replaced already.
 func (r *Replicator) admit(id RequestID, name string) {
 	if !r.beginChange(id) {
 		return
@@ -68,6 +71,9 @@
 		case m.Replica == r.cfg.Replica:
 			r.reject(id, NotPossible, "the leader can't be replaced; transfer the leadership first")
 			return
+		case m.Voter && r.answers(m.Replica):
+			r.reject(id, NotPossible, fmt.Sprintf("member %s of that name still answers", m.Replica))
+			return
 		case m.Voter:
 			added.Replaces = m.Replica
 			next.Members = append(next.Members, m)
@@ -78,11 +84,16 @@
 	r.changeMembership(next)
 }
 
+// remove removes the member of that name, or only its learner where there is
+// one: an admission that will not end is taken back this way.
 func (r *Replicator) remove(id RequestID, name string) {
 	if !r.beginChange(id) {
 		return
 	}
-	next, removed := r.without(func(m recorder.Member) bool { return m.Name == name })
+	next, removed := r.without(func(m recorder.Member) bool { return m.Name == name && !m.Voter })
+	if !removed {
+		next, removed = r.without(func(m recorder.Member) bool { return m.Name == name })
+	}
 	if !removed {
 		r.reject(id, NotPossible, fmt.Sprintf("no member has the name %q", name))
 		return
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -560,10 +560,21 @@
 		for _, j := range leader.reducer.Status().Joiners {
 			w.admit(leader, j.Name)
 		}
+		w.takeBack(leader)
 		return w.whole() && len(leader.reducer.Status().Joiners) == 0
 	})
 }
 
+// takeBack removes learners whose disk is lost.
+func (w *world) takeBack(leader *node) {
+	for _, m := range leader.reducer.Status().Members {
+		if !m.Voter && w.lost[m.Replica] {
+			w.nextID++
+			leader.feed(replicator.RemoveRequested{ID: w.nextID, Name: m.Name})
+		}
+	}
+}
+
 // converge waits until a new command is applied on every node.
 func (w *world) converge() {
 	w.advanceUntil("every node applies a new command", func() bool {
