--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 	"celeryvalve/asserter"
 	"celeryvalve/coordinator"
 	"celeryvalve/encoder"
+	"celeryvalve/explainer"
 	"celeryvalve/recorder"
 )
 
@@ -137,48 +140,102 @@
 	t       testing.TB
 	folder  string
 	network *network
-	clock   clockwork.Clock
+	clocks  []clockwork.Clock
 	random  io.Reader
 	cfg     coordinator.Config
 	nodes   []*node
 }
 
-func newCluster(t testing.TB, n int, clock clockwork.Clock) *cluster {
-	c := &cluster{
-		t:       t,
-		folder:  t.TempDir(),
-		network: newNetwork(t),
-		clock:   clock,
-		random:  &counter{},
-		cfg:     coordinator.Config{HeartbeatInterval: 20 * time.Millisecond, ElectionTimeout: 200 * time.Millisecond},
-	}
+// newCluster returns n replicas, each with its clock. They are not started.
+func newCluster(t testing.TB, n int, clock func() clockwork.Clock) *cluster {
+	c := &cluster{t: t, folder: t.TempDir(), network: newNetwork(t), random: &counter{}}
 	for i := range n {
 		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7001+i))
 		c.cfg.Members = append(c.cfg.Members, coordinator.Member{Name: fmt.Sprintf("c%d", i+1), Addr: addr})
+		c.clocks = append(c.clocks, clock())
 	}
 	c.nodes = make([]*node, n)
+	t.Cleanup(func() {
+		for i := range c.nodes {
+			c.stop(i)
+		}
+	})
 	return c
 }
 
+// newFakeCluster returns replicas whose clocks run while the test does, but for
+// those that it has frozen.
+func newFakeCluster(t *testing.T, n int) *cluster {
+	const step = 5 * time.Millisecond
+	c := newCluster(t, n, func() clockwork.Clock { return &pausableClock{FakeClock: clockwork.NewFakeClock()} })
+	done := make(chan struct{})
+	var pump sync.WaitGroup
+	pump.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			for _, clock := range c.clocks {
+				clock.(*pausableClock).pass(step)
+			}
+		}
+	})
+	t.Cleanup(func() {
+		close(done)
+		pump.Wait()
+	})
+	return c
+}
+
+// pausableClock is a fake clock whose time can stand still like that of a
+// frozen process, and then jump.
+type pausableClock struct {
+	*clockwork.FakeClock
+	mu     sync.Mutex
+	paused bool
+	missed time.Duration
+}
+
+func (p *pausableClock) pass(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused {
+		p.missed += d
+		return
+	}
+	p.Advance(d + p.missed)
+	p.missed = 0
+}
+
+func (p *pausableClock) pause(paused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paused = paused
+}
+
+// freeze stops the replica's clock and loses its messages, or ends both.
+func (c *cluster) freeze(i int, frozen bool) {
+	c.clocks[i].(*pausableClock).pause(frozen)
+	c.network.setCut(c.cfg.Members[i].Addr, frozen)
+}
+
 func (c *cluster) startAll() {
 	for i := range c.nodes {
 		c.start(i, recorder.Disk{})
 	}
-	c.t.Cleanup(func() {
-		for i := range c.nodes {
-			c.stop(i)
-		}
-	})
 }
 
 func (c *cluster) start(i int, fs recorder.FileSystem) {
 	member := c.cfg.Members[i]
-	store, err := recorder.Open(fs, recorder.Config{Folder: filepath.Join(c.folder, member.Name), Name: member.Name}, c.random)
+	store, err := recorder.Open(fs, recorder.Config{Folder: c.dataFolder(i), Name: member.Name}, c.random)
 	require.NoError(c.t, err)
 	cfg := c.cfg
 	cfg.Name, cfg.Addr = member.Name, member.Addr
 	n := &node{member: member, store: store, sum: &sum{}}
-	n.Coordinator = coordinator.New(cfg, store, n.sum, port{network: c.network, from: member.Addr}, c.clock, asserter.Strict{}, zap.NewNop())
+	n.Coordinator = coordinator.New(cfg, store, n.sum, port{network: c.network, from: member.Addr}, c.clocks[i],
+		asserter.Strict{}, zap.NewNop())
 	c.nodes[i] = n
 	c.network.mu.Lock()
 	c.network.nodes[member.Addr] = n.Coordinator
@@ -186,6 +243,10 @@
 	require.NoError(c.t, n.Start(c.t.Context()))
 }
 
+func (c *cluster) dataFolder(i int) string {
+	return filepath.Join(c.folder, c.cfg.Members[i].Name)
+}
+
 // stop ends the replica at once, without a transfer of the leadership.
 func (c *cluster) stop(i int) {
 	n := c.nodes[i]
@@ -202,67 +263,97 @@
 	_ = n.store.Close()
 }
 
+// until waits for the condition. The time limit of the test run bounds it.
+func (c *cluster) until(condition func() bool) {
+	for !condition() {
+		require.NoError(c.t, c.t.Context().Err())
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // propose asks replicas until one has applied the command. Numbers may be added
 // twice where an outcome is not known.
-func (c *cluster) propose(value uint64) any {
-	for {
+func (c *cluster) propose(value uint64) (result any) {
+	c.until(func() bool {
 		for _, n := range c.nodes {
 			if n == nil || !n.IsLeader() {
 				continue
 			}
-			ctx, cancel := context.WithTimeout(c.t.Context(), 10*time.Second)
-			result, err := n.Propose(ctx, number(value))
-			cancel()
+			answer, err := n.Propose(c.t.Context(), number(value))
 			if err == nil {
-				return result
+				result = answer
+				return true
 			}
 		}
-		time.Sleep(time.Millisecond)
-	}
+		return false
+	})
+	return result
 }
 
-func (c *cluster) leader() int {
-	for {
+// leader returns the replica that proves that it leads.
+func (c *cluster) leader() (leader int) {
+	c.until(func() bool {
 		for i, n := range c.nodes {
 			if n != nil && n.IsLeader() && n.Barrier(c.t.Context()) == nil {
-				return i
+				leader = i
+				return true
 			}
 		}
-		time.Sleep(time.Millisecond)
-	}
+		return false
+	})
+	return leader
+}
+
+// agree waits until every running replica has applied as much as the leader.
+func (c *cluster) agree() {
+	want, _ := c.nodes[c.leader()].sum.value()
+	c.until(func() bool {
+		for _, n := range c.nodes {
+			if n == nil {
+				continue
+			}
+			if total, _ := n.sum.value(); total != want {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 func TestThreeReplicasAgree(t *testing.T) {
-	c := newCluster(t, 3, clockwork.NewRealClock())
+	c := newFakeCluster(t, 3)
 	c.startAll()
 	for i := uint64(1); i <= 20; i++ {
 		require.NotNil(t, c.propose(i))
 	}
-	leader := c.nodes[c.leader()]
-	require.NoError(t, leader.Barrier(t.Context()))
-	total, _ := leader.sum.value()
+	c.agree()
+	total, count := c.nodes[0].sum.value()
 	require.Equal(t, uint64(210), total)
+	require.Equal(t, uint64(20), count)
 }
 
 func TestSingleReplicaServes(t *testing.T) {
-	c := newCluster(t, 1, clockwork.NewRealClock())
+	c := newFakeCluster(t, 1)
 	c.startAll()
 	require.Equal(t, uint64(5), c.propose(5))
 }
 
 func TestNotLeaderNamesLeader(t *testing.T) {
-	c := newCluster(t, 3, clockwork.NewRealClock())
+	c := newFakeCluster(t, 3)
 	c.startAll()
 	c.propose(1)
 	leader := c.leader()
 	follower := c.nodes[(leader+1)%3]
+	c.until(func() bool { _, known := follower.Leader(); return known })
 	_, err := follower.Propose(t.Context(), number(1))
 	var notLeader *coordinator.NotLeaderError
 	require.ErrorAs(t, err, &notLeader)
+	require.Equal(t, c.nodes[leader].member.Addr, notLeader.Leader)
+	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
 }
 
 func TestIsolatedLeaderAcceptsNothing(t *testing.T) {
-	c := newCluster(t, 3, clockwork.NewRealClock())
+	c := newFakeCluster(t, 3)
 	c.startAll()
 	c.propose(1)
 	old := c.nodes[c.leader()]
@@ -270,11 +361,144 @@
 	_, err := old.Propose(t.Context(), number(100))
 	var unknown *coordinator.OutcomeUnknownError
 	require.ErrorAs(t, err, &unknown)
+	require.NotEqual(t, explainer.Unavailable, explainer.KindOf(err))
 	require.Error(t, old.Barrier(t.Context()))
 	require.Equal(t, uint64(3), c.propose(2))
 	c.network.setCut(old.member.Addr, false)
-	require.Eventually(t, func() bool {
-		total, _ := old.sum.value()
-		return total == 3
-	}, 10*time.Second, time.Millisecond)
+	c.agree()
+	total, _ := old.sum.value()
+	require.Equal(t, uint64(3), total)
+}
+
+// TestFrozenLeader: a leader that stood still for longer than any timeout
+// accepts nothing and serves no read when it goes on.
+func TestFrozenLeader(t *testing.T) {
+	c := newFakeCluster(t, 3)
+	c.startAll()
+	c.propose(1)
+	old := c.leader()
+	c.freeze(old, true)
+	c.until(func() bool { return c.nodes[(old+1)%3].IsLeader() || c.nodes[(old+2)%3].IsLeader() })
+	require.True(t, c.nodes[old].IsLeader())
+	frozen := c.nodes[old]
+	c.nodes[old] = nil
+	require.Equal(t, uint64(3), c.propose(2))
+	c.nodes[old] = frozen
+	read := make(chan error, 1)
+	go func() { read <- frozen.Barrier(t.Context()) }()
+	c.freeze(old, false)
+	require.Error(t, <-read)
+	c.agree()
+}
+
+// TestRestartAfterManyEntries restarts everything after more than 500 entries
+// with compaction, and lets a replica that missed them all catch up.
+func TestRestartAfterManyEntries(t *testing.T) {
+	const commands = 520
+	c := newFakeCluster(t, 3)
+	c.cfg.SnapshotEvery = 100
+	c.startAll()
+	c.propose(0)
+	absent := (c.leader() + 1) % 3
+	c.stop(absent)
+	var proposers sync.WaitGroup
+	for range 20 {
+		proposers.Go(func() {
+			for range commands / 20 {
+				c.propose(1)
+			}
+		})
+	}
+	proposers.Wait()
+	c.start(absent, recorder.Disk{})
+	c.agree()
+	for i := range c.nodes {
+		c.stop(i)
+	}
+	c.startAll()
+	c.propose(0)
+	c.agree()
+	total, _ := c.nodes[absent].sum.value()
+	require.GreaterOrEqual(t, total, uint64(commands))
+	require.Positive(t, c.nodes[absent].Status().Snapshot)
+}
+
+// TestLostDiskIsReplaced removes the data folder of a replica, admits the new
+// disk and then removes the folder of another one.
+func TestLostDiskIsReplaced(t *testing.T) {
+	c := newFakeCluster(t, 3)
+	c.startAll()
+	c.propose(7)
+	first := (c.leader() + 1) % 3
+	for _, i := range []int{first, (first + 1) % 3} {
+		c.stop(i)
+		require.NoError(t, os.RemoveAll(c.dataFolder(i)))
+		c.start(i, recorder.Disk{})
+		c.until(func() bool { return len(c.nodes[c.leader()].Status().Joiners) == 1 })
+		c.until(func() bool { return c.nodes[c.leader()].AdmitMember(t.Context(), c.cfg.Members[i].Name) == nil })
+		c.propose(1)
+	}
+	c.agree()
+	total, _ := c.nodes[first].sum.value()
+	require.GreaterOrEqual(t, total, uint64(9))
+}
+
+// failingDisk fails every sync once it is told to.
+type failingDisk struct {
+	recorder.Disk
+	failing *atomic.Bool
+}
+
+type failingFile struct {
+	recorder.File
+	failing *atomic.Bool
+}
+
+func (d failingDisk) Create(path string) (recorder.File, error) {
+	f, err := d.Disk.Create(path)
+	return failingFile{File: f, failing: d.failing}, err
+}
+
+func (f failingFile) Sync() error {
+	if f.failing.Load() {
+		return errors.New("input/output error")
+	}
+	return f.File.Sync()
+}
+
+// TestFailedSyncStopsReplica: the leader whose disk fails acknowledges nothing
+// more, and the others go on.
+func TestFailedSyncStopsReplica(t *testing.T) {
+	c := newFakeCluster(t, 3)
+	disks := make([]failingDisk, 3)
+	for i := range disks {
+		disks[i].failing = &atomic.Bool{}
+		c.start(i, disks[i])
+	}
+	c.propose(1)
+	failed := c.leader()
+	disks[failed].failing.Store(true)
+	_, err := c.nodes[failed].Propose(t.Context(), number(10))
+	require.Error(t, err)
+	c.until(func() bool { return c.nodes[failed].Status().Failure != nil })
+	_, err = c.nodes[failed].Propose(t.Context(), number(10))
+	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
+	require.False(t, c.nodes[failed].IsLeader())
+	broken := c.nodes[failed]
+	c.nodes[failed] = nil
+	require.NotNil(t, c.propose(2))
+	c.nodes[failed] = broken
+}
+
+func TestTransferLeadership(t *testing.T) {
+	c := newFakeCluster(t, 3)
+	c.startAll()
+	c.propose(1)
+	old := c.leader()
+	c.until(func() bool { return c.nodes[old].TransferLeadership(t.Context()) == nil })
+	require.False(t, c.nodes[old].IsLeader())
+	require.NotEqual(t, old, c.leader())
+	require.NoError(t, c.nodes[old].Stop(t.Context()))
+	_, err := c.nodes[old].Propose(t.Context(), number(1))
+	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
 }
