--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryvalve/encoder"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -13,6 +14,9 @@
 // DefaultSnapshotEvery is the number of entries after which a snapshot is taken.
 const DefaultSnapshotEvery = 1024
 
+// snapshotBytes is the size of commands after which a snapshot is taken in any case.
+const snapshotBytes identifier.ByteCount = 8 << 20
+
 // StateMachine is what the log is applied to. All of its methods are called
 // from one goroutine. Apply must depend on its arguments and on earlier calls
 // only, so that every replica comes to the same state.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 
 	"celeryvalve/asserter"
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -42,6 +43,8 @@
 	applied    recorder.Position
 	appliedAt  time.Time
 	snapshotAt recorder.Index
+	// bytes is the size of the commands applied since the last snapshot.
+	bytes identifier.ByteCount
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -102,10 +105,10 @@
 	return nil
 }
 
-// Stop hands over the leadership, if there is one, and ends the replica. The
+// Stop hands over the leadership while ctx lasts, and ends the replica. The
 // recorder stays open.
 func (c *Coordinator) Stop(ctx context.Context) error {
-	if c.IsLeader() {
+	if c.IsLeader() && ctx.Err() == nil {
 		if err := c.TransferLeadership(ctx); err != nil {
 			c.log.Info(logPrefix+"leadership not transferred", zap.Error(err))
 		}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -96,7 +96,7 @@
 	n := p.network
 	n.mu.Lock()
 	node := n.nodes[to]
-	cut := n.cut[p.from] || n.cut[to]
+	cut := n.cut[p.from] || n.cut[to] || n.nodes[p.from] == nil
 	n.mu.Unlock()
 	if node == nil || cut {
 		return
@@ -290,6 +290,20 @@
 	return result
 }
 
+// proposeMany proposes n times 1 by 20 callers.
+func (c *cluster) proposeMany(n int) {
+	const callers = 20
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for range n / callers {
+				c.propose(1)
+			}
+		})
+	}
+	running.Wait()
+}
+
 // leader returns the replica that proves that it leads.
 func (c *cluster) leader() (leader int) {
 	c.until(func() bool {
@@ -401,15 +415,7 @@
 	c.propose(0)
 	absent := (c.leader() + 1) % 3
 	c.stop(absent)
-	var proposers sync.WaitGroup
-	for range 20 {
-		proposers.Go(func() {
-			for range commands / 20 {
-				c.propose(1)
-			}
-		})
-	}
-	proposers.Wait()
+	c.proposeMany(commands)
 	c.start(absent, recorder.Disk{})
 	c.agree()
 	for i := range c.nodes {
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -91,9 +92,10 @@
 		c.applied = e.Position()
 		c.appliedAt = e.At
 		c.reach(e.Index)
+		c.bytes += identifier.ByteCount(len(e.Data))
 		c.waiters.applied(e, result)
 	}
-	if int(c.applied.Index-c.snapshotAt) >= c.cfg.SnapshotEvery {
+	if int(c.applied.Index-c.snapshotAt) >= c.cfg.SnapshotEvery || c.bytes > snapshotBytes {
 		c.takeSnapshot()
 	}
 }
@@ -111,6 +113,7 @@
 		return
 	}
 	c.snapshotAt = c.applied.Index
+	c.bytes = 0
 	c.writer.put(job{snapshot: &recorder.Snapshot{
 		Position:   c.applied,
 		At:         c.appliedAt,
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -17,8 +17,13 @@
 	DefaultMaxPendingBytes   identifier.ByteCount = 32 << 20
 	DefaultSnapshotChunk     identifier.ByteCount = 256 << 10
 	DefaultKeepEntries                            = 256
+	DefaultKeepBytes         identifier.ByteCount = 4 << 20
 )
 
+// MaxCommandBytes is the size of the largest command. It leaves room for the
+// rest of a frame between replicas.
+const MaxCommandBytes identifier.ByteCount = 4 << 20
+
 // Founder is a replica of the first start, as the settings name it.
 type Founder struct {
 	Name string
@@ -45,9 +50,10 @@
 	// MaxPendingBytes bounds the proposals that are not committed yet.
 	MaxPendingBytes identifier.ByteCount
 	SnapshotChunk   identifier.ByteCount
-	// KeepEntries is how many entries before a snapshot stay in memory, so that
-	// a follower slightly behind needs no snapshot.
+	// KeepEntries and KeepBytes bound the entries before a snapshot that stay in
+	// memory, so that a follower slightly behind needs no snapshot.
 	KeepEntries int
+	KeepBytes   identifier.ByteCount
 }
 
 func (c Config) withDefaults() Config {
@@ -59,6 +65,7 @@
 	setDefault(&c.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&c.SnapshotChunk, DefaultSnapshotChunk)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.KeepBytes, DefaultKeepBytes)
 	return c
 }
 
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -1,9 +1,11 @@
 package replicator
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 )
 
@@ -97,12 +99,8 @@
 	var entries []recorder.Entry
 	next := r.log.last().Index + 1
 	for _, p := range proposals {
-		if r.transfer != nil {
-			r.reject(p.ID, Busy, "the leadership is being transferred")
-			continue
-		}
-		if r.pendingBytes > int(r.cfg.MaxPendingBytes) {
-			r.reject(p.ID, Busy, "too much is waiting to be committed")
+		if reason, detail := r.refuses(p); reason != "" {
+			r.reject(p.ID, reason, detail)
 			continue
 		}
 		entries = append(entries, recorder.Entry{Kind: recorder.Command, Data: p.Data})
@@ -116,6 +114,20 @@
 	r.replicateAll()
 }
 
+// refuses tells why the leader takes in no such proposal now, or "".
+func (r *Replicator) refuses(p Proposal) (Reason, string) {
+	switch {
+	case identifier.ByteCount(len(p.Data)) > MaxCommandBytes:
+		return NotPossible, fmt.Sprintf("the command has %d bytes, and %d is the limit", len(p.Data), MaxCommandBytes)
+	case r.transfer != nil:
+		return Busy, "the leadership is being transferred"
+	case r.pendingBytes > int(r.cfg.MaxPendingBytes):
+		return Busy, "too much is waiting to be committed"
+	default:
+		return "", ""
+	}
+}
+
 func (r *Replicator) reject(id RequestID, reason Reason, detail string) {
 	rejected := Rejected{ID: id, Reason: reason, Detail: detail}
 	if !r.isLeader() {
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -70,10 +70,25 @@
 	l.entries = l.entries[:index-l.begin.Index-1]
 }
 
+// keepFrom returns the index after which at most n entries and about size bytes
+// lie up to last.
+func (l *log) keepFrom(last recorder.Index, n int, size identifier.ByteCount) recorder.Index {
+	index := last
+	var sum identifier.ByteCount
+	for ; index > l.begin.Index && int(last-index) < n; index-- {
+		e, _ := l.entry(index)
+		sum += identifier.ByteCount(len(e.Data))
+		if sum > size {
+			break
+		}
+	}
+	return index
+}
+
 // compact drops the entries up to index.
 func (l *log) compact(index recorder.Index) {
 	position, ok := l.at(index)
-	if !ok {
+	if !ok || index == l.begin.Index {
 		return
 	}
 	l.beginAt = l.timeOf(index)
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -31,10 +31,7 @@
 		return
 	}
 	r.snapshot = s
-	keep := recorder.Index(r.cfg.KeepEntries)
-	if s.Position.Index > keep && s.Position.Index-keep > r.log.begin.Index {
-		r.log.compact(s.Position.Index - keep)
-	}
+	r.log.compact(r.log.keepFrom(s.Position.Index, r.cfg.KeepEntries, r.cfg.KeepBytes))
 }
 
 func (r *Replicator) startSnapshot(m recorder.Member, p *progress) {
