--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -23,6 +23,8 @@
 	Request  requestCommand  `cmd:"" help:"Send one request and print its answer."`
 	Runs     runsCommand     `cmd:"" help:"Print how many runs a stand-in made."`
 	Counters countersCommand `cmd:"" help:"Print what was read from an origin."`
+	Wait     waitCommand     `cmd:"" help:"Wait until engines serve a version and print when they did."`
+	Fetch    fetchCommand    `cmd:"" help:"Fetch copies straight from an origin, as a baseline."`
 	Weights  weightsCommand  `cmd:"" help:"Write pseudo-random weights with their manifest and print the manifest's digest."`
 }
 
