--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"celeryvalve/asserter"
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -39,7 +41,10 @@
 	// Of the loop's goroutine only.
 	membership recorder.Membership
 	applied    recorder.Position
+	appliedAt  time.Time
 	snapshotAt recorder.Index
+	// bytes is the size of the commands applied since the last snapshot.
+	bytes identifier.ByteCount
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -84,6 +89,7 @@
 				"run a release that can read it, or replace this replica")
 		}
 		c.applied = s.Position
+		c.appliedAt = s.At
 		c.membership = s.Membership
 		c.snapshotAt = s.Position.Index
 		c.reached = s.Position.Index
@@ -99,10 +105,10 @@
 	return nil
 }
 
-// Stop hands over the leadership, if there is one, and ends the replica. The
+// Stop hands over the leadership while ctx lasts, and ends the replica. The
 // recorder stays open.
 func (c *Coordinator) Stop(ctx context.Context) error {
-	if c.IsLeader() {
+	if c.IsLeader() && ctx.Err() == nil {
 		if err := c.TransferLeadership(ctx); err != nil {
 			c.log.Info(logPrefix+"leadership not transferred", zap.Error(err))
 		}
@@ -155,7 +161,8 @@
 	return err
 }
 
-// RemoveMember removes the member of that name. It works on the leader only.
+// RemoveMember removes the member of that name, or takes back its admission
+// while it is a learner. It works on the leader only.
 func (c *Coordinator) RemoveMember(ctx context.Context, name string) error {
 	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
 		return replicator.RemoveRequested{ID: id, Name: name}
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -89,10 +90,12 @@
 		case recorder.Noop:
 		}
 		c.applied = e.Position()
+		c.appliedAt = e.At
 		c.reach(e.Index)
+		c.bytes += identifier.ByteCount(len(e.Data))
 		c.waiters.applied(e, result)
 	}
-	if int(c.applied.Index-c.snapshotAt) >= c.cfg.SnapshotEvery {
+	if int(c.applied.Index-c.snapshotAt) >= c.cfg.SnapshotEvery || c.bytes > snapshotBytes {
 		c.takeSnapshot()
 	}
 }
@@ -110,7 +113,13 @@
 		return
 	}
 	c.snapshotAt = c.applied.Index
-	c.writer.put(job{snapshot: &recorder.Snapshot{Position: c.applied, Membership: c.membership.Clone(), Data: data}})
+	c.bytes = 0
+	c.writer.put(job{snapshot: &recorder.Snapshot{
+		Position:   c.applied,
+		At:         c.appliedAt,
+		Membership: c.membership.Clone(),
+		Data:       data,
+	}})
 }
 
 func (c *Coordinator) restore(s recorder.Snapshot) {
@@ -120,6 +129,7 @@
 		return
 	}
 	c.applied = s.Position
+	c.appliedAt = s.At
 	c.membership = s.Membership.Clone()
 	c.snapshotAt = s.Position.Index
 	c.reach(s.Position.Index)
