assembler: spread the quarantine with the subscription

Entries and agents learn which requests crashed upstreams with the updates that bring configuration and members.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -76,7 +76,7 @@
 	}
 	return executor.New(cfg, executor.Dependencies{
 		Claims:  claims{process: settings.Name, submitter: s},
-		Crashes: &crashes{service: settings.Agent.Service, submitter: s},
+		Crashes: crashes{submitter: s},
 		Clock:   clock,
 		Logger:  logger,
 		Check:   a,
@@ -105,6 +105,7 @@
 
 func serveAgent(parts agentParts) error {
 	parts.Executor.Register(parts.Endpoint)
+	parts.Book.Watch(func() { parts.Executor.ChangeQuarantine(quarantineOf(parts.Book)) })
 	parts.Lifecycle.Append(fx.StartStopHook(parts.Announcer.Start, parts.Announcer.Stop))
 	subscribe(parts.Lifecycle, parts.Settings, parts.Book, parts.Endpoint, parts.Announcer, parts.Clock, parts.Logger)
 	switch parts.Settings.Agent.Kind {
--- a/assembler/claims.go
+++ b/assembler/claims.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"celeryvalve/admitter"
 	"celeryvalve/controller"
 	"celeryvalve/explainer"
-	"celeryvalve/identifier"
 	"celeryvalve/router"
 	"celeryvalve/submitter"
 )
@@ -69,7 +67,7 @@
 	controller.Settled:    router.Stored,
 	controller.Mismatch:   router.Mismatched,
 	controller.Full:       router.Unavailable,
-	controller.Fenced:     router.Unavailable,
+	controller.Fenced:     router.Fenced,
 }
 
 func claimAnswerOf(a *controller.ClaimAnswer) (router.ClaimAnswer, error) {
@@ -80,6 +78,7 @@
 		Attempt:     a.Attempt,
 		Upstream:    a.Upstream,
 		Incarnation: a.Incarnation,
+		RetryAfter:  a.RetryAfter,
 	}
 	if a.Status != controller.Settled {
 		return answer, nil
@@ -113,22 +112,21 @@
 
 // crashes tells control about requests that crashed the upstream.
 type crashes struct {
-	service   identifier.Service
 	submitter *submitter.Submitter
-	number    atomic.Uint64
 }
 
 // ReportCrash tells which requests were in flight at a crash.
-func (c *crashes) ReportCrash(ctx context.Context, r admitter.CrashReport) error {
+func (c crashes) ReportCrash(ctx context.Context, r admitter.CrashReport) error {
 	command := &controller.ReportCrash{
 		Upstream:    r.Upstream,
 		Incarnation: r.Incarnation,
-		Crash:       c.number.Add(1),
+		Crash:       r.Crash,
 	}
-	for _, fingerprint := range r.Suspects {
+	for _, suspect := range r.Suspects {
 		command.InFlight = append(command.InFlight, controller.InFlight{
-			Fingerprint: controller.Fingerprint(fingerprint),
-			Service:     c.service,
+			Fingerprint:  controller.Fingerprint(suspect.Fingerprint),
+			Organisation: suspect.Organisation,
+			Service:      suspect.Service,
 		})
 	}
 	_, err := submit[*controller.QuarantineAnswer](ctx, c.submitter, command)
@@ -136,7 +134,7 @@
 }
 
 // ReportCleared tells that a suspect ran alone to its end.
-func (c *crashes) ReportCleared(ctx context.Context, fingerprint router.Fingerprint) error {
+func (c crashes) ReportCleared(ctx context.Context, fingerprint router.Fingerprint) error {
 	command := &controller.ClearSuspects{Fingerprints: []controller.Fingerprint{controller.Fingerprint(fingerprint)}}
 	_, err := submit[*controller.QuarantineAnswer](ctx, c.submitter, command)
 	return err
--- a/assembler/control.go
+++ b/assembler/control.go
@@ -121,6 +121,20 @@
 	return update
 }
 
+// Quarantine returns the requests that crashed upstreams.
+func (s appliedState) Quarantine() subscriber.Quarantine {
+	suspects := s.Suspects()
+	quarantine := subscriber.Quarantine{Index: uint64(suspects.Index)}
+	for _, suspect := range suspects.List {
+		if suspect.Refused() {
+			quarantine.Refused = append(quarantine.Refused, uint64(suspect.Fingerprint))
+		} else {
+			quarantine.Suspects = append(quarantine.Suspects, uint64(suspect.Fingerprint))
+		}
+	}
+	return quarantine
+}
+
 func memberOf(m controller.Member) subscriber.Member {
 	// State refuses to register an address that is not an IP number and a port.
 	address, _ := netip.ParseAddrPort(m.Address)
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -82,6 +82,7 @@
 		parts.Forwarder.ChangePolicy(policyOf(cfg), serviceSettingsOf(cfg))
 		members, _ := parts.Book.Members()
 		parts.Forwarder.ChangeUpstreams(viewsOf(members))
+		parts.Forwarder.ChangeQuarantine(quarantineOf(parts.Book))
 	}
 	parts.Book.Watch(follow)
 	var draining atomic.Bool
@@ -147,6 +148,19 @@
 	return policy
 }
 
+func quarantineOf(book *subscriber.Book) (suspects, refused []router.Fingerprint) {
+	quarantine := book.Quarantine()
+	return fingerprintsOf(quarantine.Suspects), fingerprintsOf(quarantine.Refused)
+}
+
+func fingerprintsOf(list []uint64) []router.Fingerprint {
+	fingerprints := make([]router.Fingerprint, 0, len(list))
+	for _, f := range list {
+		fingerprints = append(fingerprints, router.Fingerprint(f))
+	}
+	return fingerprints
+}
+
 func serviceSettingsOf(cfg configurer.Configuration) []forwarder.ServiceSettings {
 	var list []forwarder.ServiceSettings
 	for name, service := range cfg.Services {
--- a/commander/control.go
+++ b/commander/control.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	rows := [][]string{{"UPSTREAM", "WEIGHTS", "PROGRESS", "CHUNKS", "FROM ORIGIN", "FROM PEERS", "SENT", "TOOK", "PROBLEM"}}
+	rows := [][]string{{"UPSTREAM", "WEIGHTS", "PROGRESS", "CHUNKS", "FROM ORIGIN", "FROM PEERS", "TOOK", "PROBLEM"}}
 	for _, t := range v.Transfers {
 		if !strings.HasPrefix(string(t.Upstream), c.Service) {
 			continue
@@ -193,7 +193,7 @@
 			string(t.Model) + string(t.Adapter) + " " + string(t.Version),
 			progressBar(t.ChunksHeld, t.Chunks),
 			fmt.Sprintf("%d/%d", t.ChunksHeld, t.Chunks),
-			bytesText(t.FromOrigin), bytesText(t.FromPeers), bytesText(t.Sent),
+			bytesText(t.FromOrigin), bytesText(t.FromPeers),
 			tookText(t.Started, t.Ready),
 			t.Problem,
 		})
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -29,6 +29,8 @@
 	Configuration() configurer.Configuration
 	// MembersSince returns the changes after the index, or the whole list.
 	MembersSince(index uint64) subscriber.MembersUpdate
+	// Quarantine returns the requests that crashed upstreams.
+	Quarantine() subscriber.Quarantine
 }
 
 // Caller sends one request to an address and returns its answer.
--- a/publisher/subscription.go
+++ b/publisher/subscription.go
@@ -19,6 +19,7 @@
 	// sentVersion and sentIndex are what the subscriber was sent.
 	sentVersion identifier.ConfigurationVersion
 	sentIndex   uint64
+	sentSuspect uint64
 	services    []identifier.Service
 	everything  bool
 
@@ -44,7 +45,11 @@
 		s.sentVersion = cfg.Version
 	}
 	update.Members = s.nextMembers(state, cfg)
-	if update.Configuration == nil && update.Members == nil && s.renewed == s.toldRenew && !s.superseded {
+	if quarantine := state.Quarantine(); quarantine.Index != s.sentSuspect {
+		update.Quarantine = &quarantine
+		s.sentSuspect = quarantine.Index
+	}
+	if update.Configuration == nil && update.Members == nil && update.Quarantine == nil && s.renewed == s.toldRenew && !s.superseded {
 		return nil
 	}
 	s.toldRenew = s.renewed
--- a/subscriber/book.go
+++ b/subscriber/book.go
@@ -37,6 +37,7 @@
 	cfg      configurer.Configuration
 	members  map[identifier.Upstream]Member
 	index    uint64
+	suspects Quarantine
 	changed  chan struct{}
 	fetching bool
 	watchers []func()
@@ -92,6 +93,13 @@
 	return list, b.index
 }
 
+// Quarantine returns the requests that crashed upstreams.
+func (b *Book) Quarantine() Quarantine {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.suspects
+}
+
 // Apply takes in an update.
 func (b *Book) Apply(u *Update) error {
 	b.mu.Lock()
@@ -104,6 +112,10 @@
 		b.mergeMembers(u.Members)
 		changed = true
 	}
+	if err == nil && u.Quarantine != nil {
+		b.suspects = *u.Quarantine
+		changed = true
+	}
 	watchers := b.watchers
 	b.mu.Unlock()
 	if changed {
--- a/subscriber/messages.go
+++ b/subscriber/messages.go
@@ -30,6 +30,7 @@
 type Update struct {
 	Configuration *configurer.Delta
 	Members       *MembersUpdate
+	Quarantine    *Quarantine
 	// Renewed is the sequence of the last report that the leader took as a
 	// renewal of the upstream's lease. Zero: none yet.
 	Renewed uint64
@@ -37,6 +38,14 @@
 	Superseded bool
 }
 
+// Quarantine lists the requests that crashed upstreams, by fingerprint.
+type Quarantine struct {
+	Index uint64
+	// Suspects run alone, Refused run nowhere.
+	Suspects []uint64
+	Refused  []uint64
+}
+
 // MembersUpdate leads the list of members to the index.
 type MembersUpdate struct {
 	Index   uint64
@@ -76,20 +85,18 @@
 
 // Transfer is the progress of one manifest on one instance.
 type Transfer struct {
-	Manifest    identifier.Digest
-	Model       identifier.Model
-	Adapter     identifier.Adapter
-	Version     identifier.WeightVersion
-	Chunks      int
-	ChunksHeld  int
-	FromOrigin  identifier.ByteCount
-	FromPeers   identifier.ByteCount
-	Sent        identifier.ByteCount
-	Started     time.Time
-	Ready       time.Time
-	Blamed      []identifier.Upstream
-	Problem     string
-	ReadSources int
+	Manifest   identifier.Digest
+	Model      identifier.Model
+	Adapter    identifier.Adapter
+	Version    identifier.WeightVersion
+	Chunks     int
+	ChunksHeld int
+	FromOrigin identifier.ByteCount
+	FromPeers  identifier.ByteCount
+	Started    time.Time
+	Ready      time.Time
+	Blamed     []identifier.Upstream
+	Problem    string
 }
 
 // ConfigurationRequest asks any process for what changed after Have.
