router, admitter: refuse early what can't meet its deadline

Measured in virtual time, goodput at four times the capacity fell to 56/s of 64/s: requests were started that could not end in time, and an entry took the whole capacity for its own. Now an entry judges a backlog by the rates that it saw, of the service and of the organisation (or what that is owed), and neither entry nor agent starts what has less time left than runs take. An organisation below its share was refused at first, as its own slow rate was taken for what it can get; hence the rate that it is owed.

After a failure an upstream gets one request at a time, with pauses up to 30 s.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -23,7 +23,8 @@
 	// congestionPause is the shortest time between two cuts of the limit for work
 	// that waits inside the upstream.
 	congestionPause = time.Second
-	minQueue        = 4
+	minQueue        = 2
+	queueShare      = 4 // of the limit may wait
 	minBusyPause    = 50 * time.Millisecond
 	meanWeight      = 0.2
 )
@@ -137,7 +138,7 @@
 }
 
 func (r *Reducer) maxQueue() int {
-	return max(minQueue, r.limit.Limit())
+	return max(minQueue, r.limit.Limit()/queueShare)
 }
 
 func (r *Reducer) emit(e Effect) {
--- a/admitter/attempt.go
+++ b/admitter/attempt.go
@@ -126,7 +126,7 @@
 }
 
 func (r *Reducer) enqueue(a *attempt) {
-	if wait := r.expectedWait(a); wait > a.start.Timeout {
+	if wait := r.expectedWait(a); wait > a.start.Timeout-r.duration.Low() {
 		r.refuse(a, router.Busy, wait)
 		return
 	}
@@ -172,6 +172,10 @@
 			return
 		}
 		a := r.attempts[item.Value]
+		if r.now.Add(r.duration.Low()).After(a.deadline) {
+			r.refuse(a, router.Expired, 0)
+			continue
+		}
 		if a.isAlone() {
 			r.alone = a
 			break
--- a/admitter/tick.go
+++ b/admitter/tick.go
@@ -12,7 +12,7 @@
 
 // tick refuses what waited too long, stops what nobody reads and forgets what is old.
 func (r *Reducer) tick() {
-	for _, id := range r.queue.Expire(r.now) {
+	for _, id := range r.queue.Expire(r.now.Add(r.duration.Low())) {
 		r.refuse(r.attempts[id], router.Expired, 0)
 	}
 	if a := r.alone; a != nil && a.state == queuedState && !a.deadline.After(r.now) {
--- a/admitter/world_test.go
+++ b/admitter/world_test.go
@@ -65,6 +65,8 @@
 	keyRuns  map[identifier.IdempotencyKey]int
 	wholes   map[identifier.AttemptID]bool
 	attempts int
+	watched  identifier.Upstream // starts of attempts on it go to chosen
+	chosen   []time.Time
 }
 
 func newWorld(t require.TestingT, seed uint64, entries, agents int) *world {
@@ -147,16 +149,17 @@
 
 // call is one request of a caller.
 type call struct {
-	class   router.Class
-	key     identifier.IdempotencyKey
-	entry   *entry
-	epoch   int
-	answers []router.Answer
-	answer  func(router.Answer)
+	class        router.Class
+	organisation identifier.Organisation
+	key          identifier.IdempotencyKey
+	entry        *entry
+	epoch        int
+	answers      []router.Answer
+	answer       func(router.Answer)
 }
 
 func (w *world) send(e *entry, arrival router.RequestArrived, answer func(router.Answer)) {
-	w.requests[arrival.ID] = &call{class: arrival.Class, key: arrival.Key, entry: e, epoch: e.epoch, answer: answer}
+	w.requests[arrival.ID] = &call{class: arrival.Class, organisation: arrival.Organisation, key: arrival.Key, entry: e, epoch: e.epoch, answer: answer}
 	arrival.Random = w.rng.Uint64()
 	e.post(arrival)
 }
@@ -214,6 +217,9 @@
 		w.after(w.between(1, 50), func() { w.control.settle(f.Settlement) })
 	case router.StartAttempt:
 		w.attempts++
+		if f.Target.Upstream == w.watched {
+			w.chosen = append(w.chosen, w.now)
+		}
 		e.handOver(f)
 	case router.AskAttempt:
 		e.open(f.Target, f.Request, f.Attempt, router.AskFailed, func(a *agent, s *stream) {
@@ -254,7 +260,7 @@
 	arrival := e.w.requests[f.Request]
 	start := router.AttemptStart{
 		Request: f.Request, Attempt: f.Attempt, Upstream: f.Target.Upstream, Incarnation: f.Target.Incarnation,
-		Organisation: "housing", Service: "drafting", Class: arrival.class, Key: arrival.key, Token: f.Token,
+		Organisation: arrival.organisation, Service: "drafting", Class: arrival.class, Key: arrival.key, Token: f.Token,
 		Timeout: f.Timeout, Weight: f.Weight, Alone: f.Alone,
 	}
 	e.w.starts[f.Attempt] = start
@@ -315,7 +321,8 @@
 	w           *world
 	index       int
 	name        identifier.Upstream
-	concurrency int
+	concurrency int     // zero lets the limit adapt
+	server      *server // nil: runs take their own time
 	incarnation identifier.Incarnation
 	alive       bool
 	leaving     bool
@@ -330,12 +337,15 @@
 	answering bool
 	ended     bool
 	dead      bool
+	job       *job
 	readers   []*stream
 }
 
 func (a *agent) start() {
 	cfg := limiter.DefaultConcurrencyConfig()
-	cfg.Min, cfg.Initial, cfg.Max = a.concurrency, a.concurrency, a.concurrency
+	if a.concurrency > 0 {
+		cfg.Min, cfg.Initial, cfg.Max = a.concurrency, a.concurrency, a.concurrency
+	}
 	a.incarnation++
 	a.drained = false
 	a.alive = true
@@ -475,6 +485,9 @@
 		run := a.runs[f.Attempt]
 		if !run.dead && !run.ended {
 			run.dead = true
+			if run.job != nil {
+				a.server.remove(run.job)
+			}
 			a.post(admitter.AttemptFinished{Attempt: f.Attempt, Kind: admitter.Stopped})
 		}
 	case admitter.Drained:
@@ -498,11 +511,32 @@
 	}
 	run := &workRun{}
 	a.runs[id] = run
+	if a.server != nil {
+		a.serve(id, run)
+		return
+	}
 	took := w.service(a, start)
 	w.after(took/2, func() { a.answering(id, run, took/2) })
 	w.after(took, func() { a.end(id, run) })
 }
 
+// serve runs the attempt on the agent's server, the head first.
+func (a *agent) serve(id identifier.AttemptID, run *workRun) {
+	w, began := a.w, a.w.now
+	head := time.Duration(headShare * float64(workOfRequest))
+	run.job = a.server.add(head, func() {
+		a.answering(id, run, w.now.Sub(began))
+		run.job = a.server.add(workOfRequest-head, func() { a.end(id, run) })
+	})
+}
+
+// die ends the agent and its upstream for good. Control drops it after the lease.
+func (a *agent) die(lease time.Duration) {
+	a.crash(time.Hour)
+	a.removed = true
+	a.w.after(lease, a.w.spread)
+}
+
 func (a *agent) answering(id identifier.AttemptID, run *workRun, latency time.Duration) {
 	if run.dead {
 		return
--- a/limiter/concurrency.go
+++ b/limiter/concurrency.go
@@ -27,7 +27,7 @@
 		Min:        1,
 		Max:        512,
 		Initial:    8,
-		Tolerance:  1.6,
+		Tolerance:  1.4,
 		Decrease:   0.8,
 		Window:     500 * time.Millisecond,
 		FloorDecay: time.Minute,
@@ -91,7 +91,7 @@
 	case float64(mean) > c.cfg.Tolerance*float64(c.floor):
 		c.shrink()
 	case float64(c.peak) >= c.limit/2:
-		c.limit = min(float64(c.cfg.Max), c.limit+math.Sqrt(c.limit))
+		c.limit = min(float64(c.cfg.Max), c.limit+max(1, math.Sqrt(c.limit)/2))
 	}
 	c.reset()
 }
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -128,6 +128,31 @@
 	return n
 }
 
+// Share returns the part of the service that the flow is owed beside the flows
+// that have items now.
+func (q *FairQueue[F, V]) Share(flow F, weight float64) float64 {
+	weights := map[F]float64{flow: weight}
+	for _, item := range q.items {
+		weights[item.Flow] = item.Weight
+	}
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	return weights[flow] / total
+}
+
+// Queued returns the number of items of the flow.
+func (q *FairQueue[F, V]) Queued(flow F) int {
+	n := 0
+	for _, item := range q.items {
+		if item.Flow == flow {
+			n++
+		}
+	}
+	return n
+}
+
 // Expire removes and returns every value whose deadline is not after now.
 func (q *FairQueue[F, V]) Expire(now time.Time) []V {
 	var expired []V
--- a/limiter/rate.go
+++ b/limiter/rate.go
@@ -32,10 +32,11 @@
 	return r.value * math.Exp(-age.Seconds()/r.horizon.Seconds())
 }
 
-// Mean is an exponentially weighted mean of durations.
+// Mean is an exponentially weighted mean of durations, with their mean deviation.
 type Mean struct {
-	weight float64
-	value  time.Duration
+	weight    float64
+	value     time.Duration
+	deviation time.Duration
 }
 
 // NewMean returns a mean in which each new value has the weight.
@@ -49,9 +50,16 @@
 		m.value = value
 		return
 	}
+	m.deviation += time.Duration(m.weight * float64((value-m.value).Abs()-m.deviation))
 	m.value += time.Duration(m.weight * float64(value-m.value))
 }
 
+// Low returns a duration that few values fall below: the mean less twice the
+// deviation, and zero where values vary too much to say.
+func (m *Mean) Low() time.Duration {
+	return max(0, m.value-2*m.deviation)
+}
+
 // Value returns the mean, or zero before the first value.
 func (m *Mean) Value() time.Duration {
 	return m.value
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -29,6 +29,7 @@
 
 // dispatch starts waiting requests while an upstream has room for them.
 func (r *Reducer) dispatch(s *service) {
+	defer func() { s.noteBacklog(r.now) }()
 	for s.queue.Len() > 0 {
 		usable := r.usableOf(s)
 		roomy := r.roomyOf(usable)
@@ -47,6 +48,11 @@
 			continue
 		}
 		q.item = item
+		if r.now.Add(s.duration.Low()).After(q.Deadline) {
+			r.giveUp(q, DeadlineExceeded, r.retryAfter(s))
+			continue
+		}
+		s.served(r.now, q.Organisation)
 		r.begin(s, q, r.choose(s, q, r.fitting(s, q, roomy, len(usable))))
 	}
 }
@@ -157,7 +163,7 @@
 func (r *Reducer) start(s *service, q *request) {
 	a := q.attempt
 	u := r.upstreams[a.target.Upstream]
-	if u == nil || !u.usable(r.now) || u.view.Incarnation != a.target.Incarnation {
+	if u == nil || !u.open(r.now) || u.view.Incarnation != a.target.Incarnation {
 		q.token = a.token
 		r.requeue(q)
 		return
--- a/router/service.go
+++ b/router/service.go
@@ -10,6 +10,8 @@
 const (
 	rateHorizon   = 5 * time.Second
 	latencyWeight = 0.2
+	backlogTime   = time.Second
+	waitMargin    = 1.5
 )
 
 // service is what the entry knows of one service.
@@ -21,6 +23,9 @@
 	latency *limiter.Mean
 	// duration is the mean time from the start of an attempt to its whole answer.
 	duration *limiter.Mean
+	// starts is how often each organisation's requests leave the queue to run.
+	starts       map[identifier.Organisation]*limiter.Rate
+	backlogSince time.Time
 	// peak is the largest number of ready upstreams seen.
 	peak int
 }
@@ -30,6 +35,7 @@
 		queue:    limiter.NewFairQueue[identifier.Organisation, identifier.RequestID](limiter.QueueConfig{MaxItems: defaultMaxQueued}),
 		budget:   limiter.NewRetryBudget(defaultRatio, retryBurst),
 		ends:     limiter.NewRate(rateHorizon),
+		starts:   make(map[identifier.Organisation]*limiter.Rate),
 		latency:  limiter.NewMean(latencyWeight),
 		duration: limiter.NewMean(latencyWeight),
 	}
@@ -51,28 +57,84 @@
 	s.duration.Add(took)
 }
 
+// served takes in that a request of the organisation left the queue to run.
+func (s *service) served(now time.Time, org identifier.Organisation) {
+	rate := s.starts[org]
+	if rate == nil {
+		rate = limiter.NewRate(rateHorizon)
+		s.starts[org] = rate
+	}
+	rate.Add(now, 1)
+}
+
+// noteBacklog remembers since when requests wait.
+func (s *service) noteBacklog(now time.Time) {
+	switch {
+	case s.queue.Len() == 0:
+		s.backlogSince = time.Time{}
+	case s.backlogSince.IsZero():
+		s.backlogSince = now
+	}
+}
+
+// backlogged reports whether requests waited long enough for the rates seen to
+// be those that the service gives.
+func (s *service) backlogged(now time.Time) bool {
+	return !s.backlogSince.IsZero() && now.Sub(s.backlogSince) >= backlogTime
+}
+
 // wait returns the time until n requests of the service's queue are started, or
-// zero while too little is known. The rate is the larger of the one seen and the
-// one that the upstreams' limits allow.
+// zero while too little is known. Without a backlog the rate is what the
+// upstreams' limits allow.
 func (r *Reducer) wait(s *service, n int) time.Duration {
 	if n == 0 || s.duration.Value() == 0 {
 		return 0
 	}
+	rate := s.ends.At(r.now)
+	if !s.backlogged(r.now) {
+		rate = max(rate, r.limitRate(s))
+	}
+	return timeOf(n, rate)
+}
+
+func (r *Reducer) limitRate(s *service) float64 {
 	limit := 0
 	for _, u := range r.usableOf(s) {
 		limit += u.limit()
 	}
-	rate := max(s.ends.At(r.now), float64(limit)/s.duration.Value().Seconds())
+	return float64(limit) / s.duration.Value().Seconds()
+}
+
+func timeOf(n int, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
 	return time.Duration(min(float64(n)/rate, time.Hour.Seconds()) * float64(time.Second))
 }
 
-// canMeet reports whether a new request of the organisation is likely to start
-// before its deadline.
+// waitOf returns the time until a new request of the organisation starts: what
+// is ahead of it at the service's rate, and what its organisation has queued at
+// the rate that the organisation is served, or owed if that is more.
+func (r *Reducer) waitOf(s *service, org identifier.Organisation) time.Duration {
+	wait := r.wait(s, s.queue.Ahead(org))
+	rate := s.starts[org]
+	if rate == nil || !s.backlogged(r.now) {
+		return wait
+	}
+	owed := s.ends.At(r.now) * s.queue.Share(org, r.weightOf(org))
+	return max(wait, timeOf(s.queue.Queued(org), max(owed, rate.At(r.now))))
+}
+
+// canMeet reports whether a new request of the organisation is likely to end
+// before its deadline. While others of the organisation wait, it must be more
+// than likely: one that expires in the queue is refused late.
 func (r *Reducer) canMeet(s *service, org identifier.Organisation, deadline time.Time) bool {
-	return r.now.Add(r.wait(s, s.queue.Ahead(org))).Before(deadline)
+	wait, run := r.waitOf(s, org), s.duration.Low()
+	if s.backlogged(r.now) && s.queue.Queued(org) > 0 {
+		wait = time.Duration(waitMargin * float64(wait))
+		run = s.duration.Value()
+	}
+	return r.now.Add(wait + run).Before(deadline)
 }
 
 // retryAfter returns when the present queue is likely to be served.
--- a/router/tick.go
+++ b/router/tick.go
@@ -9,7 +9,7 @@
 // tick ends what took too long and starts what can start now.
 func (r *Reducer) tick() {
 	for _, s := range r.services {
-		for _, id := range s.queue.Expire(r.now) {
+		for _, id := range s.queue.Expire(r.now.Add(s.duration.Low())) {
 			if q := r.requests[id]; q != nil {
 				r.giveUp(q, DeadlineExceeded, r.retryAfter(s))
 			}
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -15,7 +15,8 @@
 	latencyHorizon  = 10 * time.Second
 	minLatency      = time.Millisecond
 	minBackoff      = 500 * time.Millisecond
-	maxBackoff      = 8 * time.Second
+	maxBackoff      = 30 * time.Second
+	maxBackoffSteps = 8
 	notReadyBackoff = 300 * time.Millisecond
 	maxFullTime     = 500 * time.Millisecond
 )
@@ -48,8 +49,14 @@
 	return &upstream{view: view, started: make(map[identifier.RequestID]time.Time), cache: newPrefixCache()}
 }
 
-// usable reports whether the upstream may be given new work.
+// usable reports whether the upstream may be chosen. After a failure it gets one
+// request at a time until it answers.
 func (u *upstream) usable(now time.Time) bool {
+	return u.open(now) && (u.failures == 0 || len(u.started) == 0)
+}
+
+// open reports whether the upstream takes new work, as far as known.
+func (u *upstream) open(now time.Time) bool {
 	return u.view.Ready && !u.view.Leaving && !u.leaving && !now.Before(u.downUntil)
 }
 
@@ -157,7 +164,7 @@
 
 // fail keeps new work away for a time that doubles with each failure in a row.
 func (u *upstream) fail(now time.Time) {
-	backoff := min(minBackoff<<min(u.failures, 8), maxBackoff)
+	backoff := min(minBackoff<<min(u.failures, maxBackoffSteps), maxBackoff)
 	u.failures++
 	u.downUntil = now.Add(backoff)
 }
