router, admitter: keep what was learned of crashes beside control's lists

A list that control spread before it heard of a crash cleared what the process had just seen of it, and the request that kills could run once more. What a process saw itself counts for a minute now. A stored outcome whose answer control dropped is answered 409 with the outcome, not 502.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -55,6 +55,7 @@
 	crashes    uint64
 	suspects   map[router.Fingerprint]bool
 	refused    map[router.Fingerprint]bool
+	learned    map[router.Fingerprint]lesson
 	ready      bool
 	leaving    bool
 	drained    bool
@@ -81,6 +82,7 @@
 		duration: limiter.NewMean(meanWeight),
 		suspects: make(map[router.Fingerprint]bool),
 		refused:  make(map[router.Fingerprint]bool),
+		learned:  make(map[router.Fingerprint]lesson),
 	}
 }
 
--- a/admitter/attempt.go
+++ b/admitter/attempt.go
@@ -78,7 +78,7 @@
 		r.refuse(a, reason, 0)
 		return
 	}
-	if r.suspects[s.Fingerprint] {
+	if r.isSuspect(s.Fingerprint) {
 		a.start.Alone = true
 	}
 	r.enqueue(a)
@@ -109,7 +109,7 @@
 		return router.NotReady, true
 	case s.Timeout <= 0:
 		return router.Expired, true
-	case r.refused[s.Fingerprint] && s.Fingerprint != 0:
+	case r.isRefused(s.Fingerprint):
 		return router.Suspected, true
 	case a.nonIdempotent() && (s.Token == 0 || s.Key == ""):
 		return router.Unclaimed, true
--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -2,11 +2,22 @@
 
 import (
 	"slices"
+	"time"
 
 	"celeryvalve/identifier"
 	"celeryvalve/router"
 )
 
+// learnedRetention is how long what this agent saw counts beside the lists of
+// control, which have it by then unless it was cleared.
+const learnedRetention = time.Minute
+
+// lesson is what this agent saw of one request at a crash.
+type lesson struct {
+	refused bool
+	until   time.Time
+}
+
 func (r *Reducer) upstreamChanged(e UpstreamChanged) {
 	if e.Crashed {
 		r.crash()
@@ -54,13 +65,17 @@
 		Organisation: a.start.Organisation,
 		Service:      a.start.Service,
 	})
-	if a.isAlone() {
-		report.Alone = true
-		r.refused[f] = true
-		delete(r.suspects, f)
-		return
-	}
-	r.suspects[f] = true
+	report.Alone = report.Alone || a.isAlone()
+	r.learned[f] = lesson{refused: a.isAlone() || r.isRefused(f), until: r.now.Add(learnedRetention)}
+}
+
+func (r *Reducer) isSuspect(f router.Fingerprint) bool {
+	_, learned := r.learned[f]
+	return f != 0 && (learned || r.suspects[f])
+}
+
+func (r *Reducer) isRefused(f router.Fingerprint) bool {
+	return f != 0 && (r.refused[f] || r.learned[f].refused)
 }
 
 // clearSuspect takes the request from the suspects after it ran alone and whole.
@@ -70,11 +85,11 @@
 		return
 	}
 	delete(r.suspects, f)
+	delete(r.learned, f)
 	r.emit(ReportCleared{Fingerprint: f})
 }
 
-// quarantineChanged replaces the lists. What was learned here and is not listed
-// was cleared by control or an operator.
+// quarantineChanged replaces control's lists.
 func (r *Reducer) quarantineChanged(e QuarantineChanged) {
 	clear(r.suspects)
 	clear(r.refused)
@@ -94,16 +109,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-// Suspects returns what this agent holds as suspect and as refused.
-func (r *Reducer) Suspects() (suspects, refused []router.Fingerprint) {
-	for f := range r.suspects {
-		suspects = append(suspects, f)
-	}
-	for f := range r.refused {
-		refused = append(refused, f)
-	}
-	slices.Sort(suspects)
-	slices.Sort(refused)
-	return suspects, refused
-}
--- a/admitter/tick.go
+++ b/admitter/tick.go
@@ -35,6 +35,11 @@
 }
 
 func (r *Reducer) forgetOld() {
+	for f, l := range r.learned {
+		if !l.until.After(r.now) {
+			delete(r.learned, f)
+		}
+	}
 	for _, id := range r.oldIDs() {
 		a := r.attempts[id]
 		if a.state == endedState {
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -216,13 +216,12 @@
 }
 
 func (p *reply) end(answer router.Answer) {
-	whole := answer.Outcome == router.Completed || answer.Outcome == router.Failed
 	switch {
 	case p.gone:
 		p.broken = p.started
-	case answer.Stored != nil && answer.Stored.Status > 0:
+	case answer.Stored != nil && isWhole(answer.Stored.Outcome):
 		p.endStored(answer.Stored)
-	case whole && p.head != nil:
+	case isWhole(answer.Outcome) && p.head != nil:
 		p.endWhole(answer.Outcome)
 	case p.started:
 		p.broken = true
@@ -231,6 +230,10 @@
 	}
 }
 
+func isWhole(outcome router.Outcome) bool {
+	return outcome == router.Completed || outcome == router.Failed
+}
+
 func (p *reply) endWhole(outcome router.Outcome) {
 	if p.started {
 		p.write(p.rest)
@@ -243,10 +246,10 @@
 
 // endStored gives the outcome of an earlier request with the same key.
 func (p *reply) endStored(stored *router.StoredAnswer) {
-	if stored.TooLarge {
+	if stored.TooLarge || stored.Status == 0 {
 		writeNotice(p.w, http.StatusConflict, notice{
 			Outcome: stored.Outcome,
-			Message: "the request ran and its answer is too large to be given again (read the result from the service)",
+			Message: "the request ran and its answer is no longer kept (read the result from the service)",
 		}, 0)
 		return
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -124,7 +124,7 @@
 	case e.Reason == Expired && !a.foreign:
 		r.giveUp(q, DeadlineExceeded, r.retryAfterOf(q))
 	case e.Reason == Suspected:
-		r.quarantine.refuse(q.Fingerprint)
+		r.quarantine.refuse(q.Fingerprint, r.now)
 		r.giveUp(q, Quarantined, 0)
 	case q.refusals > maxRefusals:
 		r.giveUp(q, Overloaded, r.retryAfterOf(q))
@@ -238,7 +238,7 @@
 func (r *Reducer) attemptGone(q *request, reason GoneReason) {
 	switch reason {
 	case UpstreamCrashed:
-		r.quarantine.crashed(q.Fingerprint, q.attempt.alone)
+		r.quarantine.crashed(q.Fingerprint, q.attempt.alone, r.now)
 		r.failUpstream(q)
 	case Restarted, TimedOut:
 		r.failUpstream(q)
--- a/router/tick.go
+++ b/router/tick.go
@@ -8,6 +8,7 @@
 
 // tick ends what took too long and starts what can start now.
 func (r *Reducer) tick() {
+	r.quarantine.expire(r.now)
 	for _, s := range r.services {
 		for _, id := range s.queue.Expire(r.now.Add(s.duration.Low())) {
 			if q := r.requests[id]; q != nil {
