router: let the former version serve until the new one is loaded

A change of a service's version made every upstream unfit at once, until the first had loaded it. Those with the wanted version now go first, and others serve where none of them has room.

--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -69,18 +69,26 @@
 
 // fitting returns the upstreams that may run the request: not one that lost or
 // refused it, and for a suspect only where another upstream stays if this one
-// crashes, when the service has more than one.
+// crashes, when the service has more than one. Those with the wanted version go
+// before those that still have another one.
 func (r *Reducer) fitting(s *service, q *request, roomy []*upstream, usable int) []*upstream {
 	if r.quarantine.suspects(q.Fingerprint) && s.peak > 1 && usable < 2 {
 		return nil
 	}
-	var list []*upstream
+	var current, former []*upstream
 	for _, u := range roomy {
-		if !q.avoid[u.view.Upstream] {
-			list = append(list, u)
+		switch {
+		case q.avoid[u.view.Upstream]:
+		case u.isCurrent(s.policy):
+			current = append(current, u)
+		default:
+			former = append(former, u)
 		}
 	}
-	return list
+	if len(current) > 0 {
+		return current
+	}
+	return former
 }
 
 // choose returns the cheapest of a few of the candidates, of which some are of
--- a/router/event.go
+++ b/router/event.go
@@ -49,8 +49,8 @@
 // ServicePolicy is how requests of one service are treated.
 type ServicePolicy struct {
 	Service identifier.Service
-	// Model, Version and Adapters are what an upstream must hold. Empty ones
-	// are not asked for.
+	// Model and Adapters are what an upstream must hold, and Version what it should
+	// hold: another one serves where none with it has room. Empty ones are not asked for.
 	Model    identifier.Model
 	Version  identifier.WeightVersion
 	Adapters []identifier.Adapter
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -219,10 +219,25 @@
 
 func TestPolicyFollowsWhatUpstreamsHold(t *testing.T) {
 	r := newReducer("u1")
-	policy := router.Policy{Services: []router.ServicePolicy{{Service: drafting, Version: "2"}}}
+	policy := router.Policy{Services: []router.ServicePolicy{{Service: drafting, Model: "m"}}}
 	r.Reduce(epoch, router.PolicyChanged{Policy: policy})
 	require.Empty(t, r.Reduce(epoch, arrival("r1", router.Idempotent)))
 	answer := only[router.Answer](t, r.Reduce(epoch.Add(3*time.Second), router.Ticked{}))
 	require.Equal(t, router.NoUpstream, answer.Cause)
 	require.Equal(t, router.NotRun, answer.Outcome)
 }
+
+func TestFormerVersionServesUntilTheNewOneIsLoaded(t *testing.T) {
+	r := newReducer("u1", "u2")
+	policy := router.Policy{Services: []router.ServicePolicy{{Service: drafting, Version: "2"}}}
+	r.Reduce(epoch, router.PolicyChanged{Policy: policy})
+	only[router.StartAttempt](t, r.Reduce(epoch, arrival("r1", router.Idempotent)))
+	loaded := view("u2")
+	loaded.Version = "2"
+	r.Reduce(epoch, router.UpstreamsChanged{Upstreams: []router.UpstreamView{view("u1"), loaded}})
+	for i := range 8 {
+		e := arrival(identifier.RequestID(fmt.Sprintf("s%d", i)), router.Idempotent)
+		e.Random = uint64(i)
+		require.Equal(t, identifier.Upstream("u2"), only[router.StartAttempt](t, r.Reduce(epoch, e)).Target.Upstream)
+	}
+}
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -60,7 +60,8 @@
 	return u.view.Ready && !u.view.Leaving && !u.leaving && !now.Before(u.downUntil)
 }
 
-// holds reports whether the upstream has what the service asks for.
+// holds reports whether the upstream has what the service asks for, in any
+// version: the former one serves until the new one is loaded.
 func (u *upstream) holds(p ServicePolicy) bool {
 	v := u.view
 	if v.Service != p.Service {
@@ -69,9 +70,6 @@
 	if p.Model != "" && v.Model != p.Model {
 		return false
 	}
-	if p.Version != "" && v.Version != p.Version {
-		return false
-	}
 	for _, a := range p.Adapters {
 		if !slices.Contains(v.Adapters, a) {
 			return false
@@ -80,6 +78,11 @@
 	return true
 }
 
+// isCurrent reports whether the upstream has the version that the service wants.
+func (u *upstream) isCurrent(p ServicePolicy) bool {
+	return p.Version == "" || u.view.Version == p.Version
+}
+
 // limit returns how many requests the upstream runs at once, as far as known.
 func (u *upstream) limit() int {
 	if u.load.Limit > 0 {
