executor: test the failures of the path

Callers that leave, lost and dead upstreams, leaving agents, draining entries, oversized bodies, Expect: 100-continue, slow callers and ten sends of one key at once, through both shells.

--- /dev/null
+++ b/executor/failure_test.go
@@ -0,0 +1,222 @@
+package executor_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celeryvalve/identifier"
+	"celeryvalve/router"
+)
+
+func TestCallerThatLeavesCancelsItsIdempotentWork(t *testing.T) {
+	b := newBench(t)
+	started, cancelled := make(chan bool, 1), make(chan bool, 1)
+	b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		started <- true
+		<-r.Context().Done()
+		cancelled <- true
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go b.send(ctx, http.MethodGet, "/x", nil)
+	<-started
+	cancel()
+	<-cancelled
+	require.Eventually(t, func() bool { return b.entry.Pending() == 0 }, waitTime, pollTime)
+}
+
+func TestCallerThatLeavesDoesNotCancelNonIdempotentWork(t *testing.T) {
+	b := newBench(t)
+	started, finish := make(chan bool, 1), make(chan bool)
+	var runs atomic.Int32
+	b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		started <- true
+		select {
+		case <-finish:
+			_, _ = fmt.Fprintf(w, "slot %d", runs.Add(1))
+		case <-r.Context().Done():
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go b.send(ctx, http.MethodPost, "/slots", strings.NewReader("x"), "Idempotency-Key", "k")
+	<-started
+	cancel()
+	require.Eventually(t, func() bool { return b.entry.Pending() == 0 }, waitTime, pollTime)
+	resend := make(chan answer, 1)
+	go func() {
+		resend <- b.send(t.Context(), http.MethodPost, "/slots", strings.NewReader("x"), "Idempotency-Key", "k")
+	}()
+	close(finish)
+	got := <-resend
+	require.Equal(t, "slot 1", got.body)
+	require.Equal(t, router.Completed, got.outcome)
+	require.Equal(t, int32(1), runs.Load())
+}
+
+func TestLostUpstreamMakesNonIdempotentUnknownAndIdempotentGoesElsewhere(t *testing.T) {
+	b := newBench(t)
+	abort := func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }
+	b.add("u1", abort)
+	first := b.send(t.Context(), http.MethodPost, "/slots", strings.NewReader("x"), "Idempotency-Key", "k")
+	require.Equal(t, router.Unknown, first.outcome)
+	require.Equal(t, http.StatusBadGateway, first.status)
+	b.add("u2", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "u2") })
+	again := b.send(t.Context(), http.MethodPost, "/slots", strings.NewReader("x"), "Idempotency-Key", "k")
+	require.Equal(t, router.Unknown, again.outcome, "it is never run again")
+	for range 5 {
+		got := b.send(t.Context(), http.MethodGet, "/read", nil)
+		require.Equal(t, "u2", got.body)
+	}
+}
+
+func TestUpstreamThatIsDownNeverRan(t *testing.T) {
+	b := newBench(t)
+	srv := b.add("u1", func(w http.ResponseWriter, r *http.Request) {})
+	srv.Close()
+	got := b.send(t.Context(), http.MethodPost, "/slots", strings.NewReader("x"), "Celeryvalve-Deadline", "1s")
+	require.Equal(t, router.NotRun, got.outcome, "%+v", got)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
+
+func TestLeavingAgentFinishesWhatRuns(t *testing.T) {
+	b := newBench(t)
+	started, finish := make(chan bool, 1), make(chan bool)
+	b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		started <- true
+		<-finish
+		_, _ = io.WriteString(w, "whole")
+	})
+	running := make(chan answer, 1)
+	go func() { running <- b.send(t.Context(), http.MethodGet, "/x", nil) }()
+	<-started
+	drained := make(chan error, 1)
+	go func() { drained <- b.agents["u1"].Drain(t.Context()) }()
+	require.Eventually(t, func() bool { return !b.agents["u1"].Ready() }, waitTime, pollTime)
+	refused := b.send(t.Context(), http.MethodGet, "/x", nil, "Celeryvalve-Deadline", "500ms")
+	require.Equal(t, router.NotRun, refused.outcome)
+	select {
+	case err := <-drained:
+		t.Fatal("drained while a request runs", err)
+	default:
+	}
+	close(finish)
+	require.Equal(t, "whole", (<-running).body)
+	require.NoError(t, <-drained)
+}
+
+func TestDrainingEntryAnswersTheLastRequest(t *testing.T) {
+	b := newBench(t)
+	started, finish := make(chan bool, 1), make(chan bool)
+	b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		started <- true
+		<-finish
+		_, _ = io.WriteString(w, "whole")
+	})
+	running := make(chan answer, 1)
+	go func() { running <- b.send(t.Context(), http.MethodGet, "/x", nil) }()
+	<-started
+	drained := make(chan error, 1)
+	go func() { drained <- b.entry.Drain(t.Context()) }()
+	require.Eventually(t, func() bool {
+		return b.send(t.Context(), http.MethodGet, "/x", nil).outcome == router.NotRun
+	}, waitTime, pollTime)
+	close(finish)
+	require.Equal(t, "whole", (<-running).body)
+	require.NoError(t, <-drained)
+}
+
+func TestRequestsThatBreakTheBounds(t *testing.T) {
+	b := newBench(t)
+	b.add("u1", func(w http.ResponseWriter, r *http.Request) { panic("must not run") })
+	large := b.send(t.Context(), http.MethodPost, "/slots", strings.NewReader(strings.Repeat("x", 1<<20+1)))
+	require.Equal(t, http.StatusRequestEntityTooLarge, large.status)
+	chunked := b.send(t.Context(), http.MethodPost, "/slots", io.MultiReader(strings.NewReader(strings.Repeat("x", 1<<20+1))))
+	require.Equal(t, http.StatusRequestEntityTooLarge, chunked.status)
+	malformed := b.send(t.Context(), http.MethodGet, "/x", nil, "Celeryvalve-Deadline", "soon")
+	require.Equal(t, http.StatusBadRequest, malformed.status)
+	denied := b.send(t.Context(), http.MethodGet, "/x", nil, "Authorization", "Bearer wrong")
+	require.Equal(t, http.StatusUnauthorized, denied.status)
+	for _, got := range []answer{large, chunked, malformed, denied} {
+		require.Equal(t, router.NotRun, got.outcome)
+	}
+}
+
+func TestExpectContinueIsAnsweredOnlyWhereTheBodyIsRead(t *testing.T) {
+	b := newBench(t)
+	b.add("u1", func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	exchange := func(token string) string {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(conn, "POST /booking/echo HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", token)
+		line := make([]byte, len("HTTP/1.1 100"))
+		_, err = io.ReadFull(conn, line)
+		require.NoError(t, err)
+		return string(line)
+	}
+	require.Equal(t, "HTTP/1.1 100", exchange("secret"))
+	require.Equal(t, "HTTP/1.1 401", exchange("wrong"))
+}
+
+func TestHugeAnswerIsHeldBackByASlowCaller(t *testing.T) {
+	b := newBench(t)
+	var written atomic.Int64
+	const size = 64 << 20
+	b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		block := make([]byte, 64<<10)
+		for range size / len(block) {
+			n, err := w.Write(block)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, b.url+"/booking/x", nil)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	last := int64(-1)
+	require.Eventually(t, func() bool {
+		now := written.Load()
+		still := now == last
+		last = now
+		return still
+	}, waitTime, 200*time.Millisecond)
+	require.Less(t, written.Load(), int64(size), "the upstream is held back")
+	n, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, int64(size), n)
+}
+
+func TestTwoSendsOfOneKeyRunOnce(t *testing.T) {
+	b := newBench(t)
+	var runs atomic.Int32
+	for i := range 3 {
+		b.add(identifier.Upstream(fmt.Sprintf("u%d", i)), func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = fmt.Fprintf(w, "slot %d", runs.Add(1))
+		})
+	}
+	answers := make(chan answer, 10)
+	for range cap(answers) {
+		go func() {
+			answers <- b.send(t.Context(), http.MethodPost, "/slots", strings.NewReader("x"), "Idempotency-Key", "k")
+		}()
+	}
+	for range cap(answers) {
+		got := <-answers
+		require.Equal(t, "slot 1", got.body, "%+v", got)
+	}
+	require.Equal(t, int32(1), runs.Load())
+}
