--- a/administrator/server.go
+++ b/administrator/server.go
@@ -26,7 +26,7 @@
 const (
 	headerTimeout  = 5 * time.Second
 	requestTimeout = 8 * time.Second
-	gatherTimeout  = 2 * time.Second
+	gatherTimeout  = time.Second
 	maxBody        = 1 << 20
 	defaultHistory = 50
 )
--- a/certifier/source.go
+++ b/certifier/source.go
@@ -1,6 +1,8 @@
 package certifier
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
@@ -72,6 +74,24 @@
 	}, nil
 }
 
+// Secret returns a secret that only the holder of the private key can know, the
+// same after a restart, for the purpose of the label.
+func (s *Source) Secret(label string) ([sha256.Size]byte, error) {
+	var secret [sha256.Size]byte
+	cert, _, err := s.current()
+	if err != nil {
+		return secret, err
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		return secret, err
+	}
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte(label))
+	copy(secret[:], mac.Sum(nil))
+	return secret, nil
+}
+
 // current returns the pair in force. When the files changed but can't be read
 // whole, the pair read before stays in force.
 func (s *Source) current() (*tls.Certificate, *x509.CertPool, error) {
--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	protocol = "celeryvalve/1"
+	protocol   = "celeryvalve/1"
+	resetLabel = "connector reset"
 
 	keepAlivePeriod    = 2 * time.Second
 	silenceTimeout     = 6 * time.Second
@@ -98,7 +99,8 @@
 
 // Start binds the socket and begins to serve.
 func (e *Endpoint) Start() error {
-	if err := e.source.Check(); err != nil {
+	secret, err := e.source.Secret(resetLabel)
+	if err != nil {
 		return err
 	}
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.cfg.Listen))
@@ -106,7 +108,10 @@
 		return explainer.Wrap(err, explainer.Unavailable, fmt.Sprintf("can't listen on UDP %s", e.cfg.Listen),
 			"choose an address of this machine that no other process uses")
 	}
-	e.transport = &quic.Transport{Conn: conn}
+	// A process that restarts on its address tells peers at once that their old
+	// connections are gone, where they would wait for silenceTimeout.
+	resetKey := quic.StatelessResetKey(secret)
+	e.transport = &quic.Transport{Conn: conn, StatelessResetKey: &resetKey}
 	e.listener, err = e.transport.Listen(e.source.Server(protocol), quicConfig())
 	if err != nil {
 		return errors.Join(err, conn.Close())
--- a/connector/endpoint_test.go
+++ b/connector/endpoint_test.go
@@ -48,10 +48,16 @@
 }
 
 func newEndpoint(t *testing.T, folder, name string, v *versions) *connector.Endpoint {
+	e := newEndpointAt(t, "127.0.0.1:0", folder, name, v)
+	t.Cleanup(func() { require.NoError(t, e.Stop()) })
+	return e
+}
+
+func newEndpointAt(t *testing.T, address, folder, name string, v *versions) *connector.Endpoint {
 	codec, err := encoder.New(encoder.Message[ping]("Ping"), encoder.Message[pong]("Pong"))
 	require.NoError(t, err)
 	source := certifier.NewSource(certifier.PathsIn(folder, name))
-	cfg := connector.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0")}
+	cfg := connector.Config{Listen: netip.MustParseAddrPort(address)}
 	e := connector.New(cfg, codec, source, v, zap.NewNop())
 	e.Handle("Ping", func(ctx context.Context, s *connector.Stream, first any) {
 		for msg, err := first, error(nil); err == nil; msg, err = s.Receive(ctx) {
@@ -61,7 +67,6 @@
 		}
 	})
 	require.NoError(t, e.Start())
-	t.Cleanup(func() { require.NoError(t, e.Stop()) })
 	return e
 }
 
@@ -128,3 +133,23 @@
 	_, err = a.Call(t.Context(), b.Address(), &ping{})
 	require.NoError(t, err)
 }
+
+// TestRestartedPeerResetsItsOldConnections sends on a connection whose other end
+// is gone without a word, as after a kill, and whose address is in use again.
+func TestRestartedPeerResetsItsOldConnections(t *testing.T) {
+	folder := newFolder(t, "a", "b")
+	a := newEndpoint(t, folder, "a", &versions{})
+	b := newEndpointAt(t, "127.0.0.1:0", folder, "b", &versions{})
+	s, err := a.Open(t.Context(), b.Address(), &ping{})
+	require.NoError(t, err)
+	_, err = s.Receive(t.Context())
+	require.NoError(t, err)
+
+	address := b.Address().String()
+	b.Abandon()
+	restarted := newEndpointAt(t, address, folder, "b", &versions{})
+	defer func() { require.NoError(t, restarted.Stop()) }()
+	require.NoError(t, s.Send(&ping{}))
+	_, err = s.Receive(t.Context())
+	require.ErrorContains(t, err, "stateless reset")
+}
--- a/connector/link.go
+++ b/connector/link.go
@@ -16,13 +16,15 @@
 // unusedTimeout is how long a connection without streams is kept.
 const unusedTimeout = 30 * time.Second
 
-// link is the connection to one address; at most one dial runs at a time.
+// link is the connection to one address. At most one dial runs at a time; those
+// who wait for it do so no longer than their own contexts last.
 type link struct {
-	mu   sync.Mutex
-	conn *quic.Conn
-	peer Peer
-	idle *time.Timer
-	open int
+	mu      sync.Mutex
+	conn    *quic.Conn
+	peer    Peer
+	pending chan struct{}
+	idle    *time.Timer
+	open    int
 }
 
 func (e *Endpoint) linkTo(addr netip.AddrPort) *link {
@@ -69,44 +71,85 @@
 // openStream opens a stream on a live connection, dialling one when needed.
 func (e *Endpoint) openStream(ctx context.Context, addr netip.AddrPort) (*Stream, error) {
 	l := e.linkTo(addr)
+	for {
+		s, wait, err := e.tryStream(l, addr)
+		if s != nil || err != nil {
+			return s, err
+		}
+		if wait == nil {
+			if err := e.dial(ctx, l, addr); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, unreachable(ctx.Err(), addr)
+		}
+	}
+}
+
+// tryStream opens a stream on the connection, if it lives. Otherwise it returns
+// what to wait for, or nothing when the caller is to dial.
+func (e *Endpoint) tryStream(l *link, addr netip.AddrPort) (*Stream, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != nil && l.conn.Context().Err() != nil {
 		l.conn = nil
 	}
 	if l.conn == nil {
-		if err := e.dial(ctx, l, addr); err != nil {
-			return nil, err
+		if l.pending != nil {
+			return nil, l.pending, nil
 		}
+		l.pending = make(chan struct{})
+		return nil, nil, nil
 	}
 	raw, err := l.conn.OpenStream()
 	if err != nil {
 		l.close()
-		return nil, explainer.Wrap(err, explainer.Unavailable, fmt.Sprintf("can't open a stream to %s", addr), "try again")
+		return nil, nil, explainer.Wrap(err, explainer.Unavailable, fmt.Sprintf("can't open a stream to %s", addr), "try again")
 	}
 	s := newStream(e, raw, l.peer)
-	s.release = e.use(l)
-	return s, nil
+	s.release = l.use()
+	return s, nil, nil
 }
 
+// dial makes a connection for all who wait for it.
 func (e *Endpoint) dial(ctx context.Context, l *link, addr netip.AddrPort) error {
-	tlsConfig, err := e.source.Client(protocol)
+	conn, err := e.connect(ctx, addr)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.pending)
+	l.pending = nil
 	if err != nil {
 		return err
 	}
-	conn, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), tlsConfig, quicConfig())
-	if err != nil {
-		return explainer.Wrap(err, explainer.Unavailable, fmt.Sprintf("can't connect to %s", addr),
-			"check that the process runs there and that both keys are of one authority")
-	}
 	l.conn = conn
 	l.peer = peerOf(conn)
 	return nil
 }
 
+func (e *Endpoint) connect(ctx context.Context, addr netip.AddrPort) (*quic.Conn, error) {
+	tlsConfig, err := e.source.Client(protocol)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), tlsConfig, quicConfig())
+	if err != nil {
+		return nil, unreachable(err, addr)
+	}
+	return conn, nil
+}
+
+func unreachable(cause error, addr netip.AddrPort) error {
+	return explainer.Wrap(cause, explainer.Unavailable, fmt.Sprintf("can't connect to %s", addr),
+		"check that the process runs there and that both keys are of one authority")
+}
+
 // use counts a stream of the link and returns the function that releases it.
 // The connection is closed after unusedTimeout without streams.
-func (e *Endpoint) use(l *link) func() {
+func (l *link) use() func() {
 	l.open++
 	if l.idle != nil {
 		l.idle.Stop()
@@ -118,7 +161,7 @@
 			defer l.mu.Unlock()
 			l.open--
 			if l.open == 0 {
-				l.idle = time.AfterFunc(unusedTimeout, func() { l.closeUnused() })
+				l.idle = time.AfterFunc(unusedTimeout, l.closeUnused)
 			}
 		})
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	callTimeout = 2 * time.Second
+	callTimeout = time.Second
 	retryPause  = 100 * time.Millisecond
+	// silenceKept is how long a replica that did not answer is passed over, also
+	// where others still name it as the leader.
+	silenceKept = 3 * time.Second
 )
 
 // Caller sends one request to an address and returns its answer.
@@ -31,29 +34,30 @@
 	addresses []netip.AddrPort
 	next      int
 	leader    netip.AddrPort
+	silent    map[netip.AddrPort]time.Time
 }
 
 // New returns a submitter that starts with the control addresses.
 func New(caller Caller, addresses []netip.AddrPort, clock clockwork.Clock) *Submitter {
-	return &Submitter{caller: caller, clock: clock, addresses: addresses}
+	return &Submitter{caller: caller, clock: clock, addresses: addresses, silent: make(map[netip.AddrPort]time.Time)}
 }
 
 // Submit sends the command until a leader applied it or ctx ends. An error of
 // kind Unavailable leaves open whether the command was applied.
 func (s *Submitter) Submit(ctx context.Context, data []byte) (any, error) {
 	for {
-		answer, err := s.try(ctx, data)
+		addr := s.target()
+		answer, err := s.try(ctx, addr, data)
 		refused, isRefusal := answer.(*Refused)
-		if err == nil && !isRefusal {
+		switch {
+		case err != nil:
+			s.passOver(addr)
+		case !isRefusal:
 			return answer, nil
-		}
-		if isRefusal && refused.Kind != explainer.Unavailable {
+		case refused.Kind != explainer.Unavailable:
 			return nil, explainer.New(refused.Kind, refused.Problem, refused.Remedy)
-		}
-		if isRefusal && refused.Leader.IsValid() {
+		default:
 			s.follow(refused.Leader)
-		} else {
-			s.forget()
 		}
 		if err := s.pause(ctx); err != nil {
 			return nil, err
@@ -61,10 +65,10 @@
 	}
 }
 
-func (s *Submitter) try(ctx context.Context, data []byte) (any, error) {
+func (s *Submitter) try(ctx context.Context, addr netip.AddrPort, data []byte) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.caller.Call(ctx, s.target(), &SubmitCommand{Data: data})
+	return s.caller.Call(ctx, addr, &SubmitCommand{Data: data})
 }
 
 func (s *Submitter) pause(ctx context.Context) error {
@@ -77,27 +81,44 @@
 	}
 }
 
-// target returns the leader that is known, or the next address in turn.
+// target returns the leader that is known, or the next replica in turn that
+// answers.
 func (s *Submitter) target() netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leader.IsValid() {
 		return s.leader
 	}
-	addr := s.addresses[s.next%len(s.addresses)]
-	s.next++
-	s.leader = addr
-	return addr
+	for range s.addresses {
+		addr := s.addresses[s.next%len(s.addresses)]
+		s.next++
+		if !s.isSilent(addr) {
+			s.leader = addr
+			return addr
+		}
+	}
+	s.leader = s.addresses[s.next%len(s.addresses)]
+	return s.leader
 }
 
+func (s *Submitter) isSilent(addr netip.AddrPort) bool {
+	return s.clock.Since(s.silent[addr]) < silenceKept
+}
+
+// follow takes the replica that another one names as the leader, if any.
 func (s *Submitter) follow(leader netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leader = leader
+	s.leader = netip.AddrPort{}
+	if leader.IsValid() && !s.isSilent(leader) {
+		s.leader = leader
+	}
 }
 
-func (s *Submitter) forget() {
+// passOver leaves a replica that did not answer.
+func (s *Submitter) passOver(addr netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.silent[addr] = s.clock.Now()
 	s.leader = netip.AddrPort{}
 }
