--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -35,6 +35,7 @@
 	inbox   *inbox
 	writer  *writer
 	waiters *waiters
+	meters  *meters
 	stop    chan struct{}
 	running sync.WaitGroup
 
@@ -67,11 +68,12 @@
 		clock:     clock,
 		assert:    assert,
 		log:       logger,
-		inbox:     newInbox(),
 		waiters:   newWaiters(),
 		stop:      make(chan struct{}),
 	}
-	c.writer = newWriter(store, c.inbox.put, c.fail)
+	c.meters = newMeters(c)
+	c.inbox = newInbox(c.meters.dropped)
+	c.writer = newWriter(store, clock, c.meters.syncSeconds, c.inbox.put, c.fail)
 	return c
 }
 
--- a/coordinator/inbox.go
+++ b/coordinator/inbox.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"celeryvalve/replicator"
 )
 
@@ -16,10 +18,11 @@
 	events   []replicator.Event
 	messages int
 	signal   chan struct{}
+	dropped  *metrics.Counter
 }
 
-func newInbox() *inbox {
-	return &inbox{signal: make(chan struct{}, 1)}
+func newInbox(dropped *metrics.Counter) *inbox {
+	return &inbox{signal: make(chan struct{}, 1), dropped: dropped}
 }
 
 // put adds an event. Proposals that wait side by side become one event.
@@ -28,6 +31,7 @@
 	defer b.mu.Unlock()
 	if _, ok := event.(replicator.Received); ok {
 		if b.messages >= maxMessages {
+			b.dropped.Inc()
 			return
 		}
 		b.messages++
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -69,6 +69,7 @@
 	c.mu.Lock()
 	c.role = e
 	c.mu.Unlock()
+	c.meters.roleChanges.Inc()
 	if e.Role != replicator.Leader {
 		c.waiters.loseLeadership()
 	}
@@ -92,6 +93,7 @@
 		c.applied = e.Position()
 		c.appliedAt = e.At
 		c.reach(e.Index)
+		c.meters.applied.Inc()
 		c.bytes += identifier.ByteCount(len(e.Data))
 		c.waiters.applied(e, result)
 	}
@@ -114,6 +116,7 @@
 	}
 	c.snapshotAt = c.applied.Index
 	c.bytes = 0
+	c.meters.snapshotsTaken.Inc()
 	c.writer.put(job{snapshot: &recorder.Snapshot{
 		Position:   c.applied,
 		At:         c.appliedAt,
@@ -132,6 +135,7 @@
 	c.appliedAt = s.At
 	c.membership = s.Membership.Clone()
 	c.snapshotAt = s.Position.Index
+	c.meters.snapshotsInstalled.Inc()
 	c.reach(s.Position.Index)
 	c.log.Info(logPrefix+"snapshot installed", zap.Uint64("Index", uint64(s.Position.Index)))
 }
--- /dev/null
+++ b/coordinator/metrics.go
@@ -0,0 +1,67 @@
+package coordinator
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"celeryvalve/replicator"
+)
+
+// meters are the metrics of one replica, in a set of its own.
+type meters struct {
+	set                *metrics.Set
+	applied            *metrics.Counter
+	snapshotsTaken     *metrics.Counter
+	snapshotsInstalled *metrics.Counter
+	roleChanges        *metrics.Counter
+	dropped            *metrics.Counter
+	syncSeconds        *metrics.Histogram
+}
+
+func newMeters(c *Coordinator) *meters {
+	set := metrics.NewSet()
+	set.NewGauge("celeryvalve_control_leader", func() float64 {
+		if c.IsLeader() {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("celeryvalve_control_term", func() float64 { return float64(c.Term()) })
+	set.NewGauge("celeryvalve_control_failed", func() float64 {
+		if c.Status().Failure != nil {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("celeryvalve_control_voters_silent", func() float64 { return float64(c.silentVoters()) })
+	return &meters{
+		set:                set,
+		applied:            set.NewCounter("celeryvalve_control_entries_applied_total"),
+		snapshotsTaken:     set.NewCounter("celeryvalve_control_snapshots_taken_total"),
+		snapshotsInstalled: set.NewCounter("celeryvalve_control_snapshots_installed_total"),
+		roleChanges:        set.NewCounter("celeryvalve_control_role_changes_total"),
+		dropped:            set.NewCounter("celeryvalve_control_messages_dropped_total"),
+		syncSeconds:        set.NewHistogram("celeryvalve_control_sync_seconds"),
+	}
+}
+
+// Metrics returns the replica's metrics, for the program's registry.
+func (c *Coordinator) Metrics() *metrics.Set {
+	return c.meters.set
+}
+
+// silentVoters counts the voters that the leader has not heard for an election
+// timeout. Other replicas don't know and return 0.
+func (c *Coordinator) silentVoters() int {
+	status := c.Status()
+	if status.Role != replicator.Leader {
+		return 0
+	}
+	n := 0
+	for _, m := range status.Members {
+		self := m.Replica == status.Replica
+		if m.Voter && !self && c.clock.Since(m.LastHeard) > c.cfg.ElectionTimeout {
+			n++
+		}
+	}
+	return n
+}
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -3,6 +3,9 @@
 import (
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -16,17 +19,20 @@
 // writer writes to the disk in order, in a goroutine of its own. What piles up
 // during one sync is written together by the next.
 type writer struct {
-	store *recorder.Recorder
-	done  func(replicator.Event)
-	fail  func(error)
+	store   *recorder.Recorder
+	clock   clockwork.Clock
+	seconds *metrics.Histogram
+	done    func(replicator.Event)
+	fail    func(error)
 
 	mu     sync.Mutex
 	jobs   []job
 	signal chan struct{}
 }
 
-func newWriter(store *recorder.Recorder, done func(replicator.Event), fail func(error)) *writer {
-	return &writer{store: store, done: done, fail: fail, signal: make(chan struct{}, 1)}
+func newWriter(store *recorder.Recorder, clock clockwork.Clock, seconds *metrics.Histogram,
+	done func(replicator.Event), fail func(error)) *writer {
+	return &writer{store: store, clock: clock, seconds: seconds, done: done, fail: fail, signal: make(chan struct{}, 1)}
 }
 
 func (w *writer) put(j job) {
@@ -72,9 +78,11 @@
 			jobs = jobs[1:]
 			continue
 		}
+		start := w.clock.Now()
 		if err := w.store.Append(batch); err != nil {
 			return err
 		}
+		w.seconds.Update(w.clock.Since(start).Seconds())
 		w.done(replicator.Persisted{Sequence: sequence})
 		jobs = jobs[n:]
 	}
--- a/replicator/randomised_test.go
+++ b/replicator/randomised_test.go
@@ -64,9 +64,11 @@
 		"advance":     func(t *rapid.T) { pause(t); pause(t) },
 		"advanceLong": func(*rapid.T) { w.advance(3 * time.Second) },
 		"propose": func(t *rapid.T) {
-			n := ask(t)
-			for range rapid.IntRange(1, 15).Draw(t, "commands") {
-				w.propose(n)
+			commands := rapid.IntRange(1, 15).Draw(t, "commands")
+			for _, n := range w.nodes {
+				for range commands {
+					w.propose(n)
+				}
 			}
 			pause(t)
 		},
--- a/replicator/safety_test.go
+++ b/replicator/safety_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"celeryvalve/asserter"
@@ -23,6 +24,8 @@
 	answers []replicator.Effect
 	// entries are all that the reducer asked to persist.
 	entries []recorder.Entry
+	// second is the command in the log.
+	second recorder.Entry
 }
 
 func voters(names ...identifier.Replica) *recorder.Membership {
@@ -46,7 +49,7 @@
 		Entries:   []recorder.Entry{second},
 	}
 	return &lone{
-		t: t, now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
+		t: t, second: second, now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
 		reducer: replicator.New(replicator.Config{Replica: "a", Name: "a"}, state, asserter.Strict{}),
 	}
 }
@@ -200,6 +203,25 @@
 	require.Equal(t, recorder.Cluster("x"), l.reducer.Status().Cluster)
 }
 
+// TestSnapshotOfHeldEntry: a snapshot of an entry that the log holds commits it
+// and replaces nothing.
+func TestSnapshotOfHeldEntry(t *testing.T) {
+	l := newLone(t, voters("a", "b", "c"))
+	held := newLone(t, voters("a", "b", "c"))
+	held.lead()
+	third := held.entries[0]
+	l.feed(replicator.Received{Message: &replicator.AppendRequest{
+		Envelope: l.envelope("b", 3), Previous: recorder.Position{Index: 2, Term: 2, Chain: held.second.Chain},
+		Entries: []recorder.Entry{third},
+	}})
+	l.feed(replicator.Received{Message: &replicator.SnapshotRequest{
+		Envelope: l.envelope("b", 3), Position: held.second.Position(), Membership: *voters("a", "b", "c"),
+		Checksum: xxhash.Sum64(nil),
+	}})
+	require.Equal(t, recorder.Index(2), l.applied)
+	require.Equal(t, recorder.Index(3), l.reducer.Status().Last)
+}
+
 // TestSnapshotInChunks: chunks out of order or of a damaged snapshot install nothing.
 func TestSnapshotInChunks(t *testing.T) {
 	l := newLone(t, voters("a", "b", "c"))
@@ -210,7 +232,7 @@
 			Membership: *voters("a", "b", "c"),
 			Offset:     identifier.ByteCount(offset),
 			Total:      identifier.ByteCount(total),
-			Checksum:   0xd24ec4f1a98c6e5b, // xxhash of "a"
+			Checksum:   xxhash.Sum64String("a"),
 			Data:       []byte(data),
 		}})
 	}
