--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -102,6 +102,9 @@
 		zap.String("Replica", string(c.store.Replica())),
 		zap.Uint64("Snapshot", uint64(c.snapshotAt)),
 		zap.Int("Entries", len(state.Entries)))
+	if state.Snapshot == nil && len(state.Entries) == 0 {
+		c.log.Info(logPrefix + "data folder is empty; waiting for every replica of the settings, or to be admitted")
+	}
 	c.running.Go(c.run)
 	c.running.Go(func() { c.writer.run(c.stop) })
 	return nil
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -33,6 +33,7 @@
 		return 0
 	})
 	set.NewGauge("celeryvalve_control_voters_silent", func() float64 { return float64(c.silentVoters()) })
+	set.NewGauge("celeryvalve_control_replicas_waiting", func() float64 { return float64(len(c.Status().Joiners)) })
 	return &meters{
 		set:                set,
 		applied:            set.NewCounter("celeryvalve_control_entries_applied_total"),
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -88,6 +88,7 @@
 	s.Snapshot, s.Entries = &installed, nil
 	add(func(r *recorder.Recorder) error { return r.InstallSnapshot(installed) })
 	appendBatch(recorder.Batch{Entries: entries(far, 5, 2)})
+	appendBatch(recorder.Batch{HardState: &recorder.HardState{Cluster: "x", Term: 6, Vote: "c2"}})
 	return actions
 }
 
@@ -144,14 +145,37 @@
 			r, err := open(after)
 			require.NoError(t, err, "operation %d", failAt)
 			got := r.State()
-			if stateEqual(next.after, got) || stateEqual(next.between, got) {
-				continue
+			if !stateEqual(next.after, got) && !stateEqual(next.between, got) {
+				requireState(t, acked, got)
 			}
-			requireState(t, acked, got)
+			require.NoError(t, r.Append(recorder.Batch{HardState: &got.HardState}))
+			requireReopens(t, after.crash(0, 1), got)
+			crashWhileOpening(t, fs.crash(kept, 2), got)
 		}
 	}
 }
 
+func requireReopens(t *testing.T, fs *memory, want recorder.State) {
+	t.Helper()
+	r, err := open(fs)
+	require.NoError(t, err)
+	requireState(t, want, r.State())
+}
+
+// crashWhileOpening lets each operation of the start after a crash fail too.
+func crashWhileOpening(t *testing.T, fs *memory, want recorder.State) {
+	for failAt := range 40 {
+		opening := fs.clone()
+		opening.failAt = failAt
+		r, err := open(opening)
+		if err == nil {
+			requireState(t, want, r.State())
+			return
+		}
+		requireReopens(t, opening.crash(1, 2), want)
+	}
+}
+
 // playUntilFailure returns the acknowledged state and the action that failed.
 func playUntilFailure(t *testing.T, fs *memory) (acked recorder.State, next action) {
 	r, err := open(fs)
--- a/recorder/segment.go
+++ b/recorder/segment.go
@@ -177,10 +177,14 @@
 			return 0, corrupt("segment %s is damaged at byte %d: %v", path, whole, err)
 		}
 	}
+	begin = p.segmentBegin
+	if whole == 0 {
+		begin = p.last().Index
+	}
 	if !last || int64(whole) == synced && whole == len(data) {
-		return p.segmentBegin, nil
+		return begin, nil
 	}
-	return p.segmentBegin, r.rewriteSegment(number, data[:whole])
+	return begin, r.rewriteSegment(number, data[:whole])
 }
 
 // checkTorn tells whether the bytes after whole can be one write that was cut
