--- a/configurer/object.go
+++ b/configurer/object.go
@@ -66,7 +66,11 @@
 }
 
 func (t tableOf[K, V]) remove(ref Ref, o *Objects) {
-	delete(*t.of(o), K(ref.name()))
+	objects := t.of(o)
+	delete(*objects, K(ref.name()))
+	if len(*objects) == 0 {
+		*objects = nil // one form for "none"
+	}
 }
 
 func (t tableOf[K, V]) equal(ref Ref, a, b *Objects) bool {
--- /dev/null
+++ b/controller/export_test.go
@@ -0,0 +1,22 @@
+package controller
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// SnapshotFrames returns the messages of a snapshot, which compare equal for
+// equal states; the bytes don't, as maps are written in no order.
+func SnapshotFrames(data []byte) ([]any, error) {
+	var frames []any
+	for rest := data[:len(data)-sha256.Size]; len(rest) > 0; {
+		n := binary.BigEndian.Uint32(rest)
+		_, msg, err := snapshotCodec().Decode(rest[lengthSize : lengthSize+n])
+		if err != nil {
+			return nil, err
+		}
+		frames = append(frames, msg)
+		rest = rest[lengthSize+n:]
+	}
+	return frames, nil
+}
--- a/controller/state_test.go
+++ b/controller/state_test.go
@@ -144,6 +144,7 @@
 	granted := r.claim(claimOf("k", "a1", "u1", 1))
 	require.Equal(t, controller.Granted, granted.Status)
 	require.Equal(t, granted, r.claim(claimOf("k", "a1", "u1", 1)))
+	require.Equal(t, controller.Fenced, r.claim(claimOf("other", "a2", "u2", 2)).Status)
 	held := r.claim(claimOf("k", "a2", "u2", 1))
 	require.Equal(t, controller.InProgress, held.Status)
 	require.EqualValues(t, "u1", held.Upstream)
