--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -23,7 +23,8 @@
 	// congestionPause is the shortest time between two cuts of the limit for work
 	// that waits inside the upstream.
 	congestionPause = time.Second
-	minQueue        = 4
+	minQueue        = 2
+	queueShare      = 4 // of the limit may wait
 	minBusyPause    = 50 * time.Millisecond
 	meanWeight      = 0.2
 )
@@ -54,6 +55,7 @@
 	crashes    uint64
 	suspects   map[router.Fingerprint]bool
 	refused    map[router.Fingerprint]bool
+	learned    map[router.Fingerprint]lesson
 	ready      bool
 	leaving    bool
 	drained    bool
@@ -80,6 +82,7 @@
 		duration: limiter.NewMean(meanWeight),
 		suspects: make(map[router.Fingerprint]bool),
 		refused:  make(map[router.Fingerprint]bool),
+		learned:  make(map[router.Fingerprint]lesson),
 	}
 }
 
@@ -137,7 +140,7 @@
 }
 
 func (r *Reducer) maxQueue() int {
-	return max(minQueue, r.limit.Limit())
+	return max(minQueue, r.limit.Limit()/queueShare)
 }
 
 func (r *Reducer) emit(e Effect) {
--- a/admitter/tick.go
+++ b/admitter/tick.go
@@ -12,7 +12,7 @@
 
 // tick refuses what waited too long, stops what nobody reads and forgets what is old.
 func (r *Reducer) tick() {
-	for _, id := range r.queue.Expire(r.now) {
+	for _, id := range r.queue.Expire(r.now.Add(r.duration.Low())) {
 		r.refuse(r.attempts[id], router.Expired, 0)
 	}
 	if a := r.alone; a != nil && a.state == queuedState && !a.deadline.After(r.now) {
@@ -35,6 +35,11 @@
 }
 
 func (r *Reducer) forgetOld() {
+	for f, l := range r.learned {
+		if !l.until.After(r.now) {
+			delete(r.learned, f)
+		}
+	}
 	for _, id := range r.oldIDs() {
 		a := r.attempts[id]
 		if a.state == endedState {
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -111,6 +111,11 @@
 		r.lose(q, BrokenAnswer)
 		return
 	}
+	if e.Reason == OtherIncarnation && (a.accepted || a.asks > 0) {
+		// An earlier incarnation had it, and this one can't speak for it.
+		r.lose(q, UpstreamLost)
+		return
+	}
 	r.noteRefusal(q, e)
 	q.token = a.token
 	q.refusals++
@@ -119,7 +124,7 @@
 	case e.Reason == Expired && !a.foreign:
 		r.giveUp(q, DeadlineExceeded, r.retryAfterOf(q))
 	case e.Reason == Suspected:
-		r.quarantine.refuse(q.Fingerprint)
+		r.quarantine.refuse(q.Fingerprint, r.now)
 		r.giveUp(q, Quarantined, 0)
 	case q.refusals > maxRefusals:
 		r.giveUp(q, Overloaded, r.retryAfterOf(q))
@@ -233,7 +238,7 @@
 func (r *Reducer) attemptGone(q *request, reason GoneReason) {
 	switch reason {
 	case UpstreamCrashed:
-		r.quarantine.crashed(q.Fingerprint, q.attempt.alone)
+		r.quarantine.crashed(q.Fingerprint, q.attempt.alone, r.now)
 		r.failUpstream(q)
 	case Restarted, TimedOut:
 		r.failUpstream(q)
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -29,6 +29,7 @@
 
 // dispatch starts waiting requests while an upstream has room for them.
 func (r *Reducer) dispatch(s *service) {
+	defer func() { s.noteBacklog(r.now) }()
 	for s.queue.Len() > 0 {
 		usable := r.usableOf(s)
 		roomy := r.roomyOf(usable)
@@ -47,6 +48,11 @@
 			continue
 		}
 		q.item = item
+		if r.now.Add(s.duration.Low()).After(q.Deadline) {
+			r.giveUp(q, DeadlineExceeded, r.retryAfter(s))
+			continue
+		}
+		s.served(r.now, q.Organisation)
 		r.begin(s, q, r.choose(s, q, r.fitting(s, q, roomy, len(usable))))
 	}
 }
@@ -63,18 +69,26 @@
 
 // fitting returns the upstreams that may run the request: not one that lost or
 // refused it, and for a suspect only where another upstream stays if this one
-// crashes, when the service has more than one.
+// crashes, when the service has more than one. Those with the wanted version go
+// before those that still have another one.
 func (r *Reducer) fitting(s *service, q *request, roomy []*upstream, usable int) []*upstream {
 	if r.quarantine.suspects(q.Fingerprint) && s.peak > 1 && usable < 2 {
 		return nil
 	}
-	var list []*upstream
+	var current, former []*upstream
 	for _, u := range roomy {
-		if !q.avoid[u.view.Upstream] {
-			list = append(list, u)
+		switch {
+		case q.avoid[u.view.Upstream]:
+		case u.isCurrent(s.policy):
+			current = append(current, u)
+		default:
+			former = append(former, u)
 		}
 	}
-	return list
+	if len(current) > 0 {
+		return current
+	}
+	return former
 }
 
 // choose returns the cheapest of a few of the candidates, of which some are of
@@ -157,7 +171,7 @@
 func (r *Reducer) start(s *service, q *request) {
 	a := q.attempt
 	u := r.upstreams[a.target.Upstream]
-	if u == nil || !u.usable(r.now) || u.view.Incarnation != a.target.Incarnation {
+	if u == nil || !u.open(r.now) || u.view.Incarnation != a.target.Incarnation {
 		q.token = a.token
 		r.requeue(q)
 		return
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -15,7 +15,8 @@
 	latencyHorizon  = 10 * time.Second
 	minLatency      = time.Millisecond
 	minBackoff      = 500 * time.Millisecond
-	maxBackoff      = 8 * time.Second
+	maxBackoff      = 30 * time.Second
+	maxBackoffSteps = 8
 	notReadyBackoff = 300 * time.Millisecond
 	maxFullTime     = 500 * time.Millisecond
 )
@@ -48,12 +49,19 @@
 	return &upstream{view: view, started: make(map[identifier.RequestID]time.Time), cache: newPrefixCache()}
 }
 
-// usable reports whether the upstream may be given new work.
+// usable reports whether the upstream may be chosen. After a failure it gets one
+// request at a time until it answers.
 func (u *upstream) usable(now time.Time) bool {
+	return u.open(now) && (u.failures == 0 || len(u.started) == 0)
+}
+
+// open reports whether the upstream takes new work, as far as known.
+func (u *upstream) open(now time.Time) bool {
 	return u.view.Ready && !u.view.Leaving && !u.leaving && !now.Before(u.downUntil)
 }
 
-// holds reports whether the upstream has what the service asks for.
+// holds reports whether the upstream has what the service asks for, in any
+// version: the former one serves until the new one is loaded.
 func (u *upstream) holds(p ServicePolicy) bool {
 	v := u.view
 	if v.Service != p.Service {
@@ -62,9 +70,6 @@
 	if p.Model != "" && v.Model != p.Model {
 		return false
 	}
-	if p.Version != "" && v.Version != p.Version {
-		return false
-	}
 	for _, a := range p.Adapters {
 		if !slices.Contains(v.Adapters, a) {
 			return false
@@ -73,6 +78,11 @@
 	return true
 }
 
+// isCurrent reports whether the upstream has the version that the service wants.
+func (u *upstream) isCurrent(p ServicePolicy) bool {
+	return p.Version == "" || u.view.Version == p.Version
+}
+
 // limit returns how many requests the upstream runs at once, as far as known.
 func (u *upstream) limit() int {
 	if u.load.Limit > 0 {
@@ -157,7 +167,7 @@
 
 // fail keeps new work away for a time that doubles with each failure in a row.
 func (u *upstream) fail(now time.Time) {
-	backoff := min(minBackoff<<min(u.failures, 8), maxBackoff)
+	backoff := min(minBackoff<<min(u.failures, maxBackoffSteps), maxBackoff)
 	u.failures++
 	u.downUntil = now.Add(backoff)
 }
