router, executor: forget prefixes that an engine's cache has turned over

An entry can't compute an engine's block hashes, so it keeps the prefixes that it sent itself. Cache events come late and with gaps; their sequence numbers still count what was lost. The agent sums them up to a count and a size of the cache on each answer, and a prefix is trusted until the cache was filled once since.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -76,6 +76,7 @@
 	clock   clockwork.Clock
 	logger  *zap.Logger
 	count   counters
+	cache   cacheMeter
 
 	// once holds no idle connection, so that no request is ever sent again by the
 	// HTTP client itself.
@@ -145,6 +146,10 @@
 	x.work.Add(2)
 	go x.tickLoop()
 	go x.probeLoop()
+	if x.cfg.ReportsLoad {
+		x.work.Add(1)
+		go x.watchCache()
+	}
 }
 
 // Stop cancels everything that still runs and waits for it.
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -255,6 +255,7 @@
 	if end, ok := msg.(*router.ResponseEnd); ok {
 		whole := *end
 		whole.Load = x.Load()
+		whole.Cache = x.cache.report()
 		msg = &whole
 	}
 	if s.Send(msg) != nil {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -196,8 +196,8 @@
 }
 
 const (
-	prefixBlock = 1024
-	maxPrefixes = 32
+	prefixBlock = 256
+	maxPrefixes = 64
 )
 
 // prefixesOf returns the hashes of the body's beginnings, block by block.
--- a/router/cache.go
+++ b/router/cache.go
@@ -4,52 +4,59 @@
 	maxCachedPrefixes  = 4096
 	maxAffinityLoad    = 1.25
 	affinityCostFactor = 0.5
+	// eventsPerBlock is how many events a full cache sends for each new block: it
+	// stores one and evicts one.
+	eventsPerBlock = 2
 )
 
-// prefixCache is what the entry believes an engine holds in its prefix cache.
-// Events come late and with gaps: after a gap, nothing that was learned before
-// it is trusted.
+// prefixCache is what the entry believes an engine holds in its prefix cache: the
+// prefixes that this entry sent there, until the engine has turned its cache over
+// once since. Events come late and with gaps, so only their count is used.
 type prefixCache struct {
 	sequence uint64
-	held     map[PrefixHash]uint64
+	held     uint64
+	used     map[PrefixHash]prefixUse
+	order    uint64
+}
+
+type prefixUse struct {
+	sequence uint64
 	order    uint64
 }
 
 func newPrefixCache() *prefixCache {
-	return &prefixCache{held: make(map[PrefixHash]uint64)}
+	return &prefixCache{used: make(map[PrefixHash]prefixUse)}
 }
 
-// report takes in one report of the engine. An older one changes nothing.
+// report takes in the engine's count of events. One that runs backwards comes
+// from an engine that restarted with an empty cache, or late; either way what
+// was learned before is not trusted.
 func (c *prefixCache) report(e CacheReport) {
-	if e.Sequence == 0 || e.Sequence <= c.sequence {
+	if e.Sequence == 0 {
 		return
 	}
-	if e.Sequence != c.sequence+1 {
-		clear(c.held)
-	}
-	c.sequence = e.Sequence
-	c.add(e.Stored)
-	for _, h := range e.Removed {
-		delete(c.held, h)
+	if e.Sequence < c.sequence {
+		clear(c.used)
 	}
+	c.sequence, c.held = e.Sequence, e.Held
 }
 
 // add takes in prefixes that the engine has just run.
 func (c *prefixCache) add(prefixes []PrefixHash) {
 	for _, h := range prefixes {
 		c.order++
-		c.held[h] = c.order
+		c.used[h] = prefixUse{sequence: c.sequence, order: c.order}
 	}
-	for len(c.held) > maxCachedPrefixes {
+	if len(c.used) > maxCachedPrefixes {
 		c.dropOldest()
 	}
 }
 
 func (c *prefixCache) dropOldest() {
 	floor := c.order - min(c.order, maxCachedPrefixes/2)
-	for h, at := range c.held {
-		if at <= floor {
-			delete(c.held, h)
+	for h, use := range c.used {
+		if use.order <= floor {
+			delete(c.used, h)
 		}
 	}
 }
@@ -61,10 +68,17 @@
 	}
 	n := 0
 	for _, h := range prefixes {
-		if _, ok := c.held[h]; !ok {
+		use, ok := c.used[h]
+		if !ok || c.turnedOver(use) {
 			break
 		}
 		n++
 	}
 	return float64(n) / float64(len(prefixes))
 }
+
+// turnedOver reports whether the engine stored as many blocks since the use as
+// its cache holds.
+func (c *prefixCache) turnedOver(use prefixUse) bool {
+	return c.held > 0 && (c.sequence-use.sequence)/eventsPerBlock >= c.held
+}
--- a/router/message.go
+++ b/router/message.go
@@ -166,11 +166,13 @@
 	Cache   CacheReport
 }
 
-// CacheReport carries recent events of an engine's prefix cache, late and with gaps.
+// CacheReport sums up the events of an engine's prefix cache.
 type CacheReport struct {
+	// Sequence is the number of events so far, lost ones included. Zero means that
+	// the upstream reports none.
 	Sequence uint64
-	Stored   []PrefixHash
-	Removed  []PrefixHash
+	// Held is about how many blocks the cache holds.
+	Held uint64
 }
 
 // PrefixHash identifies the beginning of a prompt up to a block's end.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -241,3 +241,34 @@
 		require.Equal(t, identifier.Upstream("u2"), only[router.StartAttempt](t, r.Reduce(epoch, e)).Target.Upstream)
 	}
 }
+
+func TestPrefixIsForgottenOnceTheCacheIsTurnedOver(t *testing.T) {
+	// follows reports whether a second request with the prefix goes where the first
+	// ran, when the last report of the engine's cache there is the given one.
+	follows := func(random uint64, last router.CacheReport) bool {
+		r := newReducer("u1", "u2")
+		send := func(id identifier.RequestID, prefix router.PrefixHash) router.StartAttempt {
+			random++
+			e := arrival(id, router.Idempotent)
+			e.Random, e.Prefixes = random, []router.PrefixHash{prefix}
+			return only[router.StartAttempt](t, r.Reduce(epoch, e))
+		}
+		first := send("r1", 1)
+		r.Reduce(epoch, router.AttemptEnded{Request: "r1", Attempt: first.Attempt, Status: 200,
+			Cache: router.CacheReport{Sequence: 100, Held: 10}})
+		other := router.UpstreamsChanged{Upstreams: []router.UpstreamView{view(first.Target.Upstream)}}
+		r.Reduce(epoch, other)
+		second := send("r2", 2)
+		r.Reduce(epoch, router.AttemptEnded{Request: "r2", Attempt: second.Attempt, Status: 200, Cache: last})
+		r.Reduce(epoch, router.UpstreamsChanged{Upstreams: []router.UpstreamView{view("u1"), view("u2")}})
+		return send("r3", 1).Target.Upstream == first.Target.Upstream
+	}
+	elsewhere := 0
+	for random := range uint64(16) {
+		require.True(t, follows(random, router.CacheReport{Sequence: 110, Held: 10}))
+		if !follows(random, router.CacheReport{Sequence: 120, Held: 10}) {
+			elsewhere++
+		}
+	}
+	require.NotZero(t, elsewhere)
+}
