sampler: count service levels on entries and report their burn

Entries count per service, organisation and indicator what met the objectives; control gathers the histories and the rollouts, and celeryvalve report renders them as text, JSON or a page. The forwarder now takes the whole service: which paths may be repeated, who may call it, its deadline; the first token is timed at the first part of the body, where an engine that sends its header early looked faster than it was.

--- a/administrator/doc.go
+++ b/administrator/doc.go
@@ -9,6 +9,7 @@
 //	GET    /v1/services              each service and how many upstreams are ready
 //	GET    /v1/upstreams             every member
 //	GET    /v1/transfers             the progress of weights on every instance
+//	GET    /v1/report                what a report on service levels is computed from
 //	GET    /v1/quarantine            requests that crashed upstreams
 //	POST   /v1/quarantine            take fingerprints off the list
 //	GET    /v1/replicas              the control replicas
--- /dev/null
+++ b/administrator/report.go
@@ -0,0 +1,125 @@
+package administrator
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"celeryvalve/identifier"
+	"celeryvalve/publisher"
+	"celeryvalve/reporter"
+	"celeryvalve/sampler"
+	"celeryvalve/subscriber"
+)
+
+// report gathers the histories of all entries and the state of the rollouts.
+func (s *Server) report(ctx context.Context, _ identifier.Operator, _ *http.Request) (any, error) {
+	subscribers, unheard := s.gather(ctx)
+	histories, silent := s.histories(ctx, subscribers)
+	cfg := s.deps.State.Configuration()
+	now := s.deps.Clock.Now()
+	snapshots := sampler.Merge(histories, now)
+	if len(snapshots) == 0 {
+		snapshots = []reporter.Snapshot{{Time: now}}
+	}
+	snapshots[len(snapshots)-1].Rollouts = s.rollouts(subscribers)
+	return ReportView{
+		Objectives: reporter.FromConfiguration(cfg),
+		Snapshots:  snapshots,
+		Unheard:    append(unheard, silent...),
+	}, nil
+}
+
+// histories reads what every entry counted.
+func (s *Server) histories(ctx context.Context, subscribers []publisher.Subscriber) ([][]sampler.Interval, []string) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	entries := slices.DeleteFunc(slices.Clone(subscribers), func(sub publisher.Subscriber) bool { return !sub.Entry })
+	type history struct {
+		process   string
+		intervals []sampler.Interval
+		ok        bool
+	}
+	found := make(chan history, len(entries))
+	for _, entry := range entries {
+		go func() {
+			intervals, ok := s.historyOf(ctx, entry.Address)
+			found <- history{entry.Process, intervals, ok}
+		}()
+	}
+	var all [][]sampler.Interval
+	var silent []string
+	for range entries {
+		h := <-found
+		if !h.ok {
+			silent = append(silent, h.process)
+		}
+		all = append(all, h.intervals)
+	}
+	return all, silent
+}
+
+func (s *Server) historyOf(ctx context.Context, addr netip.AddrPort) ([]sampler.Interval, bool) {
+	msg, err := s.deps.Caller.Call(ctx, addr, &sampler.SamplesRequest{})
+	answer, ok := msg.(*sampler.SamplesAnswer)
+	if err != nil || !ok {
+		return nil, false
+	}
+	return answer.Intervals, true
+}
+
+// rollouts sums up the transfers of the declared versions by service.
+func (s *Server) rollouts(subscribers []publisher.Subscriber) []reporter.Rollout {
+	cfg := s.deps.State.Configuration()
+	services := make(map[identifier.Upstream]identifier.Service)
+	for _, member := range s.deps.State.Members().Members {
+		services[member.Upstream] = member.Service
+	}
+	found := make(map[identifier.Service]*reporter.Rollout)
+	for _, sub := range subscribers {
+		name, ok := services[sub.Upstream]
+		if !ok {
+			continue
+		}
+		for _, transfer := range sub.Transfers {
+			service := cfg.Services[name]
+			if transfer.Adapter == "" && transfer.Model == service.Model && transfer.Version == service.Version {
+				addTransfer(found, name, transfer)
+			}
+		}
+	}
+	list := make([]reporter.Rollout, 0, len(found))
+	for _, rollout := range found {
+		if rollout.Ready < rollout.Wanted {
+			rollout.Finished = time.Time{}
+		}
+		list = append(list, *rollout)
+	}
+	return list
+}
+
+// addTransfer adds one instance to its service's rollout, which began with the
+// first transfer and ended with the last.
+func addTransfer(found map[identifier.Service]*reporter.Rollout, name identifier.Service, t subscriber.Transfer) {
+	rollout := found[name]
+	if rollout == nil {
+		rollout = &reporter.Rollout{Service: name, Model: t.Model, Version: t.Version, Declared: t.Started}
+		found[name] = rollout
+	}
+	rollout.Wanted++
+	rollout.Size = max(rollout.Size, t.Size)
+	rollout.Received += t.SizeHeld
+	rollout.FromOrigin += t.FromOrigin
+	if t.Started.Before(rollout.Declared) {
+		rollout.Declared = t.Started
+	}
+	if t.Ready.IsZero() {
+		return
+	}
+	rollout.Ready++
+	if t.Ready.After(rollout.Finished) {
+		rollout.Finished = t.Ready
+	}
+}
--- a/administrator/server.go
+++ b/administrator/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"celeryvalve/certifier"
@@ -57,6 +58,7 @@
 	Submitter Submitter
 	Publisher *publisher.Publisher
 	Caller    Caller
+	Clock     clockwork.Clock
 }
 
 // Server serves the API.
@@ -134,6 +136,7 @@
 	add(http.MethodGet, "/v1/services", true, s.services)
 	add(http.MethodGet, "/v1/upstreams", true, s.upstreams)
 	add(http.MethodGet, "/v1/transfers", true, s.transfers)
+	add(http.MethodGet, "/v1/report", true, s.report)
 	add(http.MethodGet, "/v1/quarantine", true, s.quarantine)
 	add(http.MethodPost, "/v1/quarantine", false, s.clearQuarantine)
 	add(http.MethodGet, "/v1/replicas", true, s.replicas)
--- a/administrator/views.go
+++ b/administrator/views.go
@@ -10,6 +10,7 @@
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/publisher"
+	"celeryvalve/reporter"
 	"celeryvalve/subscriber"
 )
 
@@ -135,6 +136,14 @@
 	Fingerprints []controller.Fingerprint
 }
 
+// ReportView is what a report on service levels is computed from.
+type ReportView struct {
+	Objectives reporter.Objectives
+	Snapshots  []reporter.Snapshot
+	// Unheard names the entries whose history could not be read.
+	Unheard []string
+}
+
 // StatusKind is the kind of the call between replicas.
 const StatusKind encoder.Kind = "StatusRequest"
 
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -22,14 +22,16 @@
 	"celeryvalve/forwarder"
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
+	"celeryvalve/reporter"
 	"celeryvalve/router"
+	"celeryvalve/sampler"
 	"celeryvalve/submitter"
 	"celeryvalve/subscriber"
 )
 
 func entryOptions() fx.Option {
 	return fx.Options(
-		fx.Provide(newForwarder),
+		fx.Provide(sampler.New, newForwarder),
 		fx.Invoke(serveEntry),
 	)
 }
@@ -51,7 +53,8 @@
 }
 
 func newForwarder(settings parser.Settings, e *connector.Endpoint, book *subscriber.Book, s *submitter.Submitter,
-	clock clockwork.Clock, set *metrics.Set, a asserter.Asserter, logger *zap.Logger) *forwarder.Forwarder {
+	counts *sampler.Sampler, clock clockwork.Clock, set *metrics.Set, a asserter.Asserter,
+	logger *zap.Logger) *forwarder.Forwarder {
 	cfg := forwarder.Config{Region: settings.Region, AvailabilityZone: settings.AvailabilityZone}
 	return forwarder.New(cfg, forwarder.Dependencies{
 		Opener:        forwarder.Through(e),
@@ -61,9 +64,29 @@
 		Logger:        logger,
 		Check:         a,
 		Metrics:       set,
+		Watch:         func(o forwarder.Observation) { watch(counts, book.Configuration(), o) },
 	})
 }
 
+// watch counts which objectives the answered request met. A request that the
+// system refused for the caller's own fault counts for none.
+func watch(counts *sampler.Sampler, cfg configurer.Configuration, o forwarder.Observation) {
+	service, ok := cfg.Services[o.Service]
+	if !ok {
+		return
+	}
+	completed := o.Outcome == router.Completed
+	counts.Count(o.Service, o.Organisation, reporter.ReadyInTime, completed && o.Took <= service.Deadline)
+	counts.Count(o.Service, o.Organisation, reporter.Exactness, o.Outcome != router.Unknown)
+	if service.Kind != parser.Engine || !completed {
+		return
+	}
+	counts.Count(o.Service, o.Organisation, reporter.FirstToken, o.FirstByte <= service.Objectives.FirstToken)
+	for gap := range o.Gaps {
+		counts.Count(o.Service, o.Organisation, reporter.BetweenTokens, gap >= o.LateGaps)
+	}
+}
+
 // entryParts are what serveEntry ties together.
 type entryParts struct {
 	fx.In
@@ -72,6 +95,8 @@
 	Settings  parser.Settings
 	Book      *subscriber.Book
 	Forwarder *forwarder.Forwarder
+	Sampler   *sampler.Sampler
+	Endpoint  *connector.Endpoint
 	Exposer   *exposer.Exposer
 	Logger    *zap.Logger
 }
@@ -85,6 +110,7 @@
 		parts.Forwarder.ChangeQuarantine(quarantineOf(parts.Book))
 	}
 	parts.Book.Watch(follow)
+	parts.Endpoint.Handle(sampler.RequestKind, parts.Sampler.Serve)
 	var draining atomic.Bool
 	parts.Exposer.Require("entry", func() error {
 		if draining.Load() {
@@ -162,11 +188,14 @@
 }
 
 func serviceSettingsOf(cfg configurer.Configuration) []forwarder.ServiceSettings {
-	var list []forwarder.ServiceSettings
+	list := make([]forwarder.ServiceSettings, 0, len(cfg.Services))
 	for name, service := range cfg.Services {
 		list = append(list, forwarder.ServiceSettings{
 			Service:    name,
-			Repeatable: slices.Contains(service.IdempotentMethods, http.MethodPost),
+			Repeatable: service.Idempotent,
+			Allows:     service.Allows,
+			Timeout:    service.Deadline,
+			GapLimit:   service.Objectives.BetweenTokens,
 		})
 	}
 	return list
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -25,6 +25,7 @@
 	"celeryvalve/parser"
 	"celeryvalve/publisher"
 	"celeryvalve/router"
+	"celeryvalve/sampler"
 	"celeryvalve/submitter"
 	"celeryvalve/subscriber"
 )
@@ -133,6 +134,7 @@
 	entries = append(entries, controller.Messages()...)
 	entries = append(entries, router.Messages()...)
 	entries = append(entries, fetcher.Messages()...)
+	entries = append(entries, sampler.Messages()...)
 	return encoder.New(entries...)
 }
 
--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -358,6 +358,8 @@
 		Version:    p.WeightVersion,
 		Chunks:     p.Chunks,
 		ChunksHeld: p.ChunksHeld,
+		Size:       p.Size,
+		SizeHeld:   p.SizeHeld,
 		FromOrigin: p.FromOrigin,
 		FromPeers:  p.FromPeers,
 		Started:    w.started[p.Manifest],
--- a/commander/run.go
+++ b/commander/run.go
@@ -41,6 +41,7 @@
 	Upstreams  upstreamsCommand  `cmd:"" help:"List every upstream."`
 	Wait       waitCommand       `cmd:"" help:"Wait until a service is ready."`
 	Transfers  transfersCommand  `cmd:"" help:"Follow the weights on every instance."`
+	Report     reportCommand     `cmd:"" help:"Show the service-level objectives and how fast their budgets burn."`
 	Quarantine quarantineCommand `cmd:"" help:"List and clear requests that crashed upstreams."`
 	Replica    replicaCommand    `cmd:"" help:"List, admit and remove control replicas."`
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,9 +58,15 @@
 // ServiceSettings are how the forwarder reads requests of one service.
 type ServiceSettings struct {
 	Service identifier.Service
-	// Repeatable says that a POST without an idempotency key may run more than
-	// once, as with text completions.
-	Repeatable bool
+	// Repeatable reports whether a request without an idempotency key may run more
+	// than once, as text completions may. Nil goes by the method.
+	Repeatable func(method, path string) bool
+	// Allows reports whether the organisation may call the service. Nil allows all.
+	Allows func(identifier.Organisation) bool
+	// Timeout is the deadline of a request that names none. Zero takes the entry's.
+	Timeout time.Duration
+	// GapLimit is the longest time between two parts of an answer that is in time.
+	GapLimit time.Duration
 }
 
 // Dependencies are what a forwarder works with.
@@ -85,7 +91,10 @@
 	Outcome      router.Outcome
 	Cause        router.Cause
 	Took         time.Duration
-	FirstByte    time.Duration
+	// FirstByte is from the request to the first part of the body.
+	FirstByte time.Duration
+	// Gaps counts the times between two parts, LateGaps those over the limit.
+	Gaps, LateGaps int
 }
 
 // Forwarder is the entry's shell. It is safe for concurrent use.
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -55,11 +55,18 @@
 	service, path := splitPath(r)
 	ex.path = path
 	ex.header = forwardedHeader(r.Header)
-	deadline, err := f.deadlineOf(r)
+	f.mu.Lock()
+	settings := f.services[service]
+	f.mu.Unlock()
+	if settings.Allows != nil && !settings.Allows(org) {
+		return nil, faultf(http.StatusForbidden, "organisation %s may not call %s (ask the operator)", org, service)
+	}
+	ex.gapLimit = settings.GapLimit
+	deadline, err := f.deadlineOf(r, settings)
 	if err != nil {
 		return nil, err
 	}
-	class, key, err := f.classOf(r, service, ex.id)
+	class, key, err := classOf(r, path, settings, ex.id)
 	if err != nil {
 		return nil, err
 	}
@@ -113,9 +120,12 @@
 }
 
 // deadlineOf reads the deadline: a duration such as 30s, or a time in RFC 3339.
-func (f *Forwarder) deadlineOf(r *http.Request) (time.Time, error) {
+func (f *Forwarder) deadlineOf(r *http.Request, settings ServiceSettings) (time.Time, error) {
 	now := f.clock.Now()
 	text := r.Header.Get(HeaderDeadline)
+	if text == "" && settings.Timeout > 0 {
+		return now.Add(settings.Timeout), nil
+	}
 	if text == "" {
 		return now.Add(f.cfg.Timeout), nil
 	}
@@ -137,7 +147,7 @@
 
 // classOf returns whether the request may run more than once, and the key of
 // one that may not. A request without the caller's key has its own id as key.
-func (f *Forwarder) classOf(r *http.Request, service identifier.Service, id identifier.RequestID) (router.Class, identifier.IdempotencyKey, error) {
+func classOf(r *http.Request, path string, settings ServiceSettings, id identifier.RequestID) (router.Class, identifier.IdempotencyKey, error) {
 	key := r.Header.Get(HeaderKey)
 	if len(key) > maxKeyLength {
 		return "", "", faultf(http.StatusBadRequest, "%s is longer than %d bytes (choose a shorter one)", HeaderKey, maxKeyLength)
@@ -145,19 +155,25 @@
 	if key != "" {
 		return router.NonIdempotent, identifier.IdempotencyKey(key), nil
 	}
-	switch r.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return router.Idempotent, "", nil
+	repeatable := settings.Repeatable
+	if repeatable == nil {
+		repeatable = repeatableMethod
 	}
-	f.mu.Lock()
-	repeatable := f.services[service].Repeatable
-	f.mu.Unlock()
-	if repeatable {
+	if repeatable(r.Method, path) {
 		return router.Idempotent, "", nil
 	}
 	return router.NonIdempotent, identifier.IdempotencyKey("request:" + id), nil
 }
 
+func repeatableMethod(method, _ string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
+	}
+}
+
 func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.ContentLength > int64(f.cfg.MaxBody) {
 		return nil, f.tooLarge()
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -89,6 +89,8 @@
 		Cause:        answer.Cause,
 		Took:         f.clock.Since(ex.began),
 		FirstByte:    rep.firstByte,
+		Gaps:         rep.gaps,
+		LateGaps:     rep.lateGaps,
 	}
 	if answer.Stored != nil {
 		o.Outcome = answer.Stored.Outcome
@@ -113,6 +115,9 @@
 	gone      bool
 	broken    bool
 	firstByte time.Duration
+	lastPart  time.Time
+	gaps      int
+	lateGaps  int
 }
 
 // run passes pieces on until the reducer's answer comes.
@@ -164,17 +169,39 @@
 	switch {
 	case part.head != nil:
 		p.head = part.head
-		p.firstByte = p.f.clock.Since(p.ex.began)
 		if !p.buffered {
 			p.start(outcomeOf(part.head.Status))
 		}
 	case len(part.data) == 0:
 		copyTrailer(p.w.Header(), part.trailer)
-	case p.buffered:
-		p.body = append(p.body, part.data...)
-	default:
-		p.passData(part.data)
+		return
+	}
+	if len(part.data) > 0 {
+		p.time()
+		p.passBody(part.data)
+	}
+}
+
+// time notes when a part of the body came, for the service levels.
+func (p *reply) time() {
+	now := p.f.clock.Now()
+	if p.lastPart.IsZero() {
+		p.firstByte = now.Sub(p.ex.began)
+	} else {
+		p.gaps++
+		if now.Sub(p.lastPart) > p.ex.gapLimit {
+			p.lateGaps++
+		}
+	}
+	p.lastPart = now
+}
+
+func (p *reply) passBody(data []byte) {
+	if p.buffered {
+		p.body = append(p.body, data...)
+		return
 	}
+	p.passData(data)
 }
 
 // passData passes bytes on, but holds back those that complete a declared length
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -106,7 +106,7 @@
 		p.logger.Warn("Refused a subscription.", zap.String("peer", s.Peer().Name))
 		return
 	}
-	sub := p.add(request)
+	sub := p.add(request, s.Peer())
 	defer p.remove(sub)
 	ctx, cancel := context.WithCancel(ctx)
 	var reports sync.WaitGroup
@@ -119,9 +119,11 @@
 	reports.Wait()
 }
 
-func (p *Publisher) add(request *subscriber.Subscribe) *subscription {
+func (p *Publisher) add(request *subscriber.Subscribe, peer connector.Peer) *subscription {
 	sub := &subscription{
 		process:     request.Process,
+		address:     peer.Address,
+		isEntry:     peer.Has(certifier.Entry),
 		need:        request.Need,
 		upstream:    request.Upstream,
 		since:       p.clock.Now(),
@@ -271,8 +273,11 @@
 
 // Subscriber is what is known of one subscriber, for operators.
 type Subscriber struct {
-	Process   string
-	Upstream  identifier.Upstream
+	Process  string
+	Upstream identifier.Upstream
+	// Address is where the subscriber takes calls, Entry whether it is an entry.
+	Address   netip.AddrPort
+	Entry     bool
 	Version   identifier.ConfigurationVersion
 	Reported  time.Time
 	Transfers []subscriber.Transfer
@@ -287,6 +292,8 @@
 		list = append(list, Subscriber{
 			Process:   sub.process,
 			Upstream:  sub.upstream,
+			Address:   sub.address,
+			Entry:     sub.isEntry,
 			Version:   sub.report.Version,
 			Reported:  sub.reportedAt,
 			Transfers: sub.transfers,
--- a/publisher/subscription.go
+++ b/publisher/subscription.go
@@ -1,6 +1,7 @@
 package publisher
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -12,6 +13,8 @@
 // subscription is what the replica knows of one subscriber.
 type subscription struct {
 	process  string
+	address  netip.AddrPort
+	isEntry  bool
 	need     configurer.Need
 	upstream identifier.Upstream
 	since    time.Time
--- a/reporter/severity.go
+++ b/reporter/severity.go
@@ -1,5 +1,11 @@
 package reporter
 
+import (
+	"fmt"
+
+	"celeryvalve/explainer"
+)
+
 // Severity says how soon an operator must look.
 type Severity int
 
@@ -29,3 +35,15 @@
 func (s Severity) MarshalText() ([]byte, error) {
 	return []byte(s.String()), nil
 }
+
+// UnmarshalText reads a severity by its name.
+func (s *Severity) UnmarshalText(text []byte) error {
+	for _, known := range []Severity{None, Ticket, Page} {
+		if known.String() == string(text) {
+			*s = known
+			return nil
+		}
+	}
+	return explainer.New(explainer.InvalidInput, fmt.Sprintf("severity %q is not known", text),
+		"use a client of the same release")
+}
--- a/subscriber/messages.go
+++ b/subscriber/messages.go
@@ -91,6 +91,8 @@
 	Version    identifier.WeightVersion
 	Chunks     int
 	ChunksHeld int
+	Size       identifier.ByteCount
+	SizeHeld   identifier.ByteCount
 	FromOrigin identifier.ByteCount
 	FromPeers  identifier.ByteCount
 	Started    time.Time
