--- /dev/null
+++ b/commander/run.go
@@ -0,0 +1,120 @@
+package commander
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"github.com/jonboulle/clockwork"
+
+	"celeryvalve/explainer"
+	"celeryvalve/versioner"
+)
+
+// The exit codes of the command line.
+const (
+	ExitDone        = 0
+	ExitFailed      = 1
+	ExitInvalid     = 2
+	ExitConflict    = 3
+	ExitDenied      = 4
+	ExitNotFound    = 5
+	ExitUnavailable = 6
+)
+
+// commandLine is every command with its flags.
+type commandLine struct {
+	Output string           `help:"Form of the output: text for people, json for programs." enum:"text,json" default:"text"`
+	Build  kong.VersionFlag `help:"Print the version and build of this program."`
+
+	Control    []string `help:"URLs of the operators' API on the control replicas." default:"https://127.0.0.1:7402" env:"CELERYVALVE_CONTROL"`
+	KeysFolder string   `name:"keys" help:"Folder of the operator's key." default:"keys" type:"path" env:"CELERYVALVE_KEYS"`
+	Name       string   `help:"Name of the operator in the key." default:"operator" env:"CELERYVALVE_NAME"`
+
+	Keys       keysCommand       `cmd:"" help:"Make, issue, renew and rotate the keys of processes and operators."`
+	Validate   validateCommand   `cmd:"" help:"Check a settings or patch file and list every fault."`
+	Patch      patchCommand      `cmd:"" help:"Change the configuration and look at its versions."`
+	Version    versionCommand    `cmd:"" help:"Show which version is in force, where, and who lags."`
+	Services   servicesCommand   `cmd:"" help:"List the services and how many upstreams are ready."`
+	Upstreams  upstreamsCommand  `cmd:"" help:"List every upstream."`
+	Wait       waitCommand       `cmd:"" help:"Wait until a service is ready."`
+	Transfers  transfersCommand  `cmd:"" help:"Follow the weights on every instance."`
+	Quarantine quarantineCommand `cmd:"" help:"List and clear requests that crashed upstreams."`
+	Replica    replicaCommand    `cmd:"" help:"List, admit and remove control replicas."`
+}
+
+// session is what a command runs with.
+type session struct {
+	w      io.Writer
+	stderr io.Writer
+	clock  clockwork.Clock
+	output string
+	line   *commandLine
+}
+
+// print writes text, or the value as JSON when that was asked for.
+func (s *session) print(value any, text string) error {
+	if s.output == "json" {
+		enc := json.NewEncoder(s.w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
+	}
+	_, err := fmt.Fprint(s.w, text)
+	return err
+}
+
+// Run carries out one command line and returns the exit code.
+func Run(args []string, w, stderr io.Writer, clock clockwork.Clock) int {
+	var line commandLine
+	code := -1
+	parser, err := kong.New(&line,
+		kong.Name("celeryvalve"),
+		kong.Description("Operate celeryvalve: submit patches, see what runs where, follow transfers."),
+		kong.Vars{"version": versioner.Text("celeryvalve")},
+		kong.Writers(w, stderr),
+		kong.Exit(func(status int) { code = status }),
+	)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	ctx, err := parser.Parse(args)
+	if code >= 0 {
+		return code
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "celeryvalve: %v (see celeryvalve --help)\n", err)
+		return ExitInvalid
+	}
+	err = ctx.Run(&session{w: w, stderr: stderr, clock: clock, output: line.Output, line: &line})
+	if err != nil {
+		fmt.Fprintf(stderr, "celeryvalve: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	var known *explainer.Error
+	if !errors.As(err, &known) {
+		return ExitFailed
+	}
+	switch known.Kind {
+	case explainer.InvalidInput:
+		return ExitInvalid
+	case explainer.Conflict, explainer.Fenced:
+		return ExitConflict
+	case explainer.Denied:
+		return ExitDenied
+	case explainer.NotFound:
+		return ExitNotFound
+	case explainer.Unavailable:
+		return ExitUnavailable
+	default:
+		return ExitFailed
+	}
+}
