--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -246,7 +246,7 @@
 	n.running = false
 	n.life++
 	for _, write := range n.writes[:n.w.random.IntN(len(n.writes)+1)] {
-		n.durable = stored(n.durable, write)
+		n.store(write)
 	}
 	n.writes = nil
 }
@@ -342,7 +342,7 @@
 	}
 	write := n.writes[0]
 	n.writes = n.writes[1:]
-	n.durable = stored(n.durable, write)
+	n.store(write)
 	switch e := write.(type) {
 	case replicator.Persist:
 		n.feed(replicator.Persisted{Sequence: e.Sequence})
@@ -351,6 +351,26 @@
 	}
 }
 
+// store writes to the disk what a recorder would take: no entry that a snapshot
+// covers, no gap and no snapshot beyond the log.
+func (n *node) store(write replicator.Effect) {
+	var covered, last recorder.Index
+	if s := n.durable.Snapshot; s != nil {
+		covered = s.Position.Index
+	}
+	last = covered + recorder.Index(len(n.durable.Entries))
+	switch e := write.(type) {
+	case snapshotWrite:
+		require.LessOrEqual(n.w.t, e.snapshot.Position.Index, last)
+	case replicator.Persist:
+		if len(e.Entries) > 0 {
+			require.Greater(n.w.t, e.Entries[0].Index, covered)
+			require.LessOrEqual(n.w.t, e.Entries[0].Index, last+1)
+		}
+	}
+	n.durable = stored(n.durable, write)
+}
+
 // stored returns what a disk holds after the write.
 func stored(s recorder.State, write replicator.Effect) recorder.State {
 	switch e := write.(type) {
