--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"celeryvalve/encoder"
 	"celeryvalve/identifier"
 	"celeryvalve/recorder"
@@ -57,6 +59,8 @@
 	SnapshotEvery int
 	// Random returns numbers in [0, 1) that spread election timeouts.
 	Random func() float64
+	// Metrics takes the replica's metrics. Two replicas can't share one set.
+	Metrics *metrics.Set
 	// OnRole, if set, is told of each change of role, term or leader. It must not block.
 	OnRole func(replicator.RoleChanged)
 }
@@ -71,6 +75,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -6,9 +6,8 @@
 	"celeryvalve/replicator"
 )
 
-// meters are the metrics of one replica, in a set of its own.
+// meters are the metrics of one replica.
 type meters struct {
-	set                *metrics.Set
 	applied            *metrics.Counter
 	snapshotsTaken     *metrics.Counter
 	snapshotsInstalled *metrics.Counter
@@ -18,7 +17,7 @@
 }
 
 func newMeters(c *Coordinator) *meters {
-	set := metrics.NewSet()
+	set := c.cfg.Metrics
 	set.NewGauge("celeryvalve_control_leader", func() float64 {
 		if c.IsLeader() {
 			return 1
@@ -35,7 +34,6 @@
 	set.NewGauge("celeryvalve_control_voters_silent", func() float64 { return float64(c.silentVoters()) })
 	set.NewGauge("celeryvalve_control_replicas_waiting", func() float64 { return float64(len(c.Status().Joiners)) })
 	return &meters{
-		set:                set,
 		applied:            set.NewCounter("celeryvalve_control_entries_applied_total"),
 		snapshotsTaken:     set.NewCounter("celeryvalve_control_snapshots_taken_total"),
 		snapshotsInstalled: set.NewCounter("celeryvalve_control_snapshots_installed_total"),
@@ -45,11 +43,6 @@
 	}
 }
 
-// Metrics returns the replica's metrics, for the program's registry.
-func (c *Coordinator) Metrics() *metrics.Set {
-	return c.meters.set
-}
-
 // silentVoters counts the voters that the leader has not heard for an election
 // timeout. Other replicas don't know and return 0.
 func (c *Coordinator) silentVoters() int {
