--- a/replicator/config.go
+++ b/replicator/config.go
@@ -81,6 +81,11 @@
 	return 2 * c.HeartbeatInterval
 }
 
+// diskTimeout is how long a leader waits for its own disk.
+func (c Config) diskTimeout() time.Duration {
+	return 3 * c.ElectionTimeout
+}
+
 // answerLifetime is how long what a new replica told of itself counts.
 func (c Config) answerLifetime() time.Duration {
 	return 10 * c.HeartbeatInterval
--- a/replicator/disk.go
+++ b/replicator/disk.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "celeryvalve/recorder"
+import (
+	"time"
+
+	"celeryvalve/recorder"
+)
 
 // disk is what the replicator knows of its Persist effects.
 type disk struct {
@@ -19,6 +23,7 @@
 	sequence Sequence
 	// last is the last index that is stable once it is synced, or 0.
 	last recorder.Index
+	at   time.Time
 }
 
 // heldEffect waits until everything up to sequence is synced.
@@ -43,7 +48,7 @@
 func (r *Replicator) persist(p Persist, last recorder.Index) {
 	r.disk.issued++
 	p.Sequence = r.disk.issued
-	r.disk.pending = append(r.disk.pending, pendingPersist{sequence: p.Sequence, last: last})
+	r.disk.pending = append(r.disk.pending, pendingPersist{sequence: p.Sequence, last: last, at: r.now})
 	r.emit(p)
 }
 
@@ -64,6 +69,13 @@
 	}
 }
 
+// diskHangs reports whether the disk has left a Persist effect unanswered for so
+// long that the replica should neither lead nor stand for election.
+func (r *Replicator) diskHangs() bool {
+	d := &r.disk
+	return len(d.pending) > 0 && r.now.Sub(d.pending[0].at) > r.cfg.diskTimeout()
+}
+
 func (r *Replicator) persisted(sequence Sequence) {
 	d := &r.disk
 	if sequence <= d.done {
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -28,7 +28,7 @@
 
 func (r *Replicator) electionDue() bool {
 	self, ok := r.membership.Find(r.cfg.Replica)
-	if !ok || !self.Voter || r.cluster == "" {
+	if !ok || !self.Voter || r.cluster == "" || r.diskHangs() {
 		return false
 	}
 	spread := time.Duration(float64(r.cfg.ElectionTimeout) * r.election.jitter)
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -137,7 +137,7 @@
 }
 
 func (r *Replicator) tickLeader() {
-	if !r.hasQuorum() {
+	if !r.hasQuorum() || r.diskHangs() {
 		r.follow(r.term, peer{})
 		return
 	}
--- a/replicator/safety_test.go
+++ b/replicator/safety_test.go
@@ -193,6 +193,21 @@
 	require.Len(t, l.answers, 1, "an answer to an earlier round")
 }
 
+// TestLeaderWithHungDiskStepsDown: the majority could go on, but what waits for
+// the leader's disk would pile up.
+func TestLeaderWithHungDiskStepsDown(t *testing.T) {
+	l := newLone(t, voters("a", "b", "c"))
+	l.lead()
+	l.confirm("b", 3)
+	l.reducer.Reduce(l.now, replicator.Proposed{Proposals: []replicator.Proposal{{ID: 1}}})
+	for range 100 {
+		l.now = l.now.Add(50 * time.Millisecond)
+		l.confirm("b", 4)
+		l.feed(replicator.Ticked{})
+	}
+	require.Equal(t, replicator.Follower, l.role)
+}
+
 // TestOtherClusterIsIgnored: whoever holds entries of one cluster joins no other.
 func TestOtherClusterIsIgnored(t *testing.T) {
 	l := newLone(t, voters("a", "b", "c"))
