--- a/replicator/message.go
+++ b/replicator/message.go
@@ -110,6 +110,31 @@
 
 func (e *Envelope) envelope() *Envelope { return e }
 
+// wellFormed reports whether the fields of a decoded message can be used. A
+// replica of another release may send what this one never would.
+func wellFormed(message Message) bool {
+	switch m := message.(type) {
+	case *AppendRequest:
+		return followEachOther(m.Previous.Index, m.Entries)
+	case *SnapshotRequest:
+		return m.Offset >= 0 && m.Total >= 0 && m.Position.Index > 0
+	case *SnapshotResponse:
+		return m.Offset >= 0
+	default:
+		return true
+	}
+}
+
+func followEachOther(previous recorder.Index, entries []recorder.Entry) bool {
+	for _, e := range entries {
+		if e.Index != previous+1 || e.Kind == recorder.MembershipChange && e.Membership == nil {
+			return false
+		}
+		previous = e.Index
+	}
+	return true
+}
+
 // Messages returns the codec's entries of the messages.
 func Messages() []encoder.Entry {
 	return []encoder.Entry{
--- /dev/null
+++ b/replicator/message_test.go
@@ -0,0 +1,54 @@
+package replicator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celeryvalve/asserter"
+	"celeryvalve/encoder"
+	"celeryvalve/recorder"
+	"celeryvalve/replicator"
+)
+
+// FuzzReceive feeds any decodable message to a leader and to a follower. They
+// may halt on a broken invariant, but must not panic.
+func FuzzReceive(f *testing.F) {
+	codec, err := encoder.New(replicator.Messages()...)
+	require.NoError(f, err)
+	env := replicator.Envelope{Cluster: "x", From: "b", To: "a", Term: 3}
+	position := recorder.Position{Index: 2, Term: 2}
+	for _, m := range []replicator.Message{
+		&replicator.Hello{Envelope: env, Name: "b"},
+		&replicator.HelloResponse{Envelope: env, Name: "b", Empty: true},
+		&replicator.VoteRequest{Envelope: env, Last: position},
+		&replicator.VoteResponse{Envelope: env, Granted: true},
+		&replicator.AppendRequest{Envelope: env, Previous: position, Entries: []recorder.Entry{{Index: 3, Kind: recorder.MembershipChange}}},
+		&replicator.AppendRequest{Envelope: env, Entries: []recorder.Entry{{Index: 9}}, Commit: 90},
+		&replicator.AppendResponse{Envelope: env, Accepted: true, Match: 90},
+		&replicator.AppendResponse{Envelope: env, Refused: 3, Hint: 1 << 60},
+		&replicator.SnapshotRequest{Envelope: env, Position: position, Offset: -1, Total: -1},
+		&replicator.SnapshotResponse{Envelope: env, Index: 2, Offset: -1},
+		&replicator.TimeoutNow{Envelope: env},
+	} {
+		data, err := codec.Encode(0, m)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, msg, err := codec.Decode(data)
+		if err != nil {
+			return
+		}
+		for _, leads := range []bool{false, true} {
+			l := newLone(t, voters("a", "b", "c"), asserter.Reporting{Report: func(asserter.Invariant, string) {}})
+			if leads {
+				l.lead()
+			}
+			l.feed(replicator.Received{Message: msg.(replicator.Message)})
+			l.now = l.now.Add(time.Second)
+			l.feed(replicator.Ticked{})
+		}
+	})
+}
--- a/replicator/receive.go
+++ b/replicator/receive.go
@@ -9,7 +9,7 @@
 		return
 	}
 	env := message.envelope()
-	if env.To != r.cfg.Replica {
+	if env.To != r.cfg.Replica || !wellFormed(message) {
 		return
 	}
 	if response, ok := message.(*HelloResponse); ok {
--- a/replicator/safety_test.go
+++ b/replicator/safety_test.go
@@ -38,7 +38,7 @@
 
 // newLone returns replica "a" with a snapshot of the membership and one command
 // of term 2 in its log, which is not known to be committed.
-func newLone(t *testing.T, members *recorder.Membership) *lone {
+func newLone(t *testing.T, members *recorder.Membership, assert asserter.Asserter) *lone {
 	first := recorder.Entry{Index: 1, Term: 1, Kind: recorder.MembershipChange, Membership: members}
 	first.Chain = first.ChainAfter(0)
 	second := recorder.Entry{Index: 2, Term: 2, Data: []byte("command")}
@@ -50,7 +50,7 @@
 	}
 	return &lone{
 		t: t, second: second, now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
-		reducer: replicator.New(replicator.Config{Replica: "a", Name: "a"}, state, asserter.Strict{}),
+		reducer: replicator.New(replicator.Config{Replica: "a", Name: "a"}, state, assert),
 	}
 }
 
@@ -93,7 +93,7 @@
 // TestOldTermIsNotCommittedAlone: an entry of an earlier term on a majority may
 // still be replaced, until one of the leader's own term is on a majority too.
 func TestOldTermIsNotCommittedAlone(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	l.lead()
 	l.confirm("b", 2)
 	require.Zero(t, l.applied)
@@ -104,7 +104,7 @@
 // TestChangeNeedsOwnTermCommitted: before that, two leaders could each change
 // the membership, with majorities that don't overlap.
 func TestChangeNeedsOwnTermCommitted(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	l.lead()
 	l.feed(replicator.RemoveRequested{ID: 7, Name: "c"})
 	require.Equal(t, replicator.Busy, l.answers[0].(replicator.Rejected).Reason)
@@ -120,7 +120,7 @@
 func TestRepairTakesOneStepAtATime(t *testing.T) {
 	members := voters("a", "b", "c")
 	members.Members = append(members.Members, recorder.Member{Replica: "d", Name: "c", Replaces: "c"})
-	l := newLone(t, members)
+	l := newLone(t, members, asserter.Strict{})
 	l.lead()
 	l.confirm("b", 3)
 	l.confirm("d", 2)
@@ -137,7 +137,7 @@
 
 // TestVoteIsSyncedFirst: a vote leaves only after the hard state with it is synced.
 func TestVoteIsSyncedFirst(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	request := &replicator.VoteRequest{Envelope: l.envelope("b", 5), Last: recorder.Position{Index: 2, Term: 2}}
 	var last replicator.Persist
 	for _, effect := range l.reducer.Reduce(l.now, replicator.Received{Message: request}) {
@@ -155,7 +155,7 @@
 // TestLateAnnouncementReplacesNobody: a member that answers is not replaced by
 // what an earlier disk announced, and an admission can be taken back.
 func TestLateAnnouncementReplacesNobody(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	l.lead()
 	l.confirm("b", 3)
 	hello := &replicator.Hello{Envelope: replicator.Envelope{From: "d"}, Name: "c"}
@@ -178,7 +178,7 @@
 
 // TestReadWaitsForMajority: an old leader that nobody answers serves no read.
 func TestReadWaitsForMajority(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	l.lead()
 	l.confirm("b", 3)
 	l.feed(replicator.ReadRequested{ID: 5})
@@ -196,7 +196,7 @@
 // TestLeaderWithHungDiskStepsDown: the majority could go on, but what waits for
 // the leader's disk would pile up.
 func TestLeaderWithHungDiskStepsDown(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	l.lead()
 	l.confirm("b", 3)
 	l.reducer.Reduce(l.now, replicator.Proposed{Proposals: []replicator.Proposal{{ID: 1}}})
@@ -210,7 +210,7 @@
 
 // TestOtherClusterIsIgnored: whoever holds entries of one cluster joins no other.
 func TestOtherClusterIsIgnored(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	foreign := l.envelope("b", 9)
 	foreign.Cluster = "y"
 	l.feed(replicator.Received{Message: &replicator.AppendRequest{Envelope: foreign}})
@@ -221,8 +221,8 @@
 // TestSnapshotOfHeldEntry: a snapshot of an entry that the log holds commits it
 // and replaces nothing.
 func TestSnapshotOfHeldEntry(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
-	held := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
+	held := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	held.lead()
 	third := held.entries[0]
 	l.feed(replicator.Received{Message: &replicator.AppendRequest{
@@ -239,7 +239,7 @@
 
 // TestSnapshotInChunks: chunks out of order or of a damaged snapshot install nothing.
 func TestSnapshotInChunks(t *testing.T) {
-	l := newLone(t, voters("a", "b", "c"))
+	l := newLone(t, voters("a", "b", "c"), asserter.Strict{})
 	chunk := func(offset, total int, data string) {
 		l.feed(replicator.Received{Message: &replicator.SnapshotRequest{
 			Envelope:   l.envelope("b", 3),
