replicator: make the fuzz seed reach the nameless membership

With an entry that follows it, the seed panics when the check of the fields is taken out, and passes with it.

--- a/replicator/message_test.go
+++ b/replicator/message_test.go
@@ -18,13 +18,15 @@
 	codec, err := encoder.New(replicator.Messages()...)
 	require.NoError(f, err)
 	env := replicator.Envelope{Cluster: "x", From: "b", To: "a", Term: 3}
-	position := recorder.Position{Index: 2, Term: 2}
+	position := second(voters("a", "b", "c")).Position()
+	nameless := recorder.Entry{Index: 3, Term: 3, Kind: recorder.MembershipChange}
+	nameless.Chain = nameless.ChainAfter(position.Chain)
 	for _, m := range []replicator.Message{
 		&replicator.Hello{Envelope: env, Name: "b"},
 		&replicator.HelloResponse{Envelope: env, Name: "b", Empty: true},
 		&replicator.VoteRequest{Envelope: env, Last: position},
 		&replicator.VoteResponse{Envelope: env, Granted: true},
-		&replicator.AppendRequest{Envelope: env, Previous: position, Entries: []recorder.Entry{{Index: 3, Kind: recorder.MembershipChange}}},
+		&replicator.AppendRequest{Envelope: env, Previous: position, Entries: []recorder.Entry{nameless}},
 		&replicator.AppendRequest{Envelope: env, Entries: []recorder.Entry{{Index: 9}}, Commit: 90},
 		&replicator.AppendResponse{Envelope: env, Accepted: true, Match: 90},
 		&replicator.AppendResponse{Envelope: env, Refused: 3, Hint: 1 << 60},
--- a/replicator/safety_test.go
+++ b/replicator/safety_test.go
@@ -36,13 +36,22 @@
 	return m
 }
 
+func first(members *recorder.Membership) recorder.Entry {
+	e := recorder.Entry{Index: 1, Term: 1, Kind: recorder.MembershipChange, Membership: members}
+	e.Chain = e.ChainAfter(0)
+	return e
+}
+
+func second(members *recorder.Membership) recorder.Entry {
+	e := recorder.Entry{Index: 2, Term: 2, Data: []byte("command")}
+	e.Chain = e.ChainAfter(first(members).Chain)
+	return e
+}
+
 // newLone returns replica "a" with a snapshot of the membership and one command
 // of term 2 in its log, which is not known to be committed.
 func newLone(t *testing.T, members *recorder.Membership, assert asserter.Asserter) *lone {
-	first := recorder.Entry{Index: 1, Term: 1, Kind: recorder.MembershipChange, Membership: members}
-	first.Chain = first.ChainAfter(0)
-	second := recorder.Entry{Index: 2, Term: 2, Data: []byte("command")}
-	second.Chain = second.ChainAfter(first.Chain)
+	first, second := first(members), second(members)
 	state := recorder.State{
 		HardState: recorder.HardState{Cluster: "x", Term: 2},
 		Snapshot:  &recorder.Snapshot{Position: first.Position(), Membership: *members},
