--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -60,6 +60,9 @@
 		c.waiters.finish(e.ID, answer{err: rejection(e)})
 	case replicator.RoleChanged:
 		c.changeRole(e)
+	case replicator.Announced:
+		c.log.Warn(logPrefix+"replica with an empty data folder waits to be admitted",
+			zap.String("Name", e.Name), zap.String("Replica", string(e.Replica)), zap.Stringer("Addr", e.Addr))
 	case replicator.Halted:
 		c.fail(explainer.New(explainer.Internal, e.Detail, "keep the data folder for inspection and replace this replica"))
 	}
--- a/replicator/discovery.go
+++ b/replicator/discovery.go
@@ -69,6 +69,10 @@
 	if m.From == r.cfg.Replica {
 		return
 	}
+	_, member := r.membership.Find(m.From)
+	if known := r.joiners[m.Name].peer.replica; known != m.From && !member && !r.empty() {
+		r.emit(Announced{Replica: m.From, Name: m.Name, Addr: m.Addr})
+	}
 	r.joiners[m.Name] = joiner{peer: peer{replica: m.From, addr: m.Addr}, at: r.now}
 	r.send(m.Addr, &HelloResponse{Envelope: r.envelopeTo(m.From), Name: r.cfg.Name, Empty: r.empty()})
 }
--- a/replicator/effect.go
+++ b/replicator/effect.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 )
 
@@ -78,6 +79,14 @@
 	Leader netip.AddrPort
 }
 
+// Announced tells of a new replica that waits to be admitted. Each replica with
+// entries tells it once.
+type Announced struct {
+	Replica identifier.Replica
+	Name    string
+	Addr    netip.AddrPort
+}
+
 // Halted tells that an invariant does not hold. The replicator does nothing more.
 type Halted struct {
 	Detail string
@@ -91,4 +100,5 @@
 func (Completed) effect()   {}
 func (Rejected) effect()    {}
 func (RoleChanged) effect() {}
+func (Announced) effect()   {}
 func (Halted) effect()      {}
