--- a/replicator/safety_test.go
+++ b/replicator/safety_test.go
@@ -168,7 +168,8 @@
 	l.lead()
 	l.confirm("b", 3)
 	hello := &replicator.Hello{Envelope: replicator.Envelope{From: "d"}, Name: "c"}
-	l.feed(replicator.Received{Message: hello})
+	effects := l.reducer.Reduce(l.now, replicator.Received{Message: hello})
+	require.Equal(t, replicator.Announced{Replica: "d", Name: "c"}, effects[0])
 	l.feed(replicator.AdmitRequested{ID: 1, Name: "c"})
 	require.Equal(t, replicator.NotPossible, l.answers[0].(replicator.Rejected).Reason)
 	l.now = l.now.Add(700 * time.Millisecond)
