controller: keep what an origin lease leaves of earlier ones

Randomised runs over leases, resends, returns and lost holders found three faults: a lease forgot the chunks of an older one that it overlapped in part, so that these were granted as if for the first time; a return took the wrong one of two leases on a range, as it bore no ID; and returning a lease from the reserve freed chunks that were read under the lease before it.

--- a/controller/message.go
+++ b/controller/message.go
@@ -234,6 +234,7 @@
 type ReturnOrigin struct {
 	Upstream    identifier.Upstream
 	Incarnation identifier.Incarnation
+	ID          uint64 // of the LeaseOrigin
 	Manifest    identifier.Digest
 	Chunks      Chunks
 	Copy        int
--- a/controller/origin.go
+++ b/controller/origin.go
@@ -40,7 +40,7 @@
 type OriginGrant struct {
 	Copy        int
 	Chunks      Chunks
-	Size        identifier.ByteCount
+	Size        identifier.ByteCount // zero for a part, and for one that was returned
 	Holder      identifier.Upstream
 	Incarnation identifier.Incarnation
 	ID          uint64 // of the request
@@ -142,7 +142,7 @@
 // same reports whether the grant is of just this request, which was sent again.
 func (g OriginGrant) same(m *LeaseOrigin) bool {
 	return g.Holder == m.Upstream && g.Incarnation == m.Incarnation && g.ID == m.ID &&
-		g.Copy == m.Copy && g.Chunks == m.Chunks
+		g.Copy == m.Copy && g.Chunks == m.Chunks && g.Size > 0
 }
 
 func (b *originBudget) overlap(m *LeaseOrigin) []OriginGrant {
@@ -160,6 +160,28 @@
 		m.Chunks.First < g.Chunks.First+g.Chunks.Count
 }
 
+// without returns what is left of the grant on both sides of the request. A part
+// can't be returned any more: its size is not known, and counts as read.
+func (g OriginGrant) without(m *LeaseOrigin) []OriginGrant {
+	if !g.overlaps(m) {
+		return []OriginGrant{g}
+	}
+	var parts []OriginGrant
+	end, cutEnd := g.Chunks.First+g.Chunks.Count, m.Chunks.First+m.Chunks.Count
+	g.Size = 0
+	if left := m.Chunks.First - g.Chunks.First; left > 0 {
+		part := g
+		part.Chunks.Count = left
+		parts = append(parts, part)
+	}
+	if right := end - cutEnd; right > 0 {
+		part := g
+		part.Chunks = Chunks{First: cutEnd, Count: right}
+		parts = append(parts, part)
+	}
+	return parts
+}
+
 // roll begins a new window, with its reserve whole, when the present one is over.
 func (b *originBudget) roll(now Instant) {
 	if b.Window.after(OriginWindow) <= now {
@@ -183,9 +205,13 @@
 	return min(max(left, time.Second), originRetryAfter)
 }
 
-// grant replaces the grants that the request overlaps.
+// grant takes the request's chunks out of the grants that it overlaps.
 func (b *originBudget) grant(m *LeaseOrigin, again bool, now Instant) {
-	b.Grants = slices.DeleteFunc(b.Grants, func(g OriginGrant) bool { return g.overlaps(m) })
+	kept := make([]OriginGrant, 0, len(b.Grants)+1)
+	for _, g := range b.Grants {
+		kept = append(kept, g.without(m)...)
+	}
+	b.Grants = kept
 	if again {
 		b.Reserve += m.Size
 	} else {
@@ -211,22 +237,31 @@
 		return &MemberAnswer{}
 	}
 	i := slices.IndexFunc(budget.Grants, func(g OriginGrant) bool {
-		return g.Holder == m.Upstream && g.Copy == m.Copy && g.Chunks == m.Chunks && g.Expires > c.now
+		return g.Holder == m.Upstream && g.Incarnation == m.Incarnation && g.ID == m.ID &&
+			g.Copy == m.Copy && g.Chunks == m.Chunks && g.Size > 0 && g.Expires > c.now
 	})
 	if i < 0 {
 		return &MemberAnswer{}
 	}
-	g := budget.Grants[i]
-	budget.Grants = slices.Delete(budget.Grants, i, i+1)
-	switch {
-	case !g.Reserve:
-		budget.Granted -= g.Size
-	case g.Window == budget.Window:
-		budget.Reserve -= g.Size
-	}
+	budget.giveBack(i)
 	return &MemberAnswer{Changed: true}
 }
 
+// giveBack undoes a grant. Chunks that were granted before it stay granted, since
+// their earlier lease may still run, and count against the reserve next time too.
+func (b *originBudget) giveBack(i int) {
+	g := &b.Grants[i]
+	if !g.Reserve {
+		b.Granted -= g.Size
+		b.Grants = slices.Delete(b.Grants, i, i+1)
+		return
+	}
+	if g.Window == b.Window {
+		b.Reserve -= g.Size
+	}
+	g.Size = 0
+}
+
 func (o *origin) use() []OriginUse {
 	uses := make([]OriginUse, 0, len(o.budgets))
 	for _, manifest := range o.manifests() {
--- a/controller/origin_test.go
+++ b/controller/origin_test.go
@@ -93,7 +93,7 @@
 	r.submit("p", 0, engine)
 	m := lease(t, "u1", 1, 0)
 	r.lease(m)
-	give := &controller.ReturnOrigin{Upstream: "u1", Incarnation: 1, Manifest: m.Manifest, Chunks: m.Chunks}
+	give := &controller.ReturnOrigin{Upstream: "u1", Incarnation: 1, ID: m.ID, Manifest: m.Manifest, Chunks: m.Chunks}
 	require.True(t, r.apply(give).(*controller.MemberAnswer).Changed)
 	require.False(t, r.apply(give).(*controller.MemberAnswer).Changed)
 	require.Zero(t, r.state.OriginUse()[0].Granted)
