--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -68,6 +69,7 @@
 	c.mu.Lock()
 	c.role = e
 	c.mu.Unlock()
+	c.meters.roleChanges.Inc()
 	if e.Role != replicator.Leader {
 		c.waiters.loseLeadership()
 	}
@@ -89,10 +91,13 @@
 		case recorder.Noop:
 		}
 		c.applied = e.Position()
+		c.appliedAt = e.At
 		c.reach(e.Index)
+		c.meters.applied.Inc()
+		c.bytes += identifier.ByteCount(len(e.Data))
 		c.waiters.applied(e, result)
 	}
-	if int(c.applied.Index-c.snapshotAt) >= c.cfg.SnapshotEvery {
+	if int(c.applied.Index-c.snapshotAt) >= c.cfg.SnapshotEvery || c.bytes > snapshotBytes {
 		c.takeSnapshot()
 	}
 }
@@ -110,7 +115,14 @@
 		return
 	}
 	c.snapshotAt = c.applied.Index
-	c.writer.put(job{snapshot: &recorder.Snapshot{Position: c.applied, Membership: c.membership.Clone(), Data: data}})
+	c.bytes = 0
+	c.meters.snapshotsTaken.Inc()
+	c.writer.put(job{snapshot: &recorder.Snapshot{
+		Position:   c.applied,
+		At:         c.appliedAt,
+		Membership: c.membership.Clone(),
+		Data:       data,
+	}})
 }
 
 func (c *Coordinator) restore(s recorder.Snapshot) {
@@ -120,8 +132,10 @@
 		return
 	}
 	c.applied = s.Position
+	c.appliedAt = s.At
 	c.membership = s.Membership.Clone()
 	c.snapshotAt = s.Position.Index
+	c.meters.snapshotsInstalled.Inc()
 	c.reach(s.Position.Index)
 	c.log.Info(logPrefix+"snapshot installed", zap.Uint64("Index", uint64(s.Position.Index)))
 }
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -1,9 +1,11 @@
 package replicator
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 )
 
@@ -64,13 +66,14 @@
 		if m.Replica == r.cfg.Replica || r.progress[m.Replica] != nil {
 			continue
 		}
-		r.progress[m.Replica] = &progress{next: r.log.last().Index + 1, probing: true, heardAt: r.now}
+		r.progress[m.Replica] = &progress{next: max(r.log.last().Index, 1), probing: true, heardAt: r.now}
 	}
 }
 
-// appendOwn appends entries of the leader and syncs and sends them.
+// appendOwn appends entries of the leader and syncs them. Their time never lies
+// before that of an earlier entry, whatever the leaders' clocks say.
 func (r *Replicator) appendOwn(entries ...recorder.Entry) {
-	at := r.lastTime()
+	at := r.log.timeOf(r.log.last().Index)
 	if wall := r.now.UTC().Truncate(time.Microsecond); wall.After(at) {
 		at = wall
 	}
@@ -86,15 +89,6 @@
 	r.persistEntries(append([]recorder.Entry(nil), entries...))
 }
 
-// lastTime returns the time of the last entry, below which no later one may go.
-func (r *Replicator) lastTime() time.Time {
-	e, ok := r.log.entry(r.log.last().Index)
-	if !ok {
-		return time.Time{}
-	}
-	return e.At
-}
-
 func (r *Replicator) propose(proposals []Proposal) {
 	if !r.isLeader() {
 		for _, p := range proposals {
@@ -105,12 +99,8 @@
 	var entries []recorder.Entry
 	next := r.log.last().Index + 1
 	for _, p := range proposals {
-		if r.transfer != nil {
-			r.reject(p.ID, Busy, "the leadership is being transferred")
-			continue
-		}
-		if r.pendingBytes > int(r.cfg.MaxPendingBytes) {
-			r.reject(p.ID, Busy, "too much is waiting to be committed")
+		if reason, detail := r.refuses(p); reason != "" {
+			r.reject(p.ID, reason, detail)
 			continue
 		}
 		entries = append(entries, recorder.Entry{Kind: recorder.Command, Data: p.Data})
@@ -124,6 +114,20 @@
 	r.replicateAll()
 }
 
+// refuses tells why the leader takes in no such proposal now, or "".
+func (r *Replicator) refuses(p Proposal) (Reason, string) {
+	switch {
+	case identifier.ByteCount(len(p.Data)) > MaxCommandBytes:
+		return NotPossible, fmt.Sprintf("the command has %d bytes, and %d is the limit", len(p.Data), MaxCommandBytes)
+	case r.transfer != nil:
+		return Busy, "the leadership is being transferred"
+	case r.pendingBytes > int(r.cfg.MaxPendingBytes):
+		return Busy, "too much is waiting to be committed"
+	default:
+		return "", ""
+	}
+}
+
 func (r *Replicator) reject(id RequestID, reason Reason, detail string) {
 	rejected := Rejected{ID: id, Reason: reason, Detail: detail}
 	if !r.isLeader() {
@@ -251,9 +255,9 @@
 		r.sendChunk(m, p)
 		return
 	}
-	if p.inflight > 0 {
-		p.inflight = 0
-		p.next = min(p.next, max(p.match+1, 1))
+	p.inflight = 0
+	if !p.probing && p.match < r.log.last().Index {
+		p.next = p.match + 1
 		p.probing = true
 	}
 	r.replicate(m, p)
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -1,13 +1,17 @@
 package replicator
 
 import (
+	"time"
+
 	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 )
 
 // log holds the entries after begin, which a snapshot or nothing precedes.
 type log struct {
-	begin   recorder.Position
+	begin recorder.Position
+	// beginAt is the time of the entry at begin.
+	beginAt time.Time
 	entries []recorder.Entry
 }
 
@@ -66,22 +70,48 @@
 	l.entries = l.entries[:index-l.begin.Index-1]
 }
 
+// keepFrom returns the index after which at most n entries and about size bytes
+// lie up to last.
+func (l *log) keepFrom(last recorder.Index, n int, size identifier.ByteCount) recorder.Index {
+	index := last
+	var sum identifier.ByteCount
+	for ; index > l.begin.Index && int(last-index) < n; index-- {
+		e, _ := l.entry(index)
+		sum += identifier.ByteCount(len(e.Data))
+		if sum > size {
+			break
+		}
+	}
+	return index
+}
+
 // compact drops the entries up to index.
 func (l *log) compact(index recorder.Index) {
 	position, ok := l.at(index)
-	if !ok {
+	if !ok || index == l.begin.Index {
 		return
 	}
+	l.beginAt = l.timeOf(index)
 	l.entries = l.between(index+1, l.last().Index)
 	l.begin = position
 }
 
-// reset empties the log, which goes on after position.
-func (l *log) reset(position recorder.Position) {
-	l.begin = position
+// reset empties the log, which goes on after the snapshot.
+func (l *log) reset(s recorder.Snapshot) {
+	l.begin = s.Position
+	l.beginAt = s.At
 	l.entries = nil
 }
 
+// timeOf returns the time of the entry with the index, which the log holds or
+// begins with.
+func (l *log) timeOf(index recorder.Index) time.Time {
+	if e, ok := l.entry(index); ok {
+		return e.At
+	}
+	return l.beginAt
+}
+
 // beforeTerm returns the last index at or before index whose term is lower.
 func (l *log) beforeTerm(index recorder.Index) recorder.Index {
 	position, ok := l.at(index)
