configurer: work on the objects that changed only

Apply printed the whole configuration to bound its size, and Diff flattened both sides whole. Both look at the changed objects now; the fields of a type are looked up once, and names are checked without a regular expression.

--- a/configurer/check.go
+++ b/configurer/check.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/netip"
 	"net/url"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -17,7 +16,19 @@
 
 const maximumName = 128 // bytes
 
-var goodName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/-]*$`)
+// isName reports whether text is letters and digits, with points, slashes, hyphens
+// and underscores after the first.
+func isName(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && (i == 0 || !strings.ContainsRune("._/-", rune(c))) {
+			return false
+		}
+	}
+	return text != ""
+}
 
 // checker looks at the whole of a new configuration.
 type checker struct {
@@ -57,7 +68,7 @@
 
 // name checks the name of an object or version.
 func (c *checker) name(path parser.Path, name string) {
-	if len(name) > maximumName || !goodName.MatchString(name) {
+	if len(name) > maximumName || !isName(name) {
 		c.fault(path, fmt.Sprintf("name %q is not allowed", name),
 			fmt.Sprintf("use up to %d letters, digits, points, slashes, hyphens and underscores", maximumName))
 	}
--- a/configurer/configuration.go
+++ b/configurer/configuration.go
@@ -16,6 +16,9 @@
 	// Stamps has the version that last changed each object. A stamp without an
 	// object is the tombstone of a removed one.
 	Stamps map[Ref]identifier.ConfigurationVersion
+	// Size is that of the printed objects, near enough to bound it. Only Apply
+	// keeps it, for the next patch.
+	Size identifier.ByteCount
 	// Floor is the oldest version from which a delta can be made.
 	Floor identifier.ConfigurationVersion
 }
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -227,6 +227,7 @@
 			require.Equal(t, digest, after.Digest())
 			return
 		}
+		require.InDelta(t, len(after.Print())-len(configurer.New().Print()), int(after.Size), 16)
 		again := apply(t, configurer.New(), string(after.Print()))
 		require.Equal(t, after.Digest(), again.Digest(), "%s", after.Print())
 	})
--- a/configurer/delta.go
+++ b/configurer/delta.go
@@ -117,10 +117,7 @@
 // be older. Rewind takes it.
 func Between(from, to Configuration) Delta {
 	d := Delta{Base: from.Version, Version: to.Version, Floor: to.Floor, Stamps: make(map[Ref]identifier.ConfigurationVersion)}
-	for _, ref := range union(from.refs(), to.refs()) {
-		if from.equalAt(&to.Objects, ref) {
-			continue
-		}
+	for _, ref := range changedRefs(&from.Objects, &to.Objects) {
 		if !to.copyTo(&d.Objects, ref) {
 			d.Removed = append(d.Removed, ref)
 		}
--- a/configurer/diff.go
+++ b/configurer/diff.go
@@ -17,8 +17,9 @@
 
 // Diff returns the values that differ, by path.
 func Diff(a, b Configuration) []Change {
-	before := parser.Flatten(a.Objects)
-	after := parser.Flatten(b.Objects)
+	refs := changedRefs(&a.Objects, &b.Objects)
+	before := parser.Flatten(a.pick(refs))
+	after := parser.Flatten(b.pick(refs))
 	paths := slices.Concat(slices.Collect(maps.Keys(before)), slices.Collect(maps.Keys(after)))
 	slices.Sort(paths)
 	var changes []Change
@@ -29,3 +30,8 @@
 	}
 	return changes
 }
+
+// changedRefs returns the objects that differ, in order.
+func changedRefs(a, b *Objects) []Ref {
+	return slices.DeleteFunc(union(a.refs(), b.refs()), func(ref Ref) bool { return a.equalAt(b, ref) })
+}
--- a/configurer/object.go
+++ b/configurer/object.go
@@ -129,6 +129,15 @@
 	return t != nil && t.copy(ref, o, to)
 }
 
+// pick returns those of the objects that exist.
+func (o *Objects) pick(refs []Ref) Objects {
+	var picked Objects
+	for _, ref := range refs {
+		o.copyTo(&picked, ref)
+	}
+	return picked
+}
+
 func (o *Objects) remove(ref Ref) {
 	if t := ref.table(); t != nil {
 		t.remove(ref, o)
--- a/configurer/patch.go
+++ b/configurer/patch.go
@@ -81,7 +81,7 @@
 		return c, err
 	}
 	next := c.next(objects)
-	if identifier.ByteCount(len(next.Print())) > MaximumConfiguration {
+	if next.Size > MaximumConfiguration {
 		return c, explainer.New(explainer.InvalidInput,
 			fmt.Sprintf("configuration would be larger than %s", parser.FormatSize(MaximumConfiguration)), "remove what isn't used")
 	}
@@ -112,15 +112,19 @@
 		Floor:   c.Floor,
 	}
 	maps.Copy(next.Stamps, c.Stamps)
-	for _, ref := range union(c.refs(), next.refs()) {
-		if !c.equalAt(&next.Objects, ref) {
-			next.Stamps[ref] = next.Version
-		}
+	changed := changedRefs(&c.Objects, &next.Objects)
+	for _, ref := range changed {
+		next.Stamps[ref] = next.Version
 	}
+	next.Size = c.Size + printedSize(next.pick(changed)) - printedSize(c.pick(changed))
 	next.dropTombstones()
 	return next
 }
 
+func printedSize(objects Objects) identifier.ByteCount {
+	return identifier.ByteCount(len(parser.Format(objects)))
+}
+
 // dropTombstones forgets the oldest removed objects beyond the bound.
 func (c *Configuration) dropTombstones() {
 	live := c.refs()
--- a/parser/decode.go
+++ b/parser/decode.go
@@ -317,10 +317,8 @@
 
 func fieldNames(typ reflect.Type) []string {
 	var names []string
-	for _, field := range reflect.VisibleFields(typ) {
-		if field.IsExported() && !field.Anonymous {
-			names = append(names, field.Name)
-		}
+	for _, field := range fieldsOf(typ) {
+		names = append(names, field.Name)
 	}
 	return names
 }
--- a/parser/path.go
+++ b/parser/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"regexp"
 	"strconv"
 	"strings"
 )
@@ -12,11 +11,22 @@
 // in the sense of TOML stands in double quotes.
 type Path string
 
-var bareKey = regexp.MustCompile(`^[A-Za-z0-9_-]+$`)
+// isBare reports whether a key needs no quotes in TOML.
+func isBare(key string) bool {
+	for i := range len(key) {
+		c := key[i]
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && c != '_' && c != '-' {
+			return false
+		}
+	}
+	return key != ""
+}
 
 // Key returns the path of a key inside p.
 func (p Path) Key(name string) Path {
-	if !bareKey.MatchString(name) {
+	if !isBare(name) {
 		name = quote(name)
 	}
 	if p == "" {
@@ -96,7 +106,7 @@
 		end = len(text)
 	}
 	key = text[:end]
-	if !bareKey.MatchString(key) {
+	if !isBare(key) {
 		return "", "", fmt.Errorf("key %q needs quotes", key)
 	}
 	return key, text[end:], nil
--- a/parser/print.go
+++ b/parser/print.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"celeryvalve/identifier"
@@ -118,12 +119,29 @@
 		sort.Slice(members, func(i, j int) bool { return members[i].name < members[j].name })
 		return members
 	}
-	for _, field := range reflect.VisibleFields(table.Type()) {
+	for _, field := range fieldsOf(table.Type()) {
+		members = append(members, member{field.Name, table.FieldByIndex(field.Index)})
+	}
+	return members
+}
+
+// fieldCache holds the result of fieldsOf by reflect.Type.
+var fieldCache sync.Map
+
+// fieldsOf returns the fields of a struct that are keys, those of embedded structs
+// among them.
+func fieldsOf(typ reflect.Type) []reflect.StructField {
+	if fields, ok := fieldCache.Load(typ); ok {
+		return fields.([]reflect.StructField)
+	}
+	var fields []reflect.StructField
+	for _, field := range reflect.VisibleFields(typ) {
 		if field.IsExported() && !field.Anonymous {
-			members = append(members, member{field.Name, table.FieldByIndex(field.Index)})
+			fields = append(fields, field)
 		}
 	}
-	return members
+	fieldCache.Store(typ, fields)
+	return fields
 }
 
 func isTable(value reflect.Value) bool {
