controller: give each organisation its own room for claims

A claim that found no room was answered Full until old ones were six hours old, which let a quarter of the room serve 0.8 claims/s. The oldest settled claim of the same organisation gives way now once it is 15 minutes old: 8192 claims in 15 minutes are 9/s for each organisation. Ruled out: one queue for all, in which a large organisation would push out the claims of a small one.

--- a/controller/claims.go
+++ b/controller/claims.go
@@ -15,11 +15,14 @@
 	// ClaimRetention is how long the outcome of a key is kept after it was settled.
 	// A resend that comes later runs again.
 	ClaimRetention = 6 * time.Hour
-	// MaximumClaims is how many claims are kept. Further ones are answered Full:
-	// forgetting a claim early could run its key twice.
-	MaximumClaims = 65536
-	// MaximumOrganisationClaims is how many of them one organisation may have.
-	MaximumOrganisationClaims = MaximumClaims / 4
+	// MinimumClaimRetention is how long it is kept when there is no room. A claim
+	// that finds no room even so is answered Full.
+	MinimumClaimRetention = 15 * time.Minute
+	// MaximumOrganisationClaims is how many claims of one organisation are kept.
+	// Each has its own room, so that a large one can't take that of a small one.
+	MaximumOrganisationClaims = 8192
+	// MaximumClaims is how many claims are kept.
+	MaximumClaims = 32768
 	// MaximumAnswer is the largest answer that is kept for resends.
 	MaximumAnswer identifier.ByteCount = 16 << 10
 	// AnswerBudget bounds the size of all answers together. The oldest are dropped;
@@ -85,7 +88,7 @@
 	records  map[claimKey]*ClaimRecord
 	perOwner map[identifier.Organisation]int
 	held     map[identifier.Upstream]map[claimKey]*ClaimRecord // held claims of each upstream
-	settled  []settlement                                      // oldest first
+	settled  map[identifier.Organisation][]settlement          // oldest first
 	answered []settlement                                      // those with an answer, oldest first
 	answers  identifier.ByteCount
 	sequence uint64
@@ -96,6 +99,7 @@
 		records:  make(map[claimKey]*ClaimRecord),
 		perOwner: make(map[identifier.Organisation]int),
 		held:     make(map[identifier.Upstream]map[claimKey]*ClaimRecord),
+		settled:  make(map[identifier.Organisation][]settlement),
 	}
 }
 
@@ -110,7 +114,7 @@
 	switch {
 	case !ok && m.Replaces != 0:
 		return &ClaimAnswer{Status: Fenced} // what it replaces was settled and forgotten
-	case !ok && c.full(m.Organisation):
+	case !ok && !c.makeRoom(s.core.now, m.Organisation):
 		return &ClaimAnswer{Status: Full, RetryAfter: claimRetryAfter}
 	case !ok:
 		record = &ClaimRecord{Claim: *m, State: ClaimFree}
@@ -204,8 +208,23 @@
 	}
 }
 
-func (c *claims) full(organisation identifier.Organisation) bool {
-	return len(c.records) >= MaximumClaims || c.perOwner[organisation] >= MaximumOrganisationClaims
+// makeRoom reports whether another claim of the organisation can be kept, after
+// forgetting its oldest settled one where that is old enough.
+func (c *claims) makeRoom(now Instant, organisation identifier.Organisation) bool {
+	if c.hasRoom(organisation) {
+		return true
+	}
+	c.skipVoid(organisation)
+	queue := c.settled[organisation]
+	if len(queue) == 0 || c.records[queue[0].key].SettledAt.after(MinimumClaimRetention) > now {
+		return false
+	}
+	c.dropOldest(organisation)
+	return c.hasRoom(organisation)
+}
+
+func (c *claims) hasRoom(organisation identifier.Organisation) bool {
+	return len(c.records) < MaximumClaims && c.perOwner[organisation] < MaximumOrganisationClaims
 }
 
 func (c *claims) add(record *ClaimRecord) {
@@ -267,10 +286,12 @@
 	c.sequence++
 	record.Sequence = c.sequence
 	record.SettledAt = now
-	c.settled = append(c.settled, settlement{keyOf(&record.Claim), record.Sequence})
-	if len(c.settled) > 2*len(c.records)+voidSettlements {
-		c.settled = slices.DeleteFunc(c.settled, c.void)
+	queue := c.settled[record.Organisation]
+	queue = append(queue, settlement{keyOf(&record.Claim), record.Sequence})
+	if len(queue) > 2*c.perOwner[record.Organisation]+voidSettlements {
+		queue = slices.DeleteFunc(queue, c.void)
 	}
+	c.settled[record.Organisation] = queue
 }
 
 // void reports whether the claim was settled or granted again since.
@@ -321,21 +342,40 @@
 // expire forgets claims that were settled long enough ago. A held claim is
 // never forgotten by time.
 func (c *claims) expire(now Instant) {
-	for len(c.settled) > 0 {
-		oldest := c.settled[0]
-		if c.void(oldest) {
-			c.settled = c.settled[1:]
-			continue
-		}
-		record := c.records[oldest.key]
-		if record.SettledAt.after(ClaimRetention) > now {
-			return
+	for organisation := range c.settled {
+		c.skipVoid(organisation)
+		for len(c.settled[organisation]) > 0 {
+			oldest := c.records[c.settled[organisation][0].key]
+			if oldest.SettledAt.after(ClaimRetention) > now {
+				break
+			}
+			c.dropOldest(organisation)
+			c.skipVoid(organisation)
 		}
-		c.settled = c.settled[1:]
-		c.drop(oldest.key, record)
 	}
 }
 
+// skipVoid leaves the oldest settled claim of the organisation at the head of its
+// queue.
+func (c *claims) skipVoid(organisation identifier.Organisation) {
+	queue := c.settled[organisation]
+	for len(queue) > 0 && c.void(queue[0]) {
+		queue = queue[1:]
+	}
+	if len(queue) == 0 {
+		delete(c.settled, organisation)
+		return
+	}
+	c.settled[organisation] = queue
+}
+
+// dropOldest forgets the claim at the head of the organisation's queue.
+func (c *claims) dropOldest(organisation identifier.Organisation) {
+	queue := c.settled[organisation]
+	c.settled[organisation] = queue[1:]
+	c.drop(queue[0].key, c.records[queue[0].key])
+}
+
 func (c *claims) drop(key claimKey, record *ClaimRecord) {
 	c.dropAnswer(record)
 	delete(c.records, key)
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -298,7 +298,7 @@
 	slices.SortFunc(settled, func(a, b *ClaimRecord) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	for _, record := range settled {
 		entry := settlement{keyOf(&record.Claim), record.Sequence}
-		c.settled = append(c.settled, entry)
+		c.settled[record.Organisation] = append(c.settled[record.Organisation], entry)
 		if len(record.Answer) > 0 {
 			c.answered = append(c.answered, entry)
 			c.answers += identifier.ByteCount(len(record.Answer))
--- a/controller/state_test.go
+++ b/controller/state_test.go
@@ -221,6 +221,7 @@
 		require.Equal(t, controller.Granted, granted.Status)
 		r.settle(fmt.Sprint(i), granted.Token, controller.Completed, string(answer))
 	}
+	r.restart()
 	require.Equal(t, controller.Full, r.claim(claimOf("more", "a", "u1", 1)).Status)
 	require.LessOrEqual(t, r.state.Claims().Answers, controller.AnswerBudget)
 	first := r.claim(claimOf("0", "b", "u1", 1))
@@ -229,6 +230,10 @@
 	other := claimOf("more", "a", "u1", 1)
 	other.Organisation = "small"
 	require.Equal(t, controller.Granted, r.claim(other).Status)
+	r.now = r.now.Add(controller.MinimumClaimRetention)
+	require.Equal(t, controller.Granted, r.claim(claimOf("more", "a", "u1", 1)).Status)
+	require.Equal(t, controller.MaximumOrganisationClaims+1, r.state.Claims().Settled+r.state.Claims().Held)
+	require.Equal(t, controller.Completed, r.claim(claimOf("1", "b", "u1", 1)).Outcome)
 }
 
 func TestIncarnationsAreFenced(t *testing.T) {
