controller: count unnumbered origin leases of lost chunks anew

A request without an ID that asks for lost chunks again would have passed for a resend of the one before it, and its reads would not have counted.

--- a/controller/origin.go
+++ b/controller/origin.go
@@ -140,7 +140,12 @@
 }
 
 // same reports whether the grant is of just this request, which was sent again.
+// Requests without an ID can't be told apart, so that one for chunks that were
+// lost always counts anew.
 func (g OriginGrant) same(m *LeaseOrigin) bool {
+	if m.ID == 0 && m.Again {
+		return false
+	}
 	return g.Holder == m.Upstream && g.Incarnation == m.Incarnation && g.ID == m.ID &&
 		g.Copy == m.Copy && g.Chunks == m.Chunks && g.Size > 0
 }
--- a/controller/origin_test.go
+++ b/controller/origin_test.go
@@ -56,6 +56,12 @@
 	require.Equal(t, controller.OriginRefused, r.lease(second).Status)
 	require.Equal(t, controller.OriginGranted, r.lease(lease(t, "u2", 3, 10)).Status)
 	require.EqualValues(t, 200, r.state.OriginUse()[0].Granted)
+	unnumbered := lease(t, "u1", 0, 0)
+	unnumbered.Again = true
+	for range 2 {
+		require.Equal(t, controller.OriginGranted, r.lease(unnumbered).Status)
+	}
+	require.EqualValues(t, 200, r.state.OriginUse()[0].Reserve)
 }
 
 func TestOriginReserveReplacesLostChunks(t *testing.T) {
