docs: list every key of settings and patches from the types

Ruled out: pages written by hand and checked for names of keys alone, which would let types and defaults go stale.

--- a/configurer/configuration.go
+++ b/configurer/configuration.go
@@ -23,7 +23,8 @@
 	Floor identifier.ConfigurationVersion
 }
 
-// Objects are the parts of a configuration. They are the tables of a patch file.
+// Objects are the parts of a configuration. They are the tables of a patch file,
+// and the help tags of their fields are the lines of its reference.
 type Objects struct {
 	Organisations map[identifier.Organisation]Organisation
 	Operators     map[identifier.Operator]Operator
@@ -35,13 +36,13 @@
 
 // Organisation is a customer on whose behalf requests are made.
 type Organisation struct {
-	Share        int                 // weight of its fair share
-	TokenDigests []identifier.Digest // SHA-256 of its callers' bearer tokens
+	Share        int                 `help:"weight of its fair share, from 1 up"`
+	TokenDigests []identifier.Digest `help:"digests of its callers' bearer tokens"`
 }
 
 // Operator is someone who may submit patches.
 type Operator struct {
-	TokenDigest identifier.Digest // SHA-256 of the operator's bearer token
+	TokenDigest identifier.Digest `help:"digest of the operator's bearer token"`
 }
 
 // Model is a model of the origin.
@@ -51,50 +52,50 @@
 
 // Adapter is loaded beside one model.
 type Adapter struct {
-	Model    identifier.Model
+	Model    identifier.Model `help:"model that the adapter belongs to"`
 	Versions map[identifier.WeightVersion]Release
 }
 
 // Release is one version of the weights of a model or adapter. The digest of
 // its manifest never changes once it is declared.
 type Release struct {
-	Manifest identifier.Digest
-	Source   string // path of the manifest at the origin and the weight store
+	Manifest identifier.Digest `help:"digest of the manifest; can't be changed later"`
+	Source   string            `help:"path of the manifest at the origin and the weight store"`
 }
 
 // Service is a set of upstreams that run the same declared work.
 type Service struct {
-	Kind               parser.UpstreamKind
-	Model              identifier.Model         // Engine only
-	Version            identifier.WeightVersion // of the model
-	Adapters           map[identifier.Adapter]identifier.WeightVersion
-	IdempotentMethods  []string                  // HTTP methods that may be repeated
-	IdempotentPaths    []string                  // prefixes that may be repeated with any method
-	NonIdempotentPaths []string                  // prefixes that may not be repeated with any method
-	Priority           int                       // higher goes first
-	Deadline           time.Duration             // of a request that names none
-	QueueLimit         int                       // requests that wait at one entry
-	RetryBudget        float64                   // retries per request, over the service
-	Concurrency        Concurrency               // of each upstream
-	ReportsLoad        bool                      // upstreams report their load
-	Organisations      []identifier.Organisation // that may call it; empty means all
-	Favour             Favour                    // Inherit means that of Transfers
-	PauseRollout       bool                      // upstreams keep what they have loaded
+	Kind               parser.UpstreamKind                             `help:"what its upstreams are; must be set"`
+	Model              identifier.Model                                `help:"model of an Engine service"`
+	Version            identifier.WeightVersion                        `help:"version of the model"`
+	Adapters           map[identifier.Adapter]identifier.WeightVersion `help:"version of each adapter that is loaded too"`
+	IdempotentMethods  []string                                        `help:"HTTP methods whose requests may be repeated"`
+	IdempotentPaths    []string                                        `help:"starts of paths that may be repeated with any method"`
+	NonIdempotentPaths []string                                        `help:"starts of paths that may not be repeated with any method; the longest start decides"`
+	Priority           int                                             `help:"higher goes first"`
+	Deadline           time.Duration                                   `help:"of a request that names none"`
+	QueueLimit         int                                             `help:"requests that may wait at one entry"`
+	RetryBudget        float64                                         `help:"retries per request, over the whole service, from 0 to 1"`
+	Concurrency        Concurrency
+	ReportsLoad        bool                      `help:"its upstreams report their load"`
+	Organisations      []identifier.Organisation `help:"who may call it; none means all"`
+	Favour             Favour                    `help:"which measure its transfers put first; Inherit takes Transfers.Favour"`
+	PauseRollout       bool                      `help:"its upstreams keep the weights that they have loaded"`
 	Objectives         Objectives
 }
 
 // Concurrency bounds what the limiter may choose for one upstream.
 type Concurrency struct {
-	Minimum int
-	Maximum int
+	Minimum int `help:"least that the limiter lets run at once on one upstream"`
+	Maximum int `help:"most that the limiter lets run at once on one upstream"`
 }
 
 // Objectives are what the service promises its callers and operators.
 type Objectives struct {
-	FirstToken    time.Duration // from the request to the first byte of the answer
-	BetweenTokens time.Duration // between two parts of the answer
-	ReadyWithin   time.Duration // from an accepted version until upstreams serve it
-	Target        float64       // fraction of requests that must meet them
+	FirstToken    time.Duration `help:"from the request to the first byte of the answer"`
+	BetweenTokens time.Duration `help:"between two parts of the answer"`
+	ReadyWithin   time.Duration `help:"from an accepted version until upstreams serve it"`
+	Target        float64       `help:"fraction of requests that must meet the objectives, between 0 and 1"`
 }
 
 // Favour is which measure transfers of weights put first.
@@ -112,17 +113,16 @@
 	return []string{string(TimeToReplicas), string(OriginBytes), string(Inherit)}
 }
 
-// Transfers says where weights come from and what their transfer may use. A
-// rate of zero means no limit.
+// Transfers says where weights come from and what their transfer may use.
 type Transfers struct {
-	Favour               Favour
-	OriginAddress        string // URL
-	StoreAddress         string // URL of the rate-limited weight store
-	OriginRate           identifier.BytesPerSecond
-	ThinLinkRate         identifier.BytesPerSecond // between two regions
-	InstanceUploadRate   identifier.BytesPerSecond
-	InstanceDownloadRate identifier.BytesPerSecond
-	OriginCopies         int // copies of one release that may be read from the origin
+	Favour               Favour                    `help:"time to replicas, with up to OriginCopies; or bytes of the origin, with one copy"`
+	OriginAddress        string                    `help:"URL of the origin, with an IP number"`
+	StoreAddress         string                    `help:"URL of the rate-limited weight store, with an IP number"`
+	OriginRate           identifier.BytesPerSecond `help:"limit of all reads from the origin; 0 means none"`
+	ThinLinkRate         identifier.BytesPerSecond `help:"what one link between two regions carries; 0 means no limit"`
+	InstanceUploadRate   identifier.BytesPerSecond `help:"limit of chunks that one instance sends; 0 means none"`
+	InstanceDownloadRate identifier.BytesPerSecond `help:"limit of chunks that one instance receives; 0 means none"`
+	OriginCopies         int                       `help:"copies of one release that may be read from the origin"`
 }
 
 const (
--- a/configurer/patch.go
+++ b/configurer/patch.go
@@ -35,12 +35,17 @@
 
 // patchFile is the layout of a patch file. ID and Base may be given otherwise.
 type patchFile struct {
-	ID     identifier.PatchID
-	Base   identifier.ConfigurationVersion
-	Remove []parser.Path
+	ID     identifier.PatchID              `help:"name of the patch, the same in a resend; made up unless given"`
+	Base   identifier.ConfigurationVersion `help:"version that the patch was made against"`
+	Remove []parser.Path                   `help:"paths of objects, and of entries of their tables, that are removed before the rest is set"`
 	Objects
 }
 
+// Reference returns a table of every key of a patch file, in Markdown.
+func Reference() []byte {
+	return parser.Reference(patchFile{Objects: New().Objects})
+}
+
 // ParsePatch reads a patch file and checks its form. Apply checks it against the
 // configuration. The error lists every fault.
 func ParsePatch(file string, data []byte) (Patch, error) {
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -69,16 +69,17 @@
 }
 
 // Settings is what one daemon is started with. It doesn't change while the
-// daemon runs; what operators change at run time is in package configurer.
+// daemon runs; what operators change at run time is in package configurer. The
+// help tags of the fields are the lines of the reference.
 type Settings struct {
-	Name             string                      // of the process, unique in the system
-	Instance         identifier.Instance         // the machine
-	Region           identifier.Region           // of the instance
-	AvailabilityZone identifier.AvailabilityZone // of the instance
-	Roles            []Role                      // empty means all three
-	DataFolder       string                      // on a disk; needed by Control
-	Listen           netip.AddrPort              // QUIC, for the system's other processes
-	Admin            netip.AddrPort              // HTTP, for metrics and health
+	Name             string                      `help:"name of the process, unique in the system"`
+	Instance         identifier.Instance         `help:"name of the instance, as the platform knows it"`
+	Region           identifier.Region           `help:"region of the instance"`
+	AvailabilityZone identifier.AvailabilityZone `help:"availability zone of the instance"`
+	Roles            []Role                      `help:"what the process does; none means all three"`
+	DataFolder       string                      `help:"folder on a disk for the replicated state; needed by role Control"`
+	Listen           netip.AddrPort              `help:"QUIC, for the system's other processes"`
+	Admin            netip.AddrPort              `help:"HTTP, for metrics and health"`
 	Keys             KeySettings
 	Log              LogSettings
 	Control          ControlSettings
@@ -90,56 +91,54 @@
 // KeySettings says where the keys of mutual TLS are: in Folder, or in three
 // files named one by one.
 type KeySettings struct {
-	Folder      string // holds authority.pem, NAME.pem and NAME-key.pem, NAME being that of the process
-	Authority   string // file with the authority's certificates
-	Certificate string // file with this process's certificate
-	PrivateKey  string // file with this process's private key
+	Folder      string `help:"folder with authority.pem, NAME.pem and NAME-key.pem, NAME being that of the process"`
+	Authority   string `help:"file with the authority's certificates, in place of Folder"`
+	Certificate string `help:"file with the certificate of the process, in place of Folder"`
+	PrivateKey  string `help:"file with the private key of the process, in place of Folder"`
 }
 
 // LogSettings says how the log is written.
 type LogSettings struct {
-	Format LogFormat
-	Level  LogLevel
+	Format LogFormat `help:"how lines of the log are written"`
+	Level  LogLevel  `help:"least level that is written"`
 }
 
-// ControlSettings says where control is.
+// ControlSettings says where control is. For a process of role Control, Members
+// are also the members of a new, empty log.
 type ControlSettings struct {
-	// Members are the control processes to ask first. For a process of role
-	// Control they are also the members of a new, empty log.
-	Members []Member
-	// Operators is the HTTPS address of the operators' API on role Control.
-	Operators netip.AddrPort
+	Members   []Member
+	Operators netip.AddrPort `help:"HTTPS, for operators; role Control only"`
 }
 
 // Member is one control process.
 type Member struct {
-	Name    string
-	Address netip.AddrPort
+	Name    string         `help:"name of a control process; the process itself unless Roles is set"`
+	Address netip.AddrPort `help:"its Listen; the process's own unless Roles is set"`
 }
 
 // EntrySettings belong to role Entry.
 type EntrySettings struct {
-	Listen netip.AddrPort // HTTP, for callers
+	Listen netip.AddrPort `help:"HTTP, for callers"`
 }
 
 // AgentSettings belong to role Agent and describe its upstream.
 type AgentSettings struct {
-	Upstream        identifier.Upstream
-	Service         identifier.Service
-	UpstreamAddress netip.AddrPort // HTTP of the upstream
-	Kind            UpstreamKind
-	ChecksFencing   bool                      // the upstream refuses orders with an old token
-	ReportsLoad     bool                      // the upstream reports its load
-	Concurrency     int                       // requests at once; 0 lets the limiter find it
-	UploadRate      identifier.BytesPerSecond // of chunks to other agents; 0 takes the configuration's
-	DownloadRate    identifier.BytesPerSecond // of chunks; 0 takes the configuration's
-	ChunkMemory     identifier.ByteCount      // for chunks kept in memory
-	ChunkFolder     string                    // for chunks on disk; empty keeps them in memory
+	Upstream        identifier.Upstream       `help:"name of the upstream, unique in the system"`
+	Service         identifier.Service        `help:"service that the upstream belongs to"`
+	UpstreamAddress netip.AddrPort            `help:"HTTP of the upstream"`
+	Kind            UpstreamKind              `help:"an engine takes orders to load weights, a plain upstream doesn't"`
+	ChecksFencing   bool                      `help:"the upstream refuses orders that carry an old fencing token"`
+	ReportsLoad     bool                      `help:"the upstream reports its load"`
+	Concurrency     int                       `help:"requests that run at once; 0 lets the limiter find it"`
+	UploadRate      identifier.BytesPerSecond `help:"limit of chunks sent to other agents; 0 takes that of the configuration"`
+	DownloadRate    identifier.BytesPerSecond `help:"limit of chunks received; 0 takes that of the configuration"`
+	ChunkMemory     identifier.ByteCount      `help:"memory for chunks"`
+	ChunkFolder     string                    `help:"folder for chunks on disk; none keeps them in memory"`
 }
 
 // DrainSettings say how the daemon stops.
 type DrainSettings struct {
-	Deadline time.Duration // after which requests are cut off; 0 waits for the last one
+	Deadline time.Duration `help:"how long a shutdown waits for requests in progress; 0 waits for the last one"`
 }
 
 const (
