--- a/reporter/rollout.go
+++ b/reporter/rollout.go
@@ -43,19 +43,10 @@
 	return rolloutKey{r.Service, r.Model, r.Adapter, r.Version}
 }
 
-// rolloutStatuses returns the rollouts of the last snapshot whose service has
-// limits, those that run first.
+// rolloutStatuses returns the last rollouts whose service has limits, those that
+// run first.
 func rolloutStatuses(snapshots []Snapshot, limits map[identifier.Service]RolloutLimits) []RolloutStatus {
-	last := snapshots[len(snapshots)-1]
-	before := make(map[rolloutKey]Rollout)
-	var since time.Duration
-	if len(snapshots) > 1 {
-		previous := snapshots[len(snapshots)-2]
-		since = last.Time.Sub(previous.Time)
-		for _, r := range previous.Rollouts {
-			before[r.key()] = r
-		}
-	}
+	last, before, since := lastRollouts(snapshots)
 	var list []RolloutStatus
 	for _, r := range last.Rollouts {
 		limit, ok := limits[r.Service]
@@ -82,6 +73,25 @@
 	return list
 }
 
+// lastRollouts returns the last snapshot that lists rollouts, the rollouts of the
+// same process's snapshot before it, and the time between the two.
+func lastRollouts(snapshots []Snapshot) (last Snapshot, before map[rolloutKey]Rollout, since time.Duration) {
+	before = make(map[rolloutKey]Rollout)
+	for _, s := range slices.Backward(snapshots) {
+		switch {
+		case len(s.Rollouts) == 0:
+		case last.Time.IsZero():
+			last = s
+		case s.Source == last.Source:
+			for _, r := range s.Rollouts {
+				before[r.key()] = r
+			}
+			return last, before, last.Time.Sub(s.Time)
+		}
+	}
+	return last, before, 0
+}
+
 func newRolloutStatus(r Rollout, limits RolloutLimits, now time.Time) RolloutStatus {
 	status := RolloutStatus{Rollout: r, Limits: limits}
 	end := now
--- a/reporter/series.go
+++ b/reporter/series.go
@@ -30,12 +30,11 @@
 	return counts{good: c.good + d.good, total: c.total + d.total}
 }
 
-// series is the growth of one counter pair since the first snapshot, without the
+// series is the growth of counter pairs since the first snapshots, without the
 // falls at restarts.
 type series struct {
-	times  []time.Time
-	grown  []counts
-	latest counts // as last sampled
+	times []time.Time
+	grown []counts
 }
 
 // append adds the growth since the last point.
@@ -73,22 +72,14 @@
 }
 
 // seriesOf turns snapshots, oldest first, into series per service and
-// organisation, and per service over all of its organisations. What the first
-// snapshot has counted already came before the report's time and is left out; a
-// counter that appears later started at zero.
+// organisation, and per service over all of its organisations. What a process had
+// counted by its first snapshot came before the report's time and is left out; a
+// counter of it that appears later started at zero.
 func seriesOf(snapshots []Snapshot) map[seriesKey]*series {
 	all := make(map[seriesKey]*series)
-	for i, snapshot := range snapshots {
-		sums := make(map[seriesKey]counts)
-		for _, sample := range snapshot.Samples {
-			key := seriesKey{sample.Service, sample.Organisation, sample.Indicator}
-			now := counts{good: min(sample.Good, sample.Total), total: sample.Total}
-			growth := grow(all, key, now, i == 0)
-			all[key].append(snapshot.Time, growth)
-			key.organisation = everyOrganisation
-			sums[key] = sums[key].add(growth)
-		}
-		for key, growth := range sums {
+	latest := make(map[string]map[seriesKey]counts)
+	for _, snapshot := range snapshots {
+		for key, growth := range growthIn(snapshot, latest) {
 			if all[key] == nil {
 				all[key] = &series{}
 			}
@@ -98,17 +89,26 @@
 	return all
 }
 
-// grow notes the sample of the key and returns its growth.
-func grow(all map[seriesKey]*series, key seriesKey, now counts, first bool) counts {
-	s := all[key]
-	if s == nil {
-		s = &series{}
-		all[key] = s
+// growthIn returns how far the counters of the snapshot have moved since the last
+// one of its process, and notes them in latest.
+func growthIn(snapshot Snapshot, latest map[string]map[seriesKey]counts) map[seriesKey]counts {
+	before, known := latest[snapshot.Source]
+	if !known {
+		before = make(map[seriesKey]counts)
+		latest[snapshot.Source] = before
 	}
-	before := s.latest
-	s.latest = now
-	if first {
-		return counts{}
+	grown := make(map[seriesKey]counts)
+	for _, sample := range snapshot.Samples {
+		key := seriesKey{sample.Service, sample.Organisation, sample.Indicator}
+		now := counts{good: min(sample.Good, sample.Total), total: sample.Total}
+		growth := counts{}
+		if known {
+			growth = growthOf(before[key], now)
+		}
+		before[key] = now
+		grown[key] = growth
+		key.organisation = everyOrganisation
+		grown[key] = grown[key].add(growth)
 	}
-	return growthOf(before, now)
+	return grown
 }
--- a/reporter/snapshot.go
+++ b/reporter/snapshot.go
@@ -54,11 +54,14 @@
 	FromOrigin identifier.ByteCount
 }
 
-// Snapshot is what was counted up to one moment, over all processes.
+// Snapshot is what one process has counted up to one moment. Those of several
+// processes make one report together.
 type Snapshot struct {
+	// Source is the name of the process.
+	Source   string
 	Time     time.Time
-	Samples  []Sample
-	Rollouts []Rollout
+	Samples  []Sample  `json:",omitempty"`
+	Rollouts []Rollout `json:",omitempty"`
 }
 
 // ParseSnapshots reads snapshots written as JSON values one after the other.
