sampler: keep the history that reporter counts

Two ways of counting stood side by side after a merge: intervals of deltas in sampler, and reporter's tally with a thinning history of counters.

--- a/administrator/report.go
+++ b/administrator/report.go
@@ -14,60 +14,61 @@
 	"celeryvalve/subscriber"
 )
 
+// reportSource names the snapshots that control itself adds.
+const reportSource = "Control"
+
 // report gathers the histories of all entries and the state of the rollouts.
 func (s *Server) report(ctx context.Context, _ identifier.Operator, _ *http.Request) (any, error) {
 	subscribers, unheard := s.gather(ctx)
-	histories, silent := s.histories(ctx, subscribers)
-	cfg := s.deps.State.Configuration()
-	now := s.deps.Clock.Now()
-	snapshots := sampler.Merge(histories, now)
-	if len(snapshots) == 0 {
-		snapshots = []reporter.Snapshot{{Time: now}}
-	}
-	snapshots[len(snapshots)-1].Rollouts = s.rollouts(subscribers)
+	snapshots, silent := s.histories(ctx, subscribers)
+	snapshots = append(snapshots, reporter.Snapshot{
+		Source:   reportSource,
+		Time:     s.deps.Clock.Now(),
+		Rollouts: s.rollouts(subscribers),
+	})
 	return ReportView{
-		Objectives: reporter.FromConfiguration(cfg),
+		Objectives: reporter.FromConfiguration(s.deps.State.Configuration()),
 		Snapshots:  snapshots,
 		Unheard:    append(unheard, silent...),
 	}, nil
 }
 
 // histories reads what every entry counted.
-func (s *Server) histories(ctx context.Context, subscribers []publisher.Subscriber) ([][]sampler.Interval, []string) {
+func (s *Server) histories(ctx context.Context, subscribers []publisher.Subscriber) ([]reporter.Snapshot, []string) {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
 	entries := slices.DeleteFunc(slices.Clone(subscribers), func(sub publisher.Subscriber) bool { return !sub.Entry })
 	type history struct {
 		process   string
-		intervals []sampler.Interval
+		snapshots []reporter.Snapshot
 		ok        bool
 	}
 	found := make(chan history, len(entries))
 	for _, entry := range entries {
 		go func() {
-			intervals, ok := s.historyOf(ctx, entry.Address)
-			found <- history{entry.Process, intervals, ok}
+			snapshots, ok := s.historyOf(ctx, entry.Address)
+			found <- history{entry.Process, snapshots, ok}
 		}()
 	}
-	var all [][]sampler.Interval
+	var all []reporter.Snapshot
 	var silent []string
 	for range entries {
 		h := <-found
 		if !h.ok {
 			silent = append(silent, h.process)
 		}
-		all = append(all, h.intervals)
+		all = append(all, h.snapshots...)
 	}
 	return all, silent
 }
 
-func (s *Server) historyOf(ctx context.Context, addr netip.AddrPort) ([]sampler.Interval, bool) {
-	msg, err := s.deps.Caller.Call(ctx, addr, &sampler.SamplesRequest{})
-	answer, ok := msg.(*sampler.SamplesAnswer)
+func (s *Server) historyOf(ctx context.Context, addr netip.AddrPort) ([]reporter.Snapshot, bool) {
+	msg, err := s.deps.Caller.Call(ctx, addr, &sampler.HistoryRequest{})
+	answer, ok := msg.(*sampler.HistoryAnswer)
 	if err != nil || !ok {
 		return nil, false
 	}
-	return answer.Intervals, true
+	return answer.Snapshots, true
 }
 
 // rollouts sums up the transfers of the declared versions by service.
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -31,7 +31,7 @@
 
 func entryOptions() fx.Option {
 	return fx.Options(
-		fx.Provide(sampler.New, newForwarder),
+		fx.Provide(reporter.NewTally, newSampler, newForwarder),
 		fx.Invoke(serveEntry),
 	)
 }
@@ -53,7 +53,7 @@
 }
 
 func newForwarder(settings parser.Settings, e *connector.Endpoint, book *subscriber.Book, s *submitter.Submitter,
-	counts *sampler.Sampler, clock clockwork.Clock, set *metrics.Set, a asserter.Asserter,
+	tally *reporter.Tally, clock clockwork.Clock, set *metrics.Set, a asserter.Asserter,
 	logger *zap.Logger) *forwarder.Forwarder {
 	cfg := forwarder.Config{Region: settings.Region, AvailabilityZone: settings.AvailabilityZone}
 	return forwarder.New(cfg, forwarder.Dependencies{
@@ -64,27 +64,24 @@
 		Logger:        logger,
 		Check:         a,
 		Metrics:       set,
-		Watch:         func(o forwarder.Observation) { watch(counts, book.Configuration(), o) },
+		Watch:         func(o forwarder.Observation) { watch(tally, o) },
 	})
 }
 
-// watch counts which objectives the answered request met. A request that the
-// system refused for the caller's own fault counts for none.
-func watch(counts *sampler.Sampler, cfg configurer.Configuration, o forwarder.Observation) {
-	service, ok := cfg.Services[o.Service]
-	if !ok {
-		return
-	}
-	completed := o.Outcome == router.Completed
-	counts.Count(o.Service, o.Organisation, reporter.ReadyInTime, completed && o.Took <= service.Deadline)
-	counts.Count(o.Service, o.Organisation, reporter.Exactness, o.Outcome != router.Unknown)
-	if service.Kind != parser.Engine || !completed {
-		return
-	}
-	counts.Count(o.Service, o.Organisation, reporter.FirstToken, o.FirstByte <= service.Objectives.FirstToken)
-	for gap := range o.Gaps {
-		counts.Count(o.Service, o.Organisation, reporter.BetweenTokens, gap >= o.LateGaps)
-	}
+// watch counts which objectives the answered request met.
+func watch(tally *reporter.Tally, o forwarder.Observation) {
+	tally.Answered(reporter.Answer{
+		Service:      o.Service,
+		Organisation: o.Organisation,
+		Outcome:      o.Outcome,
+		Left:         o.Left,
+		FirstToken:   o.FirstByte,
+		Gaps:         o.Gaps,
+	})
+}
+
+func newSampler(settings parser.Settings, tally *reporter.Tally, clock clockwork.Clock) *sampler.Sampler {
+	return sampler.New(settings.Name, tally, clock)
 }
 
 // entryParts are what serveEntry ties together.
@@ -95,6 +92,7 @@
 	Settings  parser.Settings
 	Book      *subscriber.Book
 	Forwarder *forwarder.Forwarder
+	Tally     *reporter.Tally
 	Sampler   *sampler.Sampler
 	Endpoint  *connector.Endpoint
 	Exposer   *exposer.Exposer
@@ -104,6 +102,7 @@
 func serveEntry(parts entryParts) {
 	follow := func() {
 		cfg := parts.Book.Configuration()
+		parts.Tally.Follow(cfg)
 		parts.Forwarder.ChangePolicy(policyOf(cfg), serviceSettingsOf(cfg))
 		members, _ := parts.Book.Members()
 		parts.Forwarder.ChangeUpstreams(viewsOf(members))
@@ -118,6 +117,7 @@
 		}
 		return nil
 	})
+	parts.Lifecycle.Append(fx.StartStopHook(parts.Sampler.Start, parts.Sampler.Stop))
 	server := parts.Forwarder.Server(parts.Settings.Entry.Listen)
 	parts.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -195,7 +195,6 @@
 			Repeatable: service.Idempotent,
 			Allows:     service.Allows,
 			Timeout:    service.Deadline,
-			GapLimit:   service.Objectives.BetweenTokens,
 		})
 	}
 	return list
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -32,8 +32,6 @@
 	body    []byte
 	digest  identifier.Digest
 	began   time.Time
-	// gapLimit is that of the service's settings.
-	gapLimit time.Duration
 
 	pieces chan piece
 	answer chan router.Answer
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,8 +65,6 @@
 	Allows func(identifier.Organisation) bool
 	// Timeout is the deadline of a request that names none. Zero takes the entry's.
 	Timeout time.Duration
-	// GapLimit is the longest time between two parts of an answer that is in time.
-	GapLimit time.Duration
 }
 
 // Dependencies are what a forwarder works with.
@@ -93,8 +91,10 @@
 	Took         time.Duration
 	// FirstByte is from the request to the first part of the body.
 	FirstByte time.Duration
-	// Gaps counts the times between two parts, LateGaps those over the limit.
-	Gaps, LateGaps int
+	// Gaps are the times between the parts that follow.
+	Gaps []time.Duration
+	// Left says that the caller went away before its answer was whole.
+	Left bool
 }
 
 // Forwarder is the entry's shell. It is safe for concurrent use.
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -61,7 +61,6 @@
 	if settings.Allows != nil && !settings.Allows(org) {
 		return nil, faultf(http.StatusForbidden, "organisation %s may not call %s (ask the operator)", org, service)
 	}
-	ex.gapLimit = settings.GapLimit
 	deadline, err := f.deadlineOf(r, settings)
 	if err != nil {
 		return nil, err
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -90,7 +90,7 @@
 		Took:         f.clock.Since(ex.began),
 		FirstByte:    rep.firstByte,
 		Gaps:         rep.gaps,
-		LateGaps:     rep.lateGaps,
+		Left:         rep.gone,
 	}
 	if answer.Stored != nil {
 		o.Outcome = answer.Stored.Outcome
@@ -116,8 +116,7 @@
 	broken    bool
 	firstByte time.Duration
 	lastPart  time.Time
-	gaps      int
-	lateGaps  int
+	gaps      []time.Duration
 }
 
 // run passes pieces on until the reducer's answer comes.
@@ -188,10 +187,7 @@
 	if p.lastPart.IsZero() {
 		p.firstByte = now.Sub(p.ex.began)
 	} else {
-		p.gaps++
-		if now.Sub(p.lastPart) > p.ex.gapLimit {
-			p.lateGaps++
-		}
+		p.gaps = append(p.gaps, now.Sub(p.lastPart))
 	}
 	p.lastPart = now
 }
--- a/sampler/doc.go
+++ b/sampler/doc.go
@@ -1,15 +1,12 @@
-// Package sampler counts, on an entry, which answers met the objectives, and
-// keeps the counts of past intervals.
+// Package sampler keeps the history of what an entry counted against the
+// objectives and hands it to a control replica that makes a report.
 //
-// Counts are kept per service, organisation and indicator, in intervals of a
-// minute for six hours and of half an hour for three days, which is what the
-// windows of burn rates need. They are kept in memory: an entry that restarts
-// begins anew, and a report covers what its entries remember.
+// The history is in memory: an entry that restarts begins anew, and a report
+// covers what its entries remember.
 //
 // # Usage
 //
-//	s := sampler.New(clock)
-//	s.Count("drafting", "housing", reporter.FirstToken, took <= limit)
+//	s := sampler.New("entry-1", tally, clock)
 //	endpoint.Handle(sampler.RequestKind, s.Serve)
-//	snapshots := sampler.Merge(histories)
+//	s.Start()
 package sampler
--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -9,154 +9,90 @@
 
 	"celeryvalve/connector"
 	"celeryvalve/encoder"
-	"celeryvalve/identifier"
 	"celeryvalve/reporter"
 )
 
-const (
-	fineInterval   = time.Minute
-	fineKept       = 6 * time.Hour
-	coarseInterval = 30 * time.Minute
-	coarseKept     = 72 * time.Hour
-)
+const sampleInterval = time.Minute
 
 // RequestKind is the kind of the call that reads the history of an entry.
-const RequestKind encoder.Kind = "SamplesRequest"
-
-// SamplesRequest asks an entry for its history.
-type SamplesRequest struct{}
-
-// SamplesAnswer is the history of one entry, oldest first.
-type SamplesAnswer struct {
-	Intervals []Interval
-}
+const RequestKind encoder.Kind = "HistoryRequest"
 
-// Interval is what was counted from its start to the next one's.
-type Interval struct {
-	Start  time.Time
-	Counts []Count
-}
+// HistoryRequest asks an entry for its history.
+type HistoryRequest struct{}
 
-// Count is the good and all events of one indicator.
-type Count struct {
-	Service      identifier.Service
-	Organisation identifier.Organisation
-	Indicator    reporter.Indicator
-	Good, Total  uint64
+// HistoryAnswer is the history of one entry, oldest first, up to now.
+type HistoryAnswer struct {
+	Snapshots []reporter.Snapshot
 }
 
 // Messages returns the entries of the call.
 func Messages() []encoder.Entry {
 	return []encoder.Entry{
-		encoder.Message[SamplesRequest](RequestKind),
-		encoder.Message[SamplesAnswer]("SamplesAnswer"),
+		encoder.Message[HistoryRequest](RequestKind),
+		encoder.Message[HistoryAnswer]("HistoryAnswer"),
 	}
 }
 
-// key is what events are counted by.
-type key struct {
-	service      identifier.Service
-	organisation identifier.Organisation
-	indicator    reporter.Indicator
-}
-
-type pair struct {
-	good, total uint64
-}
-
-// bucket is an interval that is kept.
-type bucket struct {
-	start  time.Time
-	counts map[key]pair
-}
-
 // Sampler keeps the history of one entry. It is safe for concurrent use.
 type Sampler struct {
-	clock clockwork.Clock
+	process string
+	tally   *reporter.Tally
+	clock   clockwork.Clock
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 
-	mu     sync.Mutex
-	fine   []bucket
-	coarse []bucket
+	mu      sync.Mutex
+	history reporter.History
 }
 
-// New returns an empty sampler.
-func New(clock clockwork.Clock) *Sampler {
-	return &Sampler{clock: clock}
+// New returns a sampler of the tally that is not started.
+func New(process string, tally *reporter.Tally, clock clockwork.Clock) *Sampler {
+	return &Sampler{process: process, tally: tally, clock: clock}
 }
 
-// Count takes in one event.
-func (s *Sampler) Count(service identifier.Service, organisation identifier.Organisation, indicator reporter.Indicator, good bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	counts := s.current().counts
-	k := key{service, organisation, indicator}
-	p := counts[k]
-	p.total++
-	if good {
-		p.good++
-	}
-	counts[k] = p
+// Start begins to take a snapshot at every interval.
+func (s *Sampler) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.keep()
+	s.done.Go(func() { s.run(ctx) })
 }
 
-// current returns the running interval. Fine ones that grew old are added to
-// their coarse one.
-func (s *Sampler) current() bucket {
-	start := s.clock.Now().Truncate(fineInterval)
-	if n := len(s.fine); n > 0 && s.fine[n-1].start.Equal(start) {
-		return s.fine[n-1]
-	}
-	for len(s.fine) > 0 && start.Sub(s.fine[0].start) >= fineKept {
-		s.fold(s.fine[0])
-		s.fine = s.fine[1:]
-	}
-	for len(s.coarse) > 0 && start.Sub(s.coarse[0].start) >= coarseKept {
-		s.coarse = s.coarse[1:]
-	}
-	b := bucket{start: start, counts: make(map[key]pair)}
-	s.fine = append(s.fine, b)
-	return b
+// Stop ends it.
+func (s *Sampler) Stop() {
+	s.cancel()
+	s.done.Wait()
 }
 
-func (s *Sampler) fold(b bucket) {
-	start := b.start.Truncate(coarseInterval)
-	n := len(s.coarse)
-	if n == 0 || !s.coarse[n-1].start.Equal(start) {
-		s.coarse = append(s.coarse, bucket{start: start, counts: make(map[key]pair)})
-		n++
-	}
-	into := s.coarse[n-1].counts
-	for k, p := range b.counts {
-		sum := into[k]
-		sum.good += p.good
-		sum.total += p.total
-		into[k] = sum
+func (s *Sampler) run(ctx context.Context) {
+	ticker := s.clock.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			s.keep()
+		}
 	}
 }
 
-// History returns the intervals that are kept, oldest first.
-func (s *Sampler) History() []Interval {
+func (s *Sampler) keep() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.current()
-	intervals := make([]Interval, 0, len(s.coarse)+len(s.fine))
-	for _, list := range [][]bucket{s.coarse, s.fine} {
-		for _, b := range list {
-			intervals = append(intervals, b.interval())
-		}
-	}
-	return intervals
+	s.history.Add(s.snapshot())
 }
 
-func (b bucket) interval() Interval {
-	interval := Interval{Start: b.start}
-	for k, p := range b.counts {
-		interval.Counts = append(interval.Counts, Count{k.service, k.organisation, k.indicator, p.good, p.total})
-	}
-	return interval
+func (s *Sampler) snapshot() reporter.Snapshot {
+	return reporter.Snapshot{Source: s.process, Time: s.clock.Now(), Samples: s.tally.Samples()}
 }
 
 // Serve answers a control replica that makes a report.
 func (s *Sampler) Serve(_ context.Context, stream *connector.Stream, _ any) {
+	s.mu.Lock()
+	snapshots := append(s.history.Snapshots(), s.snapshot())
+	s.mu.Unlock()
 	// A replica that went away asks again.
-	_ = stream.Send(&SamplesAnswer{Intervals: s.History()})
+	_ = stream.Send(&HistoryAnswer{Snapshots: snapshots})
 }
