prover: cut, silence and isolate processes through stand-in links

A process may now advertise an address other than the one it listens on, which is also how a system behind address translation is set up.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -96,7 +96,7 @@
 func newCoordinator(settings parser.Settings, store *recorder.Recorder, state *controller.State, e *connector.Endpoint,
 	clock clockwork.Clock, a asserter.Asserter, logger *zap.Logger) replicaParts {
 	m := &machine{State: state, changed: func() {}}
-	cfg := coordinator.Config{Name: settings.Name, Addr: settings.Listen}
+	cfg := coordinator.Config{Name: settings.Name, Addr: settings.Address()}
 	for _, member := range settings.Control.Members {
 		cfg.Members = append(cfg.Members, coordinator.Member{Name: member.Name, Addr: member.Address})
 	}
--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -115,7 +115,7 @@
 		Upstream:         settings.Agent.Upstream,
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
-		Address:          settings.Listen,
+		Address:          settings.Address(),
 		Incarnation:      parts.Incarnation,
 	}
 	cfg.StoreLimit = settings.Agent.ChunkMemory
--- a/parser/check.go
+++ b/parser/check.go
@@ -145,10 +145,10 @@
 func (c *settingsCheck) memberAddress(members []Member) {
 	s := c.settings
 	for i, m := range members {
-		other := m.Address.IsValid() && s.Listen.IsValid() && m.Address.Port() != s.Listen.Port()
+		other := m.Address.IsValid() && s.Address().IsValid() && m.Address.Port() != s.Address().Port()
 		if m.Name == s.Name && s.Has(Control) && other {
 			c.fault(Path("Control.Members").Index(i).Key("Address"),
-				"this process listens on "+s.Listen.String(), "use the port of Listen")
+				"this process is reached at "+s.Address().String(), "use the port of Listen, or of Advertise where it is set")
 		}
 	}
 }
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -79,6 +79,7 @@
 	Roles            []Role                      `help:"what the process does; none means all three"`
 	DataFolder       string                      `help:"folder on a disk for the replicated state; needed by role Control"`
 	Listen           netip.AddrPort              `help:"QUIC, for the system's other processes"`
+	Advertise        netip.AddrPort              `help:"where others reach Listen; unset means at Listen itself"`
 	Admin            netip.AddrPort              `help:"HTTP, for metrics and health"`
 	Keys             KeySettings
 	Log              LogSettings
@@ -176,6 +177,14 @@
 	}
 }
 
+// Address returns where the system's other processes reach this one.
+func (s Settings) Address() netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return s.Listen
+}
+
 // Has reports whether the daemon has the role.
 func (s Settings) Has(role Role) bool {
 	return len(s.Roles) == 0 || slices.Contains(s.Roles, role)
--- a/prover/cluster_test.go
+++ b/prover/cluster_test.go
@@ -77,6 +77,8 @@
 	net       string
 	dir       string
 	processes map[string]*process
+	// linked puts a stand-in link before every process, at an address of its own.
+	linked bool
 }
 
 func newCluster(t *testing.T, network int) *cluster {
@@ -110,6 +112,8 @@
 
 func (c *cluster) path(name string) string { return filepath.Join(c.dir, name) }
 
+func (c *cluster) entryIP(i int) string { return fmt.Sprintf("%s.1.%d", c.net, i) }
+
 func (c *cluster) entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
 func (c *cluster) issue(name string, roles ...string) {
@@ -143,6 +147,50 @@
 	return c.start(name, "celeryvalved", "--settings", file)
 }
 
+// linkOffset leads from the subnet of a process to that of its link.
+const linkOffset = 100
+
+// through returns the IP number at which others reach the process, and starts
+// the link that forwards from there.
+func (c *cluster) through(name, ip string) string {
+	if !c.linked {
+		return ip
+	}
+	front := c.front(ip)
+	if c.processes["link-"+name] == nil {
+		c.start("link-"+name, "standin", "link", "--control", front+":7500", "--udp", front+":7400="+ip+":7400")
+	}
+	return front
+}
+
+func (c *cluster) front(ip string) string {
+	var a, b, subnet, host int
+	_, err := fmt.Sscanf(ip, "%d.%d.%d.%d", &a, &b, &subnet, &host)
+	require.NoError(c.t, err)
+	return fmt.Sprintf("%d.%d.%d.%d", a, b, subnet+linkOffset, host)
+}
+
+// link sets what the link before the IP number does to its traffic.
+func (c *cluster) link(ip, settings string) {
+	c.control("http://"+c.front(ip)+":7500/link", settings)
+}
+
+// silence makes the connections through the link go silent for good.
+func (c *cluster) silence(ip string) {
+	c.control("http://"+c.front(ip)+":7500/silence", "")
+}
+
+func (c *cluster) control(url, body string) {
+	c.eventually("control of "+url, func() bool {
+		resp, err := http.Post(url, "application/json", strings.NewReader(body))
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode < 300
+	})
+}
+
 func (c *cluster) common(name, ip, region string, roles string) string {
 	return fmt.Sprintf(`Name = %[1]q
 Instance = %[1]q
@@ -151,18 +199,23 @@
 Roles = [%[3]s]
 DataFolder = %[4]q
 Listen = "%[5]s:7400"
+Advertise = "%[7]s:7400"
 Admin = "%[5]s:7401"
 
 [Keys]
 Folder = %[6]q
 
-`, name, region, roles, c.path(name+"-data"), ip, c.path("keys"))
+`, name, region, roles, c.path(name+"-data"), ip, c.path("keys"), c.through(name, ip))
 }
 
 func (c *cluster) members() string {
 	var b strings.Builder
 	for i := 1; i <= entries; i++ {
-		fmt.Fprintf(&b, "[[Control.Members]]\nName = %q\nAddress = \"%s.1.%d:7400\"\n\n", c.entryName(i), c.net, i)
+		ip := c.entryIP(i)
+		if c.linked {
+			ip = c.front(ip)
+		}
+		fmt.Fprintf(&b, "[[Control.Members]]\nName = %q\nAddress = \"%s:7400\"\n\n", c.entryName(i), ip)
 	}
 	return b.String()
 }
@@ -171,7 +224,7 @@
 
 // entry starts entry i, which holds a control replica.
 func (c *cluster) entry(i int) *process {
-	ip := fmt.Sprintf("%s.1.%d", c.net, i)
+	ip := c.entryIP(i)
 	name := c.entryName(i)
 	settings := c.common(name, ip, regions[i%3], `"Entry", "Control"`) +
 		fmt.Sprintf("[Control]\nOperators = \"%s:7402\"\n\n", ip) + c.members() +
@@ -375,8 +428,14 @@
 		if !ok {
 			return false
 		}
-		_, err := fmt.Sscanf(v.Leader, c.net+".1.%d:7400", &leader)
-		return err == nil
+		for i := 1; i <= entries; i++ {
+			ip := c.entryIP(i)
+			if v.Leader == ip+":7400" || v.Leader == c.front(ip)+":7400" {
+				leader = i
+				return true
+			}
+		}
+		return false
 	})
 	return leader, leader%entries + 1
 }
@@ -438,8 +497,5 @@
 
 // misbehave tells a stand-in what to do wrong from now on.
 func (c *cluster) misbehave(address, text string) {
-	resp, err := http.Post("http://"+address+"/misbehave", "application/json", strings.NewReader(text))
-	require.NoError(c.t, err)
-	_ = resp.Body.Close()
-	require.Less(c.t, resp.StatusCode, 300)
+	c.control("http://"+address+"/misbehave", text)
 }
