fetcher: keep trees stable and roots close to their readers

With 4 of 40 instances killed and replaced, replacements became inner members and roots before they held anything, every change dealt all stripes anew, and a root read its whole stripe long before its peers: 1.18 origin copies, 518 sources blamed as stalled.

--- a/fetcher/config.go
+++ b/fetcher/config.go
@@ -24,6 +24,9 @@
 	UploadQueue int
 	// OriginReads is how many chunks are read from one source at once.
 	OriginReads int
+	// ReadAhead is how many chunks a root reads from the origin beyond those that
+	// its peers wait for.
+	ReadAhead int
 	// LeaseParts is in how many parts the root of a stripe leases it. A lost
 	// root loses at most a part or two.
 	LeaseParts int
@@ -50,12 +53,13 @@
 	return Config{
 		Stripes:          16,
 		Window:           2,
-		Pulls:            2,
+		Pulls:            4,
 		Uploads:          2,
 		UploadQueue:      4096,
 		OriginReads:      2,
+		ReadAhead:        2,
 		LeaseParts:       8,
-		HolderProbes:     16,
+		HolderProbes:     64,
 		ProgressDeadline: 10 * time.Second,
 		SetAside:         30 * time.Second,
 		RetryDelay:       500 * time.Millisecond,
--- a/fetcher/effect.go
+++ b/fetcher/effect.go
@@ -67,6 +67,9 @@
 	Peer     identifier.Upstream
 }
 
+// DelayChunk tells a peer that its request is kept. The answer follows later.
+type DelayChunk struct{ Request RequestID }
+
 // RefuseChunk answers a peer's request without the chunk. RequestEnded follows
 // where the request was kept.
 type RefuseChunk struct {
@@ -114,6 +117,7 @@
 func (CancelFetch) isEffect()          {}
 func (AskOriginLease) isEffect()       {}
 func (SendChunk) isEffect()            {}
+func (DelayChunk) isEffect()           {}
 func (RefuseChunk) isEffect()          {}
 func (VerifyFiles) isEffect()          {}
 func (Completed) isEffect()            {}
--- a/fetcher/event.go
+++ b/fetcher/event.go
@@ -29,13 +29,15 @@
 	Adapter identifier.Adapter
 }
 
-// Peer is a member that wants the same manifest.
+// Peer is a member that wants the same manifest. Token rises with every member
+// that joins: those that joined last hold least and hand on last.
 type Peer struct {
 	Upstream         identifier.Upstream
 	Region           identifier.Region
 	AvailabilityZone identifier.AvailabilityZone
 	Address          netip.AddrPort
 	Incarnation      identifier.Incarnation
+	Token            identifier.FencingToken
 }
 
 // Source is where a chunk comes from: a peer, or the origin where Peer is empty.
@@ -132,6 +134,13 @@
 // ChunkRestored brings the proof of a chunk that was stored before a restart.
 type ChunkRestored struct{ Chunk verifier.Chunk }
 
+// ChunkDelayed says that a peer is alive and keeps the request.
+type ChunkDelayed struct {
+	Manifest identifier.Digest
+	Chunk    verifier.ChunkIndex
+	Source   Source
+}
+
 // ChunkFailed ends a fetch without the chunk.
 type ChunkFailed struct {
 	Manifest   identifier.Digest
@@ -195,6 +204,7 @@
 func (PeersChanged) isEvent()        {}
 func (ChunkArrived) isEvent()        {}
 func (ChunkRestored) isEvent()       {}
+func (ChunkDelayed) isEvent()        {}
 func (ChunkFailed) isEvent()         {}
 func (ChunkRequested) isEvent()      {}
 func (RequestEnded) isEvent()        {}
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -83,6 +83,8 @@
 		effects = f.manifestFailed(now, t, e)
 	case ChunkArrived:
 		effects = f.chunkArrived(now, t, e)
+	case ChunkDelayed:
+		f.delayed(now, t, e)
 	case ChunkFailed:
 		effects = f.failed(now, t, e)
 	case OriginLeaseAnswered:
@@ -118,6 +120,8 @@
 		return e.Manifest
 	case ChunkArrived:
 		return e.Manifest
+	case ChunkDelayed:
+		return e.Manifest
 	case ChunkFailed:
 		return e.Manifest
 	case OriginLeaseAnswered:
@@ -171,6 +175,7 @@
 	if t == nil || t.manifest != nil {
 		return nil
 	}
+	t.problem = ""
 	t.open(now, e.Manifest, f.cfg.Stripes)
 	effects := f.dropSuperseded(now, t)
 	effects = append(effects, f.dropUnused()...)
@@ -286,7 +291,7 @@
 		return nil
 	}
 	t.retry = now.Add(max(e.RetryAfter, f.cfg.RetryDelay))
-	if e.Reason != Corrupt {
+	if e.Reason != Corrupt || t.problem != "" {
 		return nil
 	}
 	t.problem = "the origin's content under this version's name does not match the pinned digest"
@@ -402,7 +407,7 @@
 
 // ticked drives deadlines and retries.
 func (f *Fetcher) ticked(now time.Time) []Effect {
-	effects := f.refuseStale(now)
+	effects := f.reportDelays(now)
 	for _, id := range slices.Clone(f.order) {
 		t := f.transfers[id]
 		if t.manifest == nil && !t.superseded && !t.retry.IsZero() && !now.Before(t.retry) {
--- a/fetcher/fetcher_test.go
+++ b/fetcher/fetcher_test.go
@@ -13,7 +13,7 @@
 	return fetcher.Wanted{
 		Manifest: v.manifest.Digest(),
 		Name:     fetcher.Name{Model: v.manifest.Model},
-		Source:   "http://origin/" + string(v.manifest.Version),
+		Source:   "http://origin/" + string(v.manifest.WeightVersion),
 		Favour:   favour,
 	}
 }
--- a/fetcher/lease.go
+++ b/fetcher/lease.go
@@ -35,6 +35,7 @@
 	again := false
 	unread := 0
 	size := f.leaseSize(s)
+	end := f.readEnd(now, s)
 	for i := s.lowest; i < s.end; i++ {
 		if t.have.has(int(i)) {
 			continue
@@ -43,7 +44,9 @@
 			continue
 		}
 		if now.Before(s.lease.unread[i]) {
-			if effect, ok := f.read(now, t, s, i); ok {
+			if i >= end {
+				unread++
+			} else if effect, ok := f.read(now, t, s, i); ok {
 				effects = append(effects, effect)
 			} else {
 				unread++
@@ -69,6 +72,16 @@
 	return effects
 }
 
+// readEnd returns up to where the origin may be read. A root stays just ahead of
+// the members that wait for it, so that little is lost with it; without any it
+// reads for itself.
+func (f *Fetcher) readEnd(now time.Time, s *stripe) verifier.ChunkIndex {
+	if now.Sub(s.demandedAt) >= f.cfg.ProgressDeadline {
+		return s.end
+	}
+	return min(s.end, max(s.demanded, s.lowest)+verifier.ChunkIndex(f.cfg.ReadAhead))
+}
+
 // leaseSize returns how many chunks are leased at once.
 func (f *Fetcher) leaseSize(s *stripe) int {
 	return max(1, int(s.end-s.first)/f.cfg.LeaseParts)
--- a/fetcher/message.go
+++ b/fetcher/message.go
@@ -16,8 +16,10 @@
 	Wait     bool
 }
 
-// ChunkAnswer is the only answer on the stream. Data is set where Refused is not.
+// ChunkAnswer answers on the stream. Any number of delayed answers precede the
+// one that is refused or has Data.
 type ChunkAnswer struct {
+	Delayed    bool
 	Refused    Reason
 	RetryAfter time.Duration
 	Data       []byte
--- a/fetcher/network_test.go
+++ b/fetcher/network_test.go
@@ -17,8 +17,8 @@
 	"celeryvalve/verifier"
 )
 
-// window is the time in which the origin's link carries four copies and an
-// instance's two.
+// window is the time in which the origin's link carries four copies, an
+// instance's two, and a thin link 1.05, each way.
 const window = 300 * time.Second
 
 const (
@@ -73,7 +73,7 @@
 
 func newVersion(t testing.TB, name identifier.WeightVersion, files fstest.MapFS, chunkSize int) *version {
 	m, err := verifier.Build(verifier.Description{
-		Model: "drafter", Version: name, ChunkSize: identifier.ByteCount(chunkSize),
+		Model: "drafter", WeightVersion: name, ChunkSize: identifier.ByteCount(chunkSize),
 	}, files)
 	require.NoError(t, err)
 	v := &version{manifest: m, data: make(map[identifier.Digest][]byte), files: files}
@@ -129,6 +129,7 @@
 	corruptPart       float64
 	originOnly        bool
 	again             int
+	debug             func(*node, any)
 }
 
 type pendingKey struct {
@@ -173,7 +174,7 @@
 		grants:   make(map[grantKey]grant),
 		read:     make(map[grantKey]int),
 		origin:   pipe{rate: 4 * size / window.Seconds()},
-		thinRate: 2 * size / window.Seconds(),
+		thinRate: 1.05 * size / window.Seconds(),
 		control:  true, originUp: true, controlMembers: true,
 	}
 	for _, v := range versions {
@@ -215,6 +216,7 @@
 			Region:           identifier.Region(fmt.Sprintf("region-%d", i%3)),
 			AvailabilityZone: identifier.AvailabilityZone(fmt.Sprintf("zone-%d", i/3%2)),
 			Incarnation:      life,
+			Token:            identifier.FencingToken(len(n.nodes) + 1),
 		},
 		up: pipe{rate: rate}, down: pipe{rate: rate}, alive: true,
 		stored:  make(map[identifier.Digest][]byte),
@@ -317,6 +319,8 @@
 		nd.send(e)
 	case fetcher.RefuseChunk:
 		nd.refuse(e)
+	case fetcher.DelayChunk:
+		nd.delay(e)
 	case fetcher.VerifyFiles:
 		n.after(0, func() { nd.verify(n.versions[e.Manifest].manifest) })
 	case fetcher.Completed:
@@ -327,6 +331,9 @@
 			delete(nd.stored, d)
 		}
 	default:
+		if n.debug != nil {
+			n.debug(nd, effect)
+		}
 		nd.effects = append(nd.effects, effect)
 	}
 }
@@ -400,6 +407,16 @@
 	nd.net.after(nd.net.latency(), func() { p.child.fail(p, e.Reason, e.RetryAfter) })
 }
 
+func (nd *node) delay(e fetcher.DelayChunk) {
+	p := nd.served[e.Request]
+	p.child.control += answerBytes
+	nd.net.after(nd.net.latency(), func() {
+		if !nd.frozen && !p.child.frozen && p.child.pending[p.key] == p {
+			p.child.event(fetcher.ChunkDelayed{Manifest: p.key.manifest, Chunk: p.key.chunk, Source: p.key.source})
+		}
+	})
+}
+
 func (nd *node) send(e fetcher.SendChunk) {
 	n := nd.net
 	p := nd.served[e.Request]
@@ -490,6 +507,9 @@
 		key := grantKey{e.Manifest, e.Chunks.First + verifier.ChunkIndex(i), e.Copy}
 		n.grants[key] = grant{nd.peer.Upstream, nd.peer.Incarnation, n.now + life}
 	}
+	if n.debug != nil && e.Again {
+		n.debug(nd, e)
+	}
 	if e.Again {
 		n.again += e.Chunks.Count
 	}
--- a/fetcher/plan.go
+++ b/fetcher/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,7 +58,7 @@
 func newPlan(seed identifier.Digest, peers []Peer, stripes, roots int) *plan {
 	peers = slices.Clone(peers)
 	slices.SortFunc(peers, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Upstream, b.Upstream))
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Token, b.Token), cmp.Compare(a.Upstream, b.Upstream))
 	})
 	p := planner{seed: seed, peers: peers, load: make([]int, len(peers)), stripes: stripes}
 	out := &plan{peers: peers, index: make(map[identifier.Upstream]int, len(peers))}
@@ -131,24 +132,20 @@
 // region builds the part of the tree inside one region and returns its members
 // from the root to the leaves.
 func (p *planner) region(t *tree, stripe int, region []int, feedsNext bool) []int {
-	order, inner := p.order(stripe, region)
-	edges := len(order) - 1
+	edges := len(region) - 1
 	if feedsNext {
 		edges++
 	}
+	inner := p.inner(region, edges)
+	order := p.order(stripe, region, inner)
 	next := 1
-	for i, member := range order[:inner] {
-		share := edges / inner
-		if i < edges%inner {
-			share++
-		}
-		p.load[member] += share
-		if i == 0 && feedsNext {
+	for i, member := range inner {
+		share := member.share
+		if i == 0 && feedsNext && share > 1 {
 			share--
 		}
-		share = max(share, min(1, inner-1))
 		for ; share > 0 && next < len(order); share-- {
-			t.connect(order[next], member)
+			t.connect(order[next], member.number)
 			next++
 		}
 	}
@@ -158,29 +155,66 @@
 	return order
 }
 
-// order returns the region's members with the inner ones, which have uploaded
-// least so far, in front. Members of a zone stand together.
-func (p *planner) order(stripe int, region []int) ([]int, int) {
-	inner := len(region) / p.stripes
-	if stripe < len(region)%p.stripes {
-		inner++
+// innerMember hands a stripe on to share others.
+type innerMember struct {
+	number int
+	share  int
+}
+
+// inner deals the edges out to the members that joined first, each up to the
+// load that all can bear. A member that joins or leaves moves few shares.
+func (p *planner) inner(region []int, edges int) []innerMember {
+	var inner []innerMember
+	bearable := p.bearable(len(region))
+	for _, member := range region {
+		share := min(edges, bearable-p.load[member])
+		if share <= 0 {
+			continue
+		}
+		p.load[member] += share
+		edges -= share
+		inner = append(inner, innerMember{number: member, share: share})
+	}
+	if len(inner) == 0 {
+		inner = append(inner, innerMember{number: region[0]})
+	}
+	inner[0].share += edges
+	return inner
+}
+
+// spareLoad is the part by which a member may feed more than its even share, so
+// that those that joined last need not hand anything on.
+const spareLoad = 0.05
+
+// bearable returns how many members one member of a region has to feed, over
+// all stripes.
+func (p *planner) bearable(members int) int {
+	crossings := float64(p.stripes*(len(p.regions)-1)) / float64(len(p.regions))
+	even := (float64(p.stripes*(members-1)) + crossings) / float64(members)
+	return int(max(math.Ceil(even), math.Floor(even*(1+spareLoad))))
+}
+
+// order returns the region's members with the inner ones in front. The others
+// stand by zone.
+func (p *planner) order(stripe int, region []int, inner []innerMember) []int {
+	order := make([]int, 0, len(region))
+	isInner := make(map[int]bool, len(inner))
+	for _, member := range inner {
+		order = append(order, member.number)
+		isInner[member.number] = true
 	}
-	inner = max(1, inner)
 	hashes := make(map[int]uint64, len(region))
 	for _, member := range region {
 		hashes[member] = p.hash(stripe, p.peers[member].Upstream)
+		if !isInner[member] {
+			order = append(order, member)
+		}
 	}
-	order := slices.Clone(region)
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(p.load[a], p.load[b]), cmp.Compare(hashes[a], hashes[b]))
-	})
-	byZone := func(a, b int) int {
+	slices.SortFunc(order[len(inner):], func(a, b int) int {
 		return cmp.Or(cmp.Compare(p.peers[a].AvailabilityZone, p.peers[b].AvailabilityZone),
 			cmp.Compare(hashes[a], hashes[b]))
-	}
-	slices.SortFunc(order[:inner], byZone)
-	slices.SortFunc(order[inner:], byZone)
-	return order, inner
+	})
+	return order
 }
 
 func (p *planner) hash(stripe int, member identifier.Upstream) uint64 {
--- a/fetcher/pull.go
+++ b/fetcher/pull.go
@@ -30,15 +30,50 @@
 			continue
 		}
 		parent, ok := t.ancestor(now, s)
-		if s.place.copyNumber != notRoot || !ok {
+		switch {
+		case s.place.copyNumber != notRoot:
 			effects = append(effects, f.origin(now, t, n)...)
-			continue
+		case ok:
+			s.orphaned = time.Time{}
+			effects = append(effects, f.ask(now, t, s, parent)...)
+		default:
+			effects = append(effects, f.orphan(now, t, n)...)
 		}
-		effects = append(effects, f.ask(now, t, s, parent)...)
 	}
 	return append(effects, f.pull(now, t)...)
 }
 
+// orphan goes on without an ancestor: it asks members for what they may hold
+// until control has named a new root, and the origin once that takes too long.
+func (f *Fetcher) orphan(now time.Time, t *transfer, n int) []Effect {
+	s := &t.stripes[n]
+	if s.orphaned.IsZero() {
+		s.orphaned = now
+	}
+	if now.Sub(s.orphaned) >= orphanDeadlines*f.cfg.ProgressDeadline {
+		return f.origin(now, t, n)
+	}
+	f.probeNext(t, s, f.cfg.Window)
+	return nil
+}
+
+// orphanDeadlines is after how many progress deadlines a member without an
+// ancestor turns to the origin.
+const orphanDeadlines = 2
+
+// probeNext probes for the first missing chunks of a stripe.
+func (f *Fetcher) probeNext(t *transfer, s *stripe, count int) {
+	for i := s.lowest; i < s.end && count > 0; i++ {
+		if t.have.has(int(i)) {
+			continue
+		}
+		count--
+		if t.probes[i] == nil {
+			t.probes[i] = &probe{}
+		}
+	}
+}
+
 // ask fills the stripe's window with requests to the ancestor.
 func (f *Fetcher) ask(now time.Time, t *transfer, s *stripe, parent Peer) []Effect {
 	var effects []Effect
@@ -88,11 +123,17 @@
 func (f *Fetcher) exhaust(now time.Time, t *transfer, i verifier.ChunkIndex, p *probe) {
 	s := &t.stripes[t.stripeOf(i)]
 	_, ok := t.ancestor(now, s)
-	if ok && s.place.copyNumber == notRoot {
+	switch {
+	case s.place.copyNumber != notRoot:
+		p.exhausted = true
+	case ok:
 		delete(t.probes, i)
-		return
+	case now.Sub(s.orphaned) >= orphanDeadlines*f.cfg.ProgressDeadline:
+		p.exhausted = true
+	default:
+		p.next = 0
+		p.after = now.Add(f.cfg.ProgressDeadline / 4)
 	}
-	p.exhausted = true
 }
 
 // candidate returns the next member to probe.
@@ -163,7 +204,7 @@
 func (f *Fetcher) progressed(now time.Time, t *transfer, i verifier.ChunkIndex) {
 	s := &t.stripes[t.stripeOf(i)]
 	t.arrivals++
-	s.renewals = 0
+	s.delays = 0
 	s.arrivals = t.arrivals
 	s.lastProgress = now
 	t.lastProgress = now
@@ -208,18 +249,25 @@
 	if !fetch.wait {
 		return nil
 	}
-	if e.Reason == NotHeld && s.renewals < maxRenewals {
-		s.renewals++
-		s.lastProgress = now
-		return nil
-	}
 	s.passedOver[e.Source.Peer] = now.Add(delay)
 	return nil
 }
 
-// maxRenewals is how often in a row an ancestor may answer that it does not hold
-// a chunk yet. It shows that it is alive; its own source may be the one at fault.
-const maxRenewals = 8
+// delayed notes that an ancestor is alive. Its own source may be the one at fault.
+func (f *Fetcher) delayed(now time.Time, t *transfer, e ChunkDelayed) {
+	fetch, ok := t.fetches[e.Chunk]
+	if !ok || fetch.source != e.Source {
+		return
+	}
+	s := &t.stripes[t.stripeOf(e.Chunk)]
+	s.delays++
+	if s.delays <= maxDelays {
+		s.lastProgress = now
+	}
+}
+
+// maxDelays is how often in a row an ancestor may say that it is alive.
+const maxDelays = 32
 
 // corruptSetAside is how long a peer that sent corrupt bytes gets no request.
 const corruptSetAside = time.Hour
--- a/fetcher/serve.go
+++ b/fetcher/serve.go
@@ -43,8 +43,19 @@
 		return refuse(NotHeld)
 	}
 	f.serving[e.Request] = &serving{request: e, since: now}
+	t.demand(now, e.Chunk)
 	t.waiters[e.Chunk] = append(t.waiters[e.Chunk], e)
-	return nil
+	return f.pump(now, t)
+}
+
+// demand notes how far peers have come in a stripe.
+func (t *transfer) demand(now time.Time, i verifier.ChunkIndex) {
+	if t.manifest == nil {
+		return
+	}
+	s := &t.stripes[t.stripeOf(i)]
+	s.demanded = max(s.demanded, i)
+	s.demandedAt = now
 }
 
 // offer answers the requests that waited for chunks. Peers that hand the chunk
@@ -144,32 +155,22 @@
 	t.waiters[e.Chunk] = list
 }
 
-// refuseStale answers requests that waited long, so that the peers know that
-// this member is alive. They ask again.
-func (f *Fetcher) refuseStale(now time.Time) []Effect {
-	var stale []RequestID
-	for _, id := range f.order {
-		t := f.transfers[id]
-		for chunk, waiters := range t.waiters {
-			if now.Sub(t.progressOf(chunk)) < f.cfg.ProgressDeadline/2 {
-				continue
-			}
-			for _, w := range waiters {
-				if now.Sub(f.serving[w.Request].since) >= f.cfg.ProgressDeadline/2 {
-					stale = append(stale, w.Request)
-				}
-			}
+// reportDelays tells peers whose requests are kept for long that this member is
+// alive, so that they don't take it for stalled.
+func (f *Fetcher) reportDelays(now time.Time) []Effect {
+	var late []RequestID
+	for id, s := range f.serving {
+		if !s.sending && now.Sub(s.since) >= f.cfg.ProgressDeadline/2 {
+			s.since = now
+			late = append(late, id)
 		}
 	}
-	return f.refuseAll(stale, NotHeld)
-}
-
-// progressOf returns when the stripe of the chunk last made progress.
-func (t *transfer) progressOf(i verifier.ChunkIndex) time.Time {
-	if t.manifest == nil || int(i) >= t.manifest.Chunks() {
-		return time.Time{}
+	slices.Sort(late)
+	effects := make([]Effect, 0, len(late))
+	for _, id := range late {
+		effects = append(effects, DelayChunk{Request: id})
 	}
-	return t.stripes[t.stripeOf(i)].lastProgress
+	return effects
 }
 
 // refuseAll ends the requests with the reason.
--- a/fetcher/snapshot.go
+++ b/fetcher/snapshot.go
@@ -67,7 +67,7 @@
 	if t.manifest == nil {
 		return p
 	}
-	p.WeightVersion = t.manifest.Version
+	p.WeightVersion = t.manifest.WeightVersion
 	p.Chunks = t.manifest.Chunks()
 	p.Size = t.manifest.Size()
 	if t.stage == Fetching && now.After(t.started) {
--- a/fetcher/transfer.go
+++ b/fetcher/transfer.go
@@ -37,11 +37,14 @@
 	first, end   verifier.ChunkIndex // chunks [first, end)
 	lowest       verifier.ChunkIndex // every chunk below is held
 	place        position
-	waiting      int       // fetches from the current ancestor
-	originReads  int       // fetches from the origin
-	lastProgress time.Time // when a chunk last came or an ancestor was chosen
-	arrivals     int       // the transfer's arrivals at that time
-	renewals     int       // answers in a row without a chunk
+	waiting      int                 // fetches from the current ancestor
+	originReads  int                 // fetches from the origin
+	lastProgress time.Time           // when a chunk last came or an ancestor was chosen
+	arrivals     int                 // the transfer's arrivals at that time
+	delays       int                 // reports of a delay in a row
+	demanded     verifier.ChunkIndex // the furthest chunk that a peer waited for
+	demandedAt   time.Time           // when one last began to wait
+	orphaned     time.Time           // since when there is no ancestor to ask
 	lease        lease
 	// passedOver holds sources that brought nothing for this stripe, and until when.
 	passedOver map[identifier.Upstream]time.Time
@@ -113,6 +116,7 @@
 		t.stripes[i] = stripe{
 			first:        first,
 			lowest:       first,
+			demanded:     first,
 			end:          verifier.ChunkIndex((i + 1) * m.Chunks() / n),
 			lastProgress: now,
 			lease:        newLease(),
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -276,7 +276,11 @@
 		return verifier.Weights{}, false
 	}
 	m := w.Manifest()
-	if m.Model != l.desired.Model || m.Adapter != adapter || m.Version != declared.Version {
+	model := l.desired.Model
+	if adapter != "" {
+		model = ""
+	}
+	if m.Model != model || m.Adapter != adapter || m.WeightVersion != declared.Version {
 		return verifier.Weights{}, false
 	}
 	pinned := m.Digest() == declared.Manifest
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -24,7 +24,11 @@
 
 func weights(t require.TestingT, adapter identifier.Adapter, version identifier.WeightVersion) verifier.Weights {
 	files := fstest.MapFS{"w": {Data: []byte("weights of " + string(adapter) + string(version))}}
-	m, err := verifier.Build(verifier.Description{Model: "m", Adapter: adapter, Version: version, ChunkSize: 8}, files)
+	d := verifier.Description{Model: "m", WeightVersion: version, ChunkSize: 8}
+	if adapter != "" {
+		d.Model, d.Adapter = "", adapter
+	}
+	m, err := verifier.Build(d, files)
 	require.NoError(t, err)
 	w, err := m.VerifyFiles(func(f verifier.File) (io.ReadCloser, error) { return files.Open(f.Path) })
 	require.NoError(t, err)
@@ -32,7 +36,7 @@
 }
 
 func declared(w verifier.Weights) loader.Declared {
-	return loader.Declared{Version: w.Manifest().Version, Manifest: w.Manifest().Digest()}
+	return loader.Declared{Version: w.Manifest().WeightVersion, Manifest: w.Manifest().Digest()}
 }
 
 // bench drives one loader by hand.
--- a/transferrer/peer.go
+++ b/transferrer/peer.go
@@ -56,18 +56,24 @@
 		return nil, err
 	}
 	defer s.Cancel()
-	msg, err := s.Receive(ctx)
-	if err != nil {
-		return nil, err
-	}
-	answer, ok := msg.(*fetcher.ChunkAnswer)
-	if !ok {
-		return nil, explainer.New(explainer.Corrupt, fmt.Sprintf("peer answers with %T", msg), "run compatible releases")
-	}
-	if answer.Refused != "" {
-		return nil, &failure{reason: answer.Refused, retryAfter: answer.RetryAfter}
+	for {
+		msg, err := s.Receive(ctx)
+		if err != nil {
+			return nil, err
+		}
+		answer, ok := msg.(*fetcher.ChunkAnswer)
+		switch {
+		case !ok:
+			return nil, explainer.New(explainer.Corrupt, fmt.Sprintf("peer answers with %T", msg), "run compatible releases")
+		case answer.Refused != "":
+			return nil, &failure{reason: answer.Refused, retryAfter: answer.RetryAfter}
+		case answer.Delayed:
+			source := fetcher.Source{Peer: e.Peer.Upstream}
+			t.Send(ctx, fetcher.ChunkDelayed{Manifest: e.Manifest, Chunk: e.Chunk, Source: source})
+		default:
+			return answer.Data, t.download.wait(ctx, len(answer.Data))
+		}
 	}
-	return answer.Data, t.download.wait(ctx, len(answer.Data))
 }
 
 // served is a peer's request at this agent.
@@ -76,8 +82,9 @@
 	answer chan reply
 }
 
-// reply is what the reducer decides about a request: a chunk, or a refusal.
+// reply is what the reducer decides about a request: a delay, a chunk, or a refusal.
 type reply struct {
+	delayed bool
 	digest  identifier.Digest
 	refused fetcher.Reason
 	after   time.Duration
@@ -106,15 +113,27 @@
 	t.Send(ctx, fetcher.ChunkRequested{
 		Request: id, Manifest: request.Manifest, Chunk: request.Chunk, Peer: request.Upstream, Wait: request.Wait,
 	})
-	select {
-	case <-ctx.Done():
-	case r := <-answer:
-		t.answer(ctx, s, request, r)
-	}
+	t.answerAll(ctx, s, request, answer)
 	t.unregister(id)
 	t.Send(t.ctx, fetcher.RequestEnded{Request: id})
 }
 
+// answerAll answers until the request has ended.
+func (t *Transferrer) answerAll(ctx context.Context, s Stream, request *fetcher.ChunkRequest, answer <-chan reply) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-answer:
+			if !r.delayed {
+				t.answer(ctx, s, request, r)
+				return
+			}
+			_ = s.Send(&fetcher.ChunkAnswer{Delayed: true})
+		}
+	}
+}
+
 // answer sends what the reducer decided, inside the budgets.
 func (t *Transferrer) answer(ctx context.Context, s Stream, request *fetcher.ChunkRequest, r reply) {
 	if r.refused != "" {
@@ -145,7 +164,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lastRequest++
-	answer := make(chan reply, 1)
+	answer := make(chan reply, 2) // a delay and the end
 	t.requests[t.lastRequest] = served{stream: s, answer: answer}
 	return t.lastRequest, answer
 }
@@ -160,7 +179,15 @@
 func (t *Transferrer) decide(id fetcher.RequestID, r reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.requests[id]; ok {
+	s, ok := t.requests[id]
+	switch {
+	case !ok:
+	case r.delayed:
+		select {
+		case s.answer <- r:
+		default: // an earlier report is not sent yet
+		}
+	default:
 		s.answer <- r
 		delete(t.requests, id)
 	}
--- a/transferrer/transferrer.go
+++ b/transferrer/transferrer.go
@@ -203,6 +203,8 @@
 		t.work.Go(func() { t.askLease(e) })
 	case fetcher.SendChunk:
 		t.decide(e.Request, reply{digest: e.Digest})
+	case fetcher.DelayChunk:
+		t.decide(e.Request, reply{delayed: true})
 	case fetcher.RefuseChunk:
 		t.decide(e.Request, reply{refused: e.Reason, after: e.RetryAfter})
 	case fetcher.VerifyFiles:
--- a/verifier/build.go
+++ b/verifier/build.go
@@ -13,10 +13,10 @@
 
 // Description is what a manifest says besides its files.
 type Description struct {
-	Model     identifier.Model
-	Adapter   identifier.Adapter
-	Version   identifier.WeightVersion
-	ChunkSize identifier.ByteCount
+	Model         identifier.Model
+	Adapter       identifier.Adapter
+	WeightVersion identifier.WeightVersion
+	ChunkSize     identifier.ByteCount
 }
 
 // Build makes the manifest of every regular file under fsys, in order of paths.
@@ -25,7 +25,7 @@
 	if d.ChunkSize <= 0 || d.ChunkSize > MaxChunkSize {
 		return nil, malformed("ChunkSize is out of range", nil)
 	}
-	m := &Manifest{Model: d.Model, Adapter: d.Adapter, Version: d.Version, ChunkSize: d.ChunkSize}
+	m := &Manifest{Model: d.Model, Adapter: d.Adapter, WeightVersion: d.WeightVersion, ChunkSize: d.ChunkSize}
 	err := fs.WalkDir(fsys, ".", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || !entry.Type().IsRegular() || path == ManifestPath {
 			return err
--- a/verifier/manifest.go
+++ b/verifier/manifest.go
@@ -32,14 +32,14 @@
 	Chunks []identifier.Digest
 }
 
-// Manifest lists the files of one version of a model, or of an adapter of the
-// model where Adapter is set. It is immutable once parsed or built.
+// Manifest lists the files of one version of a model or of an adapter. It is
+// immutable once parsed or built.
 type Manifest struct {
-	Model     identifier.Model
-	Adapter   identifier.Adapter
-	Version   identifier.WeightVersion
-	ChunkSize identifier.ByteCount
-	Files     []File
+	Model         identifier.Model   `json:",omitempty"`
+	Adapter       identifier.Adapter `json:",omitempty"`
+	WeightVersion identifier.WeightVersion
+	ChunkSize     identifier.ByteCount
+	Files         []File
 
 	encoded []byte
 	digest  identifier.Digest
@@ -125,11 +125,11 @@
 
 // finish checks the fields and fills in what is derived from them and the encoding.
 func (m *Manifest) finish(encoded []byte) error {
-	if m.Model == "" {
-		return malformed("manifest has no Model", nil)
+	if (m.Model == "") == (m.Adapter == "") {
+		return malformed("manifest must name either a Model or an Adapter", nil)
 	}
-	if m.Version == "" {
-		return malformed("manifest has no Version", nil)
+	if m.WeightVersion == "" {
+		return malformed("manifest has no WeightVersion", nil)
 	}
 	if m.ChunkSize <= 0 || m.ChunkSize > MaxChunkSize {
 		return malformed(fmt.Sprintf("ChunkSize %d is not between 1 and %d", m.ChunkSize, MaxChunkSize), nil)
--- a/verifier/origin_test.go
+++ b/verifier/origin_test.go
@@ -15,10 +15,10 @@
 func TestManifestOfTheOriginParses(t *testing.T) {
 	folder := t.TempDir()
 	pinned, err := imitator.WriteWeights(imitator.WeightsConfig{
-		Folder: folder, Model: "drafter", Adapter: "tone", Version: "1", ChunkSize: 100, Size: 1234, Files: 3,
+		Folder: folder, Adapter: "tone", Version: "1", ChunkSize: 100, Size: 1234, Files: 3,
 	})
 	require.NoError(t, err)
-	folder = filepath.Join(folder, "drafter", "tone", "1")
+	folder = filepath.Join(folder, "tone", "1")
 	data, err := os.ReadFile(filepath.Join(folder, verifier.ManifestPath))
 	require.NoError(t, err)
 	m, err := verifier.ParsePinned(data, pinned)
--- a/verifier/verifier_test.go
+++ b/verifier/verifier_test.go
@@ -13,7 +13,7 @@
 )
 
 func build(t testing.TB, files fstest.MapFS) *verifier.Manifest {
-	m, err := verifier.Build(verifier.Description{Model: "drafter", Version: "1", ChunkSize: 4}, files)
+	m, err := verifier.Build(verifier.Description{Model: "drafter", WeightVersion: "1", ChunkSize: 4}, files)
 	require.NoError(t, err)
 	return m
 }
@@ -79,7 +79,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add(build(f, sample()).Encode())
-	f.Add([]byte(`{"Model":"m","Version":"1","ChunkSize":1,"Files":[{"Path":"../x"}]}`))
+	f.Add([]byte(`{"Model":"m","WeightVersion":"1","ChunkSize":1,"Files":[{"Path":"../x"}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := verifier.Parse(data)
 		if err != nil {
