--- a/configurer/delta.go
+++ b/configurer/delta.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
@@ -25,9 +26,12 @@
 // Need is what a process must know of the configuration.
 type Need struct {
 	All      bool                 // everything but operators: an entry
-	Services []identifier.Service // each with its model and adapters, and the transfers: an agent
+	Services []identifier.Service // with those that share their weights, and the transfers: an agent
 }
 
+// servicesPrefix begins the reference of every service.
+const servicesPrefix = "Services."
+
 // TombstonesKept is how many removed objects are remembered. A process that is
 // further behind gets a whole configuration in place of a delta.
 const TombstonesKept = 1024
@@ -113,10 +117,7 @@
 // be older. Rewind takes it.
 func Between(from, to Configuration) Delta {
 	d := Delta{Base: from.Version, Version: to.Version, Floor: to.Floor, Stamps: make(map[Ref]identifier.ConfigurationVersion)}
-	for _, ref := range union(from.refs(), to.refs()) {
-		if from.equalAt(&to.Objects, ref) {
-			continue
-		}
+	for _, ref := range changedRefs(&from.Objects, &to.Objects) {
 		if !to.copyTo(&d.Objects, ref) {
 			d.Removed = append(d.Removed, ref)
 		}
@@ -155,12 +156,9 @@
 // closure returns the objects that the need's services use, and the services.
 func (c Configuration) closure(need Need) []Ref {
 	refs := []Ref{transfersRef}
-	for _, name := range need.Services {
+	for _, name := range c.Related(need) {
 		refs = append(refs, refOf("Services", string(name)))
-		service, ok := c.Services[name]
-		if !ok {
-			continue
-		}
+		service := c.Services[name]
 		if service.Model != "" {
 			refs = append(refs, refOf("Models", string(service.Model)))
 		}
@@ -171,12 +169,19 @@
 	return refs
 }
 
+// changedSince reports whether the slice of the need may have changed. Any change
+// of a service counts: it may have begun or ceased to share weights.
 func (c Configuration) changedSince(have identifier.ConfigurationVersion, need Need) bool {
 	for _, ref := range c.closure(need) {
 		if c.Stamps[ref] > have {
 			return true
 		}
 	}
+	for ref, stamp := range c.Stamps {
+		if stamp > have && strings.HasPrefix(string(ref), servicesPrefix) {
+			return true
+		}
+	}
 	return false
 }
 
--- a/configurer/patch.go
+++ b/configurer/patch.go
@@ -35,12 +35,17 @@
 
 // patchFile is the layout of a patch file. ID and Base may be given otherwise.
 type patchFile struct {
-	ID     identifier.PatchID
-	Base   identifier.ConfigurationVersion
-	Remove []parser.Path
+	ID     identifier.PatchID              `help:"name of the patch, the same in a resend; made up unless given"`
+	Base   identifier.ConfigurationVersion `help:"version that the patch was made against"`
+	Remove []parser.Path                   `help:"paths of objects, and of entries of their tables, that are removed before the rest is set"`
 	Objects
 }
 
+// Reference returns a table of every key of a patch file, in Markdown.
+func Reference() []byte {
+	return parser.Reference(patchFile{Objects: New().Objects})
+}
+
 // ParsePatch reads a patch file and checks its form. Apply checks it against the
 // configuration. The error lists every fault.
 func ParsePatch(file string, data []byte) (Patch, error) {
@@ -81,7 +86,7 @@
 		return c, err
 	}
 	next := c.next(objects)
-	if identifier.ByteCount(len(next.Print())) > MaximumConfiguration {
+	if next.Size > MaximumConfiguration {
 		return c, explainer.New(explainer.InvalidInput,
 			fmt.Sprintf("configuration would be larger than %s", parser.FormatSize(MaximumConfiguration)), "remove what isn't used")
 	}
@@ -112,15 +117,19 @@
 		Floor:   c.Floor,
 	}
 	maps.Copy(next.Stamps, c.Stamps)
-	for _, ref := range union(c.refs(), next.refs()) {
-		if !c.equalAt(&next.Objects, ref) {
-			next.Stamps[ref] = next.Version
-		}
+	changed := changedRefs(&c.Objects, &next.Objects)
+	for _, ref := range changed {
+		next.Stamps[ref] = next.Version
 	}
+	next.Size = c.Size + printedSize(next.pick(changed)) - printedSize(c.pick(changed))
 	next.dropTombstones()
 	return next
 }
 
+func printedSize(objects Objects) identifier.ByteCount {
+	return identifier.ByteCount(len(parser.Format(objects)))
+}
+
 // dropTombstones forgets the oldest removed objects beyond the bound.
 func (c *Configuration) dropTombstones() {
 	live := c.refs()
--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -5,7 +5,10 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"celeryvalve/encoder"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -13,6 +16,9 @@
 // DefaultSnapshotEvery is the number of entries after which a snapshot is taken.
 const DefaultSnapshotEvery = 1024
 
+// snapshotBytes is the size of commands after which a snapshot is taken in any case.
+const snapshotBytes identifier.ByteCount = 8 << 20
+
 // StateMachine is what the log is applied to. All of its methods are called
 // from one goroutine. Apply must depend on its arguments and on earlier calls
 // only, so that every replica comes to the same state.
@@ -53,6 +59,8 @@
 	SnapshotEvery int
 	// Random returns numbers in [0, 1) that spread election timeouts.
 	Random func() float64
+	// Metrics takes the replica's metrics. Two replicas can't share one set.
+	Metrics *metrics.Set
 	// OnRole, if set, is told of each change of role, term or leader. It must not block.
 	OnRole func(replicator.RoleChanged)
 }
@@ -67,6 +75,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"celeryvalve/asserter"
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -33,13 +35,17 @@
 	inbox   *inbox
 	writer  *writer
 	waiters *waiters
+	meters  *meters
 	stop    chan struct{}
 	running sync.WaitGroup
 
 	// Of the loop's goroutine only.
 	membership recorder.Membership
 	applied    recorder.Position
+	appliedAt  time.Time
 	snapshotAt recorder.Index
+	// bytes is the size of the commands applied since the last snapshot.
+	bytes identifier.ByteCount
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -62,11 +68,12 @@
 		clock:     clock,
 		assert:    assert,
 		log:       logger,
-		inbox:     newInbox(),
 		waiters:   newWaiters(),
 		stop:      make(chan struct{}),
 	}
-	c.writer = newWriter(store, c.inbox.put, c.fail)
+	c.meters = newMeters(c)
+	c.inbox = newInbox(c.meters.dropped)
+	c.writer = newWriter(store, clock, c.meters.syncSeconds, c.inbox.put, c.fail)
 	return c
 }
 
@@ -84,6 +91,7 @@
 				"run a release that can read it, or replace this replica")
 		}
 		c.applied = s.Position
+		c.appliedAt = s.At
 		c.membership = s.Membership
 		c.snapshotAt = s.Position.Index
 		c.reached = s.Position.Index
@@ -94,15 +102,18 @@
 		zap.String("Replica", string(c.store.Replica())),
 		zap.Uint64("Snapshot", uint64(c.snapshotAt)),
 		zap.Int("Entries", len(state.Entries)))
+	if state.Snapshot == nil && len(state.Entries) == 0 {
+		c.log.Info(logPrefix + "data folder is empty; waiting for every replica of the settings, or to be admitted")
+	}
 	c.running.Go(c.run)
 	c.running.Go(func() { c.writer.run(c.stop) })
 	return nil
 }
 
-// Stop hands over the leadership, if there is one, and ends the replica. The
+// Stop hands over the leadership while ctx lasts, and ends the replica. The
 // recorder stays open.
 func (c *Coordinator) Stop(ctx context.Context) error {
-	if c.IsLeader() {
+	if c.IsLeader() && ctx.Err() == nil {
 		if err := c.TransferLeadership(ctx); err != nil {
 			c.log.Info(logPrefix+"leadership not transferred", zap.Error(err))
 		}
@@ -155,7 +166,8 @@
 	return err
 }
 
-// RemoveMember removes the member of that name. It works on the leader only.
+// RemoveMember removes the member of that name, or takes back its admission
+// while it is a learner. It works on the leader only.
 func (c *Coordinator) RemoveMember(ctx context.Context, name string) error {
 	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
 		return replicator.RemoveRequested{ID: id, Name: name}
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -59,6 +60,9 @@
 		c.waiters.finish(e.ID, answer{err: rejection(e)})
 	case replicator.RoleChanged:
 		c.changeRole(e)
+	case replicator.Announced:
+		c.log.Warn(logPrefix+"replica with an empty data folder waits to be admitted",
+			zap.String("Name", e.Name), zap.String("Replica", string(e.Replica)), zap.Stringer("Addr", e.Addr))
 	case replicator.Halted:
 		c.fail(explainer.New(explainer.Internal, e.Detail, "keep the data folder for inspection and replace this replica"))
 	}
@@ -68,6 +72,7 @@
 	c.mu.Lock()
 	c.role = e
 	c.mu.Unlock()
+	c.meters.roleChanges.Inc()
 	if e.Role != replicator.Leader {
 		c.waiters.loseLeadership()
 	}
@@ -89,10 +94,13 @@
 		case recorder.Noop:
 		}
 		c.applied = e.Position()
+		c.appliedAt = e.At
 		c.reach(e.Index)
+		c.meters.applied.Inc()
+		c.bytes += identifier.ByteCount(len(e.Data))
 		c.waiters.applied(e, result)
 	}
-	if int(c.applied.Index-c.snapshotAt) >= c.cfg.SnapshotEvery {
+	if int(c.applied.Index-c.snapshotAt) >= c.cfg.SnapshotEvery || c.bytes > snapshotBytes {
 		c.takeSnapshot()
 	}
 }
@@ -110,7 +118,14 @@
 		return
 	}
 	c.snapshotAt = c.applied.Index
-	c.writer.put(job{snapshot: &recorder.Snapshot{Position: c.applied, Membership: c.membership.Clone(), Data: data}})
+	c.bytes = 0
+	c.meters.snapshotsTaken.Inc()
+	c.writer.put(job{snapshot: &recorder.Snapshot{
+		Position:   c.applied,
+		At:         c.appliedAt,
+		Membership: c.membership.Clone(),
+		Data:       data,
+	}})
 }
 
 func (c *Coordinator) restore(s recorder.Snapshot) {
@@ -120,8 +135,10 @@
 		return
 	}
 	c.applied = s.Position
+	c.appliedAt = s.At
 	c.membership = s.Membership.Clone()
 	c.snapshotAt = s.Position.Index
+	c.meters.snapshotsInstalled.Inc()
 	c.reach(s.Position.Index)
 	c.log.Info(logPrefix+"snapshot installed", zap.Uint64("Index", uint64(s.Position.Index)))
 }
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -84,7 +84,7 @@
 	case ChunkArrived:
 		effects = f.chunkArrived(now, t, e)
 	case ChunkDelayed:
-		f.delayed(now, t, e)
+		effects = f.delayed(now, t, e)
 	case ChunkFailed:
 		effects = f.failed(now, t, e)
 	case OriginLeaseAnswered:
@@ -325,6 +325,8 @@
 	t.peers = slices.Clone(peers)
 	if t.stage == Fetching || t.stage == Complete || t.stage == Verifying {
 		t.replan(now, f.cfg.Self)
+		effects = append(effects, f.breakCycles(t)...)
+		f.markStrays(t)
 	}
 	for _, p := range t.probes {
 		p.candidates, p.next = nil, 0
--- a/fetcher/network_test.go
+++ b/fetcher/network_test.go
@@ -73,7 +73,7 @@
 
 func newVersion(t testing.TB, name identifier.WeightVersion, files fstest.MapFS, chunkSize int) *version {
 	m, err := verifier.Build(verifier.Description{
-		Model: "drafter", WeightVersion: name, ChunkSize: identifier.ByteCount(chunkSize),
+		Model: "drafter", Version: name, ChunkSize: identifier.ByteCount(chunkSize),
 	}, files)
 	require.NoError(t, err)
 	v := &version{manifest: m, data: make(map[identifier.Digest][]byte), files: files}
@@ -129,7 +129,6 @@
 	corruptPart       float64
 	originOnly        bool
 	again             int
-	debug             func(*node, any)
 }
 
 type pendingKey struct {
@@ -331,9 +330,6 @@
 			delete(nd.stored, d)
 		}
 	default:
-		if n.debug != nil {
-			n.debug(nd, effect)
-		}
 		nd.effects = append(nd.effects, effect)
 	}
 }
@@ -507,9 +503,6 @@
 		key := grantKey{e.Manifest, e.Chunks.First + verifier.ChunkIndex(i), e.Copy}
 		n.grants[key] = grant{nd.peer.Upstream, nd.peer.Incarnation, n.now + life}
 	}
-	if n.debug != nil && e.Again {
-		n.debug(nd, e)
-	}
 	if e.Again {
 		n.again += e.Chunks.Count
 	}
--- a/fetcher/plan.go
+++ b/fetcher/plan.go
@@ -91,6 +91,20 @@
 	return pos
 }
 
+// descends reports whether the member is below the ancestor in the stripe's tree.
+func (p *plan) descends(stripe int, member, ancestor identifier.Upstream) bool {
+	at, known := p.index[member]
+	if !known {
+		return false
+	}
+	for at = p.trees[stripe].parent[at]; at != noParent; at = p.trees[stripe].parent[at] {
+		if p.peers[at].Upstream == ancestor {
+			return true
+		}
+	}
+	return false
+}
+
 // children returns how many members ask the member for the stripe.
 func (p *plan) children(stripe int, name identifier.Upstream) int {
 	i, ok := p.index[name]
--- a/fetcher/pull.go
+++ b/fetcher/pull.go
@@ -35,6 +35,7 @@
 			effects = append(effects, f.origin(now, t, n)...)
 		case ok:
 			s.orphaned = time.Time{}
+			effects = append(effects, f.readLeased(now, t, s)...)
 			effects = append(effects, f.ask(now, t, s, parent)...)
 		default:
 			effects = append(effects, f.orphan(now, t, n)...)
@@ -81,7 +82,7 @@
 		if t.have.has(int(i)) {
 			continue
 		}
-		if _, ok := t.fetches[i]; ok {
+		if _, ok := t.fetches[i]; ok || now.Before(s.lease.unread[i]) {
 			continue
 		}
 		if s.waiting == 0 {
@@ -112,8 +113,9 @@
 			f.exhaust(now, t, i, p)
 			continue
 		}
-		t.begin(now, i, fetch{source: Source{Peer: peer.Upstream}})
-		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: peer})
+		patient := peer.Upstream == p.holder && p.next == 1
+		t.begin(now, i, fetch{source: Source{Peer: peer.Upstream}, patient: patient})
+		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: peer, Wait: patient})
 	}
 	return effects
 }
@@ -253,17 +255,36 @@
 	return nil
 }
 
-// delayed notes that an ancestor is alive. Its own source may be the one at fault.
-func (f *Fetcher) delayed(now time.Time, t *transfer, e ChunkDelayed) {
+// delayed notes that a source is alive. Its own source may be the one at fault.
+// A former ancestor that has nothing to send yet is not waited for any longer.
+func (f *Fetcher) delayed(now time.Time, t *transfer, e ChunkDelayed) []Effect {
 	fetch, ok := t.fetches[e.Chunk]
-	if !ok || fetch.source != e.Source {
-		return
+	if !ok || fetch.source != e.Source || !fetch.wait {
+		return nil
 	}
 	s := &t.stripes[t.stripeOf(e.Chunk)]
+	if !s.isAncestor(e.Source.Peer) {
+		t.end(e.Chunk, e.Source)
+		return []Effect{CancelFetch{Manifest: t.want.Manifest, Chunk: e.Chunk, Source: e.Source}}
+	}
 	s.delays++
 	if s.delays <= maxDelays {
 		s.lastProgress = now
 	}
+	return nil
+}
+
+// breakCycles gives up requests to former ancestors that now wait at this member.
+func (f *Fetcher) breakCycles(t *transfer) []Effect {
+	var effects []Effect
+	for _, i := range t.fetching() {
+		fetch := t.fetches[i]
+		if fetch.wait && t.plan.descends(t.stripeOf(i), fetch.source.Peer, f.cfg.Self.Upstream) {
+			t.end(i, fetch.source)
+			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
+		}
+	}
+	return effects
 }
 
 // maxDelays is how often in a row an ancestor may say that it is alive.
@@ -330,10 +351,15 @@
 	}
 	for _, i := range t.fetching() {
 		fetch := t.fetches[i]
-		if !fetch.wait && !fetch.source.IsOrigin() && now.Sub(fetch.since) >= f.cfg.ProgressDeadline {
+		if fetch.wait || fetch.source.IsOrigin() || now.Sub(fetch.since) < f.cfg.ProgressDeadline {
+			continue
+		}
+		if fetch.patient {
+			t.end(i, fetch.source)
+		} else {
 			effects = append(effects, f.failed(now, t, ChunkFailed{Chunk: i, Source: fetch.source, Reason: Stalled})...)
-			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
 		}
+		effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
 	}
 	return effects
 }
--- a/fetcher/serve.go
+++ b/fetcher/serve.go
@@ -13,6 +13,8 @@
 	request ChunkRequested
 	since   time.Time
 	sending bool
+	// stray: the peer should wait elsewhere since the members changed.
+	stray bool
 }
 
 // requested takes in a peer's request.
@@ -24,11 +26,13 @@
 	switch {
 	case t == nil:
 		return refuse(NotWanted)
+	case e.Chunk < 0:
+		return refuse(NotHeld)
 	case len(f.serving) >= f.cfg.UploadQueue:
 		return refuse(Busy)
 	case t.manifest == nil && !e.Wait:
 		return refuse(NotHeld)
-	case t.manifest != nil && (e.Chunk < 0 || int(e.Chunk) >= t.manifest.Chunks()):
+	case t.manifest != nil && int(e.Chunk) >= t.manifest.Chunks():
 		return refuse(NotHeld)
 	}
 	if t.manifest != nil && t.have.has(int(e.Chunk)) {
@@ -156,11 +160,12 @@
 }
 
 // reportDelays tells peers whose requests are kept for long that this member is
-// alive, so that they don't take it for stalled.
+// alive, so that they don't take it for stalled, and those that should wait
+// elsewhere that nothing is being sent.
 func (f *Fetcher) reportDelays(now time.Time) []Effect {
 	var late []RequestID
 	for id, s := range f.serving {
-		if !s.sending && now.Sub(s.since) >= f.cfg.ProgressDeadline/2 {
+		if !s.sending && (s.stray || now.Sub(s.since) >= f.cfg.ProgressDeadline/2) {
 			s.since = now
 			late = append(late, id)
 		}
@@ -173,6 +178,15 @@
 	return effects
 }
 
+// markStrays finds the requests of peers that this member is no ancestor of.
+func (f *Fetcher) markStrays(t *transfer) {
+	for _, s := range f.serving {
+		if s.request.Manifest == t.want.Manifest && s.request.Wait {
+			s.stray = !t.plan.descends(t.stripeOf(s.request.Chunk), s.request.Peer, f.cfg.Self.Upstream)
+		}
+	}
+}
+
 // refuseAll ends the requests with the reason.
 func (f *Fetcher) refuseAll(ids []RequestID, reason Reason) []Effect {
 	slices.Sort(ids)
--- a/fetcher/transfer.go
+++ b/fetcher/transfer.go
@@ -28,6 +28,8 @@
 	since  time.Time
 	// wait: the source keeps the request until it holds the chunk.
 	wait bool
+	// patient: a silent source is neither blamed nor set aside.
+	patient bool
 	// expires ends the lease of an origin read.
 	expires time.Time
 }
@@ -220,6 +222,11 @@
 	return now.Before(t.suspects[peer].until) || now.Before(s.passedOver[peer])
 }
 
+// isAncestor reports whether the member may wait at the peer.
+func (s *stripe) isAncestor(peer identifier.Upstream) bool {
+	return slices.ContainsFunc(s.place.ancestors, func(p Peer) bool { return p.Upstream == peer })
+}
+
 // ancestor returns the nearest ancestor that is not set aside.
 func (t *transfer) ancestor(now time.Time, s *stripe) (Peer, bool) {
 	for _, peer := range s.place.ancestors {
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -29,6 +29,8 @@
 	Configuration() configurer.Configuration
 	// MembersSince returns the changes after the index, or the whole list.
 	MembersSince(index uint64) subscriber.MembersUpdate
+	// Quarantine returns the requests that crashed upstreams.
+	Quarantine() subscriber.Quarantine
 }
 
 // Caller sends one request to an address and returns its answer.
@@ -104,7 +106,7 @@
 		p.logger.Warn("Refused a subscription.", zap.String("peer", s.Peer().Name))
 		return
 	}
-	sub := p.add(request)
+	sub := p.add(request, s.Peer())
 	defer p.remove(sub)
 	ctx, cancel := context.WithCancel(ctx)
 	var reports sync.WaitGroup
@@ -117,9 +119,11 @@
 	reports.Wait()
 }
 
-func (p *Publisher) add(request *subscriber.Subscribe) *subscription {
+func (p *Publisher) add(request *subscriber.Subscribe, peer connector.Peer) *subscription {
 	sub := &subscription{
 		process:     request.Process,
+		address:     peer.Address,
+		isEntry:     peer.Has(certifier.Entry),
 		need:        request.Need,
 		upstream:    request.Upstream,
 		since:       p.clock.Now(),
@@ -128,7 +132,7 @@
 		everything:  request.Need.All,
 	}
 	if !sub.everything {
-		sub.services = relatedServices(p.state.Configuration(), request.Need)
+		sub.services = p.state.Configuration().Related(request.Need)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -269,8 +273,11 @@
 
 // Subscriber is what is known of one subscriber, for operators.
 type Subscriber struct {
-	Process   string
-	Upstream  identifier.Upstream
+	Process  string
+	Upstream identifier.Upstream
+	// Address is where the subscriber takes calls, Entry whether it is an entry.
+	Address   netip.AddrPort
+	Entry     bool
 	Version   identifier.ConfigurationVersion
 	Reported  time.Time
 	Transfers []subscriber.Transfer
@@ -285,6 +292,8 @@
 		list = append(list, Subscriber{
 			Process:   sub.process,
 			Upstream:  sub.upstream,
+			Address:   sub.address,
+			Entry:     sub.isEntry,
 			Version:   sub.report.Version,
 			Reported:  sub.reportedAt,
 			Transfers: sub.transfers,
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -111,6 +111,11 @@
 		r.lose(q, BrokenAnswer)
 		return
 	}
+	if e.Reason == OtherIncarnation && (a.accepted || a.asks > 0) {
+		// An earlier incarnation had it, and this one can't speak for it.
+		r.lose(q, UpstreamLost)
+		return
+	}
 	r.noteRefusal(q, e)
 	q.token = a.token
 	q.refusals++
@@ -119,7 +124,7 @@
 	case e.Reason == Expired && !a.foreign:
 		r.giveUp(q, DeadlineExceeded, r.retryAfterOf(q))
 	case e.Reason == Suspected:
-		r.quarantine.refuse(q.Fingerprint)
+		r.quarantine.refuse(q.Fingerprint, r.now)
 		r.giveUp(q, Quarantined, 0)
 	case q.refusals > maxRefusals:
 		r.giveUp(q, Overloaded, r.retryAfterOf(q))
@@ -233,7 +238,7 @@
 func (r *Reducer) attemptGone(q *request, reason GoneReason) {
 	switch reason {
 	case UpstreamCrashed:
-		r.quarantine.crashed(q.Fingerprint, q.attempt.alone)
+		r.quarantine.crashed(q.Fingerprint, q.attempt.alone, r.now)
 		r.failUpstream(q)
 	case Restarted, TimedOut:
 		r.failUpstream(q)
@@ -245,11 +250,10 @@
 func (r *Reducer) lose(q *request, cause Cause) {
 	q.mayHaveRun = true
 	switch {
-	case q.passed:
-		r.settleLost(q)
-		r.finish(q, Unknown, cause, 0)
 	case q.Class == NonIdempotent:
 		r.verify(q)
+	case q.passed:
+		r.finish(q, Unknown, cause, 0)
 	case r.quarantine.refuses(q.Fingerprint):
 		r.finish(q, Unknown, Quarantined, 0)
 	case q.gone || !r.mayRetry(q):
@@ -259,12 +263,6 @@
 	}
 }
 
-func (r *Reducer) settleLost(q *request) {
-	if q.Class == NonIdempotent {
-		r.settle(q, q.attempt.token, Unknown)
-	}
-}
-
 // mayRetry spends one retry of the service's budget if the request may be sent again.
 func (r *Reducer) mayRetry(q *request) bool {
 	s := r.services[q.Service]
