executor, router: hold suspects back from the last upstream, and send once

Found by the new test of a request that kills, which crashed both upstreams of a service:

An upstream that had just crashed counted as one that would stay, as soon as its pause was over. It is now doubted for 15 s, or until it takes work or becomes ready again in the members list.

The HTTP client of the agent sent a GET again by itself when a reused connection broke. Its second dial was refused, so the agent said that the attempt was never sent, the entry said NotRun of a request that had crashed its upstream, and it was no suspect. Bodies now hide from the client that they can be read again, and an attempt counts as never sent only where no connection was ever had.

--- a/executor/failure_test.go
+++ b/executor/failure_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -220,3 +221,90 @@
 	}
 	require.Equal(t, int32(1), runs.Load())
 }
+
+// restartable is an upstream on a fixed address whose process can end and come back.
+type restartable struct {
+	b    *bench
+	addr string
+	srv  atomic.Pointer[http.Server]
+}
+
+func (u *restartable) start(h http.HandlerFunc) {
+	listener, err := net.Listen("tcp", u.addr)
+	require.NoError(u.b.t, err)
+	srv := &http.Server{Handler: h}
+	u.srv.Store(srv)
+	go func() { _ = srv.Serve(listener) }()
+}
+
+func TestRequestThatKillsSparesTheLastUpstream(t *testing.T) {
+	b := newBench(t)
+	var crashes atomic.Int32
+	upstreams := make(map[identifier.Upstream]*restartable)
+	handlerOf := func(name identifier.Upstream) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/poison" {
+				crashes.Add(1)
+				_ = upstreams[name].srv.Load().Close()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "ok")
+		}
+	}
+	for _, name := range []identifier.Upstream{"u1", "u2"} {
+		srv := b.add(name, handlerOf(name))
+		upstreams[name] = &restartable{b: b, addr: srv.Listener.Addr().String()}
+		upstreams[name].srv.Store(srv.Config)
+	}
+	readies := func() (list []identifier.Upstream) {
+		for name, x := range b.agents {
+			if x.Ready() {
+				list = append(list, name)
+			}
+		}
+		return list
+	}
+	first := b.send(t.Context(), http.MethodGet, "/poison", nil)
+	require.Equal(t, router.Unknown, first.outcome)
+	again := b.send(t.Context(), http.MethodGet, "/poison", nil)
+	require.Equal(t, router.NotRun, again.outcome, "it is held back while one upstream is left")
+	require.Equal(t, int32(1), crashes.Load())
+	require.Equal(t, "ok", b.send(t.Context(), http.MethodGet, "/x", nil).body)
+
+	for name, u := range upstreams {
+		if !b.agents[name].Ready() {
+			u.start(handlerOf(name))
+		}
+	}
+	require.Eventually(t, func() bool { return len(readies()) == 2 }, waitTime, pollTime)
+	down := slices.Clone(b.views)
+	down[0].Ready, down[1].Ready = false, false
+	b.entry.ChangeUpstreams(down)
+	b.entry.ChangeUpstreams(b.views)
+	var last answer
+	require.Eventually(t, func() bool {
+		last = b.send(t.Context(), http.MethodGet, "/poison", nil)
+		return last.header.Get("Celeryvalve-Cause") == string(router.Quarantined)
+	}, waitTime, pollTime)
+	require.Equal(t, int32(2), crashes.Load(), "it ran alone once more and is refused")
+	require.Len(t, readies(), 1)
+	require.Equal(t, "ok", b.send(t.Context(), http.MethodGet, "/x", nil).body)
+}
+
+func TestAttemptIsSentOnceOnAReusedConnection(t *testing.T) {
+	b := newBench(t)
+	var aborted atomic.Int32
+	var srv *http.Server
+	u := b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/abort" {
+			aborted.Add(1)
+			_ = srv.Close()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	srv = u.Config
+	require.Equal(t, router.Completed, b.send(t.Context(), http.MethodGet, "/warm", nil).outcome)
+	got := b.send(t.Context(), http.MethodGet, "/abort", nil)
+	require.Equal(t, router.Unknown, got.outcome, "it ran, so NotRun would be false")
+	require.Equal(t, int32(1), aborted.Load())
+}
--- a/executor/run.go
+++ b/executor/run.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"hash"
 	"sync"
+	"sync/atomic"
 
 	"celeryvalve/identifier"
 	"celeryvalve/router"
@@ -27,6 +28,8 @@
 	body   []byte
 	ctx    context.Context
 	cancel context.CancelFunc
+	// connected says that a connection to the upstream was made or reused.
+	connected atomic.Bool
 
 	mu      sync.Mutex
 	head    *router.ResponseHead
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"syscall"
@@ -28,7 +29,12 @@
 	headerKey          = "Idempotency-Key"
 )
 
-const readSize = 32 << 10
+const (
+	readSize = 32 << 10
+	// idleTimeout is shorter than an upstream is likely to keep an idle connection,
+	// so that few requests meet one that is just being closed.
+	idleTimeout = 2 * time.Second
+)
 
 func newClient(keepAlive bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -38,6 +44,7 @@
 			DisableCompression:     true,
 			DisableKeepAlives:      !keepAlive,
 			MaxIdleConnsPerHost:    64,
+			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxResponseHeader,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -120,11 +127,15 @@
 func (x *Executor) newRequest(r *run) (*http.Request, error) {
 	s := r.start
 	url := fmt.Sprintf("http://%s%s", x.cfg.Address, s.Path)
-	req, err := http.NewRequestWithContext(r.ctx, s.Method, url, bytes.NewReader(r.body))
+	ctx := httptrace.WithClientTrace(r.ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { r.connected.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, s.Method, url, opaqueBody{bytes.NewReader(r.body)})
 	if err != nil {
 		return nil, err
 	}
-	req.GetBody = nil
+	req.ContentLength = int64(len(r.body))
+	if len(r.body) == 0 && !lacksBody(s.Method) {
+		req.Body = http.NoBody
+	}
 	for _, f := range s.Header {
 		req.Header.Add(f.Name, f.Value)
 	}
@@ -141,6 +152,27 @@
 	return req, nil
 }
 
+// opaqueBody hides the type of a body from the HTTP client, which sends a request
+// again by itself on a connection that broke if it can read the body again. An
+// attempt is sent once.
+type opaqueBody struct {
+	*bytes.Reader
+}
+
+func (opaqueBody) Close() error {
+	return nil
+}
+
+// lacksBody reports whether requests of the method usually have no body. The HTTP
+// client sends none for an empty opaque one then.
+func lacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
 // hasEnd reports whether the end of the answer can be told from a break.
 func hasEnd(req *http.Request, resp *http.Response) bool {
 	if resp.ContentLength >= 0 || req.Method == http.MethodHead {
@@ -196,7 +228,7 @@
 		r.setEnd(end)
 		return
 	}
-	if neverSent(err) {
+	if !r.connected.Load() && isDial(err) {
 		x.post(admitter.AttemptNotSent{Attempt: id})
 		x.noteDown(err)
 		return
@@ -222,8 +254,8 @@
 	return admitter.Broke
 }
 
-// neverSent reports whether no connection to the upstream was made.
-func neverSent(err error) bool {
+// isDial reports whether the error is that of making a connection.
+func isDial(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -25,6 +25,9 @@
 		return
 	}
 	q.attempt.accepted = true
+	if u := r.upstreams[q.attempt.target.Upstream]; u != nil {
+		u.doubtedUntil = time.Time{}
+	}
 	r.progress(q)
 	r.takeLoad(q, e.Load)
 }
@@ -145,6 +148,7 @@
 	case Leaving:
 		u.leaving = true
 	case NotReady:
+		u.doubtedUntil = r.now.Add(doubtTime)
 		u.downUntil = r.now.Add(notReadyBackoff)
 	case OtherIncarnation:
 		u.fail(r.now)
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -38,7 +38,7 @@
 		}
 		item, ok := s.queue.PopWhere(func(id identifier.RequestID) bool {
 			q := r.requests[id]
-			return q == nil || len(r.fitting(s, q, roomy, len(usable))) > 0
+			return q == nil || len(r.fitting(s, q, roomy, steady(usable, r.now))) > 0
 		})
 		if !ok {
 			return
@@ -53,7 +53,7 @@
 			continue
 		}
 		s.served(r.now, q.Organisation)
-		r.begin(s, q, r.choose(s, q, r.fitting(s, q, roomy, len(usable))))
+		r.begin(s, q, r.choose(s, q, r.fitting(s, q, roomy, steady(usable, r.now))))
 	}
 }
 
@@ -71,8 +71,8 @@
 // refused it, and for a suspect only where another upstream stays if this one
 // crashes, when the service has more than one. Those with the wanted version go
 // before those that still have another one.
-func (r *Reducer) fitting(s *service, q *request, roomy []*upstream, usable int) []*upstream {
-	if r.quarantine.suspects(q.Fingerprint) && s.peak > 1 && usable < 2 {
+func (r *Reducer) fitting(s *service, q *request, roomy []*upstream, steady int) []*upstream {
+	if r.quarantine.suspects(q.Fingerprint) && s.peak > 1 && steady < 2 {
 		return nil
 	}
 	var current, former []*upstream
--- a/router/tick.go
+++ b/router/tick.go
@@ -57,7 +57,7 @@
 		return
 	}
 	usable := r.usableOf(s)
-	if len(r.fitting(s, q, usable, len(usable))) == 0 {
+	if len(r.fitting(s, q, usable, steady(usable, r.now))) == 0 {
 		r.unqueue(q)
 		r.giveUp(q, NoUpstream, minRetryAfter)
 	}
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -17,6 +17,8 @@
 	minBackoff      = 500 * time.Millisecond
 	maxBackoff      = 30 * time.Second
 	maxBackoffSteps = 8
+	// doubtTime is longer than the members list takes to drop a dead upstream.
+	doubtTime       = 15 * time.Second
 	notReadyBackoff = 300 * time.Millisecond
 	maxFullTime     = 500 * time.Millisecond
 )
@@ -42,7 +44,9 @@
 	downUntil time.Time
 	fullUntil time.Time
 	leaving   bool
-	cache     *prefixCache
+	// doubtedUntil is set when the upstream failed and has taken no work since.
+	doubtedUntil time.Time
+	cache        *prefixCache
 }
 
 func newUpstream(view UpstreamView) *upstream {
@@ -169,6 +173,7 @@
 func (u *upstream) fail(now time.Time) {
 	backoff := min(minBackoff<<min(u.failures, maxBackoffSteps), maxBackoff)
 	u.failures++
+	u.doubtedUntil = now.Add(doubtTime)
 	u.downUntil = now.Add(backoff)
 }
 
@@ -182,7 +187,7 @@
 			continue
 		}
 		if u.view.Incarnation == v.Incarnation {
-			u.view = v
+			u.take(v)
 		}
 	}
 	for name := range r.upstreams {
@@ -196,6 +201,25 @@
 	r.dispatchAll()
 }
 
+// take replaces the view. An upstream that became ready again is not doubted.
+func (u *upstream) take(view UpstreamView) {
+	if view.Ready && !u.view.Ready {
+		u.doubtedUntil = time.Time{}
+	}
+	u.view = view
+}
+
+// steady counts the upstreams that have not failed lately, or took work since.
+func steady(usable []*upstream, now time.Time) int {
+	n := 0
+	for _, u := range usable {
+		if !now.Before(u.doubtedUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // usableOf returns the upstreams of the service that may be given new work, by name.
 func (r *Reducer) usableOf(s *service) []*upstream {
 	var list []*upstream
