--- a/fetcher/lease.go
+++ b/fetcher/lease.go
@@ -35,6 +35,7 @@
 	again := false
 	unread := 0
 	size := f.leaseSize(s)
+	end := f.readEnd(now, s)
 	for i := s.lowest; i < s.end; i++ {
 		if t.have.has(int(i)) {
 			continue
@@ -43,7 +44,9 @@
 			continue
 		}
 		if now.Before(s.lease.unread[i]) {
-			if effect, ok := f.read(now, t, s, i); ok {
+			if i >= end {
+				unread++
+			} else if effect, ok := f.read(now, t, s, i); ok {
 				effects = append(effects, effect)
 			} else {
 				unread++
@@ -69,6 +72,16 @@
 	return effects
 }
 
+// readEnd returns up to where the origin may be read. A root stays just ahead of
+// the members that wait for it, so that little is lost with it; without any it
+// reads for itself.
+func (f *Fetcher) readEnd(now time.Time, s *stripe) verifier.ChunkIndex {
+	if now.Sub(s.demandedAt) >= f.cfg.ProgressDeadline {
+		return s.end
+	}
+	return min(s.end, max(s.demanded, s.lowest)+verifier.ChunkIndex(f.cfg.ReadAhead))
+}
+
 // readLeased reads what a member that is no longer the stripe's root was granted
 // before its place changed: until the lease ends, nobody else may read it. It
 // gives up a request for such a chunk, since the ancestor may wait for it here.
@@ -149,7 +162,8 @@
 	s.lease.asked = time.Time{}
 	if !e.Granted {
 		delay := max(e.RetryAfter, f.cfg.RetryDelay)
-		if !e.Held || e.RetryAfter > 0 {
+		known := t.probes[e.Chunks.First] != nil // asked for again in vain
+		if !e.Held || e.RetryAfter > 0 || known {
 			s.lease.after = now.Add(delay)
 		}
 	}
--- a/fetcher/serve.go
+++ b/fetcher/serve.go
@@ -13,6 +13,8 @@
 	request ChunkRequested
 	since   time.Time
 	sending bool
+	// stray: the peer should wait elsewhere since the members changed.
+	stray bool
 }
 
 // requested takes in a peer's request.
@@ -24,11 +26,13 @@
 	switch {
 	case t == nil:
 		return refuse(NotWanted)
+	case e.Chunk < 0:
+		return refuse(NotHeld)
 	case len(f.serving) >= f.cfg.UploadQueue:
 		return refuse(Busy)
 	case t.manifest == nil && !e.Wait:
 		return refuse(NotHeld)
-	case t.manifest != nil && (e.Chunk < 0 || int(e.Chunk) >= t.manifest.Chunks()):
+	case t.manifest != nil && int(e.Chunk) >= t.manifest.Chunks():
 		return refuse(NotHeld)
 	}
 	if t.manifest != nil && t.have.has(int(e.Chunk)) {
@@ -43,8 +47,19 @@
 		return refuse(NotHeld)
 	}
 	f.serving[e.Request] = &serving{request: e, since: now}
+	t.demand(now, e.Chunk)
 	t.waiters[e.Chunk] = append(t.waiters[e.Chunk], e)
-	return nil
+	return f.pump(now, t)
+}
+
+// demand notes how far peers have come in a stripe.
+func (t *transfer) demand(now time.Time, i verifier.ChunkIndex) {
+	if t.manifest == nil {
+		return
+	}
+	s := &t.stripes[t.stripeOf(i)]
+	s.demanded = max(s.demanded, i)
+	s.demandedAt = now
 }
 
 // offer answers the requests that waited for chunks. Peers that hand the chunk
@@ -144,32 +159,32 @@
 	t.waiters[e.Chunk] = list
 }
 
-// refuseStale answers requests that waited long, so that the peers know that
-// this member is alive. They ask again.
-func (f *Fetcher) refuseStale(now time.Time) []Effect {
-	var stale []RequestID
-	for _, id := range f.order {
-		t := f.transfers[id]
-		for chunk, waiters := range t.waiters {
-			if now.Sub(t.progressOf(chunk)) < f.cfg.ProgressDeadline/2 {
-				continue
-			}
-			for _, w := range waiters {
-				if now.Sub(f.serving[w.Request].since) >= f.cfg.ProgressDeadline/2 {
-					stale = append(stale, w.Request)
-				}
-			}
+// reportDelays tells peers whose requests are kept for long that this member is
+// alive, so that they don't take it for stalled, and those that should wait
+// elsewhere that nothing is being sent.
+func (f *Fetcher) reportDelays(now time.Time) []Effect {
+	var late []RequestID
+	for id, s := range f.serving {
+		if !s.sending && (s.stray || now.Sub(s.since) >= f.cfg.ProgressDeadline/2) {
+			s.since = now
+			late = append(late, id)
 		}
 	}
-	return f.refuseAll(stale, NotHeld)
+	slices.Sort(late)
+	effects := make([]Effect, 0, len(late))
+	for _, id := range late {
+		effects = append(effects, DelayChunk{Request: id})
+	}
+	return effects
 }
 
-// progressOf returns when the stripe of the chunk last made progress.
-func (t *transfer) progressOf(i verifier.ChunkIndex) time.Time {
-	if t.manifest == nil || int(i) >= t.manifest.Chunks() {
-		return time.Time{}
+// markStrays finds the requests of peers that this member is no ancestor of.
+func (f *Fetcher) markStrays(t *transfer) {
+	for _, s := range f.serving {
+		if s.request.Manifest == t.want.Manifest && s.request.Wait {
+			s.stray = !t.plan.descends(t.stripeOf(s.request.Chunk), s.request.Peer, f.cfg.Self.Upstream)
+		}
 	}
-	return t.stripes[t.stripeOf(i)].lastProgress
 }
 
 // refuseAll ends the requests with the reason.
