--- a/controller/claims.go
+++ b/controller/claims.go
@@ -28,8 +28,6 @@
 	// AnswerBudget bounds the size of all answers together. The oldest are dropped;
 	// their outcomes stay.
 	AnswerBudget identifier.ByteCount = 8 << 20
-	// MaximumKey bounds the length of an idempotency key, in bytes.
-	MaximumKey = 256
 	// FreedAttemptsKept is how many attempts that were refused are remembered for
 	// each key, so that a late claim of one doesn't hold the key.
 	FreedAttemptsKept = 16
@@ -105,9 +103,9 @@
 
 // claim grants the key to one attempt, or tells who has it.
 func (s *State) claim(m *Claim) any {
-	if m.Key == "" || len(m.Key) > MaximumKey || m.Attempt == "" {
-		return &Rejected{Kind: explainer.InvalidInput, Problem: "claim has no attempt, or its key is empty or too long",
-			Remedy: fmt.Sprintf("send an idempotency key of up to %d bytes", MaximumKey)}
+	if m.Key == "" || m.Attempt == "" {
+		return &Rejected{Kind: explainer.InvalidInput, Problem: "claim has no attempt or no key",
+			Remedy: "send an idempotency key"}
 	}
 	c := &s.core.claims
 	record, ok := c.records[keyOf(m)]
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -87,7 +87,7 @@
 	w.write(c.head())
 	writeList(w, largeElements, c.patches.history, func(list []Record) any { return historyFrame{list} })
 	writeList(w, largeElements, c.patches.answerList(), func(list []answered) any { return answersFrame{list} })
-	writeList(w, smallElements, valuesOf(c.members.live), func(list []Member) any { return membersFrame{list} })
+	writeList(w, largeElements, valuesOf(c.members.live), func(list []Member) any { return membersFrame{list} })
 	writeList(w, smallElements, sortedValues(c.members.departed), func(list []Departed) any { return departedFrame{list} })
 	writeList(w, smallElements, c.claims.list(), func(list []ClaimRecord) any { return claimsFrame{list} })
 	writeList(w, largeElements, c.origin.list(), func(list []originBudget) any { return originFrame{list} })
--- a/controller/state.go
+++ b/controller/state.go
@@ -61,6 +61,9 @@
 	if err != nil {
 		return &Rejected{Kind: explainer.Corrupt, Problem: err.Error(), Remedy: "run the same release on every replica"}
 	}
+	if rejection := checkBounds(command); rejection != nil {
+		return rejection
+	}
 	s.core.expire()
 	return s.dispatch(command)
 }
--- a/controller/state_test.go
+++ b/controller/state_test.go
@@ -289,6 +289,25 @@
 	require.Empty(t, r.state.Suspects().List)
 }
 
+func TestApplyRejectsWhatNoSnapshotCouldHold(t *testing.T) {
+	long := string(make([]byte, controller.MaximumText+1))
+	r := newReplica(t)
+	r.announce("u1", 1)
+	for _, command := range []any{
+		claimOf(long, "a", "u1", 1),
+		claimOf("k", long, "u1", 1),
+		&controller.SubmitPatch{Patch: configurer.Patch{ID: identifier.PatchID(long)}},
+		&controller.Ready{Upstream: "u1", Incarnation: 1, Adapters: map[identifier.Adapter]identifier.WeightVersion{"a": identifier.WeightVersion(long)}},
+		&controller.ReportCrash{InFlight: make([]controller.InFlight, controller.MaximumElements+1)},
+		&controller.ReportCrash{InFlight: []controller.InFlight{{Service: identifier.Service(long)}}},
+	} {
+		rejected, ok := r.apply(command).(*controller.Rejected)
+		require.True(t, ok, "%T", command)
+		require.Equal(t, explainer.InvalidInput, rejected.Kind)
+	}
+	require.Zero(t, r.state.Claims().Held)
+}
+
 func TestApplyRejectsWhatIsNoCommand(t *testing.T) {
 	r := newReplica(t)
 	r.submit("p1", 0, fmt.Sprintf(plain, 1))
