--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -115,7 +115,7 @@
 		Upstream:         settings.Agent.Upstream,
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
-		Address:          settings.Listen,
+		Address:          settings.Address(),
 		Incarnation:      parts.Incarnation,
 	}
 	cfg.StoreLimit = settings.Agent.ChunkMemory
@@ -358,6 +358,8 @@
 		Version:    p.WeightVersion,
 		Chunks:     p.Chunks,
 		ChunksHeld: p.ChunksHeld,
+		Size:       p.Size,
+		SizeHeld:   p.SizeHeld,
 		FromOrigin: p.FromOrigin,
 		FromPeers:  p.FromPeers,
 		Started:    w.started[p.Manifest],
--- a/fetcher/pull.go
+++ b/fetcher/pull.go
@@ -30,16 +30,51 @@
 			continue
 		}
 		parent, ok := t.ancestor(now, s)
-		if s.place.copyNumber != notRoot || !ok {
+		switch {
+		case s.place.copyNumber != notRoot:
 			effects = append(effects, f.origin(now, t, n)...)
-			continue
+		case ok:
+			s.orphaned = time.Time{}
+			effects = append(effects, f.readLeased(now, t, s)...)
+			effects = append(effects, f.ask(now, t, s, parent)...)
+		default:
+			effects = append(effects, f.orphan(now, t, n)...)
 		}
-		effects = append(effects, f.readLeased(now, t, s)...)
-		effects = append(effects, f.ask(now, t, s, parent)...)
 	}
 	return append(effects, f.pull(now, t)...)
 }
 
+// orphan goes on without an ancestor: it asks members for what they may hold
+// until control has named a new root, and the origin once that takes too long.
+func (f *Fetcher) orphan(now time.Time, t *transfer, n int) []Effect {
+	s := &t.stripes[n]
+	if s.orphaned.IsZero() {
+		s.orphaned = now
+	}
+	if now.Sub(s.orphaned) >= orphanDeadlines*f.cfg.ProgressDeadline {
+		return f.origin(now, t, n)
+	}
+	f.probeNext(t, s, f.cfg.Window)
+	return nil
+}
+
+// orphanDeadlines is after how many progress deadlines a member without an
+// ancestor turns to the origin.
+const orphanDeadlines = 2
+
+// probeNext probes for the first missing chunks of a stripe.
+func (f *Fetcher) probeNext(t *transfer, s *stripe, count int) {
+	for i := s.lowest; i < s.end && count > 0; i++ {
+		if t.have.has(int(i)) {
+			continue
+		}
+		count--
+		if t.probes[i] == nil {
+			t.probes[i] = &probe{}
+		}
+	}
+}
+
 // ask fills the stripe's window with requests to the ancestor.
 func (f *Fetcher) ask(now time.Time, t *transfer, s *stripe, parent Peer) []Effect {
 	var effects []Effect
@@ -78,8 +113,9 @@
 			f.exhaust(now, t, i, p)
 			continue
 		}
-		t.begin(now, i, fetch{source: Source{Peer: peer.Upstream}})
-		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: peer})
+		patient := peer.Upstream == p.holder && p.next == 1
+		t.begin(now, i, fetch{source: Source{Peer: peer.Upstream}, patient: patient})
+		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: peer, Wait: patient})
 	}
 	return effects
 }
@@ -89,11 +125,17 @@
 func (f *Fetcher) exhaust(now time.Time, t *transfer, i verifier.ChunkIndex, p *probe) {
 	s := &t.stripes[t.stripeOf(i)]
 	_, ok := t.ancestor(now, s)
-	if ok && s.place.copyNumber == notRoot {
+	switch {
+	case s.place.copyNumber != notRoot:
+		p.exhausted = true
+	case ok:
 		delete(t.probes, i)
-		return
+	case now.Sub(s.orphaned) >= orphanDeadlines*f.cfg.ProgressDeadline:
+		p.exhausted = true
+	default:
+		p.next = 0
+		p.after = now.Add(f.cfg.ProgressDeadline / 4)
 	}
-	p.exhausted = true
 }
 
 // candidate returns the next member to probe.
@@ -164,7 +206,7 @@
 func (f *Fetcher) progressed(now time.Time, t *transfer, i verifier.ChunkIndex) {
 	s := &t.stripes[t.stripeOf(i)]
 	t.arrivals++
-	s.renewals = 0
+	s.delays = 0
 	s.arrivals = t.arrivals
 	s.lastProgress = now
 	t.lastProgress = now
@@ -209,18 +251,44 @@
 	if !fetch.wait {
 		return nil
 	}
-	if e.Reason == NotHeld && s.renewals < maxRenewals {
-		s.renewals++
-		s.lastProgress = now
+	s.passedOver[e.Source.Peer] = now.Add(delay)
+	return nil
+}
+
+// delayed notes that a source is alive. Its own source may be the one at fault.
+// A former ancestor that has nothing to send yet is not waited for any longer.
+func (f *Fetcher) delayed(now time.Time, t *transfer, e ChunkDelayed) []Effect {
+	fetch, ok := t.fetches[e.Chunk]
+	if !ok || fetch.source != e.Source || !fetch.wait {
 		return nil
 	}
-	s.passedOver[e.Source.Peer] = now.Add(delay)
+	s := &t.stripes[t.stripeOf(e.Chunk)]
+	if !s.isAncestor(e.Source.Peer) {
+		t.end(e.Chunk, e.Source)
+		return []Effect{CancelFetch{Manifest: t.want.Manifest, Chunk: e.Chunk, Source: e.Source}}
+	}
+	s.delays++
+	if s.delays <= maxDelays {
+		s.lastProgress = now
+	}
 	return nil
 }
 
-// maxRenewals is how often in a row an ancestor may answer that it does not hold
-// a chunk yet. It shows that it is alive; its own source may be the one at fault.
-const maxRenewals = 8
+// breakCycles gives up requests to former ancestors that now wait at this member.
+func (f *Fetcher) breakCycles(t *transfer) []Effect {
+	var effects []Effect
+	for _, i := range t.fetching() {
+		fetch := t.fetches[i]
+		if fetch.wait && t.plan.descends(t.stripeOf(i), fetch.source.Peer, f.cfg.Self.Upstream) {
+			t.end(i, fetch.source)
+			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
+		}
+	}
+	return effects
+}
+
+// maxDelays is how often in a row an ancestor may say that it is alive.
+const maxDelays = 32
 
 // corruptSetAside is how long a peer that sent corrupt bytes gets no request.
 const corruptSetAside = time.Hour
@@ -283,10 +351,15 @@
 	}
 	for _, i := range t.fetching() {
 		fetch := t.fetches[i]
-		if !fetch.wait && !fetch.source.IsOrigin() && now.Sub(fetch.since) >= f.cfg.ProgressDeadline {
+		if fetch.wait || fetch.source.IsOrigin() || now.Sub(fetch.since) < f.cfg.ProgressDeadline {
+			continue
+		}
+		if fetch.patient {
+			t.end(i, fetch.source)
+		} else {
 			effects = append(effects, f.failed(now, t, ChunkFailed{Chunk: i, Source: fetch.source, Reason: Stalled})...)
-			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
 		}
+		effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
 	}
 	return effects
 }
--- a/fetcher/transfer.go
+++ b/fetcher/transfer.go
@@ -28,6 +28,8 @@
 	since  time.Time
 	// wait: the source keeps the request until it holds the chunk.
 	wait bool
+	// patient: a silent source is neither blamed nor set aside.
+	patient bool
 	// expires ends the lease of an origin read.
 	expires time.Time
 }
@@ -37,11 +39,14 @@
 	first, end   verifier.ChunkIndex // chunks [first, end)
 	lowest       verifier.ChunkIndex // every chunk below is held
 	place        position
-	waiting      int       // fetches from the current ancestor
-	originReads  int       // fetches from the origin
-	lastProgress time.Time // when a chunk last came or an ancestor was chosen
-	arrivals     int       // the transfer's arrivals at that time
-	renewals     int       // answers in a row without a chunk
+	waiting      int                 // fetches from the current ancestor
+	originReads  int                 // fetches from the origin
+	lastProgress time.Time           // when a chunk last came or an ancestor was chosen
+	arrivals     int                 // the transfer's arrivals at that time
+	delays       int                 // reports of a delay in a row
+	demanded     verifier.ChunkIndex // the furthest chunk that a peer waited for
+	demandedAt   time.Time           // when one last began to wait
+	orphaned     time.Time           // since when there is no ancestor to ask
 	lease        lease
 	// passedOver holds sources that brought nothing for this stripe, and until when.
 	passedOver map[identifier.Upstream]time.Time
@@ -113,6 +118,7 @@
 		t.stripes[i] = stripe{
 			first:        first,
 			lowest:       first,
+			demanded:     first,
 			end:          verifier.ChunkIndex((i + 1) * m.Chunks() / n),
 			lastProgress: now,
 			lease:        newLease(),
@@ -216,6 +222,11 @@
 	return now.Before(t.suspects[peer].until) || now.Before(s.passedOver[peer])
 }
 
+// isAncestor reports whether the member may wait at the peer.
+func (s *stripe) isAncestor(peer identifier.Upstream) bool {
+	return slices.ContainsFunc(s.place.ancestors, func(p Peer) bool { return p.Upstream == peer })
+}
+
 // ancestor returns the nearest ancestor that is not set aside.
 func (t *transfer) ancestor(now time.Time, s *stripe) (Peer, bool) {
 	for _, peer := range s.place.ancestors {
