controller: check invariants before acting on them

A breach of OriginBudget or OneOrderGiver was told after the grant. Both are checked first now, and a breach refuses; the budget is checked against the sum of the listed grants instead of the count that it was decided by.

--- a/controller/members.go
+++ b/controller/members.go
@@ -103,8 +103,11 @@
 		return &Rejected{Kind: explainer.Internal, Problem: "no fencing token is left", Remedy: "report this"}
 	}
 	if isMember {
-		s.assert.Check(asserter.OneOrderGiver, token > old.Token && a.Incarnation > old.Incarnation,
+		newer := s.assert.Check(asserter.OneOrderGiver, token > old.Token && a.Incarnation > old.Incarnation,
 			fmt.Sprintf("upstream %s goes back from token %d to %d", a.Upstream, old.Token, token))
+		if !newer {
+			return &Rejected{Kind: explainer.Fenced, Problem: "a newer giver of orders exists", Remedy: "stop the older process"}
+		}
 		s.core.loseHolder(a.Upstream, old.Token)
 		if !a.ChecksFencing || !old.ChecksFencing {
 			answer.OrdersAfter = LeaseDuration
--- a/controller/origin.go
+++ b/controller/origin.go
@@ -93,13 +93,12 @@
 	if i := slices.IndexFunc(overlap, func(g OriginGrant) bool { return s.core.holds(g, m) }); i >= 0 {
 		return &OriginAnswer{Status: OriginHeld, Holder: overlap[i].Holder}
 	}
-	if !budget.fits(m, again) {
+	inside := budget.fits(m, again) && s.assert.Check(asserter.OriginBudget, budget.listed() <= budget.Granted,
+		fmt.Sprintf("manifest %s: %d bytes are granted and %d counted", m.Manifest, budget.listed(), budget.Granted))
+	if !inside {
 		return &OriginAnswer{Status: OriginExhausted, RetryAfter: budget.retryAfter(s.core.now)}
 	}
 	budget.grant(m, again, s.core.now)
-	inside := budget.Granted <= budget.TotalSize*identifier.ByteCount(max(1, budget.Copies)) || again
-	s.assert.Check(asserter.OriginBudget, inside && budget.Reserve <= budget.TotalSize,
-		fmt.Sprintf("manifest %s: %d and %d bytes are granted of %d copies", m.Manifest, budget.Granted, budget.Reserve, budget.Copies))
 	return granted(OriginLeaseDuration)
 }
 
@@ -205,6 +204,18 @@
 	return b.Granted+m.Size <= b.TotalSize*identifier.ByteCount(b.Copies)
 }
 
+// listed returns what the grants of the copies add up to. The count of granted
+// bytes is no less, since it keeps those of which only parts are listed.
+func (b *originBudget) listed() identifier.ByteCount {
+	var size identifier.ByteCount
+	for _, g := range b.Grants {
+		if !g.Reserve {
+			size += g.Size
+		}
+	}
+	return size
+}
+
 func (b *originBudget) retryAfter(now Instant) time.Duration {
 	left := time.Duration(b.Window.after(OriginWindow) - now)
 	return min(max(left, time.Second), originRetryAfter)
