--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -84,6 +84,8 @@
 func TestApplyTellsEveryFaultAtOnce(t *testing.T) {
 	first := apply(t, configurer.New(), firstPatch)
 	const source = `Remove = ["Organisations.housing", "Services.nothing", "Models"]
+Base = 7
+ID = "other"
 [Services.drafting]
 Model = "poetry"
 Deadline = "0s"
@@ -105,16 +107,18 @@
 	for _, want := range []string{
 		"p.toml:1:36: Remove[1]: Services.nothing does not exist",
 		"p.toml:1:56: Remove[2]: Models can't be removed",
-		`p.toml:3:1: Services.drafting.Model: model "poetry" does not exist`,
-		"p.toml:4:1: Services.drafting.Deadline: deadline is zero",
-		`p.toml:6:1: Services.drafting.Adapters.style: adapter "style" does not exist`,
+		`p.toml:5:1: Services.drafting.Model: model "poetry" does not exist`,
+		"p.toml:6:1: Services.drafting.Deadline: deadline is zero",
+		`p.toml:8:1: Services.drafting.Adapters.style: adapter "style" does not exist`,
 		`Services.drafting.Organisations[0]: organisation "housing" does not exist`,
 		"Services.new.Kind: a plain service has no model",
-		"p.toml:10:1: Services.new.RetryBudget: budget",
-		"p.toml:12:1: Models.summary.Versions.v1.Manifest: manifest of a declared version can't change",
+		"p.toml:12:1: Services.new.RetryBudget: budget",
+		"p.toml:14:1: Models.summary.Versions.v1.Manifest: manifest of a declared version can't change",
 		`Operators."bad name": name "bad name" is not allowed`,
-		`p.toml:14:1: Operators."bad name".TokenDigest: digest "12"`,
-		`p.toml:16:1: Transfers.StoreAddress: host "store.example" is not an IP number`,
+		`p.toml:16:1: Operators."bad name".TokenDigest: digest "12"`,
+		`p.toml:18:1: Transfers.StoreAddress: host "store.example" is not an IP number`,
+		"p.toml:2:1: Base: patch was submitted against version 1",
+		"p.toml:3:1: ID: patch was submitted as \"\"",
 	} {
 		require.ErrorContains(t, err, want)
 	}
--- a/configurer/patch.go
+++ b/configurer/patch.go
@@ -98,6 +98,12 @@
 	var unread explainer.Faults // these show again below
 	probe := patchFile{}
 	doc := parser.Collect(patch.File, patch.Source, &probe, &unread)
+	if doc.Has("Base") && probe.Base != patch.Base {
+		faults.Add(doc.Fault("Base", fmt.Sprintf("patch was submitted against version %d", patch.Base), "name one base"))
+	}
+	if doc.Has("ID") && probe.ID != patch.ID {
+		faults.Add(doc.Fault("ID", fmt.Sprintf("patch was submitted as %q", patch.ID), "name one ID"))
+	}
 	content := patchFile{Objects: c.clone()}
 	for i, path := range probe.Remove {
 		if err := removePath(&content.Objects, path); err != nil {
