parser: find positions and faults in time that grows with the file

A patch is read by the replicated state machine, so one that reads slowly stalls control. Trials with patches of 255 KiB took up to 24 s (36,000 unknown keys), and one key of 125,000 parts didn't end in two minutes: the library looks for each position from the start of the file, every fault sorted those before it, and paths grew with the square of their depth. Lines are indexed once now, faults are known by path, paths are followed for 32 keys, and a patch is parsed once instead of twice.

What is left is the library's check of duplicate keys, with the square of the keys of one table. A patch is bounded to 64 KiB for that reason; the same trials at 63 KiB took at most 0.34 s, on a machine with other work.

--- a/configurer/check.go
+++ b/configurer/check.go
@@ -36,11 +36,15 @@
 	before Objects
 	doc    *parser.Document
 	faults *explainer.Faults
+	known  map[string]bool // paths with a fault
 }
 
 // check adds every fault of the new objects.
 func check(before, after Objects, doc *parser.Document, faults *explainer.Faults) {
-	c := &checker{Objects: after, before: before, doc: doc, faults: faults}
+	c := &checker{Objects: after, before: before, doc: doc, faults: faults, known: make(map[string]bool)}
+	for _, fault := range faults.List() {
+		c.known[fault.Path] = true
+	}
 	c.organisations()
 	c.operators()
 	c.models()
@@ -54,11 +58,10 @@
 // fault has a position when the object stands in the patch. A path that couldn't
 // be read has its fault already.
 func (c *checker) fault(path parser.Path, problem, remedy string) {
-	for _, known := range c.faults.List() {
-		if known.Path == string(path) {
-			return
-		}
+	if c.known[string(path)] {
+		return
 	}
+	c.known[string(path)] = true
 	fault := c.doc.Fault(path, problem, remedy)
 	if keys, err := path.Keys(); err == nil && !c.doc.Has(parser.JoinPath(keys[:min(2, len(keys))]...)) {
 		fault.Line, fault.Column = 0, 0
--- a/configurer/patch.go
+++ b/configurer/patch.go
@@ -10,8 +10,9 @@
 	"celeryvalve/parser"
 )
 
-// MaximumPatch is the largest patch file, in bytes.
-const MaximumPatch identifier.ByteCount = 256 << 10
+// MaximumPatch is the largest patch file, in bytes. The TOML library takes time
+// with the square of the keys of one table, and every replica reads the patch.
+const MaximumPatch identifier.ByteCount = 64 << 10
 
 // MaximumConfiguration is the largest configuration, printed, in bytes. It keeps
 // every message and frame that carries one within the encoder's limit.
@@ -95,9 +96,9 @@
 
 // patchObjects removes first and sets then, so that one patch can replace an object.
 func patchObjects(c Configuration, patch Patch, faults *explainer.Faults) (Objects, *parser.Document) {
-	var unread explainer.Faults // these show again below
-	probe := patchFile{}
-	doc := parser.Collect(patch.File, patch.Source, &probe, &unread)
+	var probe patchFile
+	doc := parser.Parse(patch.File, patch.Source, faults)
+	parser.Fill(doc, &probe, &explainer.Faults{}) // its faults show again below
 	if doc.Has("Base") && probe.Base != patch.Base {
 		faults.Add(doc.Fault("Base", fmt.Sprintf("patch was submitted against version %d", patch.Base), "name one base"))
 	}
@@ -110,7 +111,7 @@
 			faults.Add(doc.Fault(parser.Path("Remove").Index(i), err.Error(), "name an object or an entry of a table that exists"))
 		}
 	}
-	doc = parser.Collect(patch.File, patch.Source, &content, faults)
+	parser.Fill(doc, &content, faults)
 	return content.Objects, doc
 }
 
--- a/parser/check.go
+++ b/parser/check.go
@@ -11,11 +11,15 @@
 	settings Settings
 	doc      *Document
 	faults   *explainer.Faults
+	known    map[string]bool // paths with a fault
 }
 
 // checkSettings adds the faults of s to those of decoding.
 func checkSettings(s Settings, doc *Document, faults *explainer.Faults) {
-	c := &settingsCheck{settings: s, doc: doc, faults: faults}
+	c := &settingsCheck{settings: s, doc: doc, faults: faults, known: make(map[string]bool)}
+	for _, fault := range faults.List() {
+		c.known[fault.Path] = true
+	}
 	c.process()
 	c.roles()
 	c.keys()
@@ -29,11 +33,10 @@
 // fault adds a fault, unless the path has one already: a value that couldn't be
 // read isn't missing too.
 func (c *settingsCheck) fault(path Path, problem, remedy string) {
-	for _, known := range c.faults.List() {
-		if known.Path == string(path) {
-			return
-		}
+	if c.known[string(path)] {
+		return
 	}
+	c.known[string(path)] = true
 	c.faults.Add(c.doc.Fault(path, problem, remedy))
 }
 
--- a/parser/decode.go
+++ b/parser/decode.go
@@ -47,12 +47,18 @@
 // Collect is DecodeInto for a caller that adds faults of its own to those of
 // decoding.
 func Collect[T any](file string, data []byte, value *T, faults *explainer.Faults) *Document {
-	doc, tree := newDocument(file, data, faults)
-	d := &decoder{doc: doc, faults: faults}
-	d.value("", tree, reflect.ValueOf(value).Elem())
+	doc := Parse(file, data, faults)
+	Fill(doc, value, faults)
 	return doc
 }
 
+// Fill stores the values of the document over value, as DecodeInto does. One
+// document can fill several values.
+func Fill[T any](doc *Document, value *T, faults *explainer.Faults) {
+	d := &decoder{doc: doc, faults: faults}
+	d.value("", doc.values, reflect.ValueOf(value).Elem())
+}
+
 type decoder struct {
 	doc    *Document
 	faults *explainer.Faults
--- a/parser/document.go
+++ b/parser/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sort"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -9,6 +10,10 @@
 	"celeryvalve/explainer"
 )
 
+// maximumDepth is how many keys of one dotted key are followed. No key of ours has
+// as many, and the text of a longer path grows with the square of its keys.
+const maximumDepth = 32
+
 // Position is where a value stands in a file. Both numbers start at 1; zero
 // means that the value does not stand in the file.
 type Position struct {
@@ -20,6 +25,7 @@
 type Document struct {
 	file      string
 	positions map[Path]Position
+	values    map[string]any // as the TOML library read them
 }
 
 // Position returns where the path stands, or the nearest table around it that
@@ -65,23 +71,21 @@
 	return fault
 }
 
-// newDocument reads the values and positions of data. At a fault of syntax it
-// returns what stands before the faulty line.
-func newDocument(file string, data []byte, faults *explainer.Faults) (*Document, map[string]any) {
+// Parse reads the values and positions of data, for Fill. At a fault of syntax
+// the document holds what stands before the faulty line.
+func Parse(file string, data []byte, faults *explainer.Faults) *Document {
 	doc := &Document{file: file, positions: make(map[Path]Position)}
 	values, fault := readValues(doc, data)
+	if fault != nil {
+		faults.Add(*fault)
+		data = linesBefore(data, fault.Line)
+		values, fault = readValues(doc, data)
+	}
 	if fault == nil {
+		doc.values = values
 		doc.readPositions(data)
-		return doc, values
 	}
-	faults.Add(*fault)
-	before := linesBefore(data, fault.Line)
-	values, fault = readValues(doc, before)
-	if fault != nil {
-		return doc, nil
-	}
-	doc.readPositions(before)
-	return doc, values
+	return doc
 }
 
 func readValues(doc *Document, data []byte) (map[string]any, *explainer.Fault) {
@@ -114,7 +118,7 @@
 
 // readPositions walks the expressions of data, which has no fault of syntax.
 func (d *Document) readPositions(data []byte) {
-	w := &positionWalk{doc: d, elements: make(map[Path]int)}
+	w := &positionWalk{doc: d, elements: make(map[Path]int), lines: lineStarts(data)}
 	w.parser.Reset(data)
 	for w.parser.NextExpression() {
 		w.expression(w.parser.Expression())
@@ -127,6 +131,18 @@
 	parser   unstable.Parser
 	table    Path
 	elements map[Path]int // elements of each list of tables so far
+	lines    []int        // offsets at which lines start
+}
+
+// lineStarts returns the offset of each line.
+func lineStarts(data []byte) []int {
+	starts := []int{0}
+	for i, c := range data {
+		if c == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
 }
 
 func (w *positionWalk) expression(node *unstable.Node) {
@@ -152,7 +168,7 @@
 func (w *positionWalk) keys(table Path, node *unstable.Node) Path {
 	path := table
 	it := node.Key()
-	for it.Next() {
+	for depth := 0; depth < maximumDepth && it.Next(); depth++ {
 		path = path.Key(string(it.Node().Data))
 		if n := w.elements[path]; n > 0 && !it.IsLast() {
 			path = path.Index(n - 1)
@@ -192,6 +208,7 @@
 	if node.Raw.Length == 0 {
 		return
 	}
-	start := w.parser.Shape(node.Raw).Start
-	w.doc.positions[path] = Position{Line: start.Line, Column: start.Column}
+	offset := int(node.Raw.Offset)
+	line := sort.SearchInts(w.lines, offset+1)
+	w.doc.positions[path] = Position{Line: line, Column: offset - w.lines[line-1] + 1}
 }
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -193,10 +193,11 @@
 // ParseSettings reads and checks the daemon's settings. The error lists every fault.
 func ParseSettings(file string, data []byte) (Settings, error) {
 	var probe Settings
-	doc := Collect(file, data, &probe, &explainer.Faults{})
-	s := base(doc, probe)
 	var faults explainer.Faults
-	doc = Collect(file, data, &s, &faults)
+	doc := Parse(file, data, &faults)
+	Fill(doc, &probe, &explainer.Faults{}) // its faults show again below
+	s := base(doc, probe)
+	Fill(doc, &s, &faults)
 	checkSettings(s, doc, &faults)
 	return s, faults.Err()
 }
