--- a/controller/state_test.go
+++ b/controller/state_test.go
@@ -316,3 +316,32 @@
 	require.Equal(t, explainer.Internal, r.state.Apply(9, r.now, nil).(*controller.Rejected).Kind)
 	require.EqualValues(t, 1, r.state.Configuration().Version)
 }
+
+// TestReadsBesideApply is for the race detector.
+func TestReadsBesideApply(t *testing.T) {
+	r := filled(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range identifier.ConfigurationVersion(200) {
+			r.submit(fmt.Sprint("r", i), i+1, fmt.Sprintf(plain, i))
+			r.announce("u1", identifier.Incarnation(i+2))
+			r.claim(claimOf(fmt.Sprint(i), "a", "u1", identifier.Incarnation(i+2)))
+		}
+	}()
+	for reading := true; reading; {
+		select {
+		case <-done:
+			reading = false
+		default:
+			r.state.Configuration().Digest()
+			framesOf(t, r.state)
+			r.state.Members()
+			r.state.PatchHistory(9)
+			r.state.Suspects()
+			r.state.OriginUse()
+			r.state.ClaimOf("housing", "booking", "k1")
+			_, _ = r.state.ShowVersion(1)
+		}
+	}
+}
