--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -322,7 +322,7 @@
 		effects = append(effects, f.withdraw(t, Source{Peer: old.Upstream})...)
 		t.forgive(old.Upstream)
 	}
-	t.peers = slices.Clone(peers)
+	t.peers = append([]Peer{}, peers...)
 	if t.stage == Fetching || t.stage == Complete || t.stage == Verifying {
 		t.replan(now, f.cfg.Self)
 		effects = append(effects, f.breakCycles(t)...)
--- a/fetcher/network_test.go
+++ b/fetcher/network_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand"
-	"testing"
 	"testing/fstest"
 	"time"
 
@@ -71,7 +70,7 @@
 	files    fstest.MapFS
 }
 
-func newVersion(t testing.TB, name identifier.WeightVersion, files fstest.MapFS, chunkSize int) *version {
+func newVersion(t require.TestingT, name identifier.WeightVersion, files fstest.MapFS, chunkSize int) *version {
 	m, err := verifier.Build(verifier.Description{
 		Model: "drafter", Version: name, ChunkSize: identifier.ByteCount(chunkSize),
 	}, files)
@@ -84,7 +83,7 @@
 	return v
 }
 
-func randomVersion(t testing.TB, seed int64, name identifier.WeightVersion, chunks int) *version {
+func randomVersion(t require.TestingT, seed int64, name identifier.WeightVersion, chunks int) *version {
 	const size = 64
 	data := make([]byte, chunks*size)
 	_, _ = rand.New(rand.NewSource(seed)).Read(data)
@@ -96,6 +95,7 @@
 	holder  identifier.Upstream
 	life    identifier.Incarnation
 	expires time.Duration
+	read    bool
 }
 
 type grantKey struct {
@@ -106,7 +106,7 @@
 
 // network is a small fake of the instances, their links, the origin and control.
 type network struct {
-	t        testing.TB
+	t        require.TestingT
 	rand     *rand.Rand
 	cfg      fetcher.Config
 	now      time.Duration
@@ -120,14 +120,12 @@
 	thin     map[[2]identifier.Region]*pipe
 	thinRate float64
 	grants   map[grantKey]grant
-	read     map[grantKey]int
 	granted  identifier.ByteCount
 	requests fetcher.RequestID
 
 	control, originUp bool
 	controlMembers    bool
 	corruptPart       float64
-	originOnly        bool
 	again             int
 }
 
@@ -163,7 +161,7 @@
 	cancelled bool
 }
 
-func newNetwork(t testing.TB, seed int64, cfg fetcher.Config, versions ...*version) *network {
+func newNetwork(t require.TestingT, seed int64, cfg fetcher.Config, versions ...*version) *network {
 	size := float64(versions[0].manifest.Size())
 	n := &network{
 		t: t, rand: rand.New(rand.NewSource(seed)), cfg: cfg,
@@ -171,7 +169,6 @@
 		versions: make(map[identifier.Digest]*version),
 		thin:     make(map[[2]identifier.Region]*pipe),
 		grants:   make(map[grantKey]grant),
-		read:     make(map[grantKey]int),
 		origin:   pipe{rate: 4 * size / window.Seconds()},
 		thinRate: 1.05 * size / window.Seconds(),
 		control:  true, originUp: true, controlMembers: true,
@@ -246,9 +243,6 @@
 	}
 	for _, nd := range n.nodes {
 		if nd.alive {
-			if n.originOnly {
-				peers = []fetcher.Peer{nd.peer}
-			}
 			nd.control += peerBytes
 			nd.event(fetcher.PeersChanged{Manifest: n.wanted.Manifest, Peers: peers})
 		}
@@ -267,6 +261,32 @@
 	}
 }
 
+// change has every instance want another version.
+func (n *network) change(w fetcher.Wanted) {
+	n.wanted = w
+	for _, nd := range n.nodes {
+		nd.event(w)
+	}
+	n.members()
+}
+
+// replace starts an instance in the place of one that ended.
+func (n *network) replace(lease time.Duration) {
+	n.after(lease, func() {
+		n.add(len(n.nodes), 1)
+		n.after(time.Second, n.members)
+	})
+}
+
+// heal ends every fault.
+func (n *network) heal() {
+	n.control, n.originUp, n.controlMembers, n.corruptPart = true, true, true, 0
+	for _, nd := range n.nodes {
+		nd.frozen, nd.corrupts = false, false
+	}
+	n.members()
+}
+
 // kill ends an instance; control notices after the lease.
 func (n *network) kill(nd *node, lease time.Duration) {
 	nd.alive = false
@@ -467,6 +487,7 @@
 		n.after(n.latency(), func() { nd.fail(p, fetcher.Unreachable, time.Second) })
 		return
 	}
+	require.True(n.t, n.spend(nd, e), "chunk %d is read without a lease", e.Chunk)
 	v := n.versions[e.Manifest]
 	l, _ := v.manifest.Chunk(e.Chunk)
 	data := v.data[l.Digest]
@@ -478,6 +499,20 @@
 	nd.receive(p, data, start, sent)
 }
 
+// spend uses up the grant of a read, in whichever copy it is.
+func (n *network) spend(nd *node, e fetcher.FetchChunkFromOrigin) bool {
+	for c := range 4 {
+		key := grantKey{e.Manifest, e.Chunk, c}
+		g, ok := n.grants[key]
+		if ok && g.holder == nd.peer.Upstream && g.life == nd.peer.Incarnation && g.expires > n.now && !g.read {
+			g.read = true
+			n.grants[key] = g
+			return true
+		}
+	}
+	return false
+}
+
 // lease stands in for control's ledger of origin reads.
 func (n *network) lease(nd *node, e fetcher.AskOriginLease) fetcher.OriginLeaseAnswered {
 	const life = 60 * time.Second
@@ -486,24 +521,28 @@
 		answer.RetryAfter = 2 * time.Second
 		return answer
 	}
+	overlaps := false
 	for i := range e.Chunks.Count {
-		key := grantKey{e.Manifest, e.Chunks.First + verifier.ChunkIndex(i), e.Copy}
-		g, ok := n.grants[key]
-		mine := g.holder == nd.peer.Upstream && g.life == nd.peer.Incarnation
-		lost := g.expires < n.now || !n.byName[g.holder].alive || n.byName[g.holder].peer.Incarnation != g.life || mine
-		renewed := mine && !e.Again
-		replaced := lost && e.Again
-		if !n.originOnly && ok && !renewed && !replaced {
+		g, ok := n.grants[grantKey{e.Manifest, e.Chunks.First + verifier.ChunkIndex(i), e.Copy}]
+		if !ok {
+			continue
+		}
+		overlaps = true
+		running := g.expires > n.now
+		stands := n.byName[g.holder].alive && (!e.Again || running)
+		if g.holder == nd.peer.Upstream {
+			stands = running && !e.Again
+		}
+		if stands {
 			answer.Held, answer.Holder = true, g.holder
-			answer.RetryAfter = time.Second
 			return answer
 		}
 	}
 	for i := range e.Chunks.Count {
 		key := grantKey{e.Manifest, e.Chunks.First + verifier.ChunkIndex(i), e.Copy}
-		n.grants[key] = grant{nd.peer.Upstream, nd.peer.Incarnation, n.now + life}
+		n.grants[key] = grant{nd.peer.Upstream, nd.peer.Incarnation, n.now + life, false}
 	}
-	if e.Again {
+	if overlaps {
 		n.again += e.Chunks.Count
 	}
 	n.granted += e.Size
--- a/fetcher/pull.go
+++ b/fetcher/pull.go
@@ -12,6 +12,7 @@
 // probe asks one member after the other for a chunk that no ancestor brings.
 type probe struct {
 	holder     identifier.Upstream // asked first
+	avoid      identifier.Upstream // not asked
 	candidates []Peer
 	next       int
 	after      time.Time
@@ -147,7 +148,7 @@
 	for p.next < len(p.candidates) && p.next < f.cfg.HolderProbes {
 		peer := p.candidates[p.next]
 		p.next++
-		if !t.suspected(now, &t.stripes[n], peer.Upstream) {
+		if peer.Upstream != p.avoid && !t.suspected(now, &t.stripes[n], peer.Upstream) {
 			return peer, true
 		}
 	}
@@ -183,8 +184,9 @@
 	var effects []Effect
 	fresh := t.hold(e.Chunk.Digest())
 	for _, i := range t.manifest.Indices(e.Chunk.Digest()) {
-		if t.end(i, e.Source) {
-			f.progressed(now, t, i)
+		if fetch, ok := t.fetches[i]; ok && fetch.source == e.Source {
+			t.end(i, e.Source)
+			f.progressed(now, t, i, fetch)
 			continue
 		}
 		if fetch, ok := t.fetches[i]; ok {
@@ -192,6 +194,9 @@
 			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
 		}
 	}
+	if !e.Source.IsOrigin() {
+		t.history(e.Source.Peer).whole++
+	}
 	size := e.Chunk.Size()
 	if e.Source.IsOrigin() {
 		t.counts.fromOrigin += size
@@ -203,10 +208,15 @@
 }
 
 // progressed notes that a source of the stripe works.
-func (f *Fetcher) progressed(now time.Time, t *transfer, i verifier.ChunkIndex) {
+func (f *Fetcher) progressed(now time.Time, t *transfer, i verifier.ChunkIndex, done fetch) {
 	s := &t.stripes[t.stripeOf(i)]
 	t.arrivals++
 	s.delays = 0
+	if done.wait {
+		s.patience = max(0, s.patience-1)
+	} else if !done.source.IsOrigin() {
+		t.pullPatience = max(0, t.pullPatience-1)
+	}
 	s.arrivals = t.arrivals
 	s.lastProgress = now
 	t.lastProgress = now
@@ -234,10 +244,7 @@
 	delay := max(e.RetryAfter, f.cfg.RetryDelay)
 	switch e.Reason {
 	case Corrupt:
-		effects := f.blame(t, e.Source, e.Reason)
-		t.suspects[e.Source.Peer] = suspicion{until: now.Add(corruptSetAside), reason: e.Reason}
-		t.probes[e.Chunk] = &probe{}
-		return append(effects, f.withdraw(t, e.Source)...)
+		return f.corrupt(now, t, e)
 	case Unreachable, Stalled:
 		effects := f.blame(t, e.Source, e.Reason)
 		t.suspects[e.Source.Peer] = suspicion{until: now.Add(f.cfg.SetAside), reason: e.Reason}
@@ -290,6 +297,27 @@
 // maxDelays is how often in a row an ancestor may say that it is alive.
 const maxDelays = 32
 
+// corrupt has the chunk fetched elsewhere. A peer that sends more corrupt chunks
+// than a faulty link would is set aside.
+func (f *Fetcher) corrupt(now time.Time, t *transfer, e ChunkFailed) []Effect {
+	effects := f.blame(t, e.Source, Corrupt)
+	t.probes[e.Chunk] = &probe{avoid: e.Source.Peer}
+	history := t.history(e.Source.Peer)
+	history.corrupt++
+	if corruptFactor*history.corrupt <= history.whole+corruptAllowance {
+		return effects
+	}
+	t.suspects[e.Source.Peer] = suspicion{until: now.Add(corruptSetAside), reason: Corrupt}
+	return append(effects, f.withdraw(t, e.Source)...)
+}
+
+const (
+	// corruptFactor is how many whole chunks a peer has to send for each corrupt one.
+	corruptFactor = 10
+	// corruptAllowance is how many it is credited from the start.
+	corruptAllowance = 10
+)
+
 // corruptSetAside is how long a peer that sent corrupt bytes gets no request.
 const corruptSetAside = time.Hour
 
@@ -339,21 +367,24 @@
 	var effects []Effect
 	for n := range t.stripes {
 		s := &t.stripes[n]
-		if s.waiting == 0 || now.Sub(s.lastProgress) < f.cfg.ProgressDeadline {
+		deadline := f.cfg.ProgressDeadline << s.patience
+		if s.waiting == 0 || now.Sub(s.lastProgress) < deadline {
 			continue
 		}
-		idle := now.Sub(t.lastProgress) >= f.cfg.ProgressDeadline
+		idle := now.Sub(t.lastProgress) >= deadline
 		if !idle && t.arrivals-s.arrivals < arrivalsToDeadline*len(t.stripes) {
 			continue
 		}
 		effects = append(effects, f.stalled(now, t, s)...)
 		s.lastProgress = now
+		s.patience = min(s.patience+1, maxPatience)
 	}
 	for _, i := range t.fetching() {
 		fetch := t.fetches[i]
-		if fetch.wait || fetch.source.IsOrigin() || now.Sub(fetch.since) < f.cfg.ProgressDeadline {
+		if fetch.wait || fetch.source.IsOrigin() || now.Sub(fetch.since) < f.cfg.ProgressDeadline<<t.pullPatience {
 			continue
 		}
+		t.pullPatience = min(t.pullPatience+1, maxPatience)
 		if fetch.patient {
 			t.end(i, fetch.source)
 		} else {
@@ -364,6 +395,10 @@
 	return effects
 }
 
+// maxPatience bounds how often a deadline is doubled. A link that is slower than
+// the deadline supposes would otherwise bring the same chunk again and again.
+const maxPatience = 5
+
 // arrivalsToDeadline is how many chunks of each other stripe may come before a
 // silent one counts as stalled. A link that is full, not stalled, brings fewer.
 const arrivalsToDeadline = 4
--- a/fetcher/transfer.go
+++ b/fetcher/transfer.go
@@ -46,6 +46,7 @@
 	delays       int                 // reports of a delay in a row
 	demanded     verifier.ChunkIndex // the furthest chunk that a peer waited for
 	demandedAt   time.Time           // when one last began to wait
+	patience     int                 // doublings of the progress deadline
 	orphaned     time.Time           // since when there is no ancestor to ask
 	lease        lease
 	// passedOver holds sources that brought nothing for this stripe, and until when.
@@ -68,7 +69,9 @@
 	peers        []Peer
 	plan         *plan
 	suspects     map[identifier.Upstream]suspicion
+	sent         map[identifier.Upstream]*history
 	pulls        int
+	pullPatience int // doublings of the deadline of pulls
 	probes       map[verifier.ChunkIndex]*probe
 	share        float64 // bytes sent for the transfer over its weight
 	retry        time.Time
@@ -80,6 +83,11 @@
 	lastProgress time.Time // when the last one came
 }
 
+// history is what a peer has sent.
+type history struct {
+	whole, corrupt int
+}
+
 // suspicion keeps a source from being asked.
 type suspicion struct {
 	until  time.Time
@@ -100,6 +108,7 @@
 		started:  now,
 		fetches:  make(map[verifier.ChunkIndex]fetch),
 		suspects: make(map[identifier.Upstream]suspicion),
+		sent:     make(map[identifier.Upstream]*history),
 		probes:   make(map[verifier.ChunkIndex]*probe),
 		waiters:  make(map[verifier.ChunkIndex][]ChunkRequested),
 		counts:   counts{blamed: make(map[Source]int)},
@@ -138,9 +147,10 @@
 	return n
 }
 
-// replan computes the trees from the members.
+// replan computes the trees from the members. A member that does not know the
+// others yet has no place: it would take itself for a root.
 func (t *transfer) replan(now time.Time, self Peer) {
-	if t.manifest == nil {
+	if t.manifest == nil || t.peers == nil {
 		return
 	}
 	peers := slices.Clone(t.peers)
@@ -249,9 +259,20 @@
 	}
 }
 
+// history returns what the peer has sent so far.
+func (t *transfer) history(peer identifier.Upstream) *history {
+	h := t.sent[peer]
+	if h == nil {
+		h = &history{}
+		t.sent[peer] = h
+	}
+	return h
+}
+
 // forgive ends every suspicion of a member that left or came back.
 func (t *transfer) forgive(peer identifier.Upstream) {
 	delete(t.suspects, peer)
+	delete(t.sent, peer)
 	for i := range t.stripes {
 		delete(t.stripes[i].passedOver, peer)
 	}
