--- a/fetcher/bench_test.go
+++ b/fetcher/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -25,10 +26,31 @@
 	return figures{windows: float64(instances) / 4, origin: float64(instances)}
 }
 
-func spread(t testing.TB, seed int64, instances int, favour fetcher.Favour) figures {
+// injectFaults kills and replaces 1 in 20 instances in the first fifth of the
+// window, corrupts 1% of the chunks and stalls one instance's link for a while.
+func injectFaults(n *network, instances int) {
+	const lostPart = 20
+	n.corruptPart = 0.01
+	for i := range max(1, instances/lostPart) {
+		victim := n.nodes[(i*lostPart+3)%instances]
+		at := window/20 + time.Duration(n.rand.Int63n(int64(window/7)))
+		n.after(at, func() {
+			n.kill(victim, deathNotice)
+			n.replace(2 * deathNotice)
+		})
+	}
+	stalled := n.nodes[0]
+	n.after(window/10, func() { stalled.frozen = true })
+	n.after(window/5, func() { stalled.frozen = false })
+}
+
+func spread(t testing.TB, seed int64, instances int, favour fetcher.Favour, faults bool) figures {
 	v := randomVersion(t, seed, "1", benchChunks)
 	n := newNetwork(t, seed, fetcher.DefaultConfig(), v)
 	n.start(instances, want(v, favour))
+	if faults {
+		injectFaults(n, instances)
+	}
 	require.True(t, n.runUntil(10*window, n.allReady))
 	return figures{
 		windows: n.now.Seconds() / window.Seconds(), origin: n.originCopies(),
@@ -62,7 +84,7 @@
 			b.Run(fmt.Sprintf("%s/%d", favour, instances), func(b *testing.B) {
 				var runs []figures
 				for seed := range int64(benchSeeds) {
-					runs = append(runs, spread(b, seed, instances, favour))
+					runs = append(runs, spread(b, seed, instances, favour, false))
 				}
 				report(b, runs)
 			})
@@ -72,3 +94,18 @@
 		})
 	}
 }
+
+// BenchmarkSpreadWithFaults is BenchmarkSpread under injectFaults.
+func BenchmarkSpreadWithFaults(b *testing.B) {
+	for _, instances := range []int{16, 64, 200} {
+		for _, favour := range []fetcher.Favour{fetcher.OriginBytes, fetcher.TimeToReplicas} {
+			b.Run(fmt.Sprintf("%s/%d", favour, instances), func(b *testing.B) {
+				var runs []figures
+				for seed := range int64(benchSeeds) {
+					runs = append(runs, spread(b, seed, instances, favour, true))
+				}
+				report(b, runs)
+			})
+		}
+	}
+}
--- a/fetcher/config.go
+++ b/fetcher/config.go
@@ -33,6 +33,10 @@
 	// HolderProbes is how many members are asked for a chunk before it counts as
 	// held by nobody.
 	HolderProbes int
+	// ProbeRate and ProbeBurst bound how many requests a second go to members that
+	// are not ancestors. They keep the bytes of control small.
+	ProbeRate  float64
+	ProbeBurst float64
 	// ProgressDeadline is how long a source may bring nothing.
 	ProgressDeadline time.Duration
 	// SetAside is for how long a source that broke the deadline is passed over.
@@ -59,7 +63,9 @@
 		OriginReads:      2,
 		ReadAhead:        2,
 		LeaseParts:       8,
-		HolderProbes:     64,
+		HolderProbes:     24,
+		ProbeRate:        4,
+		ProbeBurst:       100,
 		ProgressDeadline: 10 * time.Second,
 		SetAside:         30 * time.Second,
 		RetryDelay:       500 * time.Millisecond,
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -24,6 +24,7 @@
 	// originAfter is when a source may be read again.
 	originAfter map[string]time.Time
 	pacer       pacer
+	probes      allowance
 }
 
 // New returns a reducer without transfers.
@@ -36,6 +37,7 @@
 		serving:     make(map[RequestID]*serving),
 		originAfter: make(map[string]time.Time),
 		pacer:       newPacer(cfg),
+		probes:      allowance{left: cfg.ProbeBurst},
 	}
 }
 
@@ -134,27 +136,38 @@
 
 // wanted starts a transfer, or takes in its new priority and favour.
 func (f *Fetcher) wanted(now time.Time, e Wanted) []Effect {
-	if t := f.transfers[e.Manifest]; t != nil {
-		replan := t.want.Favour != e.Favour
-		t.want = e
-		if replan && t.plan != nil {
-			t.replan(now, f.cfg.Self)
-		}
-		return f.pump(now, t)
-	}
 	var effects []Effect
-	t := newTransfer(now, e)
-	t.share = f.sent
 	for _, id := range slices.Clone(f.order) {
-		if f.transfers[id].want.Name == e.Name {
+		if id != e.Manifest && f.transfers[id].want.Name == e.Name {
 			effects = append(effects, f.supersede(id)...)
 		}
 	}
+	if t := f.transfers[e.Manifest]; t != nil {
+		return append(effects, f.renew(now, t, e)...)
+	}
+	t := newTransfer(now, e)
+	t.share = f.sent
 	f.transfers[e.Manifest] = t
 	f.order = append(f.order, e.Manifest)
 	return append(effects, FetchManifest{Manifest: e.Manifest, Source: e.Source})
 }
 
+// renew takes in a new priority or favour, or goes back to an older version.
+func (f *Fetcher) renew(now time.Time, t *transfer, e Wanted) []Effect {
+	replan := t.want.Favour != e.Favour
+	t.want = e
+	t.superseded = false
+	t.resetProgress(now)
+	var effects []Effect
+	if t.manifest != nil {
+		effects = f.dropSuperseded(now, t)
+	}
+	if replan && t.plan != nil {
+		t.replan(now, f.cfg.Self)
+	}
+	return append(effects, f.pump(now, t)...)
+}
+
 // supersede stops fetching for an older version. Its chunks are kept until the
 // manifest of the newer one tells which it shares.
 func (f *Fetcher) supersede(id identifier.Digest) []Effect {
--- a/fetcher/network_test.go
+++ b/fetcher/network_test.go
@@ -159,6 +159,7 @@
 	server    *node
 	id        fetcher.RequestID
 	cancelled bool
+	sending   bool // the link carries it to the end, wanted or not
 }
 
 func newNetwork(t require.TestingT, seed int64, cfg fetcher.Config, versions ...*version) *network {
@@ -412,7 +413,11 @@
 	p.cancelled = true
 	delete(nd.pending, key)
 	if p.server != nil {
-		nd.net.after(nd.net.latency(), func() { p.server.event(fetcher.RequestEnded{Request: p.id}) })
+		nd.net.after(nd.net.latency(), func() {
+			if !p.sending {
+				p.server.event(fetcher.RequestEnded{Request: p.id})
+			}
+		})
 	}
 }
 
@@ -436,6 +441,7 @@
 func (nd *node) send(e fetcher.SendChunk) {
 	n := nd.net
 	p := nd.served[e.Request]
+	p.sending = true
 	delete(nd.served, e.Request)
 	data := nd.stored[e.Digest]
 	require.NotNil(n.t, data)
--- a/fetcher/pacer.go
+++ b/fetcher/pacer.go
@@ -48,3 +48,22 @@
 		Download: p.cfg.DownloadBudget * identifier.BytesPerSecond(part),
 	}}
 }
+
+// allowance is a token bucket over the reducer's time.
+type allowance struct {
+	left float64
+	at   time.Time
+}
+
+// take uses up one token if there is one.
+func (a *allowance) take(now time.Time, rate, burst float64) bool {
+	if !a.at.IsZero() {
+		a.left = min(burst, a.left+rate*now.Sub(a.at).Seconds())
+	}
+	a.at = now
+	if a.left < 1 {
+		return false
+	}
+	a.left--
+	return true
+}
--- a/fetcher/plan.go
+++ b/fetcher/plan.go
@@ -176,7 +176,7 @@
 }
 
 // inner deals the edges out to the members that joined first, each up to the
-// load that all can bear. A member that joins or leaves moves few shares.
+// load that all can bear; members with small shares come last. A member that joins or leaves moves few shares.
 func (p *planner) inner(region []int, edges int) []innerMember {
 	var inner []innerMember
 	bearable := p.bearable(len(region))
@@ -193,9 +193,16 @@
 		inner = append(inner, innerMember{number: region[0]})
 	}
 	inner[0].share += edges
+	slices.SortStableFunc(inner, func(a, b innerMember) int {
+		return cmp.Compare(min(b.share, bearable/rootPart), min(a.share, bearable/rootPart))
+	})
 	return inner
 }
 
+// rootPart is the part of the bearable load that a root has to have, as a
+// divisor. Under a root with few children the tree is a level deeper.
+const rootPart = 2
+
 // spareLoad is the part by which a member may feed more than its even share, so
 // that those that joined last need not hand anything on.
 const spareLoad = 0.05
--- a/fetcher/pull.go
+++ b/fetcher/pull.go
@@ -12,7 +12,6 @@
 // probe asks one member after the other for a chunk that no ancestor brings.
 type probe struct {
 	holder     identifier.Upstream // asked first
-	avoid      identifier.Upstream // not asked
 	candidates []Peer
 	next       int
 	after      time.Time
@@ -89,8 +88,9 @@
 		if s.waiting == 0 {
 			s.lastProgress = now
 		}
-		t.begin(now, i, fetch{source: Source{Peer: parent.Upstream}, wait: true})
-		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: parent, Wait: true})
+		source := t.otherAncestor(now, s, i, parent)
+		t.begin(now, i, fetch{source: Source{Peer: source.Upstream}, wait: true})
+		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: source, Wait: true})
 	}
 	return effects
 }
@@ -114,6 +114,10 @@
 			f.exhaust(now, t, i, p)
 			continue
 		}
+		if !f.probes.take(now, f.cfg.ProbeRate, f.cfg.ProbeBurst) {
+			p.next--
+			break
+		}
 		patient := peer.Upstream == p.holder && p.next == 1
 		t.begin(now, i, fetch{source: Source{Peer: peer.Upstream}, patient: patient})
 		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: peer, Wait: patient})
@@ -135,7 +139,7 @@
 		p.exhausted = true
 	default:
 		p.next = 0
-		p.after = now.Add(f.cfg.ProgressDeadline / 4)
+		p.after = now.Add(f.cfg.ProgressDeadline / 2)
 	}
 }
 
@@ -148,7 +152,7 @@
 	for p.next < len(p.candidates) && p.next < f.cfg.HolderProbes {
 		peer := p.candidates[p.next]
 		p.next++
-		if peer.Upstream != p.avoid && !t.suspected(now, &t.stripes[n], peer.Upstream) {
+		if peer.Upstream != t.avoid[i] && !t.suspected(now, &t.stripes[n], peer.Upstream) {
 			return peer, true
 		}
 	}
@@ -186,7 +190,7 @@
 	for _, i := range t.manifest.Indices(e.Chunk.Digest()) {
 		if fetch, ok := t.fetches[i]; ok && fetch.source == e.Source {
 			t.end(i, e.Source)
-			f.progressed(now, t, i, fetch)
+			f.progressed(now, t, i)
 			continue
 		}
 		if fetch, ok := t.fetches[i]; ok {
@@ -208,15 +212,11 @@
 }
 
 // progressed notes that a source of the stripe works.
-func (f *Fetcher) progressed(now time.Time, t *transfer, i verifier.ChunkIndex, done fetch) {
+func (f *Fetcher) progressed(now time.Time, t *transfer, i verifier.ChunkIndex) {
 	s := &t.stripes[t.stripeOf(i)]
 	t.arrivals++
 	s.delays = 0
-	if done.wait {
-		s.patience = max(0, s.patience-1)
-	} else if !done.source.IsOrigin() {
-		t.pullPatience = max(0, t.pullPatience-1)
-	}
+	t.relax()
 	s.arrivals = t.arrivals
 	s.lastProgress = now
 	t.lastProgress = now
@@ -301,7 +301,7 @@
 // than a faulty link would is set aside.
 func (f *Fetcher) corrupt(now time.Time, t *transfer, e ChunkFailed) []Effect {
 	effects := f.blame(t, e.Source, Corrupt)
-	t.probes[e.Chunk] = &probe{avoid: e.Source.Peer}
+	t.avoid[e.Chunk] = e.Source.Peer
 	history := t.history(e.Source.Peer)
 	history.corrupt++
 	if corruptFactor*history.corrupt <= history.whole+corruptAllowance {
@@ -365,9 +365,10 @@
 // checkProgress passes over sources that broke the progress deadline.
 func (f *Fetcher) checkProgress(now time.Time, t *transfer) []Effect {
 	var effects []Effect
+	strained := false
 	for n := range t.stripes {
 		s := &t.stripes[n]
-		deadline := f.cfg.ProgressDeadline << s.patience
+		deadline := t.deadline(f.cfg)
 		if s.waiting == 0 || now.Sub(s.lastProgress) < deadline {
 			continue
 		}
@@ -377,28 +378,27 @@
 		}
 		effects = append(effects, f.stalled(now, t, s)...)
 		s.lastProgress = now
-		s.patience = min(s.patience+1, maxPatience)
+		strained = true
 	}
 	for _, i := range t.fetching() {
 		fetch := t.fetches[i]
-		if fetch.wait || fetch.source.IsOrigin() || now.Sub(fetch.since) < f.cfg.ProgressDeadline<<t.pullPatience {
+		if fetch.wait || fetch.source.IsOrigin() || now.Sub(fetch.since) < t.deadline(f.cfg) {
 			continue
 		}
-		t.pullPatience = min(t.pullPatience+1, maxPatience)
-		if fetch.patient {
-			t.end(i, fetch.source)
-		} else {
-			effects = append(effects, f.failed(now, t, ChunkFailed{Chunk: i, Source: fetch.source, Reason: Stalled})...)
+		strained = true
+		t.end(i, fetch.source)
+		if !fetch.patient {
+			t.stripes[t.stripeOf(i)].passedOver[fetch.source.Peer] = now.Add(f.cfg.SetAside)
+			effects = append(effects, f.blame(t, fetch.source, Stalled)...)
 		}
 		effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
 	}
+	if strained {
+		t.strain(now, f.cfg)
+	}
 	return effects
 }
 
-// maxPatience bounds how often a deadline is doubled. A link that is slower than
-// the deadline supposes would otherwise bring the same chunk again and again.
-const maxPatience = 5
-
 // arrivalsToDeadline is how many chunks of each other stripe may come before a
 // silent one counts as stalled. A link that is full, not stalled, brings fewer.
 const arrivalsToDeadline = 4
--- a/fetcher/transfer.go
+++ b/fetcher/transfer.go
@@ -46,7 +46,6 @@
 	delays       int                 // reports of a delay in a row
 	demanded     verifier.ChunkIndex // the furthest chunk that a peer waited for
 	demandedAt   time.Time           // when one last began to wait
-	patience     int                 // doublings of the progress deadline
 	orphaned     time.Time           // since when there is no ancestor to ask
 	lease        lease
 	// passedOver holds sources that brought nothing for this stripe, and until when.
@@ -71,9 +70,12 @@
 	suspects     map[identifier.Upstream]suspicion
 	sent         map[identifier.Upstream]*history
 	pulls        int
-	pullPatience int // doublings of the deadline of pulls
+	patience     int       // doublings of the progress deadline
+	strained     time.Time // when it was last doubled
+	calm         int       // chunks since it last changed
 	probes       map[verifier.ChunkIndex]*probe
-	share        float64 // bytes sent for the transfer over its weight
+	avoid        map[verifier.ChunkIndex]identifier.Upstream // who sent a chunk corrupt
+	share        float64                                     // bytes sent for the transfer over its weight
 	retry        time.Time
 	started      time.Time
 	counts       counts
@@ -110,6 +112,7 @@
 		suspects: make(map[identifier.Upstream]suspicion),
 		sent:     make(map[identifier.Upstream]*history),
 		probes:   make(map[verifier.ChunkIndex]*probe),
+		avoid:    make(map[verifier.ChunkIndex]identifier.Upstream),
 		waiters:  make(map[verifier.ChunkIndex][]ChunkRequested),
 		counts:   counts{blamed: make(map[Source]int)},
 	}
@@ -177,6 +180,7 @@
 		t.held++
 		t.heldSize += location.Size
 		delete(t.probes, i)
+		delete(t.avoid, i)
 		fresh = append(fresh, i)
 		s := &t.stripes[t.stripeOf(i)]
 		for s.lowest < s.end && t.have.has(int(s.lowest)) {
@@ -232,6 +236,21 @@
 	return now.Before(t.suspects[peer].until) || now.Before(s.passedOver[peer])
 }
 
+// otherAncestor returns the nearest ancestor that did not send the chunk corrupt,
+// or the given one where there is no other.
+func (t *transfer) otherAncestor(now time.Time, s *stripe, i verifier.ChunkIndex, parent Peer) Peer {
+	avoid, ok := t.avoid[i]
+	if !ok {
+		return parent
+	}
+	for _, peer := range s.place.ancestors {
+		if peer.Upstream != avoid && !t.suspected(now, s, peer.Upstream) {
+			return peer
+		}
+	}
+	return parent
+}
+
 // isAncestor reports whether the member may wait at the peer.
 func (s *stripe) isAncestor(peer identifier.Upstream) bool {
 	return slices.ContainsFunc(s.place.ancestors, func(p Peer) bool { return p.Upstream == peer })
@@ -259,6 +278,34 @@
 	}
 }
 
+// deadline returns how long a source may be silent.
+func (t *transfer) deadline(cfg Config) time.Duration {
+	return cfg.ProgressDeadline << t.patience
+}
+
+// strain doubles the deadline after a source was silent for too long. A link that
+// is slower than the deadline supposes would otherwise bring the same chunk again
+// and again.
+func (t *transfer) strain(now time.Time, cfg Config) {
+	t.calm = 0
+	if now.Sub(t.strained) >= t.deadline(cfg) {
+		t.patience = min(t.patience+1, maxPatience)
+		t.strained = now
+	}
+}
+
+// relax halves the deadline after enough chunks came without another silence.
+func (t *transfer) relax() {
+	t.calm++
+	if t.patience > 0 && t.calm >= len(t.stripes) {
+		t.patience--
+		t.calm = 0
+	}
+}
+
+// maxPatience bounds how often the deadline is doubled.
+const maxPatience = 3
+
 // history returns what the peer has sent so far.
 func (t *transfer) history(peer identifier.Upstream) *history {
 	h := t.sent[peer]
