--- a/executor/bench_test.go
+++ b/executor/bench_test.go
@@ -206,7 +206,7 @@
 		control: &control{claims: make(map[identifier.IdempotencyKey]*claim)},
 		agents:  make(map[identifier.Upstream]*executor.Executor),
 	}
-	b.entry = forwarder.New(forwarder.Config{MaxBody: 1 << 20}, forwarder.Dependencies{
+	b.entry = forwarder.New(forwarder.Config{MaxBody: 1 << 20, MaxBodies: 1 << 20}, forwarder.Dependencies{
 		Opener: b.net, Claims: b.control, Organisations: tokens{"secret": "housing"},
 		Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Check: asserter.Strict{},
 	})
--- a/executor/failure_test.go
+++ b/executor/failure_test.go
@@ -137,6 +137,19 @@
 func TestRequestsThatBreakTheBounds(t *testing.T) {
 	b := newBench(t)
 	b.add("u1", func(w http.ResponseWriter, r *http.Request) { panic("must not run") })
+	pipe, hold := io.Pipe()
+	go b.send(t.Context(), http.MethodPost, "/slots", pipe)
+	_, err := hold.Write([]byte("x"))
+	require.NoError(t, err)
+	var crowded answer
+	require.Eventually(t, func() bool {
+		crowded = b.send(t.Context(), http.MethodPost, "/slots", io.MultiReader(strings.NewReader("x")), "Celeryvalve-Deadline", "1ms")
+		return crowded.status == http.StatusServiceUnavailable && crowded.header.Get("Celeryvalve-Request") == ""
+	}, waitTime, pollTime)
+	require.NoError(t, hold.CloseWithError(io.ErrUnexpectedEOF))
+	require.Eventually(t, func() bool {
+		return b.send(t.Context(), http.MethodPut, "/slots", nil, "Celeryvalve-Deadline", "soon").status == http.StatusBadRequest
+	}, waitTime, pollTime)
 	large := b.send(t.Context(), http.MethodPost, "/slots", strings.NewReader(strings.Repeat("x", 1<<20+1)))
 	require.Equal(t, http.StatusRequestEntityTooLarge, large.status)
 	chunked := b.send(t.Context(), http.MethodPost, "/slots", io.MultiReader(strings.NewReader(strings.Repeat("x", 1<<20+1))))
@@ -145,7 +158,7 @@
 	require.Equal(t, http.StatusBadRequest, malformed.status)
 	denied := b.send(t.Context(), http.MethodGet, "/x", nil, "Authorization", "Bearer wrong")
 	require.Equal(t, http.StatusUnauthorized, denied.status)
-	for _, got := range []answer{large, chunked, malformed, denied} {
+	for _, got := range []answer{crowded, large, chunked, malformed, denied} {
 		require.Equal(t, router.NotRun, got.outcome)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -36,7 +36,8 @@
 	replaceInterval   = 2 * time.Second
 	maxSettleAttempts = 5
 
-	defaultMaxBody identifier.ByteCount = 4 << 20
+	defaultMaxBody   identifier.ByteCount = 4 << 20
+	defaultMaxBodies identifier.ByteCount = 256 << 20
 )
 
 // Config places the entry and bounds requests.
@@ -45,6 +46,8 @@
 	AvailabilityZone identifier.AvailabilityZone
 	// MaxBody bounds the body of a request.
 	MaxBody identifier.ByteCount
+	// MaxBodies bounds the bodies of all requests under way together.
+	MaxBodies identifier.ByteCount
 	// Timeout is the deadline of a request that names none.
 	Timeout time.Duration
 }
@@ -120,6 +123,7 @@
 	exchanges map[identifier.RequestID]*exchange
 	services  map[identifier.Service]ServiceSettings
 	replaced  map[netip.AddrPort]time.Time
+	bodies    identifier.ByteCount
 }
 
 // New returns a forwarder that is not started.
@@ -127,6 +131,9 @@
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = defaultMaxBody
 	}
+	if cfg.MaxBodies == 0 {
+		cfg.MaxBodies = defaultMaxBodies
+	}
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -44,11 +44,7 @@
 }
 
 // read takes in the caller's request whole.
-func (f *Forwarder) read(w http.ResponseWriter, r *http.Request) (*exchange, error) {
-	org, err := f.organisationOf(r)
-	if err != nil {
-		return nil, err
-	}
+func (f *Forwarder) read(w http.ResponseWriter, r *http.Request, org identifier.Organisation) (*exchange, error) {
 	ex := newExchange(newRequestID())
 	ex.began = f.clock.Now()
 	ex.method = r.Method
@@ -173,10 +169,30 @@
 	}
 }
 
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength > int64(f.cfg.MaxBody) {
+// reserve makes room for the body among those of all requests under way. The
+// returned function gives it back.
+func (f *Forwarder) reserve(r *http.Request) (release func(), err error) {
+	size := identifier.ByteCount(r.ContentLength)
+	if size < 0 {
+		size = f.cfg.MaxBody
+	}
+	if size > f.cfg.MaxBody {
 		return nil, f.tooLarge()
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.bodies+size > f.cfg.MaxBodies {
+		return nil, faultf(http.StatusServiceUnavailable, "too many large requests are under way (send again later)")
+	}
+	f.bodies += size
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.bodies -= size
+	}, nil
+}
+
+func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	// The kernel's clock bounds a slow caller. A recorder in a test has no deadline.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(f.cfg.MaxBody)))
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -61,7 +61,18 @@
 }
 
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
-	ex, err := f.read(w, r)
+	org, err := f.organisationOf(r)
+	if err != nil {
+		f.refuse(w, err)
+		return
+	}
+	release, err := f.reserve(r)
+	if err != nil {
+		f.refuse(w, err)
+		return
+	}
+	defer release()
+	ex, err := f.read(w, r, org)
 	if err != nil {
 		f.refuse(w, err)
 		return
