admitter: limit how long a suspect holds others back

A suspect waits until nothing runs, and nothing started beside it meanwhile: one long stream could idle the upstream for its whole length. After 5 s the suspect is refused Busy, and none holds others back for 15 s after.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -23,10 +23,14 @@
 	// congestionPause is the shortest time between two cuts of the limit for work
 	// that waits inside the upstream.
 	congestionPause = time.Second
-	minQueue        = 2
-	queueShare      = 4 // of the limit may wait
-	minBusyPause    = 50 * time.Millisecond
-	meanWeight      = 0.2
+	// holdTimeout is how long a suspect holds others back while it waits for what
+	// runs, and holdPause is how long none may after one waited in vain.
+	holdTimeout  = 5 * time.Second
+	holdPause    = 15 * time.Second
+	minQueue     = 2
+	queueShare   = 4 // of the limit may wait
+	minBusyPause = 50 * time.Millisecond
+	meanWeight   = 0.2
 )
 
 // Config says which upstream the agent is beside.
@@ -48,6 +52,9 @@
 	running map[identifier.AttemptID]*attempt
 	// alone is a suspect that waits for the upstream to be empty, or runs alone.
 	alone      *attempt
+	aloneSince time.Time
+	// aloneAfter is when a suspect may hold others back again.
+	aloneAfter time.Time
 	limit      *limiter.Concurrency
 	latency    *limiter.Mean
 	duration   *limiter.Mean
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -138,3 +138,19 @@
 	require.Equal(t, router.Expired, refuse.Message.Reason)
 	require.Equal(t, identifier.AttemptID("b"), refuse.Message.Attempt)
 }
+
+func TestSuspectHoldsOthersBackForALimitedTime(t *testing.T) {
+	r := newReducer(4)
+	r.Reduce(epoch, admitter.QuarantineChanged{Suspects: []router.Fingerprint{9}})
+	only[admitter.Run](t, r.Reduce(epoch, admitter.AttemptArrived{Start: start("long", router.Idempotent), Stream: 1}))
+	suspect := start("s", router.Idempotent)
+	suspect.Fingerprint = 9
+	require.Zero(t, count[admitter.Run](r.Reduce(epoch, admitter.AttemptArrived{Start: suspect, Stream: 2})))
+	require.Zero(t, count[admitter.Run](r.Reduce(epoch, admitter.AttemptArrived{Start: start("b", router.Idempotent), Stream: 3})))
+	effects := r.Reduce(epoch.Add(5*time.Second), admitter.Ticked{})
+	require.Equal(t, router.Busy, only[admitter.Refuse](t, effects).Message.Reason)
+	require.Equal(t, identifier.AttemptID("b"), only[admitter.Run](t, effects).Attempt)
+	suspect.Attempt = "s2"
+	effects = r.Reduce(epoch.Add(6*time.Second), admitter.AttemptArrived{Start: suspect, Stream: 4})
+	require.Equal(t, router.Busy, only[admitter.Refuse](t, effects).Message.Reason)
+}
--- a/admitter/attempt.go
+++ b/admitter/attempt.go
@@ -177,7 +177,11 @@
 			continue
 		}
 		if a.isAlone() {
-			r.alone = a
+			if len(r.running) > 0 && r.now.Before(r.aloneAfter) {
+				r.refuse(a, router.Busy, r.aloneAfter.Sub(r.now))
+				continue
+			}
+			r.alone, r.aloneSince = a, r.now
 			break
 		}
 		r.run(a)
--- a/admitter/tick.go
+++ b/admitter/tick.go
@@ -15,8 +15,8 @@
 	for _, id := range r.queue.Expire(r.now.Add(r.duration.Low())) {
 		r.refuse(r.attempts[id], router.Expired, 0)
 	}
-	if a := r.alone; a != nil && a.state == queuedState && !a.deadline.After(r.now) {
-		r.refuse(a, router.Expired, 0)
+	if a := r.alone; a != nil && a.state == queuedState {
+		r.tickWaitingAlone(a)
 	}
 	for _, id := range r.runningIDs() {
 		if a := r.running[id]; r.isOrphan(a) {
@@ -30,6 +30,17 @@
 	r.dispatch()
 }
 
+// tickWaitingAlone ends the wait of a suspect that holds others back too long.
+func (r *Reducer) tickWaitingAlone(a *attempt) {
+	switch {
+	case !a.deadline.After(r.now):
+		r.refuse(a, router.Expired, 0)
+	case r.now.Sub(r.aloneSince) >= holdTimeout:
+		r.aloneAfter = r.now.Add(holdPause)
+		r.refuse(a, router.Busy, holdPause)
+	}
+}
+
 func (r *Reducer) isOrphan(a *attempt) bool {
 	return !a.nonIdempotent() && !a.orphaned.IsZero() && r.now.Sub(a.orphaned) >= orphanTimeout
 }
--- a/admitter/world_test.go
+++ b/admitter/world_test.go
@@ -151,6 +151,7 @@
 type call struct {
 	class        router.Class
 	organisation identifier.Organisation
+	fingerprint  router.Fingerprint
 	key          identifier.IdempotencyKey
 	entry        *entry
 	epoch        int
@@ -159,7 +160,7 @@
 }
 
 func (w *world) send(e *entry, arrival router.RequestArrived, answer func(router.Answer)) {
-	w.requests[arrival.ID] = &call{class: arrival.Class, organisation: arrival.Organisation, key: arrival.Key, entry: e, epoch: e.epoch, answer: answer}
+	w.requests[arrival.ID] = &call{class: arrival.Class, organisation: arrival.Organisation, fingerprint: arrival.Fingerprint, key: arrival.Key, entry: e, epoch: e.epoch, answer: answer}
 	arrival.Random = w.rng.Uint64()
 	e.post(arrival)
 }
@@ -261,7 +262,7 @@
 	start := router.AttemptStart{
 		Request: f.Request, Attempt: f.Attempt, Upstream: f.Target.Upstream, Incarnation: f.Target.Incarnation,
 		Organisation: arrival.organisation, Service: "drafting", Class: arrival.class, Key: arrival.key, Token: f.Token,
-		Timeout: f.Timeout, Weight: f.Weight, Alone: f.Alone,
+		Timeout: f.Timeout, Weight: f.Weight, Alone: f.Alone, Fingerprint: arrival.fingerprint,
 	}
 	e.w.starts[f.Attempt] = start
 	e.open(f.Target, f.Request, f.Attempt, router.NotHandedOver, func(a *agent, s *stream) {
