--- a/imitator/engine_test.go
+++ b/imitator/engine_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -156,7 +158,9 @@
 	sw := imitator.NewSwitch(imitator.Misbehaviour{CrashOn: "poison", RestartAfter: imitator.Duration(time.Millisecond)})
 	history := imitator.NewHistory(clock)
 	starts := make(chan bool, 2)
-	host := imitator.NewHost("127.0.31.1:19431", clock, zap.NewNop(), sw, func(crash func()) http.Handler {
+	pid := os.Getpid() // each test process has its own IP number
+	addr := fmt.Sprintf("127.%d.%d.1:19431", 64+pid>>8&63, pid&255)
+	host := imitator.NewHost(addr, clock, zap.NewNop(), sw, func(crash func()) http.Handler {
 		starts <- true
 		return imitator.NewEngine(imitator.EngineConfig{BatchSize: 1}, imitator.NewProcess(clock, sw, history, crash)).Handler()
 	})
@@ -164,7 +168,7 @@
 	done := make(chan error, 1)
 	go func() { done <- host.Run(ctx) }()
 	<-starts
-	b := &bench{t: t, url: "http://127.0.31.1:19431"}
+	b := &bench{t: t, url: "http://" + addr}
 	b.mustPost(http.StatusOK, "/orders/load", imitator.Order{Model: "m", Version: "1"})
 	_, _, err := b.post("/v1/completions", completion("poison"))
 	require.Error(t, err)
--- a/linker/link_test.go
+++ b/linker/link_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,11 +19,18 @@
 	"celeryvalve/linker"
 )
 
-const (
-	targetAddress = "127.0.31.2:19441"
-	listenAddress = "127.0.31.3:19441"
+// Each test process has its own IP numbers, so that two can run beside each other.
+var (
+	targetAddress = testAddress(1)
+	listenAddress = testAddress(2)
+	callerAddress = testAddress(3)
 )
 
+func testAddress(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:19441", 64+pid>>8&63, pid&255, n)
+}
+
 func newLink(t *testing.T) *linker.Link {
 	return linker.New(linker.Settings{}, 1, clockwork.NewRealClock())
 }
