--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -22,14 +22,16 @@
 	"celeryvalve/forwarder"
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
+	"celeryvalve/reporter"
 	"celeryvalve/router"
+	"celeryvalve/sampler"
 	"celeryvalve/submitter"
 	"celeryvalve/subscriber"
 )
 
 func entryOptions() fx.Option {
 	return fx.Options(
-		fx.Provide(newForwarder),
+		fx.Provide(reporter.NewTally, newSampler, newForwarder),
 		fx.Invoke(serveEntry),
 	)
 }
@@ -51,7 +53,8 @@
 }
 
 func newForwarder(settings parser.Settings, e *connector.Endpoint, book *subscriber.Book, s *submitter.Submitter,
-	clock clockwork.Clock, set *metrics.Set, a asserter.Asserter, logger *zap.Logger) *forwarder.Forwarder {
+	tally *reporter.Tally, clock clockwork.Clock, set *metrics.Set, a asserter.Asserter,
+	logger *zap.Logger) *forwarder.Forwarder {
 	cfg := forwarder.Config{Region: settings.Region, AvailabilityZone: settings.AvailabilityZone}
 	return forwarder.New(cfg, forwarder.Dependencies{
 		Opener:        forwarder.Through(e),
@@ -61,9 +64,26 @@
 		Logger:        logger,
 		Check:         a,
 		Metrics:       set,
+		Watch:         func(o forwarder.Observation) { watch(tally, o) },
 	})
 }
 
+// watch counts which objectives the answered request met.
+func watch(tally *reporter.Tally, o forwarder.Observation) {
+	tally.Answered(reporter.Answer{
+		Service:      o.Service,
+		Organisation: o.Organisation,
+		Outcome:      o.Outcome,
+		Left:         o.Left,
+		FirstToken:   o.FirstByte,
+		Gaps:         o.Gaps,
+	})
+}
+
+func newSampler(settings parser.Settings, tally *reporter.Tally, clock clockwork.Clock) *sampler.Sampler {
+	return sampler.New(settings.Name, tally, clock)
+}
+
 // entryParts are what serveEntry ties together.
 type entryParts struct {
 	fx.In
@@ -72,6 +92,9 @@
 	Settings  parser.Settings
 	Book      *subscriber.Book
 	Forwarder *forwarder.Forwarder
+	Tally     *reporter.Tally
+	Sampler   *sampler.Sampler
+	Endpoint  *connector.Endpoint
 	Exposer   *exposer.Exposer
 	Logger    *zap.Logger
 }
@@ -79,12 +102,14 @@
 func serveEntry(parts entryParts) {
 	follow := func() {
 		cfg := parts.Book.Configuration()
+		parts.Tally.Follow(cfg)
 		parts.Forwarder.ChangePolicy(policyOf(cfg), serviceSettingsOf(cfg))
 		members, _ := parts.Book.Members()
 		parts.Forwarder.ChangeUpstreams(viewsOf(members))
 		parts.Forwarder.ChangeQuarantine(quarantineOf(parts.Book))
 	}
 	parts.Book.Watch(follow)
+	parts.Endpoint.Handle(sampler.RequestKind, parts.Sampler.Serve)
 	var draining atomic.Bool
 	parts.Exposer.Require("entry", func() error {
 		if draining.Load() {
@@ -92,6 +117,7 @@
 		}
 		return nil
 	})
+	parts.Lifecycle.Append(fx.StartStopHook(parts.Sampler.Start, parts.Sampler.Stop))
 	server := parts.Forwarder.Server(parts.Settings.Entry.Listen)
 	parts.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -162,11 +188,13 @@
 }
 
 func serviceSettingsOf(cfg configurer.Configuration) []forwarder.ServiceSettings {
-	var list []forwarder.ServiceSettings
+	list := make([]forwarder.ServiceSettings, 0, len(cfg.Services))
 	for name, service := range cfg.Services {
 		list = append(list, forwarder.ServiceSettings{
 			Service:    name,
-			Repeatable: slices.Contains(service.IdempotentMethods, http.MethodPost),
+			Repeatable: service.Idempotent,
+			Allows:     service.Allows,
+			Timeout:    service.Deadline,
 		})
 	}
 	return list
--- a/configurer/object.go
+++ b/configurer/object.go
@@ -66,7 +66,11 @@
 }
 
 func (t tableOf[K, V]) remove(ref Ref, o *Objects) {
-	delete(*t.of(o), K(ref.name()))
+	objects := t.of(o)
+	delete(*objects, K(ref.name()))
+	if len(*objects) == 0 {
+		*objects = nil // one form for "none"
+	}
 }
 
 func (t tableOf[K, V]) equal(ref Ref, a, b *Objects) bool {
@@ -125,6 +129,15 @@
 	return t != nil && t.copy(ref, o, to)
 }
 
+// pick returns those of the objects that exist.
+func (o *Objects) pick(refs []Ref) Objects {
+	var picked Objects
+	for _, ref := range refs {
+		o.copyTo(&picked, ref)
+	}
+	return picked
+}
+
 func (o *Objects) remove(ref Ref) {
 	if t := ref.table(); t != nil {
 		t.remove(ref, o)
--- a/controller/origin_test.go
+++ b/controller/origin_test.go
@@ -56,6 +56,12 @@
 	require.Equal(t, controller.OriginRefused, r.lease(second).Status)
 	require.Equal(t, controller.OriginGranted, r.lease(lease(t, "u2", 3, 10)).Status)
 	require.EqualValues(t, 200, r.state.OriginUse()[0].Granted)
+	unnumbered := lease(t, "u1", 0, 0)
+	unnumbered.Again = true
+	for range 2 {
+		require.Equal(t, controller.OriginGranted, r.lease(unnumbered).Status)
+	}
+	require.EqualValues(t, 200, r.state.OriginUse()[0].Reserve)
 }
 
 func TestOriginReserveReplacesLostChunks(t *testing.T) {
@@ -93,7 +99,7 @@
 	r.submit("p", 0, engine)
 	m := lease(t, "u1", 1, 0)
 	r.lease(m)
-	give := &controller.ReturnOrigin{Upstream: "u1", Incarnation: 1, Manifest: m.Manifest, Chunks: m.Chunks}
+	give := &controller.ReturnOrigin{Upstream: "u1", Incarnation: 1, ID: m.ID, Manifest: m.Manifest, Chunks: m.Chunks}
 	require.True(t, r.apply(give).(*controller.MemberAnswer).Changed)
 	require.False(t, r.apply(give).(*controller.MemberAnswer).Changed)
 	require.Zero(t, r.state.OriginUse()[0].Granted)
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -60,6 +60,9 @@
 		c.waiters.finish(e.ID, answer{err: rejection(e)})
 	case replicator.RoleChanged:
 		c.changeRole(e)
+	case replicator.Announced:
+		c.log.Warn(logPrefix+"replica with an empty data folder waits to be admitted",
+			zap.String("Name", e.Name), zap.String("Replica", string(e.Replica)), zap.Stringer("Addr", e.Addr))
 	case replicator.Halted:
 		c.fail(explainer.New(explainer.Internal, e.Detail, "keep the data folder for inspection and replace this replica"))
 	}
@@ -69,6 +72,7 @@
 	c.mu.Lock()
 	c.role = e
 	c.mu.Unlock()
+	c.meters.roleChanges.Inc()
 	if e.Role != replicator.Leader {
 		c.waiters.loseLeadership()
 	}
@@ -92,6 +96,7 @@
 		c.applied = e.Position()
 		c.appliedAt = e.At
 		c.reach(e.Index)
+		c.meters.applied.Inc()
 		c.bytes += identifier.ByteCount(len(e.Data))
 		c.waiters.applied(e, result)
 	}
@@ -114,6 +119,7 @@
 	}
 	c.snapshotAt = c.applied.Index
 	c.bytes = 0
+	c.meters.snapshotsTaken.Inc()
 	c.writer.put(job{snapshot: &recorder.Snapshot{
 		Position:   c.applied,
 		At:         c.appliedAt,
@@ -132,6 +138,7 @@
 	c.appliedAt = s.At
 	c.membership = s.Membership.Clone()
 	c.snapshotAt = s.Position.Index
+	c.meters.snapshotsInstalled.Inc()
 	c.reach(s.Position.Index)
 	c.log.Info(logPrefix+"snapshot installed", zap.Uint64("Index", uint64(s.Position.Index)))
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,9 +58,13 @@
 // ServiceSettings are how the forwarder reads requests of one service.
 type ServiceSettings struct {
 	Service identifier.Service
-	// Repeatable says that a POST without an idempotency key may run more than
-	// once, as with text completions.
-	Repeatable bool
+	// Repeatable reports whether a request without an idempotency key may run more
+	// than once, as text completions may. Nil goes by the method.
+	Repeatable func(method, path string) bool
+	// Allows reports whether the organisation may call the service. Nil allows all.
+	Allows func(identifier.Organisation) bool
+	// Timeout is the deadline of a request that names none. Zero takes the entry's.
+	Timeout time.Duration
 }
 
 // Dependencies are what a forwarder works with.
@@ -85,7 +89,12 @@
 	Outcome      router.Outcome
 	Cause        router.Cause
 	Took         time.Duration
-	FirstByte    time.Duration
+	// FirstByte is from the request to the first part of the body.
+	FirstByte time.Duration
+	// Gaps are the times between the parts that follow.
+	Gaps []time.Duration
+	// Left says that the caller went away before its answer was whole.
+	Left bool
 }
 
 // Forwarder is the entry's shell. It is safe for concurrent use.
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -89,6 +89,8 @@
 		Cause:        answer.Cause,
 		Took:         f.clock.Since(ex.began),
 		FirstByte:    rep.firstByte,
+		Gaps:         rep.gaps,
+		Left:         rep.gone,
 	}
 	if answer.Stored != nil {
 		o.Outcome = answer.Stored.Outcome
@@ -113,6 +115,8 @@
 	gone      bool
 	broken    bool
 	firstByte time.Duration
+	lastPart  time.Time
+	gaps      []time.Duration
 }
 
 // run passes pieces on until the reducer's answer comes.
@@ -164,17 +168,36 @@
 	switch {
 	case part.head != nil:
 		p.head = part.head
-		p.firstByte = p.f.clock.Since(p.ex.began)
 		if !p.buffered {
 			p.start(outcomeOf(part.head.Status))
 		}
 	case len(part.data) == 0:
 		copyTrailer(p.w.Header(), part.trailer)
-	case p.buffered:
-		p.body = append(p.body, part.data...)
-	default:
-		p.passData(part.data)
+		return
+	}
+	if len(part.data) > 0 {
+		p.time()
+		p.passBody(part.data)
+	}
+}
+
+// time notes when a part of the body came, for the service levels.
+func (p *reply) time() {
+	now := p.f.clock.Now()
+	if p.lastPart.IsZero() {
+		p.firstByte = now.Sub(p.ex.began)
+	} else {
+		p.gaps = append(p.gaps, now.Sub(p.lastPart))
 	}
+	p.lastPart = now
+}
+
+func (p *reply) passBody(data []byte) {
+	if p.buffered {
+		p.body = append(p.body, data...)
+		return
+	}
+	p.passData(data)
 }
 
 // passData passes bytes on, but holds back those that complete a declared length
@@ -216,13 +239,12 @@
 }
 
 func (p *reply) end(answer router.Answer) {
-	whole := answer.Outcome == router.Completed || answer.Outcome == router.Failed
 	switch {
 	case p.gone:
 		p.broken = p.started
-	case answer.Stored != nil && answer.Stored.Status > 0:
+	case answer.Stored != nil && isWhole(answer.Stored.Outcome):
 		p.endStored(answer.Stored)
-	case whole && p.head != nil:
+	case isWhole(answer.Outcome) && p.head != nil:
 		p.endWhole(answer.Outcome)
 	case p.started:
 		p.broken = true
@@ -231,6 +253,10 @@
 	}
 }
 
+func isWhole(outcome router.Outcome) bool {
+	return outcome == router.Completed || outcome == router.Failed
+}
+
 func (p *reply) endWhole(outcome router.Outcome) {
 	if p.started {
 		p.write(p.rest)
@@ -243,10 +269,10 @@
 
 // endStored gives the outcome of an earlier request with the same key.
 func (p *reply) endStored(stored *router.StoredAnswer) {
-	if stored.TooLarge {
+	if stored.TooLarge || stored.Status == 0 {
 		writeNotice(p.w, http.StatusConflict, notice{
 			Outcome: stored.Outcome,
-			Message: "the request ran and its answer is too large to be given again (read the result from the service)",
+			Message: "the request ran and its answer is no longer kept (read the result from the service)",
 		}, 0)
 		return
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -25,6 +25,9 @@
 		return
 	}
 	q.attempt.accepted = true
+	if u := r.upstreams[q.attempt.target.Upstream]; u != nil {
+		u.doubtedUntil = time.Time{}
+	}
 	r.progress(q)
 	r.takeLoad(q, e.Load)
 }
@@ -111,6 +114,11 @@
 		r.lose(q, BrokenAnswer)
 		return
 	}
+	if e.Reason == OtherIncarnation && (a.accepted || a.asks > 0) {
+		// An earlier incarnation had it, and this one can't speak for it.
+		r.lose(q, UpstreamLost)
+		return
+	}
 	r.noteRefusal(q, e)
 	q.token = a.token
 	q.refusals++
@@ -119,7 +127,7 @@
 	case e.Reason == Expired && !a.foreign:
 		r.giveUp(q, DeadlineExceeded, r.retryAfterOf(q))
 	case e.Reason == Suspected:
-		r.quarantine.refuse(q.Fingerprint)
+		r.quarantine.refuse(q.Fingerprint, r.now)
 		r.giveUp(q, Quarantined, 0)
 	case q.refusals > maxRefusals:
 		r.giveUp(q, Overloaded, r.retryAfterOf(q))
@@ -140,6 +148,7 @@
 	case Leaving:
 		u.leaving = true
 	case NotReady:
+		u.doubtedUntil = r.now.Add(doubtTime)
 		u.downUntil = r.now.Add(notReadyBackoff)
 	case OtherIncarnation:
 		u.fail(r.now)
@@ -233,7 +242,7 @@
 func (r *Reducer) attemptGone(q *request, reason GoneReason) {
 	switch reason {
 	case UpstreamCrashed:
-		r.quarantine.crashed(q.Fingerprint, q.attempt.alone)
+		r.quarantine.crashed(q.Fingerprint, q.attempt.alone, r.now)
 		r.failUpstream(q)
 	case Restarted, TimedOut:
 		r.failUpstream(q)
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -15,7 +15,10 @@
 	latencyHorizon  = 10 * time.Second
 	minLatency      = time.Millisecond
 	minBackoff      = 500 * time.Millisecond
-	maxBackoff      = 8 * time.Second
+	maxBackoff      = 30 * time.Second
+	maxBackoffSteps = 8
+	// doubtTime is longer than the members list takes to drop a dead upstream.
+	doubtTime       = 15 * time.Second
 	notReadyBackoff = 300 * time.Millisecond
 	maxFullTime     = 500 * time.Millisecond
 )
@@ -41,19 +44,28 @@
 	downUntil time.Time
 	fullUntil time.Time
 	leaving   bool
-	cache     *prefixCache
+	// doubtedUntil is set when the upstream failed and has taken no work since.
+	doubtedUntil time.Time
+	cache        *prefixCache
 }
 
 func newUpstream(view UpstreamView) *upstream {
 	return &upstream{view: view, started: make(map[identifier.RequestID]time.Time), cache: newPrefixCache()}
 }
 
-// usable reports whether the upstream may be given new work.
+// usable reports whether the upstream may be chosen. After a failure it gets one
+// request at a time until it answers.
 func (u *upstream) usable(now time.Time) bool {
+	return u.open(now) && (u.failures == 0 || len(u.started) == 0)
+}
+
+// open reports whether the upstream takes new work, as far as known.
+func (u *upstream) open(now time.Time) bool {
 	return u.view.Ready && !u.view.Leaving && !u.leaving && !now.Before(u.downUntil)
 }
 
-// holds reports whether the upstream has what the service asks for.
+// holds reports whether the upstream has what the service asks for, in any
+// version: the former one serves until the new one is loaded.
 func (u *upstream) holds(p ServicePolicy) bool {
 	v := u.view
 	if v.Service != p.Service {
@@ -62,9 +74,6 @@
 	if p.Model != "" && v.Model != p.Model {
 		return false
 	}
-	if p.Version != "" && v.Version != p.Version {
-		return false
-	}
 	for _, a := range p.Adapters {
 		if !slices.Contains(v.Adapters, a) {
 			return false
@@ -73,6 +82,11 @@
 	return true
 }
 
+// isCurrent reports whether the upstream has the version that the service wants.
+func (u *upstream) isCurrent(p ServicePolicy) bool {
+	return p.Version == "" || u.view.Version == p.Version
+}
+
 // limit returns how many requests the upstream runs at once, as far as known.
 func (u *upstream) limit() int {
 	if u.load.Limit > 0 {
@@ -157,8 +171,9 @@
 
 // fail keeps new work away for a time that doubles with each failure in a row.
 func (u *upstream) fail(now time.Time) {
-	backoff := min(minBackoff<<min(u.failures, 8), maxBackoff)
+	backoff := min(minBackoff<<min(u.failures, maxBackoffSteps), maxBackoff)
 	u.failures++
+	u.doubtedUntil = now.Add(doubtTime)
 	u.downUntil = now.Add(backoff)
 }
 
@@ -172,7 +187,7 @@
 			continue
 		}
 		if u.view.Incarnation == v.Incarnation {
-			u.view = v
+			u.take(v)
 		}
 	}
 	for name := range r.upstreams {
@@ -186,6 +201,25 @@
 	r.dispatchAll()
 }
 
+// take replaces the view. An upstream that became ready again is not doubted.
+func (u *upstream) take(view UpstreamView) {
+	if view.Ready && !u.view.Ready {
+		u.doubtedUntil = time.Time{}
+	}
+	u.view = view
+}
+
+// steady counts the upstreams that have not failed lately, or took work since.
+func steady(usable []*upstream, now time.Time) int {
+	n := 0
+	for _, u := range usable {
+		if !now.Before(u.doubtedUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // usableOf returns the upstreams of the service that may be given new work, by name.
 func (r *Reducer) usableOf(s *service) []*upstream {
 	var list []*upstream
