--- a/fetcher/pull.go
+++ b/fetcher/pull.go
@@ -88,8 +88,9 @@
 		if s.waiting == 0 {
 			s.lastProgress = now
 		}
-		t.begin(now, i, fetch{source: Source{Peer: parent.Upstream}, wait: true})
-		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: parent, Wait: true})
+		source := t.otherAncestor(now, s, i, parent)
+		t.begin(now, i, fetch{source: Source{Peer: source.Upstream}, wait: true})
+		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: source, Wait: true})
 	}
 	return effects
 }
@@ -113,6 +114,10 @@
 			f.exhaust(now, t, i, p)
 			continue
 		}
+		if !f.probes.take(now, f.cfg.ProbeRate, f.cfg.ProbeBurst) {
+			p.next--
+			break
+		}
 		patient := peer.Upstream == p.holder && p.next == 1
 		t.begin(now, i, fetch{source: Source{Peer: peer.Upstream}, patient: patient})
 		effects = append(effects, FetchChunkFromPeer{Manifest: t.want.Manifest, Chunk: i, Peer: peer, Wait: patient})
@@ -134,7 +139,7 @@
 		p.exhausted = true
 	default:
 		p.next = 0
-		p.after = now.Add(f.cfg.ProgressDeadline / 4)
+		p.after = now.Add(f.cfg.ProgressDeadline / 2)
 	}
 }
 
@@ -147,7 +152,7 @@
 	for p.next < len(p.candidates) && p.next < f.cfg.HolderProbes {
 		peer := p.candidates[p.next]
 		p.next++
-		if !t.suspected(now, &t.stripes[n], peer.Upstream) {
+		if peer.Upstream != t.avoid[i] && !t.suspected(now, &t.stripes[n], peer.Upstream) {
 			return peer, true
 		}
 	}
@@ -183,7 +188,8 @@
 	var effects []Effect
 	fresh := t.hold(e.Chunk.Digest())
 	for _, i := range t.manifest.Indices(e.Chunk.Digest()) {
-		if t.end(i, e.Source) {
+		if fetch, ok := t.fetches[i]; ok && fetch.source == e.Source {
+			t.end(i, e.Source)
 			f.progressed(now, t, i)
 			continue
 		}
@@ -192,6 +198,9 @@
 			effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
 		}
 	}
+	if !e.Source.IsOrigin() {
+		t.history(e.Source.Peer).whole++
+	}
 	size := e.Chunk.Size()
 	if e.Source.IsOrigin() {
 		t.counts.fromOrigin += size
@@ -207,6 +216,7 @@
 	s := &t.stripes[t.stripeOf(i)]
 	t.arrivals++
 	s.delays = 0
+	t.relax()
 	s.arrivals = t.arrivals
 	s.lastProgress = now
 	t.lastProgress = now
@@ -234,10 +244,7 @@
 	delay := max(e.RetryAfter, f.cfg.RetryDelay)
 	switch e.Reason {
 	case Corrupt:
-		effects := f.blame(t, e.Source, e.Reason)
-		t.suspects[e.Source.Peer] = suspicion{until: now.Add(corruptSetAside), reason: e.Reason}
-		t.probes[e.Chunk] = &probe{}
-		return append(effects, f.withdraw(t, e.Source)...)
+		return f.corrupt(now, t, e)
 	case Unreachable, Stalled:
 		effects := f.blame(t, e.Source, e.Reason)
 		t.suspects[e.Source.Peer] = suspicion{until: now.Add(f.cfg.SetAside), reason: e.Reason}
@@ -290,6 +297,27 @@
 // maxDelays is how often in a row an ancestor may say that it is alive.
 const maxDelays = 32
 
+// corrupt has the chunk fetched elsewhere. A peer that sends more corrupt chunks
+// than a faulty link would is set aside.
+func (f *Fetcher) corrupt(now time.Time, t *transfer, e ChunkFailed) []Effect {
+	effects := f.blame(t, e.Source, Corrupt)
+	t.avoid[e.Chunk] = e.Source.Peer
+	history := t.history(e.Source.Peer)
+	history.corrupt++
+	if corruptFactor*history.corrupt <= history.whole+corruptAllowance {
+		return effects
+	}
+	t.suspects[e.Source.Peer] = suspicion{until: now.Add(corruptSetAside), reason: Corrupt}
+	return append(effects, f.withdraw(t, e.Source)...)
+}
+
+const (
+	// corruptFactor is how many whole chunks a peer has to send for each corrupt one.
+	corruptFactor = 10
+	// corruptAllowance is how many it is credited from the start.
+	corruptAllowance = 10
+)
+
 // corruptSetAside is how long a peer that sent corrupt bytes gets no request.
 const corruptSetAside = time.Hour
 
@@ -337,30 +365,37 @@
 // checkProgress passes over sources that broke the progress deadline.
 func (f *Fetcher) checkProgress(now time.Time, t *transfer) []Effect {
 	var effects []Effect
+	strained := false
 	for n := range t.stripes {
 		s := &t.stripes[n]
-		if s.waiting == 0 || now.Sub(s.lastProgress) < f.cfg.ProgressDeadline {
+		deadline := t.deadline(f.cfg)
+		if s.waiting == 0 || now.Sub(s.lastProgress) < deadline {
 			continue
 		}
-		idle := now.Sub(t.lastProgress) >= f.cfg.ProgressDeadline
+		idle := now.Sub(t.lastProgress) >= deadline
 		if !idle && t.arrivals-s.arrivals < arrivalsToDeadline*len(t.stripes) {
 			continue
 		}
 		effects = append(effects, f.stalled(now, t, s)...)
 		s.lastProgress = now
+		strained = true
 	}
 	for _, i := range t.fetching() {
 		fetch := t.fetches[i]
-		if fetch.wait || fetch.source.IsOrigin() || now.Sub(fetch.since) < f.cfg.ProgressDeadline {
+		if fetch.wait || fetch.source.IsOrigin() || now.Sub(fetch.since) < t.deadline(f.cfg) {
 			continue
 		}
-		if fetch.patient {
-			t.end(i, fetch.source)
-		} else {
-			effects = append(effects, f.failed(now, t, ChunkFailed{Chunk: i, Source: fetch.source, Reason: Stalled})...)
+		strained = true
+		t.end(i, fetch.source)
+		if !fetch.patient {
+			t.stripes[t.stripeOf(i)].passedOver[fetch.source.Peer] = now.Add(f.cfg.SetAside)
+			effects = append(effects, f.blame(t, fetch.source, Stalled)...)
 		}
 		effects = append(effects, CancelFetch{Manifest: t.want.Manifest, Chunk: i, Source: fetch.source})
 	}
+	if strained {
+		t.strain(now, f.cfg)
+	}
 	return effects
 }
 
