subscriber: move from a lost replica within the seven seconds

A process whose replica was gone waited six seconds of silence and up to three for the next one to answer: more than a change may take to be in force. A replica now shows that it lives every second, is left after three, and the next is tried for one. Paused rollouts no longer give up what they hold, transfers yield by the delay of entries' connections, and origin leases are numbered so that a resend counts once.

--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -8,12 +8,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"celeryvalve/announcer"
+	"celeryvalve/certifier"
 	"celeryvalve/configurer"
 	"celeryvalve/controller"
 	"celeryvalve/fetcher"
@@ -64,6 +66,7 @@
 	// wants and peers are what the transferrer was told last.
 	wants   map[fetcher.Name]wanted
 	peers   map[identifier.Digest][]fetcher.Peer
+	paused  map[identifier.Digest]bool
 	desired loader.Desired
 
 	mu       sync.Mutex
@@ -87,10 +90,17 @@
 		wake:    make(chan struct{}, 1),
 		wants:   make(map[fetcher.Name]wanted),
 		peers:   make(map[identifier.Digest][]fetcher.Peer),
+		paused:  make(map[identifier.Digest]bool),
 		started: make(map[identifier.Digest]time.Time),
 		ready:   make(map[identifier.Digest]time.Time),
 	}
-	lessor := originLessor{upstream: settings.Upstream, incarnation: parts.Incarnation, submitter: parts.Submitter, clock: parts.Clock}
+	lessor := originLessor{
+		upstream:    settings.Upstream,
+		incarnation: parts.Incarnation,
+		submitter:   parts.Submitter,
+		clock:       parts.Clock,
+		requests:    new(atomic.Uint64),
+	}
 	w.transferrer = transferrer.New(transferConfig(parts), parts.Clock, store, transferrer.Connect(parts.Endpoint),
 		lessor, parts.Metrics, parts.Logger, parts.Asserter)
 	w.transferrer.OnEffect = w.onTransfer
@@ -174,6 +184,7 @@
 			w.followLease()
 		case <-ticker.Chan():
 			w.followLease()
+			w.transferrer.Send(w.ctx, fetcher.DelayMeasured{Delay: w.parts.Endpoint.Delay(certifier.Entry)})
 		}
 	}
 }
@@ -201,10 +212,26 @@
 			Favour:   want.favour,
 		})
 	}
+	w.followPause(cfg.Services[w.parts.Settings.Agent.Service].PauseRollout)
 	w.followPeers(cfg)
 	w.followDesired(cfg.Services[w.parts.Settings.Agent.Service], wants)
 }
 
+// followPause stops or continues fetching. What is held goes on being served.
+func (w *weights) followPause(paused bool) {
+	for _, want := range w.wants {
+		if w.paused[want.manifest] == paused {
+			continue
+		}
+		w.paused[want.manifest] = paused
+		if paused {
+			w.transferrer.Send(w.ctx, fetcher.Paused{Manifest: want.manifest})
+		} else {
+			w.transferrer.Send(w.ctx, fetcher.Resumed{Manifest: want.manifest})
+		}
+	}
+}
+
 func (w *weights) begin(manifest identifier.Digest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -217,7 +244,7 @@
 func wantsOf(cfg configurer.Configuration, name identifier.Service) map[fetcher.Name]wanted {
 	wants := make(map[fetcher.Name]wanted)
 	service, ok := cfg.Services[name]
-	if !ok || service.PauseRollout {
+	if !ok {
 		return wants
 	}
 	add := func(n fetcher.Name, version identifier.WeightVersion, release configurer.Release, priority int) {
@@ -378,6 +405,9 @@
 	incarnation identifier.Incarnation
 	submitter   *submitter.Submitter
 	clock       clockwork.Clock
+	// requests numbers the requests of this incarnation, so that control knows a
+	// resent one.
+	requests *atomic.Uint64
 }
 
 // Lease asks for chunks of one copy.
@@ -387,6 +417,7 @@
 	answer, err := submit[*controller.OriginAnswer](ctx, l.submitter, &controller.LeaseOrigin{
 		Upstream:    l.upstream,
 		Incarnation: l.incarnation,
+		ID:          l.requests.Add(1),
 		Manifest:    ask.Manifest,
 		Chunks:      controller.Chunks{First: int(ask.Chunks.First), Count: ask.Chunks.Count},
 		Copy:        ask.Copy,
--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -70,6 +70,7 @@
 	handlers map[encoder.Kind]Handler
 	links    map[netip.AddrPort]*link
 	outboxes map[netip.AddrPort]chan any
+	accepted map[*quic.Conn]Peer
 	traffic  traffic
 }
 
@@ -87,6 +88,7 @@
 		handlers: make(map[encoder.Kind]Handler),
 		links:    make(map[netip.AddrPort]*link),
 		outboxes: make(map[netip.AddrPort]chan any),
+		accepted: make(map[*quic.Conn]Peer),
 	}
 }
 
@@ -170,6 +172,14 @@
 
 func (e *Endpoint) serveConnection(conn *quic.Conn) {
 	peer := peerOf(conn)
+	e.mu.Lock()
+	e.accepted[conn] = peer
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.accepted, conn)
+	}()
 	for {
 		raw, err := conn.AcceptStream(e.ctx)
 		if err != nil {
@@ -206,6 +216,23 @@
 	h(ctx, s, first)
 }
 
+// Delay returns the longest time that packets now spend in queues on the way to
+// and from peers of the role that dialled this process: the smoothed round trip
+// less the shortest one seen.
+func (e *Endpoint) Delay(role certifier.Role) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var longest time.Duration
+	for conn, peer := range e.accepted {
+		if !peer.Has(role) {
+			continue
+		}
+		stats := conn.ConnectionStats()
+		longest = max(longest, stats.SmoothedRTT-stats.MinRTT)
+	}
+	return longest
+}
+
 // Peer is the other end of a connection, as its certificate names it.
 type Peer struct {
 	Name    string
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -19,9 +19,11 @@
 const (
 	reportInterval = time.Second
 	// UpdateInterval is the longest time between two updates of a live replica.
-	UpdateInterval = 2 * time.Second
+	UpdateInterval = time.Second
+	// silenceTimeout and dialTimeout leave time for two replicas in a row that are
+	// gone before a change must be in force.
 	silenceTimeout = 3 * UpdateInterval
-	dialTimeout    = 3 * time.Second
+	dialTimeout    = time.Second
 	retryPause     = 250 * time.Millisecond
 	// reportsRemembered bounds the reports whose renewal is awaited.
 	reportsRemembered = 64
