--- a/assembler/control.go
+++ b/assembler/control.go
@@ -161,8 +161,8 @@
 }
 
 func newPublisher(state *controller.State, e *connector.Endpoint, c *coordinator.Coordinator, clock clockwork.Clock,
-	logger *zap.Logger) *publisher.Publisher {
-	return publisher.New(appliedState{state}, e, c, clock, logger)
+	set *metrics.Set, logger *zap.Logger) *publisher.Publisher {
+	return publisher.New(appliedState{state}, e, c, clock, set, logger)
 }
 
 func newAdministrator(settings parser.Settings, source *certifier.Source, state *controller.State,
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -21,9 +22,15 @@
 	// CoalesceTime is how long changes are gathered into one update.
 	CoalesceTime  = 200 * time.Millisecond
 	renewInterval = time.Second
+	// inForceWindow is the time over which the metric of spread is summed up.
+	inForceWindow = 5 * time.Minute
 	renewTimeout  = 2 * time.Second
 )
 
+// inForceQuantiles are those of the time from an applied version until a
+// subscriber reports it.
+var inForceQuantiles = []float64{0.5, 0.95, 0.99, 1}
+
 // State is the applied state of the replica.
 type State interface {
 	Configuration() configurer.Configuration
@@ -54,14 +61,19 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
+	inForce *metrics.Summary
+
 	mu            sync.Mutex
 	changed       chan struct{}
+	version       identifier.ConfigurationVersion
+	versionSince  time.Time
 	subscriptions map[*subscription]bool
 }
 
 // New returns a publisher that is not started.
-func New(state State, caller Caller, leader Leader, clock clockwork.Clock, logger *zap.Logger) *Publisher {
+func New(state State, caller Caller, leader Leader, clock clockwork.Clock, set *metrics.Set, logger *zap.Logger) *Publisher {
 	return &Publisher{
+		inForce:       set.NewSummaryExt("celeryvalve_configuration_in_force_seconds", inForceWindow, inForceQuantiles),
 		state:         state,
 		caller:        caller,
 		leader:        leader,
@@ -93,8 +105,13 @@
 
 // Notify says that the applied state changed.
 func (p *Publisher) Notify() {
+	version := p.state.Configuration().Version
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if version > p.version {
+		p.version = version
+		p.versionSince = p.clock.Now()
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -197,6 +214,9 @@
 			return
 		}
 		p.mu.Lock()
+		if report.Version == p.version && sub.report.Version < p.version && sub.since.Before(p.versionSince) {
+			p.inForce.Update(p.clock.Since(p.versionSince).Seconds())
+		}
 		sub.report = *report
 		sub.reportedAt = p.clock.Now()
 		if report.Transfers != nil {
