repeater: run periodic work in one place

Three shells held the same loop over a ticker, and two views the same call of many processes at once; assembler/weights.go is split by what it holds.

--- a/administrator/reads.go
+++ b/administrator/reads.go
@@ -13,7 +13,7 @@
 
 func (s *Server) version(ctx context.Context, _ identifier.Operator, _ *http.Request) (any, error) {
 	current := s.deps.State.Configuration().Version
-	subscribers, unheard := s.gather(ctx)
+	subscribers, unheard := s.subscribers(ctx)
 	answer := VersionView{
 		Version:   current,
 		Processes: make(map[identifier.ConfigurationVersion]int),
@@ -31,39 +31,18 @@
 	return answer, nil
 }
 
-// gather returns the subscribers of every replica, and the replicas that did not
-// answer.
-func (s *Server) gather(ctx context.Context) ([]publisher.Subscriber, []string) {
-	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
-	defer cancel()
-	members := s.deps.Replica.Status().Members
-	type share struct {
-		name        string
-		subscribers []publisher.Subscriber
-		ok          bool
-	}
-	shares := make(chan share, len(members))
-	for _, m := range members {
-		go func() {
-			msg, err := s.deps.Caller.Call(ctx, m.Addr, &StatusRequest{})
-			answer, ok := msg.(*StatusAnswer)
-			if err != nil || !ok {
-				shares <- share{name: m.Name}
-				return
-			}
-			shares <- share{name: m.Name, subscribers: answer.Subscribers, ok: true}
-		}()
-	}
+// subscribers returns the subscribers of every replica, and the replicas that did
+// not answer.
+func (s *Server) subscribers(ctx context.Context) ([]publisher.Subscriber, []string) {
+	var replicas []source
+	for _, m := range s.deps.Replica.Status().Members {
+		replicas = append(replicas, source{name: m.Name, addr: m.Addr})
+	}
+	answers, unheard := gather[*StatusAnswer](ctx, s.deps.Caller, replicas, &StatusRequest{})
 	var all []publisher.Subscriber
-	var unheard []string
-	for range members {
-		got := <-shares
-		if !got.ok {
-			unheard = append(unheard, got.name)
-		}
-		all = append(all, got.subscribers...)
+	for _, answer := range answers {
+		all = append(all, answer.Subscribers...)
 	}
-	slices.Sort(unheard)
 	return all, unheard
 }
 
@@ -137,7 +116,7 @@
 }
 
 func (s *Server) transfers(ctx context.Context, _ identifier.Operator, _ *http.Request) (any, error) {
-	subscribers, unheard := s.gather(ctx)
+	subscribers, unheard := s.subscribers(ctx)
 	answer := TransfersView{Origin: s.deps.State.OriginUse(), Unheard: unheard}
 	for _, sub := range subscribers {
 		for _, transfer := range sub.Transfers {
--- a/administrator/report.go
+++ b/administrator/report.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
-	"slices"
 	"time"
 
 	"celeryvalve/identifier"
@@ -19,7 +17,7 @@
 
 // report gathers the histories of all entries and the state of the rollouts.
 func (s *Server) report(ctx context.Context, _ identifier.Operator, _ *http.Request) (any, error) {
-	subscribers, unheard := s.gather(ctx)
+	subscribers, unheard := s.subscribers(ctx)
 	snapshots, silent := s.histories(ctx, subscribers)
 	snapshots = append(snapshots, reporter.Snapshot{
 		Source:   reportSource,
@@ -35,42 +33,20 @@
 
 // histories reads what every entry counted.
 func (s *Server) histories(ctx context.Context, subscribers []publisher.Subscriber) ([]reporter.Snapshot, []string) {
-	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
-	defer cancel()
-	entries := slices.DeleteFunc(slices.Clone(subscribers), func(sub publisher.Subscriber) bool { return !sub.Entry })
-	type history struct {
-		process   string
-		snapshots []reporter.Snapshot
-		ok        bool
-	}
-	found := make(chan history, len(entries))
-	for _, entry := range entries {
-		go func() {
-			snapshots, ok := s.historyOf(ctx, entry.Address)
-			found <- history{entry.Process, snapshots, ok}
-		}()
+	var entries []source
+	for _, sub := range subscribers {
+		if sub.Entry {
+			entries = append(entries, source{name: sub.Process, addr: sub.Address})
+		}
 	}
+	answers, silent := gather[*sampler.HistoryAnswer](ctx, s.deps.Caller, entries, &sampler.HistoryRequest{})
 	var all []reporter.Snapshot
-	var silent []string
-	for range entries {
-		h := <-found
-		if !h.ok {
-			silent = append(silent, h.process)
-		}
-		all = append(all, h.snapshots...)
+	for _, answer := range answers {
+		all = append(all, answer.Snapshots...)
 	}
 	return all, silent
 }
 
-func (s *Server) historyOf(ctx context.Context, addr netip.AddrPort) ([]reporter.Snapshot, bool) {
-	msg, err := s.deps.Caller.Call(ctx, addr, &sampler.HistoryRequest{})
-	answer, ok := msg.(*sampler.HistoryAnswer)
-	if err != nil || !ok {
-		return nil, false
-	}
-	return answer.Snapshots, true
-}
-
 // rollouts sums up the transfers of the declared versions by service.
 func (s *Server) rollouts(subscribers []publisher.Subscriber) []reporter.Rollout {
 	cfg := s.deps.State.Configuration()
--- a/assembler/keeper.go
+++ b/assembler/keeper.go
@@ -13,6 +13,7 @@
 	"celeryvalve/controller"
 	"celeryvalve/coordinator"
 	"celeryvalve/publisher"
+	"celeryvalve/repeater"
 )
 
 const (
@@ -27,8 +28,8 @@
 	clock       clockwork.Clock
 	logger      *zap.Logger
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	repeat  *repeater.Repeater
+	expires sync.WaitGroup
 
 	mu      sync.Mutex
 	reducer *controller.Keeper
@@ -38,37 +39,24 @@
 }
 
 func newKeeper(state *controller.State, c *coordinator.Coordinator, clock clockwork.Clock, logger *zap.Logger) *keeper {
-	return &keeper{
+	k := &keeper{
 		state:       state,
 		coordinator: c,
 		clock:       clock,
 		logger:      logger.Named("keeper"),
 		reducer:     controller.NewKeeper(),
 	}
+	k.repeat = repeater.New(clock, keeperInterval, k.tick)
+	return k
 }
 
 func (k *keeper) start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	k.cancel = cancel
-	k.done.Go(func() { k.run(ctx) })
+	k.repeat.Start()
 }
 
 func (k *keeper) stop() {
-	k.cancel()
-	k.done.Wait()
-}
-
-func (k *keeper) run(ctx context.Context) {
-	ticker := k.clock.NewTicker(keeperInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			k.tick(ctx)
-		}
-	}
+	k.repeat.Stop()
+	k.expires.Wait()
 }
 
 // tick follows the leadership and the members, then ends the leases that ran out.
@@ -80,7 +68,7 @@
 	k.mu.Unlock()
 	for _, effect := range effects {
 		if propose, ok := effect.(controller.Propose); ok {
-			k.done.Go(func() { k.propose(ctx, propose.Command) })
+			k.expires.Go(func() { k.propose(ctx, propose.Command) })
 		}
 	}
 }
--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -6,23 +6,19 @@
 	"maps"
 	"reflect"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"celeryvalve/announcer"
 	"celeryvalve/certifier"
 	"celeryvalve/configurer"
-	"celeryvalve/controller"
 	"celeryvalve/fetcher"
 	"celeryvalve/identifier"
 	"celeryvalve/loader"
 	"celeryvalve/parser"
-	"celeryvalve/submitter"
 	"celeryvalve/subscriber"
 	"celeryvalve/transferrer"
 )
@@ -37,20 +33,8 @@
 	// progressRepeat is how often unchanged progress is reported again, since a
 	// subscription may have moved to a replica that does not know it.
 	progressRepeat = 10 * time.Second
-	// adapterPriority puts small adapters before models of the same service.
-	adapterPriority = 1
 )
 
-// wanted is one manifest that the configuration asks of this upstream.
-type wanted struct {
-	name     fetcher.Name
-	version  identifier.WeightVersion
-	manifest identifier.Digest
-	source   string
-	priority fetcher.Priority
-	favour   fetcher.Favour
-}
-
 // weights ties the transfer of weights and the orders to the upstream to what
 // the configuration, the members and the lease say.
 type weights struct {
@@ -240,34 +224,6 @@
 	}
 }
 
-// wantsOf returns the manifests that the service's upstreams serve, by name.
-func wantsOf(cfg configurer.Configuration, name identifier.Service) map[fetcher.Name]wanted {
-	wants := make(map[fetcher.Name]wanted)
-	service, ok := cfg.Services[name]
-	if !ok {
-		return wants
-	}
-	add := func(n fetcher.Name, version identifier.WeightVersion, release configurer.Release, priority int) {
-		wants[n] = wanted{
-			name:     n,
-			version:  version,
-			manifest: release.Manifest,
-			source:   strings.TrimSuffix(cfg.Transfers.OriginAddress, "/") + release.Source,
-			priority: fetcher.Priority(priority),
-			favour:   fetcher.Favour(cfg.FavourOf(name)),
-		}
-	}
-	if release, ok := cfg.Models[service.Model].Versions[service.Version]; ok {
-		add(fetcher.Name{Model: service.Model}, service.Version, release, service.Priority)
-	}
-	for adapter, version := range service.Adapters {
-		if release, ok := cfg.Adapters[adapter].Versions[version]; ok {
-			add(fetcher.Name{Model: service.Model, Adapter: adapter}, version, release, service.Priority+adapterPriority)
-		}
-	}
-	return wants
-}
-
 // followPeers tells the transferrer who wants each manifest.
 func (w *weights) followPeers(cfg configurer.Configuration) {
 	members, _ := w.parts.Book.Members()
@@ -344,94 +300,3 @@
 		Adapters: serving.State.Adapters,
 	})
 }
-
-func (w *weights) markReady(state loader.State) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	now := w.parts.Clock.Now()
-	for _, p := range w.transferrer.Snapshot() {
-		serves := state.Ready && state.Model == p.Name.Model && state.Version == p.WeightVersion
-		if p.Name.Adapter != "" {
-			serves = state.Adapters[p.Name.Adapter] == p.WeightVersion
-		}
-		if _, known := w.ready[p.Manifest]; serves && !known {
-			w.ready[p.Manifest] = now
-		}
-	}
-}
-
-// progress returns the transfers for a report, or nil where nothing changed.
-func (w *weights) progress() []subscriber.Transfer {
-	snapshot := w.transferrer.Snapshot()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	transfers := make([]subscriber.Transfer, 0, len(snapshot))
-	for _, p := range snapshot {
-		transfers = append(transfers, w.transferOf(p))
-	}
-	now := w.parts.Clock.Now()
-	if reflect.DeepEqual(transfers, w.reported) && now.Sub(w.at) < progressRepeat {
-		return nil
-	}
-	w.reported, w.at = transfers, now
-	return transfers
-}
-
-func (w *weights) transferOf(p fetcher.Progress) subscriber.Transfer {
-	transfer := subscriber.Transfer{
-		Manifest:   p.Manifest,
-		Model:      p.Name.Model,
-		Adapter:    p.Name.Adapter,
-		Version:    p.WeightVersion,
-		Chunks:     p.Chunks,
-		ChunksHeld: p.ChunksHeld,
-		Size:       p.Size,
-		SizeHeld:   p.SizeHeld,
-		FromOrigin: p.FromOrigin,
-		FromPeers:  p.FromPeers,
-		Started:    w.started[p.Manifest],
-		Ready:      w.ready[p.Manifest],
-		Problem:    p.Problem,
-	}
-	for _, blame := range p.Blamed {
-		transfer.Blamed = append(transfer.Blamed, blame.Source.Peer)
-	}
-	return transfer
-}
-
-// originLessor asks control for the right to read from the origin.
-type originLessor struct {
-	upstream    identifier.Upstream
-	incarnation identifier.Incarnation
-	submitter   *submitter.Submitter
-	clock       clockwork.Clock
-	// requests numbers the requests of this incarnation, so that control knows a
-	// resent one.
-	requests *atomic.Uint64
-}
-
-// Lease asks for chunks of one copy.
-func (l originLessor) Lease(ctx context.Context, ask fetcher.AskOriginLease) (fetcher.OriginLeaseAnswered, error) {
-	sent := l.clock.Now()
-	answered := fetcher.OriginLeaseAnswered{Manifest: ask.Manifest, Chunks: ask.Chunks, Copy: ask.Copy}
-	answer, err := submit[*controller.OriginAnswer](ctx, l.submitter, &controller.LeaseOrigin{
-		Upstream:    l.upstream,
-		Incarnation: l.incarnation,
-		ID:          l.requests.Add(1),
-		Manifest:    ask.Manifest,
-		Chunks:      controller.Chunks{First: int(ask.Chunks.First), Count: ask.Chunks.Count},
-		Copy:        ask.Copy,
-		Size:        ask.Size,
-		TotalSize:   ask.TotalSize,
-		Again:       ask.Again,
-	})
-	if err != nil {
-		return answered, err
-	}
-	answered.Granted = answer.Status == controller.OriginGranted
-	answered.Held = answer.Status == controller.OriginHeld
-	answered.Holder = answer.Holder
-	answered.RetryAfter = answer.RetryAfter
-	answered.Expires = sent.Add(answer.LeaseDuration)
-	return answered, nil
-}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -15,6 +15,7 @@
 	"celeryvalve/configurer"
 	"celeryvalve/connector"
 	"celeryvalve/identifier"
+	"celeryvalve/repeater"
 	"celeryvalve/subscriber"
 )
 
@@ -58,8 +59,7 @@
 	clock  clockwork.Clock
 	logger *zap.Logger
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	renewals *repeater.Repeater
 
 	inForce *metrics.Summary
 
@@ -72,7 +72,7 @@
 
 // New returns a publisher that is not started.
 func New(state State, caller Caller, leader Leader, clock clockwork.Clock, set *metrics.Set, logger *zap.Logger) *Publisher {
-	return &Publisher{
+	p := &Publisher{
 		inForce:       set.NewSummaryExt("celeryvalve_configuration_in_force_seconds", inForceWindow, inForceQuantiles),
 		state:         state,
 		caller:        caller,
@@ -82,25 +82,18 @@
 		changed:       make(chan struct{}),
 		subscriptions: make(map[*subscription]bool),
 	}
+	p.renewals = repeater.New(clock, renewInterval, p.renew)
+	return p
 }
 
 // Start begins to renew leases.
 func (p *Publisher) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	p.done.Add(1)
-	go func() {
-		defer p.done.Done()
-		p.renewAll(ctx)
-	}()
+	p.renewals.Start()
 }
 
 // Stop ends the renewals.
 func (p *Publisher) Stop() {
-	if p.cancel != nil {
-		p.cancel()
-	}
-	p.done.Wait()
+	p.renewals.Stop()
 }
 
 // Notify says that the applied state changed.
@@ -229,19 +222,6 @@
 	}
 }
 
-func (p *Publisher) renewAll(ctx context.Context) {
-	ticker := p.clock.NewTicker(renewInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			p.renew(ctx)
-		}
-	}
-}
-
 // renew brings the pending renewals to the leader. They stay pending when it
 // can't be reached.
 func (p *Publisher) renew(ctx context.Context) {
--- /dev/null
+++ b/repeater/repeater_test.go
@@ -0,0 +1,31 @@
+package repeater_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"celeryvalve/repeater"
+)
+
+func TestRunsAtIntervalsUntilStopped(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	runs := make(chan context.Context)
+	r := repeater.New(clock, time.Second, func(ctx context.Context) { runs <- ctx })
+	r.Start()
+	for range 3 {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(time.Second)
+		require.NoError(t, (<-runs).Err())
+	}
+	r.Stop()
+	clock.Advance(time.Second)
+	require.Empty(t, runs)
+}
+
+func TestStopBeforeStart(t *testing.T) {
+	repeater.New(clockwork.NewFakeClock(), time.Second, func(context.Context) {}).Stop()
+}
--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -9,6 +9,7 @@
 
 	"celeryvalve/connector"
 	"celeryvalve/encoder"
+	"celeryvalve/repeater"
 	"celeryvalve/reporter"
 )
 
@@ -39,8 +40,7 @@
 	tally   *reporter.Tally
 	clock   clockwork.Clock
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	repeat *repeater.Repeater
 
 	mu      sync.Mutex
 	history reporter.History
@@ -48,34 +48,20 @@
 
 // New returns a sampler of the tally that is not started.
 func New(process string, tally *reporter.Tally, clock clockwork.Clock) *Sampler {
-	return &Sampler{process: process, tally: tally, clock: clock}
+	s := &Sampler{process: process, tally: tally, clock: clock}
+	s.repeat = repeater.New(clock, sampleInterval, func(context.Context) { s.keep() })
+	return s
 }
 
 // Start begins to take a snapshot at every interval.
 func (s *Sampler) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
 	s.keep()
-	s.done.Go(func() { s.run(ctx) })
+	s.repeat.Start()
 }
 
 // Stop ends it.
 func (s *Sampler) Stop() {
-	s.cancel()
-	s.done.Wait()
-}
-
-func (s *Sampler) run(ctx context.Context) {
-	ticker := s.clock.NewTicker(sampleInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			s.keep()
-		}
-	}
+	s.repeat.Stop()
 }
 
 func (s *Sampler) keep() {
