assembler: resend a lease request under its first number

A request whose answer was lost came again under a new number; control then saw another request, answered that the chunks are held, and the agent waited for itself until the lease ended or asked for them from the reserve.

--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -7,7 +7,6 @@
 	"reflect"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -78,15 +77,8 @@
 		started: make(map[identifier.Digest]time.Time),
 		ready:   make(map[identifier.Digest]time.Time),
 	}
-	lessor := originLessor{
-		upstream:    settings.Upstream,
-		incarnation: parts.Incarnation,
-		submitter:   parts.Submitter,
-		clock:       parts.Clock,
-		requests:    new(atomic.Uint64),
-	}
 	w.transferrer = transferrer.New(transferConfig(parts), parts.Clock, store, transferrer.Connect(parts.Endpoint),
-		lessor, parts.Metrics, parts.Logger, parts.Asserter)
+		newOriginLessor(parts), parts.Metrics, parts.Logger, parts.Asserter)
 	w.transferrer.OnEffect = w.onTransfer
 	files := loader.NewFiles(fmt.Sprintf("http://%s", parts.Settings.Admin), store.Open)
 	parts.Exposer.Mount(loader.FilesPath, files)
