transferrer: say that a chunk waits for the budgets

A chunk held back by a thin link's budget looked like a stalled sender: it was asked of others, and the link filled with copies of it. The network of the tests now holds chunks back likewise, in place of a queue that carried what nobody wanted any more.

--- a/fetcher/network_test.go
+++ b/fetcher/network_test.go
@@ -159,7 +159,8 @@
 	server    *node
 	id        fetcher.RequestID
 	cancelled bool
-	sending   bool // the link carries it to the end, wanted or not
+	reported  time.Duration // when the sender last said that it waits
+	sending   bool          // the link carries it to the end, wanted or not
 }
 
 func newNetwork(t require.TestingT, seed int64, cfg fetcher.Config, versions ...*version) *network {
@@ -429,7 +430,10 @@
 }
 
 func (nd *node) delay(e fetcher.DelayChunk) {
-	p := nd.served[e.Request]
+	nd.reportDelay(nd.served[e.Request])
+}
+
+func (nd *node) reportDelay(p *pending) {
 	p.child.control += answerBytes
 	nd.net.after(nd.net.latency(), func() {
 		if !nd.frozen && !p.child.frozen && p.child.pending[p.key] == p {
@@ -451,14 +455,38 @@
 	if nd.frozen || p.child.frozen {
 		return
 	}
-	if a, b := nd.peer.Region, p.child.peer.Region; a != b {
-		link := n.thin[[2]identifier.Region{a, b}]
-		if link == nil {
-			link = &pipe{rate: n.thinRate}
-			n.thin[[2]identifier.Region{a, b}] = link
+	if nd.peer.Region != p.child.peer.Region {
+		n.after(sent-n.now, func() { nd.cross(p, data) })
+		return
+	}
+	nd.deliver(p, data, start, sent)
+}
+
+// cross sends a chunk over a thin link. The sender holds it back while the link
+// is full, says so, and drops it when it is no longer wanted.
+func (nd *node) cross(p *pending, data []byte) {
+	n := nd.net
+	link := n.thin[[2]identifier.Region{nd.peer.Region, p.child.peer.Region}]
+	if link == nil {
+		link = &pipe{rate: n.thinRate}
+		n.thin[[2]identifier.Region{nd.peer.Region, p.child.peer.Region}] = link
+	}
+	switch {
+	case p.cancelled || !nd.alive:
+	case link.free > n.now:
+		if n.now-p.reported >= n.cfg.ProgressDeadline/4 {
+			p.reported = n.now
+			nd.reportDelay(p)
 		}
-		sent = max(sent, link.carry(start, len(data)))
+		n.after(link.free-n.now+time.Duration(n.rand.Int63n(int64(time.Millisecond))), func() { nd.cross(p, data) })
+	default:
+		nd.deliver(p, data, n.now, link.carry(n.now, len(data)))
 	}
+}
+
+// deliver brings a chunk that left the sender between start and sent.
+func (nd *node) deliver(p *pending, data []byte, start, sent time.Duration) {
+	n := nd.net
 	if nd.corrupts || n.rand.Float64() < n.corruptPart {
 		data = append([]byte{data[0] + 1}, data[1:]...)
 	}
--- a/transferrer/peer.go
+++ b/transferrer/peer.go
@@ -146,12 +146,7 @@
 		_ = s.Send(&fetcher.ChunkAnswer{Refused: fetcher.NotHeld})
 		return
 	}
-	if t.crosses(request.Upstream) {
-		err = t.thin.wait(ctx, len(data))
-	}
-	if err == nil {
-		err = t.upload.wait(ctx, len(data))
-	}
+	err = t.waitToSend(ctx, s, request.Upstream, len(data))
 	if err == nil {
 		err = s.Send(&fetcher.ChunkAnswer{Data: data})
 	}
@@ -160,6 +155,36 @@
 	}
 }
 
+// waitToSend waits for the budgets. It tells the peer that the chunk is coming.
+func (t *Transferrer) waitToSend(ctx context.Context, s Stream, peer identifier.Upstream, n int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		if t.crosses(peer) {
+			if err := t.thin.wait(ctx, n); err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- t.upload.wait(ctx, n)
+	}()
+	ticker := t.clock.NewTicker(t.cfg.Fetcher.ProgressDeadline / delayReports)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.Chan():
+			_ = s.Send(&fetcher.ChunkAnswer{Delayed: true})
+		}
+	}
+}
+
+// delayReports is how often a deadline passes a report while a chunk waits for
+// the budgets.
+const delayReports = 4
+
 func (t *Transferrer) register(s Stream) (fetcher.RequestID, <-chan reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
