--- a/administrator/report.go
+++ b/administrator/report.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
-	"slices"
 	"time"
 
 	"celeryvalve/identifier"
@@ -14,60 +12,39 @@
 	"celeryvalve/subscriber"
 )
 
+// reportSource names the snapshots that control itself adds.
+const reportSource = "Control"
+
 // report gathers the histories of all entries and the state of the rollouts.
 func (s *Server) report(ctx context.Context, _ identifier.Operator, _ *http.Request) (any, error) {
-	subscribers, unheard := s.gather(ctx)
-	histories, silent := s.histories(ctx, subscribers)
-	cfg := s.deps.State.Configuration()
-	now := s.deps.Clock.Now()
-	snapshots := sampler.Merge(histories, now)
-	if len(snapshots) == 0 {
-		snapshots = []reporter.Snapshot{{Time: now}}
-	}
-	snapshots[len(snapshots)-1].Rollouts = s.rollouts(subscribers)
+	subscribers, unheard := s.subscribers(ctx)
+	snapshots, silent := s.histories(ctx, subscribers)
+	snapshots = append(snapshots, reporter.Snapshot{
+		Source:   reportSource,
+		Time:     s.deps.Clock.Now(),
+		Rollouts: s.rollouts(subscribers),
+	})
 	return ReportView{
-		Objectives: reporter.FromConfiguration(cfg),
+		Objectives: reporter.FromConfiguration(s.deps.State.Configuration()),
 		Snapshots:  snapshots,
 		Unheard:    append(unheard, silent...),
 	}, nil
 }
 
 // histories reads what every entry counted.
-func (s *Server) histories(ctx context.Context, subscribers []publisher.Subscriber) ([][]sampler.Interval, []string) {
-	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
-	defer cancel()
-	entries := slices.DeleteFunc(slices.Clone(subscribers), func(sub publisher.Subscriber) bool { return !sub.Entry })
-	type history struct {
-		process   string
-		intervals []sampler.Interval
-		ok        bool
-	}
-	found := make(chan history, len(entries))
-	for _, entry := range entries {
-		go func() {
-			intervals, ok := s.historyOf(ctx, entry.Address)
-			found <- history{entry.Process, intervals, ok}
-		}()
-	}
-	var all [][]sampler.Interval
-	var silent []string
-	for range entries {
-		h := <-found
-		if !h.ok {
-			silent = append(silent, h.process)
+func (s *Server) histories(ctx context.Context, subscribers []publisher.Subscriber) ([]reporter.Snapshot, []string) {
+	var entries []source
+	for _, sub := range subscribers {
+		if sub.Entry {
+			entries = append(entries, source{name: sub.Process, addr: sub.Address})
 		}
-		all = append(all, h.intervals)
 	}
-	return all, silent
-}
-
-func (s *Server) historyOf(ctx context.Context, addr netip.AddrPort) ([]sampler.Interval, bool) {
-	msg, err := s.deps.Caller.Call(ctx, addr, &sampler.SamplesRequest{})
-	answer, ok := msg.(*sampler.SamplesAnswer)
-	if err != nil || !ok {
-		return nil, false
+	answers, silent := gather[*sampler.HistoryAnswer](ctx, s.deps.Caller, entries, &sampler.HistoryRequest{})
+	var all []reporter.Snapshot
+	for _, answer := range answers {
+		all = append(all, answer.Snapshots...)
 	}
-	return answer.Intervals, true
+	return all, silent
 }
 
 // rollouts sums up the transfers of the declared versions by service.
--- a/executor/failure_test.go
+++ b/executor/failure_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -136,6 +137,19 @@
 func TestRequestsThatBreakTheBounds(t *testing.T) {
 	b := newBench(t)
 	b.add("u1", func(w http.ResponseWriter, r *http.Request) { panic("must not run") })
+	pipe, hold := io.Pipe()
+	go b.send(t.Context(), http.MethodPost, "/slots", pipe)
+	_, err := hold.Write([]byte("x"))
+	require.NoError(t, err)
+	var crowded answer
+	require.Eventually(t, func() bool {
+		crowded = b.send(t.Context(), http.MethodPost, "/slots", io.MultiReader(strings.NewReader("x")), "Celeryvalve-Deadline", "1ms")
+		return crowded.status == http.StatusServiceUnavailable && crowded.header.Get("Celeryvalve-Request") == ""
+	}, waitTime, pollTime)
+	require.NoError(t, hold.CloseWithError(io.ErrUnexpectedEOF))
+	require.Eventually(t, func() bool {
+		return b.send(t.Context(), http.MethodPut, "/slots", nil, "Celeryvalve-Deadline", "soon").status == http.StatusBadRequest
+	}, waitTime, pollTime)
 	large := b.send(t.Context(), http.MethodPost, "/slots", strings.NewReader(strings.Repeat("x", 1<<20+1)))
 	require.Equal(t, http.StatusRequestEntityTooLarge, large.status)
 	chunked := b.send(t.Context(), http.MethodPost, "/slots", io.MultiReader(strings.NewReader(strings.Repeat("x", 1<<20+1))))
@@ -144,7 +158,7 @@
 	require.Equal(t, http.StatusBadRequest, malformed.status)
 	denied := b.send(t.Context(), http.MethodGet, "/x", nil, "Authorization", "Bearer wrong")
 	require.Equal(t, http.StatusUnauthorized, denied.status)
-	for _, got := range []answer{large, chunked, malformed, denied} {
+	for _, got := range []answer{crowded, large, chunked, malformed, denied} {
 		require.Equal(t, router.NotRun, got.outcome)
 	}
 }
@@ -220,3 +234,90 @@
 	}
 	require.Equal(t, int32(1), runs.Load())
 }
+
+// restartable is an upstream on a fixed address whose process can end and come back.
+type restartable struct {
+	b    *bench
+	addr string
+	srv  atomic.Pointer[http.Server]
+}
+
+func (u *restartable) start(h http.HandlerFunc) {
+	listener, err := net.Listen("tcp", u.addr)
+	require.NoError(u.b.t, err)
+	srv := &http.Server{Handler: h}
+	u.srv.Store(srv)
+	go func() { _ = srv.Serve(listener) }()
+}
+
+func TestRequestThatKillsSparesTheLastUpstream(t *testing.T) {
+	b := newBench(t)
+	var crashes atomic.Int32
+	upstreams := make(map[identifier.Upstream]*restartable)
+	handlerOf := func(name identifier.Upstream) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/poison" {
+				crashes.Add(1)
+				_ = upstreams[name].srv.Load().Close()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "ok")
+		}
+	}
+	for _, name := range []identifier.Upstream{"u1", "u2"} {
+		srv := b.add(name, handlerOf(name))
+		upstreams[name] = &restartable{b: b, addr: srv.Listener.Addr().String()}
+		upstreams[name].srv.Store(srv.Config)
+	}
+	readies := func() (list []identifier.Upstream) {
+		for name, x := range b.agents {
+			if x.Ready() {
+				list = append(list, name)
+			}
+		}
+		return list
+	}
+	first := b.send(t.Context(), http.MethodGet, "/poison", nil)
+	require.Equal(t, router.Unknown, first.outcome)
+	again := b.send(t.Context(), http.MethodGet, "/poison", nil)
+	require.Equal(t, router.NotRun, again.outcome, "it is held back while one upstream is left")
+	require.Equal(t, int32(1), crashes.Load())
+	require.Equal(t, "ok", b.send(t.Context(), http.MethodGet, "/x", nil).body)
+
+	for name, u := range upstreams {
+		if !b.agents[name].Ready() {
+			u.start(handlerOf(name))
+		}
+	}
+	require.Eventually(t, func() bool { return len(readies()) == 2 }, waitTime, pollTime)
+	down := slices.Clone(b.views)
+	down[0].Ready, down[1].Ready = false, false
+	b.entry.ChangeUpstreams(down)
+	b.entry.ChangeUpstreams(b.views)
+	var last answer
+	require.Eventually(t, func() bool {
+		last = b.send(t.Context(), http.MethodGet, "/poison", nil)
+		return last.header.Get("Celeryvalve-Cause") == string(router.Quarantined)
+	}, waitTime, pollTime)
+	require.Equal(t, int32(2), crashes.Load(), "it ran alone once more and is refused")
+	require.Len(t, readies(), 1)
+	require.Equal(t, "ok", b.send(t.Context(), http.MethodGet, "/x", nil).body)
+}
+
+func TestAttemptIsSentOnceOnAReusedConnection(t *testing.T) {
+	b := newBench(t)
+	var aborted atomic.Int32
+	var srv *http.Server
+	u := b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/abort" {
+			aborted.Add(1)
+			_ = srv.Close()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	srv = u.Config
+	require.Equal(t, router.Completed, b.send(t.Context(), http.MethodGet, "/warm", nil).outcome)
+	got := b.send(t.Context(), http.MethodGet, "/abort", nil)
+	require.Equal(t, router.Unknown, got.outcome, "it ran, so NotRun would be false")
+	require.Equal(t, int32(1), aborted.Load())
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -36,7 +36,8 @@
 	replaceInterval   = 2 * time.Second
 	maxSettleAttempts = 5
 
-	defaultMaxBody identifier.ByteCount = 4 << 20
+	defaultMaxBody   identifier.ByteCount = 4 << 20
+	defaultMaxBodies identifier.ByteCount = 256 << 20
 )
 
 // Config places the entry and bounds requests.
@@ -45,6 +46,8 @@
 	AvailabilityZone identifier.AvailabilityZone
 	// MaxBody bounds the body of a request.
 	MaxBody identifier.ByteCount
+	// MaxBodies bounds the bodies of all requests under way together.
+	MaxBodies identifier.ByteCount
 	// Timeout is the deadline of a request that names none.
 	Timeout time.Duration
 }
@@ -65,8 +68,6 @@
 	Allows func(identifier.Organisation) bool
 	// Timeout is the deadline of a request that names none. Zero takes the entry's.
 	Timeout time.Duration
-	// GapLimit is the longest time between two parts of an answer that is in time.
-	GapLimit time.Duration
 }
 
 // Dependencies are what a forwarder works with.
@@ -93,8 +94,10 @@
 	Took         time.Duration
 	// FirstByte is from the request to the first part of the body.
 	FirstByte time.Duration
-	// Gaps counts the times between two parts, LateGaps those over the limit.
-	Gaps, LateGaps int
+	// Gaps are the times between the parts that follow.
+	Gaps []time.Duration
+	// Left says that the caller went away before its answer was whole.
+	Left bool
 }
 
 // Forwarder is the entry's shell. It is safe for concurrent use.
@@ -120,6 +123,7 @@
 	exchanges map[identifier.RequestID]*exchange
 	services  map[identifier.Service]ServiceSettings
 	replaced  map[netip.AddrPort]time.Time
+	bodies    identifier.ByteCount
 }
 
 // New returns a forwarder that is not started.
@@ -127,6 +131,9 @@
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = defaultMaxBody
 	}
+	if cfg.MaxBodies == 0 {
+		cfg.MaxBodies = defaultMaxBodies
+	}
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -61,7 +61,18 @@
 }
 
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
-	ex, err := f.read(w, r)
+	org, err := f.organisationOf(r)
+	if err != nil {
+		f.refuse(w, err)
+		return
+	}
+	release, err := f.reserve(r)
+	if err != nil {
+		f.refuse(w, err)
+		return
+	}
+	defer release()
+	ex, err := f.read(w, r, org)
 	if err != nil {
 		f.refuse(w, err)
 		return
@@ -90,7 +101,7 @@
 		Took:         f.clock.Since(ex.began),
 		FirstByte:    rep.firstByte,
 		Gaps:         rep.gaps,
-		LateGaps:     rep.lateGaps,
+		Left:         rep.gone,
 	}
 	if answer.Stored != nil {
 		o.Outcome = answer.Stored.Outcome
@@ -116,8 +127,7 @@
 	broken    bool
 	firstByte time.Duration
 	lastPart  time.Time
-	gaps      int
-	lateGaps  int
+	gaps      []time.Duration
 }
 
 // run passes pieces on until the reducer's answer comes.
@@ -188,10 +198,7 @@
 	if p.lastPart.IsZero() {
 		p.firstByte = now.Sub(p.ex.began)
 	} else {
-		p.gaps++
-		if now.Sub(p.lastPart) > p.ex.gapLimit {
-			p.lateGaps++
-		}
+		p.gaps = append(p.gaps, now.Sub(p.lastPart))
 	}
 	p.lastPart = now
 }
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -79,6 +79,7 @@
 	Roles            []Role                      `help:"what the process does; none means all three"`
 	DataFolder       string                      `help:"folder on a disk for the replicated state; needed by role Control"`
 	Listen           netip.AddrPort              `help:"QUIC, for the system's other processes"`
+	Advertise        netip.AddrPort              `help:"where others reach Listen; unset means at Listen itself"`
 	Admin            netip.AddrPort              `help:"HTTP, for metrics and health"`
 	Keys             KeySettings
 	Log              LogSettings
@@ -176,6 +177,14 @@
 	}
 }
 
+// Address returns where the system's other processes reach this one.
+func (s Settings) Address() netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return s.Listen
+}
+
 // Has reports whether the daemon has the role.
 func (s Settings) Has(role Role) bool {
 	return len(s.Roles) == 0 || slices.Contains(s.Roles, role)
@@ -184,10 +193,11 @@
 // ParseSettings reads and checks the daemon's settings. The error lists every fault.
 func ParseSettings(file string, data []byte) (Settings, error) {
 	var probe Settings
-	doc := Collect(file, data, &probe, &explainer.Faults{})
-	s := base(doc, probe)
 	var faults explainer.Faults
-	doc = Collect(file, data, &s, &faults)
+	doc := Parse(file, data, &faults)
+	Fill(doc, &probe, &explainer.Faults{}) // its faults show again below
+	s := base(doc, probe)
+	Fill(doc, &s, &faults)
 	checkSettings(s, doc, &faults)
 	return s, faults.Err()
 }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -14,6 +15,7 @@
 	"celeryvalve/configurer"
 	"celeryvalve/connector"
 	"celeryvalve/identifier"
+	"celeryvalve/repeater"
 	"celeryvalve/subscriber"
 )
 
@@ -21,9 +23,15 @@
 	// CoalesceTime is how long changes are gathered into one update.
 	CoalesceTime  = 200 * time.Millisecond
 	renewInterval = time.Second
+	// inForceWindow is the time over which the metric of spread is summed up.
+	inForceWindow = 5 * time.Minute
 	renewTimeout  = 2 * time.Second
 )
 
+// inForceQuantiles are those of the time from an applied version until a
+// subscriber reports it.
+var inForceQuantiles = []float64{0.5, 0.95, 0.99, 1}
+
 // State is the applied state of the replica.
 type State interface {
 	Configuration() configurer.Configuration
@@ -51,17 +59,21 @@
 	clock  clockwork.Clock
 	logger *zap.Logger
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	renewals *repeater.Repeater
+
+	inForce *metrics.Summary
 
 	mu            sync.Mutex
 	changed       chan struct{}
+	version       identifier.ConfigurationVersion
+	versionSince  time.Time
 	subscriptions map[*subscription]bool
 }
 
 // New returns a publisher that is not started.
-func New(state State, caller Caller, leader Leader, clock clockwork.Clock, logger *zap.Logger) *Publisher {
-	return &Publisher{
+func New(state State, caller Caller, leader Leader, clock clockwork.Clock, set *metrics.Set, logger *zap.Logger) *Publisher {
+	p := &Publisher{
+		inForce:       set.NewSummaryExt("celeryvalve_configuration_in_force_seconds", inForceWindow, inForceQuantiles),
 		state:         state,
 		caller:        caller,
 		leader:        leader,
@@ -70,31 +82,29 @@
 		changed:       make(chan struct{}),
 		subscriptions: make(map[*subscription]bool),
 	}
+	p.renewals = repeater.New(clock, renewInterval, p.renew)
+	return p
 }
 
 // Start begins to renew leases.
 func (p *Publisher) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	p.done.Add(1)
-	go func() {
-		defer p.done.Done()
-		p.renewAll(ctx)
-	}()
+	p.renewals.Start()
 }
 
 // Stop ends the renewals.
 func (p *Publisher) Stop() {
-	if p.cancel != nil {
-		p.cancel()
-	}
-	p.done.Wait()
+	p.renewals.Stop()
 }
 
 // Notify says that the applied state changed.
 func (p *Publisher) Notify() {
+	version := p.state.Configuration().Version
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if version > p.version {
+		p.version = version
+		p.versionSince = p.clock.Now()
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -197,6 +207,9 @@
 			return
 		}
 		p.mu.Lock()
+		if report.Version == p.version && sub.report.Version < p.version && sub.since.Before(p.versionSince) {
+			p.inForce.Update(p.clock.Since(p.versionSince).Seconds())
+		}
 		sub.report = *report
 		sub.reportedAt = p.clock.Now()
 		if report.Transfers != nil {
@@ -209,19 +222,6 @@
 	}
 }
 
-func (p *Publisher) renewAll(ctx context.Context) {
-	ticker := p.clock.NewTicker(renewInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			p.renew(ctx)
-		}
-	}
-}
-
 // renew brings the pending renewals to the leader. They stay pending when it
 // can't be reached.
 func (p *Publisher) renew(ctx context.Context) {
