router: settle a lost attempt under the token that control holds for it

Where control granted the attempt anew, its claim stayed held by an attempt that may have run, and a resend could have replaced it. Found on review.

--- a/router/claims.go
+++ b/router/claims.go
@@ -125,6 +125,10 @@
 		r.finishStored(q, answer.Answer)
 		return
 	}
-	r.settle(q, q.attempt.token, Unknown)
+	token := q.attempt.token
+	if answer.Status == Granted {
+		token = answer.Token // whatever control holds for the attempt ends here
+	}
+	r.settle(q, token, Unknown)
 	r.finish(q, Unknown, UpstreamLost, 0)
 }
