router: leave a hung upstream for another without a setting

An upstream that accepts attempts and never answers held them for 30 s, until its agent gave up. Unless the policy sets a time, ten times the usual one and at least 15 s now suffice. The policy's figures did not change.

--- a/router/event.go
+++ b/router/event.go
@@ -59,7 +59,7 @@
 	// RetryRatio is the number of retries allowed per first send.
 	RetryRatio float64
 	// ProgressTimeout is the time without an answer's first byte after which an
-	// idempotent attempt is tried elsewhere. Zero means never.
+	// idempotent attempt is tried elsewhere. Zero means a multiple of what is usual.
 	ProgressTimeout time.Duration
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -272,3 +272,20 @@
 	}
 	require.NotZero(t, elsewhere)
 }
+
+func TestHungUpstreamIsLeftForAnother(t *testing.T) {
+	r := newReducer("u1", "u2")
+	first := only[router.StartAttempt](t, r.Reduce(epoch, arrival("r1", router.Idempotent)))
+	now := epoch.Add(100 * time.Millisecond)
+	r.Reduce(now, router.AttemptAnswering{Request: "r1", Attempt: first.Attempt, Status: 200})
+	r.Reduce(now, router.AttemptEnded{Request: "r1", Attempt: first.Attempt, Status: 200})
+	hung := only[router.StartAttempt](t, r.Reduce(now, arrival("r2", router.Idempotent)))
+	for range 29 {
+		now = now.Add(500 * time.Millisecond)
+		r.Reduce(now, router.AttemptProgressed{Request: "r2", Attempt: hung.Attempt})
+		require.Empty(t, r.Reduce(now, router.Ticked{}))
+	}
+	effects := r.Reduce(now.Add(500*time.Millisecond), router.Ticked{})
+	require.True(t, only[router.CancelAttempt](t, effects).Stop)
+	require.NotEqual(t, hung.Target.Upstream, only[router.StartAttempt](t, effects).Target.Upstream)
+}
--- a/router/service.go
+++ b/router/service.go
@@ -12,6 +12,10 @@
 	latencyWeight = 0.2
 	backlogTime   = time.Second
 	waitMargin    = 1.5
+	slowFactor    = 10
+	// minProgressTimeout is the shortest time after which an attempt is tried
+	// elsewhere where the policy sets none.
+	minProgressTimeout = 15 * time.Second
 )
 
 // service is what the entry knows of one service.
@@ -57,6 +61,16 @@
 	s.duration.Add(took)
 }
 
+// progressTimeout returns the time without an answer's first byte after which an
+// attempt is tried elsewhere: the one set, or a multiple of what is usual.
+func (s *service) progressTimeout() (time.Duration, bool) {
+	if s.policy.ProgressTimeout > 0 {
+		return s.policy.ProgressTimeout, true
+	}
+	usual := s.latency.Value()
+	return max(minProgressTimeout, slowFactor*usual), usual > 0
+}
+
 // served takes in that a request of the organisation left the queue to run.
 func (s *service) served(now time.Time, org identifier.Organisation) {
 	rate := s.starts[org]
--- a/router/tick.go
+++ b/router/tick.go
@@ -82,8 +82,9 @@
 // isSlow reports whether an idempotent attempt has not begun to answer in time.
 func (r *Reducer) isSlow(q *request) bool {
 	s := r.services[q.Service]
-	if s == nil || s.policy.ProgressTimeout == 0 || q.Class != Idempotent {
+	if s == nil || q.Class != Idempotent || q.attempt.answering {
 		return false
 	}
-	return !q.attempt.answering && r.now.Sub(q.attempt.startedAt) >= s.policy.ProgressTimeout
+	timeout, ok := s.progressTimeout()
+	return ok && r.now.Sub(q.attempt.startedAt) >= timeout
 }
