fetcher: ask for three chunks ahead, and join last when unlisted

A member that control has not listed yet put itself first in its own trees, where nobody else sees it; it takes the last place now.

--- a/fetcher/config.go
+++ b/fetcher/config.go
@@ -56,7 +56,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Stripes:          16,
-		Window:           2,
+		Window:           3,
 		Pulls:            4,
 		Uploads:          2,
 		UploadQueue:      4096,
@@ -76,8 +76,8 @@
 	}
 }
 
-// originRootsPerStripe says how many trees of a stripe start at the origin, in
-// halves: TimeToReplicas gives every second stripe a second root.
+// originRoots returns how many trees, over all stripes, start at the origin.
+// TimeToReplicas gives every second stripe a second root.
 func originRoots(favour Favour, stripes int) int {
 	if favour == TimeToReplicas {
 		return stripes + stripes/2
--- a/fetcher/plan.go
+++ b/fetcher/plan.go
@@ -176,7 +176,8 @@
 }
 
 // inner deals the edges out to the members that joined first, each up to the
-// load that all can bear; members with small shares come last. A member that joins or leaves moves few shares.
+// load that all can bear, and puts members with small shares last. A member that
+// joins or leaves moves few shares.
 func (p *planner) inner(region []int, edges int) []innerMember {
 	var inner []innerMember
 	bearable := p.bearable(len(region))
--- a/fetcher/transfer.go
+++ b/fetcher/transfer.go
@@ -158,6 +158,9 @@
 	}
 	peers := slices.Clone(t.peers)
 	if !slices.ContainsFunc(peers, func(p Peer) bool { return p.Upstream == self.Upstream }) {
+		for _, p := range peers { // control has not listed this member yet: it joins last
+			self.Token = max(self.Token, p.Token+1)
+		}
 		peers = append(peers, self)
 	}
 	n := len(t.stripes)
