transferrer: bring manifests through the members too

Members now ask each other along a tree of eight, all computing the same one, and only its root reads the origin.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -141,6 +141,7 @@
 	return subscriber.Member{
 		Upstream:         m.Upstream,
 		Incarnation:      m.Incarnation,
+		Token:            m.Token,
 		Address:          address,
 		Instance:         m.Instance,
 		Region:           m.Region,
--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -51,6 +52,7 @@
 	peers   map[identifier.Digest][]fetcher.Peer
 	paused  map[identifier.Digest]bool
 	desired loader.Desired
+	budgets budgets
 
 	mu       sync.Mutex
 	started  map[identifier.Digest]time.Time
@@ -190,6 +192,7 @@
 	}
 	w.followPause(cfg.Services[w.parts.Settings.Agent.Service].PauseRollout)
 	w.followPeers(cfg)
+	w.followBudgets(cfg.Transfers)
 	w.followDesired(cfg.Services[w.parts.Settings.Agent.Service], wants)
 }
 
@@ -228,6 +231,7 @@
 				AvailabilityZone: m.AvailabilityZone,
 				Address:          m.Address,
 				Incarnation:      m.Incarnation,
+				Token:            m.Token,
 			})
 		}
 	}
@@ -244,6 +248,54 @@
 	})
 }
 
+// followBudgets takes up the rates of the configuration, below those of the
+// settings. The members of a region that may send a stripe to another one share
+// the thin link evenly.
+func (w *weights) followBudgets(transfers configurer.Transfers) {
+	settings := w.parts.Settings.Agent
+	defaults := fetcher.DefaultConfig()
+	now := budgets{
+		upload:   cmp.Or(least(settings.UploadRate, transfers.InstanceUploadRate), defaults.UploadBudget),
+		download: cmp.Or(least(settings.DownloadRate, transfers.InstanceDownloadRate), defaults.DownloadBudget),
+		thin:     transfers.ThinLinkRate / identifier.BytesPerSecond(w.crossingSenders()),
+	}
+	if now == w.budgets {
+		return
+	}
+	w.budgets = now
+	w.transferrer.Send(w.ctx, fetcher.BudgetsChanged{Upload: now.upload, Download: now.download})
+	w.transferrer.SetThinLinkBudget(now.thin)
+}
+
+// crossingSenders returns how many members of this region may send to another
+// region at once: at most one for each stripe.
+func (w *weights) crossingSenders() int {
+	most := 1
+	for _, peers := range w.peers {
+		here := 0
+		for _, p := range peers {
+			if p.Region == w.parts.Settings.Region {
+				here++
+			}
+		}
+		most = max(most, here)
+	}
+	return min(most, fetcher.DefaultConfig().Stripes)
+}
+
+// budgets are the rates that transfers may use.
+type budgets struct {
+	upload, download, thin identifier.BytesPerSecond
+}
+
+// least returns the lower of two rates, where zero is no limit.
+func least(a, b identifier.BytesPerSecond) identifier.BytesPerSecond {
+	if a == 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
 func (w *weights) followDesired(service configurer.Service, wants map[fetcher.Name]wanted) {
 	desired := loader.Desired{Paused: service.PauseRollout, Adapters: make(map[identifier.Adapter]loader.Declared)}
 	for name, want := range wants {
--- a/fetcher/event.go
+++ b/fetcher/event.go
@@ -192,6 +192,12 @@
 // DelayMeasured feeds in the delay that live requests see on this instance.
 type DelayMeasured struct{ Delay time.Duration }
 
+// BudgetsChanged sets the rates that transfers may use at most.
+type BudgetsChanged struct {
+	Upload   identifier.BytesPerSecond
+	Download identifier.BytesPerSecond
+}
+
 // Ticked drives deadlines and retries.
 type Ticked struct{}
 
@@ -212,4 +218,5 @@
 func (FilesVerified) isEvent()       {}
 func (FilesRefused) isEvent()        {}
 func (DelayMeasured) isEvent()       {}
+func (BudgetsChanged) isEvent()      {}
 func (Ticked) isEvent()              {}
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -56,6 +56,8 @@
 		return f.ended(e)
 	case DelayMeasured:
 		return f.pacer.measured(now, e.Delay)
+	case BudgetsChanged:
+		return f.pacer.limit(e)
 	case Ticked:
 		return f.ticked(now)
 	case ManifestArrived:
--- a/fetcher/message.go
+++ b/fetcher/message.go
@@ -25,10 +25,23 @@
 	Data       []byte
 }
 
+// ManifestRequest opens a stream that brings a manifest.
+type ManifestRequest struct {
+	Manifest identifier.Digest
+}
+
+// ManifestAnswer is the only answer on the stream. Data is the manifest as the
+// origin serves it, or empty where the member has none.
+type ManifestAnswer struct {
+	Data []byte
+}
+
 // Messages returns the messages between agents.
 func Messages() []encoder.Entry {
 	return []encoder.Entry{
 		encoder.Message[ChunkRequest]("FetcherChunkRequest"),
 		encoder.Message[ChunkAnswer]("FetcherChunkAnswer"),
+		encoder.Message[ManifestRequest]("FetcherManifestRequest"),
+		encoder.Message[ManifestAnswer]("FetcherManifestAnswer"),
 	}
 }
--- a/fetcher/pacer.go
+++ b/fetcher/pacer.go
@@ -43,6 +43,18 @@
 	}
 	p.part = part
 	p.changed = now
+	return p.budgets()
+}
+
+// limit takes in the full budgets. The part of them that is in use stays.
+func (p *pacer) limit(e BudgetsChanged) []Effect {
+	p.cfg.UploadBudget = e.Upload
+	p.cfg.DownloadBudget = e.Download
+	return p.budgets()
+}
+
+func (p *pacer) budgets() []Effect {
+	part := p.part
 	return []Effect{SetBudgets{
 		Upload:   p.cfg.UploadBudget * identifier.BytesPerSecond(part),
 		Download: p.cfg.DownloadBudget * identifier.BytesPerSecond(part),
--- a/subscriber/messages.go
+++ b/subscriber/messages.go
@@ -58,6 +58,7 @@
 type Member struct {
 	Upstream         identifier.Upstream
 	Incarnation      identifier.Incarnation
+	Token            identifier.FencingToken // rises with each join
 	Address          netip.AddrPort
 	Instance         identifier.Instance
 	Region           identifier.Region
--- a/transferrer/peer.go
+++ b/transferrer/peer.go
@@ -95,14 +95,20 @@
 	t.Serve(ctx, s, first)
 }
 
-// Serve answers one stream whose first message is a fetcher.ChunkRequest. It
+// Serve answers one stream whose first message is a request of a member. It
 // returns when the request is answered or withdrawn.
 func (t *Transferrer) Serve(ctx context.Context, s Stream, first any) {
-	request, ok := first.(*fetcher.ChunkRequest)
-	if !ok {
+	switch request := first.(type) {
+	case *fetcher.ChunkRequest:
+		t.serveChunk(ctx, s, request)
+	case *fetcher.ManifestRequest:
+		t.serveManifest(ctx, s, request)
+	default:
 		s.Cancel()
-		return
 	}
+}
+
+func (t *Transferrer) serveChunk(ctx context.Context, s Stream, request *fetcher.ChunkRequest) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	id, answer := t.register(s)
--- a/transferrer/transferrer.go
+++ b/transferrer/transferrer.go
@@ -74,6 +74,9 @@
 	requests    map[fetcher.RequestID]served
 	lastRequest fetcher.RequestID
 	regions     map[identifier.Upstream]identifier.Region
+	peers       map[identifier.Digest][]fetcher.Peer
+	// changed is closed whenever a manifest or a list of members comes.
+	changed chan struct{}
 }
 
 // New returns a shell that is not running. set takes its metrics.
@@ -105,6 +108,8 @@
 		fetches:   make(map[fetchKey]context.CancelFunc),
 		requests:  make(map[fetcher.RequestID]served),
 		regions:   make(map[identifier.Upstream]identifier.Region),
+		peers:     make(map[identifier.Digest][]fetcher.Peer),
+		changed:   make(chan struct{}),
 	}
 	t.origin = &origin{
 		client:  &http.Client{},
@@ -127,6 +132,11 @@
 	}
 }
 
+// SetThinLinkBudget bounds the rate of uploads to other regions from now on.
+func (t *Transferrer) SetThinLinkBudget(r identifier.BytesPerSecond) {
+	t.thin.set(r)
+}
+
 // Snapshot returns the progress of every transfer.
 func (t *Transferrer) Snapshot() []fetcher.Progress {
 	t.mu.Lock()
@@ -167,9 +177,13 @@
 	switch e := e.(type) {
 	case fetcher.ManifestArrived:
 		t.manifests[e.Manifest.Digest()] = e.Manifest
+		t.tellChange()
 	case fetcher.Cancelled:
 		delete(t.manifests, e.Manifest)
+		delete(t.peers, e.Manifest)
 	case fetcher.PeersChanged:
+		t.peers[e.Manifest] = e.Peers
+		t.tellChange()
 		for _, p := range e.Peers {
 			t.regions[p.Upstream] = p.Region
 		}
@@ -181,6 +195,12 @@
 	}
 }
 
+// tellChange wakes those who wait for a manifest or for members.
+func (t *Transferrer) tellChange() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
 // carry carries out one effect without blocking.
 func (t *Transferrer) carry(effect fetcher.Effect) {
 	switch e := effect.(type) {
@@ -250,17 +270,6 @@
 	return t.manifests[digest]
 }
 
-func (t *Transferrer) fetchManifest(e fetcher.FetchManifest) {
-	m, err := t.origin.manifest(t.ctx, e.Source, e.Manifest)
-	if err != nil {
-		t.warn("Manifest can't be fetched.", err)
-		f := failureOf(err)
-		t.Send(t.ctx, fetcher.ManifestFailed{Manifest: e.Manifest, Reason: f.reason, RetryAfter: f.retryAfter})
-		return
-	}
-	t.Send(t.ctx, fetcher.ManifestArrived{Manifest: m})
-}
-
 // fetch runs get, verifies what it brings and reports the outcome, unless it is
 // cancelled. A non-zero deadline ends it.
 func (t *Transferrer) fetch(key fetchKey, deadline time.Time, get func(context.Context) ([]byte, error)) {
