--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -16,9 +16,6 @@
 	"celeryvalve/replicator"
 )
 
-// logPrefix begins every log line of this package.
-const logPrefix = "coordinator: "
-
 // ticksPerHeartbeat is how often the reducer sees the time go on.
 const ticksPerHeartbeat = 4
 
@@ -67,7 +64,7 @@
 		transport: transport,
 		clock:     clock,
 		assert:    assert,
-		log:       logger,
+		log:       logger.Named("coordinator"),
 		waiters:   newWaiters(),
 		stop:      make(chan struct{}),
 	}
@@ -98,12 +95,12 @@
 	}
 	c.reducer = replicator.New(c.cfg.replicator(c.store), state, c.assert)
 	c.started = true
-	c.log.Info(logPrefix+"replica started",
+	c.log.Info("Replica started.",
 		zap.String("Replica", string(c.store.Replica())),
 		zap.Uint64("Snapshot", uint64(c.snapshotAt)),
 		zap.Int("Entries", len(state.Entries)))
 	if state.Snapshot == nil && len(state.Entries) == 0 {
-		c.log.Info(logPrefix + "data folder is empty; waiting for every replica of the settings, or to be admitted")
+		c.log.Info("Data folder is empty; waiting for every replica of the settings, or to be admitted.")
 	}
 	c.running.Go(c.run)
 	c.running.Go(func() { c.writer.run(c.stop) })
@@ -115,7 +112,7 @@
 func (c *Coordinator) Stop(ctx context.Context) error {
 	if c.IsLeader() && ctx.Err() == nil {
 		if err := c.TransferLeadership(ctx); err != nil {
-			c.log.Info(logPrefix+"leadership not transferred", zap.Error(err))
+			c.log.Info("Leadership not transferred.", zap.Error(err))
 		}
 	}
 	c.mu.Lock()
@@ -267,6 +264,6 @@
 	if !first {
 		return
 	}
-	c.log.Error(logPrefix+"replica stopped for good", zap.Error(err))
+	c.log.Error("Replica stopped for good.", zap.Error(err))
 	c.waiters.failAll(err)
 }
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -61,7 +61,7 @@
 	case replicator.RoleChanged:
 		c.changeRole(e)
 	case replicator.Announced:
-		c.log.Warn(logPrefix+"replica with an empty data folder waits to be admitted",
+		c.log.Warn("Replica with an empty data folder waits to be admitted.",
 			zap.String("Name", e.Name), zap.String("Replica", string(e.Replica)), zap.Stringer("Addr", e.Addr))
 	case replicator.Halted:
 		c.fail(explainer.New(explainer.Internal, e.Detail, "keep the data folder for inspection and replace this replica"))
@@ -76,7 +76,7 @@
 	if e.Role != replicator.Leader {
 		c.waiters.loseLeadership()
 	}
-	c.log.Info(logPrefix+"role changed", zap.String("Role", string(e.Role)),
+	c.log.Info("Role changed.", zap.String("Role", string(e.Role)),
 		zap.Uint64("Term", uint64(e.Term)), zap.Stringer("Leader", e.Leader))
 	if c.cfg.OnRole != nil {
 		c.cfg.OnRole(e)
@@ -140,5 +140,5 @@
 	c.snapshotAt = s.Position.Index
 	c.meters.snapshotsInstalled.Inc()
 	c.reach(s.Position.Index)
-	c.log.Info(logPrefix+"snapshot installed", zap.Uint64("Index", uint64(s.Position.Index)))
+	c.log.Info("Snapshot installed.", zap.Uint64("Index", uint64(s.Position.Index)))
 }
