assembler: serve with all roles and no other set-up

A process whose settings name no roles declares its one plain service and a local organisation, against no version: nothing changes where operators have declared anything. docs/design/0008 records how configuration spreads.

--- a/assembler/process.go
+++ b/assembler/process.go
@@ -60,6 +60,9 @@
 	if !settings.Has(parser.Agent) {
 		all = append(all, fx.Invoke(subscribeWithoutUpstream))
 	}
+	if len(settings.Roles) == 0 {
+		all = append(all, fx.Invoke(declareDefaults))
+	}
 	return fx.Options(all...)
 }
 
