--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -153,7 +153,12 @@
 func drainAgent(ctx context.Context, parts agentParts) error {
 	parts.Executor.Leave()
 	leave(ctx, parts, false)
-	err := parts.Executor.Drain(ctx)
+	drainCtx, cancel := drainContext(ctx, parts.Settings)
+	defer cancel()
+	err := parts.Executor.Drain(drainCtx)
+	if err != nil {
+		logCut(parts.Logger, parts.Executor.Running())
+	}
 	parts.Executor.Stop()
 	leave(ctx, parts, true)
 	return err
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -126,7 +126,7 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			draining.Store(true)
-			return drainEntry(ctx, parts.Forwarder, server)
+			return drainEntry(ctx, parts, server)
 		},
 	})
 }
@@ -145,11 +145,16 @@
 	return nil
 }
 
-// drainEntry answers the requests under way, then ends the connections.
-func drainEntry(ctx context.Context, f *forwarder.Forwarder, server *http.Server) error {
-	err := f.Drain(ctx)
+// drainEntry answers the requests under way, then ends the connections. Only the
+// drain deadline of the settings cuts requests off.
+func drainEntry(ctx context.Context, parts entryParts, server *http.Server) error {
+	ctx, cancel := drainContext(ctx, parts.Settings)
+	defer cancel()
+	err := parts.Forwarder.Drain(ctx)
 	err = errors.Join(err, server.Shutdown(ctx))
-	f.Stop()
+	logCut(parts.Logger, parts.Forwarder.Unanswered())
+	err = errors.Join(err, server.Close())
+	parts.Forwarder.Stop()
 	return err
 }
 
--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -297,7 +297,7 @@
 }
 
 func (w *weights) followDesired(service configurer.Service, wants map[fetcher.Name]wanted) {
-	desired := loader.Desired{Paused: service.PauseRollout, Adapters: make(map[identifier.Adapter]loader.Declared)}
+	desired := loader.Desired{Role: loader.Role(service.Role), Paused: service.PauseRollout, Adapters: make(map[identifier.Adapter]loader.Declared)}
 	for name, want := range wants {
 		declared := loader.Declared{Version: want.version, Manifest: want.manifest}
 		if name.Adapter != "" {
--- a/configurer/configuration.go
+++ b/configurer/configuration.go
@@ -80,6 +80,7 @@
 	ReportsLoad        bool                      `help:"its upstreams report their load"`
 	Organisations      []identifier.Organisation `help:"who may call it; none means all"`
 	Favour             Favour                    `help:"which measure its transfers put first; Inherit takes Transfers.Favour"`
+	Role               string                    `help:"role that its engines are ordered to take; empty gives no order"`
 	PauseRollout       bool                      `help:"its upstreams keep the weights that they have loaded"`
 	Objectives         Objectives
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -197,6 +198,20 @@
 	x.post(admitter.QuarantineChanged{Suspects: suspects, Refused: refused})
 }
 
+// Running returns the requests whose attempts are queued or run here.
+func (x *Executor) Running() []identifier.RequestID {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var requests []identifier.RequestID
+	for _, r := range x.runs {
+		if !r.ended() {
+			requests = append(requests, r.start.Request)
+		}
+	}
+	slices.Sort(requests)
+	return requests
+}
+
 // Load returns the present load report.
 func (x *Executor) Load() router.LoadReport {
 	x.mu.Lock()
--- a/executor/run.go
+++ b/executor/run.go
@@ -44,6 +44,13 @@
 	stopped bool
 }
 
+// ended reports whether the whole answer is there.
+func (r *run) ended() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.end != nil || r.stopped
+}
+
 func newRun(parent context.Context, start router.AttemptStart, body []byte) *run {
 	ctx, cancel := context.WithCancel(parent)
 	return &run{
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -232,6 +234,13 @@
 	f.post(router.QuarantineChanged{Suspects: suspects, Refused: refused})
 }
 
+// Unanswered returns the requests without an answer.
+func (f *Forwarder) Unanswered() []identifier.RequestID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.exchanges))
+}
+
 // Pending returns the number of requests without an answer.
 func (f *Forwarder) Pending() int {
 	f.mu.Lock()
--- a/prover/cluster_test.go
+++ b/prover/cluster_test.go
@@ -81,6 +81,8 @@
 	linked bool
 	// unfenced says that engines take orders with any token.
 	unfenced bool
+	// drain is the drain deadline of every process, if any.
+	drain string
 }
 
 // termination asks a process to drain.
@@ -197,6 +199,10 @@
 }
 
 func (c *cluster) common(name, ip, region string, roles string) string {
+	drain := ""
+	if c.drain != "" {
+		drain = fmt.Sprintf("[Drain]\nDeadline = %q\n\n", c.drain)
+	}
 	return fmt.Sprintf(`Name = %[1]q
 Instance = %[1]q
 Region = %[2]q
@@ -210,7 +216,7 @@
 [Keys]
 Folder = %[6]q
 
-`, name, region, roles, c.path(name+"-data"), ip, c.path("keys"), c.through(name, ip))
+`, name, region, roles, c.path(name+"-data"), ip, c.path("keys"), c.through(name, ip)) + drain
 }
 
 func (c *cluster) members() string {
--- a/prover/request_test.go
+++ b/prover/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -187,3 +188,19 @@
 		require.LessOrEqual(t, c.runs(2, fmt.Sprintf("slot-%d", i)), 1)
 	}
 }
+
+func TestDrainDeadlineCutsOffAndNamesWhatItCut(t *testing.T) {
+	c := newCluster(t, 79)
+	c.drain = "200ms"
+	startBookings(c, 1, "1h")
+	pending := c.background(1, "/booking/slots", "slot-1", slot)
+	untilStarted(c, 1, "slot-1")
+	agent := c.processes["booking-1"]
+	agent.signal(syscall.SIGTERM)
+	_ = agent.wait()
+	got := <-pending
+	require.Equal(t, "Unknown", got.outcome, got)
+	log, err := os.ReadFile(c.path("booking-1.log"))
+	require.NoError(t, err)
+	require.Contains(t, string(log), "The drain deadline cut a request off.")
+}
