--- a/exposer/doc.go
+++ b/exposer/doc.go
@@ -1,8 +1,9 @@
 // Package exposer serves a process's metrics, health and readiness over HTTP.
 //
-//	GET /metrics   metrics in the Prometheus text format
-//	GET /healthz   200 while the process runs
-//	GET /readyz    200 when every condition holds, else 503 with those that don't
+//	GET /metrics        metrics in the Prometheus text format
+//	GET /healthz        200 while the process runs
+//	GET /readyz         200 when every condition holds, else 503 with those that don't
+//	GET /debug/pprof/   profiles of the process
 //
 // # Usage
 //
--- a/exposer/exposer.go
+++ b/exposer/exposer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"sort"
 	"strings"
@@ -95,6 +96,8 @@
 	r.HandleFunc("/metrics", e.serveMetrics).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", serveHealth).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", e.serveReadiness).Methods(http.MethodGet)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
 	for prefix, h := range e.mounts {
 		r.PathPrefix(prefix).Handler(h)
 	}
