--- a/reporter/report.go
+++ b/reporter/report.go
@@ -82,7 +82,7 @@
 	sort.SliceStable(snapshots, func(i, j int) bool { return snapshots[i].Time.Before(snapshots[j].Time) })
 	first, last := snapshots[0], snapshots[len(snapshots)-1]
 	report.Time = last.Time
-	report.Covered = min(Duration(last.Time.Sub(first.Time)), r.objectives.Period)
+	report.Covered = min(Duration(last.Time.Sub(first.Time).Round(time.Second)), r.objectives.Period)
 	for key, s := range seriesOf(snapshots) {
 		for _, objective := range r.objectives.Objectives {
 			if objective.Indicator == key.indicator && objective.Service == key.service {
