--- a/executor/executor.go
+++ b/executor/executor.go
@@ -17,6 +17,7 @@
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/limiter"
+	"celeryvalve/repeater"
 	"celeryvalve/router"
 )
 
@@ -87,6 +88,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	work    sync.WaitGroup
+	ticks   *repeater.Repeater
 	settles sync.WaitGroup
 	drained chan struct{}
 
@@ -116,7 +118,7 @@
 		Concurrency: concurrencyOf(cfg),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Executor{
+	x := &Executor{
 		cfg:     cfg,
 		claims:  deps.Claims,
 		crashes: deps.Crashes,
@@ -132,6 +134,8 @@
 		runs:    make(map[identifier.AttemptID]*run),
 		outlets: make(map[admitter.StreamID]*outlet),
 	}
+	x.ticks = repeater.New(deps.Clock, tickInterval, func(context.Context) { x.post(admitter.Ticked{}) })
+	return x
 }
 
 func concurrencyOf(cfg Config) limiter.ConcurrencyConfig {
@@ -144,8 +148,8 @@
 
 // Start begins to probe the upstream.
 func (x *Executor) Start() {
-	x.work.Add(2)
-	go x.tickLoop()
+	x.ticks.Start()
+	x.work.Add(1)
 	go x.probeLoop()
 	if x.cfg.ReportsLoad {
 		x.work.Add(1)
@@ -156,6 +160,7 @@
 // Stop cancels everything that still runs and waits for it.
 func (x *Executor) Stop() {
 	x.cancel()
+	x.ticks.Stop()
 	x.work.Wait()
 	x.once.CloseIdleConnections()
 	x.shared.CloseIdleConnections()
@@ -226,20 +231,6 @@
 	return x.ready && !x.reducer.Load().Leaving
 }
 
-func (x *Executor) tickLoop() {
-	defer x.work.Done()
-	ticker := x.clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.Chan():
-			x.post(admitter.Ticked{})
-		case <-x.ctx.Done():
-			return
-		}
-	}
-}
-
 func (x *Executor) post(event admitter.Event) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"celeryvalve/asserter"
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
+	"celeryvalve/repeater"
 	"celeryvalve/router"
 )
 
@@ -118,6 +119,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	work    sync.WaitGroup
+	ticks   *repeater.Repeater
 	drained chan struct{}
 
 	mu        sync.Mutex
@@ -146,7 +148,7 @@
 		deps.Watch = func(Observation) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Forwarder{
+	f := &Forwarder{
 		cfg:           cfg,
 		opener:        deps.Opener,
 		claims:        deps.Claims,
@@ -165,17 +167,19 @@
 		services:      make(map[identifier.Service]ServiceSettings),
 		replaced:      make(map[netip.AddrPort]time.Time),
 	}
+	f.ticks = repeater.New(deps.Clock, tickInterval, func(context.Context) { f.post(router.Ticked{}) })
+	return f
 }
 
 // Start begins to tick.
 func (f *Forwarder) Start() {
-	f.work.Add(1)
-	go f.tickLoop()
+	f.ticks.Start()
 }
 
 // Stop cuts off what is still under way and waits for it.
 func (f *Forwarder) Stop() {
 	f.cancel()
+	f.ticks.Stop()
 	f.work.Wait()
 }
 
@@ -248,20 +252,6 @@
 	return f.reducer.Pending()
 }
 
-func (f *Forwarder) tickLoop() {
-	defer f.work.Done()
-	ticker := f.clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.Chan():
-			f.post(router.Ticked{})
-		case <-f.ctx.Done():
-			return
-		}
-	}
-}
-
 func newRequestID() identifier.RequestID {
 	return identifier.RequestID(uuid.NewString())
 }
--- a/subscriber/doc.go
+++ b/subscriber/doc.go
@@ -15,7 +15,8 @@
 //
 // # Usage
 //
-//	book := subscriber.NewBook(need, asserter, clock)
+//	book := subscriber.NewBook(need, asserter)
+//	book.Connect(endpoint)
 //	endpoint.Handle(subscriber.ConfigurationRequestKind, book.ServeRequest)
 //	s := subscriber.New(subscriber.Config{...}, book, endpoint, reporter, clock, logger)
 //	s.Start()
