--- a/commander/control.go
+++ b/commander/control.go
@@ -17,7 +17,11 @@
 	"celeryvalve/identifier"
 )
 
-const pollInterval = 500 * time.Millisecond
+const (
+	pollInterval = 500 * time.Millisecond
+	// silentAfter is how long a live process takes at most to report again.
+	silentAfter = 3 * time.Second
+)
 
 // client returns a client of control with the operator's key.
 func (s *session) client() *administrator.Client {
@@ -58,7 +62,10 @@
 		rows = append(rows, []string{fmt.Sprintf("In force %d", version), fmt.Sprintf("%d processes", v.Processes[version])})
 	}
 	for _, l := range v.Lagging {
-		reason := "reported " + l.Reported.Format(time.RFC3339)
+		reason := "it catches up"
+		if s.clock.Since(l.Reported) > silentAfter {
+			reason = "silent since " + l.Reported.Format(time.RFC3339)
+		}
 		rows = append(rows, []string{"Lagging", fmt.Sprintf("%s has %d, %s", l.Process, l.Version, reason)})
 	}
 	for _, name := range v.Unheard {
--- a/prover/control_test.go
+++ b/prover/control_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -42,6 +43,30 @@
 	c.inForce(version, entries)
 }
 
+// TestLeaderKilledAtEachStepOfAPatch kills the leader at rising delays after a
+// patch was sent: before it comes, between its append, sync, replication, commit
+// and answer, and after. The operator resends, and each patch makes one version.
+func TestLeaderKilledAtEachStepOfAPatch(t *testing.T) {
+	c := newCluster(t, 66)
+	c.entries()
+	c.declare("")
+	client := newAPI(c)
+	version := identifier.ConfigurationVersion(1)
+	for i, delay := range []time.Duration{0, 500 * time.Microsecond, time.Millisecond, 2 * time.Millisecond, 4 * time.Millisecond, 8 * time.Millisecond} {
+		leader, _ := c.leader()
+		id := fmt.Sprintf("step-%d", i)
+		accepted := make(chan identifier.ConfigurationVersion, 1)
+		go func() { accepted <- client.patch(id, version, operatorPatch(i)) }()
+		time.Sleep(delay)
+		c.processes[c.entryName(leader)].kill()
+		require.Equal(t, version+1, <-accepted, "killed after %s", delay)
+		require.Equal(t, version+1, client.patch(id, version, operatorPatch(i)), "resent after %s", delay)
+		version++
+		c.entry(leader)
+	}
+	c.inForce(version, entries)
+}
+
 func TestRacingPatchesHaveOneWinner(t *testing.T) {
 	c := newCluster(t, 62)
 	c.entries()
