assembler: let four senders fill a thin link

TimeToReplicas was slower than OriginBytes by processes: 23.6 s at 64 and 33.4 s at 200 instances for windows of 20 and 40 s, on a machine that was not busy. Cause: each of the 16 members that may send to another region got a sixteenth of the thin link, and a member that is root of two stripes needed a whole window for them. Ruled out: the processors (load 2 to 25), origin reads (1.498 copies as planned), the measured delay (no requests ran).

--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -250,14 +250,14 @@
 
 // followBudgets takes up the rates of the configuration, below those of the
 // settings. The members of a region that may send a stripe to another one share
-// the thin link evenly.
+// the thin link.
 func (w *weights) followBudgets(transfers configurer.Transfers) {
 	settings := w.parts.Settings.Agent
 	defaults := fetcher.DefaultConfig()
 	now := budgets{
 		upload:   cmp.Or(least(settings.UploadRate, transfers.InstanceUploadRate), defaults.UploadBudget),
 		download: cmp.Or(least(settings.DownloadRate, transfers.InstanceDownloadRate), defaults.DownloadBudget),
-		thin:     transfers.ThinLinkRate / identifier.BytesPerSecond(w.crossingSenders()),
+		thin:     transfers.ThinLinkRate / identifier.BytesPerSecond(max(1, w.crossingSenders()/sendersThatFill)),
 	}
 	if now == w.budgets {
 		return
@@ -267,6 +267,10 @@
 	w.transferrer.SetThinLinkBudget(now.thin)
 }
 
+// sendersThatFill is how many members may fill a thin link together. Some send
+// several stripes and most none, so even shares would leave the link idle.
+const sendersThatFill = 4
+
 // crossingSenders returns how many members of this region may send to another
 // region at once: at most one for each stripe.
 func (w *weights) crossingSenders() int {
