--- a/assembler/codec_test.go
+++ b/assembler/codec_test.go
@@ -1,13 +1,18 @@
 package assembler
 
 import (
+	"fmt"
+	"net/netip"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"celeryvalve/configurer"
 	"celeryvalve/controller"
 	"celeryvalve/explainer"
 	"celeryvalve/fetcher"
+	"celeryvalve/identifier"
 	"celeryvalve/publisher"
 	"celeryvalve/sampler"
 	"celeryvalve/submitter"
@@ -41,3 +46,38 @@
 		require.NotNil(t, msg)
 	})
 }
+
+// BenchmarkEncodedSizes tells the bytes of the messages that grow with the system.
+func BenchmarkEncodedSizes(b *testing.B) {
+	codec, err := newCodec()
+	require.NoError(b, err)
+	measure := func(name string, msg any) {
+		b.Run(name, func(b *testing.B) {
+			var data []byte
+			for range b.N {
+				data, err = codec.Encode(1, msg)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+	for _, n := range []int{16, 64, 720} {
+		update := &subscriber.MembersUpdate{Whole: true}
+		for i := range n {
+			name := fmt.Sprintf("drafting-hobart-%d", i)
+			update.Changed = append(update.Changed, subscriber.Member{
+				Upstream: identifier.Upstream(name), Instance: identifier.Instance(name), Incarnation: 1796330459878,
+				Token: 900, Address: netip.MustParseAddrPort("10.1.1.1:7400"), Region: "hobart", AvailabilityZone: "hobart-a",
+				Service: "drafting", ReportsLoad: true, Ready: true, Model: "summaries", Version: "v1",
+			})
+		}
+		measure(fmt.Sprintf("Members/%d", n), &subscriber.Update{Members: update})
+	}
+	source, err := os.ReadFile("../docs/operators/examples/callback-services.toml")
+	require.NoError(b, err)
+	cfg, err := configurer.Apply(configurer.New(), configurer.Patch{ID: "first", Source: source})
+	require.NoError(b, err)
+	slice := cfg.DeltaFor(0, configurer.Need{Services: []identifier.Service{"drafting"}})
+	measure("Slice", &subscriber.Update{Configuration: &slice})
+	measure("Report", &subscriber.Report{Sequence: 100, Version: 5, Upstream: "drafting-hobart-1", Incarnation: 1796330459878})
+}
