--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -91,7 +91,7 @@
 	Lifecycle   fx.Lifecycle
 	Settings    parser.Settings
 	Incarnation identifier.Incarnation
-	Book        *subscriber.Book
+	View        *subscriber.View
 	Endpoint    *connector.Endpoint
 	Exposer     *exposer.Exposer
 	Submitter   *submitter.Submitter
@@ -105,9 +105,9 @@
 
 func serveAgent(parts agentParts) error {
 	parts.Executor.Register(parts.Endpoint)
-	parts.Book.Watch(func() { parts.Executor.ChangeQuarantine(quarantineOf(parts.Book)) })
+	parts.View.Watch(func() { parts.Executor.ChangeQuarantine(quarantineOf(parts.View)) })
 	parts.Lifecycle.Append(fx.StartStopHook(parts.Announcer.Start, parts.Announcer.Stop))
-	subscribe(parts.Lifecycle, parts.Settings, parts.Book, parts.Endpoint, parts.Announcer, parts.Clock, parts.Logger)
+	subscribe(parts.Lifecycle, parts.Settings, parts.View, parts.Endpoint, parts.Announcer, parts.Clock, parts.Logger)
 	switch parts.Settings.Agent.Kind {
 	case parser.Plain:
 		watchPlain(parts)
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -38,13 +38,13 @@
 
 // organisations knows callers by the tokens of the configuration in force.
 type organisations struct {
-	book *subscriber.Book
+	view *subscriber.View
 }
 
 // Authenticate returns the organisation whose token it is.
 func (o organisations) Authenticate(token string) (identifier.Organisation, error) {
 	digest := identifier.DigestOf([]byte(token))
-	organisation, ok := o.book.Configuration().Organisation(digest)
+	organisation, ok := o.view.Configuration().Organisation(digest)
 	if !ok {
 		return "", explainer.New(explainer.Denied, "the bearer token is of no organisation",
 			"send the token that the operator gave you in the header Authorization")
@@ -52,14 +52,14 @@
 	return organisation, nil
 }
 
-func newForwarder(settings parser.Settings, e *connector.Endpoint, book *subscriber.Book, s *submitter.Submitter,
+func newForwarder(settings parser.Settings, e *connector.Endpoint, view *subscriber.View, s *submitter.Submitter,
 	tally *reporter.Tally, clock clockwork.Clock, set *metrics.Set, a asserter.Asserter,
 	logger *zap.Logger) *forwarder.Forwarder {
 	cfg := forwarder.Config{Region: settings.Region, AvailabilityZone: settings.AvailabilityZone}
 	return forwarder.New(cfg, forwarder.Dependencies{
 		Opener:        forwarder.Through(e),
 		Claims:        claims{process: settings.Name, submitter: s},
-		Organisations: organisations{book},
+		Organisations: organisations{view},
 		Clock:         clock,
 		Logger:        logger,
 		Check:         a,
@@ -90,7 +90,7 @@
 
 	Lifecycle fx.Lifecycle
 	Settings  parser.Settings
-	Book      *subscriber.Book
+	View      *subscriber.View
 	Forwarder *forwarder.Forwarder
 	Tally     *reporter.Tally
 	Sampler   *sampler.Sampler
@@ -101,14 +101,14 @@
 
 func serveEntry(parts entryParts) {
 	follow := func() {
-		cfg := parts.Book.Configuration()
+		cfg := parts.View.Configuration()
 		parts.Tally.Follow(cfg)
 		parts.Forwarder.ChangePolicy(policyOf(cfg), serviceSettingsOf(cfg))
-		members, _ := parts.Book.Members()
+		members, _ := parts.View.Members()
 		parts.Forwarder.ChangeUpstreams(viewsOf(members))
-		parts.Forwarder.ChangeQuarantine(quarantineOf(parts.Book))
+		parts.Forwarder.ChangeQuarantine(quarantineOf(parts.View))
 	}
-	parts.Book.Watch(follow)
+	parts.View.Watch(follow)
 	parts.Endpoint.Handle(sampler.RequestKind, parts.Sampler.Serve)
 	var draining atomic.Bool
 	parts.Exposer.Require("entry", func() error {
@@ -179,8 +179,8 @@
 	return policy
 }
 
-func quarantineOf(book *subscriber.Book) (suspects, refused []router.Fingerprint) {
-	quarantine := book.Quarantine()
+func quarantineOf(view *subscriber.View) (suspects, refused []router.Fingerprint) {
+	quarantine := view.Quarantine()
 	return fingerprintsOf(quarantine.Suspects), fingerprintsOf(quarantine.Refused)
 }
 
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -40,13 +40,13 @@
 			metrics.NewSet,
 			newAsserter,
 			newSource,
-			newBook,
+			newView,
 			newCodec,
 			newEndpoint,
 			newExposer,
 			newSubmitter,
 		),
-		fx.Invoke(connectBook),
+		fx.Invoke(connectView),
 	}
 	if settings.Has(parser.Control) {
 		all = append(all, controlOptions())
@@ -114,10 +114,10 @@
 	return authority.Issue("operator", []certifier.Role{certifier.Operator}, clock.Now())
 }
 
-// newBook holds all of the configuration on entries and control, and the slice
+// newView holds all of the configuration on entries and control, and the slice
 // of one service on agents.
-func newBook(settings parser.Settings, a asserter.Asserter) *subscriber.Book {
-	return subscriber.NewBook(needOf(settings), a)
+func newView(settings parser.Settings, a asserter.Asserter) *subscriber.View {
+	return subscriber.NewView(needOf(settings), a)
 }
 
 func needOf(settings parser.Settings) configurer.Need {
@@ -142,8 +142,8 @@
 }
 
 func newEndpoint(lc fx.Lifecycle, settings parser.Settings, codec *encoder.Codec, source *certifier.Source,
-	book *subscriber.Book, set *metrics.Set, logger *zap.Logger) *connector.Endpoint {
-	e := connector.New(connector.Config{Listen: settings.Listen}, codec, source, book, logger)
+	view *subscriber.View, set *metrics.Set, logger *zap.Logger) *connector.Endpoint {
+	e := connector.New(connector.Config{Listen: settings.Listen}, codec, source, view, logger)
 	set.NewGauge("celeryvalve_control_bytes_sent", func() float64 {
 		sent, _ := e.Traffic()
 		return float64(sent)
@@ -152,21 +152,21 @@
 		_, received := e.Traffic()
 		return float64(received)
 	})
-	set.NewGauge("celeryvalve_configuration_version", func() float64 { return float64(book.Current()) })
+	set.NewGauge("celeryvalve_configuration_version", func() float64 { return float64(view.Current()) })
 	lc.Append(fx.StartStopHook(e.Start, e.Stop))
 	return e
 }
 
-func connectBook(book *subscriber.Book, e *connector.Endpoint) {
-	book.Connect(e)
-	e.Handle(subscriber.ConfigurationRequestKind, book.ServeRequest)
+func connectView(view *subscriber.View, e *connector.Endpoint) {
+	view.Connect(e)
+	e.Handle(subscriber.ConfigurationRequestKind, view.ServeRequest)
 }
 
-func newExposer(lc fx.Lifecycle, settings parser.Settings, set *metrics.Set, book *subscriber.Book,
+func newExposer(lc fx.Lifecycle, settings parser.Settings, set *metrics.Set, view *subscriber.View,
 	logger *zap.Logger) *exposer.Exposer {
 	e := exposer.New(settings.Admin, set, logger)
 	e.Require("configuration", func() error {
-		if book.Current() == 0 {
+		if view.Current() == 0 {
 			return explainer.New(explainer.Unavailable, "no configuration is in force here", "wait for control, or submit the first patch")
 		}
 		return nil
@@ -187,12 +187,12 @@
 	return submitter.New(e, controlAddresses(settings), clock)
 }
 
-func subscribeWithoutUpstream(lc fx.Lifecycle, settings parser.Settings, book *subscriber.Book,
+func subscribeWithoutUpstream(lc fx.Lifecycle, settings parser.Settings, view *subscriber.View,
 	e *connector.Endpoint, clock clockwork.Clock, logger *zap.Logger) {
-	subscribe(lc, settings, book, e, nil, clock, logger)
+	subscribe(lc, settings, view, e, nil, clock, logger)
 }
 
-func subscribe(lc fx.Lifecycle, settings parser.Settings, book *subscriber.Book, e *connector.Endpoint,
+func subscribe(lc fx.Lifecycle, settings parser.Settings, view *subscriber.View, e *connector.Endpoint,
 	holder subscriber.Holder, clock clockwork.Clock, logger *zap.Logger) {
 	cfg := subscriber.Config{
 		Process:   settings.Name,
@@ -202,7 +202,7 @@
 	if holder != nil {
 		cfg.Upstream = settings.Agent.Upstream
 	}
-	s := subscriber.New(cfg, book, e, holder, clock, logger)
+	s := subscriber.New(cfg, view, e, holder, clock, logger)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { s.Start(); return nil },
 		OnStop:  func(context.Context) error { s.Stop(); return nil },
--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -89,7 +89,7 @@
 	for _, entry := range fetcher.Messages() {
 		parts.Endpoint.Handle(entry.Kind(), w.transferrer.Handle)
 	}
-	parts.Book.Watch(w.nudge)
+	parts.View.Watch(w.nudge)
 	parts.Announcer.OnChange(w.nudge)
 	parts.Announcer.OnReport(w.progress)
 	parts.Lifecycle.Append(fx.StartStopHook(w.start, w.stop))
@@ -168,7 +168,7 @@
 }
 
 func (w *weights) followDeclared() {
-	cfg := w.parts.Book.Configuration()
+	cfg := w.parts.View.Configuration()
 	wants := wantsOf(cfg, w.parts.Settings.Agent.Service)
 	for name := range w.wants {
 		if _, ok := wants[name]; !ok {
@@ -221,7 +221,7 @@
 
 // followPeers tells the transferrer who wants each manifest.
 func (w *weights) followPeers(cfg configurer.Configuration) {
-	members, _ := w.parts.Book.Members()
+	members, _ := w.parts.View.Members()
 	peers := make(map[identifier.Digest][]fetcher.Peer)
 	for _, m := range members {
 		for _, want := range wantsOf(cfg, m.Service) {
--- a/subscriber/doc.go
+++ b/subscriber/doc.go
@@ -7,7 +7,7 @@
 // lease of the upstream, if there is one. When the replica goes silent, the
 // subscription moves to the next one and goes on from what it has.
 //
-// Versions never go back: a Book refuses an older configuration, from wherever
+// Versions never go back: a View refuses an older configuration, from wherever
 // it comes. A process that learns from any message that a peer has a newer
 // version asks that peer for the difference, so that one that is cut off from
 // control still follows. A process that hears nobody newer goes on with what it
@@ -15,9 +15,9 @@
 //
 // # Usage
 //
-//	book := subscriber.NewBook(need, asserter)
-//	book.Connect(endpoint)
-//	endpoint.Handle(subscriber.ConfigurationRequestKind, book.ServeRequest)
-//	s := subscriber.New(subscriber.Config{...}, book, endpoint, reporter, clock, logger)
+//	view := subscriber.NewView(need, asserter)
+//	view.Connect(endpoint)
+//	endpoint.Handle(subscriber.ConfigurationRequestKind, view.ServeRequest)
+//	s := subscriber.New(subscriber.Config{...}, view, endpoint, reporter, clock, logger)
 //	s.Start()
 package subscriber
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -56,7 +56,7 @@
 // Subscriber runs the subscription.
 type Subscriber struct {
 	cfg    Config
-	book   *Book
+	view   *View
 	opener Opener
 	holder Holder
 	clock  clockwork.Clock
@@ -72,10 +72,10 @@
 }
 
 // New returns a subscriber that is not started. holder may be nil.
-func New(cfg Config, book *Book, opener Opener, holder Holder, clock clockwork.Clock, logger *zap.Logger) *Subscriber {
+func New(cfg Config, view *View, opener Opener, holder Holder, clock clockwork.Clock, logger *zap.Logger) *Subscriber {
 	return &Subscriber{
 		cfg:    cfg,
-		book:   book,
+		view:   view,
 		opener: opener,
 		holder: holder,
 		clock:  clock,
@@ -135,12 +135,12 @@
 func (s *Subscriber) subscribe(ctx context.Context, addr netip.AddrPort) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	_, index := s.book.Members()
+	_, index := s.view.Members()
 	first := &Subscribe{
 		Process:     s.cfg.Process,
 		Need:        s.cfg.Need,
 		Upstream:    s.cfg.Upstream,
-		Have:        s.book.Current(),
+		Have:        s.view.Current(),
 		HaveMembers: index,
 	}
 	dialCtx, dialled := context.WithTimeout(ctx, dialTimeout)
@@ -175,7 +175,7 @@
 		if !ok {
 			continue
 		}
-		if err := s.book.Apply(update); err != nil {
+		if err := s.view.Apply(update); err != nil {
 			return err
 		}
 		if update.Configuration != nil || update.Members != nil {
@@ -223,8 +223,8 @@
 }
 
 func (s *Subscriber) nextReport() *Report {
-	_, index := s.book.Members()
-	r := &Report{Version: s.book.Current(), Members: index}
+	_, index := s.view.Members()
+	r := &Report{Version: s.view.Current(), Members: index}
 	if s.holder != nil {
 		s.holder.Fill(r)
 	}
--- a/subscriber/book_test.go
+++ b/subscriber/view_test.go
@@ -36,27 +36,27 @@
 	return &subscriber.Update{Configuration: &delta}
 }
 
-func TestBookNeverGoesBack(t *testing.T) {
+func TestViewNeverGoesBack(t *testing.T) {
 	v := versions(t, 5)
-	book := subscriber.NewBook(all, asserter.Strict{})
-	require.NoError(t, book.Apply(update(v[4], 0)))
+	view := subscriber.NewView(all, asserter.Strict{})
+	require.NoError(t, view.Apply(update(v[4], 0)))
 	// A snapshot of an older version, as from a replica that is behind, and a
 	// delta that ends before what is in force are passed over.
-	require.NoError(t, book.Apply(update(v[2], 0)))
-	require.NoError(t, book.Apply(update(v[3], 2)))
-	require.Equal(t, v[4].Version, book.Current())
-	require.Equal(t, 4, book.Configuration().Organisations["housing"].Share)
-	require.NoError(t, book.Apply(update(v[5], 4)))
-	require.Equal(t, v[5].Version, book.Current())
+	require.NoError(t, view.Apply(update(v[2], 0)))
+	require.NoError(t, view.Apply(update(v[3], 2)))
+	require.Equal(t, v[4].Version, view.Current())
+	require.Equal(t, 4, view.Configuration().Organisations["housing"].Share)
+	require.NoError(t, view.Apply(update(v[5], 4)))
+	require.Equal(t, v[5].Version, view.Current())
 }
 
-func TestBookRefusesADeltaThatLeavesAGap(t *testing.T) {
+func TestViewRefusesADeltaThatLeavesAGap(t *testing.T) {
 	v := versions(t, 4)
-	book := subscriber.NewBook(all, asserter.Strict{})
-	require.NoError(t, book.Apply(update(v[1], 0)))
-	err := book.Apply(update(v[4], 3))
+	view := subscriber.NewView(all, asserter.Strict{})
+	require.NoError(t, view.Apply(update(v[1], 0)))
+	err := view.Apply(update(v[4], 3))
 	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
-	require.Equal(t, v[1].Version, book.Current())
+	require.Equal(t, v[1].Version, view.Current())
 }
 
 type callerFunc func(addr netip.AddrPort, request any) (any, error)
@@ -65,39 +65,39 @@
 	return f(addr, request)
 }
 
-func TestBookAsksAPeerThatHasANewerVersion(t *testing.T) {
+func TestViewAsksAPeerThatHasANewerVersion(t *testing.T) {
 	v := versions(t, 3)
 	peer := netip.MustParseAddrPort("127.0.0.9:7400")
 	asked := 0
-	book := subscriber.NewBook(all, asserter.Strict{})
-	require.NoError(t, book.Apply(update(v[1], 0)))
-	book.Connect(callerFunc(func(addr netip.AddrPort, request any) (any, error) {
+	view := subscriber.NewView(all, asserter.Strict{})
+	require.NoError(t, view.Apply(update(v[1], 0)))
+	view.Connect(callerFunc(func(addr netip.AddrPort, request any) (any, error) {
 		asked++
 		require.Equal(t, peer, addr)
 		have := request.(*subscriber.ConfigurationRequest).Have
 		return &subscriber.ConfigurationAnswer{Configuration: update(v[3], have).Configuration}, nil
 	}))
-	book.Observe(peer, v[1].Version)
-	book.Observe(peer, v[3].Version)
-	for book.Current() < v[3].Version {
-		book.Await(t.Context(), v[3].Version)
+	view.Observe(peer, v[1].Version)
+	view.Observe(peer, v[3].Version)
+	for view.Current() < v[3].Version {
+		view.Await(t.Context(), v[3].Version)
 	}
-	book.Observe(peer, v[2].Version)
+	view.Observe(peer, v[2].Version)
 	require.Equal(t, 1, asked)
 }
 
 func TestMembersFollowUpdates(t *testing.T) {
-	book := subscriber.NewBook(all, asserter.Strict{})
+	view := subscriber.NewView(all, asserter.Strict{})
 	changes := 0
-	book.Watch(func() { changes++ })
-	require.NoError(t, book.Apply(&subscriber.Update{Members: &subscriber.MembersUpdate{
+	view.Watch(func() { changes++ })
+	require.NoError(t, view.Apply(&subscriber.Update{Members: &subscriber.MembersUpdate{
 		Index: 3, Whole: true, Changed: []subscriber.Member{{Upstream: "b"}, {Upstream: "a"}},
 	}}))
-	require.NoError(t, book.Apply(&subscriber.Update{Members: &subscriber.MembersUpdate{
+	require.NoError(t, view.Apply(&subscriber.Update{Members: &subscriber.MembersUpdate{
 		Index: 4, Changed: []subscriber.Member{{Upstream: "c"}}, Removed: []identifier.Upstream{"a"},
 	}}))
-	require.NoError(t, book.Apply(&subscriber.Update{Renewed: 9}))
-	members, index := book.Members()
+	require.NoError(t, view.Apply(&subscriber.Update{Renewed: 9}))
+	members, index := view.Members()
 	require.Equal(t, uint64(4), index)
 	require.Equal(t, []subscriber.Member{{Upstream: "b"}, {Upstream: "c"}}, members)
 	require.Equal(t, 2, changes)
