--- a/subscriber/view.go
+++ b/subscriber/view.go
@@ -226,7 +226,7 @@
 	return &delta
 }
 
-// covers reports whether one who has the need a can answer for the need v.
+// covers reports whether one who has the need a can answer for the need b.
 func covers(a, b configurer.Need) bool {
 	if a.All {
 		return true
