placer: carry a request of the platform end to end

Cause: nothing of ours ran on the users' platform. The embedded default doesn't start there, since the working folder is read-only and no list of members or upstreams is given to any process.

Consensus, disk, connections and keys are those that were there.

Ruled out: going through the agent beside an engine. Plain services on the platform have no agent, and each event would take two legs more.

Before: no request served.

--- a/assembler/run.go
+++ b/assembler/run.go
@@ -16,6 +16,8 @@
 
 	"celeryvalve/explainer"
 	"celeryvalve/parser"
+	"celeryvalve/placer"
+	"celeryvalve/platform"
 	"celeryvalve/versioner"
 )
 
@@ -32,7 +34,9 @@
 )
 
 type commandLine struct {
-	Settings      string           `help:"Settings file in TOML. Without one, the defaults run all three roles on loopback." type:"path" short:"s"`
+	Settings      string           `help:"Settings file in TOML. Without one, the defaults run all three roles on loopback." type:"path" short:"s" xor:"settings"`
+	Placed        bool             `help:"Run as the platform places the process: read its settings from the file that the platform names." xor:"settings"`
+	Keys          string           `help:"Folder of the keys of a placed process." type:"path" default:"target/keys"`
 	PrintSettings bool             `help:"Print the settings in force and exit."`
 	Build         kong.VersionFlag `help:"Print the version and build of this program."`
 }
@@ -61,6 +65,9 @@
 		fmt.Fprintf(stderr, "celeryvalved: %v (see celeryvalved --help)\n", err)
 		return exitInvalid
 	}
+	if line.Placed {
+		return runPlaced(line.Keys, w, stderr)
+	}
 	settings, err := readSettings(line.Settings)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -77,6 +84,21 @@
 	return exitDone
 }
 
+// runPlaced serves where the platform placed the process.
+func runPlaced(keys string, w, stderr io.Writer) int {
+	read := func() (parser.Placement, error) { return platform.ReadPlacement(os.Getenv(platform.SettingsVariable)) }
+	placement, err := read()
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitInvalid
+	}
+	if err := placer.Run(placer.Options{Keys: keys, Reload: read}, placement, w); err != nil {
+		fmt.Fprintf(stderr, "celeryvalved: %v\n", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
 func readSettings(path string) (parser.Settings, error) {
 	if path == "" {
 		return parser.Defaults(), nil
--- /dev/null
+++ b/balancer/forecast.go
@@ -0,0 +1,76 @@
+package balancer
+
+import (
+	"time"
+
+	"celeryvalve/declarer"
+)
+
+const (
+	// plainWork is the time that a request of a service without an engine takes
+	// until its own times are known.
+	plainWork = 50 * time.Millisecond
+	// otherRegion and otherZone are added to the forecast of an upstream elsewhere,
+	// so that bytes cross links only where that gains the caller some time.
+	otherRegion = 60 * time.Millisecond
+	otherZone   = 30 * time.Millisecond
+)
+
+// forecast returns the time to the first byte that a request would get at the
+// upstream, with what is there now.
+func (r *Reducer) forecast(now time.Time, u *upstream, q *Request, engine *declarer.Engine) time.Duration {
+	load, _ := u.load(now)
+	if engine == nil {
+		return plainForecast(u, load)
+	}
+	return engineForecast(engine, load, u.slots(), u.waiting, q)
+}
+
+func plainForecast(u *upstream, load int) time.Duration {
+	work := u.firstByte.Value()
+	if work == 0 {
+		work = plainWork
+	}
+	ahead := max(0, load+1-u.slots())
+	return work + work*time.Duration(ahead)/time.Duration(u.slots())
+}
+
+// engineForecast adds up the wait for a slot, the pass that is under way, the
+// reading of the prompts ahead and the own one, and the pass that makes the first
+// event.
+func engineForecast(e *declarer.Engine, load, slots, unread int, q *Request) time.Duration {
+	prompt := q.PromptTokens
+	if prompt == 0 {
+		prompt = e.MeanPrompt
+	}
+	running := min(load, slots)
+	pass := passTime(e, running+1)
+	wait := time.Duration(0)
+	if ahead := load + 1 - slots; ahead > 0 {
+		wait = time.Duration(ahead) * serviceTime(e, slots) / time.Duration(slots)
+	}
+	return wait + pass/2 + readTime(e, prompt) + time.Duration(unread)*readTime(e, e.MeanPrompt)/2 + pass
+}
+
+// passTime is the time of one pass with n requests that write.
+func passTime(e *declarer.Engine, n int) time.Duration {
+	step := e.StepTime + time.Duration(n)*e.StepPerRequest
+	context := float64(n) * float64(e.MeanPrompt+e.MeanAnswer/2) / 1000
+	step += time.Duration(context * float64(e.StepPerThousandTokens))
+	return step * time.Duration(max(1, e.StepsPerPass))
+}
+
+func readTime(e *declarer.Engine, prompt int) time.Duration {
+	if e.ReadRate <= 0 {
+		return 0
+	}
+	pairs := float64(prompt) * float64(prompt) / 2 / 1e6
+	return time.Duration(float64(prompt)/e.ReadRate*float64(time.Second) + pairs*float64(e.PairsTime))
+}
+
+// serviceTime is how long a usual request keeps its slot in a full engine: its
+// passes, and the reading of the prompts that come meanwhile.
+func serviceTime(e *declarer.Engine, slots int) time.Duration {
+	passes := max(1, e.MeanAnswer/max(1, e.StepsPerPass))
+	return time.Duration(passes)*passTime(e, slots) + time.Duration(slots)*readTime(e, e.MeanPrompt)
+}
--- /dev/null
+++ b/balancer/reducer.go
@@ -0,0 +1,341 @@
+package balancer
+
+import (
+	"time"
+
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+	"celeryvalve/limiter"
+)
+
+// Config places the entry and holds what the platform bounds.
+type Config struct {
+	Region           identifier.Region
+	AvailabilityZone identifier.AvailabilityZone
+	// RetryRatio and RetryBurst are this entry's share of the retry budget.
+	RetryRatio float64
+	RetryBurst float64
+	// ExpectAfter is how long after a release became wanted older ones are refused.
+	ExpectAfter time.Duration
+}
+
+const (
+	// objectiveMargin is the part of the objective that a forecast may take. The
+	// rest is for the way, and for what the forecast doesn't know.
+	objectiveMargin = 0.9
+	// returnedPatience is the part of the remaining time within which the first
+	// byte of a request that came back is forecast at the latest.
+	returnedPatience = 0.5
+	// retryAfterLeast and retryAfterMost spread the returns of what is refused.
+	// Callers wait up to a third of the time that they have left.
+	retryAfterLeast = 600 * time.Millisecond
+	retryAfterMost  = 1800 * time.Millisecond
+	// leastRemaining is the least time in which an attempt is worth its while.
+	leastRemaining = 30 * time.Millisecond
+	// silenceFactor is how many times its forecast a first byte may take before a
+	// repeatable request is tried elsewhere; silenceLeast bounds it from below.
+	silenceFactor = 4
+	silenceLeast  = 1200 * time.Millisecond
+	// unmeasured stands for requests without an objective.
+	unmeasured = 5 * time.Second
+	// defaultUrgency is that of a request without one; returnedUrgency goes before.
+	defaultUrgency  = 5
+	returnedUrgency = 3
+)
+
+// Reducer decides for one entry. It is not safe for concurrent use.
+type Reducer struct {
+	cfg       Config
+	upstreams map[identifier.Upstream]*upstream
+	services  map[identifier.Service]ServicePolicy
+	requests  map[identifier.RequestID]*request
+	budgets   map[identifier.Service]*limiter.RetryBudget
+}
+
+// request is one that is not answered yet.
+type request struct {
+	Request
+	attempts int
+	tried    map[identifier.Upstream]bool
+	current  *upstream
+	sentAt   time.Time
+	answered bool // the head of the current attempt's answer came
+	// mayHaveRun is set once any attempt may have run.
+	mayHaveRun bool
+}
+
+// New returns a reducer that knows no upstreams.
+func New(cfg Config) *Reducer {
+	return &Reducer{
+		cfg:       cfg,
+		upstreams: make(map[identifier.Upstream]*upstream),
+		services:  make(map[identifier.Service]ServicePolicy),
+		requests:  make(map[identifier.RequestID]*request),
+		budgets:   make(map[identifier.Service]*limiter.RetryBudget),
+	}
+}
+
+// Reduce takes in one event and returns what to do next about its request.
+func (r *Reducer) Reduce(now time.Time, event Event) Effect {
+	switch e := event.(type) {
+	case UpstreamsChanged:
+		r.changeUpstreams(e.Upstreams)
+	case PolicyChanged:
+		clear(r.services)
+		for _, s := range e.Services {
+			r.services[s.Service] = s
+		}
+	case Arrived:
+		return r.arrive(now, e.Request)
+	case Answering:
+		return r.answering(now, e)
+	case Ended:
+		return r.ended(now, e)
+	case Broke:
+		return r.broke(now, e)
+	case CallerGone:
+		r.forget(e.Request)
+	}
+	return Go{}
+}
+
+// InFlight returns how many requests have no answer yet.
+func (r *Reducer) InFlight() int {
+	return len(r.requests)
+}
+
+func (r *Reducer) changeUpstreams(views []UpstreamView) {
+	known := make(map[identifier.Upstream]bool, len(views))
+	for _, v := range views {
+		known[v.Upstream] = true
+		u, ok := r.upstreams[v.Upstream]
+		if !ok || u.view.Incarnation != v.Incarnation {
+			u = newUpstream(v)
+			r.upstreams[v.Upstream] = u
+		}
+		u.view = v
+	}
+	for name := range r.upstreams {
+		if !known[name] {
+			delete(r.upstreams, name) // requests there keep their own pointer
+		}
+	}
+}
+
+func (r *Reducer) arrive(now time.Time, q Request) Effect {
+	if _, ok := r.services[q.Service]; !ok {
+		return Refuse{Request: q.ID, Reason: UnknownService, RetryAfter: r.retryAfter(now, &q)}
+	}
+	r.budget(q.Service).Sent()
+	s := &request{Request: q, tried: make(map[identifier.Upstream]bool)}
+	effect := r.place(now, s)
+	if _, ok := effect.(Send); ok {
+		r.requests[q.ID] = s
+	}
+	return effect
+}
+
+func (r *Reducer) budget(service identifier.Service) *limiter.RetryBudget {
+	b, ok := r.budgets[service]
+	if !ok {
+		b = limiter.NewRetryBudget(r.cfg.RetryRatio, r.cfg.RetryBurst)
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// place sends the request to the best upstream, or refuses it.
+func (r *Reducer) place(now time.Time, s *request) Effect {
+	if s.Deadline.Sub(now) < leastRemaining {
+		return r.giveUp(now, s, DeadlineTooNear, 0)
+	}
+	policy := r.services[s.Service]
+	best, forecast := r.choose(now, s, policy)
+	if best == nil {
+		return r.giveUp(now, s, NoUpstream, 0)
+	}
+	if s.attempts == 0 && forecast > r.patience(now, s) {
+		return r.giveUp(now, s, Overloaded, forecast)
+	}
+	return r.send(now, s, best, forecast, policy)
+}
+
+// patience returns how long the first byte of a request may take by forecast for
+// the request to be admitted.
+func (r *Reducer) patience(now time.Time, s *request) time.Duration {
+	left := s.Deadline.Sub(now)
+	if s.Returned {
+		return time.Duration(returnedPatience * float64(left))
+	}
+	objective := s.Objective
+	if objective <= 0 {
+		objective = unmeasured
+	}
+	return min(left, time.Duration(objectiveMargin*float64(objective)))
+}
+
+func (r *Reducer) send(now time.Time, s *request, u *upstream, forecast time.Duration, policy ServicePolicy) Effect {
+	s.attempts++
+	s.tried[u.view.Upstream] = true
+	s.current = u
+	s.sentAt = now
+	s.answered = false
+	load, age := u.load(now)
+	u.inFlight++
+	u.waiting++
+	if u.asideFor > 0 {
+		u.probing = s.ID
+	}
+	effect := Send{
+		Request:  s.ID,
+		Attempt:  s.attempts,
+		Target:   u.view,
+		Urgency:  defaultUrgency,
+		Forecast: forecast,
+		Load:     load,
+		LoadAge:  age,
+	}
+	if s.Returned || s.attempts > 1 {
+		effect.Urgency = returnedUrgency
+	}
+	if s.Generates && r.expects(now, policy) {
+		effect.Expect = policy.Wanted
+	}
+	if s.Repeatable && s.attempts < s.MaximumAttempts {
+		effect.FirstByteWithin = max(silenceLeast, silenceFactor*forecast)
+	}
+	return effect
+}
+
+// expects reports whether older releases are refused by now.
+func (r *Reducer) expects(now time.Time, policy ServicePolicy) bool {
+	return policy.Wanted > declarer.FirstRelease && now.Sub(policy.WantedSince) >= r.cfg.ExpectAfter
+}
+
+// giveUp ends the request. It is refused only where no attempt may have run.
+func (r *Reducer) giveUp(now time.Time, s *request, reason Reason, forecast time.Duration) Effect {
+	delete(r.requests, s.ID)
+	if s.mayHaveRun {
+		return Fail{Request: s.ID, Reason: reason}
+	}
+	return Refuse{Request: s.ID, Reason: reason, RetryAfter: r.retryAfter(now, &s.Request), Forecast: forecast}
+}
+
+// retryAfter spreads the returns of refused requests.
+func (r *Reducer) retryAfter(now time.Time, q *Request) time.Duration {
+	span := retryAfterMost - retryAfterLeast
+	wait := retryAfterLeast + time.Duration(limiter.Mix(q.Random)%uint64(span))
+	return min(wait, max(leastRemaining, q.Deadline.Sub(now)/3))
+}
+
+func (r *Reducer) answering(now time.Time, e Answering) Effect {
+	s, ok := r.requests[e.Request]
+	if !ok || s.answered {
+		return Go{}
+	}
+	s.answered = true
+	s.mayHaveRun = true
+	u := s.current
+	u.waiting--
+	u.firstByte.Add(now.Sub(s.sentAt))
+	u.observe(now, e.Load)
+	return Go{}
+}
+
+func (r *Reducer) ended(now time.Time, e Ended) Effect {
+	s, ok := r.requests[e.Request]
+	if !ok {
+		return Go{}
+	}
+	u := s.current
+	r.leave(s)
+	u.observe(now, e.Load)
+	if !e.Failed {
+		u.succeeded()
+		delete(r.requests, s.ID)
+		return Go{}
+	}
+	s.mayHaveRun = true
+	u.failed(now, false)
+	if s.Repeatable {
+		if effect, ok := r.again(now, s); ok {
+			return effect
+		}
+	}
+	delete(r.requests, s.ID)
+	return Go{}
+}
+
+func (r *Reducer) broke(now time.Time, e Broke) Effect {
+	s, ok := r.requests[e.Request]
+	if !ok {
+		return Go{}
+	}
+	u := s.current
+	r.leave(s)
+	u.observe(now, e.Load)
+	switch e.Cause {
+	case NotConnected:
+		u.failed(now, true)
+		s.attempts-- // nothing reached the upstream
+	case NotExecuted:
+	case Mistaken:
+		u.failed(now, true)
+	default:
+		s.mayHaveRun = true
+		u.failed(now, false)
+	}
+	repeats := !s.mayHaveRun || s.Repeatable
+	if e.Passed {
+		repeats = e.Resumable
+	}
+	if !repeats {
+		return r.giveUp(now, s, MayHaveRun, 0)
+	}
+	if e.Cause == NotConnected {
+		return r.place(now, s)
+	}
+	effect, ok := r.again(now, s)
+	if !ok {
+		return r.giveUp(now, s, NoAttemptLeft, 0)
+	}
+	return effect
+}
+
+// again sends the request once more where attempts and the budget allow it.
+func (r *Reducer) again(now time.Time, s *request) (Effect, bool) {
+	if s.attempts >= s.MaximumAttempts || s.Deadline.Sub(now) < leastRemaining {
+		return nil, false
+	}
+	policy := r.services[s.Service]
+	best, forecast := r.choose(now, s, policy)
+	if best == nil || s.tried[best.view.Upstream] {
+		return nil, false
+	}
+	if !r.budget(s.Service).Take() {
+		return nil, false
+	}
+	return r.send(now, s, best, forecast, policy), true
+}
+
+// leave takes the current attempt off its upstream.
+func (r *Reducer) leave(s *request) {
+	u := s.current
+	u.inFlight--
+	if !s.answered {
+		u.waiting--
+	}
+	if u.probing == s.ID {
+		u.probing = ""
+	}
+	s.answered = true
+}
+
+func (r *Reducer) forget(id identifier.RequestID) {
+	s, ok := r.requests[id]
+	if !ok {
+		return
+	}
+	r.leave(s)
+	delete(r.requests, id)
+}
--- a/certifier/authority.go
+++ b/certifier/authority.go
@@ -152,6 +152,11 @@
 
 // Issue makes or renews the holder's key and certificate in the folder.
 func (a *Authority) Issue(name string, roles []Role, now time.Time) error {
+	return a.IssueFor(name, roles, now, HolderValidity)
+}
+
+// IssueFor makes or renews a certificate that is valid for so long from now.
+func (a *Authority) IssueFor(name string, roles []Role, now time.Time, validity time.Duration) error {
 	if !holderName.MatchString(name) || name == authorityName {
 		return explainer.New(explainer.InvalidInput, fmt.Sprintf("holder name %q is not usable", name),
 			"use letters, digits, dots, dashes and underscores, 100 at most, other than authority")
@@ -170,7 +175,7 @@
 	template := &x509.Certificate{
 		Subject:     pkix.Name{CommonName: name, OrganizationalUnit: units},
 		NotBefore:   now.Add(-clockSkew),
-		NotAfter:    now.Add(HolderValidity),
+		NotAfter:    now.Add(validity),
 		DNSNames:    []string{ServerName},
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
--- a/commander/keys.go
+++ b/commander/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"celeryvalve/certifier"
 )
@@ -17,11 +18,27 @@
 	Folder string `help:"Folder of the authority and the keys." default:"keys" type:"path"`
 }
 
-type keysInit struct{ keysFolder }
+// keysFrom says since when keys are valid: those that a build makes may run
+// where the time of day differs from that of the build.
+type keysFrom struct {
+	From time.Time `help:"First day on which the keys are valid, as 2026-01-31; today unless given." format:"2006-01-02"`
+}
+
+func (f keysFrom) at(s *session) time.Time {
+	if f.From.IsZero() {
+		return s.clock.Now()
+	}
+	return f.From
+}
+
+type keysInit struct {
+	keysFolder
+	keysFrom
+}
 
 // Run makes the authority.
 func (c *keysInit) Run(s *session) error {
-	if _, err := certifier.CreateAuthority(c.Folder, s.clock.Now()); err != nil {
+	if _, err := certifier.CreateAuthority(c.Folder, c.at(s)); err != nil {
 		return err
 	}
 	return s.print(map[string]string{"Folder": c.Folder}, fmt.Sprintf("Made an authority in %s.\n", c.Folder))
@@ -29,6 +46,8 @@
 
 type keysIssue struct {
 	keysFolder
+	keysFrom
+	Days  int              `help:"For how many days the keys are valid." default:"90"`
 	Names []string         `arg:"" help:"Names of the holders."`
 	Role  []certifier.Role `help:"What the holders may do: Entry, Control, Agent, Operator. May be repeated." required:"" enum:"Entry,Control,Agent,Operator"`
 }
@@ -40,7 +59,7 @@
 		return err
 	}
 	for _, name := range c.Names {
-		if err := authority.Issue(name, c.Role, s.clock.Now()); err != nil {
+		if err := authority.IssueFor(name, c.Role, c.at(s), time.Duration(c.Days)*24*time.Hour); err != nil {
 			return err
 		}
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -172,6 +172,12 @@
 	return err
 }
 
+// SetContacts gives addresses at which a replica with an empty disk announces
+// itself, beside those of the first start.
+func (c *Coordinator) SetContacts(addrs []netip.AddrPort) {
+	c.inbox.put(replicator.ContactsChanged{Addrs: addrs})
+}
+
 // TransferLeadership hands over to the follower that is least behind.
 func (c *Coordinator) TransferLeadership(ctx context.Context) error {
 	_, err := c.request(ctx, false, func(id replicator.RequestID) replicator.Event {
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -18,6 +18,9 @@
 // Service names a set of upstreams that serve the same declared model or program.
 type Service string
 
+// Route names a rule that sends requests to services.
+type Route string
+
 // Model names a model of the origin.
 type Model string
 
--- /dev/null
+++ b/placer/pinner.go
@@ -0,0 +1,105 @@
+package placer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"celeryvalve/coordinator"
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+	"celeryvalve/platform"
+)
+
+const (
+	// pinTimeout bounds one try to pin a release.
+	pinTimeout = 3 * time.Second
+	// pinPause is the pause after a try that failed.
+	pinPause = 300 * time.Millisecond
+	// manifestReads is how many equal copies of a manifest are pinned: the origin
+	// may spoil one of them.
+	manifestReads = 2
+)
+
+// pinner has the leader pin the digests of each release that is named.
+type pinner struct {
+	state       *declarer.State
+	coordinator *coordinator.Coordinator
+	log         *zap.Logger
+
+	mu   sync.Mutex
+	busy bool
+}
+
+func newPinner(state *declarer.State, c *coordinator.Coordinator, log *zap.Logger) *pinner {
+	return &pinner{state: state, coordinator: c, log: log.Named("pinner")}
+}
+
+// pin begins to pin the first release that lacks its digests.
+func (p *pinner) pin(ctx context.Context) {
+	declared := p.state.Declared()
+	origin := originOf(declared.Declaration)
+	for model, release := range declared.Releases {
+		if _, ok := release.Pin(release.Wanted); ok || origin == "" {
+			continue
+		}
+		p.mu.Lock()
+		busy := p.busy
+		p.busy = true
+		p.mu.Unlock()
+		if !busy {
+			go p.try(ctx, platform.NewOrigin(origin), model, release.Wanted)
+		}
+		return
+	}
+}
+
+func (p *pinner) try(ctx context.Context, origin *platform.Origin, model identifier.Model, n declarer.ReleaseNumber) {
+	ctx, cancel := context.WithTimeout(ctx, pinTimeout)
+	defer cancel()
+	pinned, err := readManifest(ctx, origin, model, n)
+	if err == nil {
+		var data []byte
+		data, err = declarer.EncodeCommand(&declarer.PinRelease{Model: model, Pinned: pinned})
+		if err == nil {
+			_, err = p.coordinator.Propose(ctx, data)
+		}
+	}
+	p.log.Info("Pinned a release.", zap.String("model", string(model)), zap.Uint64("release", uint64(n)), zap.Error(err))
+	if err != nil {
+		time.Sleep(pinPause)
+	}
+	p.mu.Lock()
+	p.busy = false
+	p.mu.Unlock()
+}
+
+// readManifest reads the manifest until copies in a row are equal.
+func readManifest(ctx context.Context, origin *platform.Origin, model identifier.Model, n declarer.ReleaseNumber) (declarer.Pinned, error) {
+	var last declarer.Pinned
+	for equal := 0; equal < manifestReads; {
+		pinned, err := origin.Manifest(ctx, model, n)
+		if err != nil {
+			return pinned, err
+		}
+		if equal > 0 && pinned.ChunkSize == last.ChunkSize && slices.Equal(pinned.Digests, last.Digests) {
+			equal++
+			continue
+		}
+		last, equal = pinned, 1
+	}
+	return last, nil
+}
+
+// originOf returns the address of the origin of weights, or nothing.
+func originOf(d declarer.Declaration) string {
+	for _, s := range d.Services {
+		if s.Origin != "" {
+			return s.Origin
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,256 @@
+package placer
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"celeryvalve/asserter"
+	"celeryvalve/certifier"
+	"celeryvalve/connector"
+	"celeryvalve/coordinator"
+	"celeryvalve/declarer"
+	"celeryvalve/encoder"
+	"celeryvalve/fetcher"
+	"celeryvalve/parser"
+	"celeryvalve/registrar"
+	"celeryvalve/spreader"
+	"celeryvalve/submitter"
+)
+
+const (
+	startTimeout = 10 * time.Second
+	// stopMargin is left of the grace for the end of the process itself.
+	stopMargin = 400 * time.Millisecond
+	// reloadInterval is how often the settings are looked at without a signal.
+	reloadInterval = 2 * time.Second
+	// memoryShare is the part of the memory that the runtime's collector aims at.
+	memoryShare = 0.6
+	// processors is how many threads run Go code at once: instances have one core.
+	processors = 2
+	// staleHeartbeats is how many heartbeats may be missing before an upstream
+	// counts as stale; what is told of them at intervals adds to the time.
+	staleHeartbeats = 3
+	refreshMargin   = 3 * time.Second
+	forgetAfter     = time.Minute
+	// logBudget lines of one message a second are written whole, and one in
+	// logThinned beyond that.
+	logBudget  = 100
+	logThinned = 50
+)
+
+// Options are what a process is started with beside its placement.
+type Options struct {
+	// Keys is the folder of the keys that the build issued.
+	Keys string
+	// Reload reads the placement again.
+	Reload func() (parser.Placement, error)
+}
+
+// Names of the keys in Options.Keys.
+const (
+	EntryKey = "entry"
+	AgentKey = "agent"
+)
+
+// Run serves until SIGTERM, and drains then.
+func Run(options Options, placement parser.Placement, w io.Writer) error {
+	runtime.GOMAXPROCS(min(processors, runtime.NumCPU()))
+	if placement.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(placement.Memory)))
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	log := newLogger(w).With(zap.String("instance", string(placement.Instance)))
+	var parts lifecycle
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		options.modules(placement, log),
+		fx.Populate(&parts),
+	)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	log.Info("Started.", zap.String("zone", string(placement.AvailabilityZone)), zap.Bool("firstStart", placement.FirstStart),
+		zap.String("dataFolder", placement.DataFolder), zap.Stringer("inner", placement.Inner))
+	follow(options, parts, signals, log)
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), placement.Bounds.Grace-stopMargin)
+	defer cancelStop()
+	log.Info("Draining.")
+	parts.Drainer.drain(stopCtx)
+	err := app.Stop(stopCtx)
+	log.Info("Stopped.", zap.Error(err))
+	return err
+}
+
+// lifecycle is what runs beside the app.
+type lifecycle struct {
+	fx.In
+
+	Spreader *spreader.Spreader
+	Drainer  drainer
+}
+
+// drainer ends the work of a process before its parts stop.
+type drainer interface {
+	drain(ctx context.Context)
+}
+
+// follow takes up changes of the settings until the process is to stop.
+func follow(options Options, parts lifecycle, signals <-chan os.Signal, log *zap.Logger) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+			log.Info("Reloading the settings.")
+			reload(options, parts, log)
+		case <-ticker.C:
+			reload(options, parts, log)
+		}
+	}
+}
+
+func reload(options Options, parts lifecycle, log *zap.Logger) {
+	placement, err := options.Reload()
+	if err != nil {
+		log.Warn("Settings can't be reloaded; the old ones stay.", zap.Error(err))
+		return
+	}
+	parts.Spreader.SetSeeds(placement.Seeds)
+}
+
+// newLogger writes one JSON object a line. The lines of one message beyond its
+// budget are thinned out, but those of warnings and errors are in a budget of
+// their own by their message.
+func newLogger(w io.Writer) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.MillisDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), zapcore.InfoLevel)
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, logBudget, logThinned))
+}
+
+func (o Options) modules(placement parser.Placement, log *zap.Logger) fx.Option {
+	common := fx.Options(
+		fx.Supply(placement, log),
+		fx.Provide(
+			clockwork.NewRealClock,
+			metrics.NewSet,
+			newAsserter,
+			newCodec,
+			o.newSource,
+			newView,
+			newEndpoint,
+			newTable,
+			newSpreader,
+			newSubmitter,
+		),
+	)
+	if !placement.Callers.IsValid() {
+		return fx.Options(common, agentModule())
+	}
+	if placement.DataFolder == "" {
+		return fx.Options(common, entryModule(), fx.Supply((*replica)(nil)))
+	}
+	return fx.Options(common, entryModule(), controlModule())
+}
+
+func newAsserter(set *metrics.Set, log *zap.Logger) asserter.Asserter {
+	log = log.Named("asserter")
+	return asserter.Reporting{Report: func(invariant asserter.Invariant, detail string) {
+		set.GetOrCreateCounter(`celeryvalve_invariant_breaches_total{invariant="` + string(invariant) + `"}`).Inc()
+		log.Error("An invariant is broken.", zap.String("invariant", string(invariant)), zap.String("detail", detail))
+	}}
+}
+
+func newCodec() (*encoder.Codec, error) {
+	var entries []encoder.Entry
+	entries = append(entries, spreader.Messages()...)
+	entries = append(entries, declarer.Messages()...)
+	entries = append(entries, submitter.Messages()...)
+	entries = append(entries, coordinator.Messages()...)
+	entries = append(entries, fetcher.Messages()...)
+	entries = append(entries, officeMessages()...)
+	return encoder.New(entries...)
+}
+
+func (o Options) newSource(placement parser.Placement) *certifier.Source {
+	name := AgentKey
+	if placement.Callers.IsValid() {
+		name = EntryKey
+	}
+	return certifier.NewSource(certifier.PathsIn(o.Keys, name))
+}
+
+func newView(a asserter.Asserter) *declarer.View {
+	return declarer.NewView(a)
+}
+
+func newEndpoint(lc fx.Lifecycle, placement parser.Placement, codec *encoder.Codec, source *certifier.Source,
+	view *declarer.View, set *metrics.Set, log *zap.Logger) *connector.Endpoint {
+	e := connector.New(connector.Config{Listen: placement.Inner}, codec, source, versions{view}, log)
+	set.NewGauge("celeryvalve_control_bytes_sent", func() float64 {
+		sent, _ := e.Traffic()
+		return float64(sent)
+	})
+	lc.Append(fx.StartStopHook(e.Start, e.Stop))
+	return e
+}
+
+func newTable(placement parser.Placement) *registrar.Table {
+	return registrar.New(registrar.Config{
+		StaleAfter:  staleHeartbeats*placement.HeartbeatEvery + refreshMargin,
+		ForgetAfter: forgetAfter,
+	})
+}
+
+func newSpreader(lc fx.Lifecycle, placement parser.Placement, table *registrar.Table, view *declarer.View,
+	e *connector.Endpoint, clock clockwork.Clock, log *zap.Logger) *spreader.Spreader {
+	cfg := spreader.Config{
+		Process:   string(placement.Instance),
+		Address:   placement.Inner,
+		FollowAll: placement.Callers.IsValid(),
+	}
+	s := spreader.New(cfg, placement.Seeds, table, view, e, clock, log)
+	s.Register(e)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { s.Start(); return nil },
+		OnStop:  func(context.Context) error { s.Stop(); return nil },
+	})
+	return s
+}
+
+func newSubmitter(placement parser.Placement, e *connector.Endpoint, clock clockwork.Clock) *submitter.Submitter {
+	return submitter.New(e, placement.Seeds, clock)
+}
+
+// seedOf returns a number that differs between instances.
+func seedOf(placement parser.Placement) uint64 {
+	h := fnv.New64a()
+	// A hash takes any bytes.
+	_, _ = h.Write([]byte(placement.Inner.String()))
+	return h.Sum64()
+}
--- /dev/null
+++ b/registrar/record.go
@@ -0,0 +1,66 @@
+package registrar
+
+import (
+	"net/netip"
+
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+)
+
+// State is what an upstream says of its readiness for work.
+type State string
+
+// The states of upstreams, in the only order in which they follow each other
+// within one incarnation.
+const (
+	Ready    State = "Ready"
+	Draining State = "Draining" // finishes what it has; takes nothing new
+	Gone     State = "Gone"     // has left, or its address belongs to another
+)
+
+var ranks = map[State]int{Ready: 1, Draining: 2, Gone: 3}
+
+// Record is what one upstream said of itself last.
+type Record struct {
+	Upstream identifier.Upstream
+	// Incarnation is the start of the upstream in Unix milliseconds, or 0 where it
+	// does not say so.
+	Incarnation identifier.Incarnation
+	// Sequence rises with each report of one incarnation.
+	Sequence         uint64
+	Service          identifier.Service
+	Address          netip.AddrPort
+	AvailabilityZone identifier.AvailabilityZone
+	Region           identifier.Region
+	Slots            int
+	State            State
+	// ColdMillis is for how long the upstream stays slow after its start, in
+	// milliseconds from the report.
+	ColdMillis int64
+	// Model and Release are what it holds whole. Release 0: nothing.
+	Model   identifier.Model
+	Release declarer.ReleaseNumber
+}
+
+// sameFacts reports whether both say the same but for the sequence.
+func (r Record) sameFacts(other Record) bool {
+	r.Sequence, other.Sequence = 0, 0
+	r.ColdMillis, other.ColdMillis = 0, 0
+	return r == other
+}
+
+// follows reports whether r is later than the other record of the same upstream.
+func (r Record) follows(other Record) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+	return r.Sequence > other.Sequence
+}
+
+// Refresh says that an upstream was heard, without repeating its record.
+type Refresh struct {
+	_           struct{} `cbor:",toarray"`
+	Upstream    identifier.Upstream
+	Incarnation identifier.Incarnation
+	Sequence    uint64
+}
--- /dev/null
+++ b/registrar/table_test.go
@@ -0,0 +1,98 @@
+package registrar_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"celeryvalve/identifier"
+	"celeryvalve/registrar"
+)
+
+var (
+	start = time.Unix(1_700_000_000, 0)
+	cfg   = registrar.Config{StaleAfter: 6 * time.Second, ForgetAfter: time.Minute}
+)
+
+func address(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 8080)
+}
+
+func record(name identifier.Upstream, sequence uint64, state registrar.State) registrar.Record {
+	return registrar.Record{Upstream: name, Sequence: sequence, Service: "drafting", Address: address(name[0]), State: state}
+}
+
+func TestLateReportBringsNobodyBack(t *testing.T) {
+	table := registrar.New(cfg)
+	require.True(t, table.Merge(start, record("a", 4, registrar.Ready)))
+	require.True(t, table.Merge(start, record("a", 5, registrar.Draining)))
+	require.False(t, table.Merge(start, record("a", 4, registrar.Ready)))
+	require.False(t, table.Merge(start, record("a", 9, registrar.Ready)), "leaving is final")
+	found, _ := table.Find("a")
+	require.Equal(t, registrar.Draining, found.State)
+}
+
+func TestRestartUnderTheOldNameCounts(t *testing.T) {
+	table := registrar.New(cfg)
+	old := record("a", 40, registrar.Draining)
+	old.Incarnation = 100
+	require.True(t, table.Merge(start, old))
+	reborn := record("a", 1, registrar.Ready)
+	reborn.Incarnation = 200
+	require.True(t, table.Merge(start, reborn))
+	old.Sequence = 41
+	require.False(t, table.Merge(start, old), "the old incarnation is over")
+	require.Equal(t, registrar.Ready, table.Known(start)[0].State)
+}
+
+func TestAddressHasOneUpstream(t *testing.T) {
+	table := registrar.New(cfg)
+	table.Merge(start, record("a", 4, registrar.Ready))
+	successor := record("b", 1, registrar.Ready)
+	successor.Address = address('a')
+	require.True(t, table.Merge(start, successor))
+	require.False(t, table.Merge(start, record("a", 4, registrar.Ready)), "a late report of the one that is gone")
+	known := table.Known(start)
+	require.Len(t, known, 1)
+	require.Equal(t, identifier.Upstream("b"), known[0].Upstream)
+}
+
+func TestSilentUpstreamIsStaleAndThenForgotten(t *testing.T) {
+	table := registrar.New(cfg)
+	table.Merge(start, record("a", 1, registrar.Ready))
+	require.False(t, table.Known(start.Add(5 * time.Second))[0].Stale)
+	require.True(t, table.Refresh(start.Add(5*time.Second), registrar.Refresh{Upstream: "a", Sequence: 5}))
+	require.False(t, table.Known(start.Add(10 * time.Second))[0].Stale)
+	require.True(t, table.Known(start.Add(12 * time.Second))[0].Stale)
+	table.Forget(start.Add(2 * time.Minute))
+	require.Empty(t, table.Known(start.Add(2*time.Minute)))
+}
+
+// Tables that were told the same records in any order and number hold the same
+// states, as long as no address changes hands.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := []registrar.State{registrar.Ready, registrar.Draining, registrar.Gone}
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) registrar.Record {
+			rank := rapid.IntRange(0, 2).Draw(t, "state")
+			r := record(rapid.SampledFrom([]identifier.Upstream{"a", "b"}).Draw(t, "name"), 0, states[rank])
+			r.Incarnation = identifier.Incarnation(rapid.IntRange(0, 2).Draw(t, "incarnation"))
+			// An upstream's states follow each other, so a later one has a higher sequence.
+			r.Sequence = uint64(10*rank + rapid.IntRange(0, 9).Draw(t, "sequence"))
+			return r
+		}), 1, 12).Draw(t, "records")
+		shuffled := rapid.Permutation(slices.Concat(records, records)).Draw(t, "order")
+		one, two := registrar.New(cfg), registrar.New(cfg)
+		for _, r := range records {
+			one.Merge(start, r)
+		}
+		for _, r := range shuffled {
+			two.Merge(start, r)
+		}
+		require.Equal(t, one.Known(start), two.Known(start))
+	})
+}
--- a/replicator/discovery.go
+++ b/replicator/discovery.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -31,9 +32,18 @@
 			r.send(f.Addr, &Hello{Envelope: r.envelopeTo(""), Name: r.cfg.Name})
 		}
 	}
+	for _, addr := range r.contacts {
+		if addr != r.cfg.Addr && !r.isFounder(addr) {
+			r.send(addr, &Hello{Envelope: r.envelopeTo(""), Name: r.cfg.Name})
+		}
+	}
 	r.found()
 }
 
+func (r *Replicator) isFounder(addr netip.AddrPort) bool {
+	return slices.ContainsFunc(r.cfg.Founders, func(f Founder) bool { return f.Addr == addr })
+}
+
 func (r *Replicator) found() {
 	founders := slices.SortedFunc(slices.Values(r.cfg.Founders), func(a, b Founder) int {
 		return strings.Compare(a.Name, b.Name)
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"net/netip"
+
 	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 )
@@ -62,6 +64,12 @@
 	Name string
 }
 
+// ContactsChanged gives further addresses at which an empty replica announces
+// itself. They found no cluster.
+type ContactsChanged struct {
+	Addrs []netip.AddrPort
+}
+
 // RemoveRequested asks to remove the member of that name, or to take back its
 // admission while it is a learner.
 type RemoveRequested struct {
@@ -82,6 +90,7 @@
 func (SnapshotTaken) event()     {}
 func (AdmitRequested) event()    {}
 func (RemoveRequested) event()   {}
+func (ContactsChanged) event()   {}
 func (TransferRequested) event() {}
 
 type replica = identifier.Replica
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -48,6 +48,8 @@
 	joiners map[string]joiner
 	// vacant are the founders that told this empty replica that they are empty too.
 	vacant map[string]joiner
+	// contacts are told of this replica while it is empty, beside the founders.
+	contacts []netip.AddrPort
 
 	// Of the leader only.
 	progress     map[replica]*progress
@@ -123,6 +125,8 @@
 		r.remove(ev.ID, ev.Name)
 	case TransferRequested:
 		r.startTransfer(ev.ID)
+	case ContactsChanged:
+		r.contacts = ev.Addrs
 	}
 }
 
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -40,25 +40,28 @@
 	Commit   recorder.Index
 	Snapshot recorder.Index
 	Members  []MemberStatus
-	Joiners  []JoinerStatus
-	Halted   bool
+	// Membership is the entry that brought Members.
+	Membership recorder.Index
+	Joiners    []JoinerStatus
+	Halted     bool
 }
 
 // Status returns the state of the replica. Addr is that of the leader.
 func (r *Replicator) Status() Status {
 	s := Status{
-		Replica:  r.cfg.Replica,
-		Name:     r.cfg.Name,
-		Cluster:  r.cluster,
-		Role:     r.role,
-		Term:     r.term,
-		Leader:   r.leader.replica,
-		Addr:     r.leader.addr,
-		Last:     r.log.last().Index,
-		Stable:   r.disk.stable,
-		Commit:   r.commit,
-		Snapshot: r.snapshot.Position.Index,
-		Halted:   r.halted,
+		Replica:    r.cfg.Replica,
+		Name:       r.cfg.Name,
+		Cluster:    r.cluster,
+		Role:       r.role,
+		Term:       r.term,
+		Leader:     r.leader.replica,
+		Addr:       r.leader.addr,
+		Last:       r.log.last().Index,
+		Stable:     r.disk.stable,
+		Commit:     r.commit,
+		Snapshot:   r.snapshot.Position.Index,
+		Membership: r.membershipAt,
+		Halted:     r.halted,
 	}
 	for _, m := range r.membership.Members {
 		member := MemberStatus{Member: m}
--- /dev/null
+++ b/spreader/message.go
@@ -0,0 +1,64 @@
+package spreader
+
+import (
+	"net/netip"
+
+	"celeryvalve/declarer"
+	"celeryvalve/encoder"
+	"celeryvalve/identifier"
+	"celeryvalve/registrar"
+)
+
+// Follow opens a stream to a process that others follow.
+type Follow struct {
+	Process string
+}
+
+// Told is what either end of a stream tells the other. An empty one shows that
+// the sender lives.
+type Told struct {
+	Records   []registrar.Record  `cbor:",omitempty"`
+	Refreshes []registrar.Refresh `cbor:",omitempty"`
+	// Revision is that of what is declared at the sender.
+	Revision declarer.Revision
+	// Replicas are set by a control replica.
+	Replicas *Replicas `cbor:",omitempty"`
+}
+
+// Replicas says where the control replicas are.
+type Replicas struct {
+	// Index is the position in the log of the membership, so that a newer list is
+	// told from an older one.
+	Index     uint64
+	Addresses []netip.AddrPort
+	// Led says that the sender hears a leader.
+	Led bool
+}
+
+// FetchDeclared asks for what leads on from a version.
+type FetchDeclared struct {
+	Have identifier.ConfigurationVersion
+}
+
+// DeclaredAnswer answers FetchDeclared.
+type DeclaredAnswer struct {
+	Revision declarer.Revision
+	Delta    declarer.Delta
+	Releases map[identifier.Model]declarer.Release
+}
+
+// The kinds of messages that open a stream.
+const (
+	FollowKind        encoder.Kind = "Spreader.Follow"
+	FetchDeclaredKind encoder.Kind = "Spreader.FetchDeclared"
+)
+
+// Messages returns the entries of the exchange.
+func Messages() []encoder.Entry {
+	return []encoder.Entry{
+		encoder.Message[Follow](FollowKind),
+		encoder.Message[Told]("Spreader.Told"),
+		encoder.Message[FetchDeclared](FetchDeclaredKind),
+		encoder.Message[DeclaredAnswer]("Spreader.DeclaredAnswer"),
+	}
+}
--- /dev/null
+++ b/spreader/stream.go
@@ -0,0 +1,221 @@
+package spreader
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"celeryvalve/connector"
+	"celeryvalve/declarer"
+	"celeryvalve/encoder"
+	"celeryvalve/registrar"
+)
+
+// Handler is where handlers of messages are registered.
+type Handler interface {
+	Handle(kind encoder.Kind, h connector.Handler)
+}
+
+// Register serves those who follow this process.
+func (s *Spreader) Register(h Handler) {
+	h.Handle(FollowKind, s.serveFollow)
+	h.Handle(FetchDeclaredKind, s.serveFetch)
+}
+
+// serveFollow tells a follower what changes here, and takes in what it tells.
+func (s *Spreader) serveFollow(ctx context.Context, stream *connector.Stream, first any) {
+	if _, ok := first.(*Follow); !ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(s.ctx, cancel)
+	defer stop()
+	var done sync.WaitGroup
+	defer done.Wait()
+	done.Go(func() {
+		defer cancel()
+		s.tellAll(ctx, stream)
+	})
+	for {
+		told, err := s.receive(ctx, stream)
+		if err != nil {
+			return
+		}
+		s.take(told, netip.AddrPort{})
+	}
+}
+
+// follow keeps a stream to the address until ctx ends.
+func (s *Spreader) follow(ctx context.Context, addr netip.AddrPort) {
+	failed := false
+	for ctx.Err() == nil {
+		err := s.followOnce(ctx, addr, failed)
+		if ctx.Err() != nil {
+			return
+		}
+		if !failed {
+			s.log.Info("Lost a control replica.", zap.Stringer("address", addr), zap.Error(err))
+		}
+		failed = true
+		select {
+		case <-ctx.Done():
+		case <-s.clock.After(retryPause):
+		}
+	}
+}
+
+func (s *Spreader) followOnce(ctx context.Context, addr netip.AddrPort, again bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dialCtx, dialled := context.WithTimeout(ctx, dialTimeout)
+	stream, err := s.endpoint.Open(dialCtx, addr, &Follow{Process: s.cfg.Process})
+	dialled()
+	if err != nil {
+		return err
+	}
+	defer stream.Cancel()
+	var done sync.WaitGroup
+	defer done.Wait()
+	defer cancel()
+	done.Go(func() {
+		defer cancel()
+		s.tellAll(ctx, stream)
+	})
+	heard := false
+	for {
+		told, err := s.receive(ctx, stream)
+		if err != nil {
+			if errors.Is(err, context.DeadlineExceeded) {
+				s.endpoint.Replace(addr)
+			}
+			return err
+		}
+		if !heard && again {
+			s.log.Info("Regained a control replica.", zap.Stringer("address", addr))
+		}
+		heard = true
+		s.take(told, addr)
+	}
+}
+
+func (s *Spreader) receive(ctx context.Context, stream *connector.Stream) (*Told, error) {
+	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
+	defer cancel()
+	msg, err := stream.Receive(ctx)
+	if err != nil {
+		return nil, err
+	}
+	told, ok := msg.(*Told)
+	if !ok {
+		return nil, errors.New("unexpected message on a stream of changes")
+	}
+	return told, nil
+}
+
+// tellAll sends what changes until the stream breaks. What changes while a
+// message is under way goes out together with the next.
+func (s *Spreader) tellAll(ctx context.Context, stream *connector.Stream) {
+	var cursor registrar.Cursor
+	var refreshed uint64
+	for {
+		s.mu.Lock()
+		told := &Told{Revision: s.view.Declared().Revision, Replicas: s.own}
+		told.Records, cursor = s.table.Since(cursor)
+		if s.refreshN != refreshed {
+			told.Refreshes = s.refresh
+			refreshed = s.refreshN
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if stream.Send(told) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-s.clock.After(beatInterval):
+		}
+	}
+}
+
+// take merges what a peer told. from is set where this process follows it.
+func (s *Spreader) take(told *Told, from netip.AddrPort) {
+	now := s.clock.Now()
+	changed := false
+	s.mu.Lock()
+	for _, r := range told.Records {
+		changed = s.table.Merge(now, r) || changed
+	}
+	for _, f := range told.Refreshes {
+		s.table.Refresh(now, f)
+	}
+	if from.IsValid() {
+		h := s.heard[from]
+		h.at = now
+		if told.Replicas != nil && told.Replicas.Led {
+			h.ledAt = now
+		}
+		s.heard[from] = h
+	}
+	if told.Replicas != nil {
+		s.learnReplicas(*told.Replicas)
+	}
+	if changed {
+		s.tell()
+	}
+	s.mu.Unlock()
+	if changed {
+		s.notify()
+	}
+	if from.IsValid() && told.Revision > s.view.Declared().Revision {
+		s.fetch(from)
+	}
+}
+
+// fetch brings what is declared to the revision of the address.
+func (s *Spreader) fetch(addr netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
+	defer cancel()
+	msg, err := s.endpoint.Call(ctx, addr, &FetchDeclared{Have: s.view.Current()})
+	answer, ok := msg.(*DeclaredAnswer)
+	if err != nil || !ok {
+		s.log.Warn("Can't fetch what is declared; the next sign of life brings it.", zap.Stringer("address", addr), zap.Error(err))
+		return
+	}
+	if s.view.Merge(answer.Revision, answer.Delta, answer.Releases) {
+		s.log.Info("Declaration is in force.", zap.Uint64("version", uint64(s.view.Current())),
+			zap.Uint64("revision", uint64(answer.Revision)), zap.Bool("whole", answer.Delta.Whole), zap.Stringer("from", addr))
+	}
+}
+
+func (s *Spreader) serveFetch(_ context.Context, stream *connector.Stream, first any) {
+	request, ok := first.(*FetchDeclared)
+	if !ok {
+		return
+	}
+	declared := s.view.Declared()
+	answer := &DeclaredAnswer{
+		Revision: declared.Revision,
+		Delta:    declared.Declaration.Since(s.declaration(request)),
+		Releases: declared.Releases,
+	}
+	// A peer that went away asks again.
+	_ = stream.Send(answer)
+}
+
+// declaration returns the version that the request has, or an empty one.
+func (s *Spreader) declaration(request *FetchDeclared) declarer.Declaration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.history {
+		if d.Version == request.Have {
+			return d
+		}
+	}
+	return declarer.Declaration{}
+}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -42,6 +42,15 @@
 	return &Submitter{caller: caller, clock: clock, addresses: addresses, silent: make(map[netip.AddrPort]time.Time)}
 }
 
+// SetAddresses replaces the addresses of the control replicas.
+func (s *Submitter) SetAddresses(addresses []netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(addresses) > 0 {
+		s.addresses = addresses
+	}
+}
+
 // Submit sends the command until a leader applied it or ctx ends. An error of
 // kind Unavailable leaves open whether the command was applied.
 func (s *Submitter) Submit(ctx context.Context, data []byte) (any, error) {
