placer: bring weights to engines

Cause: agents brought no weights, so runners that were added served nothing and a second release was refused everywhere.

The transfer is that of fetcher, with manifests made of the digests that the leader pins; stager stages, reads back and orders.

--- a/registrar/table.go
+++ b/registrar/table.go
@@ -69,7 +69,8 @@
 		// one was under way for long, or the upstream changed its mind too late.
 		return false
 	}
-	if !r.follows(e.record) && !(r.Incarnation == e.record.Incarnation && ranks[r.State] > ranks[e.record.State]) {
+	leaves := r.Incarnation == e.record.Incarnation && ranks[r.State] > ranks[e.record.State]
+	if !r.follows(e.record) && !leaves {
 		return false
 	}
 	e.heardAt = now
--- /dev/null
+++ b/stager/reducer.go
@@ -0,0 +1,228 @@
+package stager
+
+import (
+	"time"
+
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+)
+
+// Config sets the pace.
+type Config struct {
+	// Within is the time in which a release is to be in force, from when it is
+	// wanted.
+	Within time.Duration
+}
+
+const (
+	// turnsShare is the part of Config.Within after which an engine no longer waits
+	// for its turn: what runs takes a quarter of it to end.
+	turnsShare = 0.5
+	// fresh is for how long chunks that were read back count as whole.
+	fresh = 1500 * time.Millisecond
+	// retryAfter is the pause after a failure, and orderPatience the time after
+	// which an order that shows no effect is given again.
+	retryAfter    = 300 * time.Millisecond
+	orderPatience = 5 * time.Second
+	// turns is into how many turns the engines of a service are dealt at least.
+	turns = 3
+)
+
+// Report is what the engine says of itself.
+type Report struct {
+	Model identifier.Model
+	// Release is what it holds whole, or 0.
+	Release declarer.ReleaseNumber
+	// Busy says that an order is in progress.
+	Busy bool
+	// Orders is how many orders it has accepted since its start.
+	Orders uint64
+	// Running and Waiting are its requests.
+	Running int
+	Waiting int
+}
+
+// Event is an input of the reducer.
+type Event interface{ isEvent() }
+
+// Wanted says which release is wanted, and that its chunks are here or not.
+type Wanted struct {
+	Model   identifier.Model
+	Release declarer.ReleaseNumber
+	// Held says that all chunks of the release are here and verified.
+	Held bool
+}
+
+// Observed brings a report of the engine, and how many engines of its service
+// there are and are loading now.
+type Observed struct {
+	Report  Report
+	Engines int
+	Loading int
+}
+
+// Unreachable says that the engine gave no report.
+type Unreachable struct{}
+
+// Staged ends a Stage.
+type Staged struct {
+	Release declarer.ReleaseNumber
+	// Whole says that every chunk was read back and matched.
+	Whole bool
+}
+
+// Ordered ends an Order.
+type Ordered struct {
+	// Accepted says that the order has begun or is in effect already.
+	Accepted bool
+}
+
+func (Wanted) isEvent()      {}
+func (Observed) isEvent()    {}
+func (Unreachable) isEvent() {}
+func (Staged) isEvent()      {}
+func (Ordered) isEvent()     {}
+
+// Effect is what the shell does.
+type Effect interface{ isEffect() }
+
+// Stage puts the chunks of the release into the engine's reach and reads them
+// back. Staged must follow.
+type Stage struct{ Release declarer.ReleaseNumber }
+
+// Order orders the load. Ordered must follow.
+type Order struct {
+	Model   identifier.Model
+	Release declarer.ReleaseNumber
+	// Expect is the count of orders that the engine must have accepted.
+	Expect uint64
+}
+
+// Announce says what the engine serves, or 0 while it takes nothing new.
+type Announce struct{ Release declarer.ReleaseNumber }
+
+func (Stage) isEffect()    {}
+func (Order) isEffect()    {}
+func (Announce) isEffect() {}
+
+// Reducer decides for one engine. It is not safe for concurrent use.
+type Reducer struct {
+	cfg    Config
+	want   Wanted
+	since  time.Time
+	report *Observed
+
+	staging  bool
+	stagedAt time.Time
+	staged   declarer.ReleaseNumber
+	ordering bool
+	ordered  declarer.ReleaseNumber
+	// orderedAt is when the last order was given or accepted.
+	orderedAt   time.Time
+	pausedUntil time.Time
+
+	announced declarer.ReleaseNumber
+	said      bool
+}
+
+// New returns a reducer that knows nothing.
+func New(cfg Config) *Reducer {
+	return &Reducer{cfg: cfg}
+}
+
+// Reduce takes in one event and returns what to do.
+func (r *Reducer) Reduce(now time.Time, event Event) []Effect {
+	switch e := event.(type) {
+	case Wanted:
+		if e.Release != r.want.Release {
+			r.since = now
+		}
+		r.want = e
+	case Observed:
+		r.observe(now, e)
+	case Unreachable:
+		r.report = nil
+	case Staged:
+		r.staging = false
+		if e.Whole {
+			r.staged, r.stagedAt = e.Release, now
+		} else {
+			r.staged = 0
+			r.pausedUntil = now.Add(retryAfter)
+		}
+	case Ordered:
+		r.ordering = false
+		r.staged = 0
+		if e.Accepted {
+			r.orderedAt = now
+		} else {
+			r.ordered = 0
+			r.pausedUntil = now.Add(retryAfter)
+		}
+	}
+	return append(r.announce(), r.next(now)...)
+}
+
+// observe takes in a report. One that shows a restart, or that the order ended
+// without effect, takes the order back.
+func (r *Reducer) observe(now time.Time, e Observed) {
+	before := r.report
+	r.report = &e
+	if r.ordered == 0 || r.ordering {
+		return
+	}
+	restarted := before != nil && e.Report.Orders < before.Report.Orders
+	done := e.Report.Release >= r.ordered
+	if done || restarted || (!e.Report.Busy && now.Sub(r.orderedAt) > orderPatience) {
+		r.ordered = 0
+	}
+}
+
+// announce tells what the engine serves whenever that changes.
+func (r *Reducer) announce() []Effect {
+	if r.report == nil {
+		return nil
+	}
+	serves := r.report.Report.Release
+	if r.ordered != 0 && serves < r.ordered {
+		serves = 0
+	}
+	if r.said && serves == r.announced {
+		return nil
+	}
+	r.said, r.announced = true, serves
+	return []Effect{Announce{Release: serves}}
+}
+
+func (r *Reducer) next(now time.Time) []Effect {
+	if r.report == nil || r.staging || r.ordering || r.ordered != 0 || now.Before(r.pausedUntil) {
+		return nil
+	}
+	report := r.report.Report
+	if !r.want.Held || r.want.Release == 0 || report.Release >= r.want.Release || report.Busy {
+		return nil
+	}
+	if !r.mayLoad(now) {
+		return nil
+	}
+	if r.staged != r.want.Release || now.Sub(r.stagedAt) > fresh {
+		r.staging = true
+		return []Effect{Stage{Release: r.want.Release}}
+	}
+	r.ordering = true
+	r.ordered = r.want.Release
+	r.orderedAt = now
+	return append(r.announce(), Order{Model: r.want.Model, Release: r.want.Release, Expect: report.Orders})
+}
+
+// mayLoad reports whether it is the engine's turn. One that serves nothing loads
+// at once.
+func (r *Reducer) mayLoad(now time.Time) bool {
+	if r.report.Report.Release == 0 {
+		return true
+	}
+	if now.Sub(r.since) >= time.Duration(turnsShare*float64(r.cfg.Within)) {
+		return true
+	}
+	return r.report.Loading < max(1, r.report.Engines/turns)
+}
--- a/transferrer/manifest.go
+++ b/transferrer/manifest.go
@@ -30,6 +30,10 @@
 // alike, the nearest first, so that the origin gives each manifest about once.
 // Whoever is first, or gets no answer, reads it from the origin.
 func (t *Transferrer) fetchManifest(e fetcher.FetchManifest) {
+	if m := t.manifest(e.Manifest); m != nil {
+		t.Send(t.ctx, fetcher.ManifestArrived{Manifest: m})
+		return
+	}
 	for _, peer := range t.manifestSources(e.Manifest) {
 		if m, err := t.askManifest(peer, e.Manifest); err == nil {
 			t.Send(t.ctx, fetcher.ManifestArrived{Manifest: m})
--- a/transferrer/transferrer.go
+++ b/transferrer/transferrer.go
@@ -26,6 +26,14 @@
 	OriginStall time.Duration
 	// LeaseTimeout bounds a request to control.
 	LeaseTimeout time.Duration
+	// Origin reads chunks where the origin is no server of files by ranges.
+	Origin ChunkOrigin
+}
+
+// ChunkOrigin is an origin that gives chunks by their number.
+type ChunkOrigin interface {
+	// Chunk reads one chunk. The caller verifies it.
+	Chunk(ctx context.Context, source string, i verifier.ChunkIndex, size identifier.ByteCount) ([]byte, error)
 }
 
 const (
@@ -215,7 +223,7 @@
 		t.fetch(fetchKey{e.Manifest, e.Chunk, fetcher.Origin}, e.Expires, func(ctx context.Context) ([]byte, error) {
 			m := t.manifest(e.Manifest)
 			l, _ := m.Chunk(e.Chunk)
-			return t.origin.chunk(ctx, e.Source, m, l)
+			return t.readOrigin(ctx, e, m, l)
 		})
 	case fetcher.CancelFetch:
 		t.cancelFetch(fetchKey{e.Manifest, e.Chunk, e.Source})
@@ -240,6 +248,37 @@
 	}
 }
 
+// readOrigin reads a chunk from the origin that the settings name.
+func (t *Transferrer) readOrigin(ctx context.Context, e fetcher.FetchChunkFromOrigin, m *verifier.Manifest, l verifier.Location) ([]byte, error) {
+	if t.cfg.Origin == nil {
+		return t.origin.chunk(ctx, e.Source, m, l)
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.cfg.OriginStall)
+	defer cancel()
+	return t.cfg.Origin.Chunk(ctx, e.Source, e.Chunk, l.Size)
+}
+
+// Offer gives a manifest that need not be fetched.
+func (t *Transferrer) Offer(m *verifier.Manifest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.manifests[m.Digest()] = m
+	t.tellChange()
+}
+
+// Restore takes in the bytes of a chunk that the instance holds already.
+func (t *Transferrer) Restore(ctx context.Context, digest identifier.Digest, data []byte) error {
+	chunk, err := verifier.VerifyBytes(digest, data)
+	if err != nil {
+		return err
+	}
+	if err := t.store.Put(chunk, data); err != nil {
+		return err
+	}
+	t.Send(ctx, fetcher.ChunkRestored{Chunk: chunk})
+	return nil
+}
+
 // report logs what operators should know and hands it on.
 func (t *Transferrer) report(effect fetcher.Effect) {
 	switch e := effect.(type) {
@@ -367,3 +406,8 @@
 	}
 	t.Send(t.ctx, fetcher.FilesVerified{Weights: weights})
 }
+
+// Chunk returns the bytes of a chunk that is stored, verified.
+func (t *Transferrer) Chunk(digest identifier.Digest) ([]byte, error) {
+	return t.store.Get(digest)
+}
--- /dev/null
+++ b/verifier/pinned.go
@@ -0,0 +1,28 @@
+package verifier
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"celeryvalve/identifier"
+)
+
+// FromDigests makes the manifest of weights of which only the digests of the
+// chunks are known. Each chunk is a file of its own, named by its number. Equal
+// arguments make equal manifests.
+func FromDigests(d Description, digests []identifier.Digest) (*Manifest, error) {
+	m := Manifest{Model: d.Model, Adapter: d.Adapter, Version: d.Version, ChunkSize: d.ChunkSize}
+	for i, digest := range digests {
+		m.Files = append(m.Files, File{
+			Path:   strconv.Itoa(i),
+			Size:   d.ChunkSize,
+			Digest: digest,
+			Chunks: []identifier.Digest{digest},
+		})
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(data)
+}
