placer: keep one client of the origin in a process

Cause: each chunk opened a client of its own, whose idle connections stayed: the origin takes 48, and from 17 s on it reset all others. Agents whose engines hold a release also read it from the origin before they had taken over what is staged. Ruled out: a busy origin (it sent 0.7 copies in 34 s).

--- a/placer/agent.go
+++ b/placer/agent.go
@@ -45,6 +45,8 @@
 	setAside         = 4 * time.Second
 	chunkRetry       = 150 * time.Millisecond
 	originStall      = 3 * time.Second
+	// lastToken ranks engines that hold nothing behind those that do.
+	lastToken = 1
 	// linkShare is the part of the instance's link that transfers take each way.
 	linkShare = 0.9
 )
@@ -72,13 +74,14 @@
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 
-	mu       sync.Mutex
-	reducer  *stager.Reducer
-	target   target
-	held     map[declarer.ReleaseNumber]bool
-	restored map[declarer.ReleaseNumber]bool
-	peers    []fetcher.Peer
-	serves   *declarer.ReleaseNumber
+	mu      sync.Mutex
+	reducer *stager.Reducer
+	target  target
+	held    map[declarer.ReleaseNumber]bool
+	// restoring is set while staged chunks are taken over.
+	restoring bool
+	peers     []fetcher.Peer
+	serves    *declarer.ReleaseNumber
 }
 
 // target is the release that is wanted here.
@@ -100,17 +103,16 @@
 		log:       log.Named("agent"),
 		// The only giver of orders is the process beside the engine. Its start tells
 		// it from the one before.
-		token:    identifier.FencingToken(clock.Now().UnixMilli()),
-		reducer:  stager.New(stager.Config{Within: placement.Bounds.ReleaseWithin}),
-		held:     make(map[declarer.ReleaseNumber]bool),
-		restored: make(map[declarer.ReleaseNumber]bool),
+		token:   identifier.FencingToken(clock.Now().UnixMilli()),
+		reducer: stager.New(stager.Config{Within: placement.Bounds.ReleaseWithin}),
+		held:    make(map[declarer.ReleaseNumber]bool),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	store, err := transferrer.NewStore(transferrer.StoreConfig{Limit: placement.Memory / 4})
 	if err != nil {
 		return nil, err
 	}
-	cfg := transferrer.Config{Fetcher: g.fetcherConfig(), OriginStall: originStall, LeaseTimeout: engineTimeout, Origin: chunkOrigin{view}}
+	cfg := transferrer.Config{Fetcher: g.fetcherConfig(), OriginStall: originStall, LeaseTimeout: engineTimeout, Origin: chunkOrigin{view, &origins{}}}
 	g.transferrer = transferrer.New(cfg, clock, store, transferrer.Connect(e), lessor{clock}, set, log, a)
 	g.transferrer.OnEffect = g.onTransfer
 	for _, entry := range fetcher.Messages() {
@@ -175,7 +177,6 @@
 		return
 	}
 	own, all := g.records()
-	g.follow(own, all)
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	report, err := g.engine.Report(ctx)
@@ -183,7 +184,7 @@
 		g.reduce(stager.Unreachable{})
 		return
 	}
-	g.restore(report)
+	g.follow(own, all, report)
 	loading := 0
 	for _, r := range all {
 		if r.Release == 0 && r.Upstream != own.Upstream {
@@ -211,8 +212,9 @@
 	return own, all
 }
 
-// follow brings the transfer to the release that is wanted.
-func (g *agent) follow(own registrar.Record, all []registrar.Record) {
+// follow brings the transfer to the release that is wanted. What the engine has
+// staged already is taken over first.
+func (g *agent) follow(own registrar.Record, all []registrar.Record, report stager.Report) {
 	declared := g.view.Declared()
 	engine := declared.Declaration.Services[own.Service].Engine
 	if engine == nil {
@@ -225,8 +227,9 @@
 	}
 	g.mu.Lock()
 	changed := g.target.number != pinned.Number || g.target.model != engine.Model
+	restoring := g.restoring
 	g.mu.Unlock()
-	if changed && !g.retarget(engine.Model, pinned) {
+	if restoring || (changed && !g.retarget(engine.Model, pinned, report)) {
 		return
 	}
 	g.followPeers(all)
@@ -236,7 +239,7 @@
 	g.reduce(stager.Wanted{Model: t.model, Release: t.number, Held: held})
 }
 
-func (g *agent) retarget(model identifier.Model, pinned declarer.Pinned) bool {
+func (g *agent) retarget(model identifier.Model, pinned declarer.Pinned, report stager.Report) bool {
 	m, err := verifier.FromDigests(verifier.Description{
 		Model:     model,
 		Version:   identifier.WeightVersion(strconv.FormatUint(uint64(pinned.Number), 10)),
@@ -250,15 +253,33 @@
 	g.mu.Lock()
 	g.target = target{model: model, number: pinned.Number, pinned: pinned, manifest: m}
 	g.peers = nil
+	t := g.target
+	g.restoring = report.Release == pinned.Number
+	restoring := g.restoring
 	g.mu.Unlock()
 	g.transferrer.Offer(m)
+	if restoring {
+		g.work.Go(func() {
+			g.restoreChunks(t)
+			g.want(t)
+		})
+		return false
+	}
+	g.want(t)
+	return true
+}
+
+// want begins the transfer of the target.
+func (g *agent) want(t target) {
 	g.transferrer.Send(g.ctx, fetcher.Wanted{
-		Manifest: m.Digest(),
-		Name:     fetcher.Name{Model: model},
-		Source:   sourceOf(model, pinned.Number),
+		Manifest: t.manifest.Digest(),
+		Name:     fetcher.Name{Model: t.model},
+		Source:   sourceOf(t.model, t.number),
 		Favour:   fetcher.OriginBytes,
 	})
-	return true
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.restoring = false
 }
 
 // followPeers tells the transferrer who wants the release. Those that hold any
@@ -272,6 +293,9 @@
 		p := g.peer(r.Region, r.AvailabilityZone)
 		p.Address = innerOf(r, g.placement)
 		p.Upstream = identifier.Upstream(p.Address.String())
+		if r.Release == 0 {
+			p.Token = lastToken
+		}
 		peers = append(peers, p)
 	}
 	g.mu.Lock()
@@ -284,21 +308,8 @@
 	}
 }
 
-// restore reads what the engine has staged of a release that it serves, so that
-// others need not read it from the origin.
-func (g *agent) restore(report stager.Report) {
-	g.mu.Lock()
-	t := g.target
-	due := t.manifest != nil && report.Release == t.number && !g.held[t.number] && !g.restored[t.number]
-	if due {
-		g.restored[t.number] = true
-	}
-	g.mu.Unlock()
-	if due {
-		g.work.Go(func() { g.restoreChunks(t) })
-	}
-}
-
+// restoreChunks reads what the engine has staged of a release that it serves, so
+// that others need not read it from the origin.
 func (g *agent) restoreChunks(t target) {
 	ctx, cancel := context.WithTimeout(g.ctx, stageTimeout)
 	defer cancel()
--- a/placer/chunks.go
+++ b/placer/chunks.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -42,9 +45,41 @@
 	}, nil
 }
 
+// origins keeps the one client of the origin that is declared.
+type origins struct {
+	mu      sync.Mutex
+	address string
+	origin  *platform.Origin
+}
+
+// declared returns the origin of the declaration, or an error without one.
+func (o *origins) declared(d declarer.Declaration) (*platform.Origin, error) {
+	address := originOf(d)
+	if address == "" {
+		return nil, explainer.New(explainer.Unavailable, "no origin is declared", "declare one")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.address != address {
+		o.address, o.origin = address, platform.NewOrigin(address)
+	}
+	return o.origin, nil
+}
+
+// originOf returns the address of the origin of weights, or nothing.
+func originOf(d declarer.Declaration) string {
+	for _, name := range slices.Sorted(maps.Keys(d.Services)) {
+		if origin := d.Services[name].Origin; origin != "" {
+			return origin
+		}
+	}
+	return ""
+}
+
 // chunkOrigin reads chunks from the origin that is declared.
 type chunkOrigin struct {
-	view *declarer.View
+	view    *declarer.View
+	origins *origins
 }
 
 // sourceOf names a release for chunkOrigin.
@@ -59,11 +94,11 @@
 	if err != nil {
 		return nil, err
 	}
-	address := originOf(o.view.Declared().Declaration)
-	if address == "" {
-		return nil, explainer.New(explainer.Unavailable, "no origin is declared", "declare one")
+	origin, err := o.origins.declared(o.view.Declared().Declaration)
+	if err != nil {
+		return nil, err
 	}
-	return platform.NewOrigin(address).Chunk(ctx, identifier.Model(model), declarer.ReleaseNumber(n), int(i), size)
+	return origin.Chunk(ctx, identifier.Model(model), declarer.ReleaseNumber(n), int(i), size)
 }
 
 // innerOf returns where the agent beside an engine is reached.
--- a/placer/pinner.go
+++ b/placer/pinner.go
@@ -29,6 +29,7 @@
 	state       *declarer.State
 	coordinator *coordinator.Coordinator
 	log         *zap.Logger
+	origins     origins
 
 	mu   sync.Mutex
 	busy bool
@@ -41,9 +42,8 @@
 // pin begins to pin the first release that lacks its digests.
 func (p *pinner) pin(ctx context.Context) {
 	declared := p.state.Declared()
-	origin := originOf(declared.Declaration)
 	for model, release := range declared.Releases {
-		if _, ok := release.Pin(release.Wanted); ok || origin == "" {
+		if _, ok := release.Pin(release.Wanted); ok {
 			continue
 		}
 		p.mu.Lock()
@@ -51,16 +51,16 @@
 		p.busy = true
 		p.mu.Unlock()
 		if !busy {
-			go p.try(ctx, platform.NewOrigin(origin), model, release.Wanted)
+			go p.try(ctx, declared.Declaration, model, release.Wanted)
 		}
 		return
 	}
 }
 
-func (p *pinner) try(ctx context.Context, origin *platform.Origin, model identifier.Model, n declarer.ReleaseNumber) {
+func (p *pinner) try(ctx context.Context, d declarer.Declaration, model identifier.Model, n declarer.ReleaseNumber) {
 	ctx, cancel := context.WithTimeout(ctx, pinTimeout)
 	defer cancel()
-	pinned, err := readManifest(ctx, origin, model, n)
+	pinned, err := p.read(ctx, d, model, n)
 	if err == nil {
 		var data []byte
 		data, err = declarer.EncodeCommand(&declarer.PinRelease{Model: model, Pinned: pinned})
@@ -77,6 +77,14 @@
 	p.mu.Unlock()
 }
 
+func (p *pinner) read(ctx context.Context, d declarer.Declaration, model identifier.Model, n declarer.ReleaseNumber) (declarer.Pinned, error) {
+	origin, err := p.origins.declared(d)
+	if err != nil {
+		return declarer.Pinned{}, err
+	}
+	return readManifest(ctx, origin, model, n)
+}
+
 // readManifest reads the manifest until copies in a row are equal.
 func readManifest(ctx context.Context, origin *platform.Origin, model identifier.Model, n declarer.ReleaseNumber) (declarer.Pinned, error) {
 	var last declarer.Pinned
@@ -93,13 +101,3 @@
 	}
 	return last, nil
 }
-
-// originOf returns the address of the origin of weights, or nothing.
-func originOf(d declarer.Declaration) string {
-	for _, s := range d.Services {
-		if s.Origin != "" {
-			return s.Origin
-		}
-	}
-	return ""
-}
