puller, placer: bring weights from mirrors on the core

Cause: instances handed chunks on to each other over links of 7.6 Mbit/s, four hops deep, for 4.4 to 4.9 s, and all engines then loaded at once, since their time was nearly over: half of the requests between 22 and 26 s came late.

Control replicas have links of 1,000 Mbit/s. They now mirror the wanted release (fetcher among them), and each instance takes its own copy from a mirror of its region, sending nothing. Engines load in three turns; those of the first take nothing new once half of the chunks are there.

Ruled out: a faster rate between instances (0.9 of the link was in use).

--- a/placer/agent.go
+++ b/placer/agent.go
@@ -1,30 +1,24 @@
 package placer
 
 import (
-	"cmp"
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
-	"celeryvalve/asserter"
 	"celeryvalve/connector"
 	"celeryvalve/declarer"
-	"celeryvalve/fetcher"
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
 	"celeryvalve/platform"
+	"celeryvalve/puller"
 	"celeryvalve/registrar"
 	"celeryvalve/repeater"
 	"celeryvalve/spreader"
 	"celeryvalve/stager"
-	"celeryvalve/transferrer"
-	"celeryvalve/verifier"
 )
 
 const (
@@ -33,22 +27,8 @@
 	engineTimeout = time.Second
 	// stageTimeout bounds putting and reading back all chunks of a release.
 	stageTimeout = 10 * time.Second
-	// storeReleases is how many releases the store holds: the one that serves, the
-	// wanted one, and one more that is named meanwhile.
-	storeReleases = 3
-	// stripes is into how many parts a release is cut, so that each of a dozen
-	// instances hands on one.
-	stripes = 16
-	// progressDeadline is how long a source of chunks may bring nothing: a quarter
-	// of what is left after a transfer without faults.
-	progressDeadline = 1200 * time.Millisecond
-	setAside         = 4 * time.Second
-	chunkRetry       = 150 * time.Millisecond
-	originStall      = 3 * time.Second
-	// lastToken ranks engines that hold nothing behind those that do.
-	lastToken = 1
-	// linkShare is the part of the instance's link that transfers take each way.
-	linkShare = 0.9
+	// stageRounds is how often a chunk that reads back spoilt is put again.
+	stageRounds = 3
 )
 
 func agentModule() fx.Option {
@@ -60,15 +40,17 @@
 
 // agent brings the wanted weights to the engine on its instance.
 type agent struct {
-	placement   parser.Placement
-	view        *declarer.View
-	spreader    *spreader.Spreader
-	engine      *platform.Engine
-	transferrer *transferrer.Transferrer
-	clock       clockwork.Clock
-	log         *zap.Logger
-	watching    *repeater.Repeater
-	token       identifier.FencingToken
+	placement parser.Placement
+	view      *declarer.View
+	spreader  *spreader.Spreader
+	endpoint  *connector.Endpoint
+	engine    *platform.Engine
+	puller    *puller.Puller
+	origins   origins
+	clock     clockwork.Clock
+	log       *zap.Logger
+	watching  *repeater.Repeater
+	token     identifier.FencingToken
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -77,85 +59,45 @@
 	mu      sync.Mutex
 	reducer *stager.Reducer
 	target  target
-	held    map[declarer.ReleaseNumber]bool
-	// restoring is set while staged chunks are taken over.
-	restoring bool
-	peers     []fetcher.Peer
-	serves    *declarer.ReleaseNumber
+	// stopPull ends the transfer of an older release.
+	stopPull context.CancelFunc
+	pullsNow bool
+	// chunks are those of the target, by digest, once all have come.
+	chunks map[identifier.Digest][]byte
+	serves *declarer.ReleaseNumber
 }
 
 // target is the release that is wanted here.
 type target struct {
-	model    identifier.Model
-	number   declarer.ReleaseNumber
-	pinned   declarer.Pinned
-	manifest *verifier.Manifest
+	model  identifier.Model
+	pinned declarer.Pinned
 }
 
 func newAgent(placement parser.Placement, view *declarer.View, s *spreader.Spreader, e *connector.Endpoint,
-	clock clockwork.Clock, set *metrics.Set, a asserter.Asserter, log *zap.Logger) (*agent, error) {
+	clock clockwork.Clock, log *zap.Logger) *agent {
 	g := &agent{
 		placement: placement,
 		view:      view,
 		spreader:  s,
+		endpoint:  e,
 		engine:    platform.NewEngine(placement.Upstream),
+		puller:    puller.New(clock, log),
 		clock:     clock,
 		log:       log.Named("agent"),
 		// The only giver of orders is the process beside the engine. Its start tells
 		// it from the one before.
-		token:   identifier.FencingToken(clock.Now().UnixMilli()),
-		reducer: stager.New(stager.Config{Within: placement.Bounds.ReleaseWithin}),
-		held:    make(map[declarer.ReleaseNumber]bool),
+		token:    identifier.FencingToken(clock.Now().UnixMilli()),
+		reducer:  stager.New(stager.Config{Within: placement.Bounds.ReleaseWithin}),
+		stopPull: func() {},
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	store, err := transferrer.NewStore(transferrer.StoreConfig{Limit: placement.Memory / 4})
-	if err != nil {
-		return nil, err
-	}
-	cfg := transferrer.Config{Fetcher: g.fetcherConfig(), OriginStall: originStall, LeaseTimeout: engineTimeout, Origin: chunkOrigin{view, &origins{}}}
-	g.transferrer = transferrer.New(cfg, clock, store, transferrer.Connect(e), lessor{clock}, set, log, a)
-	g.transferrer.OnEffect = g.onTransfer
-	for _, entry := range fetcher.Messages() {
-		e.Handle(entry.Kind(), g.transferrer.Handle)
-	}
 	g.watching = repeater.New(clock, agentInterval, g.watch)
-	return g, nil
-}
-
-func (g *agent) fetcherConfig() fetcher.Config {
-	cfg := fetcher.DefaultConfig()
-	cfg.Self = g.peer(g.placement.Region, g.placement.AvailabilityZone)
-	cfg.Stripes = stripes
-	cfg.ProgressDeadline = progressDeadline
-	cfg.SetAside = setAside
-	cfg.RetryDelay = chunkRetry
-	cfg.StoreLimit = g.placement.Memory / 4
-	if g.placement.Link > 0 {
-		cfg.UploadBudget = linkShare * g.placement.Link
-		cfg.DownloadBudget = linkShare * g.placement.Link
-	}
-	return cfg
-}
-
-// peer returns this agent among the members of a transfer. The address of an
-// engine names its agent: both are on one instance.
-func (g *agent) peer(region identifier.Region, zone identifier.AvailabilityZone) fetcher.Peer {
-	return fetcher.Peer{
-		Upstream:         identifier.Upstream(g.placement.Inner.String()),
-		Region:           region,
-		AvailabilityZone: zone,
-		Address:          g.placement.Inner,
-	}
+	return g
 }
 
 func serveAgent(lc fx.Lifecycle, g *agent) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			g.work.Go(func() {
-				if err := g.transferrer.Run(g.ctx); err != nil {
-					g.log.Error("Transfers ended.", zap.Error(err))
-				}
-			})
 			g.watching.Start()
 			return nil
 		},
@@ -184,19 +126,13 @@
 		g.reduce(stager.Unreachable{})
 		return
 	}
-	g.follow(own, all, report)
-	loading := 0
-	for _, r := range all {
-		if r.Release == 0 && r.Upstream != own.Upstream {
-			loading++
-		}
-	}
-	g.reduce(stager.Observed{Report: report, Engines: len(all), Loading: loading})
+	g.follow(own, report)
+	g.reduce(stager.Observed{Report: report, Turn: g.turn(own, all)})
 	g.announce(own)
 }
 
 // records returns the record of the engine beside this agent, and those of all
-// engines of its service.
+// engines of its service, by name.
 func (g *agent) records() (own registrar.Record, all []registrar.Record) {
 	known := g.spreader.Known()
 	for _, k := range known {
@@ -212,144 +148,109 @@
 	return own, all
 }
 
-// follow brings the transfer to the release that is wanted. What the engine has
-// staged already is taken over first.
-func (g *agent) follow(own registrar.Record, all []registrar.Record, report stager.Report) {
-	declared := g.view.Declared()
-	engine := declared.Declaration.Services[own.Service].Engine
-	if engine == nil {
-		return
-	}
-	release := declared.Releases[engine.Model]
-	pinned, ok := release.Pin(release.Wanted)
-	if !ok {
-		return
-	}
+// turn says where the engine stands among those of its service that are to load
+// the target.
+func (g *agent) turn(own registrar.Record, all []registrar.Record) stager.Turn {
 	g.mu.Lock()
-	changed := g.target.number != pinned.Number || g.target.model != engine.Model
-	restoring := g.restoring
+	wanted := g.target.pinned.Number
 	g.mu.Unlock()
-	if restoring || (changed && !g.retarget(engine.Model, pinned, report)) {
-		return
+	turn := stager.Turn{Engines: len(all)}
+	for i, r := range all {
+		switch {
+		case r.Upstream == own.Upstream:
+			turn.Rank = i
+		case r.Release < wanted:
+			turn.Behind = append(turn.Behind, i)
+		}
 	}
-	g.followPeers(all)
-	g.mu.Lock()
-	t, held := g.target, g.held[g.target.number]
-	g.mu.Unlock()
-	g.reduce(stager.Wanted{Model: t.model, Release: t.number, Held: held})
+	return turn
 }
 
-func (g *agent) retarget(model identifier.Model, pinned declarer.Pinned, report stager.Report) bool {
-	m, err := verifier.FromDigests(verifier.Description{
-		Model:     model,
-		Version:   identifier.WeightVersion(strconv.FormatUint(uint64(pinned.Number), 10)),
-		ChunkSize: pinned.ChunkSize,
-	}, pinned.Digests)
-	if err != nil {
-		g.log.Error("A pinned release makes no manifest.", zap.Error(err))
-		return false
+// follow begins to bring the release that is wanted. Before the engine has said
+// which service it is of, the only model that is declared is taken for its own.
+func (g *agent) follow(own registrar.Record, report stager.Report) {
+	declared := g.view.Declared()
+	model, ok := modelOf(declared, own)
+	if !ok {
+		return
 	}
-	g.log.Info("Release is wanted.", zap.String("model", string(model)), zap.Uint64("release", uint64(pinned.Number)))
-	g.mu.Lock()
-	g.target = target{model: model, number: pinned.Number, pinned: pinned, manifest: m}
-	g.peers = nil
-	t := g.target
-	g.restoring = report.Release == pinned.Number
-	restoring := g.restoring
-	g.mu.Unlock()
-	g.transferrer.Offer(m)
-	if restoring {
-		g.work.Go(func() {
-			g.restoreChunks(t)
-			g.want(t)
-		})
-		return false
+	pinned, ok := declared.Releases[model].Pin(declared.Releases[model].Wanted)
+	if !ok {
+		return
 	}
-	g.want(t)
-	return true
-}
-
-// want begins the transfer of the target.
-func (g *agent) want(t target) {
-	g.transferrer.Send(g.ctx, fetcher.Wanted{
-		Manifest: t.manifest.Digest(),
-		Name:     fetcher.Name{Model: t.model},
-		Source:   sourceOf(t.model, t.number),
-		Favour:   fetcher.OriginBytes,
-	})
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.restoring = false
-}
-
-// followPeers tells the transferrer who wants the release. Those that hold any
-// come first: they are up and have room to hand on.
-func (g *agent) followPeers(all []registrar.Record) {
-	peers := make([]fetcher.Peer, 0, len(all))
-	for _, r := range all {
-		if r.State == registrar.Gone {
-			continue
-		}
-		p := g.peer(r.Region, r.AvailabilityZone)
-		p.Address = innerOf(r, g.placement)
-		p.Upstream = identifier.Upstream(p.Address.String())
-		if r.Release == 0 {
-			p.Token = lastToken
+	changed := g.target.model != model || g.target.pinned.Number != pinned.Number
+	if changed {
+		g.stopPull()
+		g.target = target{model: model, pinned: pinned}
+		g.chunks = nil
+		if report.Release < pinned.Number {
+			g.pull(g.target)
 		}
-		peers = append(peers, p)
+	} else if report.Release < pinned.Number && g.chunks == nil && !g.pullsNow {
+		g.pull(g.target) // the engine lost what it had
 	}
-	g.mu.Lock()
-	same := equalPeers(peers, g.peers)
-	g.peers = peers
-	manifest := g.target.manifest
+	held := g.chunks != nil
+	progress := float64(g.puller.Held()) / float64(len(pinned.Digests))
 	g.mu.Unlock()
-	if !same {
-		g.transferrer.Send(g.ctx, fetcher.PeersChanged{Manifest: manifest.Digest(), Peers: peers})
-	}
+	g.reduce(stager.Wanted{Model: model, Release: pinned.Number, Held: held, Progress: progress})
 }
 
-// restoreChunks reads what the engine has staged of a release that it serves, so
-// that others need not read it from the origin.
-func (g *agent) restoreChunks(t target) {
-	ctx, cancel := context.WithTimeout(g.ctx, stageTimeout)
-	defer cancel()
-	restored := 0
-	for i, digest := range t.pinned.Digests {
-		data, err := g.engine.Get(ctx, t.model, i, t.pinned.ChunkSize)
-		if err == nil {
-			err = g.transferrer.Restore(ctx, digest, data)
+func modelOf(declared declarer.Declared, own registrar.Record) (identifier.Model, bool) {
+	if own.Service != "" {
+		engine := declared.Declaration.Services[own.Service].Engine
+		if engine == nil {
+			return "", false
 		}
-		if err != nil {
-			g.log.Info("A staged chunk can't be taken over.", zap.Int("chunk", i), zap.Error(err))
-			continue
-		}
-		restored++
+		return engine.Model, true
+	}
+	if len(declared.Releases) != 1 {
+		return "", false
 	}
-	g.log.Info("Took over staged chunks.", zap.Uint64("release", uint64(t.number)), zap.Int("chunks", restored))
+	for model := range declared.Releases {
+		return model, true
+	}
+	return "", false
 }
 
-// onTransfer notes which release is here whole.
-func (g *agent) onTransfer(effect fetcher.Effect) {
-	completed, ok := effect.(fetcher.Completed)
-	if !ok {
+// pull begins a transfer. The caller holds the lock.
+func (g *agent) pull(t target) {
+	manifest, err := manifestOf(t.model, t.pinned)
+	if err != nil {
+		g.log.Error("A pinned release makes no manifest.", zap.Error(err))
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.target.manifest != nil && completed.Weights.Manifest().Digest() == g.target.manifest.Digest() {
-		g.held[g.target.number] = true
-	}
+	g.log.Info("Release is wanted.", zap.String("model", string(t.model)), zap.Uint64("release", uint64(t.pinned.Number)))
+	ctx, cancel := context.WithCancel(g.ctx)
+	g.stopPull = cancel
+	g.pullsNow = true
+	// Without an origin the mirrors alone are asked.
+	origin, _ := g.origins.declared(g.view.Declared().Declaration)
+	sources := sourcesOf(g.placement, g.spreader, g.endpoint, origin, t.model, manifest.Digest())
+	g.work.Go(func() {
+		chunks, err := g.puller.Pull(ctx, t.pinned, sources)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.target.pinned.Number != t.pinned.Number {
+			return
+		}
+		g.pullsNow = false
+		if err == nil {
+			g.chunks = chunks
+		}
+		g.log.Info("Release has come.", zap.Uint64("release", uint64(t.pinned.Number)), zap.Error(err))
+	})
 }
 
 func (g *agent) reduce(event stager.Event) {
 	g.mu.Lock()
 	effects := g.reducer.Reduce(g.clock.Now(), event)
-	t := g.target
+	t, chunks := g.target, g.chunks
 	g.mu.Unlock()
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case stager.Stage:
-			g.work.Go(func() { g.stage(t) })
+			g.work.Go(func() { g.stage(t, chunks) })
 		case stager.Order:
 			g.work.Go(func() { g.order(e) })
 		case stager.Announce:
@@ -377,45 +278,36 @@
 }
 
 // stage puts the chunks that the engine lacks, and reads all of them back.
-func (g *agent) stage(t target) {
+func (g *agent) stage(t target, chunks map[identifier.Digest][]byte) {
 	ctx, cancel := context.WithTimeout(g.ctx, stageTimeout)
 	defer cancel()
-	err := g.stageChunks(ctx, t)
+	err := g.stageChunks(ctx, t, chunks)
 	if err != nil {
-		g.log.Warn("Chunks can't be staged.", zap.Uint64("release", uint64(t.number)), zap.Error(err))
+		g.log.Warn("Chunks can't be staged.", zap.Uint64("release", uint64(t.pinned.Number)), zap.Error(err))
 	}
-	g.reduce(stager.Staged{Release: t.number, Whole: err == nil})
+	g.reduce(stager.Staged{Release: t.pinned.Number, Whole: err == nil})
 }
 
-// stageRounds is how often a chunk that reads back spoilt is put again.
-const stageRounds = 3
-
-func (g *agent) stageChunks(ctx context.Context, t target) error {
-	var missing []int
-	for i := range t.pinned.Digests {
-		missing = append(missing, i)
+func (g *agent) stageChunks(ctx context.Context, t target, chunks map[identifier.Digest][]byte) error {
+	missing := make([]int, len(t.pinned.Digests))
+	for i := range missing {
+		missing[i] = i
 	}
-	for round := 0; len(missing) > 0; round++ {
-		if round > 0 {
-			for _, i := range missing {
-				data, err := g.transferrer.Chunk(t.pinned.Digests[i])
-				if err != nil {
-					return err
-				}
-				if err := g.engine.Put(ctx, t.model, i, data); err != nil {
-					return err
-				}
-			}
-		}
-		if round > stageRounds {
-			return errSpoilt
-		}
+	for range stageRounds {
 		var err error
 		if missing, err = g.spoilt(ctx, t, missing); err != nil {
 			return err
 		}
+		if len(missing) == 0 {
+			return nil
+		}
+		for _, i := range missing {
+			if err := g.engine.Put(ctx, t.model, i, chunks[t.pinned.Digests[i]]); err != nil {
+				return err
+			}
+		}
 	}
-	return nil
+	return errSpoilt
 }
 
 // spoilt returns those of the chunks that don't read back as pinned.
@@ -426,7 +318,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if _, err := verifier.VerifyBytes(t.pinned.Digests[i], data); err != nil {
+		if identifier.DigestOf(data) != t.pinned.Digests[i] {
 			spoilt = append(spoilt, i)
 		}
 	}
@@ -441,15 +333,3 @@
 		zap.Bool("accepted", accepted), zap.Error(err))
 	g.reduce(stager.Ordered{Accepted: accepted})
 }
-
-func equalPeers(a, b []fetcher.Peer) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if cmp.Compare(a[i].Upstream, b[i].Upstream) != 0 || a[i].Token != b[i].Token {
-			return false
-		}
-	}
-	return true
-}
--- a/placer/chunks.go
+++ b/placer/chunks.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,9 +16,7 @@
 	"celeryvalve/explainer"
 	"celeryvalve/fetcher"
 	"celeryvalve/identifier"
-	"celeryvalve/parser"
 	"celeryvalve/platform"
-	"celeryvalve/registrar"
 	"celeryvalve/verifier"
 )
 
@@ -100,8 +97,3 @@
 	}
 	return origin.Chunk(ctx, identifier.Model(model), declarer.ReleaseNumber(n), int(i), size)
 }
-
-// innerOf returns where the agent beside an engine is reached.
-func innerOf(r registrar.Record, placement parser.Placement) netip.AddrPort {
-	return netip.AddrPortFrom(r.Address.Addr(), placement.Inner.Port())
-}
--- a/placer/control.go
+++ b/placer/control.go
@@ -48,8 +48,9 @@
 			declarer.New,
 			newCoordinator,
 			newReplica,
+			newMirror,
 		),
-		fx.Invoke(serveControl),
+		fx.Invoke(serveControl, serveMirror),
 	)
 }
 
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -33,7 +33,7 @@
 	ratioMargin = 0.75
 	// expectShare is the part of the time for a release after which entries refuse
 	// older ones.
-	expectShare = 0.6
+	expectShare = 0.85
 	// lameDuck is for how long a draining entry takes new connections: the platform
 	// needs two failed questions, one a second, to send them elsewhere.
 	lameDuck        = 2500 * time.Millisecond
--- /dev/null
+++ b/placer/mirror.go
@@ -0,0 +1,195 @@
+package placer
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"celeryvalve/asserter"
+	"celeryvalve/connector"
+	"celeryvalve/declarer"
+	"celeryvalve/fetcher"
+	"celeryvalve/identifier"
+	"celeryvalve/parser"
+	"celeryvalve/repeater"
+	"celeryvalve/spreader"
+	"celeryvalve/transferrer"
+	"celeryvalve/verifier"
+)
+
+const (
+	mirrorInterval = 100 * time.Millisecond
+	// mirrorStripes is into how many parts the mirrors deal a release among them.
+	mirrorStripes = 8
+	// mirrorReads is how many chunks one mirror reads from the origin at once, and
+	// mirrorAhead how many it reads before anybody asks: all, since the origin may
+	// be gone soon.
+	mirrorReads = 3
+	mirrorAhead = 1 << 10
+	// progressDeadline is how long a source of chunks may bring nothing.
+	progressDeadline = 1200 * time.Millisecond
+	mirrorSetAside   = 3 * time.Second
+	chunkRetry       = 150 * time.Millisecond
+	originStall      = 3 * time.Second
+	leaseTimeout     = time.Second
+	// storeShare is the part of the memory that chunks may take.
+	storeShare = 0.25
+	// thinRate is what one mirror sends to other regions at most: about half of a
+	// link between two regions, and more than an instance takes.
+	thinRate identifier.BytesPerSecond = 1.25e6
+)
+
+// mirror holds the wanted releases for the instances of its region. The mirrors
+// are the control replicas; they exchange chunks among them, so that the origin
+// sends each about once and each thin link carries it about once.
+type mirror struct {
+	placement   parser.Placement
+	view        *declarer.View
+	spreader    *spreader.Spreader
+	transferrer *transferrer.Transferrer
+	log         *zap.Logger
+	watching    *repeater.Repeater
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu     sync.Mutex
+	wants  map[identifier.Model]mirrored
+	peered map[identifier.Digest][]fetcher.Peer
+}
+
+// mirrored is the release of one model that is mirrored now.
+type mirrored struct {
+	number   declarer.ReleaseNumber
+	manifest identifier.Digest
+}
+
+func newMirror(placement parser.Placement, view *declarer.View, s *spreader.Spreader, e *connector.Endpoint,
+	clock clockwork.Clock, set *metrics.Set, a asserter.Asserter, log *zap.Logger) (*mirror, error) {
+	m := &mirror{
+		placement: placement,
+		view:      view,
+		spreader:  s,
+		log:       log.Named("mirror"),
+		wants:     make(map[identifier.Model]mirrored),
+		peered:    make(map[identifier.Digest][]fetcher.Peer),
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	limit := identifier.ByteCount(storeShare * float64(placement.Memory))
+	store, err := transferrer.NewStore(transferrer.StoreConfig{Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	cfg := transferrer.Config{
+		Fetcher:        mirrorConfig(placement, limit),
+		ThinLinkBudget: thinRate,
+		OriginStall:    originStall,
+		LeaseTimeout:   leaseTimeout,
+		Origin:         chunkOrigin{view, &origins{}},
+	}
+	m.transferrer = transferrer.New(cfg, clock, store, transferrer.Connect(e), lessor{clock}, set, log, a)
+	for _, entry := range fetcher.Messages() {
+		e.Handle(entry.Kind(), m.transferrer.Handle)
+	}
+	m.watching = repeater.New(clock, mirrorInterval, m.watch)
+	return m, nil
+}
+
+func mirrorConfig(placement parser.Placement, limit identifier.ByteCount) fetcher.Config {
+	cfg := fetcher.DefaultConfig()
+	cfg.Self = mirrorPeer(placement.Inner, placement.Region)
+	cfg.Stripes = mirrorStripes
+	cfg.OriginReads = mirrorReads
+	cfg.ReadAhead = mirrorAhead
+	cfg.LeaseParts = 1
+	cfg.ProgressDeadline = progressDeadline
+	cfg.SetAside = mirrorSetAside
+	cfg.RetryDelay = chunkRetry
+	cfg.StoreLimit = limit
+	return cfg
+}
+
+func mirrorPeer(addr netip.AddrPort, region identifier.Region) fetcher.Peer {
+	return fetcher.Peer{Upstream: identifier.Upstream(addr.String()), Region: region, Address: addr}
+}
+
+func serveMirror(lc fx.Lifecycle, m *mirror) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			m.work.Go(func() {
+				if err := m.transferrer.Run(m.ctx); err != nil {
+					m.log.Error("Transfers ended.", zap.Error(err))
+				}
+			})
+			m.watching.Start()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			m.watching.Stop()
+			m.cancel()
+			m.work.Wait()
+			return nil
+		},
+	})
+}
+
+// watch follows what is wanted and who mirrors it.
+func (m *mirror) watch(context.Context) {
+	for model, release := range m.view.Declared().Releases {
+		pinned, ok := release.Pin(release.Wanted)
+		if ok {
+			m.follow(model, pinned)
+		}
+	}
+}
+
+func (m *mirror) follow(model identifier.Model, pinned declarer.Pinned) {
+	m.mu.Lock()
+	want := m.wants[model]
+	m.mu.Unlock()
+	if want.number != pinned.Number {
+		manifest, err := manifestOf(model, pinned)
+		if err != nil {
+			m.log.Error("A pinned release makes no manifest.", zap.Error(err))
+			return
+		}
+		want = mirrored{number: pinned.Number, manifest: manifest.Digest()}
+		m.want(model, want, manifest)
+	}
+	peers := m.peers()
+	if !slices.Equal(peers, m.peered[want.manifest]) {
+		m.peered[want.manifest] = peers
+		m.transferrer.Send(m.ctx, fetcher.PeersChanged{Manifest: want.manifest, Peers: peers})
+	}
+}
+
+func (m *mirror) want(model identifier.Model, want mirrored, manifest *verifier.Manifest) {
+	m.mu.Lock()
+	m.wants[model] = want
+	m.mu.Unlock()
+	m.log.Info("Mirroring a release.", zap.String("model", string(model)), zap.Uint64("release", uint64(want.number)))
+	m.transferrer.Offer(manifest)
+	m.transferrer.Send(m.ctx, fetcher.Wanted{
+		Manifest: want.manifest,
+		Name:     fetcher.Name{Model: model},
+		Source:   sourceOf(model, want.number),
+		Favour:   fetcher.OriginBytes,
+	})
+}
+
+// peers returns the mirrors: the control replicas.
+func (m *mirror) peers() []fetcher.Peer {
+	var peers []fetcher.Peer
+	for _, addr := range m.spreader.Replicas() {
+		peers = append(peers, mirrorPeer(addr, m.spreader.RegionOf(addr)))
+	}
+	return peers
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -232,6 +232,7 @@
 	cfg := spreader.Config{
 		Process:   string(placement.Instance),
 		Address:   placement.Inner,
+		Region:    placement.Region,
 		FollowAll: placement.Callers.IsValid(),
 	}
 	s := spreader.New(cfg, placement.Seeds, table, view, e, clock, log)
--- /dev/null
+++ b/puller/plan.go
@@ -0,0 +1,77 @@
+package puller
+
+import (
+	"time"
+)
+
+// setAside is for how long a source that failed is passed over.
+const setAside = 1500 * time.Millisecond
+
+// Plan decides what is asked of whom. It is not safe for concurrent use.
+type Plan struct {
+	held    []bool
+	asked   []bool
+	missing int
+	// until is when each source counts again.
+	until []time.Time
+}
+
+// NewPlan returns the plan of chunks from sources, the best source first.
+func NewPlan(chunks, sources int) *Plan {
+	return &Plan{
+		held:    make([]bool, chunks),
+		asked:   make([]bool, chunks),
+		missing: chunks,
+		until:   make([]time.Time, sources),
+	}
+}
+
+// Next returns a chunk to ask for, and the source to ask. It reports false while
+// everything that is missing is asked for or no source counts.
+func (p *Plan) Next(now time.Time) (chunk, source int, ok bool) {
+	source = p.source(now)
+	if source < 0 {
+		return 0, 0, false
+	}
+	for i := range p.held {
+		if !p.held[i] && !p.asked[i] {
+			p.asked[i] = true
+			return i, source, true
+		}
+	}
+	return 0, 0, false
+}
+
+func (p *Plan) source(now time.Time) int {
+	for i, until := range p.until {
+		if !now.Before(until) {
+			return i
+		}
+	}
+	return -1
+}
+
+// Arrived notes a chunk that was checked.
+func (p *Plan) Arrived(chunk int) {
+	p.asked[chunk] = false
+	if !p.held[chunk] {
+		p.held[chunk] = true
+		p.missing--
+	}
+}
+
+// Failed notes that the source did not bring the chunk.
+func (p *Plan) Failed(now time.Time, chunk, source int) {
+	p.asked[chunk] = false
+	p.until[source] = now.Add(setAside)
+}
+
+// Done reports whether every chunk is held.
+func (p *Plan) Done() bool {
+	return p.missing == 0
+}
+
+// Held returns how many chunks are held.
+func (p *Plan) Held() int {
+	return len(p.held) - p.missing
+}
--- /dev/null
+++ b/puller/plan_test.go
@@ -0,0 +1,94 @@
+package puller_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+	"celeryvalve/puller"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func TestFailedSourceIsPassedOver(t *testing.T) {
+	p := puller.NewPlan(2, 2)
+	chunk, source, ok := p.Next(start)
+	require.True(t, ok)
+	require.Equal(t, []int{0, 0}, []int{chunk, source})
+	p.Failed(start, chunk, source)
+	chunk, source, ok = p.Next(start)
+	require.True(t, ok)
+	require.Equal(t, []int{0, 1}, []int{chunk, source}, "the next source brings it")
+	p.Arrived(chunk)
+	_, source, _ = p.Next(start.Add(time.Minute))
+	require.Zero(t, source, "the best source counts again")
+}
+
+// Whatever fails, no chunk is asked for twice at once, and the plan ends with
+// every chunk held once sources answer.
+func TestPlanEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		chunks := rapid.IntRange(1, 20).Draw(t, "chunks")
+		p := puller.NewPlan(chunks, rapid.IntRange(1, 4).Draw(t, "sources"))
+		now := start
+		asked := make(map[int]int)
+		for step := 0; !p.Done(); step++ {
+			now = now.Add(100 * time.Millisecond)
+			if chunk, source, ok := p.Next(now); ok {
+				require.NotContains(t, asked, chunk)
+				asked[chunk] = source
+			}
+			for chunk, source := range asked {
+				if step < 200 && rapid.Bool().Draw(t, "fails") {
+					p.Failed(now, chunk, source)
+				} else {
+					p.Arrived(chunk)
+				}
+				delete(asked, chunk)
+				break
+			}
+			require.Less(t, step, 2000)
+		}
+		require.Equal(t, chunks, p.Held())
+	})
+}
+
+// source gives chunks whose bytes are their number, or spoils them.
+type source struct {
+	spoils bool
+	down   bool
+}
+
+func (s source) String() string { return "source" }
+
+func (s source) Chunk(_ context.Context, _ declarer.Pinned, i int) ([]byte, error) {
+	switch {
+	case s.down:
+		return nil, errors.New("down")
+	case s.spoils:
+		return []byte("spoilt"), nil
+	}
+	return []byte{byte(i)}, nil
+}
+
+func TestPullTakesNothingSpoilt(t *testing.T) {
+	var pinned declarer.Pinned
+	for i := range 10 {
+		pinned.Digests = append(pinned.Digests, identifier.DigestOf([]byte{byte(i)}))
+	}
+	p := puller.New(clockwork.NewRealClock(), zap.NewNop())
+	chunks, err := p.Pull(t.Context(), pinned, []puller.Source{source{down: true}, source{spoils: true}, source{}})
+	require.NoError(t, err)
+	require.Len(t, chunks, 10)
+	for i, digest := range pinned.Digests {
+		require.Equal(t, []byte{byte(i)}, chunks[digest])
+	}
+}
--- /dev/null
+++ b/puller/puller.go
@@ -0,0 +1,117 @@
+package puller
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+	"celeryvalve/verifier"
+)
+
+const (
+	// window is how many chunks are asked for at once: what a link of 8 Mbit/s
+	// carries in the time of a round trip and a disk's sync, with 32 KiB a chunk.
+	window = 4
+	// chunkTimeout bounds the wait for one chunk. A mirror that waits for the
+	// origin itself needs up to the time in which the origin sends a copy.
+	chunkTimeout = 2500 * time.Millisecond
+	idlePause    = 100 * time.Millisecond
+)
+
+// Source brings one chunk of a release, not yet checked.
+type Source interface {
+	Chunk(ctx context.Context, p declarer.Pinned, i int) ([]byte, error)
+	String() string
+}
+
+// Puller brings releases, one at a time.
+type Puller struct {
+	clock clockwork.Clock
+	log   *zap.Logger
+	held  atomic.Int64
+}
+
+// New returns a puller.
+func New(clock clockwork.Clock, log *zap.Logger) *Puller {
+	return &Puller{clock: clock, log: log.Named("puller")}
+}
+
+// Held returns how many chunks of the current release have come.
+func (p *Puller) Held() int {
+	return int(p.held.Load())
+}
+
+// Pull returns every chunk of the release by its digest, once all are checked.
+// The best source comes first. It ends without them only when ctx does.
+func (p *Puller) Pull(ctx context.Context, release declarer.Pinned, sources []Source) (map[identifier.Digest][]byte, error) {
+	t := &transfer{
+		puller:  p,
+		release: release,
+		sources: sources,
+		plan:    NewPlan(len(release.Digests), len(sources)),
+		chunks:  make(map[identifier.Digest][]byte, len(release.Digests)),
+	}
+	p.held.Store(0)
+	var workers sync.WaitGroup
+	for range window {
+		workers.Go(func() { t.work(ctx) })
+	}
+	workers.Wait()
+	return t.chunks, ctx.Err()
+}
+
+// transfer is one release under way.
+type transfer struct {
+	puller  *Puller
+	release declarer.Pinned
+	sources []Source
+
+	mu     sync.Mutex
+	plan   *Plan
+	chunks map[identifier.Digest][]byte
+}
+
+func (t *transfer) work(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		if t.plan.Done() {
+			t.mu.Unlock()
+			return
+		}
+		chunk, source, ok := t.plan.Next(t.puller.clock.Now())
+		t.mu.Unlock()
+		if !ok {
+			select {
+			case <-ctx.Done():
+			case <-t.puller.clock.After(idlePause):
+			}
+			continue
+		}
+		t.bring(ctx, chunk, source)
+	}
+}
+
+func (t *transfer) bring(ctx context.Context, chunk, source int) {
+	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
+	defer cancel()
+	data, err := t.sources[source].Chunk(ctx, t.release, chunk)
+	if err == nil {
+		_, err = verifier.VerifyBytes(t.release.Digests[chunk], data)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		t.plan.Failed(t.puller.clock.Now(), chunk, source)
+		t.puller.log.Info("A chunk did not come.", zap.Stringer("source", t.sources[source]), zap.Int("chunk", chunk), zap.Error(err))
+		return
+	}
+	t.chunks[t.release.Digests[chunk]] = data
+	t.plan.Arrived(chunk)
+	t.puller.held.Store(int64(t.plan.Held()))
+}
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -12,6 +12,9 @@
 // Follow opens a stream to a process that others follow.
 type Follow struct {
 	Process string
+	// Address is where the follower itself is followed.
+	Address netip.AddrPort
+	Region  identifier.Region
 }
 
 // Told is what either end of a stream tells the other. An empty one shows that
@@ -31,6 +34,8 @@
 	// told from an older one.
 	Index     uint64
 	Addresses []netip.AddrPort
+	// Regions are those of the addresses, as far as they are known.
+	Regions map[string]identifier.Region `cbor:",omitempty"`
 	// Led says that the sender hears a leader.
 	Led bool
 }
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -28,6 +29,8 @@
 	dialTimeout    = time.Second
 	retryPause     = 200 * time.Millisecond
 	fetchTimeout   = time.Second
+	// fetchPause is how long one replica may take to answer before another is asked.
+	fetchPause = 250 * time.Millisecond
 	// refreshInterval is how often it is told that upstreams were heard, below half
 	// of the time after which they count as stale.
 	refreshInterval = 2500 * time.Millisecond
@@ -50,6 +53,7 @@
 	Process string
 	// Address is where the process itself is reached.
 	Address netip.AddrPort
+	Region  identifier.Region
 	// FollowAll is set on entries and replicas; others follow one replica.
 	FollowAll bool
 }
@@ -75,10 +79,14 @@
 	seeds    []netip.AddrPort
 	replicas Replicas
 	own      *Replicas
+	// regions are those of the processes that follow this one.
+	regions  map[string]identifier.Region
 	history  []declarer.Declaration
 	streams  map[netip.AddrPort]context.CancelFunc
 	refresh  []registrar.Refresh
 	refreshN uint64
+	// fetchedAt is when the fetch under way began.
+	fetchedAt time.Time
 	// heard says when a followed replica told something last, and whether it was led.
 	heard map[netip.AddrPort]sign
 }
@@ -103,6 +111,7 @@
 		seeds:    seeds,
 		streams:  make(map[netip.AddrPort]context.CancelFunc),
 		heard:    make(map[netip.AddrPort]sign),
+		regions:  map[string]identifier.Region{cfg.Address.String(): cfg.Region},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.refresher = repeater.New(clock, refreshInterval, s.gatherRefreshes)
@@ -168,7 +177,15 @@
 func (s *Spreader) SetReplicas(r Replicas) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.own != nil && s.own.Index == r.Index && s.own.Led == r.Led && slices.Equal(s.own.Addresses, r.Addresses) {
+	r.Regions = make(map[string]identifier.Region, len(r.Addresses))
+	for _, a := range r.Addresses {
+		if region, ok := s.regions[a.String()]; ok {
+			r.Regions[a.String()] = region
+		}
+	}
+	same := s.own != nil && s.own.Index == r.Index && s.own.Led == r.Led &&
+		slices.Equal(s.own.Addresses, r.Addresses) && maps.Equal(s.own.Regions, r.Regions)
+	if same {
 		return
 	}
 	s.own = &r
@@ -184,17 +201,12 @@
 	return s.targets()
 }
 
-// Contact returns how many followed replicas were heard lately.
-func (s *Spreader) Contact() int {
+// RegionOf returns the region of a control replica, or nothing where it is not
+// known.
+func (s *Spreader) RegionOf(addr netip.AddrPort) identifier.Region {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
-	for _, h := range s.heard {
-		if s.clock.Since(h.at) < silenceTimeout {
-			n++
-		}
-	}
-	return n
+	return s.replicas.Regions[addr.String()]
 }
 
 // Connected reports whether the process is in touch with control: it hears a
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -27,9 +28,15 @@
 
 // serveFollow tells a follower what changes here, and takes in what it tells.
 func (s *Spreader) serveFollow(ctx context.Context, stream *connector.Stream, first any) {
-	if _, ok := first.(*Follow); !ok {
+	follower, ok := first.(*Follow)
+	if !ok {
 		return
 	}
+	s.mu.Lock()
+	if follower.Address.IsValid() {
+		s.regions[follower.Address.String()] = follower.Region
+	}
+	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
@@ -72,7 +79,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialCtx, dialled := context.WithTimeout(ctx, dialTimeout)
-	stream, err := s.endpoint.Open(dialCtx, addr, &Follow{Process: s.cfg.Process})
+	stream, err := s.endpoint.Open(dialCtx, addr, &Follow{Process: s.cfg.Process, Address: s.cfg.Address, Region: s.cfg.Region})
 	dialled()
 	if err != nil {
 		return err
@@ -172,13 +179,33 @@
 	if changed {
 		s.notify()
 	}
-	if from.IsValid() && told.Revision > s.view.Declared().Revision {
+	if from.IsValid() && told.Revision > s.view.Declared().Revision && s.beginFetch() {
 		s.fetch(from)
 	}
 }
 
+// beginFetch reports whether to fetch now: several replicas tell of a change at
+// once, and one answer is enough unless it takes long.
+func (s *Spreader) beginFetch() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clock.Since(s.fetchedAt) < fetchPause {
+		return false
+	}
+	s.fetchedAt = s.clock.Now()
+	return true
+}
+
+// endFetch lets the next fetch begin.
+func (s *Spreader) endFetch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetchedAt = time.Time{}
+}
+
 // fetch brings what is declared to the revision of the address.
 func (s *Spreader) fetch(addr netip.AddrPort) {
+	defer s.endFetch()
 	ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
 	defer cancel()
 	msg, err := s.endpoint.Call(ctx, addr, &FetchDeclared{Have: s.view.Current()})
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -15,19 +15,25 @@
 }
 
 const (
-	// turnsShare is the part of Config.Within after which an engine no longer waits
-	// for its turn: what runs takes a quarter of it to end.
-	turnsShare = 0.5
+	// turns is into how many turns the engines of a service are dealt, so that most
+	// of them serve while some load.
+	turns = 3
+	// emptyShare is the part of the chunks that the engines of the first turn have
+	// when they take nothing new any more: what they run ends while the rest comes.
+	emptyShare = 0.5
 	// fresh is for how long chunks that were read back count as whole.
 	fresh = 1500 * time.Millisecond
 	// retryAfter is the pause after a failure, and orderPatience the time after
 	// which an order that shows no effect is given again.
 	retryAfter    = 300 * time.Millisecond
 	orderPatience = 5 * time.Second
-	// turns is into how many turns the engines of a service are dealt at least.
-	turns = 3
 )
 
+// turnShares are the parts of Config.Within after which the engines of each turn
+// begin, whether or not those before are done: what runs takes a quarter of it to
+// end.
+var turnShares = [turns]float64{0.28, 0.54, 0.72}
+
 // Report is what the engine says of itself.
 type Report struct {
 	Model identifier.Model
@@ -51,14 +57,23 @@
 	Release declarer.ReleaseNumber
 	// Held says that all chunks of the release are here and verified.
 	Held bool
+	// Progress is the part of them that is.
+	Progress float64
 }
 
-// Observed brings a report of the engine, and how many engines of its service
-// there are and are loading now.
-type Observed struct {
-	Report  Report
+// Turn is where an engine stands among those of its service.
+type Turn struct {
 	Engines int
-	Loading int
+	// Rank is its place in a list that all agents have alike.
+	Rank int
+	// Behind are the ranks of the others that don't serve the wanted release yet.
+	Behind []int
+}
+
+// Observed brings a report of the engine.
+type Observed struct {
+	Report Report
+	Turn   Turn
 }
 
 // Unreachable says that the engine gave no report.
@@ -160,7 +175,7 @@
 			r.pausedUntil = now.Add(retryAfter)
 		}
 	}
-	return append(r.announce(), r.next(now)...)
+	return append(r.announce(now), r.next(now)...)
 }
 
 // observe takes in a report. One that shows a restart, or that the order ended
@@ -179,12 +194,12 @@
 }
 
 // announce tells what the engine serves whenever that changes.
-func (r *Reducer) announce() []Effect {
+func (r *Reducer) announce(now time.Time) []Effect {
 	if r.report == nil {
 		return nil
 	}
 	serves := r.report.Report.Release
-	if r.ordered != 0 && serves < r.ordered {
+	if (r.ordered != 0 && serves < r.ordered) || r.empties(now) {
 		serves = 0
 	}
 	if r.said && serves == r.announced {
@@ -194,6 +209,13 @@
 	return []Effect{Announce{Release: serves}}
 }
 
+// empties reports whether the engine is to take nothing new since its turn to
+// load begins soon.
+func (r *Reducer) empties(now time.Time) bool {
+	behind := r.report.Report.Release < r.want.Release
+	return behind && r.want.Progress >= emptyShare && r.turn() == 0 && r.mayLoad(now)
+}
+
 func (r *Reducer) next(now time.Time) []Effect {
 	if r.report == nil || r.staging || r.ordering || r.ordered != 0 || now.Before(r.pausedUntil) {
 		return nil
@@ -212,17 +234,31 @@
 	r.ordering = true
 	r.ordered = r.want.Release
 	r.orderedAt = now
-	return append(r.announce(), Order{Model: r.want.Model, Release: r.want.Release, Expect: report.Orders})
+	return append(r.announce(now), Order{Model: r.want.Model, Release: r.want.Release, Expect: report.Orders})
+}
+
+func (r *Reducer) turn() int {
+	return r.report.Turn.Rank % turns
 }
 
-// mayLoad reports whether it is the engine's turn. One that serves nothing loads
-// at once.
+// mayLoad reports whether it is the engine's turn: those of the turns before are
+// done, or its time has come. One that serves nothing loads at once, and so does
+// the last one that is behind.
 func (r *Reducer) mayLoad(now time.Time) bool {
 	if r.report.Report.Release == 0 {
 		return true
 	}
-	if now.Sub(r.since) >= time.Duration(turnsShare*float64(r.cfg.Within)) {
+	own := r.turn()
+	if now.Sub(r.since) >= time.Duration(turnShares[own]*float64(r.cfg.Within)) {
 		return true
 	}
-	return r.report.Loading < max(1, r.report.Engines/turns)
+	if own == 0 {
+		return false
+	}
+	for _, rank := range r.report.Turn.Behind {
+		if rank%turns < own {
+			return false
+		}
+	}
+	return true
 }
