--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -32,7 +32,7 @@
 // turnShares are the parts of Config.Within after which the engines of each turn
 // begin, whether or not those before are done: what runs takes a quarter of it to
 // end.
-var turnShares = [turns]float64{0.28, 0.54, 0.72}
+var turnShares = [turns]float64{0.12, 0.42, 0.68}
 
 // Report is what the engine says of itself.
 type Report struct {
