puller: ask a mirror again that has not heard of a release yet

Cause: instances hear of a release up to 0.1 s before the mirrors began to want it, were refused by all of them, and read 1.6 copies more from the origin, which was gone before the mirrors had the whole.

--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -18,14 +18,15 @@
 	"celeryvalve/fetcher"
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
-	"celeryvalve/repeater"
 	"celeryvalve/spreader"
 	"celeryvalve/transferrer"
 	"celeryvalve/verifier"
 )
 
 const (
-	mirrorInterval = 100 * time.Millisecond
+	// mirrorInterval is how often the mirrors are looked at; what is wanted is heard
+	// at once.
+	mirrorInterval = 200 * time.Millisecond
 	// mirrorStripes is into how many parts the mirrors deal a release among them.
 	mirrorStripes = 8
 	// mirrorReads is how many chunks one mirror reads from the origin at once, and
@@ -55,13 +56,14 @@
 	spreader    *spreader.Spreader
 	transferrer *transferrer.Transferrer
 	log         *zap.Logger
-	watching    *repeater.Repeater
+	clock       clockwork.Clock
+	wake        chan struct{}
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 
-	mu     sync.Mutex
+	// Of the goroutine of watchAll only.
 	wants  map[identifier.Model]mirrored
 	peered map[identifier.Digest][]fetcher.Peer
 }
@@ -78,6 +80,8 @@
 		placement: placement,
 		view:      view,
 		spreader:  s,
+		clock:     clock,
+		wake:      make(chan struct{}, 1),
 		log:       log.Named("mirror"),
 		wants:     make(map[identifier.Model]mirrored),
 		peered:    make(map[identifier.Digest][]fetcher.Peer),
@@ -99,7 +103,7 @@
 	for _, entry := range fetcher.Messages() {
 		e.Handle(entry.Kind(), m.transferrer.Handle)
 	}
-	m.watching = repeater.New(clock, mirrorInterval, m.watch)
+	view.Watch(m.nudge)
 	return m, nil
 }
 
@@ -129,11 +133,10 @@
 					m.log.Error("Transfers ended.", zap.Error(err))
 				}
 			})
-			m.watching.Start()
+			m.work.Go(m.watchAll)
 			return nil
 		},
 		OnStop: func(context.Context) error {
-			m.watching.Stop()
 			m.cancel()
 			m.work.Wait()
 			return nil
@@ -141,8 +144,27 @@
 	})
 }
 
+// nudge has the mirror look at what is wanted at once.
+func (m *mirror) nudge() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *mirror) watchAll() {
+	for m.ctx.Err() == nil {
+		m.watch()
+		select {
+		case <-m.ctx.Done():
+		case <-m.wake:
+		case <-m.clock.After(mirrorInterval):
+		}
+	}
+}
+
 // watch follows what is wanted and who mirrors it.
-func (m *mirror) watch(context.Context) {
+func (m *mirror) watch() {
 	for model, release := range m.view.Declared().Releases {
 		pinned, ok := release.Pin(release.Wanted)
 		if ok {
@@ -152,9 +174,7 @@
 }
 
 func (m *mirror) follow(model identifier.Model, pinned declarer.Pinned) {
-	m.mu.Lock()
 	want := m.wants[model]
-	m.mu.Unlock()
 	if want.number != pinned.Number {
 		manifest, err := manifestOf(model, pinned)
 		if err != nil {
@@ -172,9 +192,7 @@
 }
 
 func (m *mirror) want(model identifier.Model, want mirrored, manifest *verifier.Manifest) {
-	m.mu.Lock()
 	m.wants[model] = want
-	m.mu.Unlock()
 	m.log.Info("Mirroring a release.", zap.String("model", string(model)), zap.Uint64("release", uint64(want.number)))
 	m.transferrer.Offer(manifest)
 	m.transferrer.Send(m.ctx, fetcher.Wanted{
--- a/placer/source.go
+++ b/placer/source.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"time"
 
 	"celeryvalve/connector"
 	"celeryvalve/declarer"
@@ -42,8 +43,29 @@
 	return s.address.String()
 }
 
+// refusalPause is when a mirror is asked again that does not want the release
+// yet: it may hear of it a little later than this process.
+const refusalPause = 100 * time.Millisecond
+
+// refusals is how often a mirror is asked again before another one is.
+const refusals = 8
+
 // Chunk asks for one chunk and waits while the mirror fetches it itself.
 func (s mirrorSource) Chunk(ctx context.Context, _ declarer.Pinned, i int) ([]byte, error) {
+	for refused := 0; ; refused++ {
+		data, err := s.ask(ctx, i)
+		if explainer.KindOf(err) != explainer.NotFound || refused == refusals {
+			return data, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(refusalPause):
+		}
+	}
+}
+
+func (s mirrorSource) ask(ctx context.Context, i int) ([]byte, error) {
 	request := &fetcher.ChunkRequest{Manifest: s.manifest, Chunk: verifier.ChunkIndex(i), Upstream: s.self, Wait: true}
 	stream, err := s.endpoint.Open(ctx, s.address, request)
 	if err != nil {
@@ -60,7 +82,7 @@
 		case !ok:
 			return nil, explainer.New(explainer.Corrupt, fmt.Sprintf("mirror answers with %T", msg), "run compatible releases")
 		case answer.Refused != "":
-			return nil, explainer.New(explainer.Unavailable, string(answer.Refused), "ask another mirror")
+			return nil, explainer.New(explainer.NotFound, string(answer.Refused), "ask again, or another mirror")
 		case !answer.Delayed:
 			return answer.Data, nil
 		}
--- a/puller/plan.go
+++ b/puller/plan.go
@@ -4,8 +4,13 @@
 	"time"
 )
 
-// setAside is for how long a source that failed is passed over.
-const setAside = 1500 * time.Millisecond
+const (
+	// setAside is for how long a source that failed is passed over.
+	setAside = 1500 * time.Millisecond
+	// lastResortAfter is for how long the last of several sources, the origin, is
+	// left alone: the mirrors read it once for all.
+	lastResortAfter = 3 * time.Second
+)
 
 // Plan decides what is asked of whom. It is not safe for concurrent use.
 type Plan struct {
@@ -16,14 +21,19 @@
 	until []time.Time
 }
 
-// NewPlan returns the plan of chunks from sources, the best source first.
-func NewPlan(chunks, sources int) *Plan {
-	return &Plan{
+// NewPlan returns the plan of chunks from sources, the best source first. The
+// last one is not asked at the beginning, unless it is the only one.
+func NewPlan(now time.Time, chunks, sources int) *Plan {
+	p := &Plan{
 		held:    make([]bool, chunks),
 		asked:   make([]bool, chunks),
 		missing: chunks,
 		until:   make([]time.Time, sources),
 	}
+	if sources > 1 {
+		p.until[sources-1] = now.Add(lastResortAfter)
+	}
+	return p
 }
 
 // Next returns a chunk to ask for, and the source to ask. It reports false while
--- a/puller/plan_test.go
+++ b/puller/plan_test.go
@@ -19,7 +19,7 @@
 var start = time.Unix(1_700_000_000, 0)
 
 func TestFailedSourceIsPassedOver(t *testing.T) {
-	p := puller.NewPlan(2, 2)
+	p := puller.NewPlan(start, 2, 3)
 	chunk, source, ok := p.Next(start)
 	require.True(t, ok)
 	require.Equal(t, []int{0, 0}, []int{chunk, source})
@@ -27,7 +27,9 @@
 	chunk, source, ok = p.Next(start)
 	require.True(t, ok)
 	require.Equal(t, []int{0, 1}, []int{chunk, source}, "the next source brings it")
-	p.Arrived(chunk)
+	p.Failed(start, chunk, source)
+	_, _, ok = p.Next(start)
+	require.False(t, ok, "the origin is left alone at the beginning")
 	_, source, _ = p.Next(start.Add(time.Minute))
 	require.Zero(t, source, "the best source counts again")
 }
@@ -37,7 +39,7 @@
 func TestPlanEnds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		chunks := rapid.IntRange(1, 20).Draw(t, "chunks")
-		p := puller.NewPlan(chunks, rapid.IntRange(1, 4).Draw(t, "sources"))
+		p := puller.NewPlan(start, chunks, rapid.IntRange(1, 4).Draw(t, "sources"))
 		now := start
 		asked := make(map[int]int)
 		for step := 0; !p.Done(); step++ {
@@ -85,7 +87,7 @@
 		pinned.Digests = append(pinned.Digests, identifier.DigestOf([]byte{byte(i)}))
 	}
 	p := puller.New(clockwork.NewRealClock(), zap.NewNop())
-	chunks, err := p.Pull(t.Context(), pinned, []puller.Source{source{down: true}, source{spoils: true}, source{}})
+	chunks, err := p.Pull(t.Context(), pinned, []puller.Source{source{down: true}, source{spoils: true}, source{}, source{down: true}})
 	require.NoError(t, err)
 	require.Len(t, chunks, 10)
 	for i, digest := range pinned.Digests {
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -54,7 +54,7 @@
 		puller:  p,
 		release: release,
 		sources: sources,
-		plan:    NewPlan(len(release.Digests), len(sources)),
+		plan:    NewPlan(p.clock.Now(), len(release.Digests), len(sources)),
 		chunks:  make(map[identifier.Digest][]byte, len(release.Digests)),
 	}
 	p.held.Store(0)
