placer: let a mirror send to all that ask

Cause: a mirror sent two chunks at once. Two frozen instances kept both, and all others waited: mirrors had the whole release 1.9 s after its naming, instances after 6 s. Chunks are also asked for in the order in which mirrors get them, where the window was full of chunks that come last. Ruled out: the origin (64 reads, the last 1.9 s after the naming) and its faults.

--- a/placer/control.go
+++ b/placer/control.go
@@ -39,6 +39,9 @@
 	// are repeated with every heartbeat of the consensus.
 	joinerLifetime = time.Second
 	changeTimeout  = 5 * time.Second
+	// electionTimeout is six heartbeats of the consensus, and leaves time for two
+	// elections in a row within the second after which an operator moves on.
+	electionTimeout = 600 * time.Millisecond
 )
 
 func controlModule() fx.Option {
@@ -98,7 +101,12 @@
 
 func newCoordinator(placement parser.Placement, store *recorder.Recorder, state *declarer.State, view *declarer.View,
 	e *connector.Endpoint, clock clockwork.Clock, set *metrics.Set, a asserter.Asserter, log *zap.Logger) *coordinator.Coordinator {
-	cfg := coordinator.Config{Name: placement.Inner.String(), Addr: placement.Inner, Metrics: set}
+	cfg := coordinator.Config{
+		Name:            placement.Inner.String(),
+		Addr:            placement.Inner,
+		ElectionTimeout: electionTimeout,
+		Metrics:         set,
+	}
 	if placement.FirstStart {
 		for _, seed := range placement.Seeds {
 			cfg.Members = append(cfg.Members, coordinator.Member{Name: seed.String(), Addr: seed})
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -18,6 +18,7 @@
 	"celeryvalve/fetcher"
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
+	"celeryvalve/puller"
 	"celeryvalve/spreader"
 	"celeryvalve/transferrer"
 	"celeryvalve/verifier"
@@ -27,19 +28,23 @@
 	// mirrorInterval is how often the mirrors are looked at; what is wanted is heard
 	// at once.
 	mirrorInterval = 200 * time.Millisecond
-	// mirrorStripes is into how many parts the mirrors deal a release among them.
-	mirrorStripes = 8
 	// mirrorReads is how many chunks one mirror reads from the origin at once, and
 	// mirrorAhead how many it reads before anybody asks: all, since the origin may
 	// be gone soon.
-	mirrorReads = 3
+	mirrorReads = 2
 	mirrorAhead = 1 << 10
+	// mirrorUploads is how many chunks one mirror sends at once: what 32 instances
+	// ask for, so that those that are frozen in the middle of theirs don't keep out
+	// the others.
+	mirrorUploads = 256
 	// progressDeadline is how long a source of chunks may bring nothing.
 	progressDeadline = 1200 * time.Millisecond
 	mirrorSetAside   = 3 * time.Second
 	chunkRetry       = 150 * time.Millisecond
-	originStall      = 3 * time.Second
-	leaseTimeout     = time.Second
+	// originStall is how long one read from the origin may take: four times what it
+	// takes while all mirrors read at once from a link of 10 Mbit/s.
+	originStall  = 1500 * time.Millisecond
+	leaseTimeout = time.Second
 	// storeShare is the part of the memory that chunks may take.
 	storeShare = 0.25
 	// thinRate is what one mirror sends to other regions at most: about half of a
@@ -110,10 +115,11 @@
 func mirrorConfig(placement parser.Placement, limit identifier.ByteCount) fetcher.Config {
 	cfg := fetcher.DefaultConfig()
 	cfg.Self = mirrorPeer(placement.Inner, placement.Region)
-	cfg.Stripes = mirrorStripes
+	cfg.Stripes = puller.Parts
 	cfg.OriginReads = mirrorReads
 	cfg.ReadAhead = mirrorAhead
 	cfg.LeaseParts = 1
+	cfg.Uploads = mirrorUploads
 	cfg.ProgressDeadline = progressDeadline
 	cfg.SetAside = mirrorSetAside
 	cfg.RetryDelay = chunkRetry
--- a/puller/plan.go
+++ b/puller/plan.go
@@ -19,6 +19,8 @@
 	missing int
 	// until is when each source counts again.
 	until []time.Time
+	// order is the order in which chunks are asked for.
+	order []int
 }
 
 // NewPlan returns the plan of chunks from sources, the best source first. The
@@ -29,6 +31,7 @@
 		asked:   make([]bool, chunks),
 		missing: chunks,
 		until:   make([]time.Time, sources),
+		order:   interleave(chunks),
 	}
 	if sources > 1 {
 		p.until[sources-1] = now.Add(lastResortAfter)
@@ -43,7 +46,7 @@
 	if source < 0 {
 		return 0, 0, false
 	}
-	for i := range p.held {
+	for _, i := range p.order {
 		if !p.held[i] && !p.asked[i] {
 			p.asked[i] = true
 			return i, source, true
@@ -52,6 +55,26 @@
 	return 0, 0, false
 }
 
+// Parts is into how many runs of chunks the mirrors cut a release. They fetch all
+// runs at once, each from its first chunk on.
+const Parts = 8
+
+// interleave returns the chunks in the order in which mirrors get them: the first
+// of each run, then the second of each. Asked for in another order, the window
+// would be full of chunks that come last.
+func interleave(chunks int) []int {
+	length := (chunks + Parts - 1) / Parts
+	order := make([]int, 0, chunks)
+	for offset := range length {
+		for first := 0; first < chunks; first += length {
+			if i := first + offset; i < min(first+length, chunks) {
+				order = append(order, i)
+			}
+		}
+	}
+	return order
+}
+
 func (p *Plan) source(now time.Time) int {
 	for i, until := range p.until {
 		if !now.Before(until) {
--- a/puller/plan_test.go
+++ b/puller/plan_test.go
@@ -34,6 +34,16 @@
 	require.Zero(t, source, "the best source counts again")
 }
 
+func TestChunksAreAskedForAsMirrorsGetThem(t *testing.T) {
+	p := puller.NewPlan(start, 64, 2)
+	var first []int
+	for range 10 {
+		chunk, _, _ := p.Next(start)
+		first = append(first, chunk)
+	}
+	require.Equal(t, []int{0, 8, 16, 24, 32, 40, 48, 56, 1, 9}, first)
+}
+
 // Whatever fails, no chunk is asked for twice at once, and the plan ends with
 // every chunk held once sources answer.
 func TestPlanEnds(t *testing.T) {
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// window is how many chunks are asked for at once: what a link of 8 Mbit/s
-	// carries in the time of a round trip and a disk's sync, with 32 KiB a chunk.
-	window = 4
+	// window is how many chunks are asked for at once, so that a link of 8 Mbit/s
+	// is busy while some chunks are not at the mirror yet.
+	window = 8
 	// chunkTimeout bounds the wait for one chunk. A mirror that waits for the
 	// origin itself needs up to the time in which the origin sends a copy.
 	chunkTimeout = 2500 * time.Millisecond
