balancer, stager: let each release end those before it by its own time

Cause: naming release 3 restarted the time of release 2, so requests began on release 1 more than 8 s after release 2 was acknowledged; and an entry that started in between counted from its start.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -44,10 +44,7 @@
 	if !s.Generates || policy.Engine == nil {
 		return true
 	}
-	if u.view.Release == 0 {
-		return false
-	}
-	return !r.expects(now, policy) || u.view.Release >= policy.Wanted
+	return u.view.Release >= r.floor(now, policy)
 }
 
 func (r *Reducer) distance(u *upstream) time.Duration {
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -51,9 +51,8 @@
 type ServicePolicy struct {
 	Service identifier.Service
 	Engine  *declarer.Engine
-	// Wanted is the release that is wanted, and since when it is known here.
-	Wanted      declarer.ReleaseNumber
-	WantedSince time.Time
+	// Named are the releases of its model, the newest last.
+	Named []declarer.Named
 }
 
 // Load is what an upstream says of itself with an answer.
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -198,8 +198,8 @@
 	if s.Returned || s.attempts > 1 {
 		effect.Urgency = returnedUrgency
 	}
-	if s.Generates && r.expects(now, policy) {
-		effect.Expect = policy.Wanted
+	if s.Generates && r.floor(now, policy) > declarer.FirstRelease {
+		effect.Expect = u.view.Release
 	}
 	if s.Repeatable && s.attempts < s.MaximumAttempts {
 		effect.FirstByteWithin = max(silenceLeast, silenceFactor*forecast)
@@ -207,9 +207,16 @@
 	return effect
 }
 
-// expects reports whether older releases are refused by now.
-func (r *Reducer) expects(now time.Time, policy ServicePolicy) bool {
-	return policy.Wanted > declarer.FirstRelease && now.Sub(policy.WantedSince) >= r.cfg.ExpectAfter
+// floor returns the oldest release that may still begin a request: each release
+// puts an end to those before it once its own time is over.
+func (r *Reducer) floor(now time.Time, policy ServicePolicy) declarer.ReleaseNumber {
+	floor := declarer.FirstRelease
+	for _, n := range policy.Named {
+		if now.Sub(n.At) >= r.cfg.ExpectAfter {
+			floor = max(floor, n.Number)
+		}
+	}
+	return floor
 }
 
 // giveUp ends the request. It is refused only where no attempt may have run.
--- a/declarer/release.go
+++ b/declarer/release.go
@@ -1,6 +1,8 @@
 package declarer
 
 import (
+	"time"
+
 	"celeryvalve/identifier"
 )
 
@@ -11,10 +13,33 @@
 type Release struct {
 	// Wanted is the newest number that was named.
 	Wanted ReleaseNumber
+	// Names are the newest numbers that were named, the newest last.
+	Names []Named
 	// Pins are the digests of the newest numbers, by number. They don't change.
 	Pins []Pinned
 }
 
+// Named is one number with when it was named, by the leader's time of day.
+type Named struct {
+	Number ReleaseNumber
+	At     time.Time
+}
+
+// namesKept is how many named releases of a model are remembered with their time:
+// more than come within the time that one takes to be in force.
+const namesKept = 16
+
+// Since returns when the first number above the given one was named, or the zero
+// time: since then something newer is wanted.
+func (r Release) Since(held ReleaseNumber) time.Time {
+	for _, n := range r.Names {
+		if n.Number > held {
+			return n.At
+		}
+	}
+	return time.Time{}
+}
+
 // Pinned holds the digests of one release's chunks, in order.
 type Pinned struct {
 	Number    ReleaseNumber
--- a/declarer/state.go
+++ b/declarer/state.go
@@ -46,7 +46,7 @@
 }
 
 // Apply carries out one command and returns a pointer to its answer.
-func (s *State) Apply(index uint64, _ time.Time, data []byte) any {
+func (s *State) Apply(index uint64, at time.Time, data []byte) any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.index = index
@@ -56,9 +56,9 @@
 	}
 	switch c := command.(type) {
 	case *Replace:
-		return s.replace(c)
+		return s.replace(at, c)
 	case *NameRelease:
-		return s.name(c.Model, c.Number)
+		return s.name(at, c.Model, c.Number)
 	case *PinRelease:
 		return s.pin(c)
 	default:
@@ -68,7 +68,7 @@
 
 // replace takes a declaration of a higher version. One that is not higher is
 // answered as accepted and changes nothing.
-func (s *State) replace(c *Replace) any {
+func (s *State) replace(at time.Time, c *Replace) any {
 	if err := c.Declaration.Check(); err != nil {
 		return &Rejected{Problem: err.Error()}
 	}
@@ -81,7 +81,7 @@
 	s.document = c.Document
 	for _, name := range slices.Sorted(maps.Keys(c.Declaration.Services)) {
 		if engine := c.Declaration.Services[name].Engine; engine != nil && engine.Model != "" {
-			s.name(engine.Model, FirstRelease)
+			s.name(at, engine.Model, FirstRelease)
 		}
 	}
 	return s.answer(true)
@@ -90,7 +90,7 @@
 // FirstRelease is the release that is wanted before any is named.
 const FirstRelease ReleaseNumber = 1
 
-func (s *State) name(model identifier.Model, number ReleaseNumber) any {
+func (s *State) name(at time.Time, model identifier.Model, number ReleaseNumber) any {
 	if model == "" || number == 0 {
 		return &Rejected{Problem: "a release needs a model and a number from 1 up"}
 	}
@@ -99,6 +99,8 @@
 		return s.answer(false)
 	}
 	release.Wanted = number
+	names := append(slices.Clone(release.Names), Named{Number: number, At: at})
+	release.Names = names[max(0, len(names)-namesKept):]
 	s.setRelease(model, release)
 	return s.answer(true)
 }
--- a/placer/agent.go
+++ b/placer/agent.go
@@ -193,7 +193,13 @@
 	held := g.chunks != nil
 	progress := float64(g.puller.Held()) / float64(len(pinned.Digests))
 	g.mu.Unlock()
-	g.reduce(stager.Wanted{Model: model, Release: pinned.Number, Held: held, Progress: progress})
+	g.reduce(stager.Wanted{
+		Model:    model,
+		Release:  pinned.Number,
+		Held:     held,
+		Progress: progress,
+		Since:    sinceOf(g.clock.Now(), declared.Releases[model].Since(report.Release)),
+	})
 }
 
 func modelOf(declared declarer.Declared, own registrar.Record) (identifier.Model, bool) {
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -84,13 +84,8 @@
 
 	mu      sync.Mutex
 	callers *http.Server
-	wanted  map[identifier.Model]wanted
-}
-
-// wanted is since when a release is known to be wanted here.
-type wanted struct {
-	number declarer.ReleaseNumber
-	since  time.Time
+	// named are the releases of each model with since when their time runs here.
+	named map[identifier.Model][]declarer.Named
 }
 
 func newEntry(placement parser.Placement, view *declarer.View, s *spreader.Spreader, rel *relayer.Relayer, o *office,
@@ -103,7 +98,7 @@
 		replica:   r,
 		clock:     clock,
 		log:       log.Named("entry"),
-		wanted:    make(map[identifier.Model]wanted),
+		named:     make(map[identifier.Model][]declarer.Named),
 	}
 	e.control = &http.Server{Handler: platform.NewControl(o, log), ReadHeaderTimeout: controlTimeout}
 	e.readiness = &http.Server{Handler: http.HandlerFunc(e.answerReadiness), ReadHeaderTimeout: controlTimeout}
@@ -192,22 +187,44 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for model, release := range declared.Releases {
-		if e.wanted[model].number < release.Wanted {
-			e.wanted[model] = wanted{number: release.Wanted, since: now}
-		}
+		e.named[model] = namesOf(now, release.Names, e.named[model])
 	}
 	var policies []balancer.ServicePolicy
 	for name, service := range declared.Declaration.Services {
 		policy := balancer.ServicePolicy{Service: name, Engine: service.Engine}
 		if service.Engine != nil {
-			w := e.wanted[service.Engine.Model]
-			policy.Wanted, policy.WantedSince = w.number, w.since
+			policy.Named = e.named[service.Engine.Model]
 		}
 		policies = append(policies, policy)
 	}
 	return policies
 }
 
+// namesOf returns the names with times by this process's clock. What was known
+// keeps its time.
+func namesOf(now time.Time, names, known []declarer.Named) []declarer.Named {
+	list := make([]declarer.Named, 0, len(names))
+	for _, n := range names {
+		n.At = sinceOf(now, n.At)
+		for _, k := range known {
+			if k.Number == n.Number {
+				n.At = k.At
+			}
+		}
+		list = append(list, n)
+	}
+	return list
+}
+
+// sinceOf returns when the time for a release began: when it was named, also where
+// this process started later, and never after it was heard of here.
+func sinceOf(heard, named time.Time) time.Time {
+	if named.Before(heard) {
+		return named
+	}
+	return heard
+}
+
 func (e *entry) followUpstreams() {
 	var views []balancer.UpstreamView
 	for _, k := range e.spreader.Known() {
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -59,6 +59,9 @@
 	Held bool
 	// Progress is the part of them that is.
 	Progress float64
+	// Since is when the time began in which the engine is to hold it, or a release
+	// before it.
+	Since time.Time
 }
 
 // Turn is where an engine stands among those of its service.
@@ -124,7 +127,6 @@
 type Reducer struct {
 	cfg    Config
 	want   Wanted
-	since  time.Time
 	report *Observed
 
 	staging  bool
@@ -149,9 +151,6 @@
 func (r *Reducer) Reduce(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Wanted:
-		if e.Release != r.want.Release {
-			r.since = now
-		}
 		r.want = e
 	case Observed:
 		r.observe(now, e)
@@ -249,7 +248,7 @@
 		return true
 	}
 	own := r.turn()
-	if now.Sub(r.since) >= time.Duration(turnShares[own]*float64(r.cfg.Within)) {
+	if now.Sub(r.want.Since) >= time.Duration(turnShares[own]*float64(r.cfg.Within)) {
 		return true
 	}
 	if own == 0 {
