--- a/balancer/release_test.go
+++ b/balancer/release_test.go
@@ -11,7 +11,7 @@
 )
 
 // A release that is named while the one before it comes into force doesn't
-// prolong the life of the oldest. (hunt: arretes-trafic trouble-3, seed
+// prolong the life of the oldest. (Found by a hunt, on trouble-3 with the seed
 // 915272573121: requests began on release 1, 8.8 s after release 2 was named.)
 func TestEachReleaseEndsThoseBeforeIt(t *testing.T) {
 	r := balancer.New(balancer.Config{ExpectAfter: 7 * time.Second})
--- /dev/null
+++ b/declarer/state_test.go
@@ -0,0 +1,200 @@
+package declarer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"celeryvalve/asserter"
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+)
+
+var start = time.Unix(1_700_000_000, 0).UTC()
+
+func declaration(version identifier.ConfigurationVersion) declarer.Declaration {
+	return declarer.Declaration{
+		Version: version,
+		Services: map[identifier.Service]declarer.Service{
+			"drafting": {Engine: &declarer.Engine{Slots: 16, Model: "summaries"}},
+			"origin":   {Origin: "10.0.0.9:8000"},
+		},
+		Routes: map[identifier.Route]declarer.Route{
+			"drafts": {
+				Host: "a.example", Prefix: "/drafts/", Kind: declarer.Streaming, Timeout: time.Second,
+				Targets: []declarer.Target{{Service: "drafting", Weight: 1}},
+			},
+		},
+		Organisations: map[identifier.Organisation]declarer.Organisation{
+			"hall": {Keys: []identifier.Digest{identifier.DigestOf([]byte("key"))}},
+		},
+	}
+}
+
+// world applies commands as the log does.
+type world struct {
+	state *declarer.State
+	index uint64
+}
+
+func newWorld() *world {
+	return &world{state: declarer.New(asserter.Strict{})}
+}
+
+func (w *world) apply(t require.TestingT, command any) any {
+	data, err := declarer.EncodeCommand(command)
+	require.NoError(t, err)
+	w.index++
+	return w.state.Apply(w.index, start.Add(time.Duration(w.index)*time.Second), data)
+}
+
+func (w *world) replace(t require.TestingT, version identifier.ConfigurationVersion) any {
+	return w.apply(t, &declarer.Replace{Declaration: declaration(version), Document: fmt.Appendf(nil, "document %d", version)})
+}
+
+func TestHighestVersionIsInForce(t *testing.T) {
+	w := newWorld()
+	require.Equal(t, &declarer.Answer{Changed: true, Version: 7}, w.replace(t, 7))
+	require.Equal(t, &declarer.Answer{Changed: false, Version: 7}, w.replace(t, 7), "a resend")
+	require.Equal(t, &declarer.Answer{Changed: false, Version: 7}, w.replace(t, 3), "an older one that comes late")
+	require.Equal(t, "document 7", string(w.state.Document()))
+	require.Equal(t, &declarer.Answer{Changed: true, Version: 12}, w.replace(t, 12))
+}
+
+func TestOtherContentUnderTheSameVersionChangesNothing(t *testing.T) {
+	w := newWorld()
+	w.replace(t, 7)
+	other := declaration(7)
+	other.Routes = nil
+	w.apply(t, &declarer.Replace{Declaration: other, Document: []byte("other")})
+	require.Equal(t, "document 7", string(w.state.Document()))
+	require.Len(t, w.state.Declared().Declaration.Routes, 1)
+}
+
+func TestInvalidDeclarationIsRejected(t *testing.T) {
+	faults := map[string]func(*declarer.Declaration, *declarer.Route){
+		"unknown service":         func(_ *declarer.Declaration, r *declarer.Route) { r.Targets[0].Service = "nobody" },
+		"no weight":               func(_ *declarer.Declaration, r *declarer.Route) { r.Targets[0].Weight = 0 },
+		"no timeout":              func(_ *declarer.Declaration, r *declarer.Route) { r.Timeout = 0 },
+		"unknown kind":            func(_ *declarer.Declaration, r *declarer.Route) { r.Kind = "" },
+		"prefix without a slash":  func(_ *declarer.Declaration, r *declarer.Route) { r.Prefix = "/drafts" },
+		"two routes at one place": func(d *declarer.Declaration, r *declarer.Route) { d.Routes["again"] = *r },
+		"one key for two": func(d *declarer.Declaration, _ *declarer.Route) {
+			d.Organisations["ledger"] = d.Organisations["hall"]
+		},
+	}
+	for name, spoil := range faults {
+		t.Run(name, func(t *testing.T) {
+			d := declaration(7)
+			r := d.Routes["drafts"]
+			spoil(&d, &r)
+			d.Routes["drafts"] = r
+			w := newWorld()
+			require.IsType(t, &declarer.Rejected{}, w.apply(t, &declarer.Replace{Declaration: d, Document: []byte("x")}))
+			require.Zero(t, w.state.Declared().Revision)
+		})
+	}
+}
+
+func TestReleasesRiseAndKeepTheirDigests(t *testing.T) {
+	w := newWorld()
+	w.replace(t, 7)
+	release := w.state.Declared().Releases["summaries"]
+	require.Equal(t, declarer.FirstRelease, release.Wanted)
+	w.apply(t, &declarer.NameRelease{Model: "summaries", Number: 3})
+	w.apply(t, &declarer.NameRelease{Model: "summaries", Number: 2})
+	pin := func(seed byte) *declarer.PinRelease {
+		return &declarer.PinRelease{Model: "summaries", Pinned: declarer.Pinned{Number: 3, Digests: []identifier.Digest{{seed}}}}
+	}
+	w.apply(t, pin(1))
+	w.apply(t, pin(2))
+	release = w.state.Declared().Releases["summaries"]
+	require.Equal(t, declarer.ReleaseNumber(3), release.Wanted)
+	pinned, ok := release.Pin(3)
+	require.True(t, ok)
+	require.Equal(t, identifier.Digest{1}, pinned.Digests[0], "the first pin holds")
+	require.Equal(t, start.Add(2*time.Second), release.Since(1))
+	require.True(t, release.Since(3).IsZero())
+}
+
+// Whatever commands come, in whatever order: versions and releases never fall, a
+// snapshot holds the whole state, and a view that follows by differences of any
+// size is equal to the state.
+func TestStateAndViewsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		view := declarer.NewView(asserter.Strict{})
+		var kept []declarer.Declaration
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			before := w.state.Declared()
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				d := declaration(identifier.ConfigurationVersion(rapid.IntRange(1, 40).Draw(t, "version")))
+				for i := range rapid.IntRange(0, 4).Draw(t, "routes") {
+					r := d.Routes["drafts"]
+					r.Prefix = fmt.Sprintf("/more/%d/", i)
+					d.Routes[identifier.Route(r.Prefix)] = r
+				}
+				w.apply(t, &declarer.Replace{Declaration: d, Document: fmt.Appendf(nil, "%d", d.Version)})
+			case 2:
+				w.apply(t, &declarer.NameRelease{Model: "summaries", Number: declarer.ReleaseNumber(rapid.IntRange(1, 9).Draw(t, "release"))})
+			case 3:
+				n := declarer.ReleaseNumber(rapid.IntRange(1, 9).Draw(t, "pinned"))
+				w.apply(t, &declarer.PinRelease{Model: "summaries", Pinned: declarer.Pinned{Number: n, Digests: []identifier.Digest{{byte(n)}}}})
+			}
+			now := w.state.Declared()
+			require.GreaterOrEqual(t, now.Declaration.Version, before.Declaration.Version)
+			require.GreaterOrEqual(t, now.Releases["summaries"].Wanted, before.Releases["summaries"].Wanted)
+			kept = append(kept, now.Declaration)
+			if rapid.Bool().Draw(t, "follows") {
+				base := kept[rapid.IntRange(0, len(kept)-1).Draw(t, "base")]
+				if !view.Merge(now.Revision, now.Declaration.Since(base), now.Releases) {
+					view.Merge(now.Revision, now.Declaration.Since(view.Declared().Declaration), now.Releases)
+				}
+				require.Equal(t, now.Declaration.Version, view.Current())
+				require.Equal(t, now.Declaration, view.Declared().Declaration)
+			}
+		}
+		data, err := w.state.Snapshot()
+		require.NoError(t, err)
+		restored := declarer.New(asserter.Strict{})
+		require.NoError(t, restored.Restore(data))
+		require.Equal(t, w.state.Declared().Revision, restored.Declared().Revision)
+		require.Equal(t, w.state.Declared().Declaration.Version, restored.Declared().Declaration.Version)
+		require.Equal(t, string(w.state.Document()), string(restored.Document()))
+	})
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	d := declaration(1)
+	r := d.Routes["drafts"]
+	r.Prefix = "/drafts/long/"
+	d.Routes["long"] = r
+	x := declarer.NewIndex(d)
+	name, _, ok := x.Find("A.example", "/drafts/long/1")
+	require.True(t, ok)
+	require.Equal(t, identifier.Route("long"), name)
+	name, _, _ = x.Find("a.example", "/drafts/longer")
+	require.Equal(t, identifier.Route("drafts"), name)
+	_, _, ok = x.Find("a.example", "/drafts")
+	require.False(t, ok, "a prefix ends with a slash")
+	_, _, ok = x.Find("b.example", "/drafts/1")
+	require.False(t, ok)
+	organisation, ok := x.Organisation("key")
+	require.True(t, ok)
+	require.Equal(t, identifier.Organisation("hall"), organisation)
+	_, ok = x.Organisation("other")
+	require.False(t, ok)
+}
+
+func TestTargetsFollowTheirWeights(t *testing.T) {
+	r := declarer.Route{Targets: []declarer.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	counts := make(map[identifier.Service]int)
+	for i := range uint64(1000) {
+		counts[r.Target(i)]++
+	}
+	require.Equal(t, map[identifier.Service]int{"a": 900, "b": 100}, counts)
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,348 @@
+package relayer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"celeryvalve/balancer"
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+	"celeryvalve/relayer"
+)
+
+// dialect names headers by their fields.
+type dialect struct{}
+
+func (dialect) ReadCaller(h http.Header) relayer.CallerHeader {
+	return relayer.CallerHeader{Attempt: identifier.AttemptID(h.Get("Attempt")), Key: h.Get("Key"), Remaining: 5 * time.Second}
+}
+
+func (dialect) WriteUpstream(h http.Header, u relayer.UpstreamHeader) {
+	h.Del("Key")
+	h.Set("Target", string(u.Target))
+	h.Set("Organisation", string(u.Organisation))
+	if u.LastEvent != "" {
+		h.Set("Last-Event", u.LastEvent)
+	}
+}
+
+func (dialect) ReadAnswer(_ int, h http.Header) relayer.AnswerHeader {
+	return relayer.AnswerHeader{
+		Attempt:     identifier.AttemptID(h.Get("Attempt")),
+		NotExecuted: h.Get("Not-Executed") != "",
+		Signed:      h.Get("Signature") != "",
+	}
+}
+
+func (dialect) WriteOwn(h http.Header, _ identifier.AttemptID, retryAfter time.Duration) {
+	h.Set("Own", "yes")
+	if retryAfter > 0 {
+		h.Set("Retry-After", fmt.Sprint(retryAfter.Seconds()))
+	}
+}
+
+// script is what an upstream does with one request on a connection.
+type script func(conn net.Conn, r *http.Request)
+
+// backend is an upstream that follows a script for each request that it reads.
+type backend struct {
+	listener net.Listener
+	mu       sync.Mutex
+	requests []*http.Request
+}
+
+func serve(t *testing.T, s script) *backend {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &backend{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.read(conn, s)
+		}
+	}()
+	t.Cleanup(func() { _ = listener.Close() })
+	return b
+}
+
+func (b *backend) read(conn net.Conn, s script) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		b.mu.Lock()
+		b.requests = append(b.requests, r)
+		b.mu.Unlock()
+		s(conn, r)
+	}
+}
+
+func (b *backend) seen() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.requests
+}
+
+func (b *backend) view(name identifier.Upstream) balancer.UpstreamView {
+	return balancer.UpstreamView{
+		Upstream: name, Service: "booking", Slots: 8,
+		Address: b.listener.Addr().(*net.TCPAddr).AddrPort(),
+	}
+}
+
+// answer writes an answer to the request.
+func answer(conn net.Conn, r *http.Request, status int, header, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nAttempt: %s\r\nContent-Length: %d\r\n%s\r\n%s", status, r.Header.Get("Attempt"), len(body), header, body)
+}
+
+func good(body string) script {
+	return func(conn net.Conn, r *http.Request) { answer(conn, r, 200, "Signature: s\r\n", body) }
+}
+
+func reset(conn net.Conn, _ *http.Request) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// entry is a relayer before upstreams, with one route of the kind.
+func entry(t *testing.T, kind declarer.RequestKind, resumable bool, views ...balancer.UpstreamView) *httptest.Server {
+	reducer := balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10})
+	r := relayer.New(reducer, dialect{}, clockwork.NewRealClock(), metrics.NewSet(), zap.NewNop(), 1)
+	d := declarer.Declaration{
+		Version:  1,
+		Services: map[identifier.Service]declarer.Service{"booking": {}},
+		Routes: map[identifier.Route]declarer.Route{"slots": {
+			Host: "a.example", Prefix: "/slots/", Kind: kind, Resumable: resumable, Timeout: 3 * time.Second, MaximumAttempts: 2,
+			Targets: []declarer.Target{{Service: "booking", Weight: 1}},
+		}},
+		Organisations: map[identifier.Organisation]declarer.Organisation{"hall": {Keys: []identifier.Digest{identifier.DigestOf([]byte("k"))}}},
+	}
+	r.Declare(declarer.NewIndex(d), []balancer.ServicePolicy{{Service: "booking"}})
+	r.ChangeUpstreams(views)
+	server := httptest.NewServer(r)
+	t.Cleanup(server.Close)
+	t.Cleanup(r.Stop)
+	return server
+}
+
+func request(t *testing.T, server *httptest.Server, path string) *http.Request {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	r.Host = "a.example"
+	r.Header.Set("Attempt", "a1")
+	r.Header.Set("Key", "k")
+	return r
+}
+
+func send(t *testing.T, server *httptest.Server) (*http.Response, string) {
+	response, err := http.DefaultClient.Do(request(t, server, "/slots/1"))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response, string(body)
+}
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	b := serve(t, good("booked"))
+	response, body := send(t, entry(t, declarer.NonIdempotent, false, b.view("u")))
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "s", response.Header.Get("Signature"))
+	require.Equal(t, "booked", body)
+	r := b.seen()[0]
+	require.Equal(t, "/slots/1", r.URL.Path)
+	require.Equal(t, "a.example", r.Host)
+	require.Equal(t, "u", r.Header.Get("Target"))
+	require.Equal(t, "hall", r.Header.Get("Organisation"))
+	require.Empty(t, r.Header.Get("Key"), "keys stay here")
+}
+
+func TestOwnAnswers(t *testing.T) {
+	server := entry(t, declarer.Idempotent, false)
+	cases := map[string]struct {
+		spoil  func(r *http.Request)
+		status int
+	}{
+		"no route":    {func(r *http.Request) { r.Host = "b.example" }, 404},
+		"unknown key": {func(r *http.Request) { r.Header.Set("Key", "other") }, 401},
+		"no id":       {func(r *http.Request) { r.Header.Del("Attempt") }, 400},
+		"no upstream": {func(*http.Request) {}, 503},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := request(t, server, "/slots/1")
+			c.spoil(r)
+			response, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, c.status, response.StatusCode)
+			require.Equal(t, c.status == 503, response.Header.Get("Retry-After") != "")
+		})
+	}
+}
+
+// What an upstream may do with a request, and what its caller is owed.
+func TestFaultyUpstreams(t *testing.T) {
+	late := func(conn net.Conn, r *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: a0\r\nSignature: s\r\nContent-Length: 5\r\n\r\nother")
+		answer(conn, r, 200, "Signature: s\r\n", "right")
+	}
+	truncated := func(conn net.Conn, r *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSignature: s\r\nContent-Length: 50\r\n\r\nhalf", r.Header.Get("Attempt"))
+		_ = conn.Close()
+	}
+	unframed := func(conn net.Conn, r *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSignature: s\r\nConnection: close\r\n\r\nright", r.Header.Get("Attempt"))
+		_ = conn.Close()
+	}
+	noise := func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "\x00\x01 no answer at all\r\n\r\n")
+		_ = conn.Close()
+	}
+	unsigned := func(conn net.Conn, r *http.Request) { answer(conn, r, 200, "", "right") }
+	busy := func(conn net.Conn, r *http.Request) { answer(conn, r, 503, "Signature: s\r\n", "ran") }
+	rejects := func(conn net.Conn, r *http.Request) { answer(conn, r, 503, "Not-Executed: 1\r\n", "") }
+	cases := []struct {
+		name   string
+		kind   declarer.RequestKind
+		script script
+		status int
+		second bool // whether another upstream gets the request, too
+	}{
+		{"an answer to another request comes first", declarer.NonIdempotent, late, 200, false},
+		{"an answer that ends with its connection", declarer.NonIdempotent, unframed, 200, false},
+		{"a cut answer, once", declarer.NonIdempotent, truncated, 502, false},
+		{"a cut answer, repeatable", declarer.Idempotent, truncated, 200, true},
+		{"a reset, once", declarer.NonIdempotent, reset, 502, false},
+		{"a reset, repeatable", declarer.Idempotent, reset, 200, true},
+		{"bytes that are no answer, once", declarer.NonIdempotent, noise, 502, false},
+		{"a success without proof, once", declarer.NonIdempotent, unsigned, 502, false},
+		{"a rejection, once", declarer.NonIdempotent, rejects, 200, true},
+		{"ran, and says 503", declarer.NonIdempotent, busy, 502, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			bad, fine := serve(t, c.script), serve(t, good("right"))
+			first, second := bad.view("a"), fine.view("b")
+			second.Region = "far" // so that the faulty one is chosen first
+			response, body := send(t, entry(t, c.kind, false, first, second))
+			require.Equal(t, c.status, response.StatusCode)
+			require.Len(t, bad.seen(), 1)
+			require.Equal(t, c.second, len(fine.seen()) == 1)
+			if c.status == 200 {
+				require.Equal(t, "right", body)
+			} else {
+				require.Empty(t, response.Header.Get("Signature"), "a failure of ours bears no proof")
+			}
+		})
+	}
+}
+
+func TestExtraAnswerIsNotTakenForTheNext(t *testing.T) {
+	b := serve(t, func(conn net.Conn, r *http.Request) {
+		answer(conn, r, 200, "Signature: s\r\n", "right")
+		answer(conn, r, 200, "Signature: s\r\n", "again")
+	})
+	server := entry(t, declarer.Idempotent, false, b.view("u"))
+	for range 3 {
+		_, body := send(t, server)
+		require.Equal(t, "right", body)
+	}
+}
+
+func event(id int) string {
+	return fmt.Sprintf("id: %d\ndata: part %d\n\n", id, id)
+}
+
+// stream answers with the events and then ends the stream, or breaks it off.
+func stream(conn net.Conn, r *http.Request, whole bool, events ...string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Attempt"))
+	for _, e := range events {
+		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(e), e)
+	}
+	if whole {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return
+	}
+	_ = conn.Close()
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	bad := serve(t, func(conn net.Conn, r *http.Request) {
+		stream(conn, r, false, event(1), event(2), "id: 3\ndata: half")
+	})
+	fine := serve(t, func(conn net.Conn, r *http.Request) {
+		require.Equal(t, "2", r.Header.Get("Last-Event"))
+		stream(conn, r, true, event(3), event(4))
+	})
+	first, second := bad.view("a"), fine.view("b")
+	second.Region = "far"
+	response, body := send(t, entry(t, declarer.Streaming, true, first, second))
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, event(1)+event(2)+event(3)+event(4), body)
+}
+
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	bad := serve(t, func(conn net.Conn, r *http.Request) { stream(conn, r, false, event(1)) })
+	fine := serve(t, good("never"))
+	first, second := bad.view("a"), fine.view("b")
+	second.Region = "far"
+	server := entry(t, declarer.Streaming, false, first, second)
+	response, err := http.DefaultClient.Do(request(t, server, "/slots/1"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Empty(t, fine.seen(), "it may run once only")
+}
+
+func TestUpstreamIsLeftWithItsCaller(t *testing.T) {
+	gone := make(chan struct{})
+	b := serve(t, func(conn net.Conn, _ *http.Request) {
+		var one [1]byte
+		_, _ = conn.Read(one[:]) // ends when the other end closes
+		close(gone)
+	})
+	server := entry(t, declarer.Idempotent, false, b.view("u"))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		r := request(t, server, "/slots/1").WithContext(ctx)
+		if response, err := http.DefaultClient.Do(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	require.Eventually(t, func() bool { return len(b.seen()) == 1 }, 5*time.Second, time.Millisecond)
+	cancel()
+	<-gone
+}
+
+func TestUnreachableUpstreamIsNoAttempt(t *testing.T) {
+	fine := serve(t, good("right"))
+	down := balancer.UpstreamView{Upstream: "a", Service: "booking", Slots: 8, Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	second := fine.view("b")
+	second.Region = "far"
+	response, _ := send(t, entry(t, declarer.NonIdempotent, false, down, second))
+	require.Equal(t, 200, response.StatusCode)
+}
