registrar: keep what an agent notes beside what its engine reports

Ruled out: slow spread (changes reach entries within 20 ms).

Requests that nothing can serve now come back as late as their callers may.

--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -30,6 +30,9 @@
 	// Callers wait up to a third of the time that they have left.
 	retryAfterLeast = 600 * time.Millisecond
 	retryAfterMost  = 1800 * time.Millisecond
+	// returnShare is the part of the time that it has left, as a divisor, for which a
+	// caller waits at most before it comes back.
+	returnShare = 3
 	// leastRemaining is the least time in which an attempt is worth its while.
 	leastRemaining = 30 * time.Millisecond
 	// silenceFactor is how many times its forecast a first byte may take before a
@@ -225,14 +228,26 @@
 	if s.mayHaveRun {
 		return Fail{Request: s.ID, Reason: reason}
 	}
-	return Refuse{Request: s.ID, Reason: reason, RetryAfter: r.retryAfter(now, &s.Request), Forecast: forecast}
+	wait := r.retryAfter(now, &s.Request)
+	if reason == NoUpstream {
+		wait = r.latestReturn(now, &s.Request)
+	}
+	return Refuse{Request: s.ID, Reason: reason, RetryAfter: wait, Forecast: forecast}
 }
 
 // retryAfter spreads the returns of refused requests.
 func (r *Reducer) retryAfter(now time.Time, q *Request) time.Duration {
 	span := retryAfterMost - retryAfterLeast
 	wait := retryAfterLeast + time.Duration(limiter.Mix(q.Random)%uint64(span))
-	return min(wait, max(leastRemaining, q.Deadline.Sub(now)/3))
+	return min(wait, max(leastRemaining, q.Deadline.Sub(now)/returnShare))
+}
+
+// latestReturn is for requests that nothing can serve now: as late as callers
+// come back, less a part that spreads them.
+func (r *Reducer) latestReturn(now time.Time, q *Request) time.Duration {
+	latest := q.Deadline.Sub(now) / returnShare
+	spread := time.Duration(limiter.Mix(q.Random) % uint64(max(1, latest/4)))
+	return max(leastRemaining, latest-spread)
 }
 
 func (r *Reducer) answering(now time.Time, e Answering) Effect {
--- a/placer/agent.go
+++ b/placer/agent.go
@@ -159,7 +159,7 @@
 		switch {
 		case r.Upstream == own.Upstream:
 			turn.Rank = i
-		case r.Release < wanted:
+		case r.Serves() < wanted:
 			turn.Behind = append(turn.Behind, i)
 		}
 	}
@@ -274,12 +274,10 @@
 	g.mu.Lock()
 	serves := g.serves
 	g.mu.Unlock()
-	if serves == nil || own.Upstream == "" || own.Release == *serves {
+	if serves == nil || own.Upstream == "" || (own.Stamp != 0 && own.Noted == *serves) {
 		return
 	}
-	own.Release = *serves
-	own.Sequence++
-	g.spreader.Report(own)
+	g.spreader.Note(own.Upstream, *serves, max(own.Stamp+1, uint64(g.clock.Now().UnixMilli())))
 	g.log.Info("Engine serves.", zap.String("upstream", string(own.Upstream)), zap.Uint64("release", uint64(*serves)))
 }
 
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -236,7 +236,7 @@
 			AvailabilityZone: k.AvailabilityZone,
 			Region:           k.Region,
 			Slots:            k.Slots,
-			Release:          k.Release,
+			Release:          k.Serves(),
 			Draining:         k.State != registrar.Ready,
 			Stale:            k.Stale,
 		})
--- a/registrar/record.go
+++ b/registrar/record.go
@@ -40,6 +40,18 @@
 	// Model and Release are what it holds whole. Release 0: nothing.
 	Model   identifier.Model
 	Release declarer.ReleaseNumber
+	// Noted is what the agent beside the upstream says that it serves, with a Stamp
+	// that rises; 0 while it takes nothing new. Stamp 0: nothing was noted.
+	Noted declarer.ReleaseNumber
+	Stamp uint64
+}
+
+// Serves returns the release that new requests meet at the upstream, or 0.
+func (r Record) Serves() declarer.ReleaseNumber {
+	if r.Stamp == 0 {
+		return r.Release
+	}
+	return r.Noted
 }
 
 // sameFacts reports whether both say the same but for the sequence.
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celeryvalve/declarer"
 	"celeryvalve/identifier"
 )
 
@@ -51,6 +52,18 @@
 	return &Table{cfg: cfg, entries: make(map[identifier.Upstream]*entry)}
 }
 
+// Note takes in what the agent beside an upstream says that it serves, and
+// reports whether that changed.
+func (t *Table) Note(name identifier.Upstream, noted declarer.ReleaseNumber, stamp uint64) bool {
+	e, ok := t.entries[name]
+	if !ok || stamp <= e.record.Stamp {
+		return false
+	}
+	e.record.Noted, e.record.Stamp = noted, stamp
+	t.touch(e)
+	return true
+}
+
 // Merge takes in a record and reports whether it changed what is known beyond
 // the time at which the upstream was heard.
 func (t *Table) Merge(now time.Time, r Record) bool {
@@ -71,9 +84,12 @@
 	}
 	leaves := r.Incarnation == e.record.Incarnation && ranks[r.State] > ranks[e.record.State]
 	if !r.follows(e.record) && !leaves {
-		return false
+		return r.Incarnation == e.record.Incarnation && t.Note(r.Upstream, r.Noted, r.Stamp)
 	}
 	e.heardAt = now
+	if r.Incarnation == e.record.Incarnation && r.Stamp < e.record.Stamp {
+		r.Noted, r.Stamp = e.record.Noted, e.record.Stamp
+	}
 	same := r.sameFacts(e.record)
 	r.Sequence = max(r.Sequence, sequenceWithin(e.record, r.Incarnation))
 	e.record = r
--- a/registrar/table_test.go
+++ b/registrar/table_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"celeryvalve/declarer"
 	"celeryvalve/identifier"
 	"celeryvalve/registrar"
 )
@@ -72,6 +73,27 @@
 	require.Empty(t, table.Known(start.Add(2*time.Minute)))
 }
 
+// Reports of an upstream that is about to load repeat what it holds; what its
+// agent notes stays, or entries would send requests that are rejected.
+func TestNoteOutlivesReports(t *testing.T) {
+	table := registrar.New(cfg)
+	held := record("a", 1, registrar.Ready)
+	held.Release = 1
+	table.Merge(start, held)
+	require.Equal(t, declarer.ReleaseNumber(1), table.Known(start)[0].Serves())
+	require.True(t, table.Note("a", 0, 100))
+	held.Sequence = 2
+	require.False(t, table.Merge(start, held))
+	require.Zero(t, table.Known(start)[0].Serves())
+	require.False(t, table.Note("a", 1, 99), "a note that was under way for long")
+	require.True(t, table.Note("a", 2, 101))
+	require.Equal(t, declarer.ReleaseNumber(2), table.Known(start)[0].Serves())
+	reborn := record("a", 1, registrar.Ready)
+	reborn.Incarnation = 5
+	table.Merge(start, reborn)
+	require.Zero(t, table.Known(start)[0].Serves(), "a new start holds nothing")
+}
+
 // Tables that were told the same records in any order and number hold the same
 // states, as long as no address changes hands.
 func TestMergeOrderDoesNotMatter(t *testing.T) {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -152,6 +152,19 @@
 	return changed
 }
 
+// Note takes in what the agent beside an upstream says that it serves.
+func (s *Spreader) Note(name identifier.Upstream, noted declarer.ReleaseNumber, stamp uint64) {
+	s.mu.Lock()
+	changed := s.table.Note(name, noted, stamp)
+	if changed {
+		s.tell()
+	}
+	s.mu.Unlock()
+	if changed {
+		s.notify()
+	}
+}
+
 // Known returns the upstreams that are not gone.
 func (s *Spreader) Known() []registrar.Known {
 	s.mu.Lock()
