--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -19,11 +19,15 @@
 // forecast returns the time to the first byte that a request would get at the
 // upstream, with what is there now.
 func (r *Reducer) forecast(now time.Time, u *upstream, q *Request, engine *declarer.Engine) time.Duration {
-	load, _ := u.load(now)
+	load := u.ahead(now, q.Returned)
 	if engine == nil {
 		return plainForecast(u, load)
 	}
-	return engineForecast(engine, load, u.slots(), u.waiting, q)
+	unread := u.waiting
+	if !q.Returned {
+		unread -= u.yielding
+	}
+	return engineForecast(engine, load, u.slots(), unread, q)
 }
 
 func plainForecast(u *upstream, load int) time.Duration {
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -25,7 +25,7 @@
 	objectiveMargin = 0.9
 	// returnedPatience is the part of the remaining time within which the first
 	// byte of a request that came back is forecast at the latest.
-	returnedPatience = 0.5
+	returnedPatience = 0.35
 	// retryAfterLeast and retryAfterMost spread the returns of what is refused.
 	// Callers wait up to a third of the time that they have left.
 	retryAfterLeast = 600 * time.Millisecond
@@ -41,9 +41,12 @@
 	silenceLeast  = 1200 * time.Millisecond
 	// unmeasured stands for requests without an objective.
 	unmeasured = 5 * time.Second
-	// defaultUrgency is that of a request without one; returnedUrgency goes before.
+	// defaultUrgency is that of a request without one. What was sent before goes
+	// first, since its caller waits already; what has come back goes last, since its
+	// objective is missed in any case.
 	defaultUrgency  = 5
-	returnedUrgency = 3
+	againUrgency    = 3
+	returnedUrgency = 7
 )
 
 // Reducer decides for one entry. It is not safe for concurrent use.
@@ -186,6 +189,9 @@
 	load, age := u.load(now)
 	u.inFlight++
 	u.waiting++
+	if s.Returned {
+		u.yielding++
+	}
 	if u.asideFor > 0 {
 		u.probing = s.ID
 	}
@@ -198,8 +204,11 @@
 		Load:     load,
 		LoadAge:  age,
 	}
-	if s.Returned || s.attempts > 1 {
+	switch {
+	case s.Returned:
 		effect.Urgency = returnedUrgency
+	case s.attempts > 1:
+		effect.Urgency = againUrgency
 	}
 	if s.Generates && r.floor(now, policy) > declarer.FirstRelease {
 		effect.Expect = u.view.Release
@@ -255,10 +264,9 @@
 	if !ok || s.answered {
 		return Go{}
 	}
-	s.answered = true
 	s.mayHaveRun = true
 	u := s.current
-	u.waiting--
+	s.stopWaiting()
 	u.firstByte.Add(now.Sub(s.sentAt))
 	u.observe(now, e.Load)
 	return Go{}
@@ -344,13 +352,22 @@
 func (r *Reducer) leave(s *request) {
 	u := s.current
 	u.inFlight--
-	if !s.answered {
-		u.waiting--
-	}
+	s.stopWaiting()
 	if u.probing == s.ID {
 		u.probing = ""
 	}
+}
+
+// stopWaiting notes that the current attempt has begun, or is over.
+func (s *request) stopWaiting() {
+	if s.answered {
+		return
+	}
 	s.answered = true
+	s.current.waiting--
+	if s.Returned {
+		s.current.yielding--
+	}
 }
 
 func (r *Reducer) forget(id identifier.RequestID) {
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -31,6 +31,8 @@
 	// of an answer.
 	inFlight int
 	waiting  int
+	// yielding are those of waiting that others go before.
+	yielding int
 	// reported is the last report, with the requests of this entry then.
 	reported     Load
 	reportedAt   time.Time
@@ -63,6 +65,21 @@
 	return u.inFlight + others, age
 }
 
+// ahead returns how many requests a new one would find before it. One that goes
+// before what yields does not count that; what of other entries' yields there is
+// taken to be as of this one's.
+func (u *upstream) ahead(now time.Time, yields bool) int {
+	load, age := u.load(now)
+	if yields || u.yielding == 0 {
+		return load
+	}
+	load -= u.yielding
+	if others := u.reported.Waiting - u.waiting; others > 0 && age <= reportLifetime {
+		load -= others * u.yielding / u.waiting
+	}
+	return max(0, load)
+}
+
 func (u *upstream) observe(now time.Time, load *Load) {
 	if load == nil {
 		return
