placer: take weights from a mirror of the own region

Cause: after a start of the whole system, instances began before their region's mirror was known and took two copies of three across thin links. Ruled out: mirrors that refuse (none did) and the exchange among mirrors (8 of 34 MB). The list of replicas is told when it changes, no longer with each sign of life.

--- a/placer/agent.go
+++ b/placer/agent.go
@@ -29,6 +29,9 @@
 	stageTimeout = 10 * time.Second
 	// stageRounds is how often a chunk that reads back spoilt is put again.
 	stageRounds = 3
+	// regionTries and regionPause bound the wait for mirrors of the own region.
+	regionTries = 12
+	regionPause = 50 * time.Millisecond
 )
 
 func agentModule() fx.Option {
@@ -232,8 +235,9 @@
 	g.pullsNow = true
 	// Without an origin the mirrors alone are asked.
 	origin, _ := g.origins.declared(g.view.Declared().Declaration)
-	sources := sourcesOf(g.placement, g.spreader, g.endpoint, origin, t.model, manifest.Digest())
 	g.work.Go(func() {
+		g.awaitRegions(ctx)
+		sources := sourcesOf(g.placement, g.spreader, g.endpoint, origin, t.model, manifest.Digest())
 		chunks, err := g.puller.Pull(ctx, t.pinned, sources)
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -248,6 +252,30 @@
 	})
 }
 
+// awaitRegions waits a little for a mirror that is known to be in this region:
+// after a start of the whole system the replicas learn of each other by and by,
+// and a copy from afar takes a part of a thin link.
+func (g *agent) awaitRegions(ctx context.Context) {
+	for range regionTries {
+		unknown := false
+		for _, addr := range g.spreader.Replicas() {
+			region := g.spreader.RegionOf(addr)
+			if region == g.placement.Region {
+				return
+			}
+			unknown = unknown || region == ""
+		}
+		if !unknown {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.clock.After(regionPause):
+		}
+	}
+}
+
 func (g *agent) reduce(event stager.Event) {
 	g.mu.Lock()
 	effects := g.reducer.Reduce(g.clock.Now(), event)
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -24,7 +24,9 @@
 	Refreshes []registrar.Refresh `cbor:",omitempty"`
 	// Revision is that of what is declared at the sender.
 	Revision declarer.Revision
-	// Replicas are set by a control replica.
+	// Led says that the sender is a control replica that hears a leader.
+	Led bool `cbor:",omitempty"`
+	// Replicas are set by a control replica when they changed.
 	Replicas *Replicas `cbor:",omitempty"`
 }
 
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -128,9 +128,17 @@
 func (s *Spreader) tellAll(ctx context.Context, stream *connector.Stream) {
 	var cursor registrar.Cursor
 	var refreshed uint64
+	var replicas *Replicas
 	for {
 		s.mu.Lock()
-		told := &Told{Revision: s.view.Declared().Revision, Replicas: s.own}
+		told := &Told{Revision: s.view.Declared().Revision}
+		if s.own != nil {
+			told.Led = s.own.Led
+		}
+		if s.own != replicas {
+			replicas = s.own
+			told.Replicas = s.own
+		}
 		told.Records, cursor = s.table.Since(cursor)
 		if s.refreshN != refreshed {
 			told.Refreshes = s.refresh
@@ -164,7 +172,7 @@
 	if from.IsValid() {
 		h := s.heard[from]
 		h.at = now
-		if told.Replicas != nil && told.Replicas.Led {
+		if told.Led {
 			h.ledAt = now
 		}
 		s.heard[from] = h
