spreader: let any process say where the replicas are

Cause: a process whose settings name only instances without a disk as seeds would follow those and never hear of a replica. Found by reading; the test fails without the change.

--- a/spreader/message.go
+++ b/spreader/message.go
@@ -26,7 +26,8 @@
 	Revision declarer.Revision
 	// Led says that the sender is a control replica that hears a leader.
 	Led bool `cbor:",omitempty"`
-	// Replicas are set by a control replica when they changed.
+	// Replicas are set when they changed: by a control replica, and by any other
+	// process as it heard of them, so that any process can be a seed.
 	Replicas *Replicas `cbor:",omitempty"`
 }
 
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -77,7 +77,8 @@
 	table    *registrar.Table
 	watchers []func()
 	seeds    []netip.AddrPort
-	replicas Replicas
+	// replicas is the newest list that came, own that of a control replica itself.
+	replicas *Replicas
 	own      *Replicas
 	// regions are those of the processes that follow this one.
 	regions  map[string]identifier.Region
@@ -111,6 +112,7 @@
 		seeds:    seeds,
 		streams:  make(map[netip.AddrPort]context.CancelFunc),
 		heard:    make(map[netip.AddrPort]sign),
+		replicas: &Replicas{},
 		regions:  map[string]identifier.Region{cfg.Address.String(): cfg.Region},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -265,8 +267,12 @@
 }
 
 func (s *Spreader) learnReplicas(r Replicas) {
-	if r.Led && len(r.Addresses) > 0 && r.Index >= s.replicas.Index {
-		s.replicas = r
+	if !r.Led || len(r.Addresses) == 0 || r.Index < s.replicas.Index {
+		return
+	}
+	same := r.Index == s.replicas.Index && slices.Equal(r.Addresses, s.replicas.Addresses) && maps.Equal(r.Regions, s.replicas.Regions)
+	if !same {
+		s.replicas = &r
 	}
 }
 
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -132,12 +132,14 @@
 	for {
 		s.mu.Lock()
 		told := &Told{Revision: s.view.Declared().Revision}
+		known := s.replicas
 		if s.own != nil {
+			known = s.own
 			told.Led = s.own.Led
 		}
-		if s.own != replicas {
-			replicas = s.own
-			told.Replicas = s.own
+		if known != replicas {
+			replicas = known
+			told.Replicas = known
 		}
 		told.Records, cursor = s.table.Since(cursor)
 		if s.refreshN != refreshed {
