spreader: tell entries the fresh load of engines

Cause: entries knew an engine's load from its last answer. As it filled up, answers came later and so did the reports: they were 1.0 to 2.5 s old in the seconds after a release (0.3 s otherwise), and requests were sent to engines with long queues. Agents now tell the load that they see, gathered for 0.1 s on the way: 0.1 to 0.17 s old throughout. Requests that meet an engine as it begins to load waited until it had loaded; it is now announced before its chunks are staged.

Ruled out: the model of the engine (off by 20 ms where reports were fresh).

--- a/balancer/event.go
+++ b/balancer/event.go
@@ -68,6 +68,12 @@
 // UpstreamsChanged gives all upstreams that may be chosen.
 type UpstreamsChanged struct{ Upstreams []UpstreamView }
 
+// LoadObserved brings what an agent sees of its upstream.
+type LoadObserved struct {
+	Upstream identifier.Upstream
+	Load     Load
+}
+
 // PolicyChanged gives all services.
 type PolicyChanged struct{ Services []ServicePolicy }
 
@@ -125,6 +131,7 @@
 type CallerGone struct{ Request identifier.RequestID }
 
 func (UpstreamsChanged) isEvent() {}
+func (LoadObserved) isEvent()     {}
 func (PolicyChanged) isEvent()    {}
 func (Arrived) isEvent()          {}
 func (Answering) isEvent()        {}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -91,6 +91,10 @@
 		for _, s := range e.Services {
 			r.services[s.Service] = s
 		}
+	case LoadObserved:
+		if u, ok := r.upstreams[e.Upstream]; ok {
+			u.observe(now, &e.Load)
+		}
 	case Arrived:
 		return r.arrive(now, e.Request)
 	case Answering:
--- a/placer/agent.go
+++ b/placer/agent.go
@@ -132,6 +132,9 @@
 	g.follow(own, report)
 	g.reduce(stager.Observed{Report: report, Turn: g.turn(own, all)})
 	g.announce(own)
+	if own.Upstream != "" {
+		g.spreader.ReportLoad(registrar.Load{Upstream: own.Upstream, Running: report.Running, Waiting: report.Waiting})
+	}
 }
 
 // records returns the record of the engine beside this agent, and those of all
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -108,6 +108,7 @@
 func serveEntry(lc fx.Lifecycle, e *entry) {
 	e.view.Watch(e.declared)
 	e.spreader.Watch(e.followUpstreams)
+	e.spreader.WatchLoads(e.followLoads)
 	lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
 }
 
@@ -244,6 +245,12 @@
 	e.relayer.ChangeUpstreams(views)
 }
 
+func (e *entry) followLoads(loads []registrar.Load) {
+	for _, l := range loads {
+		e.relayer.ObserveLoad(l.Upstream, balancer.Load{Running: l.Running, Waiting: l.Waiting})
+	}
+}
+
 // drain stops being ready, serves until callers have gone elsewhere, and then
 // ends what is under way.
 func (e *entry) drain(ctx context.Context) {
--- a/registrar/record.go
+++ b/registrar/record.go
@@ -69,6 +69,14 @@
 	return r.Sequence > other.Sequence
 }
 
+// Load is how busy an upstream is, as its agent sees it.
+type Load struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream identifier.Upstream
+	Running  int
+	Waiting  int
+}
+
 // Refresh says that an upstream was heard, without repeating its record.
 type Refresh struct {
 	_           struct{} `cbor:",toarray"`
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -283,6 +283,7 @@
 // observe measures how far off the forecast was.
 func (a *attempt) observe() {
 	took := a.relayer.clock.Since(a.arrived)
+	a.firstByte = took
 	a.relayer.meters.firstByte.Update(took.Seconds())
 	if a.attempts == 1 {
 		a.relayer.meters.forecastOff.Update((took - a.send.Forecast).Abs().Seconds())
@@ -308,5 +309,5 @@
 	x.relayer.meters.answered(status)
 	x.log("Served a request.", zap.Int("status", status), zap.String("upstream", string(x.lastSend.Target.Upstream)),
 		zap.Duration("forecast", x.lastSend.Forecast), zap.Int("load", x.lastSend.Load),
-		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events))
+		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte))
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -102,6 +102,11 @@
 	r.reduce(balancer.UpstreamsChanged{Upstreams: views})
 }
 
+// ObserveLoad takes in what an agent sees of its upstream.
+func (r *Relayer) ObserveLoad(upstream identifier.Upstream, load balancer.Load) {
+	r.reduce(balancer.LoadObserved{Upstream: upstream, Load: load})
+}
+
 // Drain makes callers use new connections elsewhere.
 func (r *Relayer) Drain() {
 	r.draining.Store(true)
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -36,6 +36,8 @@
 	events    int
 	attempts  int
 	lastSend  balancer.Send
+	// firstByte is the time from the arrival to the first byte of the answer.
+	firstByte time.Duration
 }
 
 // ServeHTTP answers one request.
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -15,6 +15,8 @@
 	// Address is where the follower itself is followed.
 	Address netip.AddrPort
 	Region  identifier.Region
+	// Loads asks for the loads of upstreams, too.
+	Loads bool
 }
 
 // Told is what either end of a stream tells the other. An empty one shows that
@@ -22,6 +24,7 @@
 type Told struct {
 	Records   []registrar.Record  `cbor:",omitempty"`
 	Refreshes []registrar.Refresh `cbor:",omitempty"`
+	Loads     []registrar.Load    `cbor:",omitempty"`
 	// Revision is that of what is declared at the sender.
 	Revision declarer.Revision
 	// Led says that the sender is a control replica that hears a leader.
@@ -31,6 +34,11 @@
 	Replicas *Replicas `cbor:",omitempty"`
 }
 
+// isEmpty reports whether the message only shows that the sender lives.
+func (t *Told) isEmpty() bool {
+	return len(t.Records) == 0 && len(t.Refreshes) == 0 && len(t.Loads) == 0 && t.Replicas == nil
+}
+
 // Replicas says where the control replicas are.
 type Replicas struct {
 	// Index is the position in the log of the membership, so that a newer list is
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -34,6 +34,9 @@
 	// refreshInterval is how often it is told that upstreams were heard, below half
 	// of the time after which they count as stale.
 	refreshInterval = 2500 * time.Millisecond
+	// loadInterval is how long loads are gathered into one message. A request is
+	// read by an engine within about that time.
+	loadInterval = 100 * time.Millisecond
 	// declarationsKept is for how many versions back a difference is made; a
 	// process further behind gets the whole.
 	declarationsKept = 16
@@ -67,6 +70,7 @@
 	log      *zap.Logger
 
 	refresher *repeater.Repeater
+	loader    *repeater.Repeater
 	ctx       context.Context
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
@@ -86,12 +90,23 @@
 	streams  map[netip.AddrPort]context.CancelFunc
 	refresh  []registrar.Refresh
 	refreshN uint64
+	// loads are the last of each upstream, with the round in which they changed.
+	loads        map[identifier.Upstream]loadEntry
+	loadRound    uint64
+	loadsChanged bool
+	loadWatchers []func([]registrar.Load)
 	// fetchedAt is when the fetch under way began.
 	fetchedAt time.Time
 	// heard says when a followed replica told something last, and whether it was led.
 	heard map[netip.AddrPort]sign
 }
 
+// loadEntry is a load with the round of its last change.
+type loadEntry struct {
+	load  registrar.Load
+	round uint64
+}
+
 // sign is what is known of a followed replica.
 type sign struct {
 	at    time.Time
@@ -113,10 +128,12 @@
 		streams:  make(map[netip.AddrPort]context.CancelFunc),
 		heard:    make(map[netip.AddrPort]sign),
 		replicas: &Replicas{},
+		loads:    make(map[identifier.Upstream]loadEntry),
 		regions:  map[string]identifier.Region{cfg.Address.String(): cfg.Region},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.refresher = repeater.New(clock, refreshInterval, s.gatherRefreshes)
+	s.loader = repeater.New(clock, loadInterval, s.tellLoads)
 	view.Watch(s.declaredChanged)
 	return s
 }
@@ -126,9 +143,57 @@
 	s.watchers = append(s.watchers, f)
 }
 
+// WatchLoads calls f with the loads that came. Call it before Start.
+func (s *Spreader) WatchLoads(f func([]registrar.Load)) {
+	s.loadWatchers = append(s.loadWatchers, f)
+}
+
+// ReportLoad takes in the load of the upstream beside this process.
+func (s *Spreader) ReportLoad(l registrar.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setLoads([]registrar.Load{l})
+}
+
+// setLoads takes in loads to be told with the next round. The caller holds the
+// lock.
+func (s *Spreader) setLoads(loads []registrar.Load) {
+	for _, l := range loads {
+		if s.loads[l.Upstream].load == l {
+			continue
+		}
+		s.loads[l.Upstream] = loadEntry{load: l, round: s.loadRound + 1}
+		s.loadsChanged = true
+	}
+}
+
+// tellLoads ends a round.
+func (s *Spreader) tellLoads(context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loadsChanged {
+		return
+	}
+	s.loadsChanged = false
+	s.loadRound++
+	s.tell()
+}
+
+// loadsSince returns the loads that changed after the round.
+func (s *Spreader) loadsSince(round uint64) []registrar.Load {
+	var list []registrar.Load
+	for _, e := range s.loads {
+		if e.round > round && e.round <= s.loadRound {
+			list = append(list, e.load)
+		}
+	}
+	return list
+}
+
 // Start begins to follow.
 func (s *Spreader) Start() {
 	s.refresher.Start()
+	s.loader.Start()
 	s.done.Go(s.run)
 }
 
@@ -136,6 +201,7 @@
 func (s *Spreader) Stop() {
 	s.cancel()
 	s.refresher.Stop()
+	s.loader.Stop()
 	s.done.Wait()
 }
 
@@ -304,6 +370,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Forget(s.clock.Now())
+	for name := range s.loads {
+		if _, ok := s.table.Find(name); !ok {
+			delete(s.loads, name)
+		}
+	}
 	s.refresh = s.table.Refreshes()
 	s.refreshN++
 	s.tell()
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -45,7 +45,7 @@
 	defer done.Wait()
 	done.Go(func() {
 		defer cancel()
-		s.tellAll(ctx, stream)
+		s.tellAll(ctx, stream, follower.Loads)
 	})
 	for {
 		told, err := s.receive(ctx, stream)
@@ -79,7 +79,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialCtx, dialled := context.WithTimeout(ctx, dialTimeout)
-	stream, err := s.endpoint.Open(dialCtx, addr, &Follow{Process: s.cfg.Process, Address: s.cfg.Address, Region: s.cfg.Region})
+	stream, err := s.endpoint.Open(dialCtx, addr, &Follow{Process: s.cfg.Process, Address: s.cfg.Address, Region: s.cfg.Region, Loads: s.cfg.FollowAll})
 	dialled()
 	if err != nil {
 		return err
@@ -90,7 +90,7 @@
 	defer cancel()
 	done.Go(func() {
 		defer cancel()
-		s.tellAll(ctx, stream)
+		s.tellAll(ctx, stream, !s.cfg.FollowAll)
 	})
 	heard := false
 	for {
@@ -123,43 +123,68 @@
 	return told, nil
 }
 
+// teller is what one stream was told so far.
+type teller struct {
+	cursor    registrar.Cursor
+	refreshed uint64
+	replicas  *Replicas
+	loads     bool
+	loadRound uint64
+	revision  declarer.Revision
+}
+
 // tellAll sends what changes until the stream breaks. What changes while a
 // message is under way goes out together with the next.
-func (s *Spreader) tellAll(ctx context.Context, stream *connector.Stream) {
-	var cursor registrar.Cursor
-	var refreshed uint64
-	var replicas *Replicas
+func (s *Spreader) tellAll(ctx context.Context, stream *connector.Stream, loads bool) {
+	t := &teller{loads: loads}
+	beat := s.clock.NewTicker(beatInterval)
+	defer beat.Stop()
+	due := true
 	for {
-		s.mu.Lock()
-		told := &Told{Revision: s.view.Declared().Revision}
-		known := s.replicas
-		if s.own != nil {
-			known = s.own
-			told.Led = s.own.Led
-		}
-		if known != replicas {
-			replicas = known
-			told.Replicas = known
-		}
-		told.Records, cursor = s.table.Since(cursor)
-		if s.refreshN != refreshed {
-			told.Refreshes = s.refresh
-			refreshed = s.refreshN
-		}
-		changed := s.changed
-		s.mu.Unlock()
-		if stream.Send(told) != nil {
+		told, changed := s.nextTold(t)
+		news := !told.isEmpty() || told.Revision != t.revision
+		t.revision = told.Revision
+		if (due || news) && stream.Send(told) != nil {
 			return
 		}
+		due = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-s.clock.After(beatInterval):
+		case <-beat.Chan():
+			due = true
 		}
 	}
 }
 
+// nextTold returns what the stream was not told yet, and what is closed at the
+// next change.
+func (s *Spreader) nextTold(t *teller) (*Told, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	told := &Told{Revision: s.view.Declared().Revision}
+	known := s.replicas
+	if s.own != nil {
+		known = s.own
+		told.Led = s.own.Led
+	}
+	if known != t.replicas {
+		t.replicas = known
+		told.Replicas = known
+	}
+	told.Records, t.cursor = s.table.Since(t.cursor)
+	if s.refreshN != t.refreshed {
+		told.Refreshes = s.refresh
+		t.refreshed = s.refreshN
+	}
+	if t.loads && s.loadRound != t.loadRound {
+		told.Loads = s.loadsSince(t.loadRound)
+		t.loadRound = s.loadRound
+	}
+	return told, s.changed
+}
+
 // take merges what a peer told. from is set where this process follows it.
 func (s *Spreader) take(told *Told, from netip.AddrPort) {
 	now := s.clock.Now()
@@ -171,6 +196,9 @@
 	for _, f := range told.Refreshes {
 		s.table.Refresh(now, f)
 	}
+	if !from.IsValid() {
+		s.setLoads(told.Loads) // an agent's, for the others that follow this process
+	}
 	if from.IsValid() {
 		h := s.heard[from]
 		h.at = now
@@ -189,6 +217,11 @@
 	if changed {
 		s.notify()
 	}
+	if len(told.Loads) > 0 {
+		for _, f := range s.loadWatchers {
+			f(told.Loads)
+		}
+	}
 	if from.IsValid() && told.Revision > s.view.Declared().Revision && s.beginFetch() {
 		s.fetch(from)
 	}
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -209,10 +209,14 @@
 }
 
 // empties reports whether the engine is to take nothing new since its turn to
-// load begins soon.
+// load has come: entries hear of it while the chunks are staged, so that nothing
+// is under way to the engine when the order comes. In the first turn they hear of
+// it while the rest of the chunks comes.
 func (r *Reducer) empties(now time.Time) bool {
-	behind := r.report.Report.Release < r.want.Release
-	return behind && r.want.Progress >= emptyShare && r.turn() == 0 && r.mayLoad(now)
+	if r.want.Release == 0 || r.report.Report.Release >= r.want.Release || !r.mayLoad(now) {
+		return false
+	}
+	return r.want.Held || (r.turn() == 0 && r.want.Progress >= emptyShare)
 }
 
 func (r *Reducer) next(now time.Time) []Effect {
--- /dev/null
+++ b/stager/reducer_test.go
@@ -0,0 +1,145 @@
+package stager_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"celeryvalve/declarer"
+	"celeryvalve/stager"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// held says that release 2 was named at the start and is here whole.
+func held() stager.Wanted {
+	return stager.Wanted{Model: "m", Release: 2, Held: true, Progress: 1, Since: start}
+}
+
+func serving(release declarer.ReleaseNumber, orders uint64, turn stager.Turn) stager.Observed {
+	return stager.Observed{Report: stager.Report{Model: "m", Release: release, Orders: orders}, Turn: turn}
+}
+
+func newReducer() *stager.Reducer {
+	return stager.New(stager.Config{Within: 8 * time.Second})
+}
+
+func TestEmptyEngineLoadsAtOnce(t *testing.T) {
+	r := newReducer()
+	require.Equal(t, []stager.Effect{stager.Announce{}}, r.Reduce(at(0), serving(0, 0, stager.Turn{})))
+	require.Equal(t, []stager.Effect{stager.Stage{Release: 2}}, r.Reduce(at(0), held()))
+	require.Equal(t, []stager.Effect{stager.Order{Model: "m", Release: 2}}, r.Reduce(at(100*time.Millisecond), stager.Staged{Release: 2, Whole: true}))
+	r.Reduce(at(200*time.Millisecond), stager.Ordered{Accepted: true})
+	require.Equal(t, []stager.Effect{stager.Announce{Release: 2}}, r.Reduce(at(time.Second), serving(2, 1, stager.Turn{})))
+}
+
+// Entries hear that an engine takes nothing new before the order comes: a request
+// that meets a loading engine waits until it has loaded.
+func TestEngineIsAnnouncedBeforeItsOrder(t *testing.T) {
+	r := newReducer()
+	r.Reduce(at(0), serving(1, 0, stager.Turn{Engines: 3}))
+	effects := r.Reduce(at(2*time.Second), held())
+	require.Equal(t, []stager.Effect{stager.Announce{}, stager.Stage{Release: 2}}, effects)
+}
+
+// Load pattern: a release comes into force under load. Engines of later turns serve
+// until those before are done, or their own time has come.
+func TestEnginesLoadInTurns(t *testing.T) {
+	r := newReducer()
+	second := stager.Turn{Engines: 6, Rank: 4, Behind: []int{0, 1, 3}}
+	r.Reduce(at(0), serving(1, 0, second))
+	require.Empty(t, r.Reduce(at(2*time.Second), held()), "those of the first turn are behind")
+	second.Behind = []int{1}
+	require.NotEmpty(t, r.Reduce(at(2500*time.Millisecond), serving(1, 0, second)), "they are done")
+
+	r = newReducer()
+	last := stager.Turn{Engines: 6, Rank: 5, Behind: []int{0, 1, 2, 3, 4}}
+	r.Reduce(at(0), serving(1, 0, last))
+	require.Empty(t, r.Reduce(at(5*time.Second), held()))
+	require.NotEmpty(t, r.Reduce(at(6*time.Second), serving(1, 0, last)), "the time is nearly over")
+}
+
+func TestSpoiltChunksGiveNoOrder(t *testing.T) {
+	r := newReducer()
+	r.Reduce(at(0), serving(0, 0, stager.Turn{}))
+	r.Reduce(at(0), held())
+	require.Empty(t, r.Reduce(at(time.Second), stager.Staged{Release: 2}))
+	require.Equal(t, []stager.Effect{stager.Stage{Release: 2}}, r.Reduce(at(2*time.Second), serving(0, 0, stager.Turn{})))
+}
+
+func TestLostOrderIsNotGivenTwice(t *testing.T) {
+	r := newReducer()
+	r.Reduce(at(0), serving(0, 3, stager.Turn{}))
+	r.Reduce(at(0), held())
+	r.Reduce(at(0), stager.Staged{Release: 2, Whole: true})
+	r.Reduce(at(time.Second), stager.Ordered{}) // no answer: it may have begun
+	loading := stager.Observed{Report: stager.Report{Busy: true, Orders: 4}}
+	require.Empty(t, r.Reduce(at(2*time.Second), loading), "it has")
+}
+
+func TestRestartedEngineLoadsAgain(t *testing.T) {
+	r := newReducer()
+	r.Reduce(at(0), held())
+	r.Reduce(at(0), serving(2, 5, stager.Turn{}))
+	effects := r.Reduce(at(time.Second), serving(0, 0, stager.Turn{}))
+	require.Equal(t, []stager.Effect{stager.Announce{}, stager.Stage{Release: 2}}, effects)
+}
+
+// Whatever comes: an order follows a whole staging of its release within the time
+// for which that counts, and no two are under way at once.
+func TestOrdersRestOnFreshChecks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newReducer()
+		now := start
+		var wholeAt time.Time
+		ordering, staging := false, false
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			var event stager.Event
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				w := held()
+				w.Release = declarer.ReleaseNumber(rapid.IntRange(2, 4).Draw(t, "wanted"))
+				w.Held = rapid.Bool().Draw(t, "held")
+				event = w
+			case 1:
+				o := serving(declarer.ReleaseNumber(rapid.IntRange(0, 4).Draw(t, "serves")), uint64(rapid.IntRange(0, 5).Draw(t, "orders")), stager.Turn{})
+				o.Report.Busy = rapid.Bool().Draw(t, "busy")
+				event = o
+			case 2:
+				event = stager.Unreachable{}
+			case 3:
+				if !staging {
+					continue
+				}
+				staging = false
+				s := stager.Staged{Release: 2, Whole: rapid.Bool().Draw(t, "whole")}
+				if s.Whole {
+					wholeAt = now
+				}
+				event = s
+			case 4:
+				if !ordering {
+					continue
+				}
+				ordering = false
+				event = stager.Ordered{Accepted: rapid.Bool().Draw(t, "accepted")}
+			}
+			for _, effect := range r.Reduce(now, event) {
+				switch effect.(type) {
+				case stager.Stage:
+					require.False(t, staging)
+					staging = true
+				case stager.Order:
+					require.False(t, ordering)
+					ordering = true
+					require.LessOrEqual(t, now.Sub(wholeAt), 1500*time.Millisecond)
+				}
+			}
+		}
+	})
+}
