balancer: count what other entries send since a report

Cause: eight entries that see the same short queue choose the same engine at once; at 15 of 16 slots the forecast was 140 ms and the first byte took 1.0 to 1.4 s. What this entry sent since the report, all others are taken to have sent in the proportion in which they share the service.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -18,12 +18,13 @@
 	var best *upstream
 	var bestCost, bestForecast time.Duration
 	random := s.Random + uint64(s.attempts)
+	others := r.others(s.Service)
 	for _, name := range slices.Sorted(maps.Keys(r.upstreams)) {
 		u := r.upstreams[name]
 		if !r.fits(now, s, u, policy) {
 			continue
 		}
-		forecast := r.forecast(now, u, &s.Request, policy.Engine)
+		forecast := r.forecast(now, u, &s.Request, policy.Engine, others)
 		random = limiter.Mix(random)
 		cost := forecast + r.distance(u) + time.Duration(random%uint64(spreadWithin)) + distrust(u)
 		if best == nil || cost < bestCost {
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryvalve/declarer"
+	"celeryvalve/identifier"
 )
 
 const (
@@ -18,8 +19,8 @@
 
 // forecast returns the time to the first byte that a request would get at the
 // upstream, with what is there now.
-func (r *Reducer) forecast(now time.Time, u *upstream, q *Request, engine *declarer.Engine) time.Duration {
-	load := u.ahead(now, q.Returned)
+func (r *Reducer) forecast(now time.Time, u *upstream, q *Request, engine *declarer.Engine, others float64) time.Duration {
+	load := u.ahead(now, others, q.Returned)
 	if engine == nil {
 		return plainForecast(u, load)
 	}
@@ -27,7 +28,24 @@
 	if !q.Returned {
 		unread -= u.yielding
 	}
-	return engineForecast(engine, load, u.slots(), unread, q)
+	return engineForecast(engine, load, u.slots(), float64(unread)*(1+others), q)
+}
+
+// others returns how many times as many requests as this entry all others have at
+// the service. What was sent since the reports is in none of them, and one is added
+// to the own ones, so that an entry with few doesn't take the others for many.
+func (r *Reducer) others(service identifier.Service) float64 {
+	own, all := 0, 0
+	for _, u := range r.upstreams {
+		if u.view.Service == service && !u.reportedAt.IsZero() {
+			own += max(0, u.inFlight-u.sentSince(u.reportedAt))
+			all += u.reported.Running + u.reported.Waiting
+		}
+	}
+	if all <= own {
+		return 0
+	}
+	return min(mostOthers, float64(all-own)/float64(own+1))
 }
 
 func plainForecast(u *upstream, load int) time.Duration {
@@ -42,7 +60,7 @@
 // engineForecast adds up the wait for a slot, the pass that is under way, the
 // reading of the prompts ahead and the own one, and the pass that makes the first
 // event.
-func engineForecast(e *declarer.Engine, load, slots, unread int, q *Request) time.Duration {
+func engineForecast(e *declarer.Engine, load, slots int, unread float64, q *Request) time.Duration {
 	prompt := q.PromptTokens
 	if prompt == 0 {
 		prompt = e.MeanPrompt
@@ -53,7 +71,7 @@
 	if ahead := load + 1 - slots; ahead > 0 {
 		wait = time.Duration(ahead) * serviceTime(e, slots) / time.Duration(slots)
 	}
-	return wait + pass/2 + readTime(e, prompt) + time.Duration(unread)*readTime(e, e.MeanPrompt)/2 + pass
+	return wait + pass/2 + readTime(e, prompt) + time.Duration(unread*float64(readTime(e, e.MeanPrompt))/2) + pass
 }
 
 // passTime is the time of one pass with n requests that write.
--- a/balancer/helper_test.go
+++ b/balancer/helper_test.go
@@ -56,3 +56,7 @@
 	q.Deadline = now.Add(6 * time.Second)
 	return r.Reduce(now, balancer.Arrived{Request: q})
 }
+
+func identifierOf(text string) identifier.RequestID { return identifier.RequestID(text) }
+
+func upstreamOf(text string) identifier.Upstream { return identifier.Upstream(text) }
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -93,7 +93,7 @@
 		}
 	case LoadObserved:
 		if u, ok := r.upstreams[e.Upstream]; ok {
-			u.observe(now, &e.Load)
+			u.observe(now, &e.Load, agentLag)
 		}
 	case Arrived:
 		return r.arrive(now, e.Request)
@@ -190,7 +190,8 @@
 	s.current = u
 	s.sentAt = now
 	s.answered = false
-	load, age := u.load(now)
+	load, age := u.load(now, r.others(s.Service))
+	u.noteSend(now)
 	u.inFlight++
 	u.waiting++
 	if s.Returned {
@@ -272,7 +273,7 @@
 	u := s.current
 	s.stopWaiting()
 	u.firstByte.Add(now.Sub(s.sentAt))
-	u.observe(now, e.Load)
+	u.observe(now, e.Load, 0)
 	return Go{}
 }
 
@@ -283,7 +284,7 @@
 	}
 	u := s.current
 	r.leave(s)
-	u.observe(now, e.Load)
+	u.observe(now, e.Load, 0)
 	if !e.Failed {
 		u.succeeded()
 		delete(r.requests, s.ID)
@@ -307,7 +308,7 @@
 	}
 	u := s.current
 	r.leave(s)
-	u.observe(now, e.Load)
+	u.observe(now, e.Load, 0)
 	switch e.Cause {
 	case NotConnected:
 		u.failed(now, true)
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"celeryvalve/identifier"
@@ -22,6 +23,12 @@
 	unreachableAside = 500 * time.Millisecond
 	// reportLifetime is how long a report of load is counted on.
 	reportLifetime = 3 * time.Second
+	// agentLag is how old an agent's report is when it comes: half of the interval in
+	// which it looks, and the time for which loads are gathered on the way.
+	agentLag = 150 * time.Millisecond
+	// mostOthers bounds how many times as much as this entry all others are taken to
+	// send.
+	mostOthers = 15
 )
 
 // upstream is what the reducer knows of one upstream.
@@ -33,10 +40,11 @@
 	waiting  int
 	// yielding are those of waiting that others go before.
 	yielding int
-	// reported is the last report, with the requests of this entry then.
-	reported     Load
-	reportedAt   time.Time
-	reportedMine int
+	// reported is the last report, of the time reportedAt.
+	reported   Load
+	reportedAt time.Time
+	// sends are when this entry sent requests lately.
+	sends []time.Time
 
 	firstByte *limiter.Mean
 
@@ -52,8 +60,10 @@
 }
 
 // load returns how many requests of all entries are there, as far as known, and
-// how old the report behind it is.
-func (u *upstream) load(now time.Time) (int, time.Duration) {
+// how old the report behind it is. What this entry has sent since the report, the
+// others are taken to have sent in their proportion: entries that see the same
+// short queue all choose it.
+func (u *upstream) load(now time.Time, others float64) (int, time.Duration) {
 	if u.reportedAt.IsZero() {
 		return u.inFlight, 0
 	}
@@ -61,32 +71,49 @@
 	if age > reportLifetime {
 		return u.inFlight, age
 	}
-	others := max(0, u.reported.Running+u.reported.Waiting-u.reportedMine)
-	return u.inFlight + others, age
+	since := float64(u.sentSince(u.reportedAt)) * (1 + others)
+	return max(u.inFlight, u.reported.Running+u.reported.Waiting+int(since)), age
+}
+
+// sentSince returns how many requests this entry has sent after the time.
+func (u *upstream) sentSince(at time.Time) int {
+	n := 0
+	for _, sent := range u.sends {
+		if sent.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// noteSend remembers a request that was sent, and forgets old ones.
+func (u *upstream) noteSend(now time.Time) {
+	u.sends = slices.DeleteFunc(u.sends, func(sent time.Time) bool { return now.Sub(sent) > reportLifetime })
+	u.sends = append(u.sends, now)
 }
 
 // ahead returns how many requests a new one would find before it. One that goes
 // before what yields does not count that; what of other entries' yields there is
 // taken to be as of this one's.
-func (u *upstream) ahead(now time.Time, yields bool) int {
-	load, age := u.load(now)
+func (u *upstream) ahead(now time.Time, others float64, yields bool) int {
+	load, age := u.load(now, others)
 	if yields || u.yielding == 0 {
 		return load
 	}
 	load -= u.yielding
-	if others := u.reported.Waiting - u.waiting; others > 0 && age <= reportLifetime {
-		load -= others * u.yielding / u.waiting
+	if foreign := u.reported.Waiting - u.waiting; foreign > 0 && age <= reportLifetime {
+		load -= foreign * u.yielding / u.waiting
 	}
 	return max(0, load)
 }
 
-func (u *upstream) observe(now time.Time, load *Load) {
-	if load == nil {
+// observe takes in a report that describes the upstream some time ago.
+func (u *upstream) observe(now time.Time, load *Load, ago time.Duration) {
+	if load == nil || now.Add(-ago).Before(u.reportedAt) {
 		return
 	}
 	u.reported = *load
-	u.reportedAt = now
-	u.reportedMine = u.inFlight
+	u.reportedAt = now.Add(-ago)
 }
 
 func (u *upstream) slots() int {
