--- a/placer/agent.go
+++ b/placer/agent.go
@@ -131,7 +131,7 @@
 	}
 	g.follow(own, report)
 	g.reduce(stager.Observed{Report: report, Turn: g.turn(own, all)})
-	g.announce(own)
+	g.announce()
 	if own.Upstream != "" {
 		g.spreader.ReportLoad(registrar.Load{Upstream: own.Upstream, Running: report.Running, Waiting: report.Waiting})
 	}
@@ -294,14 +294,14 @@
 			g.mu.Lock()
 			g.serves = &e.Release
 			g.mu.Unlock()
-			own, _ := g.records()
-			g.announce(own)
+			g.announce()
 		}
 	}
 }
 
 // announce tells the others what the engine serves, sooner than its next report.
-func (g *agent) announce(own registrar.Record) {
+func (g *agent) announce() {
+	own, _ := g.records()
 	g.mu.Lock()
 	serves := g.serves
 	g.mu.Unlock()
