--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -90,6 +90,15 @@
 	return time.Duration(float64(prompt)/e.ReadRate*float64(time.Second) + pairs*float64(e.PairsTime))
 }
 
+// writeTime is how long a usual answer takes to be written, without the reading of
+// other prompts. It is 0 for a service without engines.
+func writeTime(e *declarer.Engine) time.Duration {
+	if e == nil {
+		return 0
+	}
+	return time.Duration(max(1, e.MeanAnswer/max(1, e.StepsPerPass))) * passTime(e, e.Slots/2)
+}
+
 // serviceTime is how long a usual request keeps its slot in a full engine: its
 // passes, and the reading of the prompts that come meanwhile.
 func serviceTime(e *declarer.Engine, slots int) time.Duration {
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -23,9 +23,10 @@
 	// objectiveMargin is the part of the objective that a forecast may take. The
 	// rest is for the way, and for what the forecast doesn't know.
 	objectiveMargin = 0.9
-	// returnedPatience is the part of the remaining time within which the first
-	// byte of a request that came back is forecast at the latest.
-	returnedPatience = 0.35
+	// returnedMargin is the same for a request that came back. Its objective is
+	// missed, but one that waits longer takes the time of engines from those that can
+	// still be in time, and is often given up by its caller in the middle.
+	returnedMargin = 1.0
 	// retryAfterLeast and retryAfterMost spread the returns of what is refused.
 	// Callers wait up to a third of the time that they have left.
 	retryAfterLeast = 600 * time.Millisecond
@@ -174,14 +175,15 @@
 // the request to be admitted.
 func (r *Reducer) patience(now time.Time, s *request) time.Duration {
 	left := s.Deadline.Sub(now)
-	if s.Returned {
-		return time.Duration(returnedPatience * float64(left))
-	}
 	objective := s.Objective
 	if objective <= 0 {
 		objective = unmeasured
 	}
-	return min(left, time.Duration(objectiveMargin*float64(objective)))
+	margin := objectiveMargin
+	if s.Returned {
+		margin = returnedMargin
+	}
+	return min(left-writeTime(r.services[s.Service].Engine), time.Duration(margin*float64(objective)))
 }
 
 func (r *Reducer) send(now time.Time, s *request, u *upstream, forecast time.Duration, policy ServicePolicy) Effect {
