--- /dev/null
+++ b/commander/explain.go
@@ -0,0 +1,53 @@
+package commander
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"celeryvalve/explainer"
+	"celeryvalve/narrator"
+)
+
+// explainCommand reads logs; it needs no control replica.
+type explainCommand struct {
+	Request  string   `help:"Id of a request, as its caller sent it." xor:"subject" required:""`
+	Upstream string   `help:"Name of an upstream." xor:"subject" required:""`
+	Declared string   `name:"declared" help:"Version of a declaration." xor:"subject" required:""`
+	Logs     []string `arg:"" optional:"" help:"Logs of the processes; none reads standard input." type:"existingfile"`
+}
+
+// Run prints the story in the order of its times.
+func (c *explainCommand) Run(s *session) error {
+	n := narrator.New(narrator.Subject{Request: c.Request, Upstream: c.Upstream, Version: c.Declared})
+	if err := c.read(n); err != nil {
+		return err
+	}
+	story := n.Story()
+	if len(story.Lines) == 0 {
+		return explainer.New(explainer.NotFound, "no line of these logs names it",
+			"name the logs of all processes at that time; lines of one message beyond 100 a second are thinned out")
+	}
+	return s.print(story, story.Text())
+}
+
+func (c *explainCommand) read(n *narrator.Narrator) error {
+	if len(c.Logs) == 0 {
+		return n.Read("standard input", os.Stdin)
+	}
+	for _, name := range c.Logs {
+		if err := readLog(n, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(n *narrator.Narrator, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return explainer.Wrap(err, explainer.NotFound, fmt.Sprintf("log %q can't be opened", name), "name a file that can be read")
+	}
+	return errors.Join(n.Read(name, io.Reader(f)), f.Close())
+}
--- a/commander/run.go
+++ b/commander/run.go
@@ -43,6 +43,7 @@
 	Transfers  transfersCommand  `cmd:"" help:"Follow the weights on every instance."`
 	Report     reportCommand     `cmd:"" help:"Show the service-level objectives and how fast their budgets burn."`
 	Quarantine quarantineCommand `cmd:"" help:"List and clear requests that crashed upstreams."`
+	Explain    explainCommand    `cmd:"" help:"Tell the story of a request, an upstream or a declaration from the logs of placed processes."`
 	Replica    replicaCommand    `cmd:"" help:"List, admit and remove control replicas."`
 }
 
