placer: begin a replica anew after its disk failed

Cause: a replica stops for good at the first failed write, and its process went on without one until somebody restarted it; nobody watches at night. The disk is now opened again every 3 s, and the replica goes on from what it holds, as after a restart.

--- a/placer/control.go
+++ b/placer/control.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"net/netip"
 	"path/filepath"
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
@@ -39,6 +39,9 @@
 	// are repeated with every heartbeat of the consensus.
 	joinerLifetime = time.Second
 	changeTimeout  = 5 * time.Second
+	// reopenInterval is how often a disk that failed is tried again.
+	reopenInterval  = 3 * time.Second
+	handOverTimeout = time.Second
 	// electionTimeout is six heartbeats of the consensus, and leaves time for two
 	// elections in a row within the second after which an operator moves on.
 	electionTimeout = 600 * time.Millisecond
@@ -46,27 +49,11 @@
 
 func controlModule() fx.Option {
 	return fx.Options(
-		fx.Provide(
-			newRecorder,
-			declarer.New,
-			newCoordinator,
-			newReplica,
-			newMirror,
-		),
+		fx.Provide(newReplica, newMirror),
 		fx.Invoke(serveControl, serveMirror),
 	)
 }
 
-func newRecorder(lc fx.Lifecycle, placement parser.Placement) (*recorder.Recorder, error) {
-	cfg := recorder.Config{Folder: filepath.Join(placement.DataFolder, controlFolder), Name: placement.Inner.String()}
-	store, err := recorder.Open(recorder.Disk{}, cfg, rand.Reader)
-	if err != nil {
-		return nil, err
-	}
-	lc.Append(fx.StopHook(store.Close))
-	return store, nil
-}
-
 // machine puts what is committed in force in this process, too.
 type machine struct {
 	*declarer.State
@@ -99,62 +86,183 @@
 	t.endpoint.Post(to, msg)
 }
 
-func newCoordinator(placement parser.Placement, store *recorder.Recorder, state *declarer.State, view *declarer.View,
-	e *connector.Endpoint, clock clockwork.Clock, set *metrics.Set, a asserter.Asserter, log *zap.Logger) *coordinator.Coordinator {
+// replicaParts are what a replica is made of, each time that its disk is opened.
+type replicaParts struct {
+	fx.In
+
+	Placement parser.Placement
+	View      *declarer.View
+	Endpoint  *connector.Endpoint
+	Spreader  *spreader.Spreader
+	Asserter  asserter.Asserter
+	Clock     clockwork.Clock
+	Log       *zap.Logger
+}
+
+// disk is a replica while its disk works.
+type disk struct {
+	store       *recorder.Recorder
+	state       *declarer.State
+	coordinator *coordinator.Coordinator
+}
+
+// openDisk starts a replica from what the disk holds.
+func openDisk(parts replicaParts) (*disk, error) {
+	placement := parts.Placement
+	folder := filepath.Join(placement.DataFolder, controlFolder)
+	store, err := recorder.Open(recorder.Disk{}, recorder.Config{Folder: folder, Name: placement.Inner.String()}, rand.Reader)
+	if err != nil {
+		return nil, err
+	}
 	cfg := coordinator.Config{
 		Name:            placement.Inner.String(),
 		Addr:            placement.Inner,
 		ElectionTimeout: electionTimeout,
-		Metrics:         set,
 	}
 	if placement.FirstStart {
 		for _, seed := range placement.Seeds {
 			cfg.Members = append(cfg.Members, coordinator.Member{Name: seed.String(), Addr: seed})
 		}
 	}
-	return coordinator.New(cfg, store, machine{state, view}, transport{e}, clock, a, log)
+	state := declarer.New(parts.Asserter)
+	c := coordinator.New(cfg, store, machine{state, parts.View}, transport{parts.Endpoint}, parts.Clock, parts.Asserter, parts.Log)
+	if err := c.Start(context.Background()); err != nil {
+		return nil, errors.Join(err, store.Close())
+	}
+	return &disk{store: store, state: state, coordinator: c}, nil
 }
 
-// replica is the control replica of this process.
+// close ends the replica.
+func (d *disk) close(ctx context.Context) error {
+	return errors.Join(d.coordinator.Stop(ctx), d.store.Close())
+}
+
+// replica is the control replica of this process. A disk that fails ends it, and
+// it begins anew once the disk can be opened again: what the disk holds then is
+// what it has acknowledged, or an error.
 type replica struct {
-	state       *declarer.State
-	coordinator *coordinator.Coordinator
-	spreader    *spreader.Spreader
-	repairer    *repairer.Repairer
-	pinner      *pinner
-	clock       clockwork.Clock
-	log         *zap.Logger
-	tending     *repeater.Repeater
+	parts    replicaParts
+	spreader *spreader.Spreader
+	repairer *repairer.Repairer
+	pinner   *pinner
+	clock    clockwork.Clock
+	log      *zap.Logger
+	tending  *repeater.Repeater
 
 	changes  sync.WaitGroup
 	mu       sync.Mutex
+	disk     *disk // nil while it can't be used
+	openedAt time.Time
 	changing bool
 }
 
-func newReplica(placement parser.Placement, state *declarer.State, c *coordinator.Coordinator, s *spreader.Spreader,
-	clock clockwork.Clock, log *zap.Logger) *replica {
+func newReplica(parts replicaParts) *replica {
 	r := &replica{
-		state:       state,
-		coordinator: c,
-		spreader:    s,
+		parts:    parts,
+		spreader: parts.Spreader,
 		repairer: repairer.New(repairer.Config{
-			Tolerated:      placement.ToleratedLosses,
+			Tolerated:      parts.Placement.ToleratedLosses,
 			SilentAfter:    silentAfter,
 			JoinerLifetime: joinerLifetime,
 		}),
-		pinner: newPinner(state, c, log),
-		clock:  clock,
-		log:    log.Named("replica"),
+		pinner: newPinner(parts.Log),
+		clock:  parts.Clock,
+		log:    parts.Log.Named("replica"),
 	}
-	r.tending = repeater.New(clock, tendInterval, r.tend)
+	r.tending = repeater.New(r.clock, tendInterval, r.tend)
 	return r
 }
 
+// open opens the disk, unless it was tried a short while ago.
+func (r *replica) open() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.disk != nil || r.clock.Since(r.openedAt) < reopenInterval {
+		return
+	}
+	r.openedAt = r.clock.Now()
+	d, err := openDisk(r.parts)
+	if err != nil {
+		r.log.Error("The disk can't be used; it is tried again.", zap.Error(err))
+		return
+	}
+	r.disk = d
+}
+
+// giveUp ends a replica whose disk has failed.
+func (r *replica) giveUp(d *disk, failure error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.disk != d {
+		return
+	}
+	r.disk = nil
+	r.openedAt = r.clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	r.log.Error("The disk has failed; the replica begins anew.", zap.NamedError("failure", failure), zap.Error(d.close(ctx)))
+}
+
+func (r *replica) current() *disk {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.disk
+}
+
+// stop ends the replica.
+func (r *replica) stop(ctx context.Context) error {
+	r.tending.Stop()
+	r.changes.Wait()
+	if d := r.current(); d != nil {
+		return d.close(ctx)
+	}
+	return nil
+}
+
+// Propose commits a command while this replica leads.
+func (r *replica) Propose(ctx context.Context, data []byte) (any, error) {
+	d := r.current()
+	if d == nil {
+		return nil, explainer.New(explainer.Unavailable, "the disk of this replica can't be used", "ask another replica")
+	}
+	return d.coordinator.Propose(ctx, data)
+}
+
+// receive takes in a message of another replica.
+func (r *replica) receive(from netip.AddrPort, msg any) {
+	if d := r.current(); d != nil {
+		d.coordinator.Receive(from, msg)
+	}
+}
+
+// handOver gives up the leadership before the process stops.
+func (r *replica) handOver(ctx context.Context) {
+	d := r.current()
+	if d == nil || !d.coordinator.IsLeader() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := d.coordinator.TransferLeadership(ctx); err != nil {
+		r.log.Info("Leadership not transferred.", zap.Error(err))
+	}
+}
+
 // tend tells others where the replicas are, and repairs their set while this
 // replica leads.
 func (r *replica) tend(ctx context.Context) {
-	status := r.coordinator.Status()
-	r.coordinator.SetContacts(r.spreader.Replicas())
+	r.open()
+	d := r.current()
+	if d == nil {
+		r.spreader.SetReplicas(spreader.Replicas{})
+		return
+	}
+	status := d.coordinator.Status()
+	if status.Failure != nil {
+		r.giveUp(d, status.Failure)
+		return
+	}
+	d.coordinator.SetContacts(r.spreader.Replicas())
 	replicas := spreader.Replicas{Index: uint64(status.Membership), Led: status.Addr.IsValid()}
 	for _, m := range status.Members {
 		replicas.Addresses = append(replicas.Addresses, m.Addr)
@@ -163,12 +271,12 @@
 	if status.Role != replicator.Leader {
 		return
 	}
-	r.repair(status.Status)
-	r.pinner.pin(ctx)
+	r.repair(d, status.Status)
+	r.pinner.pin(ctx, d)
 }
 
 // repair begins the next change of the membership, if none is under way.
-func (r *replica) repair(status replicator.Status) {
+func (r *replica) repair(d *disk, status replicator.Status) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.changing {
@@ -179,10 +287,10 @@
 		return
 	}
 	r.changing = true
-	r.changes.Go(func() { r.change(action) })
+	r.changes.Go(func() { r.change(d, action) })
 }
 
-func (r *replica) change(action repairer.Action) {
+func (r *replica) change(d *disk, action repairer.Action) {
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
 	r.log.Info("Changing the set of replicas.", zap.String("kind", string(action.Kind)), zap.String("name", action.Name),
@@ -190,9 +298,9 @@
 	var err error
 	switch action.Kind {
 	case repairer.Admit:
-		err = r.coordinator.AdmitMember(ctx, action.Name)
+		err = d.coordinator.AdmitMember(ctx, action.Name)
 	case repairer.Remove:
-		err = r.coordinator.RemoveMember(ctx, action.Name)
+		err = d.coordinator.RemoveMember(ctx, action.Name)
 	}
 	r.log.Info("Change of the set of replicas ended.", zap.String("kind", string(action.Kind)), zap.String("name", action.Name), zap.Error(err))
 	r.mu.Lock()
@@ -202,14 +310,18 @@
 
 // document returns the declaration as it was written, or who leads.
 func (r *replica) document(ctx context.Context) *DocumentAnswer {
-	leader, _ := r.coordinator.Leader()
-	if !r.coordinator.IsLeader() {
+	d := r.current()
+	if d == nil {
+		return &DocumentAnswer{}
+	}
+	leader, _ := d.coordinator.Leader()
+	if !d.coordinator.IsLeader() {
 		return &DocumentAnswer{Leader: leader}
 	}
-	if err := r.coordinator.Barrier(ctx); err != nil {
+	if err := d.coordinator.Barrier(ctx); err != nil {
 		return &DocumentAnswer{}
 	}
-	return &DocumentAnswer{Known: true, Document: r.state.Document()}
+	return &DocumentAnswer{Known: true, Document: d.state.Document()}
 }
 
 func (r *replica) serveDocument(ctx context.Context, s *connector.Stream, _ any) {
@@ -217,44 +329,31 @@
 	_ = s.Send(r.document(ctx))
 }
 
-// controlParts are what serveControl ties together.
-type controlParts struct {
-	fx.In
-
-	Lifecycle   fx.Lifecycle
-	Endpoint    *connector.Endpoint
-	Coordinator *coordinator.Coordinator
-	Replica     *replica
-	Log         *zap.Logger
-}
-
-func serveControl(parts controlParts) {
+func serveControl(lc fx.Lifecycle, e *connector.Endpoint, r *replica, log *zap.Logger) {
 	for _, entry := range coordinator.Messages() {
-		parts.Endpoint.Handle(entry.Kind(), receiveReplicas(parts.Coordinator, parts.Log))
+		e.Handle(entry.Kind(), receiveReplicas(r, log))
 	}
-	server := submitter.NewServer(parts.Coordinator, permit, parts.Log)
-	parts.Endpoint.Handle(submitter.Kind, server.Serve)
-	parts.Endpoint.Handle(readDocumentKind, parts.Replica.serveDocument)
-	parts.Lifecycle.Append(fx.StartStopHook(parts.Coordinator.Start, parts.Coordinator.Stop))
-	parts.Lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { parts.Replica.tending.Start(); return nil },
-		OnStop: func(context.Context) error {
-			parts.Replica.tending.Stop()
-			parts.Replica.changes.Wait()
+	e.Handle(submitter.Kind, submitter.NewServer(r, permit, log).Serve)
+	e.Handle(readDocumentKind, r.serveDocument)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			r.open()
+			r.tending.Start()
 			return nil
 		},
+		OnStop: r.stop,
 	})
 }
 
-// receiveReplicas hands the messages of other replicas to the coordinator.
-func receiveReplicas(c *coordinator.Coordinator, log *zap.Logger) connector.Handler {
+// receiveReplicas hands the messages of other replicas on.
+func receiveReplicas(r *replica, log *zap.Logger) connector.Handler {
 	return func(ctx context.Context, s *connector.Stream, first any) {
 		if !s.Peer().Has(certifier.Control) {
 			log.Warn("Refused a replica without the role Control.", zap.String("peer", s.Peer().Name))
 			return
 		}
 		for msg, err := first, error(nil); err == nil; msg, err = s.Receive(ctx) {
-			c.Receive(s.Peer().Address, msg)
+			r.receive(s.Peer().Address, msg)
 		}
 	}
 }
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -15,7 +15,6 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
-	"celeryvalve/coordinator"
 	"celeryvalve/declarer"
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
@@ -36,9 +35,8 @@
 	expectShare = 0.85
 	// lameDuck is for how long a draining entry takes new connections: the platform
 	// needs two failed questions, one a second, to send them elsewhere.
-	lameDuck        = 2500 * time.Millisecond
-	controlTimeout  = 5 * time.Second
-	handOverTimeout = time.Second
+	lameDuck       = 2500 * time.Millisecond
+	controlTimeout = 5 * time.Second
 )
 
 func entryModule() fx.Option {
@@ -257,7 +255,7 @@
 	e.draining.Store(true)
 	e.relayer.Drain()
 	if e.replica != nil {
-		e.handOver(ctx, e.replica.coordinator)
+		e.replica.handOver(ctx)
 	}
 	select {
 	case <-ctx.Done():
@@ -271,15 +269,3 @@
 		e.log.Warn("The grace cut requests off.", zap.Int("requests", e.relayer.Serving()), zap.Error(err))
 	}
 }
-
-// handOver gives up the leadership before the process stops.
-func (e *entry) handOver(ctx context.Context, c *coordinator.Coordinator) {
-	if !c.IsLeader() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	if err := c.TransferLeadership(ctx); err != nil {
-		e.log.Info("Leadership not transferred.", zap.Error(err))
-	}
-}
--- a/placer/pinner.go
+++ b/placer/pinner.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"celeryvalve/coordinator"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
 	"celeryvalve/platform"
@@ -26,22 +25,20 @@
 
 // pinner has the leader pin the digests of each release that is named.
 type pinner struct {
-	state       *declarer.State
-	coordinator *coordinator.Coordinator
-	log         *zap.Logger
-	origins     origins
+	log     *zap.Logger
+	origins origins
 
 	mu   sync.Mutex
 	busy bool
 }
 
-func newPinner(state *declarer.State, c *coordinator.Coordinator, log *zap.Logger) *pinner {
-	return &pinner{state: state, coordinator: c, log: log.Named("pinner")}
+func newPinner(log *zap.Logger) *pinner {
+	return &pinner{log: log.Named("pinner")}
 }
 
 // pin begins to pin the first release that lacks its digests.
-func (p *pinner) pin(ctx context.Context) {
-	declared := p.state.Declared()
+func (p *pinner) pin(ctx context.Context, d *disk) {
+	declared := d.state.Declared()
 	for model, release := range declared.Releases {
 		if _, ok := release.Pin(release.Wanted); ok {
 			continue
@@ -51,21 +48,21 @@
 		p.busy = true
 		p.mu.Unlock()
 		if !busy {
-			go p.try(ctx, declared.Declaration, model, release.Wanted)
+			go p.try(ctx, d, declared.Declaration, model, release.Wanted)
 		}
 		return
 	}
 }
 
-func (p *pinner) try(ctx context.Context, d declarer.Declaration, model identifier.Model, n declarer.ReleaseNumber) {
+func (p *pinner) try(ctx context.Context, d *disk, in declarer.Declaration, model identifier.Model, n declarer.ReleaseNumber) {
 	ctx, cancel := context.WithTimeout(ctx, pinTimeout)
 	defer cancel()
-	pinned, err := p.read(ctx, d, model, n)
+	pinned, err := p.read(ctx, in, model, n)
 	if err == nil {
 		var data []byte
 		data, err = declarer.EncodeCommand(&declarer.PinRelease{Model: model, Pinned: pinned})
 		if err == nil {
-			_, err = p.coordinator.Propose(ctx, data)
+			_, err = d.coordinator.Propose(ctx, data)
 		}
 	}
 	p.log.Info("Pinned a release.", zap.String("model", string(model)), zap.Uint64("release", uint64(n)), zap.Error(err))
