balancer: blame no upstream for the end of a caller's time

Cause: an attempt that was under way at its route's timeout counted as a failure of its upstream, and three of them set a sound one aside. Seen in the story of a probe of a route with a timeout of 400 ms.

--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -59,6 +59,7 @@
 	NoAttemptLeft   Reason = "NoAttemptLeft"
 	NoBudget        Reason = "NoBudget"
 	MayHaveRun      Reason = "MayHaveRun"
+	TimeEnded       Reason = "TimeEnded"
 )
 
 func (Go) isEffect()     {}
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -111,6 +111,9 @@
 	Lost Cause = "Lost"
 	// Silent: nothing came within the time that the effect set. It may have run.
 	Silent Cause = "Silent"
+	// Expired: the time of the request ended first. It may have run, and the
+	// upstream is not to blame.
+	Expired Cause = "Expired"
 	// Garbled: the answer broke the protocol or belongs to another request.
 	Garbled Cause = "Garbled"
 )
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -316,6 +316,9 @@
 		u.failed(now, true)
 		s.attempts-- // nothing reached the upstream
 	case NotExecuted:
+	case Expired:
+		s.mayHaveRun = true
+		return r.giveUp(now, s, TimeEnded, 0)
 	case Mistaken:
 		u.failed(now, true)
 	default:
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -74,6 +74,9 @@
 		x.log("Caller left.", zap.String("upstream", string(a.send.Target.Upstream)))
 		return x.relayer.reduce(balancer.CallerGone{Request: x.request.ID})
 	}
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) && cause != balancer.NotConnected && cause != balancer.NotExecuted {
+		cause = balancer.Expired
+	}
 	x.relayer.meters.broke(cause)
 	x.log("Attempt broke.", zap.String("cause", string(cause)), zap.String("upstream", string(a.send.Target.Upstream)),
 		zap.Int("load", a.send.Load), zap.Duration("loadAge", a.send.LoadAge), zap.Duration("forecast", a.send.Forecast),
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -159,7 +159,7 @@
 		x.abort()
 	}
 	status := http.StatusBadGateway
-	if x.ctx.Err() != nil || e.Reason == balancer.DeadlineTooNear {
+	if x.ctx.Err() != nil || e.Reason == balancer.DeadlineTooNear || e.Reason == balancer.TimeEnded {
 		status = http.StatusGatewayTimeout
 	}
 	x.own(status, string(e.Reason), 0)
