repairer: let a replica that nobody counts on begin anew

Cause: a replica whose admission is lost with its leader, or that was removed while it was away, has entries, so it announces itself no more, and no leader speaks to it: it waits for ever, and the set lacks a voter. The rule: a committed membership, no older than any that the replica knows, that leaves its disk out. A voter knows the entry that made it one.

Ruled out: letting it announce itself with its entries, since a leader can't tell them from those of a disk that votes.

--- a/placer/control.go
+++ b/placer/control.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -42,6 +43,10 @@
 	// reopenInterval is how often a disk that failed is tried again.
 	reopenInterval  = 3 * time.Second
 	handOverTimeout = time.Second
+	// outcastFolder holds what is removed, so that no part of it is taken for a disk.
+	outcastFolder = "control-removed"
+	// outcastPatience is for how long a replica waits for a leader that counts on it.
+	outcastPatience = 5 * time.Second
 	// electionTimeout is six heartbeats of the consensus, and leaves time for two
 	// elections in a row within the second after which an operator moves on.
 	electionTimeout = 600 * time.Millisecond
@@ -154,6 +159,9 @@
 	disk     *disk // nil while it can't be used
 	openedAt time.Time
 	changing bool
+
+	// outcastSince is of the goroutine of tend only.
+	outcastSince time.Time
 }
 
 func newReplica(parts replicaParts) *replica {
@@ -200,7 +208,7 @@
 	r.openedAt = r.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
-	r.log.Error("The disk has failed; the replica begins anew.", zap.NamedError("failure", failure), zap.Error(d.close(ctx)))
+	r.log.Error("The replica ends and begins anew.", zap.NamedError("failure", failure), zap.Error(d.close(ctx)))
 }
 
 func (r *replica) current() *disk {
@@ -263,11 +271,11 @@
 		return
 	}
 	d.coordinator.SetContacts(r.spreader.Replicas())
-	replicas := spreader.Replicas{Index: uint64(status.Membership), Led: status.Addr.IsValid()}
-	for _, m := range status.Members {
-		replicas.Addresses = append(replicas.Addresses, m.Addr)
+	r.tell(status.Status)
+	if r.isOutcast(status.Status) {
+		r.renew(d)
+		return
 	}
-	r.spreader.SetReplicas(replicas)
 	if status.Role != replicator.Leader {
 		return
 	}
@@ -275,6 +283,47 @@
 	r.pinner.pin(ctx, d)
 }
 
+// tell says where the replicas are, once that is committed.
+func (r *replica) tell(status replicator.Status) {
+	if status.Membership > status.Commit {
+		return
+	}
+	replicas := spreader.Replicas{Index: uint64(status.Membership), Led: status.Addr.IsValid()}
+	for _, m := range status.Members {
+		replicas.Addresses = append(replicas.Addresses, m.Addr)
+		replicas.Disks = append(replicas.Disks, m.Replica)
+	}
+	r.spreader.SetReplicas(replicas)
+}
+
+// isOutcast reports whether this replica has heard for a while that it is none of
+// the members, and hears no leader itself.
+func (r *replica) isOutcast(status replicator.Status) bool {
+	known := r.spreader.Membership()
+	committed := repairer.Committed{Index: recorder.Index(known.Index), Replicas: known.Disks}
+	now := r.clock.Now()
+	if status.Addr.IsValid() || !repairer.IsOutcast(status, committed) {
+		r.outcastSince = time.Time{}
+		return false
+	}
+	if r.outcastSince.IsZero() {
+		r.outcastSince = now
+	}
+	return now.Sub(r.outcastSince) >= outcastPatience
+}
+
+// renew begins anew with an empty disk.
+func (r *replica) renew(d *disk) {
+	r.giveUp(d, explainer.New(explainer.Fenced, "this replica is no longer a member", "none: it joins again with an empty disk"))
+	folder := filepath.Join(r.parts.Placement.DataFolder, controlFolder)
+	old := filepath.Join(r.parts.Placement.DataFolder, outcastFolder)
+	err := errors.Join(os.RemoveAll(old), os.Rename(folder, old))
+	if err == nil {
+		err = os.RemoveAll(old)
+	}
+	r.log.Warn("Emptied the disk of a replica that is no longer a member.", zap.Error(err))
+}
+
 // repair begins the next change of the membership, if none is under way.
 func (r *replica) repair(d *disk, status replicator.Status) {
 	r.mu.Lock()
--- a/repairer/repairer.go
+++ b/repairer/repairer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryvalve/identifier"
+	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
 
@@ -141,6 +142,34 @@
 	return m.Replica != s.Replica && now.Sub(m.LastHeard) > after
 }
 
+// Committed is a membership that a leader has committed.
+type Committed struct {
+	Index    recorder.Index
+	Replicas []identifier.Replica
+}
+
+// IsOutcast reports whether nobody counts on the disk of the replica: a membership
+// that was committed, no earlier than any that the replica knows, leaves it out. It
+// was removed, or its admission was lost with the leader that began it. A replica
+// that has entries announces itself no more, so it would wait for ever; it may begin
+// anew with an empty disk. At worst it is a learner whose admission has not reached
+// it yet: a voter knows the entry that made it one.
+func IsOutcast(s replicator.Status, c Committed) bool {
+	return s.Last > 0 && c.Index >= s.Membership && len(c.Replicas) > 0 && !slices.Contains(c.Replicas, s.Replica)
+}
+
+// CommittedOf returns the committed membership of a leader, if it has one.
+func CommittedOf(s replicator.Status) (Committed, bool) {
+	if s.Role != replicator.Leader || s.Membership > s.Commit {
+		return Committed{}, false
+	}
+	c := Committed{Index: s.Membership}
+	for _, m := range s.Members {
+		c.Replicas = append(c.Replicas, m.Replica)
+	}
+	return c, true
+}
+
 func findName(members []replicator.MemberStatus, name string) (replicator.MemberStatus, bool) {
 	i := slices.IndexFunc(members, func(m replicator.MemberStatus) bool { return m.Name == name })
 	if i < 0 {
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -45,6 +45,8 @@
 	// told from an older one.
 	Index     uint64
 	Addresses []netip.AddrPort
+	// Disks are the identities of the replicas, in the order of Addresses.
+	Disks []identifier.Replica
 	// Regions are those of the addresses, as far as they are known.
 	Regions map[string]identifier.Region `cbor:",omitempty"`
 	// Led says that the sender hears a leader.
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -274,6 +274,13 @@
 	s.tell()
 }
 
+// Membership returns the newest list of control replicas that is known here.
+func (s *Spreader) Membership() Replicas {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *s.replicas
+}
+
 // Replicas returns where control replicas are to be found, nearest knowledge
 // first: the newest list, or the seeds before any list came.
 func (s *Spreader) Replicas() []netip.AddrPort {
