--- a/declarer/command.go
+++ b/declarer/command.go
@@ -1,6 +1,7 @@
 package declarer
 
 import (
+	"fmt"
 	"sync"
 
 	"celeryvalve/encoder"
@@ -47,9 +48,15 @@
 	return explainer.New(explainer.InvalidInput, r.Problem, "mend the document and send it again")
 }
 
+// packedReplace is a Replace as it stands in the log.
+type packedReplace struct {
+	Document []byte
+	Rest     []byte
+}
+
 func commands() []encoder.Entry {
 	return []encoder.Entry{
-		encoder.Message[Replace]("Declarer.Replace"),
+		encoder.Message[packedReplace]("Declarer.Replace"),
 		encoder.Message[NameRelease]("Declarer.NameRelease"),
 		encoder.Message[PinRelease]("Declarer.PinRelease"),
 	}
@@ -64,7 +71,11 @@
 }
 
 var codec = sync.OnceValue(func() *encoder.Codec {
-	c, err := encoder.New(append(commands(), encoder.Message[snapshot]("Declarer.Snapshot"))...)
+	c, err := encoder.New(append(commands(),
+		encoder.Message[Declaration]("Declarer.Declaration"),
+		encoder.Message[Delta]("Declarer.Delta"),
+		encoder.Message[snapshot]("Declarer.Snapshot"),
+	)...)
 	if err != nil {
 		panic(err) // two kinds bear one name
 	}
@@ -73,5 +84,37 @@
 
 // EncodeCommand returns the bytes of a command for the log.
 func EncodeCommand(command any) ([]byte, error) {
-	return codec().Encode(0, command)
+	replace, ok := command.(*Replace)
+	if !ok {
+		return codec().Encode(0, command)
+	}
+	document, err := pack(replace.Document)
+	if err != nil {
+		return nil, err
+	}
+	rest, err := codec().Encode(0, replace.Declaration)
+	if err != nil {
+		return nil, err
+	}
+	if rest, err = pack(rest); err != nil {
+		return nil, err
+	}
+	return codec().Encode(0, packedReplace{Document: document, Rest: rest})
+}
+
+// declaration returns the declaration of the command.
+func (p *packedReplace) declaration() (Declaration, error) {
+	data, err := unpack(p.Rest)
+	if err != nil {
+		return Declaration{}, err
+	}
+	_, msg, err := codec().Decode(data)
+	if err != nil {
+		return Declaration{}, err
+	}
+	d, ok := msg.(*Declaration)
+	if !ok {
+		return Declaration{}, corrupt(fmt.Errorf("a %T is no declaration", msg))
+	}
+	return *d, nil
 }
--- a/declarer/delta.go
+++ b/declarer/delta.go
@@ -22,6 +22,12 @@
 	RemovedOrganisations []identifier.Organisation
 }
 
+// ForWeights returns what concerns the weights of engines alone: an agent needs no
+// routes and no keys.
+func (d Declaration) ForWeights() Declaration {
+	return Declaration{Version: d.Version, Services: d.Services}
+}
+
 // Since returns what leads from the older declaration to d.
 func (d Declaration) Since(old Declaration) Delta {
 	delta := Delta{Base: old.Version, Changed: Declaration{Version: d.Version, Limits: d.Limits}}
--- a/declarer/state.go
+++ b/declarer/state.go
@@ -30,7 +30,7 @@
 	mu       sync.RWMutex
 	index    uint64
 	now      Declared
-	document []byte
+	document []byte // packed
 }
 
 // snapshot is the state as it is stored.
@@ -55,7 +55,7 @@
 		return &Rejected{Problem: err.Error()}
 	}
 	switch c := command.(type) {
-	case *Replace:
+	case *packedReplace:
 		return s.replace(at, c)
 	case *NameRelease:
 		return s.name(at, c.Model, c.Number)
@@ -68,19 +68,23 @@
 
 // replace takes a declaration of a higher version. One that is not higher is
 // answered as accepted and changes nothing.
-func (s *State) replace(at time.Time, c *Replace) any {
-	if err := c.Declaration.Check(); err != nil {
+func (s *State) replace(at time.Time, c *packedReplace) any {
+	declaration, err := c.declaration()
+	if err == nil {
+		err = declaration.Check()
+	}
+	if err != nil {
 		return &Rejected{Problem: err.Error()}
 	}
-	if c.Declaration.Version <= s.now.Declaration.Version {
+	if declaration.Version <= s.now.Declaration.Version {
 		return s.answer(false)
 	}
 	next := s.next()
-	next.Declaration = c.Declaration
+	next.Declaration = declaration
 	s.now = next
 	s.document = c.Document
-	for _, name := range slices.Sorted(maps.Keys(c.Declaration.Services)) {
-		if engine := c.Declaration.Services[name].Engine; engine != nil && engine.Model != "" {
+	for _, name := range slices.Sorted(maps.Keys(declaration.Services)) {
+		if engine := declaration.Services[name].Engine; engine != nil && engine.Model != "" {
 			s.name(at, engine.Model, FirstRelease)
 		}
 	}
@@ -144,8 +148,9 @@
 	return s.now
 }
 
-// Document returns the declaration in force as its operator wrote it.
-func (s *State) Document() []byte {
+// PackedDocument returns the declaration in force as its operator wrote it, for
+// UnpackDocument. It is empty before the first.
+func (s *State) PackedDocument() []byte {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.document
--- a/declarer/state_test.go
+++ b/declarer/state_test.go
@@ -55,12 +55,22 @@
 	return w.apply(t, &declarer.Replace{Declaration: declaration(version), Document: fmt.Appendf(nil, "document %d", version)})
 }
 
+// document returns the document in force as it was written.
+func document(t require.TestingT, s *declarer.State) string {
+	if len(s.PackedDocument()) == 0 {
+		return ""
+	}
+	text, err := declarer.UnpackDocument(s.PackedDocument())
+	require.NoError(t, err)
+	return string(text)
+}
+
 func TestHighestVersionIsInForce(t *testing.T) {
 	w := newWorld()
 	require.Equal(t, &declarer.Answer{Changed: true, Version: 7}, w.replace(t, 7))
 	require.Equal(t, &declarer.Answer{Changed: false, Version: 7}, w.replace(t, 7), "a resend")
 	require.Equal(t, &declarer.Answer{Changed: false, Version: 7}, w.replace(t, 3), "an older one that comes late")
-	require.Equal(t, "document 7", string(w.state.Document()))
+	require.Equal(t, "document 7", document(t, w.state))
 	require.Equal(t, &declarer.Answer{Changed: true, Version: 12}, w.replace(t, 12))
 }
 
@@ -70,7 +80,7 @@
 	other := declaration(7)
 	other.Routes = nil
 	w.apply(t, &declarer.Replace{Declaration: other, Document: []byte("other")})
-	require.Equal(t, "document 7", string(w.state.Document()))
+	require.Equal(t, "document 7", document(t, w.state))
 	require.Len(t, w.state.Declared().Declaration.Routes, 1)
 }
 
@@ -150,6 +160,10 @@
 			require.GreaterOrEqual(t, now.Releases["summaries"].Wanted, before.Releases["summaries"].Wanted)
 			kept = append(kept, now.Declaration)
 			if rapid.Bool().Draw(t, "follows") {
+				packed, err := now.Declaration.Since(view.Declared().Declaration).Pack()
+				require.NoError(t, err)
+				_, err = packed.Unpack()
+				require.NoError(t, err)
 				base := kept[rapid.IntRange(0, len(kept)-1).Draw(t, "base")]
 				if !view.Merge(now.Revision, now.Declaration.Since(base), now.Releases) {
 					view.Merge(now.Revision, now.Declaration.Since(view.Declared().Declaration), now.Releases)
@@ -164,7 +178,7 @@
 		require.NoError(t, restored.Restore(data))
 		require.Equal(t, w.state.Declared().Revision, restored.Declared().Revision)
 		require.Equal(t, w.state.Declared().Declaration.Version, restored.Declared().Declaration.Version)
-		require.Equal(t, string(w.state.Document()), string(restored.Document()))
+		require.Equal(t, document(t, w.state), document(t, restored))
 	})
 }
 
--- a/placer/control.go
+++ b/placer/control.go
@@ -370,7 +370,7 @@
 	if err := d.coordinator.Barrier(ctx); err != nil {
 		return &DocumentAnswer{}
 	}
-	return &DocumentAnswer{Known: true, Document: d.state.Document()}
+	return &DocumentAnswer{Known: true, Document: d.state.PackedDocument()}
 }
 
 func (r *replica) serveDocument(ctx context.Context, s *connector.Stream, _ any) {
--- a/placer/office.go
+++ b/placer/office.go
@@ -27,7 +27,8 @@
 // DocumentAnswer answers ReadDocument.
 type DocumentAnswer struct {
 	// Known is set where the replica leads and a majority has confirmed it.
-	Known    bool
+	Known bool
+	// Document is packed, for declarer.UnpackDocument.
 	Document []byte
 	// Leader is whom to ask instead, if it is known.
 	Leader netip.AddrPort
@@ -106,7 +107,7 @@
 		asked[addr] = true
 		answer := o.askDocument(ctx, addr)
 		if answer.Known && len(answer.Document) > 0 {
-			return answer.Document, nil
+			return declarer.UnpackDocument(answer.Document)
 		}
 		if answer.Leader.IsValid() {
 			queue = append([]netip.AddrPort{answer.Leader}, queue...)
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -56,12 +56,14 @@
 // FetchDeclared asks for what leads on from a version.
 type FetchDeclared struct {
 	Have identifier.ConfigurationVersion
+	// WeightsOnly leaves out what concerns callers.
+	WeightsOnly bool
 }
 
 // DeclaredAnswer answers FetchDeclared.
 type DeclaredAnswer struct {
 	Revision declarer.Revision
-	Delta    declarer.Delta
+	Delta    declarer.PackedDelta
 	Releases map[identifier.Model]declarer.Release
 }
 
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -251,15 +251,20 @@
 	defer s.endFetch()
 	ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
 	defer cancel()
-	msg, err := s.endpoint.Call(ctx, addr, &FetchDeclared{Have: s.view.Current()})
+	msg, err := s.endpoint.Call(ctx, addr, &FetchDeclared{Have: s.view.Current(), WeightsOnly: !s.cfg.FollowAll})
 	answer, ok := msg.(*DeclaredAnswer)
 	if err != nil || !ok {
 		s.log.Warn("Can't fetch what is declared; the next sign of life brings it.", zap.Stringer("address", addr), zap.Error(err))
 		return
 	}
-	if s.view.Merge(answer.Revision, answer.Delta, answer.Releases) {
+	delta, err := answer.Delta.Unpack()
+	if err != nil {
+		s.log.Error("Can't read what is declared.", zap.Stringer("address", addr), zap.Error(err))
+		return
+	}
+	if s.view.Merge(answer.Revision, delta, answer.Releases) {
 		s.log.Info("Declaration is in force.", zap.Uint64("version", uint64(s.view.Current())),
-			zap.Uint64("revision", uint64(answer.Revision)), zap.Bool("whole", answer.Delta.Whole), zap.Stringer("from", addr))
+			zap.Uint64("revision", uint64(answer.Revision)), zap.Bool("whole", delta.Whole), zap.Stringer("from", addr))
 	}
 }
 
@@ -269,11 +274,16 @@
 		return
 	}
 	declared := s.view.Declared()
-	answer := &DeclaredAnswer{
-		Revision: declared.Revision,
-		Delta:    declared.Declaration.Since(s.declaration(request)),
-		Releases: declared.Releases,
+	now, before := declared.Declaration, s.declaration(request)
+	if request.WeightsOnly {
+		now, before = now.ForWeights(), before.ForWeights()
+	}
+	delta, err := now.Since(before).Pack()
+	if err != nil {
+		s.log.Error("Can't tell what is declared.", zap.Error(err))
+		return
 	}
+	answer := &DeclaredAnswer{Revision: declared.Revision, Delta: delta, Releases: declared.Releases}
 	// A peer that went away asks again.
 	_ = stream.Send(answer)
 }
