--- a/assembler/control.go
+++ b/assembler/control.go
@@ -65,16 +65,6 @@
 	return err
 }
 
-// transport sends the messages between replicas.
-type transport struct {
-	endpoint *connector.Endpoint
-}
-
-// Send sends the message or drops it.
-func (t transport) Send(to netip.AddrPort, msg any) {
-	t.endpoint.Post(to, msg)
-}
-
 // replicaParts are what a replica is made of, before it starts.
 type replicaParts struct {
 	fx.Out
@@ -102,7 +92,7 @@
 	}
 	return replicaParts{
 		Machine:     m,
-		Coordinator: coordinator.New(cfg, store, m, transport{e}, clock, a, logger),
+		Coordinator: coordinator.New(cfg, store, m, coordinator.Through(e), clock, a, logger),
 	}
 }
 
