--- a/placer/pinner.go
+++ b/placer/pinner.go
@@ -65,8 +65,11 @@
 			_, err = d.coordinator.Propose(ctx, data)
 		}
 	}
-	p.log.Info("Pinned a release.", zap.String("model", string(model)), zap.Uint64("release", uint64(n)), zap.Error(err))
-	if err != nil {
+	log := p.log.With(zap.String("model", string(model)), zap.Uint64("release", uint64(n)))
+	if err == nil {
+		log.Info("Pinned a release.")
+	} else {
+		log.Warn("Can't pin a release yet.", zap.Error(err))
 		time.Sleep(pinPause)
 	}
 	p.mu.Lock()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -24,6 +25,7 @@
 	"celeryvalve/coordinator"
 	"celeryvalve/declarer"
 	"celeryvalve/encoder"
+	"celeryvalve/exposer"
 	"celeryvalve/fetcher"
 	"celeryvalve/parser"
 	"celeryvalve/registrar"
@@ -46,6 +48,8 @@
 	staleHeartbeats = 3
 	refreshMargin   = 3 * time.Second
 	forgetAfter     = time.Minute
+	// metricsPort is the port in the roles of deploy/system.toml.
+	metricsPort = 9464
 	// logBudget lines of one message a second are written whole, and one in
 	// logThinned beyond that.
 	logBudget  = 100
@@ -168,6 +172,7 @@
 			newSpreader,
 			newSubmitter,
 		),
+		fx.Invoke(exposeMetrics),
 	)
 	if !placement.Callers.IsValid() {
 		return fx.Options(common, agentModule())
@@ -248,6 +253,21 @@
 	return submitter.New(e, placement.Seeds, clock)
 }
 
+// exposeMetrics serves metrics and profiles where the deploy file says. A process
+// without them serves on.
+func exposeMetrics(lc fx.Lifecycle, placement parser.Placement, set *metrics.Set, log *zap.Logger) {
+	e := exposer.New(netip.AddrPortFrom(placement.IP, metricsPort), set, log)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := e.Start(); err != nil {
+				log.Warn("Metrics can't be served.", zap.Error(err))
+			}
+			return nil
+		},
+		OnStop: e.Stop,
+	})
+}
+
 // seedOf returns a number that differs between instances.
 func seedOf(placement parser.Placement) uint64 {
 	h := fnv.New64a()
