relayer: keep idle connections within a share of what an upstream takes

Cause: each entry kept up to 16 idle connections to an upstream, also those of requests that must not be repeated, which begin a new one each. Ruled out: crashed runners (one of five, for 5 s) and lost answers (until 8 s).

--- a/placer/entry.go
+++ b/placer/entry.go
@@ -159,6 +159,7 @@
 		return
 	}
 	e.relayer.Declare(e.view.Index(), e.policies(declared))
+	e.followUpstreams()
 	e.openToCallers()
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -102,8 +102,8 @@
 	keep := false
 	var answerHeader http.Header
 	defer func() {
-		if stop() && keep {
-			a.relayer.pool.put(addr, c, answerHeader)
+		if stop() && keep && a.request.Repeatable {
+			a.relayer.pool.put(addr, c, answerHeader, a.relayer.idleLimit(addr))
 		} else {
 			c.close()
 		}
--- a/relayer/pool.go
+++ b/relayer/pool.go
@@ -13,9 +13,16 @@
 )
 
 const (
-	// idlePerUpstream is how many idle connections are kept to one upstream: what
+	// idleMost is how many idle connections are kept to one upstream at most: what
 	// one entry uses at once of a full engine, twice over.
-	idlePerUpstream = 16
+	idleMost = 16
+	// idleUnknown is the same where it is not declared how many connections an
+	// upstream takes.
+	idleUnknown = 2
+	// idleShare is into how many shares the connections that an upstream takes from
+	// all callers are cut: one for the idle ones of each of 16 entries, and as many
+	// for requests under way. Upstreams reset what is beyond, with the request on it.
+	idleShare = 32
 	// idleDefault is for how long an idle connection is kept where the upstream
 	// does not say.
 	idleDefault = 4 * time.Second
@@ -63,13 +70,22 @@
 	return c
 }
 
-// put keeps a connection whose answer was read whole.
-func (p *pool) put(addr netip.AddrPort, c *connection, h http.Header) {
+// idleLimit returns how many idle connections this entry keeps to an upstream that
+// takes so many from all callers together.
+func idleLimit(declared int) int {
+	if declared <= 0 {
+		return idleUnknown
+	}
+	return min(idleMost, max(1, declared/idleShare))
+}
+
+// put keeps a connection whose answer was read whole, up to the limit.
+func (p *pool) put(addr netip.AddrPort, c *connection, h http.Header, limit int) {
 	c.idleSince = p.clock.Now()
 	c.idleLimit = keepAliveLimit(h.Get("Keep-Alive"))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[addr]) >= idlePerUpstream {
+	if len(p.idle[addr]) >= limit {
 		c.close()
 		return
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -50,9 +50,10 @@
 	reducer *balancer.Reducer
 	// patience is the longest time that callers of a route were seen to wait.
 	patience map[identifier.Route]time.Duration
-	known    map[netip.AddrPort]bool
-	random   uint64
-	serving  int
+	// known are the addresses of upstreams, with how many idle connections are kept.
+	known   map[netip.AddrPort]int
+	random  uint64
+	serving int
 }
 
 // New returns a relayer that refuses everything until Declare. seed spreads the
@@ -66,7 +67,7 @@
 		pool:     newPool(clock),
 		reducer:  reducer,
 		patience: make(map[identifier.Route]time.Duration),
-		known:    make(map[netip.AddrPort]bool),
+		known:    make(map[netip.AddrPort]int),
 		random:   seed,
 	}
 	r.tidier = repeater.New(clock, poolInterval, r.tidy)
@@ -92,9 +93,13 @@
 
 // ChangeUpstreams takes over the upstreams that may be chosen.
 func (r *Relayer) ChangeUpstreams(views []balancer.UpstreamView) {
-	known := make(map[netip.AddrPort]bool, len(views))
+	services := make(map[identifier.Service]declarer.Service)
+	if index := r.index.Load(); index != nil {
+		services = index.Declaration.Services
+	}
+	known := make(map[netip.AddrPort]int, len(views))
 	for _, v := range views {
-		known[v.Address] = true
+		known[v.Address] = idleLimit(services[v.Service].MaximumConnections)
 	}
 	r.mu.Lock()
 	r.known = known
@@ -107,6 +112,13 @@
 	r.reduce(balancer.LoadObserved{Upstream: upstream, Load: load})
 }
 
+// idleLimit returns how many idle connections are kept to the address.
+func (r *Relayer) idleLimit(addr netip.AddrPort) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known[addr]
+}
+
 // Drain makes callers use new connections elsewhere.
 func (r *Relayer) Drain() {
 	r.draining.Store(true)
--- a/relayer/tidy.go
+++ b/relayer/tidy.go
@@ -10,5 +10,5 @@
 	r.mu.Lock()
 	known := r.known
 	r.mu.Unlock()
-	r.pool.retain(func(a netip.AddrPort) bool { return known[a] })
+	r.pool.retain(func(a netip.AddrPort) bool { return known[a] > 0 })
 }
