placer: look at what is wanted as soon as it is heard

Mirrors had a loop of their own that could be woken; that is now the repeater's.

"Release is wanted" follows the declaration at once.

--- a/placer/agent.go
+++ b/placer/agent.go
@@ -95,6 +95,7 @@
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.watching = repeater.New(clock, agentInterval, g.watch)
+	view.Watch(g.watching.Nudge)
 	return g
 }
 
@@ -242,6 +243,7 @@
 		g.awaitRegions(ctx)
 		sources := sourcesOf(g.placement, g.spreader, g.endpoint, origin, t.model, manifest.Digest())
 		chunks, err := g.puller.Pull(ctx, t.pinned, sources)
+		defer g.watching.Nudge()
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.target.pinned.Number != t.pinned.Number {
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -19,6 +19,7 @@
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
 	"celeryvalve/puller"
+	"celeryvalve/repeater"
 	"celeryvalve/spreader"
 	"celeryvalve/transferrer"
 	"celeryvalve/verifier"
@@ -62,13 +63,13 @@
 	transferrer *transferrer.Transferrer
 	log         *zap.Logger
 	clock       clockwork.Clock
-	wake        chan struct{}
+	watching    *repeater.Repeater
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 
-	// Of the goroutine of watchAll only.
+	// Of the goroutine of watch only.
 	wants  map[identifier.Model]mirrored
 	peered map[identifier.Digest][]fetcher.Peer
 }
@@ -86,7 +87,6 @@
 		view:      view,
 		spreader:  s,
 		clock:     clock,
-		wake:      make(chan struct{}, 1),
 		log:       log.Named("mirror"),
 		wants:     make(map[identifier.Model]mirrored),
 		peered:    make(map[identifier.Digest][]fetcher.Peer),
@@ -108,7 +108,8 @@
 	for _, entry := range fetcher.Messages() {
 		e.Handle(entry.Kind(), m.transferrer.Handle)
 	}
-	view.Watch(m.nudge)
+	m.watching = repeater.New(clock, mirrorInterval, m.watch)
+	view.Watch(m.watching.Nudge)
 	return m, nil
 }
 
@@ -139,10 +140,11 @@
 					m.log.Error("Transfers ended.", zap.Error(err))
 				}
 			})
-			m.work.Go(m.watchAll)
+			m.watching.Start()
 			return nil
 		},
 		OnStop: func(context.Context) error {
+			m.watching.Stop()
 			m.cancel()
 			m.work.Wait()
 			return nil
@@ -150,27 +152,8 @@
 	})
 }
 
-// nudge has the mirror look at what is wanted at once.
-func (m *mirror) nudge() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (m *mirror) watchAll() {
-	for m.ctx.Err() == nil {
-		m.watch()
-		select {
-		case <-m.ctx.Done():
-		case <-m.wake:
-		case <-m.clock.After(mirrorInterval):
-		}
-	}
-}
-
 // watch follows what is wanted and who mirrors it.
-func (m *mirror) watch() {
+func (m *mirror) watch(context.Context) {
 	for model, release := range m.view.Declared().Releases {
 		pinned, ok := release.Pin(release.Wanted)
 		if ok {
--- a/repeater/repeater.go
+++ b/repeater/repeater.go
@@ -13,6 +13,7 @@
 	clock    clockwork.Clock
 	interval time.Duration
 	run      func(ctx context.Context)
+	wake     chan struct{}
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -20,7 +21,7 @@
 
 // New returns a repeater that is not started.
 func New(clock clockwork.Clock, interval time.Duration, run func(ctx context.Context)) *Repeater {
-	return &Repeater{clock: clock, interval: interval, run: run}
+	return &Repeater{clock: clock, interval: interval, run: run, wake: make(chan struct{}, 1)}
 }
 
 // Start begins; the first run comes after one interval.
@@ -30,6 +31,15 @@
 	r.done.Go(func() { r.loop(ctx) })
 }
 
+// Nudge has the function run soon, besides its intervals. Nudges that come before it
+// runs are one.
+func (r *Repeater) Nudge() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Stop ends the context of a run in progress and waits for it.
 func (r *Repeater) Stop() {
 	if r.cancel != nil {
@@ -46,6 +56,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+		case <-r.wake:
+		}
+		if ctx.Err() == nil {
 			r.run(ctx)
 		}
 	}
--- a/repeater/repeater_test.go
+++ b/repeater/repeater_test.go
@@ -29,3 +29,14 @@
 func TestStopBeforeStart(t *testing.T) {
 	repeater.New(clockwork.NewFakeClock(), time.Second, func(context.Context) {}).Stop()
 }
+
+func TestNudgeRunsBeforeTheInterval(t *testing.T) {
+	runs := make(chan struct{})
+	r := repeater.New(clockwork.NewFakeClock(), time.Second, func(context.Context) { runs <- struct{}{} })
+	r.Nudge()
+	r.Nudge()
+	r.Start()
+	<-runs
+	r.Stop()
+	require.Empty(t, runs, "two nudges before a run are one")
+}
