placer: keep the releases of a mirror on its disk

A mirror now writes each release that is whole to its disk, synced, the two newest of them, and takes them up at its start. Nothing waits for the disk; what it has lost or spoilt comes from elsewhere.

Ruled out: the links of the instances as what binds. The whole release came over them in 0.4 s once a mirror had it, since a link that was idle takes a burst. Loading parts of the layers on several engines, and paths through them, would gain little beside that.

--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -64,6 +64,7 @@
 	log         *zap.Logger
 	clock       clockwork.Clock
 	watching    *repeater.Repeater
+	keeper      *keeper
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -105,6 +106,8 @@
 		Origin:         chunkOrigin{view, &origins{}},
 	}
 	m.transferrer = transferrer.New(cfg, clock, store, transferrer.Connect(e), lessor{clock}, set, log, a)
+	m.keeper = newKeeper(placement.DataFolder, store, clock, log)
+	m.transferrer.OnEffect = m.keep
 	for _, entry := range fetcher.Messages() {
 		e.Handle(entry.Kind(), m.transferrer.Handle)
 	}
@@ -140,6 +143,8 @@
 					m.log.Error("Transfers ended.", zap.Error(err))
 				}
 			})
+			// A disk that stalls holds up nothing else: the origin has the chunks, too.
+			m.work.Go(func() { m.keeper.restore(m.takeKept) })
 			m.watching.Start()
 			return nil
 		},
@@ -152,6 +157,21 @@
 	})
 }
 
+// takeKept takes up a chunk that the disk has kept.
+func (m *mirror) takeKept(digest identifier.Digest, data []byte) error {
+	return m.transferrer.Restore(m.ctx, digest, data)
+}
+
+// keep hands a release that is here whole to the keeper.
+func (m *mirror) keep(effect fetcher.Effect) {
+	completed, ok := effect.(fetcher.Completed)
+	if !ok {
+		return
+	}
+	manifest := completed.Weights.Manifest()
+	m.work.Go(func() { m.keeper.keep(m.ctx, manifest) })
+}
+
 // watch follows what is wanted and who mirrors it.
 func (m *mirror) watch(context.Context) {
 	for model, release := range m.view.Declared().Releases {
--- a/transferrer/store.go
+++ b/transferrer/store.go
@@ -4,12 +4,15 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
+	"celeryvalve/recorder"
 	"celeryvalve/verifier"
 )
 
@@ -19,6 +22,8 @@
 	Folder string
 	// Limit bounds the bytes of all chunks.
 	Limit identifier.ByteCount
+	// Durable syncs each chunk, so that it outlasts a loss of power.
+	Durable bool
 }
 
 // Store keeps the bytes of verified chunks. It is safe for concurrent use.
@@ -138,24 +143,37 @@
 	return nil
 }
 
-// write leaves either the whole file or none. It isn't synced, since Restore
-// verifies every file.
+// write leaves either the whole file or none. Unless the store is durable it
+// isn't synced, since Restore verifies every file.
 func (s *Store) write(digest identifier.Digest, data []byte) error {
 	f, err := os.CreateTemp(s.cfg.Folder, "*"+temporarySuffix)
 	if err != nil {
 		return err
 	}
 	_, err = f.Write(data)
+	if err == nil && s.cfg.Durable {
+		err = f.Sync()
+	}
 	err = errors.Join(err, f.Close())
 	if err == nil {
 		err = os.Rename(f.Name(), s.path(digest))
 	}
+	if err == nil && s.cfg.Durable {
+		err = recorder.Disk{}.SyncFolder(s.cfg.Folder)
+	}
 	if err != nil {
 		_ = os.Remove(f.Name())
 	}
 	return err
 }
 
+// Held returns the digests of all chunks.
+func (s *Store) Held() []identifier.Digest {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Collect(maps.Keys(s.sizes))
+}
+
 // Get returns the bytes of a chunk, verified. The caller must not change them.
 func (s *Store) Get(digest identifier.Digest) ([]byte, error) {
 	s.mu.RLock()
