replicator: look for a leader sooner after a start

Cause: after a loss of all power each replica waited for the whole election timeout, 0.6 to 1.2 s, before it asked for votes, though none could have a leader. A replica that has heard no leader since its start now waits for a third of that.

Ruled out: that this disturbs a leader that lives. Whoever hears it grants no preliminary vote (TestRestartedReplicaDisturbsNobody), and the randomised faults of TestRandomisedFaults hold. TestPowerComesBack fails without the change.

--- a/replicator/election.go
+++ b/replicator/election.go
@@ -13,6 +13,8 @@
 	jitter float64
 	// rearm asks for a new jitter at the next tick.
 	rearm bool
+	// led is set once a leader has been heard since the start.
+	led   bool
 	votes map[replica]bool
 	// ownVote is the sequence after which the candidate's own vote counts.
 	ownVote Sequence
@@ -26,13 +28,23 @@
 	r.election.rearm = true
 }
 
+// startShare is the part of the election timeout, as a divisor, for which a replica
+// that started waits for a leader. One that lives sends a heartbeat meanwhile, and
+// where one does live nobody grants the preliminary vote. After a loss of all power
+// nobody can declare anything or learn what is wanted until there is a leader.
+const startShare = 3
+
 func (r *Replicator) electionDue() bool {
 	self, ok := r.membership.Find(r.cfg.Replica)
 	if !ok || !self.Voter || r.cluster == "" || r.diskHangs() {
 		return false
 	}
 	spread := time.Duration(float64(r.cfg.ElectionTimeout) * r.election.jitter)
-	return r.now.Sub(r.election.heard) >= r.cfg.ElectionTimeout+spread
+	wait := r.cfg.ElectionTimeout + spread
+	if !r.election.led {
+		wait /= startShare
+	}
+	return r.now.Sub(r.election.heard) >= wait
 }
 
 // hasLiveLeader reports whether a leader was heard within the election timeout.
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -29,6 +29,7 @@
 func (r *Replicator) becomeLeader() {
 	r.role = Leader
 	r.leader = peer{replica: r.cfg.Replica, addr: r.cfg.Addr}
+	r.election.led = true
 	r.progress = make(map[replica]*progress)
 	r.round = 0
 	r.pendingBytes = 0
--- a/replicator/leader_test.go
+++ b/replicator/leader_test.go
@@ -71,6 +71,43 @@
 	require.Equal(t, replicator.Leader, leader.reducer.Status().Role)
 }
 
+// TestPowerComesBack: after all replicas lost their power at once, one of them
+// leads sooner than a follower waits for a leader that it has lost.
+func TestPowerComesBack(t *testing.T) {
+	for seed := range uint64(20) {
+		w := startedWorld(t, 100+seed)
+		for _, n := range w.nodes {
+			n.crash()
+		}
+		w.advance(worldConfig.ElectionTimeout) // nothing of before is under way
+		for _, n := range w.nodes {
+			n.boot()
+		}
+		w.advance(worldConfig.ElectionTimeout)
+		require.NotNil(t, w.leader(), "seed %d", 100+seed)
+		w.converge()
+	}
+}
+
+// TestRestartedReplicaDisturbsNobody: one that starts again looks for a leader
+// sooner, and must not end the term of the one that lives.
+func TestRestartedReplicaDisturbsNobody(t *testing.T) {
+	w := startedWorld(t, 5)
+	leader := w.leader()
+	term := leader.reducer.Status().Term
+	for range 5 {
+		n := follower(w)
+		n.crash()
+		w.cut[link{leader.addr, n.addr}] = true
+		n.boot()
+		w.advance(worldConfig.ElectionTimeout)
+		clear(w.cut)
+		w.advance(worldConfig.ElectionTimeout)
+	}
+	require.Equal(t, leader, w.leader())
+	require.Equal(t, term, leader.reducer.Status().Term)
+}
+
 // TestTimeNeverFalls: a leader that restarted from a snapshot and whose clock
 // is behind continues after the time of the snapshot's entry.
 func TestTimeNeverFalls(t *testing.T) {
--- a/replicator/receive.go
+++ b/replicator/receive.go
@@ -124,5 +124,6 @@
 	}
 	r.follow(r.term, peer{replica: env.From, addr: env.Addr})
 	r.hear()
+	r.election.led = true
 	return true
 }
