puller: ask the origin only where mirrors bring nothing

An instance that had waited 2.5 s for a chunk set its mirror aside, then the next one, and then read the origin itself. An instance now asks the origin once no mirror has brought any chunk for 3 s.

Ruled out: that the mirrors read more than one copy.

--- a/puller/plan.go
+++ b/puller/plan.go
@@ -7,8 +7,9 @@
 const (
 	// setAside is for how long a source that failed is passed over.
 	setAside = 1500 * time.Millisecond
-	// lastResortAfter is for how long the last of several sources, the origin, is
-	// left alone: the mirrors read it once for all.
+	// lastResortAfter is for how long no chunk may come from the mirrors until the
+	// last source, the origin, is asked: the mirrors read it once for all, and where
+	// all instances read it none gets anywhere.
 	lastResortAfter = 3 * time.Second
 )
 
@@ -19,24 +20,23 @@
 	missing int
 	// until is when each source counts again.
 	until []time.Time
+	// progress is when a source before the last one brought a chunk.
+	progress time.Time
 	// order is the order in which chunks are asked for.
 	order []int
 }
 
 // NewPlan returns the plan of chunks from sources, the best source first. The
-// last one is not asked at the beginning, unless it is the only one.
+// last one is asked only where the others bring nothing for long.
 func NewPlan(now time.Time, chunks, sources int) *Plan {
-	p := &Plan{
-		held:    make([]bool, chunks),
-		asked:   make([]bool, chunks),
-		missing: chunks,
-		until:   make([]time.Time, sources),
-		order:   interleave(chunks),
+	return &Plan{
+		held:     make([]bool, chunks),
+		asked:    make([]bool, chunks),
+		missing:  chunks,
+		until:    make([]time.Time, sources),
+		progress: now,
+		order:    interleave(chunks),
 	}
-	if sources > 1 {
-		p.until[sources-1] = now.Add(lastResortAfter)
-	}
-	return p
 }
 
 // Next returns a chunk to ask for, and the source to ask. It reports false while
@@ -77,15 +77,24 @@
 
 func (p *Plan) source(now time.Time) int {
 	for i, until := range p.until {
-		if !now.Before(until) {
+		if !now.Before(until) && p.allows(now, i) {
 			return i
 		}
 	}
 	return -1
 }
 
-// Arrived notes a chunk that was checked.
-func (p *Plan) Arrived(chunk int) {
+// allows reports whether the source may be asked beside its failures.
+func (p *Plan) allows(now time.Time, source int) bool {
+	last := len(p.until) - 1
+	return source < last || last == 0 || now.Sub(p.progress) >= lastResortAfter
+}
+
+// Arrived notes a chunk from the source that was checked.
+func (p *Plan) Arrived(now time.Time, chunk, source int) {
+	if source < len(p.until)-1 {
+		p.progress = now
+	}
 	p.asked[chunk] = false
 	if !p.held[chunk] {
 		p.held[chunk] = true
--- a/puller/plan_test.go
+++ b/puller/plan_test.go
@@ -34,6 +34,39 @@
 	require.Zero(t, source, "the best source counts again")
 }
 
+// Load pattern: a release comes slowly, since the origin sends little and all
+// mirrors read it. Each request to a mirror takes too long now and then; instances
+// that read the origin themselves would take the rest of it from the mirrors.
+func TestSlowMirrorsDontSendAllToTheOrigin(t *testing.T) {
+	const chunks, sources = 40, 3
+	p := puller.NewPlan(start, chunks, sources)
+	now := start
+	for range chunks {
+		now = now.Add(500 * time.Millisecond)
+		for chunk, source, ok := p.Next(now); ok; chunk, source, ok = p.Next(now) {
+			require.Less(t, source, sources-1, "the origin, %v after the start", now.Sub(start))
+			p.Failed(now, chunk, source)
+		}
+		now = now.Add(2 * time.Second)
+		chunk, source, ok := p.Next(now)
+		require.True(t, ok)
+		p.Arrived(now, chunk, source)
+	}
+	require.True(t, p.Done())
+}
+
+// Mirrors that bring nothing at all are no reason to wait for ever.
+func TestOriginIsTheLastResort(t *testing.T) {
+	p := puller.NewPlan(start, 2, 2)
+	chunk, source, _ := p.Next(start)
+	p.Failed(start, chunk, source)
+	now := start.Add(3 * time.Second)
+	p.Failed(now, 0, 0)
+	_, source, ok := p.Next(now)
+	require.True(t, ok)
+	require.Equal(t, 1, source)
+}
+
 func TestChunksAreAskedForAsMirrorsGetThem(t *testing.T) {
 	p := puller.NewPlan(start, 64, 2)
 	var first []int
@@ -62,7 +95,7 @@
 				if step < 200 && rapid.Bool().Draw(t, "fails") {
 					p.Failed(now, chunk, source)
 				} else {
-					p.Arrived(chunk)
+					p.Arrived(now, chunk, source)
 				}
 				delete(asked, chunk)
 				break
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -112,6 +112,6 @@
 		return
 	}
 	t.chunks[t.release.Digests[chunk]] = data
-	t.plan.Arrived(chunk)
+	t.plan.Arrived(t.puller.clock.Now(), chunk, source)
 	t.puller.held.Store(int64(t.plan.Held()))
 }
