relayer: tell callers that come back from those that wait for less

Cause: a caller counts as one that has come back where it has less than 0.97 of the longest time left that callers of its route wait. The limit is 0.84 now, and Retry-After is at least 0.17 of the time left, so that who was refused is below it.

Ruled out: resends at once, which are many. The log shows the flag on first attempts.

--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -27,12 +27,14 @@
 	// still be in time, and is often given up by its caller in the middle.
 	returnedMargin = 1.0
 	// retryAfterLeast and retryAfterMost spread the returns of what is refused.
-	// Callers wait up to a third of the time that they have left.
 	retryAfterLeast = 600 * time.Millisecond
 	retryAfterMost  = 1800 * time.Millisecond
 	// returnShare is the part of the time that it has left, as a divisor, for which a
 	// caller waits at most before it comes back.
 	returnShare = 3
+	// returnLeast is the same for which it waits at least: what is left then tells
+	// any entry that it has come back, though callers differ by a sixth of their time.
+	returnLeast = 0.17
 	// leastRemaining is the least time in which an attempt is worth its while.
 	leastRemaining = 30 * time.Millisecond
 	// silenceFactor is how many times its forecast a first byte may take before a
@@ -200,9 +202,11 @@
 
 // retryAfter spreads the returns of refused requests.
 func (r *Reducer) retryAfter(now time.Time, q *Request) time.Duration {
-	span := retryAfterMost - retryAfterLeast
-	wait := retryAfterLeast + time.Duration(limiter.Mix(q.Random)%uint64(span))
-	return min(wait, max(leastRemaining, q.Deadline.Sub(now)/returnShare))
+	left := q.Deadline.Sub(now)
+	least := max(retryAfterLeast, time.Duration(returnLeast*float64(left)))
+	span := max(retryAfterMost-least, retryAfterMost-retryAfterLeast)
+	wait := least + time.Duration(limiter.Mix(q.Random)%uint64(span))
+	return min(wait, max(leastRemaining, left/returnShare))
 }
 
 // latestReturn is for requests that nothing can serve now: as late as callers
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -175,10 +175,14 @@
 	return r.random
 }
 
-// returned reports whether a request with so much time left was sent before. A
-// caller counts the time from its first attempt.
+// returnedBelow is the part of the longest time that callers of a route wait, below
+// which one was refused before. Callers of one route wait for 0.85 to 1 of it on the
+// platform.
+const returnedBelow = 0.84
+
+// returned reports whether a request with so much time left was refused before. A
+// caller counts the time from its first attempt, and Retry-After takes a part of it.
 func (r *Relayer) returned(route identifier.Route, remaining time.Duration) bool {
-	const returnedBelow = 0.97 // of the longest time that callers of the route wait
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	longest := r.patience[route]
