balancer: draw upstreams for each request, and doubt old reports

For each request some upstreams of the own region and of the others are drawn, two of each while more than that come between two reports. The queue is the mean over what the load may be by now: as many as end come, too, at random times.

Ruled out: slow engines or entries (all alike, by the log), and a margin for admission alone, since forecast and outcome did not go together.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -1,8 +1,6 @@
 package balancer
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"celeryvalve/limiter"
@@ -12,18 +10,14 @@
 // equal, so that entries with the same view don't all choose one.
 const spreadWithin = 15 * time.Millisecond
 
-// choose returns the upstream with the best forecast for the request, and the
-// forecast without what distance adds.
+// choose returns the upstream with the best forecast for the request among some that
+// are drawn, and the forecast without what distance adds.
 func (r *Reducer) choose(now time.Time, s *request, policy ServicePolicy) (*upstream, time.Duration) {
 	var best *upstream
 	var bestCost, bestForecast time.Duration
 	random := s.Random + uint64(s.attempts)
 	others := r.others(s.Service)
-	for _, name := range slices.Sorted(maps.Keys(r.upstreams)) {
-		u := r.upstreams[name]
-		if !r.fits(now, s, u, policy) {
-			continue
-		}
+	for _, u := range r.draw(now, s, policy) {
 		forecast := r.forecast(now, u, &s.Request, policy.Engine, others)
 		random = limiter.Mix(random)
 		cost := forecast + r.distance(u) + time.Duration(random%uint64(spreadWithin)) + distrust(u)
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -8,9 +8,10 @@
 // The choice rests on a forecast of the time to the first byte. An upstream's
 // load is what it reported with its last answer, corrected by what this entry
 // has sent and got back since; the declared model of the engine turns it into
-// time. A request whose best forecast misses its objective is refused at once
-// and told when to come back, so that what is admitted is served in time. One
-// that has come back waits longer before it is refused again.
+// time, and an old report is doubted. Only some upstreams are drawn for each
+// request, the fewer the more comes between two reports, since all entries see the
+// same ones. A request whose best forecast misses its objective is refused at once
+// and told when to come back, so that what is admitted is served in time.
 //
 // What may have run is sent again only where the kind of the request allows it,
 // and within the declared attempts and the retry budget. Refused is answered
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"time"
 
 	"celeryvalve/declarer"
@@ -24,11 +25,36 @@
 	if engine == nil {
 		return plainForecast(u, load)
 	}
+	doubt := 0.0
+	if age := now.Sub(u.reportedAt); !u.reportedAt.IsZero() && age <= reportLifetime {
+		doubt = doubtOf(u.reported.Running, age, serviceTime(engine, u.slots()))
+	}
 	unread := u.waiting
 	if !q.Returned {
 		unread -= u.yielding
 	}
-	return engineForecast(engine, load, u.slots(), float64(unread)*(1+others), q)
+	return engineForecast(engine, load, u.slots(), doubt, float64(unread)*(1+others), q)
+}
+
+// doubtOf returns the standard deviation of an engine's load from its report: as many
+// requests as end while the report grows older come, too, each at random times.
+func doubtOf(running int, age, service time.Duration) float64 {
+	if service <= 0 {
+		return 0
+	}
+	return math.Sqrt(2 * float64(running) * age.Seconds() / service.Seconds())
+}
+
+// queueOf returns how many requests have to end before a new one begins, in the mean
+// over what the load may be.
+func queueOf(over, doubt float64) float64 {
+	if doubt <= 0 {
+		return max(0, over)
+	}
+	x := over / doubt
+	density := math.Exp(-x*x/2) / math.Sqrt(2*math.Pi)
+	below := math.Erfc(-x/math.Sqrt2) / 2
+	return doubt*density + over*below
 }
 
 // others returns how many times as many requests as this entry all others have at
@@ -60,17 +86,14 @@
 // engineForecast adds up the wait for a slot, the pass that is under way, the
 // reading of the prompts ahead and the own one, and the pass that makes the first
 // event.
-func engineForecast(e *declarer.Engine, load, slots int, unread float64, q *Request) time.Duration {
+func engineForecast(e *declarer.Engine, load, slots int, doubt, unread float64, q *Request) time.Duration {
 	prompt := q.PromptTokens
 	if prompt == 0 {
 		prompt = e.MeanPrompt
 	}
 	running := min(load, slots)
 	pass := passTime(e, running+1)
-	wait := time.Duration(0)
-	if ahead := load + 1 - slots; ahead > 0 {
-		wait = time.Duration(ahead) * serviceTime(e, slots) / time.Duration(slots)
-	}
+	wait := time.Duration(queueOf(float64(load+1-slots), doubt) * float64(serviceTime(e, slots)) / float64(slots))
 	return wait + pass/2 + readTime(e, prompt) + time.Duration(unread*float64(readTime(e, e.MeanPrompt))/2) + pass
 }
 
