placer: serve older weights until a fixed margin before their end

Cause: entries refused older releases after 0.85 of the time for a newer one. On the grown sites, where that is 10.3 s, they did so 1.55 s before the end, though what the margin is for does not grow with the bound: requests that wait at an engine, and the time in which entries hear of a release.

Ruled out: no margin. What is sent may begin up to its objective later.

--- a/placer/entry.go
+++ b/placer/entry.go
@@ -30,9 +30,11 @@
 	entriesAssumed = 16
 	// ratioMargin keeps the retries of all entries below the declared ratio.
 	ratioMargin = 0.75
-	// expectShare is the part of the time for a release after which entries refuse
-	// older ones.
-	expectShare = 0.85
+	// expectMargin is how long before the end of the time for a release entries refuse
+	// older ones: what was sent waits at an upstream for up to its objective, and
+	// entries hear of a release at different times. On short bounds half of the time
+	// is left.
+	expectMargin = 1200 * time.Millisecond
 	// lameDuck is for how long a draining entry takes new connections: the platform
 	// needs two failed questions, one a second, to send them elsewhere.
 	lameDuck       = 2500 * time.Millisecond
@@ -58,10 +60,14 @@
 		AvailabilityZone: placement.AvailabilityZone,
 		RetryRatio:       ratioMargin * placement.Bounds.RetryRatio,
 		RetryBurst:       max(1, placement.Bounds.RetrySlack/entriesAssumed),
-		ExpectAfter:      time.Duration(expectShare * float64(placement.Bounds.ReleaseWithin)),
+		ExpectAfter:      expectAfter(placement.Bounds.ReleaseWithin),
 	})
 }
 
+func expectAfter(within time.Duration) time.Duration {
+	return max(within/2, within-expectMargin)
+}
+
 func newRelayer(placement parser.Placement, reducer *balancer.Reducer, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *relayer.Relayer {
 	return relayer.New(reducer, platform.Dialect{}, clock, set, log, seedOf(placement))
 }
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -23,3 +23,10 @@
 	later := namesOf(started.Add(time.Second), names, known)
 	require.Equal(t, known, later, "what was known keeps its time")
 }
+
+// Older weights serve until shortly before the end of the time for newer ones.
+func TestOlderReleasesServeUntilTheMargin(t *testing.T) {
+	require.Equal(t, 6800*time.Millisecond, expectAfter(8*time.Second))
+	require.Equal(t, 9100*time.Millisecond, expectAfter(10300*time.Millisecond))
+	require.Equal(t, 500*time.Millisecond, expectAfter(time.Second))
+}
