--- a/admitter/attempt.go
+++ b/admitter/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"celeryvalve/asserter"
@@ -214,26 +213,6 @@
 	}
 }
 
-// refuse ends an attempt that has not started and tells its streams.
-func (r *Reducer) refuse(a *attempt, reason router.RefuseReason, retryAfter time.Duration) {
-	if a == nil {
-		return
-	}
-	if !r.check.Check(asserter.NotRunIsTrue, a.state == queuedState, fmt.Sprintf("attempt %s is refused after it started", a.id)) {
-		return
-	}
-	a.set(refusedState, r.now)
-	if r.alone == a {
-		r.alone = nil
-	}
-	for _, s := range a.streams {
-		r.tellRefused(s, a.request, a.id, reason, retryAfter)
-	}
-	a.streams = nil
-	a.start = router.AttemptStart{}
-	r.emit(Forget{Attempt: a.id})
-}
-
 func (r *Reducer) asked(e AttemptAsked) {
 	ask := e.Ask
 	if ask.Incarnation != r.cfg.Incarnation || ask.Upstream != r.cfg.Upstream {
@@ -255,43 +234,6 @@
 	}
 }
 
-// refuseUnseen refuses an attempt from now on that has not come yet.
-func (r *Reducer) refuseUnseen(stream StreamID, request identifier.RequestID, id identifier.AttemptID, reason router.RefuseReason) {
-	if len(r.attempts) >= maxRemembered {
-		r.tellGone(stream, request, id, router.Forgotten)
-		return
-	}
-	a := &attempt{id: id, request: request}
-	a.set(refusedState, r.now)
-	r.attempts[id] = a
-	r.tellRefused(stream, request, id, reason, 0)
-}
-
-func (r *Reducer) attach(a *attempt, stream StreamID, offset identifier.ByteCount, wantHead bool) {
-	if a.state == endedState && a.end != Whole {
-		r.tellGone(stream, a.request, a.id, a.goneReason())
-		return
-	}
-	a.streams = append(a.streams, stream)
-	a.orphaned = time.Time{}
-	r.emit(Accept{Stream: stream, Message: router.AttemptAccepted{Request: a.request, Attempt: a.id, Load: r.Load()}})
-	if a.state != queuedState {
-		r.emit(Attach{Attempt: a.id, Stream: stream, Offset: offset, WantHead: wantHead})
-	}
-}
-
-func (a *attempt) goneReason() router.GoneReason {
-	switch {
-	case a.crashed:
-		return router.UpstreamCrashed
-	case a.end == TimedOut:
-		return router.TimedOut
-	case a.end == Stopped:
-		return router.Stopped
-	}
-	return router.UpstreamBroke
-}
-
 func (r *Reducer) cancelled(e AttemptCancelled) {
 	c := e.Cancel
 	if c.Incarnation != r.cfg.Incarnation || c.Upstream != r.cfg.Upstream {
@@ -314,13 +256,6 @@
 	}
 }
 
-func appendMissing(streams []StreamID, s StreamID) []StreamID {
-	if slices.Contains(streams, s) {
-		return streams
-	}
-	return append(streams, s)
-}
-
 func (r *Reducer) stop(a *attempt) {
 	if a.stopping {
 		return
@@ -329,29 +264,6 @@
 	r.emit(Stop{Attempt: a.id})
 }
 
-func (r *Reducer) streamLost(e StreamLost) {
-	a := r.attempts[e.Attempt]
-	if a == nil {
-		return
-	}
-	a.drop(e.Stream, r.now)
-}
-
-func (r *Reducer) delivered(e AttemptDelivered) {
-	a := r.attempts[e.Attempt]
-	if a == nil {
-		return
-	}
-	a.drop(e.Stream, r.now)
-}
-
-func (a *attempt) drop(stream StreamID, now time.Time) {
-	a.streams = slices.DeleteFunc(a.streams, func(s StreamID) bool { return s == stream })
-	if len(a.streams) == 0 && a.orphaned.IsZero() {
-		a.orphaned = now
-	}
-}
-
 func (r *Reducer) answering(e AttemptAnswering) {
 	if r.running[e.Attempt] == nil {
 		return
@@ -395,25 +307,3 @@
 	r.refuse(a, router.NotReady, 0)
 	r.dispatch()
 }
-
-func (r *Reducer) tellAllGone(a *attempt) {
-	for _, s := range a.streams {
-		r.tellGone(s, a.request, a.id, a.goneReason())
-	}
-	a.streams = nil
-	r.emit(Forget{Attempt: a.id})
-}
-
-func (r *Reducer) tellRefused(stream StreamID, request identifier.RequestID, id identifier.AttemptID, reason router.RefuseReason, retryAfter time.Duration) {
-	r.emit(Refuse{Stream: stream, Message: router.AttemptRefused{
-		Request:    request,
-		Attempt:    id,
-		Reason:     reason,
-		RetryAfter: retryAfter,
-		Load:       r.Load(),
-	}})
-}
-
-func (r *Reducer) tellGone(stream StreamID, request identifier.RequestID, id identifier.AttemptID, reason router.GoneReason) {
-	r.emit(Gone{Stream: stream, Message: router.AttemptGone{Request: request, Attempt: id, Reason: reason, Load: r.Load()}})
-}
--- a/controller/claims.go
+++ b/controller/claims.go
@@ -36,31 +36,6 @@
 	voidSettlements = 1024             // entries of the queue that may be void, at least
 )
 
-// ClaimState is where a claim stands.
-type ClaimState string
-
-// The states of claims.
-const (
-	ClaimHeld    ClaimState = "Held"    // the attempt may be running
-	ClaimSettled ClaimState = "Settled" // the key has its outcome
-	ClaimFree    ClaimState = "Free"    // no attempt ran or will
-)
-
-// ClaimRecord is the claim on one key.
-type ClaimRecord struct {
-	Claim
-	State         ClaimState
-	Token         identifier.FencingToken
-	HolderToken   identifier.FencingToken // of the upstream, when the claim was granted
-	At            Instant                 // of the grant
-	Outcome       Outcome
-	Answer        []byte
-	AnswerDropped bool
-	SettledAt     Instant
-	Sequence      uint64                 // of the settlement, over all claims
-	Freed         []identifier.AttemptID // latest last
-}
-
 // ClaimCounts tells how full the claims are.
 type ClaimCounts struct {
 	Held    int
@@ -171,41 +146,6 @@
 	return &SettleAnswer{Changed: true, Outcome: m.Outcome}
 }
 
-// accepts reports whether the outcome may follow what is known.
-func (r *ClaimRecord) accepts(outcome Outcome) bool {
-	switch outcome {
-	case Completed, Failed:
-		return r.State == ClaimHeld || (r.State == ClaimSettled && r.Outcome == Unknown)
-	case Unknown, NotRun:
-		return r.State == ClaimHeld
-	default:
-		return false
-	}
-}
-
-// outcome returns what is known: nothing while the claim is held.
-func (r *ClaimRecord) outcome() Outcome {
-	if r.State == ClaimFree {
-		return NotRun
-	}
-	return r.Outcome
-}
-
-func (r *ClaimRecord) answer(status ClaimStatus) *ClaimAnswer {
-	return &ClaimAnswer{
-		Status:        status,
-		Token:         r.Token,
-		Request:       r.Request,
-		Attempt:       r.Attempt,
-		Upstream:      r.Upstream,
-		Incarnation:   r.Incarnation,
-		Entry:         r.Entry,
-		Outcome:       r.Outcome,
-		Answer:        r.Answer,
-		AnswerDropped: r.AnswerDropped,
-	}
-}
-
 // makeRoom reports whether another claim of the organisation can be kept, after
 // forgetting its oldest settled one where that is old enough.
 func (c *claims) makeRoom(now Instant, organisation identifier.Organisation) bool {
--- /dev/null
+++ b/controller/frames.go
@@ -0,0 +1,52 @@
+package controller
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"slices"
+
+	"celeryvalve/encoder"
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+// frameWriter writes frames until the first error.
+type frameWriter struct {
+	buf bytes.Buffer
+	err error
+}
+
+func (w *frameWriter) write(msg any) {
+	if w.err != nil {
+		return
+	}
+	frame, err := snapshotCodec().Encode(0, msg)
+	if err != nil {
+		w.err = err
+		return
+	}
+	if identifier.ByteCount(len(frame)) > encoder.MaxFrame {
+		w.err = explainer.New(explainer.Internal, fmt.Sprintf("frame %T has %d bytes, more than can be read", msg, len(frame)), "report this")
+		return
+	}
+	var length [lengthSize]byte
+	binary.BigEndian.PutUint32(length[:], uint32(len(frame)))
+	w.buf.Write(length[:])
+	w.buf.Write(frame)
+}
+
+func (w *frameWriter) finish() ([]byte, error) {
+	if w.err != nil {
+		return nil, w.err
+	}
+	sum := sha256.Sum256(w.buf.Bytes())
+	return append(w.buf.Bytes(), sum[:]...), nil
+}
+
+func writeList[T any](w *frameWriter, n int, list []T, frame func([]T) any) {
+	for part := range slices.Chunk(list, n) {
+		w.write(frame(part))
+	}
+}
--- a/controller/message.go
+++ b/controller/message.go
@@ -1,11 +1,9 @@
 package controller
 
 import (
-	"sync"
 	"time"
 
 	"celeryvalve/configurer"
-	"celeryvalve/encoder"
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 )
@@ -304,59 +302,3 @@
 	Renewal       Renewal
 	LeaseDuration time.Duration // of a Renewed lease
 }
-
-func commands() []encoder.Entry {
-	return []encoder.Entry{
-		encoder.Message[SubmitPatch]("Control.SubmitPatch"),
-		encoder.Message[Announce]("Control.Announce"),
-		encoder.Message[Ready]("Control.Ready"),
-		encoder.Message[Leave]("Control.Leave"),
-		encoder.Message[Expire]("Control.Expire"),
-		encoder.Message[Claim]("Control.Claim"),
-		encoder.Message[Settle]("Control.Settle"),
-		encoder.Message[LeaseOrigin]("Control.LeaseOrigin"),
-		encoder.Message[ReturnOrigin]("Control.ReturnOrigin"),
-		encoder.Message[ReportCrash]("Control.ReportCrash"),
-		encoder.Message[ClearSuspects]("Control.ClearSuspects"),
-	}
-}
-
-// Messages returns the entries of all commands, their answers and heartbeats.
-func Messages() []encoder.Entry {
-	return append(commands(),
-		encoder.Message[Rejected]("Control.Rejected"),
-		encoder.Message[PatchAnswer]("Control.PatchAnswer"),
-		encoder.Message[AnnounceAnswer]("Control.AnnounceAnswer"),
-		encoder.Message[MemberAnswer]("Control.MemberAnswer"),
-		encoder.Message[ClaimAnswer]("Control.ClaimAnswer"),
-		encoder.Message[SettleAnswer]("Control.SettleAnswer"),
-		encoder.Message[OriginAnswer]("Control.OriginAnswer"),
-		encoder.Message[QuarantineAnswer]("Control.QuarantineAnswer"),
-		encoder.Message[Heartbeat]("Control.Heartbeat"),
-		encoder.Message[HeartbeatAnswer]("Control.HeartbeatAnswer"),
-	)
-}
-
-// commandCodec knows the commands only, so that nothing else enters the log.
-var commandCodec = sync.OnceValue(func() *encoder.Codec {
-	return mustCodec(commands())
-})
-
-func mustCodec(entries []encoder.Entry) *encoder.Codec {
-	codec, err := encoder.New(entries...)
-	if err != nil {
-		panic(err) // two kinds bear one name
-	}
-	return codec
-}
-
-// EncodeCommand returns the bytes of a command for the log.
-func EncodeCommand(command any) ([]byte, error) {
-	return commandCodec().Encode(0, command)
-}
-
-// DecodeCommand returns a pointer to the command in data.
-func DecodeCommand(data []byte) (any, error) {
-	_, command, err := commandCodec().Decode(data)
-	return command, err
-}
--- a/transferrer/transferrer.go
+++ b/transferrer/transferrer.go
@@ -41,13 +41,6 @@
 	eventBacklog = 256
 )
 
-// fetchKey names a fetch under way.
-type fetchKey struct {
-	manifest identifier.Digest
-	chunk    verifier.ChunkIndex
-	source   fetcher.Source
-}
-
 // counters are the metrics of an agent's transfers.
 type counters struct {
 	fromOrigin, fromPeers, sent, corrupt *metrics.Counter
@@ -248,16 +241,6 @@
 	}
 }
 
-// readOrigin reads a chunk from the origin that the settings name.
-func (t *Transferrer) readOrigin(ctx context.Context, e fetcher.FetchChunkFromOrigin, m *verifier.Manifest, l verifier.Location) ([]byte, error) {
-	if t.cfg.Origin == nil {
-		return t.origin.chunk(ctx, e.Source, m, l)
-	}
-	ctx, cancel := context.WithTimeout(ctx, t.cfg.OriginStall)
-	defer cancel()
-	return t.cfg.Origin.Chunk(ctx, e.Source, e.Chunk, l.Size)
-}
-
 // Offer gives a manifest that need not be fetched.
 func (t *Transferrer) Offer(m *verifier.Manifest) {
 	t.mu.Lock()
@@ -309,83 +292,6 @@
 	return t.manifests[digest]
 }
 
-// fetch runs get, verifies what it brings and reports the outcome, unless it is
-// cancelled. A non-zero deadline ends it.
-func (t *Transferrer) fetch(key fetchKey, deadline time.Time, get func(context.Context) ([]byte, error)) {
-	ctx, cancel := t.bounded(deadline)
-	t.mu.Lock()
-	t.fetches[key] = cancel
-	m := t.manifests[key.manifest]
-	t.mu.Unlock()
-	t.work.Go(func() {
-		defer cancel()
-		data, err := get(ctx)
-		var chunk verifier.Chunk
-		if err == nil {
-			t.countReceived(key.source, len(data))
-			chunk, err = verify(m, key.chunk, data)
-		}
-		if !t.endFetch(key) {
-			return
-		}
-		if err == nil {
-			err = t.keep(chunk, data)
-		}
-		if err != nil {
-			f := failureOf(err)
-			t.Send(t.ctx, fetcher.ChunkFailed{
-				Manifest: key.manifest, Chunk: key.chunk, Source: key.source, Reason: f.reason, RetryAfter: f.retryAfter,
-			})
-			return
-		}
-		t.Send(t.ctx, fetcher.ChunkArrived{Manifest: key.manifest, Chunk: chunk, Source: key.source})
-	})
-}
-
-// bounded returns a context that ends at the deadline, if there is one.
-func (t *Transferrer) bounded(deadline time.Time) (context.Context, context.CancelFunc) {
-	if deadline.IsZero() {
-		return context.WithCancel(t.ctx)
-	}
-	return clockwork.WithDeadline(t.ctx, t.clock, deadline)
-}
-
-// keep stores a verified chunk.
-func (t *Transferrer) keep(chunk verifier.Chunk, data []byte) error {
-	err := t.store.Put(chunk, data)
-	if err != nil {
-		t.warn("Chunk can't be stored.", err)
-		return &failure{reason: fetcher.NotStored, cause: err}
-	}
-	return nil
-}
-
-func (t *Transferrer) countReceived(source fetcher.Source, n int) {
-	if source.IsOrigin() {
-		t.counters.fromOrigin.Add(n)
-		return
-	}
-	t.counters.fromPeers.Add(n)
-}
-
-// endFetch forgets a fetch and reports whether it was still wanted.
-func (t *Transferrer) endFetch(key fetchKey) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, ok := t.fetches[key]
-	delete(t.fetches, key)
-	return ok
-}
-
-func (t *Transferrer) cancelFetch(key fetchKey) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if cancel, ok := t.fetches[key]; ok {
-		cancel()
-		delete(t.fetches, key)
-	}
-}
-
 func (t *Transferrer) askLease(e fetcher.AskOriginLease) {
 	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.LeaseTimeout)
 	defer cancel()
