balancer: tell which upstreams are set aside, and why

Cause: the log showed how attempts broke and not what the entry then believed: from when to when it left an upstream alone. Nor did a control replica say which declaration it had put in force; other processes did. Both have a line now.

Ruled out: a second effect of each event; what is told changes nothing and is taken after the event.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -80,12 +80,12 @@
 	r.leave(s)
 	u.observe(now, e.Load, 0)
 	if !e.Failed {
-		u.succeeded()
+		r.trust(u)
 		delete(r.requests, s.ID)
 		return Go{}
 	}
 	s.mayHaveRun = true
-	u.failed(now, false)
+	r.blame(now, u, Failed)
 	if s.Repeatable {
 		if effect, ok := r.again(now, s); ok {
 			return effect
@@ -105,17 +105,17 @@
 	u.observe(now, e.Load, 0)
 	switch e.Cause {
 	case NotConnected:
-		u.failed(now, true)
+		r.blame(now, u, e.Cause)
 		s.attempts-- // nothing reached the upstream
 	case NotExecuted:
 	case Expired:
 		s.mayHaveRun = true
 		return r.giveUp(now, s, TimeEnded, 0)
 	case Mistaken:
-		u.failed(now, true)
+		r.blame(now, u, e.Cause)
 	default:
 		s.mayHaveRun = true
-		u.failed(now, false)
+		r.blame(now, u, e.Cause)
 	}
 	repeats := !s.mayHaveRun || s.Repeatable
 	if e.Passed {
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -114,6 +114,8 @@
 	// Expired: the time of the request ended first. It may have run, and the
 	// upstream is not to blame.
 	Expired Cause = "Expired"
+	// Failed: the answer is a failure of the upstream's own. It is no cause of Broke.
+	Failed Cause = "Failed"
 	// Garbled: the answer broke the protocol or belongs to another request.
 	Garbled Cause = "Garbled"
 )
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -58,6 +58,7 @@
 	services  map[identifier.Service]ServicePolicy
 	requests  map[identifier.RequestID]*request
 	budgets   map[identifier.Service]*limiter.RetryBudget
+	asides    []Aside
 }
 
 // request is one that is not answered yet.
--- a/placer/disk.go
+++ b/placer/disk.go
@@ -24,20 +24,29 @@
 type machine struct {
 	*declarer.State
 	view *declarer.View
+	log  *zap.Logger
 }
 
 // Apply takes in one command.
 func (m machine) Apply(index uint64, at time.Time, data []byte) any {
 	answer := m.State.Apply(index, at, data)
-	m.view.Set(m.Declared())
+	m.putInForce()
 	return answer
 }
 
+func (m machine) putInForce() {
+	before := m.view.Current()
+	m.view.Set(m.Declared())
+	if now := m.view.Current(); now != before {
+		m.log.Info("Declaration is in force.", zap.Uint64("version", uint64(now)))
+	}
+}
+
 // Restore replaces the whole state.
 func (m machine) Restore(data []byte) error {
 	err := m.State.Restore(data)
 	if err == nil {
-		m.view.Set(m.Declared())
+		m.putInForce()
 	}
 	return err
 }
@@ -81,7 +90,7 @@
 		}
 	}
 	state := declarer.New(parts.Asserter)
-	c := coordinator.New(cfg, store, machine{state, parts.View}, coordinator.Through(parts.Endpoint), parts.Clock, parts.Asserter, parts.Log)
+	c := coordinator.New(cfg, store, machine{state, parts.View, parts.Log.Named("replica")}, coordinator.Through(parts.Endpoint), parts.Clock, parts.Asserter, parts.Log)
 	if err := c.Start(context.Background()); err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -163,8 +163,23 @@
 
 func (r *Relayer) reduce(event balancer.Event) balancer.Effect {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.reducer.Reduce(r.clock.Now(), event)
+	effect := r.reducer.Reduce(r.clock.Now(), event)
+	asides := r.reducer.Asides()
+	r.mu.Unlock()
+	for _, a := range asides {
+		r.tellAside(a)
+	}
+	return effect
+}
+
+// tellAside says which upstream is left alone, and why.
+func (r *Relayer) tellAside(a balancer.Aside) {
+	if a.Until.IsZero() {
+		r.log.Info("Upstream serves again.", zap.String("upstream", string(a.Upstream)))
+		return
+	}
+	r.log.Info("Set an upstream aside.", zap.String("upstream", string(a.Upstream)), zap.Time("until", a.Until),
+		zap.String("cause", string(a.Cause)), zap.Int("failures", a.Failures))
 }
 
 // nextRandom returns a number that no other request of this entry gets.
