narrator: show what a deployment believed at the end of its logs

On-call engineers could follow one request and one version through the logs, and had to search them for who leads, what is in force where, what is being repaired and which upstreams are set aside. `celeryvalve overview LOG...` says so in text and JSON.

--- a/commander/explain.go
+++ b/commander/explain.go
@@ -21,7 +21,7 @@
 // Run prints the story in the order of its times.
 func (c *explainCommand) Run(s *session) error {
 	n := narrator.New(narrator.Subject{Request: c.Request, Upstream: c.Upstream, Version: c.Declared})
-	if err := c.read(n); err != nil {
+	if err := readLogs(n, c.Logs); err != nil {
 		return err
 	}
 	story := n.Story()
@@ -32,11 +32,35 @@
 	return s.print(story, story.Text())
 }
 
-func (c *explainCommand) read(n *narrator.Narrator) error {
-	if len(c.Logs) == 0 {
+// overviewCommand reads logs; it needs no control replica.
+type overviewCommand struct {
+	Logs []string `arg:"" optional:"" help:"Logs of the processes; none reads standard input." type:"existingfile"`
+}
+
+// Run prints what the deployment believed at the end of its logs.
+func (c *overviewCommand) Run(s *session) error {
+	o := narrator.NewOverseer()
+	if err := readLogs(o, c.Logs); err != nil {
+		return err
+	}
+	overview := o.Overview()
+	if overview.At.IsZero() {
+		return explainer.New(explainer.NotFound, "no line of a log is there", "name the logs of placed processes")
+	}
+	return s.print(overview, overview.Text())
+}
+
+// logReader takes in logs.
+type logReader interface {
+	Read(name string, r io.Reader) error
+}
+
+// readLogs reads the files, or standard input where there are none.
+func readLogs(n logReader, names []string) error {
+	if len(names) == 0 {
 		return n.Read("standard input", os.Stdin)
 	}
-	for _, name := range c.Logs {
+	for _, name := range names {
 		if err := readLog(n, name); err != nil {
 			return err
 		}
@@ -44,10 +68,10 @@
 	return nil
 }
 
-func readLog(n *narrator.Narrator, name string) error {
+func readLog(n logReader, name string) error {
 	f, err := os.Open(name)
 	if err != nil {
 		return explainer.Wrap(err, explainer.NotFound, fmt.Sprintf("log %q can't be opened", name), "name a file that can be read")
 	}
-	return errors.Join(n.Read(name, io.Reader(f)), f.Close())
+	return errors.Join(n.Read(name, f), f.Close())
 }
--- a/commander/run.go
+++ b/commander/run.go
@@ -44,6 +44,7 @@
 	Report     reportCommand     `cmd:"" help:"Show the service-level objectives and how fast their budgets burn."`
 	Quarantine quarantineCommand `cmd:"" help:"List and clear requests that crashed upstreams."`
 	Explain    explainCommand    `cmd:"" help:"Tell the story of a request, an upstream or a declaration from the logs of placed processes."`
+	Overview   overviewCommand   `cmd:"" help:"Show from the logs of placed processes what is in force and where, who leads, what is repaired, and which upstreams are set aside."`
 	Replica    replicaCommand    `cmd:"" help:"List, admit and remove control replicas."`
 }
 
--- a/narrator/doc.go
+++ b/narrator/doc.go
@@ -1,5 +1,6 @@
 // Package narrator tells the story of one request, one upstream or one version of
-// a declaration from the logs of many processes.
+// a declaration from the logs of many processes, and what a whole deployment believed
+// at their end.
 //
 // A log is a file of JSON objects, one a line, as the processes write them; what
 // stands before the object on a line is passed over, so that a collector may put a
@@ -12,4 +13,8 @@
 //	n := narrator.New(narrator.Subject{Request: "6ec5ed6b04ad3cf1"})
 //	err := n.Read("entry-1.log", file)
 //	fmt.Print(n.Story().Text())
+//
+//	o := narrator.NewOverseer()
+//	err := o.Read("entry-1.log", file)
+//	fmt.Print(o.Overview().Text())
 package narrator
--- a/narrator/line.go
+++ b/narrator/line.go
@@ -1,12 +1,16 @@
 package narrator
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"time"
+
+	"celeryvalve/explainer"
 )
 
 // Line is one line of a log.
@@ -22,6 +26,24 @@
 // common are the fields that have a place of their own in a Line.
 var common = []string{"ts", "level", "logger", "msg", "instance"}
 
+// maxLine is the longest line that is read, in bytes.
+const maxLine = 1 << 20
+
+// readLines gives the lines of a log to take.
+func readLines(name string, r io.Reader, take func(Line)) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for scanner.Scan() {
+		if line, ok := parseLine(scanner.Bytes()); ok {
+			take(line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return explainer.Wrap(err, explainer.InvalidInput, fmt.Sprintf("log %q can't be read", name), "name a file of JSON lines")
+	}
+	return nil
+}
+
 // parseLine reads a line, or reports false where it holds no object of a log.
 func parseLine(text []byte) (Line, bool) {
 	start := bytes.IndexByte(text, '{')
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -1,22 +1,16 @@
 package narrator
 
 import (
-	"bufio"
-	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"time"
-
-	"celeryvalve/explainer"
 )
 
 const (
 	// contextBefore is for how long before a request the lines about its upstreams
 	// belong to its story: longer than a restart or a load takes.
 	contextBefore = 5 * time.Second
-	// maxLine is the longest line that is read, in bytes.
-	maxLine = 1 << 20
 	// maxContext bounds the lines about upstreams that are kept.
 	maxContext = 100_000
 )
@@ -43,22 +37,14 @@
 
 // Read takes in one log. Lines that are no objects of a log are passed over.
 func (n *Narrator) Read(name string, r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
-	for scanner.Scan() {
-		line, ok := parseLine(scanner.Bytes())
+	return readLines(name, r, func(line Line) {
 		switch {
-		case !ok:
 		case n.matches(line):
 			n.lines = append(n.lines, line)
 		case line.field("upstream") != "" && line.field("request") == "" && len(n.context) < maxContext:
 			n.context = append(n.context, line)
 		}
-	}
-	if err := scanner.Err(); err != nil {
-		return explainer.Wrap(err, explainer.InvalidInput, fmt.Sprintf("log %q can't be read", name), "name a file of JSON lines")
-	}
-	return nil
+	})
 }
 
 func (n *Narrator) matches(l Line) bool {
