placer: ask a mirror that stalled again after a second

Ruled out: the links between regions, which carry what was missing in 0.1 s, and the origin, which was not asked for these chunks again.

A mirror that is frozen costs the others one progress deadline more often than before.

--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -40,8 +40,10 @@
 	mirrorUploads = 256
 	// progressDeadline is how long a source of chunks may bring nothing.
 	progressDeadline = 1200 * time.Millisecond
-	mirrorSetAside   = 3 * time.Second
-	chunkRetry       = 150 * time.Millisecond
+	// mirrorSetAside is for how long one that did is passed over: after an outage of
+	// the origin the others have what is missing, while it seemed to stall.
+	mirrorSetAside = time.Second
+	chunkRetry     = 150 * time.Millisecond
 	// originStall is how long one read from the origin may take: four times what it
 	// takes while all mirrors read at once from a link of 10 Mbit/s.
 	originStall  = 1500 * time.Millisecond
