--- a/executor/failure_test.go
+++ b/executor/failure_test.go
@@ -87,17 +87,24 @@
 	require.NotEmpty(t, got.header.Get("Retry-After"))
 }
 
-func TestLeavingAgentFinishesWhatRuns(t *testing.T) {
-	b := newBench(t)
+// hold adds an upstream that has begun to answer a request, and ends it once finish
+// is closed.
+func (b *bench) hold(t *testing.T, upstream identifier.Upstream) (running chan answer, finish chan bool) {
 	started, finish := make(chan bool, 1), make(chan bool)
-	b.add("u1", func(w http.ResponseWriter, r *http.Request) {
+	b.add(upstream, func(w http.ResponseWriter, _ *http.Request) {
 		started <- true
 		<-finish
 		_, _ = io.WriteString(w, "whole")
 	})
-	running := make(chan answer, 1)
+	running = make(chan answer, 1)
 	go func() { running <- b.send(t.Context(), http.MethodGet, "/x", nil) }()
 	<-started
+	return running, finish
+}
+
+func TestLeavingAgentFinishesWhatRuns(t *testing.T) {
+	b := newBench(t)
+	running, finish := b.hold(t, "u1")
 	drained := make(chan error, 1)
 	go func() { drained <- b.agents["u1"].Drain(t.Context()) }()
 	require.Eventually(t, func() bool { return !b.agents["u1"].Ready() }, waitTime, pollTime)
@@ -115,15 +122,7 @@
 
 func TestDrainingEntryAnswersTheLastRequest(t *testing.T) {
 	b := newBench(t)
-	started, finish := make(chan bool, 1), make(chan bool)
-	b.add("u1", func(w http.ResponseWriter, r *http.Request) {
-		started <- true
-		<-finish
-		_, _ = io.WriteString(w, "whole")
-	})
-	running := make(chan answer, 1)
-	go func() { running <- b.send(t.Context(), http.MethodGet, "/x", nil) }()
-	<-started
+	running, finish := b.hold(t, "u1")
 	drained := make(chan error, 1)
 	go func() { drained <- b.entry.Drain(t.Context()) }()
 	require.Eventually(t, func() bool {
--- a/generator/generator.go
+++ b/generator/generator.go
@@ -15,6 +15,7 @@
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/imitator"
+	"celeryvalve/repeater"
 )
 
 // Generator sends the requests of one plan.
@@ -47,7 +48,7 @@
 	var wait sync.WaitGroup
 	for _, a := range g.plan.arrivals() {
 		due := start.Add(a.after)
-		if g.sleepUntil(ctx, due) != nil {
+		if repeater.SleepUntil(ctx, g.clock, due) != nil {
 			break
 		}
 		wait.Go(func() { g.call(ctx, a, due, false) })
@@ -64,7 +65,7 @@
 // resend sends the request again, to the next entry.
 func (g *Generator) resend(ctx context.Context, a arrival, due time.Time) {
 	a.target++
-	if g.sleepUntil(ctx, due) == nil {
+	if repeater.SleepUntil(ctx, g.clock, due) == nil {
 		g.call(ctx, a, due, true)
 	}
 }
@@ -155,18 +156,3 @@
 	}
 	return identifier.RequestID(id)
 }
-
-func (g *Generator) sleepUntil(ctx context.Context, at time.Time) error {
-	wait := at.Sub(g.clock.Now())
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := g.clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/linker/link.go
+++ b/linker/link.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryvalve/identifier"
+	"celeryvalve/repeater"
 )
 
 const (
@@ -154,7 +155,7 @@
 	sent := l.reserve(d, n)
 	arrival := sent.Add(time.Duration(l.settings.Delay))
 	l.mu.Unlock()
-	return arrival, l.sleepUntil(ctx, sent)
+	return arrival, repeater.SleepUntil(ctx, l.clock, sent)
 }
 
 // carryPacket returns when the packet arrives, or false where it is dropped.
@@ -202,21 +203,6 @@
 	}
 }
 
-func (l *Link) sleepUntil(ctx context.Context, at time.Time) error {
-	wait := at.Sub(l.clock.Now())
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := l.clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // add keeps the flow for faults to come, unless the link is cut.
 func (l *Link) add(f *flow) bool {
 	l.mu.Lock()
--- a/linker/tcp.go
+++ b/linker/tcp.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"celeryvalve/repeater"
 )
 
 const (
@@ -133,7 +135,7 @@
 // deliver writes each piece when it arrives.
 func (f *flow) deliver(ctx context.Context, dst *net.TCPConn, pieces <-chan piece) error {
 	for p := range pieces {
-		if err := f.link.sleepUntil(ctx, p.arrival); err != nil {
+		if err := repeater.SleepUntil(ctx, f.link.clock, p.arrival); err != nil {
 			return err
 		}
 		if err := f.link.awaitThaw(ctx); err != nil {
--- a/linker/udp.go
+++ b/linker/udp.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/netip"
+
+	"celeryvalve/repeater"
 )
 
 const (
@@ -139,7 +141,7 @@
 	for {
 		select {
 		case p := <-q.packets:
-			if q.link.sleepUntil(ctx, p.arrival) != nil {
+			if repeater.SleepUntil(ctx, q.link.clock, p.arrival) != nil {
 				return
 			}
 			q.write(p.data)
--- a/repeater/repeater_test.go
+++ b/repeater/repeater_test.go
@@ -40,3 +40,16 @@
 	r.Stop()
 	require.Empty(t, runs, "two nudges before a run are one")
 }
+
+func TestSleepEndsAtItsTimeOrWithItsContext(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	require.NoError(t, repeater.SleepUntil(t.Context(), clock, clock.Now().Add(-time.Second)))
+	ended := make(chan error, 1)
+	go func() { ended <- repeater.SleepUntil(t.Context(), clock, clock.Now().Add(time.Second)) }()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(time.Second)
+	require.NoError(t, <-ended)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, repeater.SleepUntil(ctx, clock, clock.Now().Add(time.Second)), context.Canceled)
+}
