assembler: say what is wrong with a failed start, and nothing else

A start that failed while parts were built printed the way to it first: "could not build arguments for function ...", twice, with paths of sources, and the cause after 400 characters. It prints the cause alone now, which names its remedy.

--- a/assembler/run.go
+++ b/assembler/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
@@ -78,7 +79,7 @@
 		return exitDone
 	}
 	if err := serve(settings, stderr); err != nil {
-		fmt.Fprintf(stderr, "celeryvalved: %v\n", err)
+		fmt.Fprintf(stderr, "celeryvalved: %v\n", plain(err))
 		return exitFailed
 	}
 	return exitDone
@@ -93,12 +94,17 @@
 		return exitInvalid
 	}
 	if err := placer.Run(placer.Options{Keys: keys, Reload: read}, placement, w); err != nil {
-		fmt.Fprintf(stderr, "celeryvalved: %v\n", err)
+		fmt.Fprintf(stderr, "celeryvalved: %v\n", plain(err))
 		return exitFailed
 	}
 	return exitDone
 }
 
+// plain returns what went wrong without the parts that were to be built of it.
+func plain(err error) error {
+	return dig.RootCause(err)
+}
+
 func readSettings(path string) (parser.Settings, error) {
 	if path == "" {
 		return parser.Defaults(), nil
