stager: let engines serve on while the rest of a release does not come

Cause: an engine of the first turn takes nothing new once half of the chunks are here, so that it is empty when the rest has come. They serve on now once no chunk has come for 0.7 s, and stop again when the next one does.

Ruled out: a higher share before they stop. The outage may come at any share.

--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -21,6 +21,9 @@
 	// emptyShare is the part of the chunks that the engines of the first turn have
 	// when they take nothing new any more: what they run ends while the rest comes.
 	emptyShare = 0.5
+	// stalledAfter is for how long no more of them may come until such engines serve
+	// again: a few times what a chunk takes on a link of 8 Mbit/s that 8 share.
+	stalledAfter = 700 * time.Millisecond
 	// fresh is for how long chunks that were read back count as whole.
 	fresh = 1500 * time.Millisecond
 	// retryAfter is the pause after a failure, and orderPatience the time after
@@ -129,6 +132,9 @@
 	want   Wanted
 	report *Observed
 
+	// progressedAt is when more of the wanted chunks came last.
+	progressedAt time.Time
+
 	staging  bool
 	stagedAt time.Time
 	staged   declarer.ReleaseNumber
@@ -151,6 +157,9 @@
 func (r *Reducer) Reduce(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Wanted:
+		if e.Release != r.want.Release || e.Progress > r.want.Progress {
+			r.progressedAt = now
+		}
 		r.want = e
 	case Observed:
 		r.observe(now, e)
@@ -211,12 +220,13 @@
 // empties reports whether the engine is to take nothing new since its turn to
 // load has come: entries hear of it while the chunks are staged, so that nothing
 // is under way to the engine when the order comes. In the first turn they hear of
-// it while the rest of the chunks comes.
+// it while the rest of the chunks comes, as long as it does.
 func (r *Reducer) empties(now time.Time) bool {
 	if r.want.Release == 0 || r.report.Report.Release >= r.want.Release || !r.mayLoad(now) {
 		return false
 	}
-	return r.want.Held || (r.turn() == 0 && r.want.Progress >= emptyShare)
+	comes := now.Sub(r.progressedAt) <= stalledAfter
+	return r.want.Held || (r.turn() == 0 && r.want.Progress >= emptyShare && comes)
 }
 
 func (r *Reducer) next(now time.Time) []Effect {
--- a/stager/reducer_test.go
+++ b/stager/reducer_test.go
@@ -143,3 +143,21 @@
 		}
 	})
 }
+
+// Load pattern: the origin is lost in the middle of a release. An engine of the first
+// turn that takes nothing new since most of the chunks are here serves on while the
+// rest does not come.
+func TestEngineServesOnWhileTheRestDoesNotCome(t *testing.T) {
+	r := newReducer()
+	first := stager.Turn{Engines: 3}
+	coming := func(progress float64) stager.Wanted {
+		return stager.Wanted{Model: "m", Release: 2, Progress: progress, Since: start}
+	}
+	r.Reduce(at(1900*time.Millisecond), serving(1, 0, first))
+	r.Reduce(at(1900*time.Millisecond), coming(0.4))
+	require.Equal(t, []stager.Effect{stager.Announce{}}, r.Reduce(at(2*time.Second), coming(0.6)))
+	require.Empty(t, r.Reduce(at(2400*time.Millisecond), serving(1, 0, first)))
+	require.Equal(t, []stager.Effect{stager.Announce{Release: 1}}, r.Reduce(at(3*time.Second), serving(1, 0, first)))
+	require.Empty(t, r.Reduce(at(4*time.Second), coming(0.6)), "it is the same part")
+	require.Equal(t, []stager.Effect{stager.Announce{}}, r.Reduce(at(5*time.Second), coming(0.7)))
+}
