--- a/imitator/cache.go
+++ b/imitator/cache.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryvalve/identifier"
+	"celeryvalve/repeater"
 )
 
 const (
@@ -150,7 +151,7 @@
 	for {
 		select {
 		case event := <-reader:
-			if sleep(r.Context(), c.clock, event.at.Add(c.lag).Sub(c.clock.Now())) != nil {
+			if repeater.SleepUntil(r.Context(), c.clock, event.at.Add(c.lag)) != nil {
 				return
 			}
 			data, _ := json.Marshal(event)
--- a/imitator/completion.go
+++ b/imitator/completion.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"celeryvalve/repeater"
 )
 
 // defaultTokens is the length of an answer whose request sets no max_tokens.
@@ -149,7 +151,7 @@
 }
 
 func (c *completion) pause(d time.Duration) error {
-	return sleep(c.r.Context(), c.e.clock, time.Duration(float64(d)*c.m.slow()))
+	return repeater.Sleep(c.r.Context(), c.e.clock, time.Duration(float64(d)*c.m.slow()))
 }
 
 // step waits for the next token's time and fails at a stall.
@@ -165,7 +167,7 @@
 		return errCutOff
 	}
 	if i == len(c.tokens)-1 {
-		return sleep(c.r.Context(), c.e.clock, time.Duration(c.m.Late))
+		return repeater.Sleep(c.r.Context(), c.e.clock, time.Duration(c.m.Late))
 	}
 	return nil
 }
--- a/imitator/host.go
+++ b/imitator/host.go
@@ -11,6 +11,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+
+	"celeryvalve/repeater"
 )
 
 // MaxBody is the largest request body that a stand-in reads, in bytes.
@@ -43,7 +45,7 @@
 			<-ctx.Done()
 			return nil
 		}
-		if err := sleep(ctx, h.clock, pause); err != nil {
+		if err := repeater.Sleep(ctx, h.clock, pause); err != nil {
 			return nil
 		}
 	}
@@ -71,20 +73,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, clock clockwork.Clock, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func readBody(r *http.Request) ([]byte, error) {
 	return io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBody))
 }
--- a/imitator/order.go
+++ b/imitator/order.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"celeryvalve/identifier"
+	"celeryvalve/repeater"
 )
 
 // OrderFile is one file that an order tells the engine to read.
@@ -126,7 +127,7 @@
 			return err
 		}
 	}
-	return sleep(ctx, e.clock, time.Duration(float64(e.cfg.LoadTime)*e.sw.Get().slow()))
+	return repeater.Sleep(ctx, e.clock, time.Duration(float64(e.cfg.LoadTime)*e.sw.Get().slow()))
 }
 
 func (e *Engine) readFile(ctx context.Context, file OrderFile) error {
--- a/imitator/origin.go
+++ b/imitator/origin.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"celeryvalve/identifier"
+	"celeryvalve/repeater"
 )
 
 // paceBytes is how many bytes an origin writes between two looks at its rates.
@@ -210,7 +211,7 @@
 	now := w.o.clock.Now()
 	w.o.store.ReserveN(now, n)
 	delay := w.o.link.ReserveN(now, n).DelayFrom(now)
-	return sleep(w.r.Context(), w.o.clock, time.Duration(float64(delay)*w.m.slow()))
+	return repeater.Sleep(w.r.Context(), w.o.clock, time.Duration(float64(delay)*w.m.slow()))
 }
 
 // alteredFile serves wrong bytes where the misbehaviour asks for them.
--- a/repeater/sleep.go
+++ b/repeater/sleep.go
@@ -9,11 +9,15 @@
 
 // SleepUntil waits for the time, or returns the error of ctx once that ends.
 func SleepUntil(ctx context.Context, clock clockwork.Clock, at time.Time) error {
-	wait := at.Sub(clock.Now())
-	if wait <= 0 {
+	return Sleep(ctx, clock, at.Sub(clock.Now()))
+}
+
+// Sleep waits for as long, or returns the error of ctx once that ends.
+func Sleep(ctx context.Context, clock clockwork.Clock, d time.Duration) error {
+	if d <= 0 {
 		return ctx.Err()
 	}
-	timer := clock.NewTimer(wait)
+	timer := clock.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
