--- a/puller/plan.go
+++ b/puller/plan.go
@@ -8,8 +8,8 @@
 	// setAside is for how long a source that failed is passed over.
 	setAside = 1500 * time.Millisecond
 	// lastResortAfter is for how long no chunk may come from the mirrors until the
-	// last source, the origin, is asked: the mirrors read it once for all, and where
-	// all instances read it none gets anywhere.
+	// last source, the origin, is asked: the mirrors read it once for all, and what an
+	// instance reads of it is missing to them.
 	lastResortAfter = 3 * time.Second
 )
 
