relayer: log the limits that upstreams name

The logs could not tell entries that ignore an upstream's limit from entries that each keep it for themselves: no line said what an upstream named. The reducer now follows the limit, and a line says when it is first believed, changes or ends, with the figure and the request whose answer said so. Nothing obeys it yet.

Only an answer whose request was sent under the limit as it is known ends it.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -33,6 +33,8 @@
 		Forecast: forecast,
 		Load:     load,
 		LoadAge:  age,
+
+		LimitStamp: u.limit.Stamp,
 	}
 	switch {
 	case s.Resubmitted:
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -32,6 +32,8 @@
 	// the age of the report behind that number.
 	Load    int
 	LoadAge time.Duration
+	// LimitStamp is the stamp of the limit that the upstream was known to have.
+	LimitStamp uint64
 }
 
 // Refuse answers that the request has not run and never will.
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -6,6 +6,7 @@
 
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/limiter"
 	"celeryvalve/quarantiner"
 )
 
@@ -161,6 +162,19 @@
 // without an answer.
 type CallerGone struct{ Request identifier.RequestID }
 
+// LimitStated carries what an answer of an upstream says of the requests per second that
+// it accepts.
+type LimitStated struct {
+	// Request is the request whose answer it is.
+	Request     identifier.RequestID
+	Upstream    identifier.Upstream
+	Incarnation identifier.Incarnation
+	Limit       limiter.StatedLimit
+	// UnderStamp is Send.LimitStamp of the attempt.
+	UnderStamp uint64
+}
+
+func (LimitStated) isEvent()       {}
 func (UpstreamsChanged) isEvent()  {}
 func (LoadObserved) isEvent()      {}
 func (PolicyChanged) isEvent()     {}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -68,6 +68,7 @@
 	budgets         map[identifier.Service]*limiter.RetryBudget
 	ejectionChanges []EjectionChange
 	crashes         *crashDetector
+	limitChanges    []LimitChange
 }
 
 // request is a request that has not been answered yet.
@@ -122,6 +123,8 @@
 		}
 	case ConnectionRefused:
 		r.refuseConnection(now, e)
+	case LimitStated:
+		r.observeLimit(now, e)
 	case RequestArrived:
 		return r.arrive(now, e.Request)
 	case ResponseStarted:
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -50,6 +50,9 @@
 	// reportLifetime ago.
 	sendTimes []time.Time
 
+	// limit is what is known of the requests per second that the upstream accepts.
+	limit limiter.RequestLimit
+
 	firstByte *limiter.Mean
 	// heardAt is when the upstream last showed that it runs, and probedAt when a probe
 	// of it was last requested.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
+	"celeryvalve/limiter"
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -219,11 +220,15 @@
 		}
 		header := a.relayer.dialect.ReadAnswer(response.StatusCode, response.Header)
 		if header.Attempt == a.header.Attempt {
+			a.noteLimit(header)
 			return response, header, ""
 		}
 		if header.Attempt == "" {
 			return nil, header, balancer.ProtocolError
 		}
+		if header.Limit.Kind == limiter.LimitNamed {
+			a.noteLimit(header)
+		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody)); err != nil {
 			return nil, header, balancer.ConnectionLost
 		}
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -7,6 +7,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/limiter"
 )
 
 // CallerHeader holds the values that a Dialect reads from the header of a caller's
@@ -54,6 +55,8 @@
 	Signed bool
 	// Load is the load that the upstream reports, or nil if it reports none.
 	Load *balancer.Load
+	// Limit is the limit on requests per second that the upstream names.
+	Limit limiter.StatedLimit
 }
 
 // Dialect maps between HTTP headers and the values that the relayer uses.
--- /dev/null
+++ b/relayer/limit.go
@@ -0,0 +1,35 @@
+package relayer
+
+import (
+	"go.uber.org/zap"
+
+	"celeryvalve/balancer"
+	"celeryvalve/limiter"
+)
+
+// noteLimit tells the reducer what an answer says of its upstream's limit. An answer of
+// another upstream, or one that names no limit where none is known, says nothing.
+func (a *attempt) noteLimit(header ResponseHeader) {
+	if header.Misdirected || (header.Limit.Kind == limiter.LimitAbsent && a.send.LimitStamp == 0) {
+		return
+	}
+	a.relayer.reduce(balancer.LimitStated{
+		Request:     a.request.ID,
+		Upstream:    a.send.Target.Upstream,
+		Incarnation: a.send.Target.Incarnation,
+		Limit:       header.Limit,
+		UnderStamp:  a.send.LimitStamp,
+	})
+}
+
+// logLimits logs limits that upstreams have named, changed or ended.
+func (r *Relayer) logLimits(changes []balancer.LimitChange) {
+	for _, c := range changes {
+		message := "Upstream's limit has ended."
+		if c.Limit.InForce {
+			message = "Upstream names a limit."
+		}
+		r.log.Info(message, zap.String("upstream", string(c.Upstream)), zap.Uint64("incarnation", uint64(c.Incarnation)),
+			zap.Float64("perSecond", c.Limit.PerSecond), zap.String("request", string(c.Request)))
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -188,10 +188,12 @@
 	effect := r.reducer.Reduce(r.clock.Now(), event)
 	asides := r.reducer.TakeEjectionChanges()
 	findings := r.reducer.TakeCrashFindings()
+	limits := r.reducer.TakeLimitChanges()
 	r.mu.Unlock()
 	for _, a := range asides {
 		r.logAside(a)
 	}
+	r.logLimits(limits)
 	r.handleCrashFindings(findings)
 	return effect
 }
