balancer: hold an upstream's limit for the sum of all entries

What callers saw: nothing at first. A runner that named the requests a second that it takes got as many as before, 22 in 4 s instead of 4, and was overrun.

Cause: no entry obeyed what a runner names, and no entry could have: the bound is on the sum over processes that did not know each other.

Change: for each upstream with a limit all entries that take requests rank each other alike, those of its availability zone first. The first ones share the limit, 4 a second each at least, so that a lower limit is held by one entry alone; the others send it nothing. A share is spaced evenly without a burst, and used 2.2 s after it came, when the entry that had it before has learned of that or is gone. Requests go to other upstreams, or are refused at once where all are limited. An upstream within its limit is preferred where it would be in time, and even a limit of zero gets a request every 5 s, since only an answer can say that the limit has ended.

Why it works: in any 4 s a holder sends at most 4 s of its share and one more, whatever the number of entries, so that the sum is at most a quarter above the named figure; the rule forgives half and 5.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -15,7 +15,7 @@
 		s.firstSentAt = now
 	}
 	s.answered = false
-	load, age := u.load(now, r.othersRatio(s.Service))
+	load, age := u.load(now, u.othersRatio(r.othersRatio(s.Service)))
 	u.recordSend(now)
 	u.inFlight++
 	u.waiting++
@@ -33,8 +33,10 @@
 		Forecast: forecast,
 		Load:     load,
 		LoadAge:  age,
-
-		LimitStamp: u.limit.Stamp,
+	}
+	if u.limit.InForce {
+		effect.LimitStamp = u.limit.Stamp
+		u.pacer.Record(now)
 	}
 	switch {
 	case s.Resubmitted:
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -11,6 +11,12 @@
 // don't all choose the same one.
 const costJitter = 15 * time.Millisecond
 
+// limitedPreference is subtracted for an upstream within its limit that would be in time,
+// so that this entry's share, which is no other's, is used and the end of the limit is
+// noticed. It exceeds the differences between forecasts that are in time, and counts less
+// than two failures in a row and a region.
+const limitedPreference = 250 * time.Millisecond
+
 // choose returns the cheapest upstream for the request among the sampled
 // candidates, or nil if there is none, and its forecast without penalties and
 // jitter.
@@ -20,9 +26,12 @@
 	random := s.Random + uint64(s.attempts)
 	othersRatio := r.othersRatio(s.Service)
 	for _, u := range r.sampleCandidates(now, s, policy) {
-		forecast := r.forecast(now, u, &s.Request, policy.Engine, othersRatio)
+		forecast := r.forecast(now, u, &s.Request, policy.Engine, u.othersRatio(othersRatio))
 		random = limiter.SplitMix64(random)
 		cost := forecast + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u)
+		if u.limit.InForce && forecast <= r.maxForecast(now, s) {
+			cost -= limitedPreference
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost, bestForecast = u, cost, forecast
 		}
@@ -30,7 +39,8 @@
 	return best, bestForecast
 }
 
-// eligible reports whether the request may be sent to the upstream at all.
+// eligible reports whether the request may be sent to the upstream, apart from the limit
+// that the upstream may have named.
 func (r *Reducer) eligible(now time.Time, s *request, u *upstream, policy ServicePolicy) bool {
 	if u.view.Service != s.Service || u.view.Draining || !u.usable(now) {
 		return false
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -24,6 +24,12 @@
 // Upstreams that fail repeatedly are ejected for a while, longer with each further
 // failure. After that they are tried with one request at a time.
 //
+// An upstream may name a limit on the requests per second that it accepts from all entries
+// together. The entries that take requests rank each other alike for each upstream; the
+// first of them share its limit, or hold it alone if it is low. An entry without a share
+// sends such an upstream nothing. While all upstreams are at their limits, requests are
+// refused at once.
+//
 // The reducer finds out which requests were in flight when an upstream crashed, for the
 // quarantine that all entries share (package quarantiner), and refuses the requests that
 // the quarantine names.
--- a/balancer/draw.go
+++ b/balancer/draw.go
@@ -22,15 +22,23 @@
 // sampleCandidates returns a random sample of the eligible upstreams, from which
 // one is chosen for the request. All entries see the same reports, and each would
 // send to the few upstreams that look best until the next reports arrive. So the
-// more requests come between two reports, the smaller the sample.
+// more requests come between two reports, the smaller the sample. Upstreams within their
+// limit are always in it, since their share of the limit is this entry's alone.
 func (r *Reducer) sampleCandidates(now time.Time, s *request, policy ServicePolicy) []*upstream {
-	var local, remote []*upstream
+	var local, remote, limited []*upstream
 	arrivals := 0.0
 	for _, name := range slices.Sorted(maps.Keys(r.upstreams)) {
 		u := r.upstreams[name]
 		if !r.eligible(now, s, u, policy) {
 			continue
 		}
+		if u.limit.InForce {
+			if u.withinLimit(now) {
+				u.forgetOldEstimate(now)
+				limited = append(limited, u)
+			}
+			continue
+		}
 		arrivals += completionRate(u, policy) * typicalReportAge.Seconds()
 		if u.view.Region == r.cfg.Region {
 			local = append(local, u)
@@ -44,7 +52,7 @@
 		size = max(minSampleSize, int(minSampleSize*float64(n)/arrivals))
 	}
 	random := limiter.SplitMix64(s.Random + uint64(s.attempts))
-	return append(randomSubset(local, size, random), randomSubset(remote, size, random)...)
+	return slices.Concat(limited, randomSubset(local, size, random), randomSubset(remote, size, random))
 }
 
 // completionRate returns how many requests per second the upstream completes, or 0
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -32,7 +32,8 @@
 	// the age of the report behind that number.
 	Load    int
 	LoadAge time.Duration
-	// LimitStamp is the stamp of the limit that the upstream was known to have.
+	// LimitStamp is the stamp of the upstream's limit, or 0 if none was known to be in
+	// force.
 	LimitStamp uint64
 }
 
@@ -58,8 +59,10 @@
 
 // The reasons for Refuse and Fail.
 const (
-	UnknownService  Reason = "UnknownService"
-	NoUpstream      Reason = "NoUpstream"
+	UnknownService Reason = "UnknownService"
+	NoUpstream     Reason = "NoUpstream"
+	// Limited: upstreams are ready, and the limits of all of them are used up.
+	Limited         Reason = "Limited"
 	Overloaded      Reason = "Overloaded"
 	DeadlineTooNear Reason = "DeadlineTooNear"
 	NoAttemptLeft   Reason = "NoAttemptLeft"
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -53,6 +53,14 @@
 	Draining bool
 	// Stale says that the upstream has not been heard from for long.
 	Stale bool
+	// Limit is the limit on requests per second that the upstream has named to any entry.
+	Limit limiter.RequestLimit
+}
+
+// Entry is an entry that takes callers' requests.
+type Entry struct {
+	Name             identifier.Instance
+	AvailabilityZone identifier.AvailabilityZone
 }
 
 // ServicePolicy is the declaration of one service. Engine is nil for a service
@@ -162,6 +170,10 @@
 // without an answer.
 type CallerGone struct{ Request identifier.RequestID }
 
+// EntriesChanged carries all entries that take requests. They share the limits of
+// upstreams. While the list is empty, upstreams with a limit get no requests.
+type EntriesChanged struct{ Entries []Entry }
+
 // LimitStated carries what an answer of an upstream says of the requests per second that
 // it accepts.
 type LimitStated struct {
@@ -175,6 +187,7 @@
 }
 
 func (LimitStated) isEvent()       {}
+func (EntriesChanged) isEvent()    {}
 func (UpstreamsChanged) isEvent()  {}
 func (LoadObserved) isEvent()      {}
 func (PolicyChanged) isEvent()     {}
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -1,18 +1,41 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"celeryvalve/identifier"
 	"celeryvalve/limiter"
 )
 
+const (
+	// minShare is the least share of a limit that one entry gets, in requests per second,
+	// unless the limit itself is lower. An entry may send one request at once, so that all
+	// shares together allow a quarter of a request per second more than the limit for each
+	// request per second of it at most.
+	minShare = 4.0
+	// minLimit is the rate at which an upstream with a lower limit gets requests, in
+	// requests per second. Only their answers can say that the limit has ended.
+	minLimit = 0.2
+	// takeoverDelay is the time before an entry uses a share that another one may have
+	// used. Within it the other entry has learned that its share has passed on, or is not
+	// heard any more.
+	takeoverDelay = 2200 * time.Millisecond
+	// unusedShareTimeout is the time without a request after which the time to first byte
+	// of an upstream with a limit counts as unknown, as it may have become shorter and only
+	// this entry can find out.
+	unusedShareTimeout = 5 * time.Second
+)
+
 // LimitChange reports that the known limit of an upstream has changed.
 type LimitChange struct {
 	Upstream    identifier.Upstream
 	Incarnation identifier.Incarnation
 	Limit       limiter.RequestLimit
-	// Request is the request whose answer said so.
+	// Request is the request whose answer said so. It is empty if another entry got the
+	// answer.
 	Request identifier.RequestID
 }
 
@@ -29,10 +52,113 @@
 	if !ok || u.view.Incarnation != e.Incarnation {
 		return
 	}
-	limit := u.limit.Observe(now, e.Limit, e.UnderStamp)
+	r.setLimit(now, u, u.limit.Observe(now, e.Limit, e.UnderStamp), e.Request)
+}
+
+// learnLimit takes in the limit of an upstream as the entries together know it.
+func (r *Reducer) learnLimit(now time.Time, u *upstream, limit limiter.RequestLimit) {
+	if limit.Stamp > u.limit.Stamp {
+		r.setLimit(now, u, limit, "")
+	}
+}
+
+func (r *Reducer) setLimit(now time.Time, u *upstream, limit limiter.RequestLimit, request identifier.RequestID) {
 	if limit == u.limit {
 		return
 	}
 	u.limit = limit
-	r.limitChanges = append(r.limitChanges, LimitChange{Upstream: e.Upstream, Incarnation: e.Incarnation, Limit: limit, Request: e.Request})
+	r.updateShare(now, u)
+	r.limitChanges = append(r.limitChanges, LimitChange{
+		Upstream: u.view.Upstream, Incarnation: u.view.Incarnation, Limit: limit, Request: request,
+	})
+}
+
+// changeEntries takes in the entries that share the limits.
+func (r *Reducer) changeEntries(now time.Time, entries []Entry) {
+	if slices.Equal(entries, r.entries) {
+		return
+	}
+	r.entries = slices.Clone(entries)
+	for _, u := range r.upstreams {
+		r.updateShare(now, u)
+	}
+}
+
+// updateShare sets the pace at which this entry sends requests to the upstream. A share
+// that it did not have before is used after takeoverDelay.
+func (r *Reducer) updateShare(now time.Time, u *upstream) {
+	share, rank := r.shareOf(u)
+	switch {
+	case share == 0:
+		u.pacer = nil
+	case u.pacer == nil:
+		// Entries whose shares begin together take turns.
+		turn := time.Duration(float64(rank) * float64(time.Second) / max(u.limit.PerSecond, minLimit))
+		u.pacer = limiter.NewPacer(share, now.Add(takeoverDelay+turn))
+	default:
+		u.pacer.SetRate(share)
+	}
+}
+
+// shareOf returns this entry's share of the upstream's limit, in requests per second, and
+// its rank among the entries that have one. All entries rank each other alike for an
+// upstream, those in its availability zone first. The first ones share the limit equally:
+// as many as can have minShare, so that a low limit is held by one entry alone.
+func (r *Reducer) shareOf(u *upstream) (share float64, rank int) {
+	own := slices.IndexFunc(r.entries, func(e Entry) bool { return e.Name == r.cfg.Entry })
+	if !u.limit.InForce || own < 0 {
+		return 0, 0
+	}
+	for _, e := range r.entries {
+		if precedes(e, r.entries[own], u.view) {
+			rank++
+		}
+	}
+	limit := max(u.limit.PerSecond, minLimit)
+	holders := min(len(r.entries), max(1, int(limit/minShare)))
+	if rank >= holders {
+		return 0, rank
+	}
+	return limit / float64(holders), rank
+}
+
+// precedes reports whether entry a ranks before entry b for the upstream.
+func precedes(a, b Entry, v UpstreamView) bool {
+	if near := a.AvailabilityZone == v.AvailabilityZone; near != (b.AvailabilityZone == v.AvailabilityZone) {
+		return near
+	}
+	score := func(e Entry) uint64 { return xxhash.Sum64String(string(v.Upstream) + "\x00" + string(e.Name)) }
+	return score(a) < score(b)
+}
+
+// withinLimit reports whether this entry may send a request to the upstream now.
+func (u *upstream) withinLimit(now time.Time) bool {
+	return !u.limit.InForce || (u.pacer != nil && u.pacer.Ready(now))
+}
+
+// forgetOldEstimate drops the mean time to first byte if this entry has left its share of
+// the limit unused for long.
+func (u *upstream) forgetOldEstimate(now time.Time) {
+	if u.pacer.UnusedFor(now) >= unusedShareTimeout {
+		u.firstByte = limiter.NewMean(firstByteWeight)
+	}
+}
+
+// othersRatio returns how many requests the other entries are assumed to send to the
+// upstream for each of this one, where ratio is that of all upstreams of the service.
+func (u *upstream) othersRatio(ratio float64) float64 {
+	if u.limit.InForce {
+		return 0
+	}
+	return ratio
+}
+
+// reasonWithoutUpstream says why no upstream can be chosen for the request.
+func (r *Reducer) reasonWithoutUpstream(now time.Time, s *request, policy ServicePolicy) Reason {
+	for _, u := range r.upstreams {
+		if r.eligible(now, s, u, policy) {
+			return Limited
+		}
+	}
+	return NoUpstream
 }
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -9,6 +9,8 @@
 
 // Config is the location of the entry and the limits that the platform sets.
 type Config struct {
+	// Entry is the name of this entry.
+	Entry            identifier.Instance
 	Region           identifier.Region
 	AvailabilityZone identifier.AvailabilityZone
 	// RetryRatio and RetryBurst are this entry's share of the retry budget: retries
@@ -69,6 +71,8 @@
 	ejectionChanges []EjectionChange
 	crashes         *crashDetector
 	limitChanges    []LimitChange
+	// entries are those that take requests.
+	entries []Entry
 }
 
 // request is a request that has not been answered yet.
@@ -123,6 +127,8 @@
 		}
 	case ConnectionRefused:
 		r.refuseConnection(now, e)
+	case EntriesChanged:
+		r.changeEntries(now, e.Entries)
 	case LimitStated:
 		r.observeLimit(now, e)
 	case RequestArrived:
@@ -155,6 +161,7 @@
 			r.upstreams[v.Upstream] = u
 		}
 		u.view = v
+		r.learnLimit(now, u, v.Limit)
 	}
 	for name := range r.upstreams {
 		if !known[name] {
@@ -196,7 +203,7 @@
 	policy := r.services[s.Service]
 	best, forecast := r.choose(now, s, policy)
 	if best == nil {
-		return r.giveUp(now, s, NoUpstream, 0)
+		return r.giveUp(now, s, r.reasonWithoutUpstream(now, s, policy), 0)
 	}
 	if s.attempts == 0 && forecast > r.maxForecast(now, s) {
 		return r.giveUp(now, s, Overloaded, forecast)
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -50,8 +50,10 @@
 	// reportLifetime ago.
 	sendTimes []time.Time
 
-	// limit is what is known of the requests per second that the upstream accepts.
+	// limit is what is known of the requests per second that the upstream accepts, and
+	// pacer spaces this entry's share of them. It is nil if the entry has none.
 	limit limiter.RequestLimit
+	pacer *limiter.Pacer
 
 	firstByte *limiter.Mean
 	// heardAt is when the upstream last showed that it runs, and probedAt when a probe
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -39,6 +39,9 @@
 	// connections to other entries.
 	lameDuckPeriod    = 2500 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
+	// idleAfter is the time without a request after which an entry counts as one that
+	// callers don't use: several times the mean time between two requests of an entry.
+	idleAfter = 3 * time.Second
 )
 
 func entryModule() fx.Option {
@@ -57,6 +60,7 @@
 
 func newReducer(placement parser.Placement) *balancer.Reducer {
 	return balancer.New(balancer.Config{
+		Entry:              placement.Instance,
 		Region:             placement.Region,
 		AvailabilityZone:   placement.AvailabilityZone,
 		RetryRatio:         retryRatioFactor * placement.Bounds.RetryRatio,
@@ -69,8 +73,8 @@
 	return max(within/2, within-expectMargin)
 }
 
-func newRelayer(placement parser.Placement, reducer *balancer.Reducer, reporter *crashReporter, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *relayer.Relayer {
-	return relayer.New(reducer, platform.Headers{}, reporter, clock, set, log, seedOf(placement))
+func newRelayer(placement parser.Placement, reducer *balancer.Reducer, reporter *crashReporter, s *spreader.Spreader, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *relayer.Relayer {
+	return relayer.New(reducer, platform.Headers{}, reporter, s, clock, set, log, seedOf(placement))
 }
 
 // entry serves callers, operators and the reports of upstreams.
@@ -116,6 +120,8 @@
 	e.spreader.Watch(e.updateUpstreams)
 	e.spreader.WatchLoads(e.updateLoads)
 	e.spreader.WatchEntries(func(n int) { e.relayer.ChangeEntries(n, e.placement.Bounds.RetryAllowance) })
+	e.spreader.ReportServing(e.takesRequests)
+	e.spreader.WatchServing(e.updateServing)
 	e.spreader.WatchQuarantine(e.relayer.ChangeQuarantine)
 	lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
 }
@@ -252,11 +258,26 @@
 			Release:          k.Serves(),
 			Draining:         k.State != registrar.Ready,
 			Stale:            k.Stale,
+			Limit:            k.Limit,
 		})
 	}
 	e.relayer.ChangeUpstreams(views)
 }
 
+// takesRequests reports whether callers send requests to this entry. Entries without any
+// get no share of an upstream's limit, which they would leave unused.
+func (e *entry) takesRequests() bool {
+	return !e.draining.Load() && e.clock.Since(e.relayer.IdleSince()) < idleAfter
+}
+
+func (e *entry) updateServing(serving []spreader.ServingEntry) {
+	entries := make([]balancer.Entry, 0, len(serving))
+	for _, s := range serving {
+		entries = append(entries, balancer.Entry{Name: s.Entry, AvailabilityZone: s.AvailabilityZone})
+	}
+	e.relayer.ChangeServing(entries)
+}
+
 func (e *entry) updateLoads(loads []registrar.Load) {
 	for _, l := range loads {
 		e.relayer.ObserveLoad(l.Upstream, balancer.Load{Running: l.Running, Waiting: l.Waiting})
--- a/relayer/limit.go
+++ b/relayer/limit.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
+	"celeryvalve/identifier"
 	"celeryvalve/limiter"
 )
 
@@ -22,8 +23,21 @@
 	})
 }
 
-// logLimits logs limits that upstreams have named, changed or ended.
-func (r *Relayer) logLimits(changes []balancer.LimitChange) {
+// LimitRecorder tells the other entries which limit an upstream has named. Its method must
+// not block.
+type LimitRecorder interface {
+	RecordLimit(name identifier.Upstream, incarnation identifier.Incarnation, limit limiter.RequestLimit)
+}
+
+// ChangeServing replaces the list of entries that take callers' requests, which share the
+// limits of upstreams.
+func (r *Relayer) ChangeServing(entries []balancer.Entry) {
+	r.reduce(balancer.EntriesChanged{Entries: entries})
+}
+
+// handleLimitChanges logs limits that upstreams have named, changed or ended, and tells the
+// other entries those that this one learned from an answer.
+func (r *Relayer) handleLimitChanges(changes []balancer.LimitChange) {
 	for _, c := range changes {
 		message := "Upstream's limit has ended."
 		if c.Limit.InForce {
@@ -31,5 +45,8 @@
 		}
 		r.log.Info(message, zap.String("upstream", string(c.Upstream)), zap.Uint64("incarnation", uint64(c.Incarnation)),
 			zap.Float64("perSecond", c.Limit.PerSecond), zap.String("request", string(c.Request)))
+		if c.Request != "" {
+			r.limits.RecordLimit(c.Upstream, c.Incarnation, c.Limit)
+		}
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -42,6 +42,7 @@
 	pool        *pool
 	poolCleaner *repeater.Repeater
 	reporter    CrashReporter
+	limits      LimitRecorder
 
 	index    atomic.Pointer[declarer.Index]
 	draining atomic.Bool
@@ -56,12 +57,14 @@
 	idleLimits map[netip.AddrPort]int
 	random     uint64
 	inFlight   int
+	// arrivedAt is when the last request arrived.
+	arrivedAt time.Time
 }
 
 // New returns a relayer that refuses all requests until Declare is called. seed starts
 // the sequence of its random numbers; different seeds make entries choose differently
 // among equal upstreams.
-func New(reducer *balancer.Reducer, dialect Dialect, reporter CrashReporter, clock clockwork.Clock, set *metrics.Set, log *zap.Logger, seed uint64) *Relayer {
+func New(reducer *balancer.Reducer, dialect Dialect, reporter CrashReporter, limits LimitRecorder, clock clockwork.Clock, set *metrics.Set, log *zap.Logger, seed uint64) *Relayer {
 	r := &Relayer{
 		dialect:      dialect,
 		clock:        clock,
@@ -69,6 +72,7 @@
 		meters:       newMeters(set),
 		pool:         newPool(clock),
 		reporter:     reporter,
+		limits:       limits,
 		reducer:      reducer,
 		maxRemaining: make(map[identifier.Route]time.Duration),
 		idleLimits:   make(map[netip.AddrPort]int),
@@ -136,6 +140,13 @@
 	return r.idleLimits[addr]
 }
 
+// IdleSince returns when the last request of a caller arrived, or zero if none has.
+func (r *Relayer) IdleSince() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrivedAt
+}
+
 // Drain makes the relayer close each caller's connection after its next response,
 // so that callers connect to other entries. Requests are still served.
 func (r *Relayer) Drain() {
@@ -193,7 +204,7 @@
 	for _, a := range asides {
 		r.logAside(a)
 	}
-	r.logLimits(limits)
+	r.handleLimitChanges(limits)
 	r.handleCrashFindings(findings)
 	return effect
 }
@@ -237,9 +248,16 @@
 	return float64(remaining) < resubmittedThreshold*float64(longest)
 }
 
-// addInFlight adds n to the number of requests in flight.
-func (r *Relayer) addInFlight(n int) {
+// beginRequest counts a request in flight that arrived at the time.
+func (r *Relayer) beginRequest(arrivedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight++
+	r.arrivedAt = arrivedAt
+}
+
+func (r *Relayer) endRequest() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.inFlight += n
+	r.inFlight--
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -22,6 +22,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/limiter"
 	"celeryvalve/quarantiner"
 	"celeryvalve/relayer"
 )
@@ -62,6 +63,8 @@
 
 func (noReports) ReportCrash(balancer.CrashReport)        {}
 func (noReports) ClearSuspects([]quarantiner.Fingerprint) {}
+func (noReports) RecordLimit(identifier.Upstream, identifier.Incarnation, limiter.RequestLimit) {
+}
 
 // script handles one request that a fake upstream reads from a connection.
 type script func(conn net.Conn, r *http.Request)
@@ -137,7 +140,7 @@
 // startRelayer starts a relayer with one route of the kind to the upstreams.
 func startRelayer(t *testing.T, kind declarer.RequestKind, resumable bool, views ...balancer.UpstreamView) *httptest.Server {
 	reducer := balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10})
-	r := relayer.New(reducer, dialect{}, noReports{}, clockwork.NewRealClock(), metrics.NewSet(), zap.NewNop(), 1)
+	r := relayer.New(reducer, dialect{}, noReports{}, noReports{}, clockwork.NewRealClock(), metrics.NewSet(), zap.NewNop(), 1)
 	d := declarer.Declaration{
 		Version:  1,
 		Services: map[identifier.Service]declarer.Service{"booking": {}},
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -45,12 +45,13 @@
 
 // ServeHTTP serves one request of a caller.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	r.addInFlight(1)
-	defer r.addInFlight(-1)
+	arrivedAt := r.clock.Now()
+	r.beginRequest(arrivedAt)
+	defer r.endRequest()
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{relayer: r, w: w, r: req, arrivedAt: r.clock.Now(), header: r.dialect.ReadCaller(req.Header)}
+	x := &exchange{relayer: r, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header)}
 	index := r.index.Load()
 	if index == nil {
 		x.replyLocally(http.StatusServiceUnavailable, "the entry has no declaration yet (send the request again after Retry-After)", undeclaredRetryAfter)
