balancer: use this entry's share of a new limit at once

The delay now counts from the last change of the entries: without one no other entry can have had the share, and what others send in ignorance of the limit is over when they get their next answer.

--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -79,22 +79,27 @@
 		return
 	}
 	r.entries = slices.Clone(entries)
+	r.entriesChangedAt = now
 	for _, u := range r.upstreams {
 		r.updateShare(now, u)
 	}
 }
 
 // updateShare sets the pace at which this entry sends requests to the upstream. A share
-// that it did not have before is used after takeoverDelay.
+// that another entry may have had is used takeoverDelay after the entries changed.
 func (r *Reducer) updateShare(now time.Time, u *upstream) {
 	share, rank := r.shareOf(u)
 	switch {
 	case share == 0:
 		u.pacer = nil
 	case u.pacer == nil:
+		first := r.entriesChangedAt.Add(takeoverDelay)
+		if first.Before(now) {
+			first = now
+		}
 		// Entries whose shares begin together take turns.
 		turn := time.Duration(float64(rank) * float64(time.Second) / max(u.limit.PerSecond, minLimit))
-		u.pacer = limiter.NewPacer(share, now.Add(takeoverDelay+turn))
+		u.pacer = limiter.NewPacer(share, first.Add(turn))
 	default:
 		u.pacer.SetRate(share)
 	}
--- a/balancer/limit_test.go
+++ b/balancer/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,22 +99,18 @@
 // restart kills the entry, which is back after a pause with the same name.
 func (w *limitWorld) restart(e *limitEntry, pause time.Duration) {
 	e.frozen = w.now.Add(pause)
-	all := w.listed
-	var others []balancer.Entry
-	for _, o := range all {
-		if o.Name != e.name {
-			others = append(others, o)
-		}
+	others := func() []balancer.Entry {
+		return slices.DeleteFunc(slices.Clone(w.listed), func(o balancer.Entry) bool { return o.Name == e.name })
 	}
 	process := e.started
 	w.after(entryLossDelay, func() {
 		if e.started == process {
-			w.list(others)
+			w.list(others())
 		}
 	})
 	w.after(pause, func() {
 		w.begin(e)
-		w.after(entryNewsDelay/2, func() { w.list(all) })
+		w.after(entryNewsDelay/2, func() { w.list(append(others(), balancer.Entry{Name: e.name})) })
 	})
 }
 
@@ -294,3 +291,22 @@
 	r.Reduce(now, balancer.LimitStated{Upstream: "a", Incarnation: 1, Limit: limiter.StatedLimit{Kind: limiter.LimitNamed, PerSecond: 1}})
 	require.IsType(t, balancer.Send{}, arrive(r, now, bookingRequest("y", true)))
 }
+
+// Guards against a gap when upstreams name limits: while the entries have not changed for
+// long, no other one can have had this entry's share.
+func TestShareOfANewLimitIsUsedAtOnce(t *testing.T) {
+	r := newPlainReducer("a")
+	r.Reduce(start, balancer.EntriesChanged{Entries: []balancer.Entry{{Name: ""}, {Name: "other"}}})
+	now := start.Add(10 * time.Second)
+	r.Reduce(now, balancer.EntriesChanged{Entries: []balancer.Entry{{Name: ""}}})
+	send := func() balancer.Effect {
+		return arrive(r, now, bookingRequest(identifier.RequestID(now.String()), true))
+	}
+	r.Reduce(now, balancer.LimitStated{Request: "x", Upstream: "a", Limit: limiter.StatedLimit{Kind: limiter.LimitNamed, PerSecond: 1}})
+	now = now.Add(2 * time.Second)
+	require.IsType(t, balancer.Refuse{}, send(), "the other entry may still use its share")
+	r.Reduce(now, balancer.LimitStated{Request: "y", Upstream: "a", UnderStamp: r.TakeLimitChanges()[0].Limit.Stamp})
+	now = now.Add(10 * time.Second)
+	r.Reduce(now, balancer.LimitStated{Request: "z", Upstream: "a", Limit: limiter.StatedLimit{Kind: limiter.LimitNamed, PerSecond: 1}})
+	require.IsType(t, balancer.Send{}, send())
+}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -72,7 +72,8 @@
 	crashes         *crashDetector
 	limitChanges    []LimitChange
 	// entries are those that take requests.
-	entries []Entry
+	entries          []Entry
+	entriesChangedAt time.Time
 }
 
 // request is a request that has not been answered yet.
