relayer: log the parts of a prompt under which an attempt broke

No line named the parts of prompts, so that what attempts on crashed upstreams had in common, other than whole requests, could not be seen in the logs.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -81,7 +81,7 @@
 		cause = balancer.Expired
 	}
 	x.relayer.meters.countBreak(cause)
-	x.log("Attempt broke.", x.fingerprintField(), zap.String("cause", string(cause)), zap.String("upstream", string(a.send.Target.Upstream)),
+	x.log("Attempt broke.", x.fingerprintField(), x.partsField(), zap.String("cause", string(cause)), zap.String("upstream", string(a.send.Target.Upstream)),
 		zap.Int("load", a.send.Load), zap.Duration("loadAge", a.send.LoadAge), zap.Duration("forecast", a.send.Forecast),
 		zap.Bool("passed", x.responseStarted))
 	return x.relayer.reduce(balancer.AttemptFailed{
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -219,6 +219,18 @@
 	return zap.Uint64("fingerprint", uint64(x.request.Fingerprint))
 }
 
+// partsField ties together the log lines of requests that share a part of their prompts.
+func (x *exchange) partsField() zap.Field {
+	return zap.Strings("parts", x.sharedParts())
+}
+
+// sharedParts returns the parts of the prompt that other requests may have too: all but the
+// last.
+func (x *exchange) sharedParts() []string {
+	parts := x.header.PromptParts
+	return parts[:max(0, len(parts)-1)]
+}
+
 // log writes a log line with the fields that identify the request.
 func (x *exchange) log(message string, fields ...zap.Field) {
 	x.relayer.log.Info(message, append([]zap.Field{
