placer: show operators the quarantine, and let them clear it

On the users' platform a fingerprint that was refused stayed so for 24 h, and nobody but the logs could tell which ones. Each entry now serves what it refuses beside its metrics, and clears a fingerprint at all entries when asked to. platform TestPromptPartThatCrashesRunnersIsRefusedEverywhere does so at the end.

--- a/placer/entry.go
+++ b/placer/entry.go
@@ -54,7 +54,7 @@
 			newEntry,
 			func(e *entry) drainer { return e },
 		),
-		fx.Invoke(serveEntry),
+		fx.Invoke(serveEntry, mountQuarantine),
 	)
 }
 
--- a/placer/office.go
+++ b/placer/office.go
@@ -14,6 +14,7 @@
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
+	"celeryvalve/quarantiner"
 	"celeryvalve/registrar"
 	"celeryvalve/spreader"
 	"celeryvalve/submitter"
@@ -84,7 +85,7 @@
 	switch a := answer.(type) {
 	case *declarer.Rejected:
 		return a.Err()
-	case *declarer.Answer:
+	case *declarer.Answer, *quarantiner.Answer:
 		return nil
 	default:
 		return explainer.New(explainer.Internal, fmt.Sprintf("answer %T is not known", answer), "run the same release on all instances")
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -175,6 +175,7 @@
 			newTable,
 			newSpreader,
 			newSubmitter,
+			newExposer,
 		),
 		fx.Invoke(exposeMetrics),
 	)
@@ -258,10 +259,13 @@
 	return submitter.New(e, placement.Seeds, clock)
 }
 
+func newExposer(placement parser.Placement, set *metrics.Set, log *zap.Logger) *exposer.Exposer {
+	return exposer.New(netip.AddrPortFrom(placement.IP, metricsPort), set, log)
+}
+
 // exposeMetrics serves metrics and profiles on metricsPort. A process that can't
 // serve them runs without them.
-func exposeMetrics(lc fx.Lifecycle, placement parser.Placement, set *metrics.Set, log *zap.Logger) {
-	e := exposer.New(netip.AddrPortFrom(placement.IP, metricsPort), set, log)
+func exposeMetrics(lc fx.Lifecycle, e *exposer.Exposer, log *zap.Logger) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			if err := e.Start(); err != nil {
--- a/spreader/quarantine.go
+++ b/spreader/quarantine.go
@@ -8,6 +8,13 @@
 	s.quarantineWatchers = append(s.quarantineWatchers, f)
 }
 
+// Quarantine returns the newest summary of the quarantine.
+func (s *Spreader) Quarantine() quarantiner.Summary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine
+}
+
 // SetQuarantine passes a summary of the quarantine on, unless this process knows one
 // that is as new. A control replica calls it with its own state.
 func (s *Spreader) SetQuarantine(summary quarantiner.Summary) {
