admitter: hold the limit that an upstream names

On the settings path, too, nothing obeyed an upstream that is in need: the agent bounds the requests at once, not those a second. It is the one gate to its upstream, so that the limit holds for the sum over all entries there. When a limit is believed, what ends it and the pace are those of the users' platform (limiter.RequestLimit, limiter.Pacer).

--- a/admitter/attempt.go
+++ b/admitter/attempt.go
@@ -43,6 +43,8 @@
 	endKind    EndKind
 	crashed    bool
 	stopping   bool
+	// limitStamp is the stamp of the upstream's limit when the attempt started, or 0.
+	limitStamp uint64
 }
 
 func (a *attempt) setState(s state, now time.Time) {
@@ -155,18 +157,18 @@
 		return 0
 	}
 	ahead := r.queue.Ahead(a.start.Organisation)
-	return time.Duration(ahead+1) * r.duration.Value() / time.Duration(r.limit.Limit())
+	return time.Duration(ahead+1) * r.startInterval()
 }
 
 // busyRetryAfter returns the estimated time until a slot becomes free, and at least
 // minBusyRetryAfter.
 func (r *Reducer) busyRetryAfter() time.Duration {
-	return max(minBusyRetryAfter, r.duration.Value()/time.Duration(r.limit.Limit()))
+	return max(minBusyRetryAfter, r.startInterval())
 }
 
 // freeSlots returns how many more attempts may start now.
 func (r *Reducer) freeSlots() int {
-	if r.isolated != nil || !r.ready || r.leaving {
+	if r.isolated != nil || !r.ready || r.leaving || !r.withinRequestLimit() {
 		return 0
 	}
 	return max(0, r.limit.Limit()-len(r.running))
@@ -195,7 +197,7 @@
 		}
 		r.run(a)
 	}
-	if r.isolated != nil && r.isolated.state == queuedState && len(r.running) == 0 && r.ready && !r.leaving {
+	if r.isolated != nil && r.isolated.state == queuedState && len(r.running) == 0 && r.ready && !r.leaving && r.withinRequestLimit() {
 		r.run(r.isolated)
 	}
 }
@@ -216,6 +218,7 @@
 		r.started[keyOf(a.start)] = a.id
 	}
 	a.setState(runningState, r.now)
+	r.recordStart(a)
 	r.running[a.id] = a
 	r.emit(Run{Attempt: a.id})
 	for _, s := range a.streams {
@@ -275,9 +278,11 @@
 }
 
 func (r *Reducer) handleAnswering(e ResponseStarted) {
-	if r.running[e.Attempt] == nil {
+	a := r.running[e.Attempt]
+	if a == nil {
 		return
 	}
+	r.observeRequestLimit(a, e.Limit)
 	r.latency.Add(e.Latency)
 	r.limit.Observe(r.now, e.Latency, len(r.running))
 }
--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -38,6 +38,7 @@
 func (r *Reducer) handleCrash() {
 	r.ready = false
 	r.limit.Reset()
+	r.forgetRequestLimit()
 	r.crashes++
 	report := CrashReport{Upstream: r.cfg.Upstream, Incarnation: r.cfg.Incarnation, Number: r.crashes}
 	for _, id := range r.runningIDs() {
--- a/admitter/doc.go
+++ b/admitter/doc.go
@@ -17,6 +17,9 @@
 // messages between entries: admitted attempts wait in a bounded fair queue until
 // the adaptive concurrency limit of the upstream lets them start.
 //
+// The upstream may name a limit on requests per second in its responses. Attempts then
+// start at that pace at most.
+//
 // If the upstream crashes, the request of every running attempt becomes a suspect.
 // The next attempt of a suspect runs alone. If the upstream crashes again while it
 // runs alone, later attempts of that request are refused.
--- a/admitter/effect.go
+++ b/admitter/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"celeryvalve/identifier"
+	"celeryvalve/limiter"
 	"celeryvalve/quarantiner"
 	"celeryvalve/router"
 )
@@ -84,17 +85,25 @@
 	Fingerprint quarantiner.Fingerprint
 }
 
+// RequestLimitChanged reports that the upstream named, changed or ended its limit on
+// requests per second in the response to the request.
+type RequestLimitChanged struct {
+	Limit   limiter.RequestLimit
+	Request identifier.RequestID
+}
+
 // Drained reports, after Leave, that the last attempt has ended and that its response
 // was delivered.
 type Drained struct{}
 
-func (Accept) isEffect()        {}
-func (Refuse) isEffect()        {}
-func (Gone) isEffect()          {}
-func (Attach) isEffect()        {}
-func (Run) isEffect()           {}
-func (Stop) isEffect()          {}
-func (Forget) isEffect()        {}
-func (ReportCrash) isEffect()   {}
-func (ReportCleared) isEffect() {}
-func (Drained) isEffect()       {}
+func (RequestLimitChanged) isEffect() {}
+func (Accept) isEffect()              {}
+func (Refuse) isEffect()              {}
+func (Gone) isEffect()                {}
+func (Attach) isEffect()              {}
+func (Run) isEffect()                 {}
+func (Stop) isEffect()                {}
+func (Forget) isEffect()              {}
+func (ReportCrash) isEffect()         {}
+func (ReportCleared) isEffect()       {}
+func (Drained) isEffect()             {}
--- a/admitter/event.go
+++ b/admitter/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryvalve/identifier"
+	"celeryvalve/limiter"
 	"celeryvalve/quarantiner"
 	"celeryvalve/router"
 )
@@ -52,6 +53,9 @@
 type ResponseStarted struct {
 	Attempt identifier.AttemptID
 	Latency time.Duration
+	// Limit is what the response says of the requests per second that the upstream
+	// accepts.
+	Limit limiter.StatedLimit
 }
 
 // EndKind classifies how the run of an attempt ended.
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -16,9 +16,6 @@
 	// shares together allow a quarter of a request per second more than the limit for each
 	// request per second of it at most.
 	minShare = 4.0
-	// minLimit is the rate at which an upstream with a lower limit gets requests, in
-	// requests per second. Only their answers can say that the limit has ended.
-	minLimit = 0.2
 	// takeoverDelay is the time before an entry uses a share that another one may have
 	// used. Within it the other entry has learned that its share has passed on, or is not
 	// heard any more.
@@ -98,7 +95,7 @@
 			first = now
 		}
 		// Entries whose shares begin together take turns.
-		turn := time.Duration(float64(rank) * float64(time.Second) / max(u.limit.PerSecond, minLimit))
+		turn := time.Duration(float64(rank) * float64(time.Second) / u.limit.Pace())
 		u.pacer = limiter.NewPacer(share, first.Add(turn))
 	default:
 		u.pacer.SetRate(share)
@@ -119,12 +116,12 @@
 			rank++
 		}
 	}
-	limit := max(u.limit.PerSecond, minLimit)
-	holders := min(len(r.entries), max(1, int(limit/minShare)))
+	pace := u.limit.Pace()
+	holders := min(len(r.entries), max(1, int(pace/minShare)))
 	if rank >= holders {
 		return 0, rank
 	}
-	return limit / float64(holders), rank
+	return pace / float64(holders), rank
 }
 
 // precedes reports whether entry a ranks before entry b for the upstream.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -281,6 +281,9 @@
 		x.reportCrash(e.Report)
 	case admitter.ReportCleared:
 		x.reportCleared(e.Fingerprint)
+	case admitter.RequestLimitChanged:
+		x.logger.Info("Upstream's limit on requests has changed.", zap.Bool("inForce", e.Limit.InForce),
+			zap.Float64("perSecond", e.Limit.PerSecond), zap.String("request", string(e.Request)))
 	case admitter.Drained:
 		close(x.drained)
 	}
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -17,6 +17,7 @@
 	"celeryvalve/admitter"
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
+	"celeryvalve/limiter"
 	"celeryvalve/router"
 )
 
@@ -29,6 +30,10 @@
 	headerKey          = "Idempotency-Key"
 )
 
+// headerRequestLimit is the header in which an upstream names the requests per second that
+// it accepts, a decimal number.
+const headerRequestLimit = "X-Request-Limit"
+
 const (
 	readSize = 32 << 10
 	// idleTimeout is shorter than the time for which an upstream is likely to keep an
@@ -79,7 +84,11 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	x.post(admitter.ResponseStarted{Attempt: r.start.Attempt, Latency: x.clock.Since(started)})
+	x.post(admitter.ResponseStarted{
+		Attempt: r.start.Attempt,
+		Latency: x.clock.Since(started),
+		Limit:   limiter.ParseStatedLimit(resp.Header.Values(headerRequestLimit)),
+	})
 	if !isDelimited(req, resp) {
 		return nil, explainer.New(explainer.Corrupt, "the response has neither a Content-Length nor a chunked body, so a cut-off response could pass for a complete one",
 			"configure the upstream to respond in HTTP/1.1 with Content-Length or a chunked body")
--- a/limiter/request_limit.go
+++ b/limiter/request_limit.go
@@ -69,6 +69,16 @@
 	Stamp uint64
 }
 
+// minPace is the pace at which an upstream with a lower limit gets requests, per second.
+// Only their answers can say that the limit has ended.
+const minPace = 0.2
+
+// Pace returns the requests per second to send in total while the limit is in force. It is
+// positive even if the limit is 0.
+func (l RequestLimit) Pace() float64 {
+	return max(l.PerSecond, minPace)
+}
+
 // Observe returns the limit as it is known after an answer. underStamp is the stamp that
 // was known when the request was sent: an answer that names no limit ends only the one
 // that its request was sent under, since answers may overtake each other.
