assembler: divide the rate of a thin link without rounding down

Cause: the budgets of members that share a link between regions were meant to add up to 4 times its rate, but the number of senders was divided by 4 as an integer: with 7 of them each had the whole rate.

No transfer was measured with it.

--- a/assembler/weights.go
+++ b/assembler/weights.go
@@ -259,7 +259,7 @@
 	now := budgets{
 		upload:   cmp.Or(lowerRate(settings.UploadRate, transfers.InstanceUploadRate), defaults.UploadRate),
 		download: cmp.Or(lowerRate(settings.DownloadRate, transfers.InstanceDownloadRate), defaults.DownloadRate),
-		thinLink: transfers.ThinLinkRate / identifier.BytesPerSecond(max(1, w.crossRegionSenders()/thinLinkOversubscription)),
+		thinLink: thinLinkShare(transfers.ThinLinkRate, w.crossRegionSenders()),
 	}
 	if now == w.budgets {
 		return
@@ -274,6 +274,11 @@
 // send none, so equal shares of the rate would leave the link idle.
 const thinLinkOversubscription = 4
 
+// thinLinkShare returns the budget of each of the members that may share a thin link.
+func thinLinkShare(rate identifier.BytesPerSecond, senders int) identifier.BytesPerSecond {
+	return min(rate, rate*thinLinkOversubscription/identifier.BytesPerSecond(senders))
+}
+
 // crossRegionSenders returns how many members of this region may send to another
 // region at once: at most one for each stripe.
 func (w *weightSync) crossRegionSenders() int {
