declarer: compare the numbers of pins without overflow

Cause: pins were sorted by a difference of int values. It overflows for numbers that differ by 2^63 or more, so that the newest pin was the first to be dropped.

declarer TestNewestPinsAreKept failed with the former comparison and passes now.

--- a/declarer/state.go
+++ b/declarer/state.go
@@ -1,6 +1,7 @@
 package declarer
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -173,7 +174,7 @@
 		return s.answer(false)
 	}
 	pins := append(slices.Clone(release.Pins), c.Pinned)
-	slices.SortFunc(pins, func(a, b Pinned) int { return int(a.Number) - int(b.Number) })
+	slices.SortFunc(pins, func(a, b Pinned) int { return cmp.Compare(a.Number, b.Number) })
 	release.Pins = pins[max(0, len(pins)-maxPins):]
 	s.setRelease(c.Model, release)
 	return s.answer(true)
--- a/declarer/state_test.go
+++ b/declarer/state_test.go
@@ -131,6 +131,21 @@
 	require.True(t, release.WantedSince(3).IsZero())
 }
 
+// Guards against numbers that differ by more than half of their range, which were sorted the
+// wrong way round, so that the newest pin was dropped.
+func TestNewestPinsAreKept(t *testing.T) {
+	h := newHarness()
+	const half declarer.ReleaseNumber = 1 << 63
+	h.apply(t, &declarer.NameRelease{Model: "summaries", Number: half + 3})
+	for _, n := range []declarer.ReleaseNumber{1, 2, half + 2, half + 3} {
+		h.apply(t, &declarer.PinRelease{Model: "summaries", Pinned: declarer.Pinned{Number: n, Digests: []identifier.Digest{{1}}}})
+	}
+	pins := h.state.Declared().Releases["summaries"].Pins
+	require.Len(t, pins, 2)
+	require.Equal(t, half+2, pins[0].Number)
+	require.Equal(t, half+3, pins[1].Number)
+}
+
 // TestStateAndViewsAgree applies random commands and checks that versions and
 // wanted releases never decrease, that a snapshot contains the whole state, and
 // that a view that is updated by deltas from random base versions equals the state.
