spreader: send summaries of suspects at most ten times a second

Cause: with parts of prompts a summary lists up to 256 suspects, and each report of a crash changes it. Seven entries that report five crashes a second would have sent 2 KiB to each entry 35 times a second, over links between regions that carry 21 Mbit/s for everything.

What is refused still goes out at once. spreader TestSummariesOfManyCrashesAreFew: without the interval 400 changes are sent as many as they come, with it about ten a second.

--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -20,6 +20,7 @@
 	"celeryvalve/declarer"
 	"celeryvalve/encoder"
 	"celeryvalve/identifier"
+	"celeryvalve/quarantiner"
 	"celeryvalve/registrar"
 	"celeryvalve/spreader"
 )
@@ -217,3 +218,34 @@
 	idle.Store(true)
 	eventuallyListed(replica, first)
 }
+
+// Guards against a series of crashes that fills the links between regions with summaries: of
+// those in which only suspects change, few are sent, and what is refused comes at once.
+func TestSummariesOfManyCrashesAreFew(t *testing.T) {
+	c := newCluster(t)
+	var received atomic.Int64
+	newest := make(chan quarantiner.Revision, 1<<16)
+	replica := c.process("north", true)
+	replica.SetReplicas(spreader.Replicas{Index: 1, Led: true, Addresses: []netip.AddrPort{replica.address}})
+	c.processWatching(func(s *spreader.Spreader) {
+		s.WatchQuarantine(func(summary quarantiner.Summary) {
+			received.Add(1)
+			newest <- summary.Revision
+		})
+	}, replica.address)
+	const crashes, pause = 400, 2 * time.Millisecond
+	began := time.Now()
+	for i := range crashes {
+		replica.SetQuarantine(quarantiner.Summary{Revision: quarantiner.Revision(i + 1), Suspects: []quarantiner.Fingerprint{quarantiner.Fingerprint(i + 1)}})
+		time.Sleep(pause)
+	}
+	most := int64(time.Since(began)/(100*time.Millisecond)) + 2
+	require.LessOrEqual(t, received.Load(), most)
+	last := quarantiner.Summary{Revision: crashes + 1, Refused: []quarantiner.Refusal{{Fingerprint: 1, Until: 1}}}
+	replica.SetQuarantine(last)
+	for revision := range newest {
+		if revision == last.Revision {
+			return
+		}
+	}
+}
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -144,7 +144,8 @@
 	includeLoads bool
 	loadRound    uint64
 	revision     declarer.Revision
-	quarantine   quarantiner.Revision
+	quarantine   quarantiner.Summary
+	quarantineAt time.Time
 	serving      []ServingEntry
 }
 
@@ -204,10 +205,10 @@
 		update.Loads = s.loadsSince(sent.loadRound)
 		sent.loadRound = s.loadRound
 	}
-	if sent.includeLoads && s.quarantine.Revision != sent.quarantine {
+	if sent.includeLoads && s.quarantineIsDue(sent) {
 		quarantine := s.quarantine
 		update.Quarantine = &quarantine
-		sent.quarantine = quarantine.Revision
+		sent.quarantine, sent.quarantineAt = quarantine, s.clock.Now()
 	}
 	return update, s.changed
 }
