placer: let an agent pull again after a cancelled transfer

Cause: a transfer that is cancelled for another release left the agent marked as pulling if the engine held that release already. If the engine then lost it, as after a restart, the agent never pulled it.

placer TestCancelledPullDoesNotBlockTheNext failed before and passes now.

--- a/placer/agent.go
+++ b/placer/agent.go
@@ -193,6 +193,7 @@
 	changed := a.target.model != model || a.target.pinned.Number != pinned.Number
 	if changed {
 		a.cancelPull()
+		a.pulling = false
 		a.target = target{model: model, pinned: pinned}
 		a.chunks = nil
 		if report.Release < pinned.Number {
