balancer: report once that a suspect had run to its end before

Cause: each request with a suspect part that was sent before the suspicion and ended after it made a command of its own, and these queue before the reports of crashes.

balancer TestProvenSuspectIsReportedOnce failed before (3 reports) and passes now.

--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -249,3 +249,33 @@
 		e.change(m.now)
 	}
 }
+
+// Guards against a series of reports that delays those of crashes: a suspect that had run to
+// its end before is reported once, however many of its requests end later.
+func TestProvenSuspectIsReportedOnce(t *testing.T) {
+	e := newCrashEntry("a", "b")
+	const part = quarantiner.Fingerprint(9)
+	begin := func(id string, now time.Time) {
+		q := fingerprinted(id, 0)
+		q.Parts = []quarantiner.Fingerprint{part}
+		require.IsType(t, balancer.Send{}, arrive(e.Reducer, now, q))
+	}
+	end := func(id string, now time.Time) {
+		e.Reduce(now, balancer.ResponseStarted{Request: identifier.RequestID(id), Status: 200})
+		e.Reduce(now, balancer.ResponseCompleted{Request: identifier.RequestID(id)})
+	}
+	for _, id := range []string{"before", "one", "two"} {
+		begin(id, start)
+	}
+	end("before", start.Add(time.Second))
+	suspected := start.Add(2 * time.Second)
+	e.Reduce(suspected, balancer.QuarantineChanged{Summary: quarantiner.Summary{Revision: 1, Suspects: []quarantiner.Fingerprint{part}}})
+	end("one", suspected.Add(time.Second))
+	end("two", suspected.Add(time.Second))
+	findings := e.TakeCrashFindings()
+	require.Equal(t, []quarantiner.Fingerprint{part}, findings.Proven)
+	require.Empty(t, findings.Cleared, "they were sent before the suspicion")
+	begin("after", suspected.Add(time.Second))
+	end("after", suspected.Add(2*time.Second))
+	require.Equal(t, []quarantiner.Fingerprint{part}, e.TakeCrashFindings().Cleared)
+}
--- a/balancer/quarantine.go
+++ b/balancer/quarantine.go
@@ -71,12 +71,15 @@
 	if f == 0 {
 		return
 	}
+	known := d.completed.contains(now, f)
 	d.completed.add(now, f)
 	since, suspected := d.suspects[f]
 	switch {
 	case !suspected:
 	case sentAt.Before(since):
-		d.findings.Proven = append(d.findings.Proven, f)
+		if !known { // otherwise that was reported when it became a suspect
+			d.findings.Proven = append(d.findings.Proven, f)
+		}
 	default:
 		delete(d.suspects, f)
 		d.findings.Cleared = append(d.findings.Cleared, f)
