--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -69,8 +69,8 @@
 	// nextIsolation is the earliest time at which a suspect may block others again.
 	nextIsolation time.Time
 	limit         *limiter.ConcurrencyLimit
-	// requestLimit is the limit on requests per second that the upstream names, and pacer
-	// spaces the starts of attempts by it. It is nil while there is none.
+	// requestLimit is the limit on requests per second that the upstream names. pacer
+	// spaces the starts of attempts by it, and is nil while no limit is in force.
 	requestLimit limiter.RequestLimit
 	pacer        *limiter.Pacer
 	// latency is the mean time to the start of the response, duration the mean time
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -12,9 +12,8 @@
 
 const (
 	// minShare is the least share of a limit that one entry gets, in requests per second,
-	// unless the limit itself is lower. An entry may send one request at once, so that all
-	// shares together allow a quarter of a request per second more than the limit for each
-	// request per second of it at most.
+	// unless the limit itself is lower. In any span each entry may send one request more
+	// than its share of it; with few shares that sum stays near the limit.
 	minShare = 4.0
 	// takeoverDelay is the time before an entry uses a share that another one may have
 	// used. Within it the other entry has learned that its share has passed on, or is not
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -50,8 +50,8 @@
 	// reportLifetime ago.
 	sendTimes []time.Time
 
-	// limit is what is known of the requests per second that the upstream accepts, and
-	// pacer spaces this entry's share of them. It is nil if the entry has none.
+	// limit is what is known of the requests per second that the upstream accepts. pacer
+	// spaces this entry's share of them, and is nil if the entry has none.
 	limit limiter.RequestLimit
 	pacer *limiter.Pacer
 
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -267,7 +267,7 @@
 // takesRequests reports whether callers send requests to this entry. Entries without any
 // get no share of an upstream's limit, which they would leave unused.
 func (e *entry) takesRequests() bool {
-	return !e.draining.Load() && e.clock.Since(e.relayer.IdleSince()) < idleAfter
+	return !e.draining.Load() && e.clock.Since(e.relayer.LastArrival()) < idleAfter
 }
 
 func (e *entry) updateServing(serving []spreader.ServingEntry) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -140,8 +140,8 @@
 	return r.idleLimits[addr]
 }
 
-// IdleSince returns when the last request of a caller arrived, or zero if none has.
-func (r *Relayer) IdleSince() time.Time {
+// LastArrival returns when the last request of a caller arrived, or zero if none has.
+func (r *Relayer) LastArrival() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.arrivedAt
