submitter: try a leader again that was late once

Cause: a replica that did not answer within a second was left alone for 3 s, even if all others named it as the leader, and a claim ends after 3 s. So one late answer, as of a disk that syncs slowly, cost the whole claim.

Change: it is left alone for a second. A frozen leader is replaced within about that time.

submitter TestSubmitReturnsToALeaderThatWasLateOnce failed before and passes now.

--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -16,8 +16,9 @@
 	callTimeout = time.Second
 	retryPause  = 100 * time.Millisecond
 	// skipDuration is how long a replica that did not answer is skipped, even if other
-	// replicas still name it as the leader.
-	skipDuration = 3 * time.Second
+	// replicas still name it as the leader. A frozen leader is replaced within about that
+	// time, and one that was late once is tried again while callers still wait.
+	skipDuration = time.Second
 )
 
 // Caller sends one request to an address and returns its answer.
--- a/submitter/submitter_test.go
+++ b/submitter/submitter_test.go
@@ -101,3 +101,38 @@
 	_, err := s.Submit(ctx, []byte("command"))
 	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
 }
+
+// Guards against a claim that ends unanswered, since a leader that was late once is left alone
+// for as long as callers wait (TestKilledEntryLeavesTheBookingToItsResend failed so once).
+func TestSubmitReturnsToALeaderThatWasLateOnce(t *testing.T) {
+	const callersWait = 3 * time.Second // a claim's timeout
+	clock := clockwork.NewFakeClock()
+	late := true
+	s := submitter.New(callerFunc(func(addr netip.AddrPort) (any, error) {
+		switch {
+		case addr != addresses[0]:
+			return &submitter.Refused{Kind: explainer.Unavailable, Leader: addresses[0]}, nil
+		case late:
+			late = false
+			clock.Advance(time.Second) // the call's timeout
+			return nil, context.DeadlineExceeded
+		default:
+			return "done", nil
+		}
+	}), addresses, clock)
+	began := clock.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for clock.BlockUntilContext(ctx, 1) == nil {
+			if clock.Since(began) > callersWait {
+				cancel()
+				return
+			}
+			clock.Advance(100 * time.Millisecond) // the pause between two tries
+		}
+	}()
+	result, err := s.Submit(ctx, []byte("command"))
+	require.NoError(t, err)
+	require.Equal(t, "done", result)
+}
