balancer: bound the suspects of one report

Cause: a report of a crash listed every part of up to 256 requests, 32 each, and each beyond the bound of the replicated state costs a search for the one to drop: eight thousand of them are a second of every replica's time, at the will of whoever sends such prompts.

The latest requests are listed first, 512 suspects at most. balancer TestReportOfManyPartsIsBounded.

--- a/balancer/crash.go
+++ b/balancer/crash.go
@@ -22,6 +22,9 @@
 	survivalTime = 500 * time.Millisecond
 	// maxLosses bounds the lost attempts that are kept for one upstream.
 	maxLosses = 256
+	// maxReportedSuspects bounds the suspects of one report, whatever number of parts
+	// callers name in their prompts.
+	maxReportedSuspects = 512
 )
 
 // process is one incarnation of an upstream.
@@ -236,8 +239,11 @@
 			report.At = l.at
 		}
 	}
-	for _, l := range losses {
+	for _, l := range slices.Backward(losses) { // the latest are the likeliest
 		*l.crashes++
+		if len(report.InFlight)+len(l.suspects) > maxReportedSuspects {
+			continue
+		}
 		for _, suspect := range l.suspects {
 			suspect.Crashes = *l.crashes
 			suspect.Age = max(0, report.At.Sub(l.firstSentAt))
--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -279,3 +279,25 @@
 	end("after", suspected.Add(2*time.Second))
 	require.Equal(t, []quarantiner.Fingerprint{part}, e.TakeCrashFindings().Cleared)
 }
+
+// Guards against callers who fill the replicated state with the parts of their prompts: a
+// report of a crash has a bounded number of suspects, those of the latest requests.
+func TestReportOfManyPartsIsBounded(t *testing.T) {
+	e := newCrashEntry("a")
+	const requests, parts, most = 200, 30, 512
+	for i := range requests {
+		q := fingerprinted(fmt.Sprint("x", i), quarantiner.Fingerprint(i+1))
+		for p := range parts {
+			q.Parts = append(q.Parts, quarantiner.Fingerprint(1000+parts*i+p))
+		}
+		require.IsType(t, balancer.Send{}, arrive(e.Reducer, start, q))
+	}
+	for i := range requests {
+		e.Reduce(start.Add(time.Duration(i)*time.Millisecond), balancer.AttemptFailed{Request: requestID(fmt.Sprint("x", i)), Cause: balancer.ConnectionLost})
+	}
+	e.Reduce(start.Add(time.Second), balancer.ConnectionRefused{Upstream: "a", Incarnation: 1})
+	crashes := e.TakeCrashFindings().Crashes
+	require.Len(t, crashes, 1)
+	require.LessOrEqual(t, len(crashes[0].InFlight), most)
+	require.Equal(t, quarantiner.Fingerprint(requests), crashes[0].InFlight[0].Fingerprint)
+}
--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -115,16 +115,16 @@
 	crash := Crash{ID: crashID(m.Upstream, m.Incarnation), At: now.after(-m.Ago)}
 	q.countCrash(m, crash)
 	refusedPart := q.refusedPartOf(m)
-	var counted []Fingerprint // several requests in flight may have the same one
+	counted := make(map[Fingerprint]bool) // several requests in flight may have the same one
 	for _, request := range m.InFlight {
 		f := request.Fingerprint
 		explained := request.Part && (refusedPart != 0 && refusedPart != f || q.wasCleared(f, now))
-		if !explained && !slices.Contains(counted, f) {
-			counted = append(counted, f)
+		if !explained && !counted[f] {
+			counted[f] = true
 			q.addSuspect(request, crash, revision)
 		}
 	}
-	q.judge(counted, revision)
+	q.judge(slices.Collect(maps.Keys(counted)), revision)
 	return q.answer()
 }
 
