quarantiner: name the evidence about parts after what it says

Proven did not say of what: a request with the part had run to its end before it became a suspect. Witness held the crashes at which a part was. CompletedBefore and PartHistory do. No behaviour changes.

--- a/balancer/crash.go
+++ b/balancer/crash.go
@@ -54,10 +54,10 @@
 // CrashFindings is what the reducer found out about crashes since it was last asked.
 type CrashFindings struct {
 	Crashes []CrashReport
-	// Cleared are suspects of the quarantine that ran to their end, and Proven those that
-	// had done so before they became suspects.
-	Cleared []quarantiner.Fingerprint
-	Proven  []quarantiner.Fingerprint
+	// Cleared are suspects of the quarantine that ran to their end, and CompletedBefore
+	// those that had done so before they became suspects.
+	Cleared         []quarantiner.Fingerprint
+	CompletedBefore []quarantiner.Fingerprint
 	// Probes are upstreams that lost connections. Whether they accept new ones tells a
 	// crash from a reset. ConnectionRefused follows if they don't.
 	Probes []UpstreamView
@@ -153,7 +153,7 @@
 	}
 	for _, f := range s.Parts {
 		part := base
-		part.Fingerprint, part.Part, part.Proven = f, true, d.completed.contains(now, f)
+		part.Fingerprint, part.Part, part.CompletedBefore = f, true, d.completed.contains(now, f)
 		part.Beside = slices.DeleteFunc(slices.Clone(s.Parts), func(g quarantiner.Fingerprint) bool { return g == f })
 		list = append(list, part)
 	}
--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -273,7 +273,7 @@
 	end("one", suspected.Add(time.Second))
 	end("two", suspected.Add(time.Second))
 	findings := e.TakeCrashFindings()
-	require.Equal(t, []quarantiner.Fingerprint{part}, findings.Proven)
+	require.Equal(t, []quarantiner.Fingerprint{part}, findings.CompletedBefore)
 	require.Empty(t, findings.Cleared, "they were sent before the suspicion")
 	begin("after", suspected.Add(time.Second))
 	end("after", suspected.Add(2*time.Second))
--- a/balancer/part_rule_test.go
+++ b/balancer/part_rule_test.go
@@ -207,8 +207,10 @@
 			}
 		})
 	}
-	if len(findings.Cleared)+len(findings.Proven) > 0 {
-		w.submit(func() any { return &quarantiner.ClearSuspects{Fingerprints: findings.Cleared, Proven: findings.Proven} })
+	if len(findings.Cleared)+len(findings.CompletedBefore) > 0 {
+		w.submit(func() any {
+			return &quarantiner.ClearSuspects{Fingerprints: findings.Cleared, CompletedBefore: findings.CompletedBefore}
+		})
 	}
 }
 
--- a/balancer/quarantine.go
+++ b/balancer/quarantine.go
@@ -27,7 +27,7 @@
 		}
 		suspects[f] = since
 		if !known && d.completed.contains(now, f) {
-			d.findings.Proven = append(d.findings.Proven, f)
+			d.findings.CompletedBefore = append(d.findings.CompletedBefore, f)
 		}
 	}
 	d.suspects = suspects
@@ -78,7 +78,7 @@
 	case !suspected:
 	case sentAt.Before(since):
 		if !known { // otherwise that was reported when it became a suspect
-			d.findings.Proven = append(d.findings.Proven, f)
+			d.findings.CompletedBefore = append(d.findings.CompletedBefore, f)
 		}
 	default:
 		delete(d.suspects, f)
--- a/placer/crash.go
+++ b/placer/crash.go
@@ -82,10 +82,10 @@
 	})
 }
 
-// ClearSuspects queues the report that suspects ran to their end, or that proven ones had
+// ClearSuspects queues the report that suspects ran to their end, or that others had
 // done so before.
-func (c *crashReporter) ClearSuspects(cleared, proven []quarantiner.Fingerprint) {
-	c.enqueue(func() any { return &quarantiner.ClearSuspects{Fingerprints: cleared, Proven: proven} })
+func (c *crashReporter) ClearSuspects(cleared, completedBefore []quarantiner.Fingerprint) {
+	c.enqueue(func() any { return &quarantiner.ClearSuspects{Fingerprints: cleared, CompletedBefore: completedBefore} })
 }
 
 func (c *crashReporter) enqueue(command func() any) {
--- a/quarantiner/command.go
+++ b/quarantiner/command.go
@@ -39,9 +39,9 @@
 	Part bool `cbor:",omitempty" json:",omitempty"`
 	// Beside are the other such parts of the same prompt.
 	Beside []Fingerprint `cbor:",omitempty" json:",omitempty"`
-	// Proven says that a request with the part has run to its end before. It may have
+	// CompletedBefore says that a request with the part has run to its end before. It may have
 	// become what crashes upstreams since.
-	Proven bool `cbor:",omitempty" json:",omitempty"`
+	CompletedBefore bool `cbor:",omitempty" json:",omitempty"`
 }
 
 // ClearSuspects removes fingerprints from the list of suspects, either because an
@@ -49,9 +49,9 @@
 type ClearSuspects struct {
 	Fingerprints []Fingerprint
 	Operator     identifier.Operator
-	// Proven are suspect parts with which requests ran to their end before they became
-	// suspects. They stay suspects, see InFlight.Proven.
-	Proven []Fingerprint `cbor:",omitempty"`
+	// CompletedBefore are suspect parts with which requests ran to their end before they became
+	// suspects. They stay suspects, see InFlight.CompletedBefore.
+	CompletedBefore []Fingerprint `cbor:",omitempty"`
 }
 
 // Answer is the answer to ReportCrash and ClearSuspects.
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -18,9 +18,9 @@
 	// so that they count as minRounds or little more.
 	minSeriesPresence = 0.5
 	minRounds         = 2
-	// provenFactor is how much more evidence is needed against a part that was proven
+	// completedBeforeFactor is how much more evidence is needed against a part that was proven
 	// harmless before: as many times the crashes, and the share of all crashes.
-	provenFactor = 2
+	completedBeforeFactor = 2
 	// maxCompanions bounds the companions that are stored for one part.
 	maxCompanions = 8
 	// maxSeenCrashes is the number of latest crashes of a suspect that are told apart. All
@@ -66,8 +66,8 @@
 	Crashes     int // at which it was
 }
 
-// Witness is what tells parts that crash upstreams from those in flight beside them.
-type Witness struct {
+// PartHistory is what tells parts that crash upstreams from those in flight beside them.
+type PartHistory struct {
 	// Presence is the number of crashes at which the part was in flight, whether they
 	// count or not, and Since the number of all crashes of the service at the first one.
 	Presence int    `cbor:",omitempty" json:",omitempty"`
@@ -121,28 +121,28 @@
 }
 
 // add records that the part was in flight at a crash, with its companions.
-func (w *Witness) add(part InFlight, crash Crash, crashes uint64) {
-	seen, isNew := appendCrash(w.SeenCrashes, crash, maxSeenCrashes)
+func (h *PartHistory) add(part InFlight, crash Crash, crashes uint64) {
+	seen, isNew := appendCrash(h.SeenCrashes, crash, maxSeenCrashes)
 	if !isNew {
 		return
 	}
-	if w.Presence == 0 {
-		w.Since = crashes
+	if h.Presence == 0 {
+		h.Since = crashes
 	}
-	w.Presence++
-	w.SeenCrashes = seen
-	w.Companions = slices.Clone(w.Companions)
+	h.Presence++
+	h.SeenCrashes = seen
+	h.Companions = slices.Clone(h.Companions)
 	for _, f := range part.Beside {
-		i := slices.IndexFunc(w.Companions, func(c Companion) bool { return c.Fingerprint == f })
+		i := slices.IndexFunc(h.Companions, func(c Companion) bool { return c.Fingerprint == f })
 		switch {
 		case i >= 0:
-			w.Companions[i].Crashes++
-		case len(w.Companions) < maxCompanions:
-			w.Companions = append(w.Companions, Companion{Fingerprint: f, Crashes: 1})
+			h.Companions[i].Crashes++
+		case len(h.Companions) < maxCompanions:
+			h.Companions = append(h.Companions, Companion{Fingerprint: f, Crashes: 1})
 		default:
-			rarest := slices.MinFunc(w.Companions, func(a, b Companion) int { return cmp.Compare(a.Crashes, b.Crashes) })
-			j := slices.Index(w.Companions, rarest)
-			w.Companions[j] = Companion{Fingerprint: f, Crashes: 1}
+			rarest := slices.MinFunc(h.Companions, func(a, b Companion) int { return cmp.Compare(a.Crashes, b.Crashes) })
+			j := slices.Index(h.Companions, rarest)
+			h.Companions[j] = Companion{Fingerprint: f, Crashes: 1}
 		}
 	}
 }
@@ -157,8 +157,8 @@
 	crashes := float64(q.evidence.Crashes[s.Service] - s.Since + 1)
 	share := float64(s.Presence) / crashes
 	counted := min(s.Crashes, s.Presence)
-	if s.Proven {
-		return counted >= provenFactor*needed && share >= provenFactor*minPresence
+	if s.CompletedBefore {
+		return counted >= completedBeforeFactor*needed && share >= completedBeforeFactor*minPresence
 	}
 	// Crashes at about the same time count as one, but a part that has never run to its end
 	// and was at most of them is not there by chance.
@@ -171,14 +171,14 @@
 // many crashes again.
 func (q *Quarantine) isExplained(s Suspect) bool {
 	return slices.ContainsFunc(q.companionsOf(s), func(other Suspect) bool {
-		return s.Proven && !other.Proven || s.Proven == other.Proven && 2*other.Presence >= 3*s.Presence
+		return s.CompletedBefore && !other.CompletedBefore || s.CompletedBefore == other.CompletedBefore && 2*other.Presence >= 3*s.Presence
 	})
 }
 
 // rivalOf returns a companion of the suspect that may as well be the cause of its crashes.
 func (q *Quarantine) rivalOf(s Suspect) (Fingerprint, bool) {
 	for _, other := range q.companionsOf(s) {
-		if s.Proven == other.Proven && 2*s.Presence < 3*other.Presence {
+		if s.CompletedBefore == other.CompletedBefore && 2*s.Presence < 3*other.Presence {
 			return other.Fingerprint, true
 		}
 	}
--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -65,8 +65,8 @@
 	// Refused reports whether requests with the fingerprint are refused on all
 	// upstreams.
 	Refused bool `cbor:",omitempty"`
-	// Witness is set for parts of prompts.
-	Witness
+	// PartHistory is set for parts of prompts.
+	PartHistory
 }
 
 // CrashID is a hash that identifies a crash within a round, whoever reports it.
@@ -162,9 +162,9 @@
 			q.recordCleared(fingerprint, now)
 		}
 	}
-	for _, fingerprint := range m.Proven {
+	for _, fingerprint := range m.CompletedBefore {
 		if s, ok := q.suspects[fingerprint]; ok && s.Part {
-			s.Proven = true
+			s.CompletedBefore = true
 			q.suspects[fingerprint] = s
 		}
 	}
@@ -194,7 +194,7 @@
 	}
 	if request.Part {
 		s.add(request, crash, q.evidence.Crashes[request.Service])
-		request.Beside, request.Proven = nil, request.Proven || s.Proven
+		request.Beside, request.CompletedBefore = nil, request.CompletedBefore || s.CompletedBefore
 	}
 	s.InFlight = request
 	if counts {
--- a/quarantiner/quarantine_test.go
+++ b/quarantiner/quarantine_test.go
@@ -90,7 +90,7 @@
 	part.Part, part.Service, part.Beside = true, "drafting", beside
 	list := []quarantiner.InFlight{part}
 	for _, f := range beside {
-		list = append(list, quarantiner.InFlight{Fingerprint: f, Part: true, Service: "drafting", Proven: f == shared, Beside: []quarantiner.Fingerprint{part.Fingerprint}})
+		list = append(list, quarantiner.InFlight{Fingerprint: f, Part: true, Service: "drafting", CompletedBefore: f == shared, Beside: []quarantiner.Fingerprint{part.Fingerprint}})
 	}
 	return report(upstream, "entry-1", list...)
 }
@@ -163,7 +163,7 @@
 // never refused although it has come to crash each upstream.
 func TestProvenPartNeedsMoreEvidence(t *testing.T) {
 	q := newPartQuarantine()
-	crashInTurn(q, 7, quarantiner.InFlight{Fingerprint: guilty, Proven: true})
+	crashInTurn(q, 7, quarantiner.InFlight{Fingerprint: guilty, CompletedBefore: true})
 	require.Empty(t, refusedOf(q))
 	crashInTurn(q, 1, quarantiner.InFlight{Fingerprint: guilty})
 	require.Equal(t, []quarantiner.Fingerprint{guilty}, refusedOf(q))
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -22,7 +22,7 @@
 	ReportCrash(r balancer.CrashReport)
 	// ClearSuspects reports suspects that ran to their end, and those that had done so
 	// before they became suspects.
-	ClearSuspects(cleared, proven []quarantiner.Fingerprint)
+	ClearSuspects(cleared, completedBefore []quarantiner.Fingerprint)
 }
 
 // ChangeQuarantine replaces the summary of the quarantine.
@@ -42,8 +42,8 @@
 			zap.Uint64s("fingerprints", fingerprints))
 		r.reporter.ReportCrash(c)
 	}
-	if len(findings.Cleared)+len(findings.Proven) > 0 {
-		r.reporter.ClearSuspects(findings.Cleared, findings.Proven)
+	if len(findings.Cleared)+len(findings.CompletedBefore) > 0 {
+		r.reporter.ClearSuspects(findings.Cleared, findings.CompletedBefore)
 	}
 	for _, v := range findings.Probes {
 		r.clock.AfterFunc(probeDelay, func() { r.probe(v) })
