spreader: fetch a revision that is announced during a fetch

Each replica also computed and compressed the same difference for each of its followers, up to 30 at once.

A process now fetches until it has the highest revision that it was told of, and a replica keeps its answers for one revision.

--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -80,6 +80,10 @@
 	cancel           context.CancelFunc
 	done             sync.WaitGroup
 
+	// fetchMu guards fetchAnswers.
+	fetchMu      sync.Mutex
+	fetchAnswers fetchAnswers
+
 	mu sync.Mutex
 	// changed is closed and replaced whenever the streams have a change to send.
 	changed  chan struct{}
@@ -115,6 +119,8 @@
 	startedAt       time.Time
 	// fetchStarted is when the current fetch started, or zero.
 	fetchStarted time.Time
+	// announced is the highest revision that a replica has told.
+	announced declarer.Revision
 	// statuses holds the status of each followed replica that has sent an update.
 	statuses map[netip.AddrPort]replicaStatus
 }
