fetcher: bound what all members read from the origin at once

Mirrors read up to two chunks of each of 8 stripes at once, over two connections each: reads queued for a connection, timed out after 1.5 s and were repeated, and what was being read when the origin was lost was read again.

OriginReads bounds the reads over all members; each takes its part. The stripes take turns, so that all advance. Ticks, on which failed reads are repeated, come every 0.1 s instead of 0.25 s. The log line of a verified release says where its chunks came from.

--- a/fetcher/lease.go
+++ b/fetcher/lease.go
@@ -113,7 +113,7 @@
 // readChunk starts to read a chunk from the origin, which uses up its lease. It
 // reports false if the source can't be read now.
 func (f *Fetcher) readChunk(now time.Time, t *transfer, s *stripe, i verifier.ChunkIndex) (Effect, bool) {
-	if s.originReads >= f.cfg.OriginReadsPerStripe || now.Before(f.originRetryAt[t.want.Source]) {
+	if s.originReads >= f.cfg.OriginReadsPerStripe || !f.mayReadOrigin(t) || now.Before(f.originRetryAt[t.want.Source]) {
 		return nil, false
 	}
 	expires := s.lease.unread[i]
@@ -125,9 +125,20 @@
 	delete(s.lease.unread, i)
 	s.lease.spent[i] = true
 	t.startFetch(now, i, fetch{source: Origin, expires: expires})
+	t.nextStripe = t.stripeOf(i) + 1
 	return FetchChunkFromOrigin{Manifest: t.want.Manifest, Chunk: i, Source: t.want.Source, Expires: expires}, true
 }
 
+// mayReadOrigin reports whether this member's part of OriginReads has room. There are at
+// most as many readers as stripes.
+func (f *Fetcher) mayReadOrigin(t *transfer) bool {
+	if f.cfg.OriginReads == 0 {
+		return true
+	}
+	readers := max(1, min(len(t.peers), len(t.stripes)))
+	return t.originReads < (f.cfg.OriginReads+readers-1)/readers
+}
+
 // requestLease requests a lease on the range, unless a request is pending or has to
 // wait.
 func (f *Fetcher) requestLease(now time.Time, t *transfer, s *stripe, r Range, regrant bool) []Effect {
--- a/fetcher/pull.go
+++ b/fetcher/pull.go
@@ -24,7 +24,11 @@
 		return nil
 	}
 	var effects []Effect
-	for n := range t.stripes {
+	// The stripes take turns, so that all of them advance where only a few chunks may be
+	// read at once.
+	first := t.nextStripe
+	for i := range t.stripes {
+		n := (first + i) % len(t.stripes)
 		s := &t.stripes[n]
 		if s.lowest == s.end {
 			continue
@@ -248,7 +252,7 @@
 			continue
 		}
 		idle := now.Sub(t.lastProgress) >= deadline
-		if !idle && t.arrivals-s.arrivalsAtProgress < arrivalsBeforeStall*len(t.stripes) {
+		if !idle && t.arrivals-s.arrivalsAtProgress < min(arrivalsBeforeStall*len(t.stripes), t.manifest.ChunkCount()/2) {
 			continue
 		}
 		effects = append(effects, f.handleStall(now, t, s)...)
--- a/fetcher/transfer.go
+++ b/fetcher/transfer.go
@@ -71,6 +71,8 @@
 	ejections             map[identifier.Upstream]ejection
 	histories             map[identifier.Upstream]*history
 	activeProbes          int
+	originReads           int       // fetches from the origin, over all stripes
+	nextStripe            int       // the stripe whose window is filled first
 	deadlineDoublings     int       // doublings of the progress deadline
 	deadlineDoubledAt     time.Time // when it was last doubled
 	arrivalsSinceAdjusted int       // chunks since the last stall or halving
@@ -229,6 +231,7 @@
 	switch {
 	case f.source.IsOrigin():
 		s.originReads += n
+		t.originReads += n
 	case f.wait:
 		s.ancestorFetches += n
 	default:
--- a/transferrer/transferrer.go
+++ b/transferrer/transferrer.go
@@ -40,7 +40,7 @@
 }
 
 const (
-	tickInterval = 250 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
 	eventBacklog = 256
 )
 
@@ -281,11 +281,21 @@
 	case fetcher.Failed:
 		t.log.Error("Transfer is blocked until an operator acts.", zap.String("Problem", e.Problem), zap.String("Remedy", e.Remedy))
 	case fetcher.Completed:
-		t.log.Info("Weights are verified.", zap.Stringer("Manifest", e.Weights.Manifest().Digest()))
+		t.logCompleted(e.Weights.Manifest().Digest())
 	}
 	t.OnEffect(effect)
 }
 
+// logCompleted logs where the chunks of a verified release came from.
+func (t *Transferrer) logCompleted(manifest identifier.Digest) {
+	for _, p := range t.Snapshot() {
+		if p.Manifest == manifest {
+			t.log.Info("Weights are verified.", zap.Stringer("Manifest", manifest), zap.Int64("FromOrigin", int64(p.FromOrigin)),
+				zap.Int64("FromPeers", int64(p.FromPeers)), zap.Int64("Reused", int64(p.Reused)))
+		}
+	}
+}
+
 func (t *Transferrer) warn(message string, err error) {
 	t.log.Warn(message, zap.Error(err))
 }
