--- a/placer/pinner.go
+++ b/placer/pinner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
@@ -59,7 +60,9 @@
 func (p *pinner) pinRelease(ctx context.Context, node *replicaNode, declaration declarer.Declaration, model identifier.Model, n declarer.ReleaseNumber) {
 	ctx, cancel := context.WithTimeout(ctx, pinTimeout)
 	defer cancel()
+	started := time.Now()
 	pinned, err := p.readDigests(ctx, declaration, model, n)
+	read := time.Since(started)
 	if err == nil {
 		var data []byte
 		data, err = declarer.EncodeCommand(&declarer.PinRelease{Model: model, Pinned: pinned})
@@ -69,7 +72,7 @@
 	}
 	log := p.log.With(zap.String("model", string(model)), zap.Uint64("release", uint64(n)))
 	if err == nil {
-		log.Info("Pinned a release.")
+		log.Info("Pinned a release.", zap.Duration("read", read), zap.Duration("after", time.Since(started)))
 	} else {
 		log.Warn("Can't pin a release yet.", zap.Error(err))
 		time.Sleep(pinRetryDelay)
@@ -87,19 +90,39 @@
 	return readManifest(ctx, origin, model, n)
 }
 
-// readManifest reads the manifest until matchingReads copies in a row are equal.
+// readManifest reads the manifest until matchingReads copies in a row are equal. The
+// first copies are read at once: the origin may be lost soon.
 func readManifest(ctx context.Context, origin *platform.OriginClient, model identifier.Model, n declarer.ReleaseNumber) (declarer.Pinned, error) {
-	var last declarer.Pinned
-	for matches := 0; matches < matchingReads; {
-		pinned, err := origin.Manifest(ctx, model, n)
+	copies := make([]declarer.Pinned, matchingReads)
+	var group errgroup.Group
+	for i := range copies {
+		group.Go(func() (err error) {
+			copies[i], err = origin.Manifest(ctx, model, n)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return declarer.Pinned{}, err
+	}
+	last, matches := copies[0], 1
+	for _, next := range copies[1:] {
+		last, matches = compareManifest(last, next, matches)
+	}
+	for matches < matchingReads {
+		next, err := origin.Manifest(ctx, model, n)
 		if err != nil {
-			return pinned, err
+			return next, err
 		}
-		if matches > 0 && pinned.ChunkSize == last.ChunkSize && slices.Equal(pinned.Digests, last.Digests) {
-			matches++
-			continue
-		}
-		last, matches = pinned, 1
+		last, matches = compareManifest(last, next, matches)
 	}
 	return last, nil
 }
+
+// compareManifest returns the copy that was read last, and how many equal ones were read
+// in a row.
+func compareManifest(last, next declarer.Pinned, matches int) (declarer.Pinned, int) {
+	if next.ChunkSize == last.ChunkSize && slices.Equal(next.Digests, last.Digests) {
+		return next, matches + 1
+	}
+	return next, 1
+}
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -49,6 +49,7 @@
 		log:      deps.Log.Named("replica"),
 	}
 	r.reconciler = repeater.New(r.clock, replicaReconcileInterval, r.reconcile)
+	deps.View.Watch(r.reconciler.Trigger) // a named release is pinned at once
 	return r
 }
 
