placer: pass weights on from every entry to the instances of its region

With the origin lost in a release, requests that mirrors kept, waiting for it, timed out after 2.5 s: the mirrors were not asked for 1.5 s, and after 3 s each instance turned to the origin, which all of them asked as it returned. Mirrors that were restarted read what the others held again, and one that was the root of three stripes of 8 kept the origin's link half empty at the end.

Change. - Each entry without a disk caches the wanted release in memory, and the one before it, and passes on each chunk as it arrives, within 0.85 of its link (transferrer.Cache). - Control replicas tell agents the entries of their region (spreader). - An instance spreads its chunks over all sources of its region. A source that says that it is alive is not given up; a late chunk is looked for elsewhere by requests that don't wait. Caches without a mirror agree on one of them for each chunk that crosses to another region. The origin is asked only if no other source lives (puller.Plan). - Mirrors divide a release into 32 stripes and read 8 chunks at once over all of them; one that learns of the declared state after a release was pinned asks the others first.

--- a/placer/agent.go
+++ b/placer/agent.go
@@ -14,7 +14,6 @@
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
 	"celeryvalve/platform"
-	"celeryvalve/puller"
 	"celeryvalve/registrar"
 	"celeryvalve/repeater"
 	"celeryvalve/spreader"
@@ -30,10 +29,6 @@
 	stageTimeout = 10 * time.Second
 	// stageAttempts is how many times a chunk that reads back corrupt is written.
 	stageAttempts = 3
-	// localMirrorAttempts and localMirrorRetryDelay limit the wait for a mirror in
-	// this region.
-	localMirrorAttempts   = 12
-	localMirrorRetryDelay = 50 * time.Millisecond
 )
 
 func agentModule() fx.Option {
@@ -50,7 +45,6 @@
 	spreader   *spreader.Spreader
 	endpoint   *connector.Endpoint
 	engine     *platform.EngineClient
-	puller     *puller.Puller
 	origins    originCache
 	clock      clockwork.Clock
 	log        *zap.Logger
@@ -64,11 +58,8 @@
 	mu      sync.Mutex
 	reducer *stager.Reducer
 	target  target
-	// cancelPull stops the current transfer once another release is wanted.
-	cancelPull context.CancelFunc
-	pulling    bool
-	// chunks holds the chunks of target by digest, or is nil until all have arrived.
-	chunks  map[identifier.Digest][]byte
+	// pulls holds the transfers by release.
+	pulls   map[declarer.ReleaseNumber]*pull
 	serving *declarer.ReleaseNumber
 }
 
@@ -86,14 +77,13 @@
 		spreader:  s,
 		endpoint:  e,
 		engine:    platform.NewEngine(placement.Upstream),
-		puller:    puller.New(clock, log),
 		clock:     clock,
 		log:       log.Named("agent"),
 		// Only the agent on the engine's instance sends it orders. The token is the
 		// start time, so that a restarted agent has a newer one.
-		token:      identifier.FencingToken(clock.Now().UnixMilli()),
-		reducer:    stager.New(stager.Config{RolloutTime: placement.Bounds.ReleaseDeadline}),
-		cancelPull: func() {},
+		token:   identifier.FencingToken(clock.Now().UnixMilli()),
+		reducer: stager.New(stager.Config{RolloutTime: placement.Bounds.ReleaseDeadline}),
+		pulls:   make(map[declarer.ReleaseNumber]*pull),
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.reconciler = repeater.New(clock, agentReconcileInterval, a.reconcile)
@@ -176,7 +166,7 @@
 	return turn
 }
 
-// followRelease starts the transfer of a newly wanted release and reports its progress
+// followRelease starts the transfers of a newly wanted release and reports their progress
 // to the reducer. Until the engine's service is known, the engine is assumed to serve
 // the only declared model.
 func (a *agent) followRelease(own registrar.Record, report stager.Report) {
@@ -185,33 +175,24 @@
 	if !ok {
 		return
 	}
-	pinned, ok := declared.Releases[model].Pin(declared.Releases[model].Wanted)
+	release := declared.Releases[model]
+	pinned, ok := release.Pin(release.Wanted)
 	if !ok {
 		return
 	}
 	a.mu.Lock()
-	changed := a.target.model != model || a.target.pinned.Number != pinned.Number
-	if changed {
-		a.cancelPull()
-		a.pulling = false
+	if a.target.model != model || a.target.pinned.Number != pinned.Number {
 		a.target = target{model: model, pinned: pinned}
-		a.chunks = nil
-		if report.Release < pinned.Number {
-			a.startPull(a.target)
-		}
-	} else if report.Release < pinned.Number && a.chunks == nil && !a.pulling {
-		a.startPull(a.target) // the engine lost the release
+		a.cancelPulls()
+	}
+	if report.Release < pinned.Number {
+		a.ensurePull(a.target)
 	}
-	held := a.chunks != nil
-	progress := float64(a.puller.Held()) / float64(len(pinned.Digests))
+	wanted := a.chooseGoal()
 	a.mu.Unlock()
-	a.reduce(stager.Wanted{
-		Model:        model,
-		Release:      pinned.Number,
-		Held:         held,
-		HeldFraction: progress,
-		WantedSince:  releaseStart(a.clock.Now(), declared.Releases[model].WantedSince(report.Release)),
-	})
+	wanted.Model = model
+	wanted.WantedSince = releaseStart(a.clock.Now(), release.WantedSince(report.Release))
+	a.reduce(wanted)
 }
 
 func modelOf(declared declarer.Declared, own registrar.Record) (identifier.Model, bool) {
@@ -231,69 +212,14 @@
 	return "", false
 }
 
-// startPull starts the transfer of t. The caller holds the lock.
-func (a *agent) startPull(t target) {
-	manifest, err := manifestOf(t.model, t.pinned)
-	if err != nil {
-		a.log.Error("Can't build the manifest of a pinned release.", zap.Error(err))
-		return
-	}
-	a.log.Info("Release is wanted.", zap.String("model", string(t.model)), zap.Uint64("release", uint64(t.pinned.Number)))
-	ctx, cancel := context.WithCancel(a.ctx)
-	a.cancelPull = cancel
-	a.pulling = true
-	// If no origin is declared, only the mirrors are asked.
-	origin, _ := a.origins.client(a.view.Declared().Declaration)
-	a.work.Go(func() {
-		a.awaitLocalMirror(ctx)
-		sources := sourcesOf(a.placement, a.spreader, a.endpoint, origin, t.model, manifest.Digest())
-		chunks, err := a.puller.Pull(ctx, t.pinned, sources)
-		defer a.reconciler.Trigger()
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if a.target.pinned.Number != t.pinned.Number {
-			return
-		}
-		a.pulling = false
-		if err == nil {
-			a.chunks = chunks
-		}
-		a.log.Info("Release has come.", zap.Uint64("release", uint64(t.pinned.Number)), zap.Error(err))
-	})
-}
-
-// awaitLocalMirror waits briefly until a mirror in this region is known. After a start
-// of the whole system the replicas learn of each other gradually, and a copy from
-// another region takes capacity of a slow link between regions.
-func (a *agent) awaitLocalMirror(ctx context.Context) {
-	for range localMirrorAttempts {
-		unknown := false
-		for _, addr := range a.spreader.ReplicaAddresses() {
-			region := a.spreader.RegionOf(addr)
-			if region == a.placement.Region {
-				return
-			}
-			unknown = unknown || region == ""
-		}
-		if !unknown {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-a.clock.After(localMirrorRetryDelay):
-		}
-	}
-}
-
 func (a *agent) reduce(event stager.Event) {
 	a.mu.Lock()
 	effects := a.reducer.Reduce(a.clock.Now(), event)
-	t, chunks := a.target, a.chunks
 	a.mu.Unlock()
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case stager.Stage:
+			t, chunks := a.chunksOf(e.Release)
 			a.work.Go(func() { a.stage(t, chunks) })
 		case stager.Order:
 			a.work.Go(func() { a.sendOrder(e) })
--- a/placer/agent_test.go
+++ b/placer/agent_test.go
@@ -11,7 +11,6 @@
 	"celeryvalve/asserter"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
-	"celeryvalve/puller"
 	"celeryvalve/registrar"
 	"celeryvalve/stager"
 )
@@ -33,12 +32,14 @@
 	clock := clockwork.NewFakeClock()
 	cancelled := false
 	a := &agent{
-		view: view, clock: clock, log: zap.NewNop(), puller: puller.New(clock, zap.NewNop()),
+		view: view, clock: clock, log: zap.NewNop(),
 		reducer: stager.New(stager.Config{RolloutTime: time.Second}),
-		target:  target{model: "m", pinned: declarer.Pinned{Number: 1}}, pulling: true,
-		cancelPull: func() { cancelled = true },
+		target:  target{model: "m", pinned: declarer.Pinned{Number: 1}},
+		pulls: map[declarer.ReleaseNumber]*pull{
+			1: {running: true, cancel: func() { cancelled = true }},
+		},
 	}
 	a.followRelease(registrar.Record{Upstream: "i-1", Service: "llm"}, stager.Report{Model: "m", Release: 2})
 	require.True(t, cancelled)
-	require.False(t, a.pulling)
+	require.Empty(t, a.pulls)
 }
--- a/placer/chunks.go
+++ b/placer/chunks.go
@@ -20,6 +20,9 @@
 	"celeryvalve/verifier"
 )
 
+// errNotHeld means that another release became wanted before the staging began.
+var errNotHeld = explainer.New(explainer.NotFound, "the chunks of the release are not held", "wait until the release that is wanted now has arrived")
+
 var errCorrupt = explainer.New(explainer.Corrupt, "staged chunks are corrupt after repeated writes", "check the engine's instance")
 
 // leaseDuration is how long the root of a stripe may read from the origin.
@@ -29,15 +32,21 @@
 // compute the same roots, so that each chunk is read about once.
 type lessor struct {
 	clock clockwork.Clock
+	// askPeers reports whether the release was mirrored before this process wanted it: the
+	// other mirrors may hold chunks that this one, restarted, would read again.
+	askPeers func(manifest identifier.Digest) bool
 }
 
-// Lease grants requests for the first copy and refuses all others.
+// Lease grants requests for the first copy and refuses all others. Chunks that other
+// mirrors may hold are granted once these were asked for them.
 func (l lessor) Lease(_ context.Context, request fetcher.RequestOriginLease) (fetcher.OriginLeaseAnswered, error) {
+	held := request.Copy == 0 && !request.Regrant && l.askPeers(request.Manifest)
 	return fetcher.OriginLeaseAnswered{
 		Manifest: request.Manifest,
 		Chunks:   request.Chunks,
 		Copy:     request.Copy,
-		Granted:  request.Copy == 0,
+		Granted:  request.Copy == 0 && !held,
+		Held:     held,
 		Expires:  l.clock.Now().Add(leaseDuration),
 	}, nil
 }
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -34,6 +34,14 @@
 	// the origin may become unavailable soon.
 	mirrorOriginReads = 2
 	mirrorReadAhead   = 1 << 10
+	// allOriginReads is how many chunks all mirrors read from the origin at once: enough
+	// to keep its link busy, though an answer takes 0.1 s besides its transfer. What is
+	// being read is lost if the origin fails.
+	allOriginReads = 8
+	// mirrorProbes is how many chunks a mirror that was restarted asks the others for at
+	// once, and mirrorProbeRate how many a second: a release in about a second.
+	mirrorProbes    = 16
+	mirrorProbeRate = 500
 	// mirrorUploads is how many chunks one mirror sends at once: as many as 32
 	// instances request, so that instances that freeze during a transfer do not block
 	// the others.
@@ -44,7 +52,7 @@
 	// skipped. It is short since mirrors seem to stall during an outage of the
 	// origin, but hold the missing chunks after it.
 	mirrorSourceBackoff = time.Second
-	chunkRetryDelay     = 150 * time.Millisecond
+	chunkRetryDelay     = 100 * time.Millisecond
 	// originReadTimeout limits the time of one read from the origin: four times what
 	// it takes while all mirrors read at once over a link of 10 Mbit/s.
 	originReadTimeout = 1500 * time.Millisecond
@@ -73,7 +81,13 @@
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 
-	// releases and lastPeers are used only by the goroutine of reconcile.
+	// inherited holds the releases that were pinned before this process first learned of
+	// the declared state: other mirrors may hold their chunks.
+	inheritedMu sync.Mutex
+	inherited   map[identifier.Digest]bool
+
+	// known, releases and lastPeers are used only by the goroutine of reconcile.
+	known     bool // the declared state has been seen
 	releases  map[identifier.Model]mirroredRelease
 	lastPeers map[identifier.Digest][]fetcher.Peer
 }
@@ -94,6 +108,7 @@
 		log:       log.Named("mirror"),
 		releases:  make(map[identifier.Model]mirroredRelease),
 		lastPeers: make(map[identifier.Digest][]fetcher.Peer),
+		inherited: make(map[identifier.Digest]bool),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	limit := identifier.ByteCount(storeMemoryFraction * float64(placement.Memory))
@@ -108,7 +123,7 @@
 		LeaseTimeout:          leaseTimeout,
 		Origin:                chunkOrigin{view, &originCache{}},
 	}
-	m.transferrer = transferrer.New(cfg, clock, store, transferrer.NewDialer(e), lessor{clock}, set, log, a)
+	m.transferrer = transferrer.New(cfg, clock, store, transferrer.NewDialer(e), lessor{clock: clock, askPeers: m.isInherited}, set, log, a)
 	m.cache = newWeightsCache(placement.DataFolder, store, clock, log)
 	m.transferrer.OnEffect = m.cacheRelease
 	for _, entry := range fetcher.Messages() {
@@ -124,6 +139,9 @@
 	cfg.Self = mirrorPeer(placement.InternalAddress, placement.Region)
 	cfg.Stripes = puller.Stripes
 	cfg.OriginReadsPerStripe = mirrorOriginReads
+	cfg.OriginReads = allOriginReads
+	cfg.ProbeWindow = mirrorProbes
+	cfg.ProbeRate, cfg.ProbeBurst = mirrorProbeRate, mirrorProbeRate
 	cfg.ReadAhead = mirrorReadAhead
 	cfg.LeasesPerStripe = 1
 	cfg.Uploads = mirrorUploads
@@ -177,12 +195,26 @@
 // reconcile starts to mirror newly wanted releases, and passes on changes of the list
 // of mirrors.
 func (m *mirror) reconcile(context.Context) {
-	for model, release := range m.view.Declared().Releases {
+	declared := m.view.Declared()
+	for model, release := range declared.Releases {
 		pinned, ok := release.Pin(release.Wanted)
 		if ok {
 			m.followRelease(model, pinned)
 		}
 	}
+	m.known = m.known || declared.Revision > 0
+}
+
+func (m *mirror) isInherited(manifest identifier.Digest) bool {
+	m.inheritedMu.Lock()
+	defer m.inheritedMu.Unlock()
+	return m.inherited[manifest]
+}
+
+func (m *mirror) inherit(manifest identifier.Digest) {
+	m.inheritedMu.Lock()
+	defer m.inheritedMu.Unlock()
+	m.inherited[manifest] = true
 }
 
 func (m *mirror) followRelease(model identifier.Model, pinned declarer.Pinned) {
@@ -205,6 +237,9 @@
 
 func (m *mirror) startMirroring(model identifier.Model, release mirroredRelease, manifest *verifier.Manifest) {
 	m.releases[model] = release
+	if !m.known {
+		m.inherit(release.manifest)
+	}
 	m.log.Info("Mirroring a release.", zap.String("model", string(model)), zap.Uint64("release", uint64(release.number)))
 	// Restored before the release is wanted, so that these chunks are not fetched.
 	// Chunks that no transfer wants yet are not dropped at once.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -183,7 +183,7 @@
 		return fx.Options(common, agentModule())
 	}
 	if placement.DataFolder == "" {
-		return fx.Options(common, entryModule(), fx.Supply((*replica)(nil)))
+		return fx.Options(common, entryModule(), cacheModule(), fx.Supply((*replica)(nil)))
 	}
 	return fx.Options(common, entryModule(), controlModule())
 }
--- a/placer/source.go
+++ b/placer/source.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"net/netip"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
 	"celeryvalve/connector"
 	"celeryvalve/declarer"
 	"celeryvalve/explainer"
@@ -30,43 +32,51 @@
 	}, pinned.Digests)
 }
 
-// mirrorSource requests chunks from one mirror.
-type mirrorSource struct {
-	address  netip.AddrPort
-	manifest identifier.Digest
-	endpoint *connector.Endpoint
-	self     identifier.Upstream
-}
-
-// String returns the address of the mirror.
-func (s mirrorSource) String() string {
-	return s.address.String()
+// peerSource requests chunks from a process that passes them on: a mirror or a cache.
+type peerSource struct {
+	candidate puller.Candidate
+	address   netip.AddrPort
+	manifest  identifier.Digest
+	endpoint  *connector.Endpoint
+	self      identifier.Upstream
+	clock     clockwork.Clock
 }
 
-// refusalRetryDelay is the delay before a mirror that refused a request is asked again:
-// it may learn of the release a little later than this process.
+// refusalRetryDelay is the delay before a process that refused a request is asked again:
+// it may learn of the release a little later than this one.
 const refusalRetryDelay = 100 * time.Millisecond
 
-// maxRefusals is how many times a mirror is asked again before another one is asked.
+// maxRefusals is how many times a process is asked again before another one is asked.
 const maxRefusals = 8
 
-// Chunk requests one chunk. It waits while the mirror itself fetches the chunk.
-func (s mirrorSource) Chunk(ctx context.Context, _ declarer.Pinned, i int) ([]byte, error) {
+// Candidate describes the process to a puller.Plan.
+func (s peerSource) Candidate() puller.Candidate {
+	return s.candidate
+}
+
+// Chunk requests one chunk. With wait it waits while the process itself fetches the chunk.
+func (s peerSource) Chunk(ctx context.Context, _ declarer.Pinned, i int, wait bool, alive func()) ([]byte, error) {
 	for refused := 0; ; refused++ {
-		data, err := s.requestChunk(ctx, i)
-		if explainer.KindOf(err) != explainer.NotFound || refused == maxRefusals {
+		data, err := s.requestChunk(ctx, i, wait, alive)
+		if explainer.KindOf(err) != explainer.NotFound {
 			return data, err
 		}
+		if !wait {
+			return nil, puller.ErrNotHeld
+		}
+		if refused == maxRefusals {
+			return nil, err
+		}
 		select {
 		case <-ctx.Done():
 			return nil, err
-		case <-time.After(refusalRetryDelay):
+		case <-s.clock.After(refusalRetryDelay):
 		}
 	}
 }
 
-func (s mirrorSource) requestChunk(ctx context.Context, i int) ([]byte, error) {
-	request := &fetcher.ChunkRequest{Manifest: s.manifest, Chunk: verifier.ChunkIndex(i), Upstream: s.self, Wait: true}
+func (s peerSource) requestChunk(ctx context.Context, i int, wait bool, alive func()) ([]byte, error) {
+	request := &fetcher.ChunkRequest{Manifest: s.manifest, Chunk: verifier.ChunkIndex(i), Upstream: s.self, Wait: wait}
 	stream, err := s.endpoint.Open(ctx, s.address, request)
 	if err != nil {
 		return nil, err
@@ -80,10 +90,12 @@
 		answer, ok := msg.(*fetcher.ChunkAnswer)
 		switch {
 		case !ok:
-			return nil, explainer.New(explainer.Corrupt, fmt.Sprintf("mirror answered with unexpected message %T", msg), "run compatible releases on all instances")
+			return nil, explainer.New(explainer.Corrupt, fmt.Sprintf("%s answered with unexpected message %T", s.address, msg), "run compatible releases on all instances")
 		case answer.Refused != "":
-			return nil, explainer.New(explainer.NotFound, string(answer.Refused), "try again, or ask another mirror")
-		case !answer.Delayed:
+			return nil, explainer.New(explainer.NotFound, string(answer.Refused), "try again, or ask another process")
+		case answer.Delayed:
+			alive()
+		default:
 			return answer.Data, nil
 		}
 	}
@@ -95,48 +107,62 @@
 	model  identifier.Model
 }
 
-// String returns the name of the source.
-func (originSource) String() string {
-	return "origin"
+// Candidate describes the origin to a puller.Plan.
+func (originSource) Candidate() puller.Candidate {
+	return puller.Candidate{Name: "origin", Tier: puller.Origin}
 }
 
 // Chunk reads one chunk.
-func (s originSource) Chunk(ctx context.Context, p declarer.Pinned, i int) ([]byte, error) {
+func (s originSource) Chunk(ctx context.Context, p declarer.Pinned, i int, _ bool, _ func()) ([]byte, error) {
 	return s.origin.Chunk(ctx, s.model, p.Number, i, p.ChunkSize)
 }
 
-// sourcesOf returns the mirrors, those of this region first, and then the origin if
-// there is one. Instances of one region start with different mirrors.
-func sourcesOf(placement parser.Placement, s *spreader.Spreader, e *connector.Endpoint, origin *platform.OriginClient,
-	model identifier.Model, manifest identifier.Digest) []puller.Source {
-	mirrors := s.ReplicaAddresses()
-	rank := func(a netip.AddrPort) uint64 {
-		h := fnv.New64a()
-		// Writing to a hash never fails.
-		_, _ = h.Write([]byte(placement.InternalAddress.String() + "|" + a.String()))
-		rank := h.Sum64() >> 1
-		if s.RegionOf(a) != placement.Region {
-			rank |= 1 << 63
+// sources finds the processes that pass weights on to this one.
+type sources struct {
+	placement parser.Placement
+	spreader  *spreader.Spreader
+	endpoint  *connector.Endpoint
+	clock     clockwork.Clock
+	// isCache is set if this process is a cache itself: the others are its peers.
+	isCache bool
+}
+
+// of returns the mirrors, the caches of this region and the origin, if there is one, as
+// they are known now.
+func (s sources) of(origin *platform.OriginClient, model identifier.Model, manifest identifier.Digest) []puller.Source {
+	var list []puller.Source
+	mirrors := s.spreader.ReplicaAddresses()
+	for _, address := range mirrors {
+		tier := puller.Remote
+		if s.spreader.RegionOf(address) == s.placement.Region {
+			tier = puller.Local
 		}
-		return rank
+		list = append(list, s.peer(address, tier, false, manifest))
 	}
-	slices.SortFunc(mirrors, func(a, b netip.AddrPort) int {
-		if rank(a) < rank(b) {
-			return -1
+	for _, address := range s.spreader.Caches() {
+		if address != s.placement.InternalAddress && !slices.Contains(mirrors, address) {
+			list = append(list, s.peer(address, puller.Local, s.isCache, manifest))
 		}
-		return 1
-	})
-	var sources []puller.Source
-	for _, address := range mirrors {
-		sources = append(sources, mirrorSource{
-			address:  address,
-			manifest: manifest,
-			endpoint: e,
-			self:     identifier.Upstream(placement.InternalAddress.String()),
-		})
 	}
 	if origin != nil {
-		sources = append(sources, originSource{origin: origin, model: model})
+		list = append(list, originSource{origin: origin, model: model})
+	}
+	return list
+}
+
+func (s sources) peer(address netip.AddrPort, tier puller.Tier, peer bool, manifest identifier.Digest) peerSource {
+	return peerSource{
+		candidate: puller.Candidate{Name: puller.SourceName(address.String()), Tier: tier, Peer: peer},
+		address:   address,
+		manifest:  manifest,
+		endpoint:  s.endpoint,
+		self:      identifier.Upstream(s.placement.InternalAddress.String()),
+		clock:     s.clock,
 	}
-	return sources
+}
+
+// newPuller returns a puller whose requests to other regions begin after remoteDelay.
+func newPuller(placement parser.Placement, remoteDelay time.Duration, clock clockwork.Clock, log *zap.Logger) *puller.Puller {
+	cfg := puller.Config{Self: puller.SourceName(placement.InternalAddress.String()), RemoteDelay: remoteDelay}
+	return puller.New(cfg, clock, log)
 }
--- a/placer/staging.go
+++ b/placer/staging.go
@@ -22,6 +22,9 @@
 }
 
 func (a *agent) stageChunks(ctx context.Context, t target, chunks map[identifier.Digest][]byte) error {
+	if chunks == nil {
+		return errNotHeld
+	}
 	missing := make([]int, len(t.pinned.Digests))
 	for i := range missing {
 		missing[i] = i
--- a/spreader/entries.go
+++ b/spreader/entries.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"slices"
 	"time"
 
 	"celeryvalve/identifier"
@@ -15,6 +17,8 @@
 // seenEntry is a process of an entry that follows this process.
 type seenEntry struct {
 	entry         ServingEntry
+	address       netip.AddrPort
+	region        identifier.Region
 	heardAt       time.Time
 	takesRequests bool
 }
@@ -30,6 +34,8 @@
 func (s *Spreader) noteEntry(f *FollowRequest, takesRequests bool) {
 	s.entriesSeen[fmt.Sprintf("%s/%d", f.Process, f.Start)] = seenEntry{
 		entry:         ServingEntry{Entry: identifier.Instance(f.Process), AvailabilityZone: f.AvailabilityZone},
+		address:       f.Address,
+		region:        f.Region,
 		heardAt:       s.clock.Now(),
 		takesRequests: takesRequests,
 	}
@@ -68,3 +74,31 @@
 		f(entries)
 	}
 }
+
+// Caches returns the addresses of the entries in this process's region, as the control
+// replica that it follows knows them.
+func (s *Spreader) Caches() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.caches
+}
+
+// cachesIn returns the followers of this control replica that are entries in the region.
+// The caller holds s.mu.
+func (s *Spreader) cachesIn(region identifier.Region) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, seen := range s.entriesSeen {
+		if seen.region == region && seen.address.IsValid() && s.clock.Since(seen.heardAt) <= heartbeatTimeout {
+			list = append(list, seen.address)
+		}
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return slices.Compact(list)
+}
+
+// updateCaches takes the list of a replica. A process that follows several replicas takes
+// that of any of them, since all know the same entries but for short times. The caller
+// holds s.mu.
+func (s *Spreader) updateCaches(list CacheList) {
+	s.caches = list.Addresses
+}
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -42,6 +42,9 @@
 	// Serving is set when the sender, a control replica, knows other entries that take
 	// requests than before.
 	Serving *ServingEntries `cbor:",omitempty"`
+	// Caches is set when the sender, a control replica, knows other entries in the
+	// receiver's region than before.
+	Caches *CacheList `cbor:",omitempty"`
 	// Replicas is set when the list changed. A control replica sends its own list,
 	// any other process the newest list that it has received, so that any process
 	// can be a seed.
@@ -53,7 +56,13 @@
 // isEmpty reports whether the update carries no more than Revision, Led, Entries and
 // TakesRequests.
 func (t *Update) isEmpty() bool {
-	return len(t.Records) == 0 && len(t.Refreshes) == 0 && len(t.Loads) == 0 && t.Replicas == nil && t.Quarantine == nil && t.Serving == nil
+	return len(t.Records) == 0 && len(t.Refreshes) == 0 && len(t.Loads) == 0 && t.Replicas == nil && t.Quarantine == nil && t.Serving == nil && t.Caches == nil
+}
+
+// CacheList lists the entries of one region, all of which pass on the weights that they
+// hold, by their addresses in rising order.
+type CacheList struct {
+	Addresses []netip.AddrPort
 }
 
 // Replicas is a list of the control replicas.
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -113,6 +113,8 @@
 	entriesSeen   map[string]seenEntry
 	entries       int
 	entryWatchers []func(int)
+	// caches holds the entries in this region, as a followed replica told them.
+	caches []netip.AddrPort
 	// takesRequests reports whether callers send requests to this process, or is nil.
 	takesRequests   func() bool
 	servingWatchers []func([]ServingEntry)
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -219,6 +219,19 @@
 	eventuallyListed(replica, first)
 }
 
+// Guards against instances that all pull from the one control replica of their region:
+// they learn of the other entries there, and only of those that are up.
+func TestAgentsLearnOfTheEntriesInTheirRegion(t *testing.T) {
+	c := newCluster(t)
+	hub := c.replica(1)
+	near, far := c.process("south", true, hub.address), c.process("north", true, hub.address)
+	agent := c.process("south", false, hub.address)
+	c.eventually(func() bool { return slices.Equal(agent.Caches(), []netip.AddrPort{near.address}) })
+	c.eventually(func() bool { return slices.Contains(far.Caches(), far.address) })
+	near.Stop()
+	c.eventually(func() bool { return len(agent.Caches()) == 0 })
+}
+
 // Guards against a series of crashes that fills the links between regions with summaries: of
 // those in which only suspects change, few are sent, and what is refused comes at once.
 func TestSummariesOfManyCrashesAreFew(t *testing.T) {
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -51,7 +51,7 @@
 	defer done.Wait()
 	done.Go(func() {
 		defer cancel()
-		s.sendUpdates(ctx, stream, follower.Loads)
+		s.sendUpdates(ctx, stream, &sentState{includeLoads: follower.Loads, follower: follower})
 	})
 	for {
 		update, err := s.receive(ctx, stream)
@@ -104,7 +104,7 @@
 	defer cancel()
 	done.Go(func() {
 		defer cancel()
-		s.sendUpdates(ctx, stream, !s.cfg.FollowAll)
+		s.sendUpdates(ctx, stream, &sentState{includeLoads: !s.cfg.FollowAll})
 	})
 	received := false
 	for {
@@ -139,6 +139,9 @@
 
 // sentState records what has been sent on one stream.
 type sentState struct {
+	// follower is the process at the other end, or nil if this process follows it.
+	follower     *FollowRequest
+	caches       []netip.AddrPort
 	cursor       registrar.Cursor
 	refreshRound uint64
 	replicas     *Replicas
@@ -152,8 +155,7 @@
 
 // sendUpdates sends changes and heartbeats until the stream breaks. Changes that
 // occur while an update is being sent are combined in the next one.
-func (s *Spreader) sendUpdates(ctx context.Context, stream *connector.Stream, includeLoads bool) {
-	sent := &sentState{includeLoads: includeLoads}
+func (s *Spreader) sendUpdates(ctx context.Context, stream *connector.Stream, sent *sentState) {
 	heartbeat := s.clock.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	heartbeatDue := true
@@ -193,6 +195,12 @@
 			}
 		}
 	}
+	if s.ownReplicas != nil && sent.follower != nil {
+		if caches := s.cachesIn(sent.follower.Region); !slices.Equal(caches, sent.caches) {
+			sent.caches = caches
+			update.Caches = &CacheList{Addresses: caches}
+		}
+	}
 	if known != sent.replicas {
 		sent.replicas = known
 		update.Replicas = known
@@ -246,6 +254,9 @@
 	if update.Replicas != nil {
 		s.updateReplicas(*update.Replicas)
 	}
+	if update.Caches != nil {
+		s.updateCaches(*update.Caches)
+	}
 	if changed {
 		s.signalChange()
 	}
--- a/transferrer/peer.go
+++ b/transferrer/peer.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"celeryvalve/connector"
 	"celeryvalve/explainer"
 	"celeryvalve/fetcher"
@@ -163,22 +165,27 @@
 	}
 }
 
-// waitToSend waits for the rate limiters. Meanwhile it sends the peer delay messages, so
-// that the peer does not treat this member as stalled.
+// waitToSend waits for the rate limiters.
 func (t *Transferrer) waitToSend(ctx context.Context, s Stream, peer identifier.Upstream, n int) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	go func() {
+	interval := t.cfg.Fetcher.ProgressDeadline / delayMessagesPerDeadline
+	return waitWithDelays(ctx, t.clock, interval, s, func(ctx context.Context) error {
 		if t.inOtherRegion(peer) {
 			if err := t.interRegionLimiter.wait(ctx, n); err != nil {
-				done <- err
-				return
+				return err
 			}
 		}
-		done <- t.uploadLimiter.wait(ctx, n)
-	}()
-	ticker := t.clock.NewTicker(t.cfg.Fetcher.ProgressDeadline / delayMessagesPerDeadline)
+		return t.uploadLimiter.wait(ctx, n)
+	})
+}
+
+// waitWithDelays returns once wait does. Meanwhile it sends the peer a delay message in
+// each interval, so that the peer does not treat this process as stalled.
+func waitWithDelays(ctx context.Context, clock clockwork.Clock, interval time.Duration, s Stream, wait func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- wait(ctx) }()
+	ticker := clock.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
