placer: let an empty engine load the release before the wanted one meanwhile

An agent whose engine is empty, and whose wanted release has not advanced for 0.7 s, pulls the one before it from the caches of its region, if at least 4 s of that one's time are left. Agents keep a complete release until the second next is wanted, so that an engine that crashes in a release has it at once.

TestEmptyEngineLoadsTheEarlierReleaseMeanwhile and TestEarlierReleaseIsNotPulledLate name the pattern.

--- a/declarer/release.go
+++ b/declarer/release.go
@@ -62,3 +62,15 @@
 	}
 	return Pinned{}, false
 }
+
+// PinBefore returns the newest pinned release before n, or the zero value if there is
+// none.
+func (r Release) PinBefore(n ReleaseNumber) Pinned {
+	var newest Pinned
+	for _, p := range r.Pins {
+		if p.Number < n && p.Number > newest.Number {
+			newest = p
+		}
+	}
+	return newest
+}
--- a/placer/agent.go
+++ b/placer/agent.go
@@ -58,7 +58,9 @@
 	mu      sync.Mutex
 	reducer *stager.Reducer
 	target  target
-	// pulls holds the transfers by release.
+	// earlier is the release before target that an empty engine may load meanwhile, or 0.
+	earlier declarer.ReleaseNumber
+	// pulls holds the transfers of these two releases.
 	pulls   map[declarer.ReleaseNumber]*pull
 	serving *declarer.ReleaseNumber
 }
@@ -183,12 +185,14 @@
 	a.mu.Lock()
 	if a.target.model != model || a.target.pinned.Number != pinned.Number {
 		a.target = target{model: model, pinned: pinned}
+		a.earlier = release.PinBefore(pinned.Number).Number
 		a.cancelPulls()
 	}
 	if report.Release < pinned.Number {
 		a.ensurePull(a.target)
+		a.ensureFallback(release, report)
 	}
-	wanted := a.chooseGoal()
+	wanted := a.chooseGoal(report)
 	a.mu.Unlock()
 	wanted.Model = model
 	wanted.WantedSince = releaseStart(a.clock.Now(), release.WantedSince(report.Release))
--- a/placer/agent_test.go
+++ b/placer/agent_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -11,7 +12,10 @@
 	"celeryvalve/asserter"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/parser"
 	"celeryvalve/registrar"
+	"celeryvalve/repeater"
+	"celeryvalve/spreader"
 	"celeryvalve/stager"
 )
 
@@ -43,3 +47,64 @@
 	require.True(t, cancelled)
 	require.Empty(t, a.pulls)
 }
+
+// Load pattern: the origin is lost in a release while engines are replaced. The new ones
+// hold nothing, and would serve nothing for seconds: they load the release before the wanted
+// one meanwhile.
+func TestEmptyEngineLoadsTheEarlierReleaseMeanwhile(t *testing.T) {
+	pin := func(n declarer.ReleaseNumber, chunk string) declarer.Pinned {
+		return declarer.Pinned{Number: n, ChunkSize: 5, Digests: []identifier.Digest{identifier.DigestOf([]byte(chunk))}}
+	}
+	clock := clockwork.NewFakeClock()
+	release := declarer.Release{
+		Wanted: 2,
+		Names:  []declarer.WantedRelease{{Number: 2, At: clock.Now()}},
+		Pins:   []declarer.Pinned{pin(1, "old"), pin(2, "new")},
+	}
+	view := declarer.NewView(asserter.Strict{})
+	placement := parser.Placement{Bounds: parser.PlatformLimits{ReleaseDeadline: 10 * time.Second}}
+	a := &agent{
+		placement: placement, view: view, clock: clock, log: zap.NewNop(),
+		spreader: spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{}), view, nil, clock, zap.NewNop()),
+		target:   target{model: "m", pinned: pin(2, "new")},
+		earlier:  1,
+	}
+	a.reconciler = repeater.New(clock, time.Second, func(context.Context) {})
+	a.ctx, a.cancel = context.WithCancel(t.Context())
+	a.cancel()
+	wanted := &pull{target: a.target, puller: newPuller(placement, 0, clock, zap.NewNop()), running: true, progressedAt: clock.Now()}
+	a.pulls = map[declarer.ReleaseNumber]*pull{2: wanted}
+
+	a.ensureFallback(release, stager.Report{})
+	require.Len(t, a.pulls, 1, "the wanted release may still arrive soon")
+	clock.Advance(fallbackDelay)
+	a.ensureFallback(release, stager.Report{Release: 1})
+	require.Len(t, a.pulls, 1, "an engine that serves needs no other release")
+	a.ensureFallback(release, stager.Report{})
+	require.Len(t, a.pulls, 2)
+	a.work.Wait()
+	require.Equal(t, stager.Wanted{Release: 2}, a.chooseGoal(stager.Report{}))
+	a.pulls[1].chunks = map[identifier.Digest][]byte{identifier.DigestOf([]byte("old")): []byte("old")}
+	require.Equal(t, stager.Wanted{Release: 1, Held: true, HeldFraction: 1}, a.chooseGoal(stager.Report{}))
+	require.Equal(t, stager.Wanted{Release: 2}, a.chooseGoal(stager.Report{Release: 1}), "it waits for the wanted release")
+	wanted.chunks = map[identifier.Digest][]byte{identifier.DigestOf([]byte("new")): []byte("new")}
+	require.EqualValues(t, 2, a.chooseGoal(stager.Report{}).Release)
+}
+
+// An earlier release whose time is nearly over is not worth its transfer.
+func TestEarlierReleaseIsNotPulledLate(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	release := declarer.Release{
+		Wanted: 2,
+		Names:  []declarer.WantedRelease{{Number: 2, At: clock.Now()}},
+		Pins:   []declarer.Pinned{{Number: 1}, {Number: 2}},
+	}
+	a := &agent{
+		placement: parser.Placement{Bounds: parser.PlatformLimits{ReleaseDeadline: 10 * time.Second}}, clock: clock,
+		target: target{model: "m", pinned: declarer.Pinned{Number: 2}}, earlier: 1,
+		pulls: map[declarer.ReleaseNumber]*pull{2: {running: true, progressedAt: clock.Now()}},
+	}
+	clock.Advance(10*time.Second - fallbackMargin + time.Millisecond)
+	a.ensureFallback(release, stager.Report{})
+	require.Len(t, a.pulls, 1)
+}
--- a/placer/pull.go
+++ b/placer/pull.go
@@ -20,6 +20,12 @@
 	// this region.
 	localMirrorAttempts   = 12
 	localMirrorRetryDelay = 50 * time.Millisecond
+	// fallbackDelay is how long no chunk of the wanted release may arrive before an empty
+	// engine is given the release before it.
+	fallbackDelay = 700 * time.Millisecond
+	// fallbackMargin is how long before the end of its time an earlier release is still
+	// worth its transfer, which takes half of it on a link of 8 Mbit/s.
+	fallbackMargin = 4 * time.Second
 )
 
 // pull is the transfer of one release to this instance.
@@ -48,15 +54,16 @@
 	}
 }
 
-// cancelPulls ends the transfers of other releases than the wanted one. The caller holds
-// a.mu.
+// cancelPulls ends the transfers that are running, since another release is wanted. Those
+// of target and earlier that are complete are kept, so that an engine that loses its
+// weights has them at once. The caller holds a.mu.
 func (a *agent) cancelPulls() {
 	for n, p := range a.pulls {
 		switch {
 		case p.running:
 			p.cancel()
 			delete(a.pulls, n)
-		case n != a.target.pinned.Number:
+		case n != a.target.pinned.Number && n != a.earlier:
 			delete(a.pulls, n)
 		}
 	}
@@ -115,11 +122,37 @@
 	})
 }
 
-// chooseGoal returns the release that the engine should load: the wanted one. The caller
+// ensureFallback starts the transfer of the release before the wanted one if the engine is
+// empty and the wanted one does not arrive, as while the origin is unavailable, and ends
+// it once it is of no more use. The caller holds a.mu.
+func (a *agent) ensureFallback(release declarer.Release, report stager.Report) {
+	wanted := a.pulls[a.target.pinned.Number]
+	earlier, ok := release.Pin(a.earlier)
+	if wanted == nil || !ok || report.Release != 0 {
+		return
+	}
+	if wanted.chunks != nil {
+		if p := a.pulls[earlier.Number]; p != nil && p.running {
+			p.cancel()
+		}
+		return
+	}
+	now := a.clock.Now()
+	left := a.placement.Bounds.ReleaseDeadline - now.Sub(releaseStart(now, release.WantedSince(earlier.Number)))
+	if left >= fallbackMargin && now.Sub(wanted.progressedAt) >= fallbackDelay {
+		a.ensurePull(target{model: a.target.model, pinned: earlier})
+	}
+}
+
+// chooseGoal returns the release that the engine should load now: the wanted one, or the
+// one before it while an empty engine can have that and not the wanted one. The caller
 // holds a.mu.
-func (a *agent) chooseGoal() stager.Wanted {
+func (a *agent) chooseGoal(report stager.Report) stager.Wanted {
 	n := a.target.pinned.Number
-	wanted := a.pulls[n]
+	wanted, earlier := a.pulls[n], a.pulls[a.earlier]
+	if report.Release == 0 && earlier != nil && earlier.chunks != nil && (wanted == nil || wanted.chunks == nil) {
+		return stager.Wanted{Release: a.earlier, Held: true, HeldFraction: 1}
+	}
 	if wanted == nil {
 		return stager.Wanted{Release: n}
 	}
