--- /dev/null
+++ b/fetcher/origin_reads_test.go
@@ -0,0 +1,37 @@
+package fetcher_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"celeryvalve/fetcher"
+)
+
+// Guards against an origin that is lost while many chunks are being read, all of which are
+// read again: the members together keep to OriginReads.
+func TestMembersShareTheReadsOfTheOrigin(t *testing.T) {
+	const members, reads = 6, 12
+	v := randomVersion(t, 1, "1", 512)
+	cfg := fetcher.DefaultConfig()
+	cfg.OriginReads = reads
+	cfg.ReadAhead = 1 << 10
+	n := newNetwork(t, 1, cfg, v)
+	n.start(members, want(v, fetcher.OriginBytes))
+	most := 0
+	ready := n.runUntil(4*window, func() bool {
+		reading := 0
+		for _, node := range n.nodes {
+			for key := range node.pending {
+				if key.source.IsOrigin() {
+					reading++
+				}
+			}
+		}
+		most = max(most, reading)
+		return n.allReady()
+	})
+	require.True(t, ready)
+	require.LessOrEqual(t, most, reads)
+	require.Greater(t, most, reads/2, "the origin's link is kept busy")
+}
