placer: keep the time for a release on the steady clock

The time at which a release was named came without a reading of the steady clock, so that an entry whose time of day was set back by 2.4 s allowed older releases 2.4 s longer than the platform does; an agent recomputed it at each report of its engine. Both now convert it once. An agent that restarts after its clock was set back gave orders under a lower fencing token, which an engine may refuse for good; it raises a token that was refused.

TestJumpOfTheClockDoesNotExtendARelease fails without the change.

--- a/placer/agent.go
+++ b/placer/agent.go
@@ -58,6 +58,8 @@
 	mu      sync.Mutex
 	reducer *stager.Reducer
 	target  target
+	// names holds the named releases with times on this process's clock.
+	names []declarer.WantedRelease
 	// earlier is the release before target that an empty engine may load meanwhile, or 0.
 	earlier declarer.ReleaseNumber
 	// pulls holds the transfers of these two releases.
@@ -183,6 +185,8 @@
 		return
 	}
 	a.mu.Lock()
+	a.names = localNames(a.clock.Now(), release.Names, a.names)
+	release.Names = a.names
 	if a.target.model != model || a.target.pinned.Number != pinned.Number {
 		a.target = target{model: model, pinned: pinned}
 		a.earlier = release.PinBefore(pinned.Number).Number
@@ -195,7 +199,7 @@
 	wanted := a.chooseGoal(report)
 	a.mu.Unlock()
 	wanted.Model = model
-	wanted.WantedSince = releaseStart(a.clock.Now(), release.WantedSince(report.Release))
+	wanted.WantedSince = release.WantedSince(report.Release)
 	a.reduce(wanted)
 }
 
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -219,31 +219,6 @@
 	return policies
 }
 
-// localNames returns the names with times on this process's clock. A name that is
-// already known keeps its time.
-func localNames(now time.Time, names, known []declarer.WantedRelease) []declarer.WantedRelease {
-	list := make([]declarer.WantedRelease, 0, len(names))
-	for _, n := range names {
-		n.At = releaseStart(now, n.At)
-		for _, k := range known {
-			if k.Number == n.Number {
-				n.At = k.At
-			}
-		}
-		list = append(list, n)
-	}
-	return list
-}
-
-// releaseStart returns when the time for a release began: when the release was named,
-// even if this process started later, but not after the process learned of it.
-func releaseStart(learnedAt, namedAt time.Time) time.Time {
-	if namedAt.Before(learnedAt) {
-		return namedAt
-	}
-	return learnedAt
-}
-
 func (e *entry) updateUpstreams() {
 	var views []balancer.UpstreamView
 	for _, k := range e.spreader.Upstreams() {
--- a/placer/pull.go
+++ b/placer/pull.go
@@ -138,7 +138,7 @@
 		return
 	}
 	now := a.clock.Now()
-	left := a.placement.Bounds.ReleaseDeadline - now.Sub(releaseStart(now, release.WantedSince(earlier.Number)))
+	left := a.placement.Bounds.ReleaseDeadline - now.Sub(release.WantedSince(earlier.Number))
 	if left >= fallbackMargin && now.Sub(wanted.progressedAt) >= fallbackDelay {
 		a.ensurePull(target{model: a.target.model, pinned: earlier})
 	}
--- a/placer/staging.go
+++ b/placer/staging.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/stager"
 )
@@ -65,8 +66,27 @@
 func (a *agent) sendOrder(o stager.Order) {
 	ctx, cancel := context.WithTimeout(a.ctx, engineTimeout)
 	defer cancel()
-	accepted, err := a.engine.Load(ctx, o, a.token)
+	a.mu.Lock()
+	token := a.token
+	a.mu.Unlock()
+	accepted, err := a.engine.Load(ctx, o, token)
+	if explainer.KindOf(err) == explainer.Fenced {
+		a.raiseToken(token)
+	}
 	a.log.Info("Gave an order to load.", zap.Uint64("release", uint64(o.Release)), zap.Uint64("expect", o.ExpectedOrders),
 		zap.Bool("accepted", accepted), zap.Error(err))
 	a.reduce(stager.Ordered{Accepted: accepted})
 }
+
+// tokenStep is added to a token that an engine refused, in milliseconds: more than the
+// clocks of the platform jump.
+const tokenStep = 10_000
+
+// raiseToken replaces a token that an engine refused. The engine may have seen a higher one
+// of this agent before it restarted, if the time of day was set back meanwhile. Only this
+// agent orders, so that a higher token fences off no other.
+func (a *agent) raiseToken(refused identifier.FencingToken) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.token = max(a.token, refused+tokenStep)
+}
