balancer: look through the upstreams of a request's service alone

Each request sorted the names of all upstreams, and went through all of them twice: 240 on the large deployment. They are now grouped by service and sorted when they change. The choices are the same.

--- a/balancer/draw.go
+++ b/balancer/draw.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -27,8 +26,7 @@
 func (r *Reducer) sampleCandidates(now time.Time, s *request, policy ServicePolicy) []*upstream {
 	var local, remote, limited []*upstream
 	arrivals := 0.0
-	for _, name := range slices.Sorted(maps.Keys(r.upstreams)) {
-		u := r.upstreams[name]
+	for _, u := range r.byService[s.Service] {
 		if !r.eligible(now, s, u, policy) {
 			continue
 		}
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -66,8 +66,8 @@
 // own requests, so that an entry with few of them doesn't overestimate the others.
 func (r *Reducer) othersRatio(service identifier.Service) float64 {
 	own, all := 0, 0
-	for _, u := range r.upstreams {
-		if u.view.Service == service && !u.reportedAt.IsZero() {
+	for _, u := range r.byService[service] {
+		if !u.reportedAt.IsZero() {
 			own += max(0, u.inFlight-u.sentSince(u.reportedAt))
 			all += u.reported.Running + u.reported.Waiting
 		}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"celeryvalve/identifier"
@@ -63,8 +65,11 @@
 // Reducer decides where the requests of one entry run and which are refused. It is
 // not safe for concurrent use.
 type Reducer struct {
-	cfg             Config
-	upstreams       map[identifier.Upstream]*upstream
+	cfg       Config
+	upstreams map[identifier.Upstream]*upstream
+	// byService holds the upstreams of each service, sorted by name. Each request looks
+	// through those of its service alone.
+	byService       map[identifier.Service][]*upstream
 	services        map[identifier.Service]ServicePolicy
 	requests        map[identifier.RequestID]*request
 	budgets         map[identifier.Service]*limiter.RetryBudget
@@ -171,6 +176,15 @@
 			delete(r.upstreams, name) // requests in flight there keep their pointer to it
 		}
 	}
+	r.groupByService()
+}
+
+func (r *Reducer) groupByService() {
+	r.byService = make(map[identifier.Service][]*upstream)
+	for _, name := range slices.Sorted(maps.Keys(r.upstreams)) {
+		u := r.upstreams[name]
+		r.byService[u.view.Service] = append(r.byService[u.view.Service], u)
+	}
 }
 
 func (r *Reducer) arrive(now time.Time, q Request) Effect {
