fetcher: share the reads of the origin by what each member has left to read

A member's part of OriginReads is now that of the missing chunks that it has to read.

Mirrors compute the roots from the list of replicas and their regions; a replica that did not know a region made others forget it. Known regions are now kept. That this was the cause is not shown.

--- a/fetcher/config.go
+++ b/fetcher/config.go
@@ -26,8 +26,9 @@
 	// OriginReadsPerStripe is how many chunks of a stripe are read from the origin at once.
 	OriginReadsPerStripe int
 	// OriginReads is how many chunks of a transfer all members together read from the origin
-	// at once, or 0 for no limit but OriginReadsPerStripe. Each member takes an equal part,
-	// at least one. Few reads at once lose little if the origin is lost during them.
+	// at once, or 0 for no limit but OriginReadsPerStripe. Each member takes the part that it
+	// has of the chunks left, at least one. Few reads at once lose little if the origin is
+	// lost during them.
 	OriginReads int
 	// ReadAhead is how many chunks a root reads from the origin ahead of those that
 	// its peers wait for.
--- a/fetcher/lease.go
+++ b/fetcher/lease.go
@@ -129,14 +129,32 @@
 	return FetchChunkFromOrigin{Manifest: t.want.Manifest, Chunk: i, Source: t.want.Source, Expires: expires}, true
 }
 
-// mayReadOrigin reports whether this member's part of OriginReads has room. There are at
-// most as many readers as stripes.
+// mayReadOrigin reports whether this member's part of OriginReads has room. The part is
+// that of the missing chunks that this member has to read, so that all members finish at
+// about the same time.
 func (f *Fetcher) mayReadOrigin(t *transfer) bool {
 	if f.cfg.OriginReads == 0 {
 		return true
 	}
-	readers := max(1, min(len(t.peers), len(t.stripes)))
-	return t.originReads < (f.cfg.OriginReads+readers-1)/readers
+	own := 0
+	for i := range t.stripes {
+		if s := &t.stripes[i]; s.position.copyNumber != notRoot {
+			own += t.missingIn(s)
+		}
+	}
+	missing := t.manifest.ChunkCount() - t.held
+	return t.originReads < max(1, f.cfg.OriginReads*own/max(1, missing))
+}
+
+// missingIn returns how many chunks of the stripe are not held.
+func (t *transfer) missingIn(s *stripe) int {
+	n := 0
+	for i := s.lowest; i < s.end; i++ {
+		if !t.have.has(int(i)) {
+			n++
+		}
+	}
+	return n
 }
 
 // requestLease requests a lease on the range, unless a request is pending or has to
--- a/placer/chunks.go
+++ b/placer/chunks.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -51,9 +52,17 @@
 	}, nil
 }
 
+// fewOriginConnections is how many connections a process other than a mirror may have to
+// the origin, which accepts only a few dozen from all processes together.
+const fewOriginConnections = 2
+
 // originCache keeps one client of the declared origin, as long as its address stays the
 // same.
 type originCache struct {
+	// connections is how many connections the client may have, or 0 for
+	// fewOriginConnections.
+	connections int
+
 	mu      sync.Mutex
 	address string
 	origin  *platform.OriginClient
@@ -69,7 +78,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.address != address {
-		o.address, o.origin = address, platform.NewOrigin(address)
+		o.address, o.origin = address, platform.NewOrigin(address, cmp.Or(o.connections, fewOriginConnections))
 	}
 	return o.origin, nil
 }
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -121,7 +121,7 @@
 		InterRegionUploadRate: interRegionRate,
 		OriginStallTimeout:    originReadTimeout,
 		LeaseTimeout:          leaseTimeout,
-		Origin:                chunkOrigin{view, &originCache{}},
+		Origin:                chunkOrigin{view, &originCache{connections: allOriginReads}},
 	}
 	m.transferrer = transferrer.New(cfg, clock, store, transferrer.NewDialer(e), lessor{clock: clock, askPeers: m.isInherited}, set, log, a)
 	m.cache = newWeightsCache(placement.DataFolder, store, clock, log)
--- a/spreader/replicas.go
+++ b/spreader/replicas.go
@@ -97,12 +97,35 @@
 	if !r.Led || len(r.Addresses) == 0 || r.Index < s.replicas.Index {
 		return
 	}
+	r.Regions = s.knownRegions(r)
 	same := r.Index == s.replicas.Index && slices.Equal(r.Addresses, s.replicas.Addresses) && maps.Equal(r.Regions, s.replicas.Regions)
 	if !same {
 		s.replicas = &r
 	}
 }
 
+// knownRegions returns the regions of the listed replicas. A replica that does not know some
+// of them yet must not make others forget them, since mirrors that know different regions
+// read the same chunks from the origin. The caller holds s.mu.
+func (s *Spreader) knownRegions(r Replicas) map[string]identifier.Region {
+	regions := maps.Clone(r.Regions)
+	if regions == nil {
+		regions = make(map[string]identifier.Region)
+	}
+	for _, a := range r.Addresses {
+		addr := a.String()
+		if _, ok := regions[addr]; ok {
+			continue
+		}
+		if region, ok := s.replicas.Regions[addr]; ok {
+			regions[addr] = region
+		} else if region, ok := s.regions[addr]; ok {
+			regions[addr] = region
+		}
+	}
+	return regions
+}
+
 // replicasToFollow returns the addresses to which streams are kept open. With
 // FollowAll these are all candidates. Otherwise the process stays with its replica
 // while that one sends updates and knows the leader. Without such a replica it
