stager: keep waves apart where a release arrives late

Waves of engines began at fixed parts of the time for a release.

A wave other than the first now waits until nine tenths of the engines of earlier waves are done, and begins in any case when a swap of 1.6 s for itself and for each wave after it still fits before entries refuse the old release.

TestLateReleaseDoesNotOverlapWaves fails without the change; TestEnginesLoadInTurns holds unchanged.

--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -32,10 +32,19 @@
 	orderTimeout = 5 * time.Second
 )
 
-// waveStarts are the fractions of Config.RolloutTime after which the engines of each wave
-// may load, whether or not the waves before are done: running requests take a quarter
-// of Config.RolloutTime to end.
-var waveStarts = [waves]float64{0.12, 0.42, 0.68}
+const (
+	// firstWaveStart is the part of Config.RolloutTime after which the first wave may load.
+	firstWaveStart = 0.12
+	// swapTime is about how long an engine under load is out for a release: its running
+	// requests end, and it loads.
+	swapTime = 1600 * time.Millisecond
+	// rolloutMargin is how long before the end of Config.RolloutTime entries cease to send
+	// requests to engines with an older release.
+	rolloutMargin = 1200 * time.Millisecond
+	// stragglers is the part of the engines of earlier waves that a wave doesn't wait for,
+	// such as those with a narrow link.
+	stragglers = 0.1
+)
 
 // Report is the state that the engine reports.
 type Report struct {
@@ -261,24 +270,36 @@
 	return r.observed.Position.Rank % waves
 }
 
-// mayLoad reports whether the engine may load now: all earlier waves are done, or the
-// start of its own wave has come. The first wave waits for its start. An engine that
+// mayLoad reports whether the engine may load now: the earlier waves are done, or the
+// last moment for its own wave has come. The first wave waits for its start. An engine that
 // serves nothing loads at once.
 func (r *Reducer) mayLoad(now time.Time) bool {
 	if r.observed.Report.Release == 0 {
 		return true
 	}
 	wave := r.wave()
-	if now.Sub(r.want.WantedSince) >= time.Duration(waveStarts[wave]*float64(r.cfg.RolloutTime)) {
+	if now.Sub(r.want.WantedSince) >= r.latestStart(wave) {
 		return true
 	}
+	return wave > 0 && r.earlierWavesDone(wave)
+}
+
+// latestStart returns how long after the release became wanted a wave loads in any case.
+// It leaves time for a swap by this wave and by each one after it.
+func (r *Reducer) latestStart(wave int) time.Duration {
+	first := time.Duration(firstWaveStart * float64(r.cfg.RolloutTime))
 	if wave == 0 {
-		return false
+		return first
 	}
+	return max(first, r.cfg.RolloutTime-rolloutMargin-time.Duration(waves-wave)*swapTime)
+}
+
+func (r *Reducer) earlierWavesDone(wave int) bool {
+	outdated := 0
 	for _, rank := range r.observed.Position.Outdated {
 		if rank%waves < wave {
-			return false
+			outdated++
 		}
 	}
-	return true
+	return float64(outdated) <= stragglers*float64(r.observed.Position.Engines*wave)/waves
 }
--- a/stager/reducer_test.go
+++ b/stager/reducer_test.go
@@ -64,6 +64,35 @@
 	require.NotEmpty(t, r.Reduce(at(6*time.Second), serving(1, 0, last)), "the start of its own wave has come")
 }
 
+// Load pattern: a release for 204 engines arrives 3.7 s after its naming. The second wave used
+// to start 4.3 s after the naming, so that two thirds of the engines were out at once.
+func TestLateReleaseDoesNotOverlapWaves(t *testing.T) {
+	const engines, arrival = 204, 3700 * time.Millisecond
+	first := make([]int, engines/3)
+	for i := range first {
+		first[i] = 3 * i
+	}
+	r := stager.New(stager.Config{RolloutTime: 10300 * time.Millisecond})
+	second := stager.RolloutPosition{Engines: engines, Rank: 1, Outdated: first}
+	r.Reduce(at(0), serving(1, 0, second))
+	require.Empty(t, r.Reduce(at(arrival), held()))
+	require.Empty(t, r.Reduce(at(arrival+1500*time.Millisecond), serving(1, 0, second)), "the first wave is still out")
+
+	second.Outdated = first[:6]
+	require.NotEmpty(t, r.Reduce(at(arrival+1600*time.Millisecond), serving(1, 0, second)), "a few stragglers hold up no wave")
+}
+
+// However late a release arrives, all waves have begun a swap before entries refuse the old one.
+func TestWavesFitTheRolloutTime(t *testing.T) {
+	for _, rollout := range []time.Duration{3 * time.Second, 8 * time.Second, 10300 * time.Millisecond} {
+		for rank := range 3 {
+			r := stager.New(stager.Config{RolloutTime: rollout})
+			r.Reduce(at(0), serving(1, 0, stager.RolloutPosition{Engines: 3, Rank: rank, Outdated: []int{0, 1, 2}}))
+			require.NotEmpty(t, r.Reduce(at(rollout-1200*time.Millisecond), held()), "rank %d of %v", rank, rollout)
+		}
+	}
+}
+
 func TestSpoiltChunksGiveNoOrder(t *testing.T) {
 	r := newReducer()
 	r.Reduce(at(0), serving(0, 0, stager.RolloutPosition{}))
