relayer: bound the head of an upstream's answer

What callers would have seen: an upstream that sends header lines, one line or interim answers without end filled the memory of its entry until the caller's deadline, 6 s, at which the platform ends the process, with all requests on it.

Cause: http.ReadResponse has no limit of its own. A head must now be complete within 64 KB, with the interim answers before it; otherwise the connection is closed, the upstream counts as failed, and a request that may be repeated goes elsewhere. Bodies had a limit already.

TestBytesWithoutEndAreCutOff: four of five cases took all of 64 MB before, none does now.

--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,11 +25,18 @@
 	readerSize          = 4 << 10
 	writerSize          = 4 << 10
 	maxEarlierResponses = 2 // responses to earlier attempts that are skipped before giving up
+	// maxHeadSize limits the bytes in which the head of a response must be complete, with
+	// the informational responses before it.
+	maxHeadSize = 64 << 10
 )
 
+// errHeadTooLarge means that what an upstream sends is no head of a response.
+var errHeadTooLarge = fmt.Errorf("the head of a response has more than %d bytes", maxHeadSize)
+
 // connection is an HTTP/1.1 connection to an upstream. It carries one request at a time.
 type connection struct {
 	conn   net.Conn
+	bound  *headBound
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// idleSince is when the connection became idle, and idleTimeout is how long it may
@@ -49,9 +58,11 @@
 	if err != nil {
 		return nil, err
 	}
+	bound := &headBound{r: conn}
 	return &connection{
 		conn:   conn,
-		reader: bufio.NewReaderSize(conn, readerSize),
+		bound:  bound,
+		reader: bufio.NewReaderSize(bound, readerSize),
 		writer: bufio.NewWriterSize(conn, writerSize),
 	}, nil
 }
@@ -108,6 +119,8 @@
 // read reads the head of the response to the request and skips informational (1xx)
 // responses.
 func (c *connection) read(r *http.Request) (*http.Response, error) {
+	c.bound.begin(maxHeadSize)
+	defer c.bound.end()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
@@ -119,6 +132,31 @@
 	}
 }
 
+// headBound reads from r, with an error once more than the bytes that begin allows were
+// read before end.
+type headBound struct {
+	r      io.Reader
+	active bool
+	left   int
+}
+
+func (b *headBound) begin(n int) { b.active, b.left = true, n }
+
+func (b *headBound) end() { b.active = false }
+
+// Read reads from r.
+func (b *headBound) Read(p []byte) (int, error) {
+	if !b.active {
+		return b.r.Read(p)
+	}
+	if b.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
 func (c *connection) close() {
 	_ = c.conn.Close()
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -405,3 +405,53 @@
 	response, _ := send(t, startRelayer(t, declarer.NonIdempotent, false, down, second))
 	require.Equal(t, 200, response.StatusCode)
 }
+
+// Guards against an upstream that sends bytes without end where an answer is due: the entry
+// kept all of a head in memory until the caller's deadline. The connection is closed after a
+// bounded number of bytes, and the request goes elsewhere.
+func TestBytesWithoutEndAreCutOff(t *testing.T) {
+	const enough = 64 << 20 // far more than any bound, and what the system buffers
+	repeat := func(conn net.Conn, text string) int {
+		sent := 0
+		for sent < enough {
+			n, err := io.WriteString(conn, text)
+			sent += n
+			if err != nil {
+				break
+			}
+		}
+		return sent
+	}
+	line := strings.Repeat("a", 1<<10)
+	for name, script := range map[string]func(conn net.Conn) int{
+		"a status line": func(conn net.Conn) int { return repeat(conn, line) },
+		"a header line": func(conn net.Conn) int {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
+			return repeat(conn, line)
+		},
+		"header lines": func(conn net.Conn) int {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+			return repeat(conn, "X: "+line+"\r\n")
+		},
+		"interim answers": func(conn net.Conn) int { return repeat(conn, "HTTP/1.1 103 Early Hints\r\nX: "+line+"\r\n\r\n") },
+		"a body": func(conn net.Conn) int {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt: a0\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+			return repeat(conn, "400\r\n"+line+"\r\n")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			faulty := startUpstream(t, func(conn net.Conn, _ *http.Request) {
+				sent <- script(conn)
+				_ = conn.Close()
+			})
+			healthy := startUpstream(t, signedResponse("right"))
+			first, second := faulty.view("a"), healthy.view("b")
+			second.Region = "far" // so that the faulty upstream is chosen first
+			response, body := send(t, startRelayer(t, declarer.Idempotent, false, first, second))
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.Equal(t, "right", body)
+			require.Less(t, <-sent, enough, "the connection is closed")
+		})
+	}
+}
