placer: leave silent mirrors out of the trees of a release

A spreader that was stopped no longer sends a heartbeat to those that follow it again.

TestSilentReplicaIsKnown fails without the change.

--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -261,10 +261,15 @@
 	})
 }
 
-// peers returns all mirrors. Their addresses are those of the control replicas.
+// peers returns the mirrors, whose addresses are those of the control replicas, without
+// those that have fallen silent: the stripes of a lost root would wait for its time limits.
 func (m *mirror) peers() []fetcher.Peer {
+	addresses := m.spreader.ReplicaAddresses()
+	if m.spreader.Connected() { // otherwise it may be this process that is cut off, or was frozen
+		addresses = slices.DeleteFunc(addresses, m.spreader.IsSilent)
+	}
 	var peers []fetcher.Peer
-	for _, addr := range m.spreader.ReplicaAddresses() {
+	for _, addr := range addresses {
 		peers = append(peers, mirrorPeer(addr, m.spreader.RegionOf(addr)))
 	}
 	return peers
--- a/spreader/replicas.go
+++ b/spreader/replicas.go
@@ -56,6 +56,15 @@
 	return s.candidates()
 }
 
+// IsSilent reports whether a control replica that this process follows and has heard from
+// has sent nothing for heartbeatTimeout.
+func (s *Spreader) IsSilent(addr netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status, ok := s.statuses[addr]
+	return ok && s.clock.Since(status.lastReceived) > heartbeatTimeout
+}
+
 // RegionOf returns the region of a control replica, or "" if it is not known.
 func (s *Spreader) RegionOf(addr netip.AddrPort) identifier.Region {
 	s.mu.Lock()
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -219,6 +219,19 @@
 	eventuallyListed(replica, first)
 }
 
+// Guards against a release that waits for a mirror that was lost: a replica that was heard and
+// has fallen silent is told from one that was never heard.
+func TestSilentReplicaIsKnown(t *testing.T) {
+	c := newCluster(t)
+	hub := c.replica(1)
+	entry := c.process("north", true, hub.address)
+	require.False(t, entry.IsSilent(hub.address), "it was never heard")
+	c.eventually(entry.Connected)
+	require.False(t, entry.IsSilent(hub.address))
+	hub.Stop()
+	c.eventually(func() bool { return entry.IsSilent(hub.address) })
+}
+
 // Guards against instances that all pull from the one control replica of their region:
 // they learn of the other entries there, and only of those that are up.
 func TestAgentsLearnOfTheEntriesInTheirRegion(t *testing.T) {
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -32,7 +32,7 @@
 // serveFollow sends updates to a follower and applies the updates received from it.
 func (s *Spreader) serveFollow(ctx context.Context, stream *connector.Stream, first any) {
 	follower, ok := first.(*FollowRequest)
-	if !ok {
+	if !ok || s.ctx.Err() != nil {
 		return
 	}
 	s.mu.Lock()
