--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -455,3 +455,113 @@
 		})
 	}
 }
+
+// Guards against a second answer that is taken for the next one after answers that end in
+// unusual ways: after an interim answer, to a HEAD, and one that came before the request was
+// whole. The attempts share an id, so that only the connection tells the answers apart.
+func TestSecondAnswerAfterAnUnusualOneIsNotTakenForTheNext(t *testing.T) {
+	second := func(conn net.Conn, r *http.Request) {
+		writeResponse(conn, r, 200, "Signature: s\r\n", "again")
+	}
+	interim := func(conn net.Conn, r *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n")
+		writeResponse(conn, r, 200, "Signature: s\r\n", "right")
+		second(conn, r)
+	}
+	head := func(conn net.Conn, r *http.Request) {
+		writeResponse(conn, r, 200, "Signature: s\r\n", "right") // with a body, which an answer to HEAD must not have
+		if r.Method == http.MethodHead {
+			second(conn, r)
+		}
+	}
+	for name, c := range map[string]struct {
+		script script
+		method string
+	}{
+		"interim": {interim, http.MethodPost},
+		"head":    {head, http.MethodHead},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startUpstream(t, c.script)
+			server := startRelayer(t, declarer.Idempotent, false, b.view("u"))
+			for range 4 {
+				unusual := request(t, server, "/slots/1")
+				unusual.Method = c.method
+				response, err := http.DefaultClient.Do(unusual)
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+				_, body := send(t, server)
+				require.Equal(t, "right", body)
+			}
+		})
+	}
+}
+
+// The same with an answer that comes before the request is whole: the rest of the request
+// must not be read as another one, nor the next answer be another request's.
+func TestAnswerBeforeTheRequestIsWhole(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	b := &fakeUpstream{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					// Answered from the head alone. The body is read afterwards.
+					writeResponse(conn, r, 200, "Signature: s\r\n", r.Header.Get("Wants"))
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+			}()
+		}
+	}()
+	server := startRelayer(t, declarer.Idempotent, false, b.view("u"))
+	for i := range 6 {
+		r := request(t, server, "/slots/1")
+		r.Header.Set("Attempt", fmt.Sprint("a", i))
+		r.Header.Set("Wants", fmt.Sprint("answer ", i))
+		r.Body = io.NopCloser(strings.NewReader(strings.Repeat("b", 1<<20)))
+		r.ContentLength = 1 << 20
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, 200, response.StatusCode)
+		require.Equal(t, fmt.Sprint("answer ", i), string(body))
+	}
+}
+
+// Guards against a stream that a comment now and then keeps open for ever, although no event
+// comes: it ends at the route's timeout.
+func TestStreamOfCommentsEndsAtItsTimeout(t *testing.T) {
+	ended := make(chan struct{})
+	b := startUpstream(t, func(conn net.Conn, r *http.Request) {
+		defer close(ended)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Attempt"))
+		for {
+			if _, err := io.WriteString(conn, "3\r\n:\n\n\r\n"); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	server := startRelayer(t, declarer.Streaming, false, b.view("u"))
+	response, err := http.DefaultClient.Do(request(t, server, "/slots/1"))
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	require.True(t, err != nil || response.StatusCode >= http.StatusInternalServerError, "it must not look complete")
+	<-ended
+}
