registrar: sort records only when one is added or dropped

Agents asked for all upstreams ten times a second in the same way. That is n x m in the number of runners and processes.

The order is now kept until a record is added or dropped, and a call without a change since the cursor returns at once. The balancer groups upstreams anew only when one comes, goes, or changes its service (0.5 ms for 204 before).

TestNoChangeCostsNothing fails without the change.

--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -161,22 +161,28 @@
 func (r *Reducer) changeUpstreams(now time.Time, views []UpstreamView) {
 	r.detectReplacements(now, r.upstreams, views)
 	known := make(map[identifier.Upstream]bool, len(views))
+	regroup := false
 	for _, v := range views {
 		known[v.Upstream] = true
 		u, ok := r.upstreams[v.Upstream]
 		if !ok || u.view.Incarnation != v.Incarnation {
 			u = newUpstream(v)
 			r.upstreams[v.Upstream] = u
+			regroup = true
 		}
+		regroup = regroup || u.view.Service != v.Service
 		u.view = v
 		r.learnLimit(now, u, v.Limit)
 	}
 	for name := range r.upstreams {
 		if !known[name] {
 			delete(r.upstreams, name) // requests in flight there keep their pointer to it
+			regroup = true
 		}
 	}
-	r.groupByService()
+	if regroup {
+		r.groupByService()
+	}
 }
 
 func (r *Reducer) groupByService() {
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -28,7 +28,9 @@
 type Table struct {
 	cfg     Config
 	entries map[identifier.Upstream]*entry
-	cursor  Cursor
+	// byName holds the entries sorted by name, or nil if one was added or dropped since.
+	byName []*entry
+	cursor Cursor
 }
 
 type entry struct {
@@ -92,6 +94,7 @@
 	e, ok := t.entries[r.Upstream]
 	if !ok {
 		t.entries[r.Upstream] = &entry{record: r, heardAt: now}
+		t.byName = nil
 		t.markChanged(t.entries[r.Upstream])
 		t.displace(r)
 		return true
@@ -190,6 +193,9 @@
 // Since returns the records that changed after the cursor, and the cursor for the
 // next call.
 func (t *Table) Since(after Cursor) ([]Record, Cursor) {
+	if after == t.cursor {
+		return nil, t.cursor
+	}
 	var list []Record
 	for _, e := range t.sorted() {
 		if e.changed > after {
@@ -201,7 +207,7 @@
 
 // Upstreams returns all upstreams that are not Gone, sorted by name.
 func (t *Table) Upstreams(now time.Time) []KnownUpstream {
-	var list []KnownUpstream
+	list := make([]KnownUpstream, 0, len(t.entries))
 	for _, e := range t.sorted() {
 		if e.record.State == Gone {
 			continue
@@ -227,15 +233,19 @@
 	for name, e := range t.entries {
 		if now.Sub(e.heardAt) > t.cfg.ForgetAfter {
 			delete(t.entries, name)
+			t.byName = nil
 		}
 	}
 }
 
+// sorted returns the entries by name. The caller must not change the list.
 func (t *Table) sorted() []*entry {
-	list := make([]*entry, 0, len(t.entries))
-	for _, e := range t.entries {
-		list = append(list, e)
+	if t.byName == nil {
+		t.byName = make([]*entry, 0, len(t.entries))
+		for _, e := range t.entries {
+			t.byName = append(t.byName, e)
+		}
+		slices.SortFunc(t.byName, func(a, b *entry) int { return cmp.Compare(a.record.Upstream, b.record.Upstream) })
 	}
-	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.record.Upstream, b.record.Upstream) })
-	return list
+	return t.byName
 }
--- a/registrar/table_test.go
+++ b/registrar/table_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -149,3 +150,23 @@
 	table.Merge(time.Time{}, r)
 	require.Equal(t, limiter.RequestLimit{}, limitOf())
 }
+
+// Load pattern: hundreds of upstreams, and a replica that asks for changes ten times a second
+// for each of a hundred followers. All records were sorted each time, which took 0.14 ms.
+func TestNoChangeCostsNothing(t *testing.T) {
+	table := registrar.New(registrar.Config{StaleAfter: time.Hour, ForgetAfter: time.Hour})
+	now := time.Unix(1_700_000_000, 0)
+	for i := range 240 {
+		table.Merge(now, registrar.Record{
+			Upstream: identifier.Upstream(fmt.Sprint("u", i)), Sequence: 1, Service: "s", State: registrar.Ready,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+		})
+	}
+	list, cursor := table.Since(0)
+	require.Len(t, list, 240)
+	require.Zero(t, testing.AllocsPerRun(10, func() { table.Since(cursor) }))
+	require.LessOrEqual(t, testing.AllocsPerRun(10, func() { table.Upstreams(now) }), 1.0, "the order by name is kept")
+
+	table.Forget(now.Add(2 * time.Hour))
+	require.Empty(t, table.Upstreams(now))
+}
