--- a/placer/cache.go
+++ b/placer/cache.go
@@ -27,7 +27,7 @@
 	// of the declaration is handled at once.
 	cacheReconcileInterval = time.Second
 	// cacheUploadFraction is the fraction of an entry's link that chunks may take. The rest
-	// is for requests and answers, which take a tenth of it on the largest deployment.
+	// is for requests and answers.
 	cacheUploadFraction = 0.85
 	// cacheDelayInterval is how often an instance that waits for a chunk is told that the
 	// cache is alive.
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -60,8 +60,8 @@
 	// storeMemoryFraction is the fraction of the memory that chunks may take.
 	storeMemoryFraction = 0.25
 	// mirrorUploadFraction is the fraction of its link that a mirror sends to instances and
-	// caches with. The rest is for other mirrors, without which all of them wait, and for
-	// requests: on a full link mirrors took up to 7 s for what takes 0.2 s.
+	// caches with. The rest is for requests, and for other mirrors: whole regions wait for
+	// these.
 	mirrorUploadFraction = 0.8
 	// interRegionRate limits the rate at which one mirror sends to other regions:
 	// about half of a link between two regions, and more than one instance receives.
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -47,8 +47,6 @@
 	Release declarer.Pinned
 	// Sources returns the sources that are known now.
 	Sources func() []Source
-	// Held holds verified chunks that are here already. It may be nil.
-	Held map[identifier.Digest][]byte
 	// Arrived is called with each verified chunk. It may be nil.
 	Arrived func(chunk int, data []byte)
 }
@@ -84,12 +82,7 @@
 		cancels: make(map[Request]context.CancelFunc),
 		done:    cancel,
 	}
-	for i, digest := range task.Release.Digests {
-		if data, ok := task.Held[digest]; ok {
-			t.add(i, data)
-		}
-	}
-	p.held.Store(int64(t.plan.Held()))
+	p.held.Store(0)
 	var workers sync.WaitGroup
 	for range window {
 		workers.Go(func() { t.runWorker(ctx, (*Plan).Next) })
@@ -212,7 +205,7 @@
 	return true
 }
 
-// add takes in a verified chunk. The caller holds t.mu, or is the only one to use t.
+// add takes in a verified chunk. The caller holds t.mu.
 func (t *transfer) add(chunk int, data []byte) {
 	t.chunks[t.task.Release.Digests[chunk]] = data
 	t.plan.Have(chunk)
