spreader: answer a fetch before anything is declared

Cause: an entry that already knew a revision asked a replica that had restarted and held none yet.

TestReplicaWithoutADeclarationAnswersAFetch ends with the same panic without the change.

--- a/spreader/catchup_test.go
+++ b/spreader/catchup_test.go
@@ -48,3 +48,14 @@
 	s.applyUpdate(&Update{Revision: 1}, from)
 	require.EqualValues(t, 2, view.Declared().Revision)
 }
+
+// Guards against a replica that ends when it is asked for the declared state before it has
+// any, as after a restart of all replicas. (Found by a hunt on sahkar-git: scale-1 with the
+// seed 19980063818.)
+func TestReplicaWithoutADeclarationAnswersAFetch(t *testing.T) {
+	view := declarer.NewView(asserter.Strict{})
+	s := New(Config{Process: "p"}, nil, registrar.New(registrar.Config{}), view, &fetchEndpoint{t: t}, clockwork.NewFakeClock(), zap.NewNop())
+	answer, err := s.fetchAnswer(&FetchDeclarationRequest{Have: 7})
+	require.NoError(t, err)
+	require.Zero(t, answer.Revision)
+}
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -387,7 +387,7 @@
 	defer s.fetchMu.Unlock()
 	declared := s.view.Declared()
 	current, base := declared.Declaration, s.baseDeclaration(request)
-	if s.fetchAnswers.revision != declared.Revision {
+	if s.fetchAnswers.byBase == nil || s.fetchAnswers.revision != declared.Revision {
 		s.fetchAnswers = fetchAnswers{revision: declared.Revision, byBase: make(map[fetchBase]*FetchDeclarationResponse)}
 	}
 	key := fetchBase{version: base.Version, weightsOnly: request.WeightsOnly}
