declarer, balancer, platform: carry homes, cold rates, ranks and evacuations

The parts of the next work share types: regions in which a route or an organisation may be served, what a cold upstream bears, orders to evacuate, the rank of a request and how long work takes at an upstream now. They are decoded and carried here, and decide nothing yet.

--- a/balancer/event.go
+++ b/balancer/event.go
@@ -36,6 +36,12 @@
 	// sent it again.
 	Resubmitted     bool
 	MaximumAttempts int
+	// RouteHomes and OrganisationHomes are the regions in which the request may be
+	// served. Both bind.
+	RouteHomes        declarer.Homes
+	OrganisationHomes declarer.Homes
+	// Priority is the rank of the request among those of its service; 0 is the highest.
+	Priority int
 	// Random is a random number from which all random choices for the request are
 	// derived.
 	Random uint64
@@ -57,6 +63,8 @@
 	Stale bool
 	// Limit is the limit on requests per second that the upstream has named to any entry.
 	Limit limiter.RequestLimit
+	// ColdUntil is when the upstream has warmed up after a start, or a time in the past.
+	ColdUntil time.Time
 }
 
 // Entry is an entry that takes callers' requests.
@@ -72,6 +80,8 @@
 	Engine  *declarer.Engine
 	// Releases lists the releases of the service's model, the newest last.
 	Releases []declarer.WantedRelease
+	// ColdRate is declarer.Service.ColdRate.
+	ColdRate float64
 }
 
 // Load is how many requests an upstream reports with a response: those that run,
@@ -80,6 +90,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at this moment in proportion to the usual time, or 0 if
+	// the upstream does not say. It may change many times a second.
+	Pace float64
 }
 
 // Event is an input of the reducer.
@@ -193,6 +206,9 @@
 	Incarnation identifier.Incarnation
 }
 
+// EvacuationsChanged carries all availability zones whose upstreams get no requests.
+type EvacuationsChanged struct{ Evacuated []identifier.AvailabilityZone }
+
 // CallerGone says that the caller has stopped waiting, which ends the request
 // without an answer.
 type CallerGone struct{ Request identifier.RequestID }
@@ -213,19 +229,20 @@
 	UnderStamp uint64
 }
 
-func (LimitStated) isEvent()       {}
-func (RestRequested) isEvent()     {}
-func (LeavingStated) isEvent()     {}
-func (AttemptConnected) isEvent()  {}
-func (EntriesChanged) isEvent()    {}
-func (UpstreamsChanged) isEvent()  {}
-func (LoadObserved) isEvent()      {}
-func (PolicyChanged) isEvent()     {}
-func (RequestArrived) isEvent()    {}
-func (ResponseStarted) isEvent()   {}
-func (ResponseCompleted) isEvent() {}
-func (AttemptFailed) isEvent()     {}
-func (CallerGone) isEvent()        {}
-func (QuarantineChanged) isEvent() {}
-func (RetryBurstChanged) isEvent() {}
-func (ConnectionRefused) isEvent() {}
+func (LimitStated) isEvent()        {}
+func (EvacuationsChanged) isEvent() {}
+func (RestRequested) isEvent()      {}
+func (LeavingStated) isEvent()      {}
+func (AttemptConnected) isEvent()   {}
+func (EntriesChanged) isEvent()     {}
+func (UpstreamsChanged) isEvent()   {}
+func (LoadObserved) isEvent()       {}
+func (PolicyChanged) isEvent()      {}
+func (RequestArrived) isEvent()     {}
+func (ResponseStarted) isEvent()    {}
+func (ResponseCompleted) isEvent()  {}
+func (AttemptFailed) isEvent()      {}
+func (CallerGone) isEvent()         {}
+func (QuarantineChanged) isEvent()  {}
+func (RetryBurstChanged) isEvent()  {}
+func (ConnectionRefused) isEvent()  {}
--- a/declarer/declaration.go
+++ b/declarer/declaration.go
@@ -55,6 +55,8 @@
 	// Targets are the services of the route with their weights. There is at least
 	// one.
 	Targets []Target
+	// Homes are the regions in which requests of the route may be served.
+	Homes Homes `cbor:",omitempty"`
 }
 
 // Repeatable reports whether requests of the route may run more than once.
@@ -78,6 +80,9 @@
 	Origin string
 	// Engine is set if the upstreams are model engines.
 	Engine *Engine `cbor:",omitempty"`
+	// ColdRate is how many requests per second a cold upstream bears from all entries
+	// together. Zero means that upstreams are never cold.
+	ColdRate float64 `cbor:",omitempty"`
 }
 
 // Engine is a performance model of a model engine, with parameters that the
@@ -124,6 +129,9 @@
 	// Priority, if set, overrides the priority of the route. 0 is the highest
 	// priority.
 	Priority *int `cbor:",omitempty"`
+	// Homes are the regions in which its requests may be served. Where the route has
+	// homes too, both bind.
+	Homes Homes `cbor:",omitempty"`
 }
 
 // Limits bounds the size of a caller's request, and the time that the caller may
--- a/declarer/state.go
+++ b/declarer/state.go
@@ -22,6 +22,7 @@
 	Revision    Revision
 	Declaration Declaration
 	Releases    map[identifier.Model]Release
+	Evacuations Evacuations `cbor:",omitempty"`
 }
 
 // State is the replicated state machine. Apply, Snapshot and Restore must be called
--- a/parser/placement.go
+++ b/parser/placement.go
@@ -59,4 +59,9 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// ColdOverage and ColdAllowance bound the requests that a cold upstream gets from all
+	// entries in one second: ColdOverage is a factor of what it bears, ColdAllowance a
+	// number of requests.
+	ColdOverage   float64
+	ColdAllowance float64
 }
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -239,7 +239,7 @@
 	}
 	var policies []balancer.ServicePolicy
 	for name, service := range declared.Declaration.Services {
-		policy := balancer.ServicePolicy{Service: name, Engine: service.Engine}
+		policy := balancer.ServicePolicy{Service: name, Engine: service.Engine, ColdRate: service.ColdRate}
 		if service.Engine != nil {
 			policy.Releases = e.releaseNames[service.Engine.Model]
 		}
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -86,7 +86,7 @@
 	if status, problem := x.readBody(index.Declaration.Limits); status != 0 {
 		return status, problem
 	}
-	x.request = x.balancerRequest()
+	x.request = x.balancerRequest(index.Declaration.Organisations[x.organisation])
 	return 0, ""
 }
 
@@ -107,7 +107,11 @@
 }
 
 // balancerRequest returns the request as the balancer sees it.
-func (x *exchange) balancerRequest() balancer.Request {
+func (x *exchange) balancerRequest(organisation declarer.Organisation) balancer.Request {
+	priority := x.route.Priority
+	if organisation.Priority != nil {
+		priority = *organisation.Priority
+	}
 	timeout := x.route.Timeout
 	if x.header.Remaining > 0 {
 		timeout = min(timeout, x.header.Remaining)
@@ -115,20 +119,23 @@
 	random := x.relayer.nextRandom()
 	service := x.route.PickTarget(random)
 	return balancer.Request{
-		ID:              identifier.RequestID(x.header.Attempt),
-		Organisation:    x.organisation,
-		Service:         service,
-		Fingerprint:     x.fingerprint(),
-		Parts:           x.partFingerprints(service),
-		Repeatable:      x.route.Repeatable(),
-		Generates:       x.route.Generates,
-		PromptTokens:    x.header.PromptTokens,
-		AnswerTokens:    x.header.AnswerTokens,
-		Deadline:        x.arrivedAt.Add(timeout),
-		Objective:       x.route.FirstByte,
-		Resubmitted:     x.header.Remaining > 0 && x.relayer.isResubmitted(x.routeName, x.header.Remaining),
-		MaximumAttempts: max(1, x.route.MaximumAttempts),
-		Random:          random,
+		ID:                identifier.RequestID(x.header.Attempt),
+		Organisation:      x.organisation,
+		Service:           service,
+		Fingerprint:       x.fingerprint(),
+		Parts:             x.partFingerprints(service),
+		Repeatable:        x.route.Repeatable(),
+		Generates:         x.route.Generates,
+		PromptTokens:      x.header.PromptTokens,
+		AnswerTokens:      x.header.AnswerTokens,
+		Deadline:          x.arrivedAt.Add(timeout),
+		Objective:         x.route.FirstByte,
+		Resubmitted:       x.header.Remaining > 0 && x.relayer.isResubmitted(x.routeName, x.header.Remaining),
+		MaximumAttempts:   max(1, x.route.MaximumAttempts),
+		RouteHomes:        x.route.Homes,
+		OrganisationHomes: organisation.Homes,
+		Priority:          priority,
+		Random:            random,
 	}
 }
 
