quarantiner: refuse no innocent part beside the guilty one

Causes, seen in a trace of each case: - Two parts with the same evidence are refused only together. A report that one of them had run to its end came after that. They were no longer alike then, so that each was refused alone, although the report speaks for the innocent one. - A crash is reported by each entry with what it had in flight there. Only the first report of a crash counted its companions, and of a report only the first prompt with the part. The innocent part, in flight elsewhere too, was at one crash more than the guilty one and seemed to have no companion.

Change: a refused part that is proven harmless later, and has a likelier companion, is refused no longer; companions are counted from all reports of the last crash and from all prompts of a report.

--- a/balancer/part_rule_test.go
+++ b/balancer/part_rule_test.go
@@ -303,6 +303,12 @@
 	}
 }
 
+// Guards against the refusal of a part that was in flight at most of a few crashes by chance,
+// some of them of a whole rack. (Found by TestGuiltyPartIsRefusedAndNoOther.)
+func TestPartInFlightByChanceIsNotRefused(t *testing.T) {
+	partDay{entries: 3, upstreams: 8, luck: 0x4b5f, shape: "alone", guilty: 2, rack: true, restart: true}.play(t)
+}
+
 // partDay is a day on which a part of prompts crashes upstreams.
 type partDay struct {
 	entries, upstreams int
--- a/quarantiner/command.go
+++ b/quarantiner/command.go
@@ -44,6 +44,17 @@
 	CompletedBefore bool `cbor:",omitempty" json:",omitempty"`
 }
 
+// companionsOf returns the parts that were beside the part in any prompt in flight.
+func (m *ReportCrash) companionsOf(part Fingerprint) []Fingerprint {
+	var list []Fingerprint
+	for _, request := range m.InFlight {
+		if request.Fingerprint == part {
+			list = append(list, request.Beside...)
+		}
+	}
+	return list
+}
+
 // ClearSuspects removes fingerprints from the list of suspects, either because an
 // operator decided so or because such a request ran on an upstream without a crash.
 type ClearSuspects struct {
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -23,6 +23,8 @@
 	completedBeforeFactor = 2
 	// maxCompanions bounds the companions that are stored for one part.
 	maxCompanions = 8
+	// maxBeside bounds the companions that are counted at one crash: the parts of two prompts.
+	maxBeside = 64
 	// maxSeenCrashes is the number of latest crashes of a suspect that are told apart. All
 	// processes report a crash within seconds.
 	maxSeenCrashes = 16
@@ -76,6 +78,9 @@
 	// SeenCrashes are the latest of them.
 	SeenCrashes []Crash     `cbor:",omitempty" json:",omitempty"`
 	Companions  []Companion `cbor:",omitempty" json:",omitempty"`
+	// LastBeside are the companions that were counted for the last of SeenCrashes. Each
+	// process reports a crash with those that it had in flight.
+	LastBeside []Fingerprint `cbor:",omitempty" json:",omitempty"`
 }
 
 // Evidence is what a Quarantine knows about the crashes of parts besides its suspects.
@@ -134,16 +139,30 @@
 // false if that is known.
 func (h *History) add(suspect InFlight, crash Crash, crashes uint64) bool {
 	seen, isNew := appendCrash(h.SeenCrashes, crash, maxSeenCrashes)
-	if !isNew {
+	switch {
+	case isNew:
+		if h.Presence == 0 {
+			h.Since = crashes
+		}
+		h.Presence++
+		h.SeenCrashes = seen
+		h.LastBeside = nil
+	case !seen[len(seen)-1].isSame(crash):
 		return false
 	}
-	if h.Presence == 0 {
-		h.Since = crashes
-	}
-	h.Presence++
-	h.SeenCrashes = seen
+	h.addCompanions(suspect.Beside)
+	return isNew
+}
+
+// addCompanions counts those companions at the last crash that are not counted for it yet.
+func (h *History) addCompanions(beside []Fingerprint) {
 	h.Companions = slices.Clone(h.Companions)
-	for _, f := range suspect.Beside {
+	h.LastBeside = slices.Clone(h.LastBeside)
+	for _, f := range beside {
+		if slices.Contains(h.LastBeside, f) || len(h.LastBeside) == maxBeside {
+			continue
+		}
+		h.LastBeside = append(h.LastBeside, f)
 		i := slices.IndexFunc(h.Companions, func(c Companion) bool { return c.Fingerprint == f })
 		switch {
 		case i >= 0:
@@ -156,7 +175,6 @@
 			h.Companions[j] = Companion{Fingerprint: f, Crashes: 1}
 		}
 	}
-	return true
 }
 
 // refusesPart reports whether there is enough evidence against the part: it was in flight at
--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -120,6 +120,7 @@
 		explained := request.Part && (refusedPart != 0 && refusedPart != f || q.wasCleared(f, now))
 		if !explained && !counted[f] {
 			counted[f] = true
+			request.Beside = m.companionsOf(f)
 			q.addSuspect(request, crash, revision)
 		}
 	}
@@ -164,6 +165,10 @@
 	for _, fingerprint := range m.CompletedBefore {
 		if s, ok := q.suspects[fingerprint]; ok && s.Part {
 			s.CompletedBefore = true
+			if s.Refused && q.isExplained(s) {
+				s.Refused = false
+				q.changed = revision
+			}
 			q.suspects[fingerprint] = s
 		}
 	}
