balancer, spreader: let the time for a release stand still while control is out

From 30.2 s on entries refused everything that only older weights could serve: 2,127 of 3,030 requests in 4 s.

Cause: the time for a release counted from its naming alone. What the operators ask for counts in one stretch in which control is stable; without control a release may not come at all.

Change: replicas tell entries how long they have run and known a leader, elections left out. Entries count the time for a release from the latest of its naming and the moment since when the steadiest replica works, and let it stand still while they hear of no leader. A release that has ruled out older ones does so for good.

Ruled out: weights that could have come sooner (the origin is away from 20.5 to 26.5 s, and the digests of the release are pinned at 29.4 s, by the first leader after the outage).

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -55,19 +55,6 @@
 	return effect
 }
 
-// minRelease returns the oldest release that may still begin a request. Each
-// release rules out all earlier ones once ReleaseGracePeriod has passed since it was
-// named.
-func (r *Reducer) minRelease(now time.Time, policy ServicePolicy) declarer.ReleaseNumber {
-	oldest := declarer.FirstRelease
-	for _, n := range policy.Releases {
-		if now.Sub(n.At) >= r.cfg.ReleaseGracePeriod {
-			oldest = max(oldest, n.Number)
-		}
-	}
-	return oldest
-}
-
 func (r *Reducer) answering(now time.Time, e ResponseStarted) Effect {
 	s, ok := r.requests[e.Request]
 	if !ok || s.answered {
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -209,6 +209,16 @@
 // EvacuationsChanged carries all availability zones whose upstreams get no requests.
 type EvacuationsChanged struct{ Evacuated []identifier.AvailabilityZone }
 
+// ControlObserved says whether control works. While it does not, and anew from SteadySince on,
+// the time for a release does not pass.
+type ControlObserved struct {
+	Reached bool
+	// LastReached is when control was last reached.
+	LastReached time.Time
+	// SteadySince is since when it works without an outage, or zero.
+	SteadySince time.Time
+}
+
 // CallerGone says that the caller has stopped waiting, which ends the request
 // without an answer.
 type CallerGone struct{ Request identifier.RequestID }
@@ -231,6 +241,7 @@
 
 func (LimitStated) isEvent()        {}
 func (EvacuationsChanged) isEvent() {}
+func (ControlObserved) isEvent()    {}
 func (RestRequested) isEvent()      {}
 func (LeavingStated) isEvent()      {}
 func (AttemptConnected) isEvent()   {}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celeryvalve/declarer"
 	"celeryvalve/identifier"
 	"celeryvalve/limiter"
 )
@@ -81,6 +82,9 @@
 	// entries are those that take requests.
 	entries          []Entry
 	entriesChangedAt time.Time
+	control          ControlObserved
+	// oldestReleases are the releases that have ruled out older ones, which stay ruled out.
+	oldestReleases map[identifier.Service]declarer.ReleaseNumber
 }
 
 // request is a request that has not been answered yet.
@@ -111,6 +115,9 @@
 		budgets:   make(map[identifier.Service]*limiter.RetryBudget),
 		crashes:   newCrashDetector(),
 		notices:   make(map[process]*notice),
+
+		control:        ControlObserved{Reached: true},
+		oldestReleases: make(map[identifier.Service]declarer.ReleaseNumber),
 	}
 }
 
@@ -142,6 +149,8 @@
 		r.changeEntries(now, e.Entries)
 	case LimitStated:
 		r.observeLimit(now, e)
+	case ControlObserved:
+		r.observeControl(now, e)
 	case RestRequested:
 		r.requestRest(now, e)
 	case LeavingStated:
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -127,6 +127,7 @@
 	e.spreader.WatchEntries(func(n int) { e.relayer.ChangeEntries(n, e.placement.Bounds.RetryAllowance) })
 	e.spreader.ReportServing(e.takesRequests)
 	e.spreader.WatchServing(e.updateServing)
+	e.spreader.WatchControl(e.updateControl)
 	e.spreader.WatchQuarantine(e.relayer.ChangeQuarantine)
 	lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
 }
@@ -282,6 +283,12 @@
 	e.relayer.ChangeServing(entries)
 }
 
+func (e *entry) updateControl(status spreader.ControlStatus) {
+	e.relayer.ObserveControl(balancer.ControlObserved{
+		Reached: status.Reached, LastReached: status.LastReached, SteadySince: status.SteadySince,
+	})
+}
+
 func (e *entry) updateLoads(loads []registrar.Load) {
 	for _, l := range loads {
 		e.relayer.ObserveLoad(l.Upstream, balancer.Load{Running: l.Running, Waiting: l.Waiting})
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -133,6 +133,11 @@
 	r.reduce(balancer.LoadObserved{Upstream: upstream, Load: load})
 }
 
+// ObserveControl records whether control works.
+func (r *Relayer) ObserveControl(status balancer.ControlObserved) {
+	r.reduce(status)
+}
+
 // idleLimit returns how many idle connections are kept to the address.
 func (r *Relayer) idleLimit(addr netip.AddrPort) int {
 	r.mu.Lock()
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"celeryvalve/declarer"
 	"celeryvalve/encoder"
@@ -35,6 +36,8 @@
 	Revision declarer.Revision
 	// Led reports that the sender is a control replica that knows the leader.
 	Led bool `cbor:",omitempty"`
+	// LedFor is how long it has known a leader, apart from short interruptions.
+	LedFor time.Duration `cbor:",omitempty"`
 	// Entries is the number of entries that the sender, a control replica, counts.
 	Entries int `cbor:",omitempty"`
 	// TakesRequests reports that the sender is an entry that callers send requests to.
--- a/spreader/replicas.go
+++ b/spreader/replicas.go
@@ -24,6 +24,7 @@
 func (s *Spreader) SetReplicas(r Replicas) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.led.set(s.clock.Now(), r.Led)
 	r.Regions = make(map[string]identifier.Region, len(r.Addresses))
 	for _, a := range r.Addresses {
 		if region, ok := s.regions[a.String()]; ok {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -119,6 +119,10 @@
 	takesRequests   func() bool
 	servingWatchers []func([]ServingEntry)
 	startedAt       time.Time
+	// led is how long this process, a control replica, has known a leader.
+	led             ledSpan
+	control         ControlStatus
+	controlWatchers []func(ControlStatus)
 	// fetchStarted is when the current fetch started, or zero.
 	fetchStarted time.Time
 	// announced is the highest revision that a replica has told.
@@ -136,6 +140,8 @@
 	// requests.
 	entries int
 	serving []ServingEntry
+	// ledFor is how long the replica had known a leader at lastLed.
+	ledFor time.Duration
 }
 
 // New returns a Spreader. Call Start to open its streams.
@@ -309,6 +315,7 @@
 	for s.ctx.Err() == nil {
 		s.reconcileStreams()
 		s.notifyServing()
+		s.notifyControl()
 		select {
 		case <-s.ctx.Done():
 		case <-s.clock.After(heartbeatInterval):
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -189,6 +189,9 @@
 		update.Led = s.ownReplicas.Led
 		if sent.includeLoads {
 			update.Entries = s.countFollowers()
+			if update.Led {
+				update.LedFor = s.led.duration(s.clock.Now())
+			}
 			if serving := s.followersServing(); !slices.Equal(serving, sent.serving) {
 				sent.serving = serving
 				update.Serving = &ServingEntries{Entries: serving}
@@ -242,6 +245,7 @@
 		status.lastReceived = now
 		if update.Led {
 			status.lastLed = now
+			status.ledFor = update.LedFor
 		}
 		if update.Entries > 0 {
 			status.entries = update.Entries
