spreader, registrar: send refreshes to who needs them and records not back

Each entry got the refreshes of all upstreams from each replica, and sent them back to all of them; each record went back to where it came from; agents followed a replica in any region.

Change: an entry asks one replica for refreshes, in its own region if one there knows the leader, and another once that one is silent or without a leader; it passes on only those of upstreams that reported to it, twice as often as before, so that the way of a refresh is no longer than it was. A record isn't sent to the process that told it. An agent that follows a replica in another region tries one in its own, every 30 s at most.

--- a/registrar/table.go
+++ b/registrar/table.go
@@ -234,6 +234,22 @@
 	return list
 }
 
+// LastChange returns the last change of an upstream's record, or 0 if it is not known.
+func (t *Table) LastChange(name identifier.Upstream) Cursor {
+	e, ok := t.entries[name]
+	if !ok {
+		return 0
+	}
+	return e.changed
+}
+
+// Holds reports whether the table's record of the upstream says the same, apart from what can
+// change with every report.
+func (t *Table) Holds(r Record) bool {
+	e, ok := t.entries[r.Upstream]
+	return ok && e.record.equivalent(r)
+}
+
 // Find returns the record of one upstream, even if it is Gone.
 func (t *Table) Find(name identifier.Upstream) (Record, bool) {
 	e, ok := t.entries[name]
--- a/spreader/catchup_test.go
+++ b/spreader/catchup_test.go
@@ -44,8 +44,8 @@
 	e := &fetchEndpoint{t: t}
 	view := declarer.NewView(asserter.Strict{})
 	s := New(Config{Process: "p"}, nil, registrar.New(registrar.Config{}), view, e, clockwork.NewFakeClock(), zap.NewNop())
-	e.during = func() { s.applyUpdate(&Update{Revision: 2}, other) }
-	s.applyUpdate(&Update{Revision: 1}, from)
+	e.during = func() { s.applyUpdate(&Update{Revision: 2}, other, &sentState{}) }
+	s.applyUpdate(&Update{Revision: 1}, from, &sentState{})
 	require.EqualValues(t, 2, view.Declared().Revision)
 }
 
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -28,9 +28,13 @@
 // Update is an update that either end of a stream sends to the other. An empty one
 // is a heartbeat.
 type Update struct {
-	Records   []registrar.Record  `cbor:",omitempty"`
+	Records []registrar.Record `cbor:",omitempty"`
+	// Refreshes are sent by a replica to the followers that want them, and by any other
+	// process for the upstreams that reported to it.
 	Refreshes []registrar.Refresh `cbor:",omitempty"`
 	Loads     []registrar.Load    `cbor:",omitempty"`
+	// WantsRefreshes is set by a follower that wants refreshes from this replica.
+	WantsRefreshes bool `cbor:",omitempty"`
 	// Revision is the revision of the sender's declared state.
 	Revision declarer.Revision
 	// Led reports that the sender is a control replica that knows the leader.
--- a/spreader/replicas.go
+++ b/spreader/replicas.go
@@ -137,21 +137,28 @@
 
 // replicasToFollow returns the addresses to which streams are kept open. With
 // FollowAll these are all candidates. Otherwise the process stays with its replica
-// while that one sends updates and knows the leader. Without such a replica it
-// selects one by a hash of its name, which distributes the agents over the
-// replicas, and another one after each noLeaderTimeout.
+// while that one sends updates and knows the leader, but for one in its region, which
+// it tries every nearRetryDelay. Without such a replica it selects one by a hash of its
+// name, which distributes the agents over the replicas, and another one after each
+// noLeaderTimeout.
 func (s *Spreader) replicasToFollow() []netip.AddrPort {
 	list := slices.DeleteFunc(s.candidates(), func(a netip.AddrPort) bool { return a == s.cfg.Address })
 	if s.cfg.FollowAll || len(list) == 0 {
 		return list
 	}
+	slices.SortFunc(list, func(a, b netip.AddrPort) int { return a.Compare(b) })
+	near := s.inOwnRegion(list)
 	for addr := range s.streams {
 		status, ok := s.statuses[addr]
-		if slices.Contains(list, addr) && ok && s.clock.Since(status.lastReceived) < heartbeatTimeout && s.clock.Since(status.lastLed) < noLeaderTimeout {
+		if !slices.Contains(list, addr) || !ok || s.clock.Since(status.lastReceived) >= heartbeatTimeout || s.clock.Since(status.lastLed) >= noLeaderTimeout {
+			continue
+		}
+		if len(near) == 0 || slices.Contains(near, addr) || s.clock.Since(s.nearTriedAt) < nearRetryDelay {
 			return []netip.AddrPort{addr}
 		}
+		s.nearTriedAt = s.clock.Now()
+		return []netip.AddrPort{near[s.position(len(near))]}
 	}
-	slices.SortFunc(list, func(a, b netip.AddrPort) int { return a.Compare(b) })
 	rotation := uint64(s.clock.Now().UnixNano() / int64(noLeaderTimeout))
 	if len(s.streams) == 0 {
 		rotation = 0
@@ -159,3 +166,10 @@
 	index := (xxhash.Sum64String(s.cfg.Process) + rotation) % uint64(len(list))
 	return []netip.AddrPort{list[index]}
 }
+
+// inOwnRegion returns the replicas of the list that are in this process's region.
+func (s *Spreader) inOwnRegion(list []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(list), func(a netip.AddrPort) bool {
+		return s.replicas.Regions[a.String()] != s.cfg.Region
+	})
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -32,9 +33,10 @@
 	// fetchHedgeDelay is how long a fetch from one replica may take before a second
 	// replica is asked as well.
 	fetchHedgeDelay = 250 * time.Millisecond
-	// refreshInterval is the interval at which refreshes of upstreams are sent. It is
-	// less than half of the time after which an upstream counts as stale.
-	refreshInterval = 2500 * time.Millisecond
+	// reportInterval is the interval at which a process sends refreshes of the upstreams that
+	// reported to it. A replica sends those of all upstreams at every second one, so that
+	// refreshes arrive within three intervals, in time for none to count as stale.
+	reportInterval = 1250 * time.Millisecond
 	// loadBatchInterval is the time over which loads are collected into one update.
 	// An engine reads a request within about the same time.
 	loadBatchInterval = 100 * time.Millisecond
@@ -43,6 +45,9 @@
 	maxHistory = 16
 	// noLeaderTimeout is how long an agent stays with a replica that knows no leader.
 	noLeaderTimeout = 2 * time.Second
+	// nearRetryDelay is how often an agent that follows a replica in another region tries one
+	// in its own: seldom, since all records are sent once more.
+	nearRetryDelay = 30 * time.Second
 )
 
 // Endpoint connects to the system's other processes.
@@ -100,6 +105,15 @@
 	streams      map[netip.AddrPort]context.CancelFunc
 	refreshes    []registrar.Refresh
 	refreshRound uint64
+	// reported holds the upstreams that have reported to this process since the last report
+	// round, and ownRefreshes are their refreshes.
+	reported     map[identifier.Upstream]bool
+	ownRefreshes []registrar.Refresh
+	reportRound  uint64
+	// primary is the replica that this process gets refreshes from.
+	primary netip.AddrPort
+	// nearTriedAt is when this process last left a replica for one in its region.
+	nearTriedAt time.Time
 	// loads holds the last load of each upstream and the round in which it changed.
 	loads        map[identifier.Upstream]loadEntry
 	loadRound    uint64
@@ -153,6 +167,7 @@
 		streams:  make(map[netip.AddrPort]context.CancelFunc),
 		statuses: make(map[netip.AddrPort]replicaStatus),
 		replicas: &Replicas{},
+		reported: make(map[identifier.Upstream]bool),
 		loads:    make(map[identifier.Upstream]loadEntry),
 		regions:  map[string]identifier.Region{cfg.Address.String(): cfg.Region},
 
@@ -160,7 +175,7 @@
 		startedAt:   clock.Now(),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.refreshPublisher = repeater.New(clock, refreshInterval, s.publishRefreshes)
+	s.refreshPublisher = repeater.New(clock, reportInterval, s.publishRefreshes)
 	s.loadPublisher = repeater.New(clock, loadBatchInterval, s.publishLoads)
 	view.Watch(s.declarationChanged)
 	return s
@@ -192,6 +207,7 @@
 func (s *Spreader) Report(r registrar.Record) bool {
 	s.mu.Lock()
 	changed := s.table.Merge(s.clock.Now(), r)
+	s.reported[r.Upstream] = true
 	if changed {
 		s.signalChange()
 	}
@@ -299,8 +315,18 @@
 			delete(s.loads, name)
 		}
 	}
-	s.refreshes = s.table.Refreshes()
-	s.refreshRound++
+	s.ownRefreshes = s.ownRefreshes[:0:0]
+	for _, name := range slices.Sorted(maps.Keys(s.reported)) {
+		if r, ok := s.table.Find(name); ok && r.State != registrar.Gone {
+			s.ownRefreshes = append(s.ownRefreshes, registrar.Refresh{Upstream: name, Incarnation: r.Incarnation, Sequence: r.Sequence})
+		}
+	}
+	clear(s.reported)
+	s.reportRound++
+	if s.reportRound%2 == 0 {
+		s.refreshes = s.table.Refreshes()
+		s.refreshRound++
+	}
 	s.signalChange()
 }
 
@@ -320,6 +346,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wanted := s.replicasToFollow()
+	s.choosePrimary(wanted)
 	for addr, cancel := range s.streams {
 		if !slices.Contains(wanted, addr) {
 			cancel()
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -47,18 +47,19 @@
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
+	sent := &sentState{includeLoads: follower.Loads, follower: follower}
 	var done sync.WaitGroup
 	defer done.Wait()
 	done.Go(func() {
 		defer cancel()
-		s.sendUpdates(ctx, stream, &sentState{includeLoads: follower.Loads, follower: follower})
+		s.sendUpdates(ctx, stream, sent)
 	})
 	for {
 		update, err := s.receive(ctx, stream)
 		if err != nil {
 			return
 		}
-		s.applyUpdate(update, netip.AddrPort{})
+		s.applyUpdate(update, netip.AddrPort{}, sent)
 		if follower.Loads {
 			s.mu.Lock()
 			s.noteEntry(follower, update.TakesRequests)
@@ -99,12 +100,13 @@
 		return err
 	}
 	defer stream.Cancel()
+	sent := &sentState{includeLoads: !s.cfg.FollowAll, followed: addr}
 	var done sync.WaitGroup
 	defer done.Wait()
 	defer cancel()
 	done.Go(func() {
 		defer cancel()
-		s.sendUpdates(ctx, stream, &sentState{includeLoads: !s.cfg.FollowAll})
+		s.sendUpdates(ctx, stream, sent)
 	})
 	received := false
 	for {
@@ -119,7 +121,7 @@
 			s.log.Info("Regained a control replica.", zap.Stringer("address", addr))
 		}
 		received = true
-		s.applyUpdate(update, addr)
+		s.applyUpdate(update, addr, sent)
 	}
 }
 
@@ -140,10 +142,17 @@
 // sentState records what has been sent on one stream.
 type sentState struct {
 	// follower is the process at the other end, or nil if this process follows it.
-	follower     *FollowRequest
+	follower *FollowRequest
+	// followed is the address of the replica at the other end, if this process follows it.
+	followed netip.AddrPort
+	// wantsRefreshes is set if the follower at the other end wants refreshes.
+	wantsRefreshes bool
+	// received holds the changes of records that the other end told, which it is not sent.
+	received     map[identifier.Upstream]registrar.Cursor
 	caches       []netip.AddrPort
 	cursor       registrar.Cursor
 	refreshRound uint64
+	reportRound  uint64
 	replicas     *Replicas
 	includeLoads bool
 	loadRound    uint64
@@ -206,10 +215,9 @@
 		update.Replicas = known
 	}
 	update.Records, sent.cursor = s.table.Since(sent.cursor)
-	if s.refreshRound != sent.refreshRound {
-		update.Refreshes = s.refreshes
-		sent.refreshRound = s.refreshRound
-	}
+	update.Records = s.withoutReceived(update.Records, sent)
+	update.WantsRefreshes = sent.followed.IsValid() && s.wantsRefreshesFrom(sent.followed)
+	update.Refreshes = s.nextRefreshes(sent)
 	if sent.includeLoads && s.loadRound != sent.loadRound {
 		update.Loads = s.loadsSince(sent.loadRound)
 		sent.loadRound = s.loadRound
@@ -224,13 +232,15 @@
 
 // applyUpdate merges an update from a peer. from is the peer's address if this
 // process follows it, and zero if the peer is a follower.
-func (s *Spreader) applyUpdate(update *Update, from netip.AddrPort) {
+func (s *Spreader) applyUpdate(update *Update, from netip.AddrPort, sent *sentState) {
 	now := s.clock.Now()
 	changed := false
 	s.mu.Lock()
 	for _, r := range update.Records {
 		changed = s.table.Merge(now, r) || changed
+		s.noteReceived(r, sent)
 	}
+	sent.wantsRefreshes = update.WantsRefreshes
 	for _, f := range update.Refreshes {
 		s.table.Refresh(now, f)
 	}
