declarer: hold orders to evacuate zones

An operator's order that nothing more is sent to the upstreams of a zone belongs to what must not be lost.

A process in which an order hangs may submit it after the operator has given a later one elsewhere. The command therefore names the revision that its receiver knew, and the state keeps the revision of each zone's last change: an order that would undo a change that its receiver did not know of answers Superseded and changes nothing. Clocks have no part in that.

--- a/declarer/command.go
+++ b/declarer/command.go
@@ -67,6 +67,7 @@
 		encoder.Message[encodedReplace]("Declarer.Replace"),
 		encoder.Message[NameRelease]("Declarer.NameRelease"),
 		encoder.Message[PinRelease]("Declarer.PinRelease"),
+		encoder.Message[Evacuate]("Declarer.Evacuate"),
 		encoder.Message[quarantiner.ReportCrash]("Declarer.ReportCrash"),
 		encoder.Message[quarantiner.ClearSuspects]("Declarer.ClearSuspects"),
 	}
@@ -77,6 +78,7 @@
 	return append(commands(),
 		encoder.Message[Answer]("Declarer.Answer"),
 		encoder.Message[Rejected]("Declarer.Rejected"),
+		encoder.Message[Superseded]("Declarer.Superseded"),
 		encoder.Message[quarantiner.Answer]("Declarer.QuarantineAnswer"),
 	)
 }
--- a/declarer/doc.go
+++ b/declarer/doc.go
@@ -14,7 +14,10 @@
 // It stores the quarantine of requests that crash upstreams, too (see package
 // quarantiner), which does not belong to the declaration and has its own revision.
 //
-// Every accepted change of the declaration or the releases increases the Revision by one. A Delta is the difference
+// It stores the orders to evacuate availability zones, which may precede any declaration.
+//
+// Every accepted change of the declaration, the releases or the evacuations increases the
+// Revision by one. A Delta is the difference
 // between an older declaration and a newer one. A View is one process's copy of
 // the state; its revision never decreases.
 //
--- a/declarer/state.go
+++ b/declarer/state.go
@@ -14,10 +14,10 @@
 	"celeryvalve/quarantiner"
 )
 
-// Revision counts the accepted changes of the declaration and the releases.
+// Revision counts the accepted changes of the declaration, the releases and the evacuations.
 type Revision uint64
 
-// Declared is the declaration and the releases at one revision. It is immutable.
+// Declared is the declaration, the releases and the evacuations at one revision. It is immutable.
 type Declared struct {
 	Revision    Revision
 	Declaration Declaration
@@ -34,6 +34,7 @@
 	index    uint64
 	current  Declared
 	document []byte // compressed
+	orders   zoneOrders
 
 	quarantine *quarantiner.Quarantine
 	summary    quarantiner.Summary
@@ -68,6 +69,7 @@
 	Index    uint64
 	Declared Declared
 	Document []byte
+	Orders   zoneOrders             `cbor:",omitempty"`
 	Suspects []quarantiner.Suspect  `cbor:",omitempty"`
 	Crashes  []quarantiner.ReportID `cbor:",omitempty"`
 	Evidence quarantiner.Evidence   `cbor:",omitempty"`
@@ -81,7 +83,8 @@
 }
 
 // Apply applies one command of the log and returns a pointer to its answer: an Answer
-// or a Rejected, or a quarantiner.Answer for a command about suspects.
+// or a Rejected, a Superseded for an order to evacuate, or a quarantiner.Answer for a
+// command about suspects.
 func (s *State) Apply(index uint64, at time.Time, data []byte) any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,6 +103,8 @@
 		return s.setWanted(at, c.Model, c.Number)
 	case *PinRelease:
 		return s.pin(c)
+	case *Evacuate:
+		return s.evacuate(at, c)
 	case *quarantiner.ReportCrash:
 		return s.quarantine.Report(c, now, revision)
 	case *quarantiner.ClearSuspects:
@@ -222,6 +227,7 @@
 		Index:       s.index,
 		Declared:    s.current,
 		Document:    s.document,
+		Orders:      s.orders,
 		Suspects:    s.quarantine.List(),
 		Crashes:     s.quarantine.Reports(),
 		Evidence:    s.quarantine.Evidence(),
@@ -253,6 +259,7 @@
 		s.current.Releases = make(map[identifier.Model]Release)
 	}
 	s.document = restored.Document
+	s.orders = restored.Orders
 	s.quarantine = newQuarantine()
 	s.quarantine.RestoreSuspects(restored.Suspects)
 	s.quarantine.RestoreEvidence(restored.Evidence)
--- a/declarer/state_test.go
+++ b/declarer/state_test.go
@@ -156,7 +156,7 @@
 		var versions []declarer.Declaration
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			before := h.state.Declared()
-			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
 				d := declaration(identifier.ConfigurationVersion(rapid.IntRange(1, 40).Draw(t, "version")))
 				for i := range rapid.IntRange(0, 4).Draw(t, "routes") {
@@ -170,6 +170,9 @@
 			case 3:
 				n := declarer.ReleaseNumber(rapid.IntRange(1, 9).Draw(t, "pinned"))
 				h.apply(t, &declarer.PinRelease{Model: "summaries", Pinned: declarer.Pinned{Number: n, Digests: []identifier.Digest{{byte(n)}}}})
+			case 4:
+				zone := identifier.AvailabilityZone(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"))
+				h.apply(t, &declarer.Evacuate{AvailabilityZone: zone, Finished: rapid.Bool().Draw(t, "finished"), Seen: before.Revision})
 			}
 			now := h.state.Declared()
 			require.GreaterOrEqual(t, now.Declaration.Version, before.Declaration.Version)
@@ -181,11 +184,12 @@
 				_, err = packed.Decode()
 				require.NoError(t, err)
 				base := versions[rapid.IntRange(0, len(versions)-1).Draw(t, "base")]
-				if !view.ApplyDelta(now.Revision, now.Declaration.DeltaFrom(base), now.Releases) {
-					view.ApplyDelta(now.Revision, now.Declaration.DeltaFrom(view.Declared().Declaration), now.Releases)
+				if !view.ApplyDelta(now.Revision, now.Declaration.DeltaFrom(base), now.Releases, now.Evacuations) {
+					view.ApplyDelta(now.Revision, now.Declaration.DeltaFrom(view.Declared().Declaration), now.Releases, now.Evacuations)
 				}
 				require.Equal(t, now.Declaration.Version, view.CurrentVersion())
 				require.Equal(t, now.Declaration, view.Declared().Declaration)
+				require.Equal(t, now.Evacuations, view.Declared().Evacuations)
 			}
 		}
 		data, err := h.state.Snapshot()
@@ -195,6 +199,7 @@
 		require.Equal(t, h.state.Declared().Revision, restored.Declared().Revision)
 		require.Equal(t, h.state.Declared().Declaration.Version, restored.Declared().Declaration.Version)
 		require.Equal(t, document(t, h.state), document(t, restored))
+		require.Equal(t, len(h.state.Declared().Evacuations), len(restored.Declared().Evacuations))
 	})
 }
 
