spreader: spread evacuations with the declared state

A process that fetches the declared state gets the evacuations whole, with or without a declaration. One that has no declaration yet does not log that one is in force.

--- a/spreader/message.go
+++ b/spreader/message.go
@@ -90,12 +90,14 @@
 }
 
 // FetchDeclarationResponse answers FetchDeclarationRequest. Delta holds the whole declaration if the
-// sender no longer keeps the version that the requester has. Releases is always
-// complete.
+// sender no longer keeps the version that the requester has. Releases and Evacuations are
+// always complete. The declaration has version 0 if nothing was declared yet.
 type FetchDeclarationResponse struct {
 	Revision declarer.Revision
 	Delta    declarer.EncodedDelta
 	Releases map[identifier.Model]declarer.Release
+
+	Evacuations declarer.Evacuations `cbor:",omitempty"`
 }
 
 // The kinds of messages that a stream can begin with.
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -140,19 +140,24 @@
 }
 
 // Guards against a process that stays at an old declaration, merges a difference
-// wrongly, or goes back to an older revision.
+// wrongly, or goes back to an older revision, and against evacuations that come only with
+// a declaration.
 func TestDeclarationIsFetched(t *testing.T) {
 	c := newCluster(t)
 	hub := c.replica(1)
 	a := c.process("north", true, hub.address)
+	hub.view.Set(declarer.Declared{Revision: 1, Evacuations: declarer.Evacuations{"z": time.Unix(1, 0)}})
+	c.eventually(func() bool { return len(a.view.Declared().Evacuations) == 1 })
+	require.Zero(t, a.view.CurrentVersion())
 	for v := range identifier.ConfigurationVersion(5) {
 		hub.view.Set(declarer.Declared{
-			Revision:    declarer.Revision(v + 1),
+			Revision:    declarer.Revision(v + 2),
 			Declaration: declarer.Declaration{Version: 10 * (v + 1), Routes: map[identifier.Route]declarer.Route{"r": {Priority: int(v)}}},
 		})
 		c.eventually(func() bool { return a.view.CurrentVersion() == 10*(v+1) })
 		require.Equal(t, int(v), a.view.Declared().Declaration.Routes["r"].Priority)
 	}
+	require.Empty(t, a.view.Declared().Evacuations)
 	require.False(t, a.view.Set(declarer.Declared{Revision: 2}))
 }
 
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -346,11 +346,13 @@
 		s.log.Error("Can't decode the fetched declaration.", zap.Stringer("address", addr), zap.Error(err))
 		return false
 	}
-	if !s.view.ApplyDelta(answer.Revision, delta, answer.Releases) {
+	if !s.view.ApplyDelta(answer.Revision, delta, answer.Releases, answer.Evacuations) {
 		return false
 	}
-	s.log.Info("Declaration is in force.", zap.Uint64("version", uint64(s.view.CurrentVersion())),
-		zap.Uint64("revision", uint64(answer.Revision)), zap.Bool("whole", delta.Whole), zap.Stringer("from", addr))
+	if s.view.CurrentVersion() > 0 {
+		s.log.Info("Declaration is in force.", zap.Uint64("version", uint64(s.view.CurrentVersion())),
+			zap.Uint64("revision", uint64(answer.Revision)), zap.Bool("whole", delta.Whole), zap.Stringer("from", addr))
+	}
 	return true
 }
 
@@ -401,7 +403,9 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := &FetchDeclarationResponse{Revision: declared.Revision, Delta: delta, Releases: declared.Releases}
+	answer := &FetchDeclarationResponse{
+		Revision: declared.Revision, Delta: delta, Releases: declared.Releases, Evacuations: declared.Evacuations,
+	}
 	s.fetchAnswers.byBase[key] = answer
 	return answer, nil
 }
