--- a/placer/office.go
+++ b/placer/office.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"celeryvalve/connector"
@@ -54,12 +56,17 @@
 	spreader  *spreader.Spreader
 	endpoint  *connector.Endpoint
 	replica   *replica // nil if this process has none
+	view      *declarer.View
+	clock     clockwork.Clock
+	set       *metrics.Set
 	log       *zap.Logger
 }
 
 func newControlAPI(placement parser.Placement, s *submitter.Submitter, sp *spreader.Spreader, e *connector.Endpoint,
-	r *replica, log *zap.Logger) *controlAPI {
-	return &controlAPI{placement: placement, submitter: s, spreader: sp, endpoint: e, replica: r, log: log.Named("office")}
+	r *replica, view *declarer.View, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *controlAPI {
+	return &controlAPI{
+		placement: placement, submitter: s, spreader: sp, endpoint: e, replica: r, view: view, clock: clock, set: set, log: log.Named("office"),
+	}
 }
 
 // Replace submits a declaration that replaces the current one as a whole.
@@ -73,18 +80,30 @@
 }
 
 func (c *controlAPI) submit(ctx context.Context, command any) error {
-	data, err := declarer.EncodeCommand(command)
+	answer, err := c.send(ctx, command)
 	if err != nil {
 		return err
 	}
-	c.submitter.SetAddresses(c.spreader.ReplicaAddresses())
-	answer, err := c.submitter.Submit(ctx, data)
+	return answerError(answer)
+}
+
+// send submits a command and returns its answer.
+func (c *controlAPI) send(ctx context.Context, command any) (any, error) {
+	data, err := declarer.EncodeCommand(command)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	c.submitter.SetAddresses(c.spreader.ReplicaAddresses())
+	return c.submitter.Submit(ctx, data)
+}
+
+// answerError returns the error that the answer to a command stands for, if any.
+func answerError(answer any) error {
 	switch a := answer.(type) {
 	case *declarer.Rejected:
 		return a.Err()
+	case *declarer.Superseded:
+		return a.Err()
 	case *declarer.Answer, *quarantiner.Answer:
 		return nil
 	default:
