balancer: send nothing into evacuated zones

Upstreams in an evacuated zone are no candidates: for first attempts, further ones, streams that are resumed and tries after an ejection. An attempt that was still dialling when the order came is chosen anew as it connects, as for rests. What runs there ends there. Samples and the estimate of other entries' requests leave them out, so that admission shrinks with the order and not as queues grow. A request whose upstreams are all in evacuated zones is refused at once as Evacuated, with the latest return that its caller's time allows.

A zone that is taken back is idle and may be cold.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -160,10 +160,12 @@
 
 // reasonWithoutAttempt says why the request is not sent once more.
 func (r *Reducer) reasonWithoutAttempt(now time.Time, s *request) Reason {
-	if r.reasonWithoutUpstream(now, s, r.services[s.Service]) == Resting {
-		return Resting
+	switch reason := r.reasonWithoutUpstream(now, s, r.services[s.Service]); reason {
+	case Resting, Evacuated:
+		return reason
+	default:
+		return NoAttemptLeft
 	}
-	return NoAttemptLeft
 }
 
 // retry sends the request to another upstream if its attempts, its deadline and the
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -28,7 +28,7 @@
 	for _, u := range r.sampleCandidates(now, s, policy) {
 		forecast := r.forecast(now, u, &s.Request, policy.Engine, u.othersRatio(othersRatio))
 		random = limiter.SplitMix64(random)
-		cost := forecast + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.recoveryPenalty(now)
+		cost := forecast + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.recoveryPenalty(now) + r.returnPenalty(now, u)
 		if u.limit.InForce && forecast <= r.maxForecast(now, s) {
 			cost -= limitedPreference
 		}
@@ -42,7 +42,7 @@
 // eligible reports whether the request may be sent to the upstream, apart from the limit
 // that the upstream may have named.
 func (r *Reducer) eligible(now time.Time, s *request, u *upstream, policy ServicePolicy) bool {
-	if u.view.Service != s.Service || u.draining() || u.resting(now) || !u.usable(now) {
+	if u.view.Service != s.Service || u.draining() || u.resting(now) || !u.usable(now) || r.evacuates(now, u) {
 		return false
 	}
 	if s.tried[u.view.Upstream] && s.attempts > 0 {
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -33,6 +33,10 @@
 // An upstream may ask an entry for rest. It gets nothing from that entry until the rest is over,
 // and is preferred less for a while after it. One that says that it leaves gets nothing any more.
 //
+// Operators may evacuate availability zones. Their upstreams get no new requests until that
+// is taken back; what runs there ends there. A zone that returns is preferred less for a
+// while, and its upstreams count as cold until they have had the time to say otherwise.
+//
 // The reducer finds out which requests were in flight when an upstream crashed, for the
 // quarantine that all entries share (package quarantiner), and refuses the requests that
 // the quarantine names.
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -68,7 +68,9 @@
 	// Limited: upstreams are ready, and the limits of all of them are used up.
 	Limited Reason = "Limited"
 	// Resting: the upstreams that could run the request have asked for rest.
-	Resting         Reason = "Resting"
+	Resting Reason = "Resting"
+	// Evacuated: all upstreams that could run the request are in evacuated zones.
+	Evacuated       Reason = "Evacuated"
 	Overloaded      Reason = "Overloaded"
 	DeadlineTooNear Reason = "DeadlineTooNear"
 	NoAttemptLeft   Reason = "NoAttemptLeft"
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -63,11 +63,12 @@
 // othersRatio returns how many requests all other entries have at the service for
 // each request of this entry, at most maxOthersRatio. Requests sent since the
 // reports are not counted, as no report contains them. One is added to the entry's
-// own requests, so that an entry with few of them doesn't overestimate the others.
+// own requests, so that an entry with few of them doesn't overestimate the others. What still
+// runs in evacuated zones says nothing of where requests go now.
 func (r *Reducer) othersRatio(service identifier.Service) float64 {
 	own, all := 0, 0
 	for _, u := range r.byService[service] {
-		if !u.reportedAt.IsZero() {
+		if !u.reportedAt.IsZero() && !r.evacuated[u.view.AvailabilityZone] {
 			own += max(0, u.inFlight-u.sentSince(u.reportedAt))
 			all += u.reported.Running + u.reported.Waiting
 		}
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -165,6 +165,9 @@
 			return Limited
 		}
 	}
+	if r.isEvacuated(now, s) {
+		return Evacuated
+	}
 	if !r.firstRestEnd(now, s.Service).IsZero() {
 		return Resting
 	}
--- a/balancer/notice.go
+++ b/balancer/notice.go
@@ -126,7 +126,7 @@
 // connected decides whether an attempt that has a connection is still to be sent.
 func (r *Reducer) connected(now time.Time, e AttemptConnected) Effect {
 	s, ok := r.requests[e.Request]
-	if !ok || !s.target.resting(now) && !s.target.leaving() {
+	if !ok || !s.target.resting(now) && !s.target.leaving() && !r.evacuates(now, s.target) {
 		return NoEffect{}
 	}
 	r.releaseAttempt(s, false)
@@ -139,7 +139,7 @@
 func (r *Reducer) firstRestEnd(now time.Time, service identifier.Service) time.Time {
 	var first time.Time
 	for _, u := range r.byService[service] {
-		if u.draining() || !u.resting(now) {
+		if u.draining() || !u.resting(now) || r.evacuates(now, u) {
 			continue
 		}
 		if end := u.notice.resumesAt(); first.IsZero() || end.Before(first) {
--- a/balancer/notice_test.go
+++ b/balancer/notice_test.go
@@ -159,8 +159,8 @@
 	require.Len(t, e.TakeNotices(), 2)
 }
 
-// Guards against a herd of all entries on an upstream whose rest has ended, and against one
-// that gets little although it has ended long ago.
+// Guards against a herd of all entries on an upstream whose rest, or the evacuation of whose
+// zone, has ended, and against one that gets little although that has ended long ago.
 func TestRestedUpstreamGetsItsShareAgain(t *testing.T) {
 	const (
 		perSecond = 600
@@ -168,13 +168,23 @@
 		asked     = 2 * time.Second
 	)
 	names := []identifier.Upstream{"a", "b", "c"}
-	for _, entries := range []int{3, 14, 38} {
-		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+	for i := range 6 {
+		entries, evacuated := []int{3, 14, 38}[i/2], i%2 == 1
+		t.Run(fmt.Sprint(entries, evacuated), func(t *testing.T) {
 			m := newCrashModel(entries, names...)
+			line := newTimeline(partStep)
 			for _, e := range m.entries {
-				rest(e, start, "a", 1, asked)
+				if !evacuated {
+					rest(e, start, "a", 1, asked)
+					continue
+				}
+				for i, zone := range []identifier.AvailabilityZone{"z", "y", "y"} {
+					e.views[i].AvailabilityZone = zone
+				}
+				e.change(start)
+				evacuate(e, start, "z")
+				line.after(asked, func() { evacuate(e, line.now) })
 			}
-			line := newTimeline(partStep)
 			sends := make(map[time.Duration]int) // to a, by tenths of a second
 			running := make(map[identifier.Upstream]int)
 			random := uint64(entries)
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -21,6 +21,8 @@
 	RetryBurst float64
 	// ReleaseGracePeriod is how long after a release was named older ones are refused.
 	ReleaseGracePeriod time.Duration
+	// ColdReportTime is how long after it became cold an upstream has told so.
+	ColdReportTime time.Duration
 }
 
 const (
@@ -78,6 +80,8 @@
 	limitChanges    []LimitChange
 	notices         map[process]*notice
 	newNotices      []UpstreamNotice
+	evacuated       map[identifier.AvailabilityZone]bool
+	returns         zoneReturns
 	// entries are those that take requests.
 	entries          []Entry
 	entriesChangedAt time.Time
@@ -111,6 +115,7 @@
 		budgets:   make(map[identifier.Service]*limiter.RetryBudget),
 		crashes:   newCrashDetector(),
 		notices:   make(map[process]*notice),
+		returns:   make(zoneReturns),
 	}
 }
 
@@ -146,6 +151,8 @@
 		r.requestRest(now, e)
 	case LeavingStated:
 		r.recordLeaving(now, e)
+	case EvacuationsChanged:
+		r.changeEvacuations(now, e.Evacuated)
 	case RequestArrived:
 		return r.arrive(now, e.Request)
 	case AttemptConnected:
@@ -172,6 +179,7 @@
 	known := make(map[identifier.Upstream]bool, len(views))
 	regroup := false
 	for _, v := range views {
+		v = r.assumeCold(v)
 		known[v.Upstream] = true
 		u, ok := r.upstreams[v.Upstream]
 		if !ok || u.view.Incarnation != v.Incarnation {
@@ -272,7 +280,7 @@
 	}
 	wait := r.retryAfter(now, &s.Request)
 	switch reason {
-	case NoUpstream:
+	case NoUpstream, Evacuated:
 		wait = r.lateRetryAfter(now, &s.Request)
 	case Resting:
 		wait = r.restRetryAfter(now, &s.Request)
