relayer, placer: tell entries which zones are evacuated

An entry takes the evacuations from the declared state before the declaration of the same revision, so that one that restarts knows them before it listens for callers. Watchers of the state may run at the same time; they now take turns and read the state within their turn, since an older list applied last would send requests into an evacuated zone until the next change.

celeryvalve_evacuated_zones is the number of them at an entry.

--- a/placer/entry.go
+++ b/placer/entry.go
@@ -68,6 +68,7 @@
 		RetryRatio:         retryRatioFactor * placement.Bounds.RetryRatio,
 		RetryBurst:         balancer.RetryBurst(placement.Bounds.RetryAllowance, 0),
 		ReleaseGracePeriod: expectAfter(placement.Bounds.ReleaseDeadline),
+		ColdReportTime:     coldReports * placement.HeartbeatInterval,
 	})
 }
 
@@ -95,6 +96,10 @@
 	listening atomic.Bool // for callers
 	stopped   chan struct{}
 
+	// applying guards evacuated, and makes changes of the declared state take turns.
+	applying  sync.Mutex
+	evacuated []identifier.AvailabilityZone
+
 	mu      sync.Mutex
 	callers *http.Server
 	// releaseNames holds the named releases of each model, each with the time from
@@ -175,10 +180,15 @@
 	}
 }
 
-// applyDeclaration passes the declaration in force to the relayer. The first one also
-// starts the server for callers.
+// applyDeclaration passes the evacuations and the declaration in force to the relayer. The
+// first declaration also starts the server for callers.
 func (e *entry) applyDeclaration() {
+	// Watchers run at once if changes follow each other closely. The last one to run here
+	// applies the newest state.
+	e.applying.Lock()
+	defer e.applying.Unlock()
 	declared := e.view.Declared()
+	e.applyEvacuations(declared.Evacuations)
 	if declared.Declaration.Version == 0 {
 		return
 	}
--- a/placer/evacuation.go
+++ b/placer/evacuation.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"celeryvalve/declarer"
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
@@ -18,6 +20,29 @@
 // to another process, and only then can a later one contradict it.
 const freshOrderTime = 300 * time.Millisecond
 
+// coldReports is how many heartbeats an upstream has to say that it has become cold: one may
+// be lost or late.
+const coldReports = 2
+
+// applyEvacuations passes the evacuated zones to the relayer if they have changed.
+func (e *entry) applyEvacuations(evacuations declarer.Evacuations) {
+	zones := slices.Sorted(maps.Keys(evacuations))
+	if slices.Equal(zones, e.evacuated) {
+		return
+	}
+	e.evacuated = zones
+	e.relayer.ChangeEvacuations(zones)
+	e.log.Info("Evacuated zones changed.", zap.Strings("zones", zoneNames(zones)))
+}
+
+func zoneNames(zones []identifier.AvailabilityZone) []string {
+	names := make([]string, len(zones))
+	for i, z := range zones {
+		names[i] = string(z)
+	}
+	return names
+}
+
 // Evacuate submits an order to evacuate an availability zone, or to take that back. An order
 // that another process has overtaken while it was held up here is not carried out.
 func (c *controlAPI) Evacuate(ctx context.Context, zone identifier.AvailabilityZone, finished bool) error {
@@ -66,9 +91,6 @@
 	if zone != "" && known[zone] {
 		return nil
 	}
-	var names []string
-	for _, z := range slices.Sorted(maps.Keys(known)) {
-		names = append(names, fmt.Sprintf("%q", z))
-	}
-	return explainer.New(explainer.InvalidInput, fmt.Sprintf("zone %q does not exist", zone), "name one of "+strings.Join(names, ", "))
+	names := strings.Join(zoneNames(slices.Sorted(maps.Keys(known))), ", ")
+	return explainer.New(explainer.InvalidInput, fmt.Sprintf("zone %q does not exist", zone), "name one of "+names)
 }
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -16,6 +16,7 @@
 	events        *metrics.Counter
 	crashes       *metrics.Counter
 	rests         *metrics.Counter
+	evacuated     *metrics.Gauge
 	firstByte     *metrics.Histogram
 	forecastError *metrics.Histogram
 }
@@ -28,6 +29,7 @@
 		events:        set.NewCounter("celeryvalve_stream_events_total"),
 		crashes:       set.NewCounter("celeryvalve_upstream_crashes_total"),
 		rests:         set.NewCounter("celeryvalve_upstream_rests_total"),
+		evacuated:     set.NewGauge("celeryvalve_evacuated_zones", nil),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
 		forecastError: set.NewHistogram("celeryvalve_forecast_error_seconds"),
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -101,6 +101,13 @@
 	r.index.Store(index)
 }
 
+// ChangeEvacuations replaces the list of availability zones whose upstreams get no requests.
+// It must be called before Declare and ChangeUpstreams let the first request through.
+func (r *Relayer) ChangeEvacuations(zones []identifier.AvailabilityZone) {
+	r.meters.evacuated.Set(float64(len(zones)))
+	r.reduce(balancer.EvacuationsChanged{Evacuated: zones})
+}
+
 // ChangeUpstreams replaces the list of upstreams that requests may be sent to.
 func (r *Relayer) ChangeUpstreams(views []balancer.UpstreamView) {
 	services := make(map[identifier.Service]declarer.Service)
