declarer: let an order that changes nothing fence earlier ones

A start that hangs, followed by a finish elsewhere, is a finish of a zone that is not evacuated. It changed nothing, so the start that came later was carried out. Each order now takes a revision, unless its own receiver was behind.

--- a/declarer/evacuation.go
+++ b/declarer/evacuation.go
@@ -11,8 +11,9 @@
 
 // Evacuate orders that requests are no longer sent to the upstreams of an availability
 // zone, or takes that order back. An order that is in force already, or that was taken
-// back already, changes nothing. The answer is an Answer, a Rejected if the zone is
-// missing, or a Superseded.
+// back already, changes nothing but the revision, so that an earlier order that is still on
+// its way does not undo it. The answer is an Answer, a Rejected if the zone is missing, or a
+// Superseded.
 type Evacuate struct {
 	AvailabilityZone identifier.AvailabilityZone
 	Finished         bool
@@ -39,8 +40,8 @@
 // time of its order by the leader's wall clock. Maps of this type are immutable.
 type Evacuations map[identifier.AvailabilityZone]time.Time
 
-// zoneOrders holds the revision of the last change by an Evacuate of each zone, also of those
-// that were taken back.
+// zoneOrders holds the revision of the last order for each zone, also of those that were taken
+// back.
 type zoneOrders map[identifier.AvailabilityZone]Revision
 
 // evacuate puts an order in force or takes it back.
@@ -48,27 +49,34 @@
 	if c.AvailabilityZone == "" {
 		return &Rejected{Problem: "the order to evacuate has no availability zone"}
 	}
-	if _, evacuated := s.current.Evacuations[c.AvailabilityZone]; evacuated != c.Finished {
-		return s.answer(false)
-	}
+	_, evacuated := s.current.Evacuations[c.AvailabilityZone]
+	changes := evacuated == c.Finished
 	if s.orders[c.AvailabilityZone] > c.Seen {
-		return &Superseded{AvailabilityZone: c.AvailabilityZone, Revision: s.current.Revision}
+		if changes {
+			return &Superseded{AvailabilityZone: c.AvailabilityZone, Revision: s.current.Revision}
+		}
+		return s.answer(false)
 	}
 	next := s.nextRevision()
-	evacuations := maps.Clone(next.Evacuations)
-	if c.Finished {
-		delete(evacuations, c.AvailabilityZone)
-	} else {
-		if evacuations == nil {
-			evacuations = make(Evacuations)
-		}
-		evacuations[c.AvailabilityZone] = at
+	if changes {
+		next.Evacuations = next.Evacuations.with(at, c)
 	}
-	next.Evacuations = evacuations
 	s.current = next
 	if s.orders == nil {
 		s.orders = make(zoneOrders)
 	}
 	s.orders[c.AvailabilityZone] = next.Revision
-	return s.answer(true)
+	return s.answer(changes)
+}
+
+// with returns the evacuations after the order.
+func (e Evacuations) with(at time.Time, c *Evacuate) Evacuations {
+	changed := make(Evacuations, len(e)+1)
+	maps.Copy(changed, e)
+	if c.Finished {
+		delete(changed, c.AvailabilityZone)
+	} else {
+		changed[c.AvailabilityZone] = at
+	}
+	return changed
 }
