placer: drop orders to evacuate whose operator has hung up

A process that was frozen finds orders in its sockets that were given up long ago, and knows the newest state by then, so that the state can't tell them from new ones. The server notices a closed connection at once; an order is submitted 10 ms after it came, if its connection is still open.

--- a/placer/evacuation.go
+++ b/placer/evacuation.go
@@ -20,6 +20,11 @@
 // to another process, and only then can a later one contradict it.
 const freshOrderTime = 300 * time.Millisecond
 
+// hangUpNotice is how long after its arrival an order is submitted. A process that was frozen
+// or cut off may find an order whose operator has hung up since, which the server notices
+// within a fraction of that.
+const hangUpNotice = 10 * time.Millisecond
+
 // coldReports is how many heartbeats an upstream has to say that it has become cold: one may
 // be lost or late.
 const coldReports = 2
@@ -60,6 +65,13 @@
 
 func (c *controlAPI) submitEvacuation(ctx context.Context, zone identifier.AvailabilityZone, finished bool) error {
 	arrivedAt := c.clock.Now()
+	select {
+	case <-ctx.Done():
+	case <-c.clock.After(hangUpNotice):
+	}
+	if err := ctx.Err(); err != nil {
+		return explainer.Wrap(err, explainer.Unavailable, "the operator has hung up", "send the order again if it is still wanted")
+	}
 	command := &declarer.Evacuate{AvailabilityZone: zone, Finished: finished, Seen: c.view.Declared().Revision}
 	for {
 		answer, err := c.send(ctx, command)
--- a/placer/evacuation_test.go
+++ b/placer/evacuation_test.go
@@ -43,6 +43,7 @@
 		zone     identifier.AvailabilityZone
 		behind   bool // this process does not know the orders of before
 		delay    time.Duration
+		hungUp   bool
 		expected explainer.Kind
 		calls    uint64
 	}{
@@ -51,6 +52,7 @@
 		"behind and held up":       {zone: "z1", behind: true, delay: time.Second, expected: explainer.Unavailable, calls: 1},
 		"held up":                  {zone: "z1", delay: time.Second, calls: 1},
 		"of an upstream":           {zone: "z3", calls: 1},
+		"hung up":                  {zone: "z1", hungUp: true, expected: explainer.Unavailable},
 		"a zone that is not there": {zone: "z9", expected: explainer.InvalidInput},
 		"no zone":                  {expected: explainer.InvalidInput},
 	} {
@@ -61,6 +63,11 @@
 			address := netip.MustParseAddrPort("127.0.0.1:1")
 			sp := spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{StaleAfter: time.Hour, ForgetAfter: time.Hour}), view, nil, clock, zap.NewNop())
 			sp.Report(registrar.Record{Upstream: "u", Service: "app", State: registrar.Ready, AvailabilityZone: "z3", Address: address})
+			go func() {
+				for clock.BlockUntilContext(t.Context(), 1) == nil {
+					clock.Advance(hangUpNotice)
+				}
+			}()
 			placement := parser.Placement{Regions: map[identifier.AvailabilityZone]identifier.Region{"z1": "r", "z2": "r"}}
 			api := newControlAPI(placement, submitter.New(caller, []netip.AddrPort{address}, clock), sp, nil, nil, view, clock, set, zap.NewNop())
 			require.NoError(t, api.Evacuate(t.Context(), "z1", false))
@@ -71,7 +78,12 @@
 				view.Set(before)
 			}
 			caller.delay, caller.calls = c.delay, 0
-			err := api.Evacuate(t.Context(), c.zone, false)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if c.hungUp {
+				cancel()
+			}
+			err := api.Evacuate(ctx, c.zone, false)
 			require.Equal(t, c.calls, caller.calls)
 			var text bytes.Buffer
 			set.WritePrometheus(&text)
