--- a/narrator/overview.go
+++ b/narrator/overview.go
@@ -23,6 +23,8 @@
 	Leader   Leader
 	// Repairs are the changes of the set of replicas, the latest first.
 	Repairs []ReplicaChange
+	// Evacuated are the availability zones to which entries send no requests, by name.
+	Evacuated []EvacuatedZone
 	// Aside are the upstreams that entries have ejected and that have not served since.
 	Aside []EjectedUpstream
 }
@@ -55,6 +57,12 @@
 	Ended bool
 }
 
+// EvacuatedZone is an availability zone to which the entries send no requests.
+type EvacuatedZone struct {
+	AvailabilityZone string
+	Entries          []string
+}
+
 // EjectedUpstream is an upstream that an entry has ejected after failures. The entry sends it
 // no requests before Until.
 type EjectedUpstream struct {
@@ -82,6 +90,8 @@
 	leader  Leader
 	repairs []ReplicaChange
 	ejected map[[2]string]EjectedUpstream
+	// evacuated holds the evacuated zones by entry.
+	evacuated map[string][]string
 }
 
 // engine is the upstream and the release that an agent logged for its engine.
@@ -100,6 +110,7 @@
 		"Role changed.":                        (*state).roleChanged,
 		"Changing the set of replicas.":        (*state).replicaChangeStarted,
 		"Change of the set of replicas ended.": (*state).replicaChangeEnded,
+		"Evacuated zones changed.":             (*state).zonesEvacuated,
 		"Set an upstream aside.":               (*state).upstreamEjected,
 		"Upstream serves again.":               (*state).upstreamRecovered,
 	}}
@@ -120,9 +131,10 @@
 // Overview returns the overview of the logs read so far.
 func (o *Summariser) Overview() Overview {
 	s := &state{
-		declared: make(map[string]uint64),
-		engines:  make(map[string]engine),
-		ejected:  make(map[[2]string]EjectedUpstream),
+		declared:  make(map[string]uint64),
+		engines:   make(map[string]engine),
+		ejected:   make(map[[2]string]EjectedUpstream),
+		evacuated: make(map[string][]string),
 	}
 	slices.SortStableFunc(o.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	for _, l := range o.lines {
@@ -130,22 +142,48 @@
 	}
 	slices.Reverse(s.repairs)
 	return Overview{
-		At:       o.at,
-		Declared: groupByNumber(s.declared),
-		Engines:  groupByNumber(s.releases()),
-		Leader:   s.leader,
-		Repairs:  s.repairs,
-		Aside:    s.ejectedAt(o.at),
+		At:        o.at,
+		Declared:  groupByNumber(s.declared),
+		Engines:   groupByNumber(s.releases()),
+		Leader:    s.leader,
+		Repairs:   s.repairs,
+		Evacuated: s.evacuatedZones(),
+		Aside:     s.ejectedAt(o.at),
 	}
 }
 
 func (s *state) processStarted(l Line) {
 	s.declared[l.Instance] = 0
+	delete(s.evacuated, l.Instance)
 	maps.DeleteFunc(s.ejected, func(key [2]string, _ EjectedUpstream) bool { return key[0] == l.Instance })
 }
 
 func (s *state) declarationApplied(l Line) { s.declared[l.Instance] = l.number("version") }
 
+func (s *state) zonesEvacuated(l Line) {
+	var zones []string
+	list, _ := l.Fields["zones"].([]any)
+	for _, z := range list {
+		zones = append(zones, fmt.Sprint(z))
+	}
+	s.evacuated[l.Instance] = zones
+}
+
+// evacuatedZones returns the evacuated zones by name, each with its sorted entries.
+func (s *state) evacuatedZones() []EvacuatedZone {
+	entries := make(map[string][]string)
+	for _, entry := range slices.Sorted(maps.Keys(s.evacuated)) {
+		for _, zone := range s.evacuated[entry] {
+			entries[zone] = append(entries[zone], entry)
+		}
+	}
+	var list []EvacuatedZone
+	for _, zone := range slices.Sorted(maps.Keys(entries)) {
+		list = append(list, EvacuatedZone{AvailabilityZone: zone, Entries: entries[zone]})
+	}
+	return list
+}
+
 func (s *state) engineServes(l Line) {
 	s.engines[l.Instance] = engine{upstream: l.field("upstream"), release: l.number("release")}
 }
@@ -259,6 +297,9 @@
 		}
 		fmt.Fprintf(&b, "Repair: %s %s by %s at %s, %s: %s\n", r.Kind, r.Name, r.Instance, formatTime(r.At), state, r.Reason)
 	}
+	for _, z := range o.Evacuated {
+		fmt.Fprintf(&b, "Evacuated %s: %d, %s\n", z.AvailabilityZone, len(z.Entries), shorten(z.Entries))
+	}
 	for _, a := range o.Aside {
 		fmt.Fprintf(&b, "Aside: %s at %s until %s, %s, %d failures in a row\n", a.Upstream, a.Entry, formatTime(a.Until), a.Cause, a.Failures)
 	}
@@ -275,11 +316,15 @@
 		if g.Number == 0 {
 			number = "none"
 		}
-		names := g.Names[:min(maxNamesShown, len(g.Names))]
-		more := ""
-		if rest := len(g.Names) - len(names); rest > 0 {
-			more = fmt.Sprintf(" and %d more", rest)
-		}
-		fmt.Fprintf(b, "%s %s: %d, %s%s\n", label, number, len(g.Names), strings.Join(names, " "), more)
+		fmt.Fprintf(b, "%s %s: %d, %s\n", label, number, len(g.Names), shorten(g.Names))
+	}
+}
+
+// shorten lists the first maxNamesShown names and says how many more there are.
+func shorten(names []string) string {
+	shown := strings.Join(names[:min(maxNamesShown, len(names))], " ")
+	if rest := len(names) - maxNamesShown; rest > 0 {
+		return fmt.Sprintf("%s and %d more", shown, rest)
 	}
+	return shown
 }
--- a/narrator/overview_test.go
+++ b/narrator/overview_test.go
@@ -22,6 +22,9 @@
 {"ts":"2026-03-08T10:00:03Z","logger":"agent","msg":"Engine serves.","instance":"side-2","upstream":"u2","release":0}
 {"ts":"2026-03-08T10:00:04Z","logger":"replica","msg":"Changing the set of replicas.","instance":"front-1","kind":"Admit","name":"front-3","reason":"its disk was lost"}
 {"ts":"2026-03-08T10:00:05Z","logger":"replica","msg":"Change of the set of replicas ended.","instance":"front-1","kind":"Admit","name":"front-3"}
+{"ts":"2026-03-08T10:00:04Z","logger":"entry","msg":"Evacuated zones changed.","instance":"front-2","zones":["z1","z2"]}
+{"ts":"2026-03-08T10:00:04Z","logger":"entry","msg":"Evacuated zones changed.","instance":"front-1","zones":["z2"]}
+{"ts":"2026-03-08T10:00:05Z","logger":"entry","msg":"Evacuated zones changed.","instance":"front-2","zones":["z2"]}
 {"ts":"2026-03-08T10:00:05Z","logger":"relayer","msg":"Set an upstream aside.","instance":"front-1","upstream":"u1","until":"2026-03-08T10:00:07Z","cause":"Silent","failures":3}
 {"ts":"2026-03-08T10:00:05Z","logger":"relayer","msg":"Set an upstream aside.","instance":"front-2","upstream":"u2","until":"2026-03-08T10:00:06Z","cause":"Lost","failures":4}
 `
@@ -42,6 +45,7 @@
 		"Release 2: 1, u1",
 		"Release none: 1, u2",
 		"Repair: Admit front-3 by front-1 at 10:00:04.000, ended: its disk was lost",
+		"Evacuated z2: 2, front-1 front-2",
 		"Aside: u1 at front-1 until 10:00:07.000, Silent, 3 failures in a row",
 	}, strings.Split(strings.TrimSpace(o.Overview().Text()), "\n"))
 }
