balancer: send requests only to upstreams in their homes

Cause: homes were carried with requests and decided nothing. Change: an upstream outside of the homes of the route or of the organisation is not eligible, for any attempt. Where the service has upstreams but none there, the request is refused with NoHome and the longest wait. HomesChanged applies to further attempts what was declared while a request is in flight.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -42,7 +42,7 @@
 // eligible reports whether the request may be sent to the upstream, apart from the limit
 // that the upstream may have named.
 func (r *Reducer) eligible(now time.Time, s *request, u *upstream, policy ServicePolicy) bool {
-	if u.view.Service != s.Service || u.draining() || u.resting(now) || !u.usable(now) {
+	if u.view.Service != s.Service || !s.mayBeServedAt(u) || u.draining() || u.resting(now) || !u.usable(now) {
 		return false
 	}
 	if s.tried[u.view.Upstream] && s.attempts > 0 {
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -65,6 +65,9 @@
 const (
 	UnknownService Reason = "UnknownService"
 	NoUpstream     Reason = "NoUpstream"
+	// NoHome: the service has upstreams, but none in a region in which the request may be
+	// served.
+	NoHome Reason = "NoHome"
 	// Limited: upstreams are ready, and the limits of all of them are used up.
 	Limited Reason = "Limited"
 	// Resting: the upstreams that could run the request have asked for rest.
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -209,6 +209,14 @@
 // EvacuationsChanged carries all availability zones whose upstreams get no requests.
 type EvacuationsChanged struct{ Evacuated []identifier.AvailabilityZone }
 
+// HomesChanged says that other homes were declared for the route or the organisation of a
+// request that is in flight.
+type HomesChanged struct {
+	Request           identifier.RequestID
+	RouteHomes        declarer.Homes
+	OrganisationHomes declarer.Homes
+}
+
 // CallerGone says that the caller has stopped waiting, which ends the request
 // without an answer.
 type CallerGone struct{ Request identifier.RequestID }
@@ -231,6 +239,7 @@
 
 func (LimitStated) isEvent()        {}
 func (EvacuationsChanged) isEvent() {}
+func (HomesChanged) isEvent()       {}
 func (RestRequested) isEvent()      {}
 func (LeavingStated) isEvent()      {}
 func (AttemptConnected) isEvent()   {}
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -165,8 +165,11 @@
 			return Limited
 		}
 	}
-	if !r.firstRestEnd(now, s.Service).IsZero() {
+	if !r.firstRestEnd(now, &s.Request).IsZero() {
 		return Resting
 	}
+	if r.homeless(&s.Request) {
+		return NoHome
+	}
 	return NoUpstream
 }
--- a/balancer/notice.go
+++ b/balancer/notice.go
@@ -126,7 +126,7 @@
 // connected decides whether an attempt that has a connection is still to be sent.
 func (r *Reducer) connected(now time.Time, e AttemptConnected) Effect {
 	s, ok := r.requests[e.Request]
-	if !ok || !s.target.resting(now) && !s.target.leaving() {
+	if !ok || !s.target.resting(now) && !s.target.leaving() && s.mayBeServedAt(s.target) {
 		return NoEffect{}
 	}
 	r.releaseAttempt(s, false)
@@ -134,12 +134,12 @@
 	return r.dispatch(now, s)
 }
 
-// firstRestEnd returns the end of the first rest of the service's upstreams to end, or zero
-// if none of them rests.
-func (r *Reducer) firstRestEnd(now time.Time, service identifier.Service) time.Time {
+// firstRestEnd returns the end of the first rest to end of the upstreams that may serve the
+// request, or zero if none of them rests.
+func (r *Reducer) firstRestEnd(now time.Time, q *Request) time.Time {
 	var first time.Time
-	for _, u := range r.byService[service] {
-		if u.draining() || !u.resting(now) {
+	for _, u := range r.byService[q.Service] {
+		if !q.mayBeServedAt(u) || u.draining() || !u.resting(now) {
 			continue
 		}
 		if end := u.notice.resumesAt(); first.IsZero() || end.Before(first) {
@@ -152,7 +152,7 @@
 // restRetryAfter returns the Retry-After of a request whose upstreams all rest: the end of
 // the first rest and a random time more, so that callers don't return together.
 func (r *Reducer) restRetryAfter(now time.Time, q *Request) time.Duration {
-	wait := r.firstRestEnd(now, q.Service).Sub(now)
+	wait := r.firstRestEnd(now, q).Sub(now)
 	latest := q.Deadline.Sub(now) / maxRetryAfterDivisor
 	if wait >= latest {
 		return r.lateRetryAfter(now, q)
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -148,6 +148,8 @@
 		r.recordLeaving(now, e)
 	case RequestArrived:
 		return r.arrive(now, e.Request)
+	case HomesChanged:
+		r.changeHomes(e)
 	case AttemptConnected:
 		return r.connected(now, e)
 	case ResponseStarted:
@@ -272,7 +274,7 @@
 	}
 	wait := r.retryAfter(now, &s.Request)
 	switch reason {
-	case NoUpstream:
+	case NoUpstream, NoHome:
 		wait = r.lateRetryAfter(now, &s.Request)
 	case Resting:
 		wait = r.restRetryAfter(now, &s.Request)
