relayer: keep further attempts to the homes that are in force

Cause: a request that is retried or resumed would keep the homes of the declaration with which it arrived. Change: before a further attempt is decided, and before a body is sent, the homes are read again if the declaration has changed. Refusals of requests with homes log them and are counted apart.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -86,6 +86,7 @@
 	x.log("Attempt broke.", x.fingerprintField(), x.partsField(), zap.String("cause", string(cause)), zap.String("upstream", string(a.send.Target.Upstream)),
 		zap.Int("load", a.send.Load), zap.Duration("loadAge", a.send.LoadAge), zap.Duration("forecast", a.send.Forecast),
 		zap.Bool("passed", x.responseStarted), zap.Duration("rest", a.answer.Rest), zap.Bool("leaving", a.answer.Leaving))
+	x.updateHomes()
 	return x.relayer.reduce(balancer.AttemptFailed{
 		Request:    x.request.ID,
 		Cause:      cause,
@@ -115,6 +116,7 @@
 			c.close()
 		}
 	}()
+	a.updateHomes()
 	if effect := a.relayer.reduce(balancer.AttemptConnected{Request: a.request.ID}); effect != (balancer.NoEffect{}) {
 		return effect, ""
 	}
@@ -279,6 +281,7 @@
 	x.relayer.reduce(balancer.ResponseStarted{Request: x.request.ID, Status: response.StatusCode, Load: header.Load})
 	a.recordFirstByte()
 	failed := response.StatusCode >= http.StatusInternalServerError || meansNotExecuted(response.StatusCode)
+	x.updateHomes()
 	effect := x.relayer.reduce(balancer.ResponseCompleted{Request: x.request.ID, Load: header.Load, IsError: failed, Unframed: !isFramed(response)})
 	if _, retry := effect.(balancer.Send); retry {
 		x.log("The upstream answered with an error. Retrying the request.", zap.Int("status", response.StatusCode), zap.String("upstream", string(a.send.Target.Upstream)))
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -41,6 +41,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_refusals_total{reason=%q}`, reason)).Inc()
 }
 
+// countHomeRefusal counts a refusal of a request that has homes.
+func (m *meters) countHomeRefusal(reason balancer.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_refusals_with_homes_total{reason=%q}`, reason)).Inc()
+}
+
 func (m *meters) countBreak(cause balancer.Cause) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_attempts_broken_total{cause=%q}`, cause)).Inc()
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -148,6 +148,12 @@
 }
 
 func startRelayerAt(t *testing.T, clock clockwork.Clock, kind declarer.RequestKind, resumable bool, views ...balancer.UpstreamView) *httptest.Server {
+	server, _ := startWithHomes(t, clock, kind, resumable, views...)
+	return server
+}
+
+// startWithHomes also returns a function that declares the homes of the route.
+func startWithHomes(t *testing.T, clock clockwork.Clock, kind declarer.RequestKind, resumable bool, views ...balancer.UpstreamView) (*httptest.Server, func(...identifier.Region)) {
 	reducer := balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10})
 	r := relayer.New(reducer, dialect{}, noReports{}, noReports{}, clock, metrics.NewSet(), zap.NewNop(), 1)
 	d := declarer.Declaration{
@@ -159,12 +165,19 @@
 		}},
 		Organisations: map[identifier.Organisation]declarer.Organisation{"hall": {Keys: []identifier.Digest{identifier.DigestOf([]byte("k"))}}},
 	}
-	r.Declare(declarer.NewIndex(d), []balancer.ServicePolicy{{Service: "booking"}})
+	declare := func(homes ...identifier.Region) {
+		route := d.Routes["slots"]
+		route.Homes = homes
+		d.Version++
+		d.Routes = map[identifier.Route]declarer.Route{"slots": route}
+		r.Declare(declarer.NewIndex(d), []balancer.ServicePolicy{{Service: "booking"}})
+	}
+	declare()
 	r.ChangeUpstreams(views)
 	server := httptest.NewServer(r)
 	t.Cleanup(server.Close)
 	t.Cleanup(r.Stop)
-	return server
+	return server, declare
 }
 
 func request(t *testing.T, server *httptest.Server, path string) *http.Request {
@@ -371,6 +384,36 @@
 	require.Equal(t, event(1)+event(2)+event(3)+event(4), body)
 }
 
+// Guards against a resumed stream, or another retry, that leaves homes which were declared
+// while the first attempt ran.
+func TestRetryKeepsToHomesDeclaredMeanwhile(t *testing.T) {
+	for name, kind := range map[string]declarer.RequestKind{"a stream": declarer.Streaming, "an idempotent request": declarer.Idempotent} {
+		t.Run(name, func(t *testing.T) {
+			var declare func(...identifier.Region)
+			faulty := startUpstream(t, func(conn net.Conn, r *http.Request) {
+				declare("near")
+				if kind == declarer.Streaming {
+					writeStream(conn, r, false, event(1))
+					return
+				}
+				resetConnection(conn, r)
+			})
+			healthy := startUpstream(t, signedResponse("never"))
+			first, second := faulty.view("a"), healthy.view("b")
+			first.Region, second.Region, second.Stale = "near", "far", true
+			var server *httptest.Server
+			server, declare = startWithHomes(t, clockwork.NewRealClock(), kind, true, first, second)
+			response, err := http.DefaultClient.Do(request(t, server, "/slots/1"))
+			if err == nil {
+				_, _ = io.ReadAll(response.Body)
+				require.NoError(t, response.Body.Close())
+			}
+			require.Len(t, faulty.received(), 1)
+			require.Empty(t, healthy.received())
+		})
+	}
+}
+
 func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
 	faulty := startUpstream(t, func(conn net.Conn, r *http.Request) { writeStream(conn, r, false, event(1)) })
 	healthy := startUpstream(t, signedResponse("never"))
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -19,6 +19,7 @@
 // exchange is one request of a caller and the state of its response.
 type exchange struct {
 	relayer *Relayer
+	index   *declarer.Index // that the homes of the request are from
 	w       http.ResponseWriter
 	r       *http.Request
 	ctx     context.Context
@@ -51,8 +52,8 @@
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{relayer: r, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header)}
 	index := r.index.Load()
+	x := &exchange{relayer: r, index: index, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header)}
 	if index == nil {
 		x.replyLocally(http.StatusServiceUnavailable, "the entry has no declaration yet (send the request again after Retry-After)", undeclaredRetryAfter)
 		return
@@ -183,6 +184,10 @@
 	if e.Suspect != 0 {
 		fields = append(fields, zap.Uint64("suspect", uint64(e.Suspect)), x.partsField())
 	}
+	if x.request.Restricted() {
+		x.relayer.meters.countHomeRefusal(e.Reason)
+		fields = append(fields, x.homesFields()...)
+	}
 	x.log("Refused a request.", fields...)
 	if x.responseStarted {
 		x.abort()
