--- a/balancer/evacuation.go
+++ b/balancer/evacuation.go
@@ -92,7 +92,7 @@
 func (r *Reducer) isEvacuated(now time.Time, s *request) bool {
 	evacuated := false
 	for _, u := range r.byService[s.Service] {
-		if u.draining() {
+		if u.draining() || !s.mayBeServedAt(u) {
 			continue
 		}
 		if !r.evacuates(now, u) {
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -219,6 +219,14 @@
 	SteadySince time.Time
 }
 
+// HomesChanged says that other homes were declared for the route or the organisation of a
+// request that is in flight.
+type HomesChanged struct {
+	Request           identifier.RequestID
+	RouteHomes        declarer.Homes
+	OrganisationHomes declarer.Homes
+}
+
 // CallerGone says that the caller has stopped waiting, which ends the request
 // without an answer.
 type CallerGone struct{ Request identifier.RequestID }
@@ -242,6 +250,7 @@
 func (LimitStated) isEvent()        {}
 func (EvacuationsChanged) isEvent() {}
 func (ControlObserved) isEvent()    {}
+func (HomesChanged) isEvent()       {}
 func (RestRequested) isEvent()      {}
 func (LeavingStated) isEvent()      {}
 func (AttemptConnected) isEvent()   {}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -164,6 +164,8 @@
 		r.changeEvacuations(now, e.Evacuated)
 	case RequestArrived:
 		return r.arrive(now, e.Request)
+	case HomesChanged:
+		r.changeHomes(e)
 	case AttemptConnected:
 		return r.connected(now, e)
 	case ResponseStarted:
@@ -289,7 +291,7 @@
 	}
 	wait := r.retryAfter(now, &s.Request)
 	switch reason {
-	case NoUpstream, Evacuated:
+	case NoUpstream, NoHome, Evacuated:
 		wait = r.lateRetryAfter(now, &s.Request)
 	case Resting:
 		wait = r.restRetryAfter(now, &s.Request)
