registrar, platform: keep and spread how long an upstream stays cold

Cause: ColdMillis counted from the report, however old the record was when it was sent on, and a record that differed in nothing else was not sent at all, so that entries never heard of an upstream that turned cold again.

Only durations go over the wire.

Result: TestTurningColdSpreadsAndCountingDownDoesNot.

--- a/registrar/record.go
+++ b/registrar/record.go
@@ -36,8 +36,8 @@
 	Region           identifier.Region
 	Slots            int
 	State            State
-	// ColdMillis is how long the upstream will still be slow after its start, in
-	// milliseconds from the report.
+	// ColdMillis is how long the upstream stays cold, in milliseconds from when the record
+	// is sent.
 	ColdMillis int64
 	// Model and Release are those that the upstream holds completely. Release is 0 if
 	// it holds none.
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -37,6 +37,9 @@
 	record  Record
 	heardAt time.Time
 	changed Cursor
+	// coldUntil is when the upstream has warmed up, by the report with coldSequence.
+	coldUntil    time.Time
+	coldSequence uint64
 	// refreshedSequence is the sequence that Refreshes returned last.
 	refreshedSequence uint64
 	// displaced is set if the upstream is Gone only because another one took over its
@@ -50,6 +53,8 @@
 	// Age is the time since this process first learned of the upstream's latest
 	// report.
 	Age time.Duration
+	// ColdRemaining is how long the upstream still stays cold.
+	ColdRemaining time.Duration
 	// Stale reports whether Age is longer than Config.StaleAfter.
 	Stale bool
 }
@@ -98,16 +103,18 @@
 }
 
 // Merge merges a record into the table. It reports whether anything changed except
-// the sequence, the arrival time and the ColdMillis of the latest report.
+// the sequence and the arrival time of the latest report, and a ColdMillis that counts down.
 func (t *Table) Merge(now time.Time, r Record) bool {
 	if r.Upstream == "" || ranks[r.State] == 0 {
 		return false
 	}
 	e, ok := t.entries[r.Upstream]
 	if !ok {
-		t.entries[r.Upstream] = &entry{record: r, heardAt: now}
+		e = &entry{record: r, heardAt: now}
+		e.recordCold(now, r)
+		t.entries[r.Upstream] = e
 		t.byName = nil
-		t.markChanged(t.entries[r.Upstream])
+		t.markChanged(e)
 		t.displace(r)
 		return true
 	}
@@ -127,7 +134,11 @@
 		}
 		serving := t.RecordServing(r.Upstream, r.Noted, r.Stamp)
 		limit := t.RecordLimit(r.Upstream, r.Incarnation, r.Limit)
-		return serving || limit
+		cold := e.recordCold(now, r)
+		if cold {
+			t.markChanged(e)
+		}
+		return serving || limit || cold
 	}
 	e.heardAt = now
 	if r.Incarnation == e.record.Incarnation {
@@ -138,7 +149,11 @@
 			r.Limit = e.record.Limit
 		}
 	}
-	same := r.equivalent(e.record)
+	if r.Incarnation != e.record.Incarnation {
+		e.coldUntil, e.coldSequence = time.Time{}, 0
+	}
+	cold := e.recordCold(now, r)
+	same := r.equivalent(e.record) && !cold
 	r.Sequence = max(r.Sequence, sequenceWithin(e.record, r.Incarnation))
 	e.record = r
 	e.displaced = false
@@ -207,15 +222,17 @@
 }
 
 // Since returns the records that changed after the cursor, and the cursor for the
-// next call.
-func (t *Table) Since(after Cursor) ([]Record, Cursor) {
+// next call. Their ColdMillis count from now.
+func (t *Table) Since(now time.Time, after Cursor) ([]Record, Cursor) {
 	if after == t.cursor {
 		return nil, t.cursor
 	}
 	var list []Record
 	for _, e := range t.sorted() {
 		if e.changed > after {
-			list = append(list, e.record)
+			r := e.record
+			r.ColdMillis = e.coldRemaining(now).Milliseconds()
+			list = append(list, r)
 		}
 	}
 	return list, t.cursor
@@ -229,7 +246,7 @@
 			continue
 		}
 		age := now.Sub(e.heardAt)
-		list = append(list, KnownUpstream{Record: e.record, Age: age, Stale: age > t.cfg.StaleAfter})
+		list = append(list, KnownUpstream{Record: e.record, Age: age, ColdRemaining: e.coldRemaining(now), Stale: age > t.cfg.StaleAfter})
 	}
 	return list
 }
--- a/registrar/table_test.go
+++ b/registrar/table_test.go
@@ -55,7 +55,7 @@
 		require.Equal(t, registrar.Draining, table.Upstreams(now)[0].State)
 	}
 	other := registrar.New(cfg)
-	records, _ := table.Since(0)
+	records, _ := table.Since(start, 0)
 	other.Merge(start, records[0])
 	require.Equal(t, registrar.Draining, other.Upstreams(start)[0].State, "other processes learn of it")
 }
@@ -183,11 +183,30 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
 		})
 	}
-	list, cursor := table.Since(0)
+	list, cursor := table.Since(now, 0)
 	require.Len(t, list, 240)
-	require.Zero(t, testing.AllocsPerRun(10, func() { table.Since(cursor) }))
+	require.Zero(t, testing.AllocsPerRun(10, func() { table.Since(now, cursor) }))
 	require.LessOrEqual(t, testing.AllocsPerRun(10, func() { table.Upstreams(now) }), 1.0, "the order by name is kept")
 
 	table.Forget(now.Add(2 * time.Hour))
 	require.Empty(t, table.Upstreams(now))
 }
+
+// Guards against entries that hear late, or never, that an upstream has turned cold again, and
+// against a message for each report while it warms up.
+func TestTurningColdSpreadsAndCountingDownDoesNot(t *testing.T) {
+	table, other := registrar.New(cfg), registrar.New(cfg)
+	report := func(at time.Duration, sequence uint64, left int64) bool {
+		r := record("a", sequence, registrar.Ready)
+		r.ColdMillis = left
+		return table.Merge(start.Add(at), r)
+	}
+	report(0, 1, 0)
+	require.False(t, report(time.Second, 2, 0))
+	require.True(t, report(2*time.Second, 3, 3000), "it turns cold")
+	require.False(t, report(3*time.Second, 4, 1950), "it counts down")
+	records, _ := table.Since(start.Add(4*time.Second), 0)
+	other.Merge(start.Add(4*time.Second), records[0])
+	require.InDelta(t, 950, other.Upstreams(start.Add(4 * time.Second))[0].ColdRemaining.Milliseconds(), 1, "the age of the report is taken off")
+	require.True(t, report(4*time.Second, 5, 3000), "it turns cold again")
+}
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -62,6 +62,8 @@
 	Limit limiter.StatedLimit
 	// Rest is how long the upstream wants no request from this entry, or 0.
 	Rest time.Duration
+	// ColdRemaining is how long the upstream stays cold, or 0 if it does not say.
+	ColdRemaining time.Duration
 	// Leaving means that the upstream is about to end and accepts no new requests.
 	Leaving bool
 }
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -205,7 +205,7 @@
 		sent.replicas = known
 		update.Replicas = known
 	}
-	update.Records, sent.cursor = s.table.Since(sent.cursor)
+	update.Records, sent.cursor = s.table.Since(s.clock.Now(), sent.cursor)
 	if s.refreshRound != sent.refreshRound {
 		update.Refreshes = s.refreshes
 		sent.refreshRound = s.refreshRound
