balancer, relayer: bound what a cold upstream gets from all entries together

Cause: entries knew nothing of coldness; upstreams that come back together are idle and draw the load of all entries, while a cold one crashes well above Service.ColdRate.

Change: a cold upstream has a pace like one that names a limit, shared by the entries in the same order. It grows from half of ColdRate to the whole while it warms up, and never above ColdRate x ColdOverage + ColdAllowance less one request for each holder. Time ends it. An attempt whose connection comes late is decided anew. Services without ColdRate are untouched. Refusals for it have the reason Cold.

Not played on a deployment yet.

--- a/balancer/aside.go
+++ b/balancer/aside.go
@@ -32,14 +32,21 @@
 	if u.ejectedUntil.Equal(before) {
 		return
 	}
+	if cause == NotConnected || cause == ConnectionLost || cause == FirstByteTimedOut {
+		r.suspectCold(now, u)
+	}
 	r.ejectionChanges = append(r.ejectionChanges, EjectionChange{Upstream: u.view.Upstream, Until: u.ejectedUntil, Cause: cause, Failures: u.failures})
 }
 
 // recordSuccess resets the failures of the upstream and reports its recovery if it
 // was ejected.
-func (r *Reducer) recordSuccess(u *upstream) {
-	if u.ejectionTime > 0 {
+func (r *Reducer) recordSuccess(now time.Time, u *upstream) {
+	wasEjected := u.ejectionTime > 0
+	if wasEjected {
 		r.ejectionChanges = append(r.ejectionChanges, EjectionChange{Upstream: u.view.Upstream})
 	}
 	u.resetFailures()
+	if !u.cold.suspectedUntil.IsZero() && wasEjected {
+		r.suspectCold(now, u)
+	}
 }
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -38,8 +38,9 @@
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
-		u.pacer.Record(now)
 	}
+	effect.Cold = u.cold.bound
+	u.recordPacedSend(now, s)
 	switch {
 	case s.Resubmitted:
 		effect.Urgency = resubmittedUrgency
@@ -99,7 +100,7 @@
 		r.crashes.recordParts(now, s)
 	}
 	if !e.IsError {
-		r.recordSuccess(u)
+		r.recordSuccess(now, u)
 		delete(r.requests, s.ID)
 		return NoEffect{}
 	}
--- a/balancer/draw.go
+++ b/balancer/draw.go
@@ -30,7 +30,10 @@
 		if !r.eligible(now, s, u, policy) {
 			continue
 		}
-		if u.limit.InForce {
+		if u.cold.bound {
+			r.updateCold(now, u)
+		}
+		if u.limited() {
 			if u.withinLimit(now) {
 				u.forgetOldEstimate(now)
 				limited = append(limited, u)
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -36,6 +36,8 @@
 	// LimitStamp is the stamp of the upstream's limit, or 0 if none was known to be in
 	// force.
 	LimitStamp uint64
+	// Cold means that the upstream is cold, or may be.
+	Cold bool
 }
 
 // Refuse answers that the request has not run and never will.
@@ -67,6 +69,8 @@
 	NoUpstream     Reason = "NoUpstream"
 	// Limited: upstreams are ready, and the limits of all of them are used up.
 	Limited Reason = "Limited"
+	// Cold: upstreams are ready, and this entry's share of what cold ones bear is used up.
+	Cold Reason = "Cold"
 	// Resting: the upstreams that could run the request have asked for rest.
 	Resting         Reason = "Resting"
 	Overloaded      Reason = "Overloaded"
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -84,7 +84,7 @@
 // updateShare sets the pace at which this entry sends requests to the upstream. A share
 // that another entry may have had is used takeoverDelay after the entries changed.
 func (r *Reducer) updateShare(now time.Time, u *upstream) {
-	share, rank := r.shareOf(u)
+	share, rank := r.shareOf(now, u)
 	switch {
 	case share == 0:
 		u.pacer = nil
@@ -94,20 +94,20 @@
 			first = now
 		}
 		// Entries whose shares begin together take turns.
-		turn := time.Duration(float64(rank) * float64(time.Second) / u.limit.Pace())
+		turn := time.Duration(float64(rank) * float64(time.Second) / r.paceOf(now, u))
 		u.pacer = limiter.NewPacer(share, first.Add(turn))
 	default:
 		u.pacer.SetRate(share)
 	}
 }
 
-// shareOf returns this entry's share of the upstream's limit, in requests per second, and
+// shareOf returns this entry's share of what the upstream accepts, in requests per second, and
 // its rank among the entries that have one. All entries rank each other alike for an
 // upstream, those in its availability zone first. The first ones share the limit equally:
 // as many as can have minShare, so that a low limit is held by one entry alone.
-func (r *Reducer) shareOf(u *upstream) (share float64, rank int) {
+func (r *Reducer) shareOf(now time.Time, u *upstream) (share float64, rank int) {
 	own := slices.IndexFunc(r.entries, func(e Entry) bool { return e.Name == r.cfg.Entry })
-	if !u.limit.InForce || own < 0 {
+	if !u.limited() || own < 0 {
 		return 0, 0
 	}
 	for _, e := range r.entries {
@@ -115,12 +115,16 @@
 			rank++
 		}
 	}
-	pace := u.limit.Pace()
-	holders := min(len(r.entries), max(1, int(pace/minShare)))
-	if rank >= holders {
+	u.holders = min(len(r.entries), holdersOf(r.topPace(u)))
+	if rank >= u.holders {
 		return 0, rank
 	}
-	return pace / float64(holders), rank
+	return r.paceOf(now, u) / float64(u.holders), rank
+}
+
+// holdersOf returns how many entries share that many requests per second at most.
+func holdersOf(pace float64) int {
+	return max(1, int(pace/minShare))
 }
 
 // precedes reports whether entry a ranks before entry b for the upstream.
@@ -138,13 +142,13 @@
 
 // withinLimit reports whether this entry may send a request to the upstream now.
 func (u *upstream) withinLimit(now time.Time) bool {
-	return !u.limit.InForce || (u.pacer != nil && u.pacer.Ready(now))
+	return !u.limited() || (u.pacer != nil && u.pacer.Ready(now))
 }
 
 // forgetOldEstimate drops the mean time to first byte if this entry has left its share of
 // the limit unused for long.
 func (u *upstream) forgetOldEstimate(now time.Time) {
-	if u.pacer.UnusedFor(now) >= unusedShareTimeout {
+	if u.limit.InForce && u.pacer.UnusedFor(now) >= unusedShareTimeout {
 		u.firstByte = limiter.NewMean(firstByteWeight)
 	}
 }
@@ -155,6 +159,9 @@
 	if u.limit.InForce {
 		return 0
 	}
+	if u.cold.bound {
+		return min(ratio, float64(u.holders-1))
+	}
 	return ratio
 }
 
@@ -162,6 +169,9 @@
 func (r *Reducer) reasonWithoutUpstream(now time.Time, s *request, policy ServicePolicy) Reason {
 	for _, u := range r.byService[s.Service] {
 		if r.eligible(now, s, u, policy) {
+			if u.cold.bound {
+				return Cold
+			}
 			return Limited
 		}
 	}
--- a/balancer/notice.go
+++ b/balancer/notice.go
@@ -126,7 +126,7 @@
 // connected decides whether an attempt that has a connection is still to be sent.
 func (r *Reducer) connected(now time.Time, e AttemptConnected) Effect {
 	s, ok := r.requests[e.Request]
-	if !ok || !s.target.resting(now) && !s.target.leaving() {
+	if !ok || !s.target.resting(now) && !s.target.leaving() && !s.target.overdueForCold(now, s) {
 		return NoEffect{}
 	}
 	r.releaseAttempt(s, false)
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -19,6 +19,10 @@
 	// per first send, and how many can accumulate.
 	RetryRatio float64
 	RetryBurst float64
+	// ColdOverage and ColdAllowance bound the requests that a cold upstream gets from all
+	// entries in one second, as a factor of what it bears and a number more.
+	ColdOverage   float64
+	ColdAllowance float64
 	// ReleaseGracePeriod is how long after a release was named older ones are refused.
 	ReleaseGracePeriod time.Duration
 }
@@ -76,6 +80,7 @@
 	ejectionChanges []EjectionChange
 	crashes         *crashDetector
 	limitChanges    []LimitChange
+	coldChanges     []ColdChange
 	notices         map[process]*notice
 	newNotices      []UpstreamNotice
 	// entries are those that take requests.
@@ -90,6 +95,8 @@
 	tried    map[identifier.Upstream]bool
 	target   *upstream
 	sentAt   time.Time
+	// paced reports whether the attempt counts against a share.
+	paced bool
 	// firstByteAt is when the response of the current attempt began, or zero.
 	firstByteAt time.Time
 	answered    bool // the response of the current attempt has begun, or the attempt is over
@@ -124,6 +131,9 @@
 		for _, s := range e.Services {
 			r.services[s.Service] = s
 		}
+		for _, u := range r.upstreams {
+			r.updateCold(now, u)
+		}
 	case LoadObserved:
 		if u, ok := r.upstreams[e.Upstream]; ok {
 			u.observe(now, &e.Load, agentReportAge)
@@ -140,6 +150,8 @@
 		r.refuseConnection(now, e)
 	case EntriesChanged:
 		r.changeEntries(now, e.Entries)
+	case ColdStated:
+		r.observeCold(now, e)
 	case LimitStated:
 		r.observeLimit(now, e)
 	case RestRequested:
@@ -183,6 +195,7 @@
 		regroup = regroup || u.view.Service != v.Service
 		u.view = v
 		r.learnLimit(now, u, v.Limit)
+		r.updateCold(now, u)
 	}
 	for name := range r.upstreams {
 		if !known[name] {
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -55,6 +55,11 @@
 	limit limiter.RequestLimit
 	pacer *limiter.Pacer
 
+	// holders is the number of entries that share what the upstream accepts while it is
+	// limited or cold.
+	holders int
+	cold    coldness
+
 	// notice is what the upstream has asked of this entry, or nil.
 	notice *notice
 
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -66,6 +66,8 @@
 		Region:             placement.Region,
 		AvailabilityZone:   placement.AvailabilityZone,
 		RetryRatio:         retryRatioFactor * placement.Bounds.RetryRatio,
+		ColdOverage:        placement.Bounds.ColdOverage,
+		ColdAllowance:      placement.Bounds.ColdAllowance,
 		RetryBurst:         balancer.RetryBurst(placement.Bounds.RetryAllowance, 0),
 		ReleaseGracePeriod: expectAfter(placement.Bounds.ReleaseDeadline),
 	})
@@ -249,6 +251,7 @@
 }
 
 func (e *entry) updateUpstreams() {
+	now := e.clock.Now()
 	var views []balancer.UpstreamView
 	for _, k := range e.spreader.Upstreams() {
 		views = append(views, balancer.UpstreamView{
@@ -263,6 +266,7 @@
 			Draining:         k.State != registrar.Ready,
 			Stale:            k.Stale,
 			Limit:            k.Limit,
+			ColdUntil:        now.Add(k.ColdRemaining),
 		})
 	}
 	e.relayer.ChangeUpstreams(views)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -30,6 +30,9 @@
 // attempt runs one attempt and returns the reducer's next effect.
 func (x *exchange) attempt(send balancer.Send) balancer.Effect {
 	x.relayer.meters.attempts.Inc()
+	if send.Cold {
+		x.relayer.meters.coldAttempts.Inc()
+	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	var timedOut atomic.Bool
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -16,6 +16,8 @@
 	events        *metrics.Counter
 	crashes       *metrics.Counter
 	rests         *metrics.Counter
+	coldChanges   *metrics.Counter
+	coldAttempts  *metrics.Counter
 	firstByte     *metrics.Histogram
 	forecastError *metrics.Histogram
 }
@@ -28,6 +30,8 @@
 		events:        set.NewCounter("celeryvalve_stream_events_total"),
 		crashes:       set.NewCounter("celeryvalve_upstream_crashes_total"),
 		rests:         set.NewCounter("celeryvalve_upstream_rests_total"),
+		coldChanges:   set.NewCounter("celeryvalve_upstream_cold_total"),
+		coldAttempts:  set.NewCounter("celeryvalve_cold_attempts_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
 		forecastError: set.NewHistogram("celeryvalve_forecast_error_seconds"),
 	}
--- a/relayer/notice.go
+++ b/relayer/notice.go
@@ -14,6 +14,9 @@
 	if header.Leaving {
 		a.relayer.reduce(balancer.LeavingStated{Request: a.request.ID, Upstream: target.Upstream, Incarnation: target.Incarnation})
 	}
+	if header.ColdRemaining > 0 && !header.Misdirected {
+		a.relayer.reduce(balancer.ColdStated{Upstream: target.Upstream, Incarnation: target.Incarnation, Remaining: header.ColdRemaining})
+	}
 	if header.Rest > 0 && !header.Misdirected {
 		a.relayer.reduce(balancer.RestRequested{Request: a.request.ID, Upstream: target.Upstream, Incarnation: target.Incarnation, Rest: header.Rest})
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -201,12 +201,14 @@
 	findings := r.reducer.TakeCrashFindings()
 	limits := r.reducer.TakeLimitChanges()
 	notices := r.reducer.TakeNotices()
+	colds := r.reducer.TakeColdChanges()
 	r.mu.Unlock()
 	for _, a := range asides {
 		r.logAside(a)
 	}
 	r.handleLimitChanges(limits)
 	r.handleNotices(notices)
+	r.handleColdChanges(colds)
 	r.handleCrashFindings(findings)
 	return effect
 }
