--- a/balancer/notice.go
+++ b/balancer/notice.go
@@ -123,10 +123,17 @@
 	return u.notice != nil && !u.notice.leavingAt.IsZero()
 }
 
+// maySendNow reports whether the upstream of the attempt, which was chosen before the
+// connection was made, may still get it.
+func (r *Reducer) maySendNow(now time.Time, s *request) bool {
+	u := s.target
+	return !u.resting(now) && !u.leaving() && s.mayBeServedAt(u) && !r.evacuates(now, u) && !u.overdueForCold(now, s)
+}
+
 // connected decides whether an attempt that has a connection is still to be sent.
 func (r *Reducer) connected(now time.Time, e AttemptConnected) Effect {
 	s, ok := r.requests[e.Request]
-	if !ok || !s.target.resting(now) && !s.target.leaving() && s.mayBeServedAt(s.target) && !r.evacuates(now, s.target) {
+	if !ok || r.maySendNow(now, s) {
 		return NoEffect{}
 	}
 	r.releaseAttempt(s, false)
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -17,6 +17,8 @@
 	crashes       *metrics.Counter
 	rests         *metrics.Counter
 	evacuated     *metrics.Gauge
+	coldChanges   *metrics.Counter
+	coldAttempts  *metrics.Counter
 	firstByte     *metrics.Histogram
 	forecastError *metrics.Histogram
 }
@@ -30,6 +32,8 @@
 		crashes:       set.NewCounter("celeryvalve_upstream_crashes_total"),
 		rests:         set.NewCounter("celeryvalve_upstream_rests_total"),
 		evacuated:     set.NewGauge("celeryvalve_evacuated_zones", nil),
+		coldChanges:   set.NewCounter("celeryvalve_upstream_cold_total"),
+		coldAttempts:  set.NewCounter("celeryvalve_cold_attempts_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
 		forecastError: set.NewHistogram("celeryvalve_forecast_error_seconds"),
 	}
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -217,7 +217,7 @@
 		sent.replicas = known
 		update.Replicas = known
 	}
-	update.Records, sent.cursor = s.table.Since(sent.cursor)
+	update.Records, sent.cursor = s.table.Since(s.clock.Now(), sent.cursor)
 	update.Records = s.withoutReceived(update.Records, sent)
 	update.WantsRefreshes = sent.followed.IsValid() && s.wantsRefreshesFrom(sent.followed)
 	update.Refreshes = s.nextRefreshes(sent)
