puller: read what is missing from the origin once all mirrors are lost

Caches of a region ask one of them for each chunk, and took its word that it is alive as a sign that chunks still come. With all control replicas lost they waited for each other; and as a lost mirror fails after 2.5 s and was ejected for 1.5 s, there was always one to ask before the origin. In the model of 204 engines with all mirrors lost 2 s after the naming no engine ever held the release.

A peer's word no longer counts as a sign of life, and after 3 s without one, sources that failed since are only probed.

--- a/puller/network_test.go
+++ b/puller/network_test.go
@@ -193,6 +193,9 @@
 		if root.dead {
 			root = f.mirrors[(stripe+1)%len(f.mirrors)]
 		}
+		if root.dead {
+			return // all are
+		}
 		f.hold(root, chunk)
 		for _, other := range f.mirrors {
 			if other != root {
@@ -316,6 +319,8 @@
 	}
 	f.at(f.now+sourceLatency, func() {
 		switch {
+		case r.Source == origin.Name:
+			f.readForInstance(p, r, end)
 		case source == nil || source.dead:
 			f.at(f.now+stallTimeout, func() { end(func() { p.plan.Failed(f.clock(), r) }) })
 		case source.held[r.Chunk]:
@@ -329,6 +334,25 @@
 	})
 }
 
+// readForInstance carries a chunk from the origin to a cache or an agent.
+func (f *fleet) readForInstance(p *process, r puller.Request, end func(func())) {
+	f.readPart(originParts, func(complete bool) {
+		if !complete {
+			end(func() { p.plan.Failed(f.clock(), r) })
+			return
+		}
+		f.at(p.down.carry(f.now), func() {
+			end(func() {
+				p.plan.Arrived(f.clock(), r)
+				f.hold(p, r.Chunk)
+				if p.plan.Done() && p.wholeAt == 0 {
+					p.wholeAt = f.now
+				}
+			})
+		})
+	})
+}
+
 // keepAlive tells the requester that the source is alive, and ends the request if it is
 // not.
 func (f *fleet) keepAlive(p, source *process, r puller.Request, ended *bool, end func(func())) {
@@ -338,7 +362,7 @@
 		case source.dead:
 			f.at(f.now+stallTimeout, func() { end(func() { p.plan.Failed(f.clock(), r) }) })
 		default:
-			p.plan.Alive(f.clock())
+			p.plan.Alive(f.clock(), r.Source)
 			f.keepAlive(p, source, r, ended, end)
 		}
 	})
@@ -432,3 +456,19 @@
 		}
 	}
 }
+
+// All control replicas are lost 2 s after the naming, when caches hold 40 of 64 chunks, and
+// stay in the lists of sources. What entries hold goes on to the instances, and each region reads
+// the rest once from the origin. It used to come never: caches waited for each other.
+func TestAllMirrorsLostInARelease(t *testing.T) {
+	f := newFleet(cachesInRegion)
+	f.at(2*time.Second, func() {
+		for _, m := range f.mirrors {
+			m.dead = true
+		}
+	})
+	first, last := f.play(t)
+	t.Logf("first %v, last %v, %d chunks read by instances", first, last, f.originFor)
+	require.Less(t, last, 18*time.Second)
+	require.LessOrEqual(t, f.originFor, regionCount*(releaseChunks-40))
+}
--- a/puller/plan.go
+++ b/puller/plan.go
@@ -79,6 +79,8 @@
 	sources []Candidate
 	// ejectedUntil is when each source that failed may be asked again.
 	ejectedUntil map[SourceName]time.Time
+	// failedAt is when each source last failed.
+	failedAt map[SourceName]time.Time
 	// lastProgress is when a source other than the origin last delivered a chunk, and
 	// lastSign when one last showed that it is alive.
 	lastProgress time.Time
@@ -104,6 +106,7 @@
 		order:        interleave(chunks),
 		pending:      make(map[int]*pendingChunk),
 		ejectedUntil: make(map[SourceName]time.Time),
+		failedAt:     make(map[SourceName]time.Time),
 		lastProgress: now,
 		lastSign:     now,
 	}
@@ -192,7 +195,7 @@
 	var best SourceName
 	found := false
 	for _, c := range p.sources {
-		if !match(c) || now.Before(p.ejectedUntil[c.Name]) {
+		if !match(c) || now.Before(p.ejectedUntil[c.Name]) || p.isLost(now, c) {
 			continue
 		}
 		if !found || score(c.Name) > score(best) {
@@ -202,6 +205,14 @@
 	return best, found
 }
 
+// isLost reports whether a source failed and no source has shown a sign of life for long.
+// Such a source is only probed, since a request to each lost one in turn would take longer than
+// its ejection, so that the origin was never asked.
+func (p *Plan) isLost(now time.Time, c Candidate) bool {
+	failed, ok := p.failedAt[c.Name]
+	return ok && c.Tier != Origin && !c.Peer && failed.After(p.lastSign) && now.Sub(p.lastSign) >= originFallbackDelay
+}
+
 // rank returns a pseudo-random number for a chunk and a source, as seen by one process.
 func rank(chunk int, source, self SourceName) uint64 {
 	buf := make([]byte, 0, len(source)+len(self)+2)
@@ -271,9 +282,10 @@
 func (p *Plan) progressed(now time.Time, source SourceName) {
 	for _, c := range p.sources {
 		if c.Name == source && c.Tier != Origin {
-			p.lastProgress, p.lastSign = now, now
+			p.lastProgress = now
 		}
 	}
+	p.Alive(now, source)
 }
 
 // Have records that the chunk is held, from wherever it came.
@@ -285,22 +297,28 @@
 	}
 }
 
-// Alive records that a source other than the origin has shown that it is alive, and still
-// keeps a request.
-func (p *Plan) Alive(now time.Time) {
-	p.lastSign = now
+// Alive records that a source has shown that it is alive, and still keeps a request. A peer
+// that is alive may itself wait for sources that are lost, or for this process: without the
+// others, peers would wait for each other.
+func (p *Plan) Alive(now time.Time, source SourceName) {
+	for _, c := range p.sources {
+		if c.Name == source && c.Tier != Origin && !c.Peer {
+			p.lastSign = now
+		}
+	}
 }
 
 // Failed records that the source did not deliver the chunk, and ejects the source.
 func (p *Plan) Failed(now time.Time, r Request) {
 	p.release(r)
 	p.ejectedUntil[r.Source] = now.Add(ejectionTime)
+	p.failedAt[r.Source] = now
 }
 
 // NotHeld records that a source that was probed does not hold the chunk.
 func (p *Plan) NotHeld(now time.Time, r Request) {
 	p.release(r)
-	p.lastSign = now
+	p.Alive(now, r.Source)
 }
 
 // release lets Next return the chunk again if r was the request that waits for it.
--- a/puller/plan_test.go
+++ b/puller/plan_test.go
@@ -86,7 +86,7 @@
 			require.NotEqual(t, origin.Name, r.Source)
 			p.NotHeld(now, r)
 		}
-		p.Alive(now)
+		p.Alive(now, mirror(0))
 	}
 }
 
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -169,7 +169,7 @@
 		stall.Reset(stallTimeout)
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.plan.Alive(t.puller.clock.Now())
+		t.plan.Alive(t.puller.clock.Now(), request.Source)
 	})
 	if err == nil {
 		_, err = verifier.VerifyBytes(digest, data)
