placer: let a release rest while a newer one is pinned

A mirror now pauses the transfer of a release as soon as a newer one is named, which ends its reads from the origin at once, and goes on with it if the newer one isn't pinned within a second.

--- a/fetcher/event.go
+++ b/fetcher/event.go
@@ -105,7 +105,12 @@
 type Cancelled struct{ Manifest identifier.Digest }
 
 // Paused stops fetching for a transfer. Its peers are still served.
-type Paused struct{ Manifest identifier.Digest }
+type Paused struct {
+	Manifest identifier.Digest
+	// EndReads ends the reads from the origin that are in progress, so that its link is free
+	// at once. Otherwise they are completed.
+	EndReads bool
+}
 
 // Resumed continues a paused transfer.
 type Resumed struct{ Manifest identifier.Digest }
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -78,6 +78,9 @@
 	switch e := event.(type) {
 	case Paused:
 		t.paused = true
+		if e.EndReads {
+			effects = f.cancelFetchesFrom(t, Origin)
+		}
 	case Resumed:
 		t.paused = false
 		t.resetProgress(now)
--- a/fetcher/origin_reads_test.go
+++ b/fetcher/origin_reads_test.go
@@ -35,3 +35,36 @@
 	require.LessOrEqual(t, most, reads)
 	require.Greater(t, most, reads/2, "the origin's link is kept busy")
 }
+
+// A release is replaced while it is read, and the digests of the newer one aren't known yet:
+// the origin's link is free at once for these, and the release goes on if they don't come.
+func TestPausedReleaseLeavesTheOriginAlone(t *testing.T) {
+	v := randomVersion(t, 1, "1", 512)
+	cfg := fetcher.DefaultConfig()
+	cfg.OriginReads = 8
+	cfg.ReadAhead = 1 << 10
+	n := newNetwork(t, 1, cfg, v)
+	n.start(6, want(v, fetcher.OriginBytes))
+	reading := func() (reads int) {
+		for _, node := range n.nodes {
+			for key := range node.pending {
+				if key.source.IsOrigin() {
+					reads++
+				}
+			}
+		}
+		return reads
+	}
+	n.runUntil(window/8, n.allReady)
+	require.NotZero(t, reading())
+	for _, node := range n.nodes {
+		node.reduce(fetcher.Paused{Manifest: v.manifest.Digest(), EndReads: true})
+	}
+	require.Zero(t, reading())
+	n.runUntil(window/4, func() bool { return reading() > 0 })
+	require.Zero(t, reading())
+	for _, node := range n.nodes {
+		node.reduce(fetcher.Resumed{Manifest: v.manifest.Digest()})
+	}
+	require.True(t, n.runUntil(4*window, n.allReady))
+}
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -59,6 +59,9 @@
 	leaseTimeout      = time.Second
 	// storeMemoryFraction is the fraction of the memory that chunks may take.
 	storeMemoryFraction = 0.25
+	// pinPatience is how long the transfer of a release rests for a newer one whose digests
+	// are not pinned yet: several times what that takes while the origin's link is free.
+	pinPatience = time.Second
 	// mirrorUploadFraction is the fraction of its link that a mirror sends to instances and
 	// caches with. The rest is for requests, and for other mirrors: whole regions wait for
 	// these.
@@ -100,6 +103,10 @@
 type mirroredRelease struct {
 	number   declarer.ReleaseNumber
 	manifest identifier.Digest
+	// pausedFor is the newer release that this one rested for last, and pausedAt since when,
+	// or zero if it goes on.
+	pausedFor declarer.ReleaseNumber
+	pausedAt  time.Time
 }
 
 func newMirror(placement parser.Placement, view *declarer.View, s *spreader.Spreader, e *connector.Endpoint,
@@ -208,11 +215,35 @@
 		pinned, ok := release.Pin(release.Wanted)
 		if ok {
 			m.followRelease(model, pinned)
+		} else {
+			m.restFor(model, release.Wanted)
 		}
 	}
 	m.known = m.known || declared.Revision > 0
 }
 
+// restFor pauses the transfer of a release that was replaced by one whose digests are not
+// pinned yet: its reads delay those of the new manifest, and most of what they bring is of no
+// use any more. The transfer goes on if the new release can't be pinned soon.
+func (m *mirror) restFor(model identifier.Model, wanted declarer.ReleaseNumber) {
+	release, ok := m.releases[model]
+	if !ok || wanted <= release.number {
+		return
+	}
+	now := m.clock.Now()
+	switch {
+	case release.pausedFor != wanted:
+		release.pausedFor, release.pausedAt = wanted, now
+		m.transferrer.Send(m.ctx, fetcher.Paused{Manifest: release.manifest, EndReads: true})
+		m.log.Info("A release rests for a newer one.", zap.Uint64("release", uint64(release.number)), zap.Uint64("newer", uint64(wanted)))
+	case !release.pausedAt.IsZero() && now.Sub(release.pausedAt) >= pinPatience:
+		release.pausedAt = time.Time{}
+		m.transferrer.Send(m.ctx, fetcher.Resumed{Manifest: release.manifest})
+		m.log.Warn("A newer release can't be pinned yet.", zap.Uint64("release", uint64(release.number)), zap.Uint64("newer", uint64(wanted)))
+	}
+	m.releases[model] = release
+}
+
 func (m *mirror) isInherited(manifest identifier.Digest) bool {
 	m.inheritedMu.Lock()
 	defer m.inheritedMu.Unlock()
