placer: show how many engines hold, swap and wait in a release

An operator saw a release only engine by engine. Each control replica now counts the engines of a model that serve the wanted release, take nothing new and serve an older one, in celeryvalve_release_engines and, when that has changed, once a second in the log.

--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -83,6 +83,7 @@
 	clock       clockwork.Clock
 	reconciler  *repeater.Repeater
 	cache       *weightsCache
+	progress    *progressReporter
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -120,6 +121,7 @@
 		releases:  make(map[identifier.Model]mirroredRelease),
 		lastPeers: make(map[identifier.Digest][]fetcher.Peer),
 		inherited: make(map[identifier.Digest]bool),
+		progress:  newProgressReporter(set, log.Named("mirror")),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	limit := identifier.ByteCount(storeMemoryFraction * float64(placement.Memory))
@@ -218,6 +220,8 @@
 		} else {
 			m.restFor(model, release.Wanted)
 		}
+		counted := countProgress(declared.Declaration, model, release.Wanted, m.spreader.Upstreams())
+		m.progress.report(m.clock.Now(), model, release.Wanted, counted)
 	}
 	m.known = m.known || declared.Revision > 0
 }
--- a/placer/rollout_test.go
+++ b/placer/rollout_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"celeryvalve/declarer"
 	"celeryvalve/identifier"
 	"celeryvalve/registrar"
 )
@@ -41,3 +42,20 @@
 		}
 	}
 }
+
+// An operator sees how many engines hold a release, are out for it and wait; silent ones and
+// those of other models don't count.
+func TestProgressOfARelease(t *testing.T) {
+	engine := func(model identifier.Model) declarer.Service {
+		return declarer.Service{Engine: &declarer.Engine{Slots: 1, Model: model}}
+	}
+	d := declarer.Declaration{Services: map[identifier.Service]declarer.Service{"llm": engine("m"), "other": engine("n")}}
+	known := func(service identifier.Service, noted declarer.ReleaseNumber, stale bool) registrar.KnownUpstream {
+		return registrar.KnownUpstream{Record: registrar.Record{Service: service, Noted: noted, Stamp: 1, Release: 1}, Stale: stale}
+	}
+	all := []registrar.KnownUpstream{
+		known("llm", 2, false), known("llm", 0, false), known("llm", 1, false), known("llm", 1, false),
+		known("llm", 1, true), known("other", 1, false),
+	}
+	require.Equal(t, progress{Serving: 1, Out: 1, Waiting: 2}, countProgress(d, "m", 2, all))
+}
--- a/stager/rollout_test.go
+++ b/stager/rollout_test.go
@@ -20,8 +20,8 @@
 	engines []*modelEngine
 	wanted  declarer.ReleaseNumber
 	// names are the times at which releases became wanted.
-	names   map[declarer.ReleaseNumber]time.Duration
-	maxOut  int
+	names  map[declarer.ReleaseNumber]time.Duration
+	maxOut int
 }
 
 type modelEngine struct {
