relayer: log the pace of an upstream and the longest pause of a stream

A stream is late by its first event or by a pause between two, and the logs told only of the first. The load header's fourth figure was read but seen nowhere.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -35,6 +35,7 @@
 		Forecast: forecast,
 		Load:     load,
 		LoadAge:  age,
+		Pace:     u.reported.Pace,
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -33,6 +33,8 @@
 	// the age of the report behind that number.
 	Load    int
 	LoadAge time.Duration
+	// Pace is Load.Pace of the last answer before the choice, or 0 if none said it.
+	Pace float64
 	// LimitStamp is the stamp of the upstream's limit, or 0 if none was known to be in
 	// force.
 	LimitStamp uint64
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -341,5 +341,6 @@
 	x.relayer.meters.countResponse(status)
 	x.log("Served a request.", zap.Int("status", status), zap.String("upstream", string(x.lastSend.Target.Upstream)),
 		zap.Duration("forecast", x.lastSend.Forecast), zap.Int("load", x.lastSend.Load),
-		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte))
+		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte),
+		zap.Duration("longestPause", x.longestPause), zap.Float64("pace", x.lastSend.Pace))
 }
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -18,6 +18,7 @@
 	rests         *metrics.Counter
 	firstByte     *metrics.Histogram
 	forecastError *metrics.Histogram
+	longestPause  *metrics.Histogram
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -30,6 +31,7 @@
 		rests:         set.NewCounter("celeryvalve_upstream_rests_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
 		forecastError: set.NewHistogram("celeryvalve_forecast_error_seconds"),
+		longestPause:  set.NewHistogram("celeryvalve_stream_longest_pause_seconds"),
 	}
 }
 
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -41,6 +41,10 @@
 	// firstByte is the time from the arrival of the request until the first byte of the
 	// response could be sent to the caller.
 	firstByte time.Duration
+	// lastEventAt is when the last event of a stream was sent to the caller, and
+	// longestPause the longest time between two of them.
+	lastEventAt  time.Time
+	longestPause time.Duration
 }
 
 // ServeHTTP serves one request of a caller.
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -48,17 +48,28 @@
 			return nil, balancer.ConnectionLost
 		}
 		x.flush()
-		x.events++
-		x.relayer.meters.events.Inc()
+		x.recordEvent()
 		if id != "" {
 			x.lastEvent = id
 		}
 	}
 }
 
+// recordEvent counts an event that was sent to the caller, and the pause before it.
+func (x *exchange) recordEvent() {
+	now := x.relayer.clock.Now()
+	if x.events > 0 {
+		x.longestPause = max(x.longestPause, now.Sub(x.lastEventAt))
+	}
+	x.lastEventAt = now
+	x.events++
+	x.relayer.meters.events.Inc()
+}
+
 // endStream reports the complete stream to the reducer.
 func (a *attempt) endStream(response *http.Response) (balancer.Effect, balancer.Cause) {
 	x := a.exchange
+	x.relayer.meters.longestPause.Update(x.longestPause.Seconds())
 	effect := x.relayer.reduce(balancer.ResponseCompleted{Request: x.request.ID, Unframed: !isFramed(response)})
 	x.recordServed(http.StatusOK)
 	return effect, ""
