balancer: measure the speed of each upstream and forecast by it

The pauses between events are now measured for each incarnation against the declared engine and multiply the forecast.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -16,6 +16,7 @@
 	}
 	s.answered = false
 	s.firstByteAt = time.Time{}
+	s.measuredEvents = 0
 	r.crashes.beginProbation(s)
 	load, age := u.load(now, u.othersRatio(r.othersRatio(s.Service)))
 	u.recordSend(now)
@@ -36,6 +37,7 @@
 		Load:     load,
 		LoadAge:  age,
 		Pace:     u.reported.Pace,
+		Slowness: u.speed.at(now),
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
@@ -78,6 +80,7 @@
 	u := s.target
 	u.heardAt = now
 	s.firstByteAt = now
+	s.measuredEvents, s.measuredAt = 1, now
 	s.stopWaiting()
 	u.firstByte.Add(now.Sub(s.sentAt))
 	u.observe(now, e.Load, 0)
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -35,6 +35,9 @@
 	LoadAge time.Duration
 	// Pace is Load.Pace of the last answer before the choice, or 0 if none said it.
 	Pace float64
+	// Slowness is how long the upstream was assumed to take in proportion to the declared
+	// engine.
+	Slowness float64
 	// LimitStamp is the stamp of the upstream's limit, or 0 if none was known to be in
 	// force.
 	LimitStamp uint64
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -120,6 +120,13 @@
 	Load    *Load
 }
 
+// StreamProgressed says that the attempt has brought so many events of a stream, of which
+// the last came just now. NoEffect follows.
+type StreamProgressed struct {
+	Request identifier.RequestID
+	Events  int
+}
+
 // ResponseCompleted says that the response of the attempt was received completely. NoEffect or Send
 // follows: Send if a failed response is to be dropped for another attempt.
 type ResponseCompleted struct {
@@ -240,6 +247,7 @@
 func (PolicyChanged) isEvent()      {}
 func (RequestArrived) isEvent()     {}
 func (ResponseStarted) isEvent()    {}
+func (StreamProgressed) isEvent()   {}
 func (ResponseCompleted) isEvent()  {}
 func (AttemptFailed) isEvent()      {}
 func (CallerGone) isEvent()         {}
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -34,7 +34,8 @@
 	if !q.Resubmitted {
 		prefills -= u.waitingResubmitted
 	}
-	return engineForecast(engine, load, u.slots(), deviation, float64(prefills)*(1+othersRatio), q)
+	usual := engineForecast(engine, load, u.slots(), deviation, float64(prefills)*(1+othersRatio), q)
+	return time.Duration(u.speed.factor(now) * float64(usual))
 }
 
 // loadDeviation returns the standard deviation of an engine's load from its report.
@@ -125,12 +126,16 @@
 	if e == nil {
 		return 0
 	}
-	return time.Duration(max(1, e.MeanAnswer/max(1, e.StepsPerPass))) * passTime(e, e.Slots/2)
+	return time.Duration(passesPerAnswer(e)) * passTime(e, e.Slots/2)
+}
+
+// passesPerAnswer returns how many passes a response of mean length takes.
+func passesPerAnswer(e *declarer.Engine) int {
+	return max(1, e.MeanAnswer/max(1, e.StepsPerPass))
 }
 
 // serviceTime returns how long a request of mean size occupies its slot in a full
 // engine: its passes, and the prefill of the prompts that arrive meanwhile.
 func serviceTime(e *declarer.Engine, slots int) time.Duration {
-	passes := max(1, e.MeanAnswer/max(1, e.StepsPerPass))
-	return time.Duration(passes)*passTime(e, slots) + time.Duration(slots)*prefillTime(e, e.MeanPrompt)
+	return time.Duration(passesPerAnswer(e))*passTime(e, slots) + time.Duration(slots)*prefillTime(e, e.MeanPrompt)
 }
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -76,6 +76,7 @@
 	ejectionChanges []EjectionChange
 	crashes         *crashDetector
 	limitChanges    []LimitChange
+	speedChanges    []SpeedChange
 	notices         map[process]*notice
 	newNotices      []UpstreamNotice
 	// entries are those that take requests.
@@ -92,7 +93,11 @@
 	sentAt   time.Time
 	// firstByteAt is when the response of the current attempt began, or zero.
 	firstByteAt time.Time
-	answered    bool // the response of the current attempt has begun, or the attempt is over
+	// measuredEvents and measuredAt are the events of the current attempt up to which its
+	// upstream's speed was measured, and when the last of them came.
+	measuredEvents int
+	measuredAt     time.Time
+	answered       bool // the response of the current attempt has begun, or the attempt is over
 	// mayHaveRun is set once any attempt may have run.
 	mayHaveRun bool
 	// firstSentAt is when the first attempt was sent, and crashes counts the attempts
@@ -152,6 +157,10 @@
 		return r.connected(now, e)
 	case ResponseStarted:
 		return r.answering(now, e)
+	case StreamProgressed:
+		if s, ok := r.requests[e.Request]; ok {
+			r.progressed(now, s, e.Events)
+		}
 	case ResponseCompleted:
 		return r.ended(now, e)
 	case AttemptFailed:
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -59,6 +59,7 @@
 	notice *notice
 
 	firstByte *limiter.Mean
+	speed     speed
 	// heardAt is when the upstream last showed that it runs, and probedAt when a probe
 	// of it was last requested.
 	heardAt  time.Time
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -342,5 +342,5 @@
 	x.log("Served a request.", zap.Int("status", status), zap.String("upstream", string(x.lastSend.Target.Upstream)),
 		zap.Duration("forecast", x.lastSend.Forecast), zap.Int("load", x.lastSend.Load),
 		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte),
-		zap.Duration("longestPause", x.longestPause), zap.Float64("pace", x.lastSend.Pace))
+		zap.Duration("longestPause", x.longestPause), zap.Float64("pace", x.lastSend.Pace), zap.Float64("slowness", x.lastSend.Slowness))
 }
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -19,6 +19,7 @@
 	firstByte     *metrics.Histogram
 	forecastError *metrics.Histogram
 	longestPause  *metrics.Histogram
+	slowUpstreams *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -31,6 +32,7 @@
 		rests:         set.NewCounter("celeryvalve_upstream_rests_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
 		forecastError: set.NewHistogram("celeryvalve_forecast_error_seconds"),
+		slowUpstreams: set.NewCounter("celeryvalve_upstreams_found_slow_total"),
 		longestPause:  set.NewHistogram("celeryvalve_stream_longest_pause_seconds"),
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -201,10 +201,14 @@
 	findings := r.reducer.TakeCrashFindings()
 	limits := r.reducer.TakeLimitChanges()
 	notices := r.reducer.TakeNotices()
+	speeds := r.reducer.TakeSpeedChanges()
 	r.mu.Unlock()
 	for _, a := range asides {
 		r.logAside(a)
 	}
+	for _, s := range speeds {
+		r.logSpeed(s)
+	}
 	r.handleLimitChanges(limits)
 	r.handleNotices(notices)
 	r.handleCrashFindings(findings)
@@ -222,6 +226,15 @@
 		zap.String("cause", string(a.Cause)), zap.Int("failures", a.Failures))
 }
 
+func (r *Relayer) logSpeed(s balancer.SpeedChange) {
+	message := "Upstream is as fast as usual again."
+	if s.Slow {
+		message = "Upstream is slow."
+		r.meters.slowUpstreams.Inc()
+	}
+	r.log.Info(message, zap.String("upstream", string(s.Upstream)), zap.Float64("slowness", s.Slowness))
+}
+
 // nextRandom returns the next number of a sequence that starts after the seed. No two
 // requests of this entry get the same number.
 func (r *Relayer) nextRandom() uint64 {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -17,6 +17,9 @@
 	// pause that counts as on time.
 	stallFactor     = 4
 	minStallTimeout = 1200 * time.Millisecond
+	// progressInterval is the number of events after which the reducer is told of a stream's
+	// progress. Half of the answers of the known deployments have more than seven.
+	progressInterval = 3
 )
 
 // relayStream relays the events of a stream. It reads the first event before it
@@ -27,6 +30,7 @@
 	detector := a.newStallDetector()
 	defer detector.stop()
 	first := true
+	count := 0
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && !first {
@@ -49,6 +53,9 @@
 		}
 		x.flush()
 		x.recordEvent()
+		if count++; count%progressInterval == 0 {
+			x.relayer.reduce(balancer.StreamProgressed{Request: x.request.ID, Events: count})
+		}
 		if id != "" {
 			x.lastEvent = id
 		}
