balancer: hold against an upstream only failures that the others don't have

The penalty now fades, counts only as far as the others don't fail alike, and a share of failures above theirs counts beside it.

--- a/balancer/aside.go
+++ b/balancer/aside.go
@@ -27,6 +27,7 @@
 // recordFailure counts a failure of the upstream and reports the ejection if it
 // causes one.
 func (r *Reducer) recordFailure(now time.Time, u *upstream, cause Cause) {
+	u.failed.add(now, true)
 	before := u.ejectedUntil
 	u.countFailure(now, cause == NotConnected || cause == Misdirected)
 	if u.ejectedUntil.Equal(before) {
@@ -37,7 +38,8 @@
 
 // recordSuccess resets the failures of the upstream and reports its recovery if it
 // was ejected.
-func (r *Reducer) recordSuccess(u *upstream) {
+func (r *Reducer) recordSuccess(now time.Time, u *upstream) {
+	u.failed.add(now, false)
 	if u.ejectionTime > 0 {
 		r.ejectionChanges = append(r.ejectionChanges, EjectionChange{Upstream: u.view.Upstream})
 	}
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -103,7 +103,7 @@
 		r.crashes.recordParts(now, s)
 	}
 	if !e.IsError {
-		r.recordSuccess(u)
+		r.recordSuccess(now, u)
 		delete(r.requests, s.ID)
 		return NoEffect{}
 	}
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -25,10 +25,11 @@
 	var bestCost, bestForecast time.Duration
 	random := s.Random + uint64(s.attempts)
 	othersRatio := r.othersRatio(s.Service)
+	failed, known := r.failedShares(now, s.Service)
 	for _, u := range r.sampleCandidates(now, s, policy) {
 		forecast := r.forecast(now, u, &s.Request, policy.Engine, u.othersRatio(othersRatio))
 		random = limiter.SplitMix64(random)
-		cost := forecast + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.recoveryPenalty(now)
+		cost := forecast + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.greyPenalty(now, failed, known) + u.recoveryPenalty(now)
 		if u.limit.InForce && forecast <= r.maxForecast(now, s) {
 			cost -= limitedPreference
 		}
@@ -69,14 +70,9 @@
 // others.
 const stalePenalty = 10 * time.Second
 
-// failurePenalty is added for each consecutive failure of an upstream that is not
-// ejected yet.
-const failurePenalty = 100 * time.Millisecond
-
 func healthPenalty(u *upstream) time.Duration {
-	penalty := time.Duration(u.failures) * failurePenalty
 	if u.view.Stale {
-		penalty += stalePenalty
+		return stalePenalty
 	}
-	return penalty
+	return 0
 }
--- a/balancer/failure_test.go
+++ b/balancer/failure_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -124,3 +125,50 @@
 		require.Zero(t, r.InFlight())
 	})
 }
+
+// answerPlain sends a request of a plain service, lets it take 20 ms, and returns where it went.
+func answerPlain(r *balancer.Reducer, now time.Time, n int, fails func(identifier.Upstream) bool) identifier.Upstream {
+	q := bookingRequest(identifier.RequestID(fmt.Sprint("r", n)), false)
+	q.Random = uint64(n)
+	sent, ok := arrive(r, now, q).(balancer.Send)
+	if !ok {
+		return ""
+	}
+	now = now.Add(20 * time.Millisecond)
+	r.Reduce(now, balancer.ResponseStarted{Request: q.ID})
+	r.Reduce(now, balancer.ResponseCompleted{Request: q.ID, IsError: fails(sent.Target.Upstream)})
+	return sent.Target.Upstream
+}
+
+// Load pattern: 20 requests a second at three upstreams, one in each region, of which some
+// answer part of the requests with errors. Guards against an upstream of the own region that
+// is avoided for good after one failure, and against one that fails half of the time and
+// whose successes in between let it go on.
+func TestFailuresMoveRequestsAsFarAsTheyLast(t *testing.T) {
+	tests := []struct {
+		name         string
+		every        map[identifier.Upstream]int // each such response fails
+		fewest, most int                         // of 200 requests, at the upstream in the own region
+	}{
+		{"one failure", map[identifier.Upstream]int{"a": 150}, 160, 200},
+		{"all fail alike now and then", map[identifier.Upstream]int{"a": 8, "b": 8, "c": 8}, 130, 200},
+		{"fails every second", map[identifier.Upstream]int{"a": 2}, 0, 80},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newPlainReducer()
+			views := []balancer.UpstreamView{upstream("a", "booking"), upstream("b", "booking"), upstream("c", "booking")}
+			views[1].Region, views[2].Region = "far", "farther"
+			r.Reduce(start, balancer.UpstreamsChanged{Upstreams: views})
+			answered, sent := make(map[identifier.Upstream]int), make(map[identifier.Upstream]int)
+			for i := range 200 {
+				sent[answerPlain(r, start.Add(time.Duration(i)*50*time.Millisecond), i, func(u identifier.Upstream) bool {
+					answered[u]++
+					return test.every[u] > 0 && answered[u]%test.every[u] == 0
+				})]++
+			}
+			require.GreaterOrEqual(t, sent["a"], test.fewest, "%v", sent)
+			require.LessOrEqual(t, sent["a"], test.most, "%v", sent)
+		})
+	}
+}
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -65,7 +65,10 @@
 	heardAt  time.Time
 	probedAt time.Time
 
+	// failures is the number of consecutive failures, the last of them at failedAt.
 	failures     int
+	failedAt     time.Time
+	failed       failedShare
 	ejectedUntil time.Time
 	ejectionTime time.Duration
 	// probe is the request that tests the upstream after an ejection, or empty.
@@ -157,6 +160,7 @@
 // countFailure counts a failure and ejects the upstream if there were too many.
 func (u *upstream) countFailure(now time.Time, unreachable bool) {
 	u.failures++
+	u.failedAt = now
 	switch {
 	case u.ejectionTime > 0:
 		u.ejectionTime = min(maxEjectionTime, 2*u.ejectionTime)
