--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -29,7 +29,7 @@
 	for _, u := range r.sampleCandidates(now, s, policy) {
 		forecast := r.forecast(now, u, &s.Request, policy.Engine, u.othersRatio(othersRatio))
 		random = limiter.SplitMix64(random)
-		cost := forecast + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.greyPenalty(now, failed, known) + u.recoveryPenalty(now)
+		cost := time.Duration(u.speed.factor(now)*float64(forecast)) + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.greyPenalty(now, failed, known) + u.recoveryPenalty(now)
 		if u.limit.InForce && forecast <= r.maxForecast(now, s) {
 			cost -= limitedPreference
 		}
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -34,8 +34,7 @@
 	if !q.Resubmitted {
 		prefills -= u.waitingResubmitted
 	}
-	usual := engineForecast(engine, load, u.slots(), deviation, float64(prefills)*(1+othersRatio), q)
-	return time.Duration(u.speed.factor(now) * float64(usual))
+	return engineForecast(engine, load, u.slots(), deviation, float64(prefills)*(1+othersRatio), q)
 }
 
 // loadDeviation returns the standard deviation of an engine's load from its report.
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -50,7 +50,9 @@
 	return 1 + (s.slowness-1)*math.Exp2(-age.Seconds()/slownessHalfLife.Seconds())
 }
 
-// factor returns how many times its usual time a request takes at the upstream now.
+// factor returns how many times its forecast a request takes at the upstream now, for the
+// comparison of upstreams. Admission goes by the forecast alone: where all fast upstreams
+// are full, a slow one is late, and a refusal is later.
 func (s *speed) factor(now time.Time) float64 {
 	return max(1, s.at(now)/slownessTolerance)
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -317,7 +317,7 @@
 	a.firstByte = elapsed
 	a.relayer.meters.firstByte.Update(elapsed.Seconds())
 	if a.attempts == 1 {
-		a.relayer.meters.forecastError.Update((elapsed - a.send.Forecast).Abs().Seconds())
+		a.relayer.meters.recordForecastError(string(a.request.Service), elapsed-a.send.Forecast)
 	}
 }
 
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -17,7 +18,6 @@
 	crashes       *metrics.Counter
 	rests         *metrics.Counter
 	firstByte     *metrics.Histogram
-	forecastError *metrics.Histogram
 	longestPause  *metrics.Histogram
 	slowUpstreams *metrics.Counter
 }
@@ -31,7 +31,6 @@
 		crashes:       set.NewCounter("celeryvalve_upstream_crashes_total"),
 		rests:         set.NewCounter("celeryvalve_upstream_rests_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
-		forecastError: set.NewHistogram("celeryvalve_forecast_error_seconds"),
 		slowUpstreams: set.NewCounter("celeryvalve_upstreams_found_slow_total"),
 		longestPause:  set.NewHistogram("celeryvalve_stream_longest_pause_seconds"),
 	}
@@ -41,6 +40,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_answers_total{status="%d"}`, status)).Inc()
 }
 
+// recordForecastError records by how much a first byte came later or earlier than forecast.
+func (m *meters) recordForecastError(service string, late time.Duration) {
+	sign := "late"
+	if late < 0 {
+		sign = "early"
+	}
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`celeryvalve_forecast_error_seconds{service=%q,sign=%q}`, service, sign)).Update(late.Abs().Seconds())
+}
+
 func (m *meters) countRefusal(reason balancer.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_refusals_total{reason=%q}`, reason)).Inc()
 }
