--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -25,10 +25,12 @@
 	var bestCost, bestForecast time.Duration
 	random := s.Random + uint64(s.attempts)
 	othersRatio := r.othersRatio(s.Service)
+	failed, known := r.failedShares(now, s.Service)
 	for _, u := range r.sampleCandidates(now, s, policy) {
 		forecast := r.forecast(now, u, &s.Request, policy.Engine, u.othersRatio(othersRatio))
 		random = limiter.SplitMix64(random)
-		cost := forecast + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.recoveryPenalty(now) + r.returnPenalty(now, u)
+		cost := time.Duration(u.speed.factor(now)*float64(forecast)) + time.Duration(random%uint64(costJitter)) +
+			r.penalty(now, u) + u.greyPenalty(now, failed, known)
 		if u.limit.InForce && forecast <= r.maxForecast(now, s) {
 			cost -= limitedPreference
 		}
@@ -54,6 +56,11 @@
 	return u.view.Release >= r.minRelease(now, policy)
 }
 
+// penalty returns by how much others are preferred to the upstream, whatever the request.
+func (r *Reducer) penalty(now time.Time, u *upstream) time.Duration {
+	return r.localityPenalty(u) + healthPenalty(u) + u.recoveryPenalty(now) + r.returnPenalty(now, u)
+}
+
 func (r *Reducer) localityPenalty(u *upstream) time.Duration {
 	switch {
 	case u.view.Region != r.cfg.Region:
@@ -69,14 +76,9 @@
 // others.
 const stalePenalty = 10 * time.Second
 
-// failurePenalty is added for each consecutive failure of an upstream that is not
-// ejected yet.
-const failurePenalty = 100 * time.Millisecond
-
 func healthPenalty(u *upstream) time.Duration {
-	penalty := time.Duration(u.failures) * failurePenalty
 	if u.view.Stale {
-		penalty += stalePenalty
+		return stalePenalty
 	}
-	return penalty
+	return 0
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -323,7 +323,7 @@
 	a.firstByte = elapsed
 	a.relayer.meters.firstByte.Update(elapsed.Seconds())
 	if a.attempts == 1 {
-		a.relayer.meters.forecastError.Update((elapsed - a.send.Forecast).Abs().Seconds())
+		a.relayer.meters.recordForecastError(string(a.request.Service), elapsed-a.send.Forecast)
 	}
 }
 
@@ -347,5 +347,6 @@
 	x.relayer.meters.countResponse(status)
 	x.log("Served a request.", zap.Int("status", status), zap.String("upstream", string(x.lastSend.Target.Upstream)),
 		zap.Duration("forecast", x.lastSend.Forecast), zap.Int("load", x.lastSend.Load),
-		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte))
+		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte),
+		zap.Duration("longestPause", x.longestPause), zap.Float64("pace", x.lastSend.Pace), zap.Float64("slowness", x.lastSend.Slowness))
 }
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -20,7 +21,8 @@
 	coldChanges   *metrics.Counter
 	coldAttempts  *metrics.Counter
 	firstByte     *metrics.Histogram
-	forecastError *metrics.Histogram
+	longestPause  *metrics.Histogram
+	slowUpstreams *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -35,7 +37,8 @@
 		coldChanges:   set.NewCounter("celeryvalve_upstream_cold_total"),
 		coldAttempts:  set.NewCounter("celeryvalve_cold_attempts_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
-		forecastError: set.NewHistogram("celeryvalve_forecast_error_seconds"),
+		slowUpstreams: set.NewCounter("celeryvalve_upstreams_found_slow_total"),
+		longestPause:  set.NewHistogram("celeryvalve_stream_longest_pause_seconds"),
 	}
 }
 
@@ -43,6 +46,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_answers_total{status="%d"}`, status)).Inc()
 }
 
+// recordForecastError records by how much a first byte came later or earlier than forecast.
+func (m *meters) recordForecastError(service string, late time.Duration) {
+	sign := "late"
+	if late < 0 {
+		sign = "early"
+	}
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`celeryvalve_forecast_error_seconds{service=%q,sign=%q}`, service, sign)).Update(late.Abs().Seconds())
+}
+
 func (m *meters) countRefusal(reason balancer.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_refusals_total{reason=%q}`, reason)).Inc()
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -214,10 +214,14 @@
 	limits := r.reducer.TakeLimitChanges()
 	notices := r.reducer.TakeNotices()
 	colds := r.reducer.TakeColdChanges()
+	speeds := r.reducer.TakeSpeedChanges()
 	r.mu.Unlock()
 	for _, a := range asides {
 		r.logAside(a)
 	}
+	for _, s := range speeds {
+		r.logSpeed(s)
+	}
 	r.handleLimitChanges(limits)
 	r.handleNotices(notices)
 	r.handleColdChanges(colds)
@@ -236,6 +240,15 @@
 		zap.String("cause", string(a.Cause)), zap.Int("failures", a.Failures))
 }
 
+func (r *Relayer) logSpeed(s balancer.SpeedChange) {
+	message := "Upstream is as fast as usual again."
+	if s.Slow {
+		message = "Upstream is slow."
+		r.meters.slowUpstreams.Inc()
+	}
+	r.log.Info(message, zap.String("upstream", string(s.Upstream)), zap.Float64("slowness", s.Slowness))
+}
+
 // nextRandom returns the next number of a sequence that starts after the seed. No two
 // requests of this entry get the same number.
 func (r *Relayer) nextRandom() uint64 {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -17,6 +17,9 @@
 	// pause that counts as on time.
 	stallFactor     = 4
 	minStallTimeout = 1200 * time.Millisecond
+	// progressInterval is the number of events after which the reducer is told of a stream's
+	// progress. Half of the answers of the known deployments have more than seven.
+	progressInterval = 3
 )
 
 // relayStream relays the events of a stream. It reads the first event before it
@@ -27,6 +30,7 @@
 	detector := a.newStallDetector()
 	defer detector.stop()
 	first := true
+	count := 0
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && !first {
@@ -48,17 +52,31 @@
 			return nil, balancer.ConnectionLost
 		}
 		x.flush()
-		x.events++
-		x.relayer.meters.events.Inc()
+		x.recordEvent()
+		if count++; count%progressInterval == 0 {
+			x.relayer.reduce(balancer.StreamProgressed{Request: x.request.ID, Events: count})
+		}
 		if id != "" {
 			x.lastEvent = id
 		}
 	}
 }
 
+// recordEvent counts an event that was sent to the caller, and the pause before it.
+func (x *exchange) recordEvent() {
+	now := x.relayer.clock.Now()
+	if x.events > 0 {
+		x.longestPause = max(x.longestPause, now.Sub(x.lastEventAt))
+	}
+	x.lastEventAt = now
+	x.events++
+	x.relayer.meters.events.Inc()
+}
+
 // endStream reports the complete stream to the reducer.
 func (a *attempt) endStream(response *http.Response) (balancer.Effect, balancer.Cause) {
 	x := a.exchange
+	x.relayer.meters.longestPause.Update(x.longestPause.Seconds())
 	effect := x.relayer.reduce(balancer.ResponseCompleted{Request: x.request.ID, Unframed: !isFramed(response)})
 	x.recordServed(http.StatusOK)
 	return effect, ""
