router: use the index of prompts' beginnings

The prefix cache of the package goes; the index forgets by the engine's cache events as it did. Beginnings are also forgotten when the upstream's model or version changes: the former cache kept them over a swap of weights.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -90,8 +90,8 @@
 	if u != nil && u.view.Incarnation == q.attempt.target.Incarnation {
 		u.release(q.ID)
 		u.recordLoad(e.Load, r.now)
-		u.cache.report(e.Cache)
-		u.cache.add(q.Prefixes)
+		u.prefixes.Report(e.Cache.Sequence, e.Cache.Held)
+		u.prefixes.Add(q.beginning)
 	}
 	r.quarantine.completed(q.Fingerprint)
 	if e.Status >= http.StatusInternalServerError {
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -15,6 +15,12 @@
 	// Links between regions have little bandwidth, so an upstream in another region
 	// must be much cheaper to be chosen.
 	otherRegionFactor = 4
+	// maxAffinityLoad is the utilisation, as a multiple of the candidates' mean, beyond
+	// which the holder of a prompt's beginning is not preferred.
+	maxAffinityLoad = 1.25
+	// affinityCostFactor is the share of the cost that a prompt saves which the upstream
+	// holds completely. The engines have no declared model here.
+	affinityCostFactor = 0.5
 )
 
 func (r *Reducer) dispatchAll() {
@@ -127,7 +133,7 @@
 	bestMatch, total := 0.0, 0.0
 	for _, u := range candidates {
 		total += r.utilisation(u)
-		if m := u.cache.match(q.Prefixes); m > bestMatch {
+		if m := q.heldShare(u); m > bestMatch {
 			best, bestMatch = u, m
 		}
 	}
@@ -150,7 +156,7 @@
 	case u.view.AvailabilityZone != r.cfg.AvailabilityZone:
 		cost *= otherZoneFactor
 	}
-	return cost * (1 - affinityCostFactor*u.cache.match(q.Prefixes))
+	return cost * (1 - affinityCostFactor*q.heldShare(u))
 }
 
 // assign creates an attempt of the request on the upstream. A non-idempotent
--- a/router/request.go
+++ b/router/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/limiter"
 )
 
@@ -23,15 +24,17 @@
 type request struct {
 	RequestArrived
 
-	phase    phase
-	since    time.Time
-	item     limiter.Item[identifier.Organisation, identifier.RequestID]
-	attempt  *attempt
-	ordinal  int
-	sends    int
-	refusals int
-	random   uint64
-	avoid    map[identifier.Upstream]bool
+	// beginning holds the prefixes of the prompt, for comparison with what upstreams hold.
+	beginning indexer.Beginning
+	phase     phase
+	since     time.Time
+	item      limiter.Item[identifier.Organisation, identifier.RequestID]
+	attempt   *attempt
+	ordinal   int
+	sends     int
+	refusals  int
+	random    uint64
+	avoid     map[identifier.Upstream]bool
 	// token is the fencing token of a claim whose attempt is confirmed as refused.
 	token identifier.FencingToken
 	// mayHaveRun says that an earlier attempt was lost after it was handed over.
@@ -61,6 +64,15 @@
 	askAt        time.Time
 }
 
+// heldShare returns the share of the request's prefixes that the upstream is estimated to
+// hold, counted from the first one up to the first that is missing.
+func (q *request) heldShare(u *upstream) float64 {
+	if len(q.beginning) == 0 {
+		return 0
+	}
+	return float64(u.prefixes.Blocks(q.beginning)) / float64(len(q.beginning))
+}
+
 // current returns the request if the attempt is its current one. Messages of any
 // other attempt are late or misdirected and are ignored.
 func (r *Reducer) current(id identifier.RequestID, attemptID identifier.AttemptID) *request {
@@ -85,7 +97,7 @@
 	if r.requests[e.ID] != nil {
 		return
 	}
-	q := &request{RequestArrived: e, random: e.Random, avoid: make(map[identifier.Upstream]bool)}
+	q := &request{RequestArrived: e, beginning: indexer.FromHashes(e.Prefixes), random: e.Random, avoid: make(map[identifier.Upstream]bool)}
 	r.requests[e.ID] = q
 	s := r.services[e.Service]
 	switch {
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 )
 
 const (
@@ -48,11 +49,12 @@
 	// unstableUntil is set when the upstream fails, and cleared when it accepts
 	// work or becomes ready again.
 	unstableUntil time.Time
-	cache         *prefixCache
+	// prefixes are the beginnings of prompts that the upstream holds.
+	prefixes *indexer.Holder
 }
 
 func newUpstream(view UpstreamView) *upstream {
-	return &upstream{view: view, started: make(map[identifier.RequestID]time.Time), cache: newPrefixCache()}
+	return &upstream{view: view, started: make(map[identifier.RequestID]time.Time), prefixes: indexer.NewHolder(indexer.MaxBlocks)}
 }
 
 // usable reports whether the upstream may be chosen. After a failure it gets one
@@ -215,6 +217,9 @@
 	if view.Ready && !u.view.Ready {
 		u.unstableUntil = time.Time{}
 	}
+	if view.Model != u.view.Model || view.Version != u.view.Version {
+		u.prefixes.Clear()
+	}
 	u.view = view
 }
 
