balancer: weigh the reading that a held beginning saves against the wait

Where the engines of a service keep beginnings of prompts (declarer.Engine.PrefixTokens, 0 by default) the forecast of an upstream is shorter by the time in which it would read the tokens that it holds, pairs included. Upstreams that hold enough to matter (15 ms, the range in which forecasts count as equal) join the sample, two of those that hold the most and two others. A beginning that none is known to hold is read by the nearest upstream that ranks first for it, so that entries which know nothing of each other agree without a message.

What is held is counted from the sending on, since prompts are read in the order in which they come, and taken back if the upstream did not read it. It is forgotten at a restart, a refused connection, a swap of weights and by the engine's memory, of which the other entries fill a part in proportion to this one's requests.

The platform's list of parts carries its token counts. From the first part on whose id or count can't be read the parts count for nothing here; the quarantine goes on knowing them by their ids. celeryvalve_prompt_tokens_held_total, celeryvalve_prompts_held_total and celeryvalve_prompt_parts_ignored_total{reason} count.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"net/http"
 	"time"
 
 	"celeryvalve/declarer"
@@ -17,7 +18,8 @@
 	s.answered = false
 	s.firstByteAt = time.Time{}
 	r.crashes.beginProbation(s)
-	load, age := u.load(now, u.othersRatio(r.othersRatio(s.Service)))
+	othersRatio := u.othersRatio(r.othersRatio(s.Service))
+	load, age := u.load(now, othersRatio)
 	u.recordSend(now)
 	u.inFlight++
 	u.waiting++
@@ -35,6 +37,9 @@
 		Forecast: forecast,
 		Load:     load,
 		LoadAge:  age,
+
+		HeldTokens:   r.addPrompt(s, policy, othersRatio),
+		IgnoredParts: s.ignoredParts,
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
@@ -77,6 +82,9 @@
 	u := s.target
 	u.heardAt = now
 	s.firstByteAt = now
+	if e.Status < http.StatusBadRequest {
+		s.confirmPrompt()
+	}
 	s.stopWaiting()
 	u.firstByte.Add(now.Sub(s.sentAt))
 	u.observe(now, e.Load, 0)
@@ -132,6 +140,7 @@
 		r.recordLoss(now, s, e.Cause)
 		return r.giveUp(now, s, DeadlineExceeded, 0)
 	case Misdirected:
+		u.forgetPrefixes()
 		r.recordFailure(now, u, e.Cause)
 	case ConnectionLost, FirstByteTimedOut:
 		s.mayHaveRun = true
@@ -189,6 +198,7 @@
 	r.crashes.endProbation(s, reached)
 	u := s.target
 	u.inFlight--
+	s.withdrawPrompt()
 	s.stopWaiting()
 	if u.probe == s.ID {
 		u.probe = ""
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -32,6 +32,9 @@
 		if u.limit.InForce && forecast <= r.maxForecast(now, s) {
 			cost -= limitedPreference
 		}
+		if u == s.preferred {
+			cost -= costJitter
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost, bestForecast = u, cost, forecast
 		}
--- a/balancer/crash.go
+++ b/balancer/crash.go
@@ -204,6 +204,7 @@
 	if !ok || u.process() != p || u.draining() {
 		return
 	}
+	u.forgetPrefixes()
 	recent := slices.ContainsFunc(r.crashes.losses[p], func(l lostAttempt) bool { return !l.silent && now.Sub(l.at) <= crashSpan })
 	if recent {
 		r.crashes.confirm(now, p, RefusesConnections)
--- a/balancer/draw.go
+++ b/balancer/draw.go
@@ -50,7 +50,8 @@
 		size = max(minSampleSize, int(minSampleSize*float64(n)/arrivals))
 	}
 	random := limiter.SplitMix64(s.Random + uint64(s.attempts))
-	return slices.Concat(limited, randomSubset(local, size, random), randomSubset(remote, size, random))
+	sample := slices.Concat(limited, randomSubset(local, size, random), randomSubset(remote, size, random))
+	return r.addHolders(s, policy, sample, local[min(size, len(local)):], remote[min(size, len(remote)):])
 }
 
 // completionRate returns how many requests per second the upstream completes, or 0
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -5,6 +5,7 @@
 
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/quarantiner"
 )
 
@@ -36,6 +37,10 @@
 	// LimitStamp is the stamp of the upstream's limit, or 0 if none was known to be in
 	// force.
 	LimitStamp uint64
+	// HeldTokens is how many tokens of the prompt's beginning the upstream holds, as far as
+	// known, and IgnoredParts why parts of the prompt were not compared.
+	HeldTokens   int
+	IgnoredParts indexer.Fault
 }
 
 // Refuse answers that the request has not run and never will.
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -6,6 +6,7 @@
 
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/limiter"
 	"celeryvalve/quarantiner"
 )
@@ -20,6 +21,12 @@
 	Fingerprint quarantiner.Fingerprint
 	// Parts are the fingerprints of the parts of the prompt that other requests may share.
 	Parts []quarantiner.Fingerprint
+	// Prompt lists the parts of the prompt in order. The last one belongs to the request or
+	// its session.
+	Prompt []indexer.Part
+	// beginning is the prompt as it is compared with what upstreams hold. It is set only
+	// if upstreams of the service keep beginnings of prompts.
+	beginning indexer.Beginning
 	// Repeatable requests may run more than once.
 	Repeatable bool
 	// Generates says that the request needs an upstream with weights.
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -34,7 +34,8 @@
 	if !q.Resubmitted {
 		prefills -= u.waitingResubmitted
 	}
-	return engineForecast(engine, load, u.slots(), deviation, float64(prefills)*(1+othersRatio), q)
+	forecast := engineForecast(engine, load, u.slots(), deviation, float64(prefills)*(1+othersRatio), q)
+	return max(0, forecast-u.savedReading(q, engine))
 }
 
 // loadDeviation returns the standard deviation of an engine's load from its report.
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/limiter"
 )
 
@@ -99,6 +100,11 @@
 	// whose upstream crashed. It is shared with the losses of the request.
 	firstSentAt time.Time
 	crashes     *int
+	// preferred is the upstream that is chosen among about equal ones to read the
+	// beginning of the prompt, or nil.
+	preferred *upstream
+	// ignoredParts says why parts of the prompt are not compared with what upstreams hold.
+	ignoredParts indexer.Fault
 }
 
 // New returns a reducer without upstreams and services.
@@ -124,6 +130,7 @@
 		for _, s := range e.Services {
 			r.services[s.Service] = s
 		}
+		r.changePrefixCapacities()
 	case LoadObserved:
 		if u, ok := r.upstreams[e.Upstream]; ok {
 			u.observe(now, &e.Load, agentReportAge)
@@ -181,6 +188,9 @@
 			regroup = true
 		}
 		regroup = regroup || u.view.Service != v.Service
+		if u.view.Release != v.Release {
+			u.forgetPrefixes()
+		}
 		u.view = v
 		r.learnLimit(now, u, v.Limit)
 	}
@@ -212,6 +222,7 @@
 	}
 	r.budget(q.Service).RecordSend()
 	s := &request{Request: q, tried: make(map[identifier.Upstream]bool)}
+	s.chainPrompt(r.services[q.Service])
 	effect := r.dispatch(now, s)
 	if _, ok := effect.(Send); ok {
 		r.requests[q.ID] = s
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/limiter"
 )
 
@@ -58,6 +59,10 @@
 	// notice is what the upstream has asked of this entry, or nil.
 	notice *notice
 
+	// prefixes are the beginnings of prompts that the upstream holds, or nil if none is
+	// known.
+	prefixes *indexer.Holder
+
 	firstByte *limiter.Mean
 	// heardAt is when the upstream last showed that it runs, and probedAt when a probe
 	// of it was last requested.
--- a/declarer/declaration.go
+++ b/declarer/declaration.go
@@ -92,6 +92,10 @@
 	Slots int
 	// TokenCapacity is how many tokens of running requests fit into its memory.
 	TokenCapacity int
+	// PrefixTokens is how many tokens of the beginnings of prompts an engine keeps after
+	// their requests, so that requests which share them need not have them read again. Zero
+	// means that it keeps none.
+	PrefixTokens int `cbor:",omitempty"`
 	// StepTime is the duration of one decoding step without requests.
 	StepTime time.Duration
 	// StepPerRequest is added to a step for each request that is being decoded.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -30,6 +30,7 @@
 // attempt runs one attempt and returns the reducer's next effect.
 func (x *exchange) attempt(send balancer.Send) balancer.Effect {
 	x.relayer.meters.attempts.Inc()
+	x.relayer.meters.countPrompt(send)
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	var timedOut atomic.Bool
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -7,6 +7,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/limiter"
 )
 
@@ -24,9 +25,9 @@
 	// answer, both in tokens. Zero means that the size is not known.
 	PromptTokens int
 	AnswerTokens int
-	// PromptParts are the ids of the parts of the prompt, in order. The last one belongs to
-	// the request or its session, and others may be in the prompts of many requests.
-	PromptParts []string
+	// PromptParts are the parts of the prompt, in order. The last one belongs to the
+	// request or its session, and others may be in the prompts of many requests.
+	PromptParts []indexer.Part
 	// LastEvent is the last event of a stream that the caller has, or empty.
 	LastEvent string
 }
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -13,6 +13,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/quarantiner"
 )
 
@@ -124,6 +125,7 @@
 		Service:           service,
 		Fingerprint:       x.fingerprint(),
 		Parts:             x.partFingerprints(service),
+		Prompt:            x.header.PromptParts,
 		Repeatable:        x.route.Repeatable(),
 		Generates:         x.route.Generates,
 		PromptTokens:      x.header.PromptTokens,
@@ -150,7 +152,7 @@
 func (x *exchange) partFingerprints(service identifier.Service) []quarantiner.Fingerprint {
 	var list []quarantiner.Fingerprint
 	for _, part := range x.sharedParts() {
-		list = append(list, quarantiner.FingerprintOf(nil, "part", string(service), part))
+		list = append(list, quarantiner.FingerprintOf(nil, "part", string(service), part.ID))
 	}
 	return list
 }
@@ -244,12 +246,16 @@
 
 // partsField ties together the log lines of requests that share a part of their prompts.
 func (x *exchange) partsField() zap.Field {
-	return zap.Strings("parts", x.sharedParts())
+	var ids []string
+	for _, part := range x.sharedParts() {
+		ids = append(ids, part.ID)
+	}
+	return zap.Strings("parts", ids)
 }
 
 // sharedParts returns the parts of the prompt that other requests may have too: all but the
 // last.
-func (x *exchange) sharedParts() []string {
+func (x *exchange) sharedParts() []indexer.Part {
 	parts := x.header.PromptParts
 	return parts[:max(0, len(parts)-1)]
 }
