placer: take what the platform does not say of engines from a settings file

--placed-settings names a TOML file with the tokens of prompts' beginnings that the engines of a service keep. Without the flag nothing changes.

--- a/assembler/run.go
+++ b/assembler/run.go
@@ -35,11 +35,12 @@
 )
 
 type commandLine struct {
-	Settings      string           `help:"Settings file in TOML. Without one, the defaults run all three roles on loopback." type:"path" short:"s" xor:"settings"`
-	Placed        bool             `help:"Run as the platform places the process: read its settings from the file that the platform names." xor:"settings"`
-	Keys          string           `help:"Folder of the keys of a placed process." type:"path" default:"target/keys"`
-	PrintSettings bool             `help:"Print the settings in force and exit."`
-	Build         kong.VersionFlag `help:"Print the version and build of this program."`
+	Settings       string           `help:"Settings file in TOML. Without one, the defaults run all three roles on loopback." type:"path" short:"s" xor:"settings"`
+	Placed         bool             `help:"Run as the platform places the process: read its settings from the file that the platform names." xor:"settings"`
+	Keys           string           `help:"Folder of the keys of a placed process." type:"path" default:"target/keys"`
+	PlacedSettings string           `help:"Settings file in TOML of a placed process, for what the platform does not say." type:"path"`
+	PrintSettings  bool             `help:"Print the settings in force and exit."`
+	Build          kong.VersionFlag `help:"Print the version and build of this program."`
 }
 
 // Run starts the daemon and returns its exit code: 0 after a drain, 1 after a
@@ -67,7 +68,7 @@
 		return exitInvalid
 	}
 	if line.Placed {
-		return runPlaced(line.Keys, w, stderr)
+		return runPlaced(line.Keys, line.PlacedSettings, w, stderr)
 	}
 	settings, err := readSettings(line.Settings)
 	if err != nil {
@@ -87,20 +88,36 @@
 
 // runPlaced runs the daemon with the settings file that the platform names, and returns
 // its exit code.
-func runPlaced(keys string, w, stderr io.Writer) int {
+func runPlaced(keys, settingsPath string, w, stderr io.Writer) int {
 	read := func() (parser.Placement, error) { return platform.ReadPlacement(os.Getenv(platform.SettingsVariable)) }
 	placement, err := read()
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitInvalid
 	}
-	if err := placer.Run(placer.Options{Keys: keys, Reload: read}, placement, w); err != nil {
+	settings, err := readPlacedSettings(settingsPath)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitInvalid
+	}
+	if err := placer.Run(placer.Options{Keys: keys, Settings: settings, Reload: read}, placement, w); err != nil {
 		fmt.Fprintf(stderr, "celeryvalved: %v\n", rootCause(err))
 		return exitFailed
 	}
 	return exitDone
 }
 
+func readPlacedSettings(path string) (parser.PlacedSettings, error) {
+	if path == "" {
+		return parser.PlacedSettings{}, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return parser.PlacedSettings{}, explainer.Wrap(err, explainer.NotFound, "can't read the settings", "name an existing file with --placed-settings")
+	}
+	return parser.ParsePlacedSettings(path, data)
+}
+
 // rootCause returns the cause of a failed construction, without the chain of constructors
 // that dig wraps around it.
 func rootCause(err error) error {
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -82,6 +82,7 @@
 // entry serves callers, operators and the reports of upstreams.
 type entry struct {
 	placement parser.Placement
+	settings  parser.PlacedSettings
 	view      *declarer.View
 	spreader  *spreader.Spreader
 	relayer   *relayer.Relayer
@@ -102,10 +103,11 @@
 	releaseNames map[identifier.Model][]declarer.WantedRelease
 }
 
-func newEntry(placement parser.Placement, view *declarer.View, s *spreader.Spreader, rel *relayer.Relayer, o *controlAPI,
+func newEntry(placement parser.Placement, settings parser.PlacedSettings, view *declarer.View, s *spreader.Spreader, rel *relayer.Relayer, o *controlAPI,
 	r *replica, clock clockwork.Clock, log *zap.Logger) *entry {
 	e := &entry{
 		placement:    placement,
+		settings:     settings,
 		view:         view,
 		spreader:     s,
 		relayer:      rel,
@@ -239,7 +241,7 @@
 	}
 	var policies []balancer.ServicePolicy
 	for name, service := range declared.Declaration.Services {
-		policy := balancer.ServicePolicy{Service: name, Engine: service.Engine, ColdRate: service.ColdRate}
+		policy := balancer.ServicePolicy{Service: name, Engine: e.describeEngine(name, service.Engine), ColdRate: service.ColdRate}
 		if service.Engine != nil {
 			policy.Releases = e.releaseNames[service.Engine.Model]
 		}
@@ -248,6 +250,17 @@
 	return policies
 }
 
+// describeEngine returns the declared engine with what the settings add to it.
+func (e *entry) describeEngine(service identifier.Service, engine *declarer.Engine) *declarer.Engine {
+	settings, ok := e.settings.Engines[service]
+	if engine == nil || !ok {
+		return engine
+	}
+	described := *engine
+	described.PrefixTokens = settings.PrefixTokens
+	return &described
+}
+
 func (e *entry) updateUpstreams() {
 	var views []balancer.UpstreamView
 	for _, k := range e.spreader.Upstreams() {
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -45,7 +45,7 @@
 	clock := clockwork.NewFakeClock()
 	placement := parser.Placement{Callers: held.Addr().(*net.TCPAddr).AddrPort()}
 	rel := relayer.New(newReducer(placement), platform.Headers{}, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
-	e := newEntry(placement, nil, nil, rel, nil, nil, clock, zap.NewNop())
+	e := newEntry(placement, parser.PlacedSettings{}, nil, nil, rel, nil, nil, clock, zap.NewNop())
 	e.startCallersServer()
 	require.False(t, e.listening.Load())
 	ready := httptest.NewRecorder()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -63,6 +63,8 @@
 type Options struct {
 	// Keys is the folder of the keys that the build issued.
 	Keys string
+	// Settings are those that the platform does not give.
+	Settings parser.PlacedSettings
 	// Reload reads the placement again. It must be set.
 	Reload func() (parser.Placement, error)
 }
@@ -163,7 +165,7 @@
 
 func (o Options) modules(placement parser.Placement, log *zap.Logger) fx.Option {
 	common := fx.Options(
-		fx.Supply(placement, log),
+		fx.Supply(placement, o.Settings, log),
 		fx.Provide(
 			clockwork.NewRealClock,
 			metrics.NewSet,
