--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -342,5 +342,13 @@
 	x.relayer.meters.countResponse(status)
 	x.log("Served a request.", zap.Int("status", status), zap.String("upstream", string(x.lastSend.Target.Upstream)),
 		zap.Duration("forecast", x.lastSend.Forecast), zap.Int("load", x.lastSend.Load),
-		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte))
+		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte), x.heldField())
+}
+
+// heldField says how many tokens of the prompt the upstream was taken to hold, if any.
+func (x *exchange) heldField() zap.Field {
+	if x.lastSend.HeldTokens == 0 {
+		return zap.Skip()
+	}
+	return zap.Int("held", x.lastSend.HeldTokens)
 }
