--- a/balancer/prefix_test.go
+++ b/balancer/prefix_test.go
@@ -15,7 +15,7 @@
 // newPrefixReducer returns an entry in zone with the upstreams a, b, c and so on, whose
 // engines keep that many tokens of prompts.
 func newPrefixReducer(upstreams, tokens int) *balancer.Reducer {
-	r := balancer.New(balancer.Config{})
+	r := balancer.New(balancer.Config{RetryRatio: 0.1, RetryBurst: 2})
 	keep := engine()
 	keep.PrefixTokens = tokens
 	r.Reduce(start, balancer.PolicyChanged{Services: []balancer.ServicePolicy{{Service: "drafting", Engine: keep}}})
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -214,11 +214,8 @@
 }
 
 func (r *Reducer) arrive(now time.Time, q Request) Effect {
-	if _, ok := r.services[q.Service]; !ok {
-		return Refuse{Request: q.ID, Reason: UnknownService, RetryAfter: r.retryAfter(now, &q)}
-	}
-	if suspect, wait := r.crashes.refusedFor(now, &q); wait > 0 {
-		return Refuse{Request: q.ID, Reason: Quarantined, RetryAfter: wait, Suspect: suspect}
+	if refusal, ok := r.refusedUnseen(now, &q); ok {
+		return refusal
 	}
 	r.budget(q.Service).RecordSend()
 	s := &request{Request: q, tried: make(map[identifier.Upstream]bool)}
@@ -230,6 +227,18 @@
 	return effect
 }
 
+// refusedUnseen returns the refusal of a request that is not even weighed. It changes
+// nothing.
+func (r *Reducer) refusedUnseen(now time.Time, q *Request) (Refuse, bool) {
+	if _, ok := r.services[q.Service]; !ok {
+		return Refuse{Request: q.ID, Reason: UnknownService, RetryAfter: r.retryAfter(now, q)}, true
+	}
+	if suspect, wait := r.crashes.refusedFor(now, q); wait > 0 {
+		return Refuse{Request: q.ID, Reason: Quarantined, RetryAfter: wait, Suspect: suspect}, true
+	}
+	return Refuse{}, false
+}
+
 func (r *Reducer) budget(service identifier.Service) *limiter.RetryBudget {
 	b, ok := r.budgets[service]
 	if !ok {
@@ -241,21 +250,37 @@
 
 // dispatch sends the request to the best upstream, or refuses it.
 func (r *Reducer) dispatch(now time.Time, s *request) Effect {
+	d := r.decide(now, s)
+	if d.reason != "" {
+		return r.giveUp(now, s, d.reason, d.forecast)
+	}
+	return r.send(now, s, d.target, d.forecast, r.services[s.Service])
+}
+
+// decision is what happens to a request: it is sent to the target, or given up for a reason.
+type decision struct {
+	target   *upstream
+	forecast time.Duration
+	reason   Reason
+}
+
+// decide decides about the request. It does not carry the decision out.
+func (r *Reducer) decide(now time.Time, s *request) decision {
 	if s.Deadline.Sub(now) < minRemaining {
-		return r.giveUp(now, s, DeadlineTooNear, 0)
+		return decision{reason: DeadlineTooNear}
 	}
 	if r.heldBack(now, &s.Request) {
-		return r.giveUp(now, s, Probation, 0)
+		return decision{reason: Probation}
 	}
 	policy := r.services[s.Service]
 	best, forecast := r.choose(now, s, policy)
 	if best == nil {
-		return r.giveUp(now, s, r.reasonWithoutUpstream(now, s, policy), 0)
+		return decision{reason: r.reasonWithoutUpstream(now, s, policy)}
 	}
 	if s.attempts == 0 && forecast > r.maxForecast(now, s) {
-		return r.giveUp(now, s, Overloaded, forecast)
+		return decision{reason: Overloaded, forecast: forecast}
 	}
-	return r.send(now, s, best, forecast, policy)
+	return decision{target: best, forecast: forecast}
 }
 
 // maxForecast returns the longest forecast of the time to the first byte with which
@@ -281,6 +306,11 @@
 	if s.mayHaveRun {
 		return Fail{Request: s.ID, Reason: reason}
 	}
+	return r.refusal(now, s, reason, forecast)
+}
+
+// refusal returns the refusal of a request that no attempt may have run. It changes nothing.
+func (r *Reducer) refusal(now time.Time, s *request, reason Reason, forecast time.Duration) Refuse {
 	wait := r.retryAfter(now, &s.Request)
 	switch reason {
 	case NoUpstream:
