--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -223,10 +223,13 @@
 }
 
 // nextRandom returns the next number of a sequence that starts after the seed. No two
-// requests of this entry get the same number.
-func (r *Relayer) nextRandom() uint64 {
+// requests of this entry get the same number. A dry run gets that of the next request.
+func (r *Relayer) nextRandom(dryRun bool) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if dryRun {
+		return r.random + 1
+	}
 	r.random++
 	return r.random
 }
@@ -238,13 +241,16 @@
 
 // isResubmitted reports whether a request that arrives with this remaining time was
 // probably refused before. A caller's remaining time counts from its first attempt,
-// so a retry, which waited for Retry-After first, has less of it left.
-func (r *Relayer) isResubmitted(route identifier.Route, remaining time.Duration) bool {
+// so a retry, which waited for Retry-After first, has less of it left. A dry run is not
+// recorded.
+func (r *Relayer) isResubmitted(route identifier.Route, remaining time.Duration, dryRun bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	longest := r.maxRemaining[route]
 	if remaining >= longest {
-		r.maxRemaining[route] = remaining
+		if !dryRun {
+			r.maxRemaining[route] = remaining
+		}
 		return false
 	}
 	return float64(remaining) < resubmittedThreshold*float64(longest)
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -32,6 +32,8 @@
 	organisation identifier.Organisation
 	request      balancer.Request
 	arrivedAt    time.Time
+	// dryRun says that the request is explained and not served: nothing of it is recorded.
+	dryRun bool
 
 	// responseStarted is set once a byte of an upstream's response was sent to the caller.
 	responseStarted bool
@@ -44,6 +46,9 @@
 	firstByte time.Duration
 }
 
+// undeclaredProblem is the problem of a request to an entry without a declaration.
+const undeclaredProblem = "the entry has no declaration yet (send the request again after Retry-After)"
+
 // ServeHTTP serves one request of a caller.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrivedAt := r.clock.Now()
@@ -55,7 +60,7 @@
 	x := &exchange{relayer: r, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header)}
 	index := r.index.Load()
 	if index == nil {
-		x.replyLocally(http.StatusServiceUnavailable, "the entry has no declaration yet (send the request again after Retry-After)", undeclaredRetryAfter)
+		x.replyLocally(http.StatusServiceUnavailable, undeclaredProblem, undeclaredRetryAfter)
 		return
 	}
 	if status, problem := x.admit(index); status != 0 {
@@ -117,7 +122,7 @@
 	if x.header.Remaining > 0 {
 		timeout = min(timeout, x.header.Remaining)
 	}
-	random := x.relayer.nextRandom()
+	random := x.relayer.nextRandom(x.dryRun)
 	service := x.route.PickTarget(random)
 	return balancer.Request{
 		ID:                identifier.RequestID(x.header.Attempt),
@@ -132,7 +137,7 @@
 		AnswerTokens:      x.header.AnswerTokens,
 		Deadline:          x.arrivedAt.Add(timeout),
 		Objective:         x.route.FirstByte,
-		Resubmitted:       x.header.Remaining > 0 && x.relayer.isResubmitted(x.routeName, x.header.Remaining),
+		Resubmitted:       x.header.Remaining > 0 && x.relayer.isResubmitted(x.routeName, x.header.Remaining, x.dryRun),
 		MaximumAttempts:   max(1, x.route.MaximumAttempts),
 		RouteHomes:        x.route.Homes,
 		OrganisationHomes: organisation.Homes,
