--- a/placer/entry.go
+++ b/placer/entry.go
@@ -56,7 +56,7 @@
 			newEntry,
 			func(e *entry) drainer { return e },
 		),
-		fx.Invoke(serveEntry, mountQuarantine),
+		fx.Invoke(serveEntry, mountQuarantine, serveRoutes),
 	)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -29,6 +29,7 @@
 	"celeryvalve/fetcher"
 	"celeryvalve/parser"
 	"celeryvalve/registrar"
+	"celeryvalve/relayer"
 	"celeryvalve/spreader"
 	"celeryvalve/submitter"
 )
@@ -206,6 +207,7 @@
 	entries = append(entries, coordinator.Messages()...)
 	entries = append(entries, fetcher.Messages()...)
 	entries = append(entries, controlAPIMessages()...)
+	entries = append(entries, relayer.ExplainMessages()...)
 	return encoder.New(entries...)
 }
 
