--- a/commander/run.go
+++ b/commander/run.go
@@ -45,6 +45,7 @@
 	Quarantine quarantineCommand `cmd:"" help:"List and clear requests that crashed upstreams."`
 	Explain    explainCommand    `cmd:"" help:"Tell the story of a request, an upstream or a declaration from the logs of placed processes."`
 	Overview   overviewCommand   `cmd:"" help:"Show from the logs of placed processes what is in force and where, who leads, what is repaired, and which upstreams are set aside."`
+	Route      routeCommand      `cmd:"" help:"Say where a request would go now and why, without sending it. Asks placed entries."`
 	Replica    replicaCommand    `cmd:"" help:"List, admit and remove control replicas."`
 }
 
