--- a/balancer/grey.go
+++ b/balancer/grey.go
@@ -48,22 +48,27 @@
 	f.at = now
 }
 
-// failedShares returns the sum of the failed shares of the service's upstreams, and their
-// number.
-func (r *Reducer) failedShares(now time.Time, service identifier.Service) (sum float64, n int) {
+// failedSum is the sum of the failed shares of a service's upstreams, and their number.
+type failedSum struct {
+	sum float64
+	n   int
+}
+
+func (r *Reducer) failedShares(now time.Time, service identifier.Service) failedSum {
+	total := failedSum{n: len(r.byService[service])}
 	for _, u := range r.byService[service] {
-		sum += u.failed.value(now)
+		total.sum += u.failed.value(now)
 	}
-	return sum, len(r.byService[service])
+	return total
 }
 
 // greyPenalty returns the time that callers lose by responses that fail at the upstream
 // and would not at others of its service, given failedShares. Of its consecutive failures
 // only the part counts that the others don't have alike.
-func (u *upstream) greyPenalty(now time.Time, sum float64, n int) time.Duration {
+func (u *upstream) greyPenalty(now time.Time, failed failedSum) time.Duration {
 	own, others := u.failed.value(now), 0.0
-	if n > 1 {
-		others = (sum - own) / float64(n-1)
+	if failed.n > 1 {
+		others = (failed.sum - own) / float64(failed.n-1)
 	}
 	if own <= others {
 		return 0
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -7,6 +7,7 @@
 
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/limiter"
 )
 
@@ -119,6 +120,11 @@
 	// whose upstream crashed. It is shared with the losses of the request.
 	firstSentAt time.Time
 	crashes     *int
+	// preferred is the upstream that is chosen among about equal ones to read the
+	// beginning of the prompt, or nil.
+	preferred *upstream
+	// ignoredParts says why parts of the prompt are not compared with what upstreams hold.
+	ignoredParts indexer.Fault
 }
 
 // New returns a reducer without upstreams and services.
@@ -151,6 +157,7 @@
 		for _, u := range r.upstreams {
 			r.updateCold(now, u)
 		}
+		r.changePrefixCapacities()
 	case LoadObserved:
 		if u, ok := r.upstreams[e.Upstream]; ok {
 			u.observe(now, &e.Load, agentReportAge)
@@ -221,6 +228,9 @@
 			regroup = true
 		}
 		regroup = regroup || u.view.Service != v.Service
+		if u.view.Release != v.Release {
+			u.forgetPrefixes()
+		}
 		u.view = v
 		r.learnLimit(now, u, v.Limit)
 		r.updateCold(now, u)
@@ -245,14 +255,12 @@
 }
 
 func (r *Reducer) arrive(now time.Time, q Request) Effect {
-	if _, ok := r.services[q.Service]; !ok {
-		return Refuse{Request: q.ID, Reason: UnknownService, RetryAfter: r.retryAfter(now, &q)}
-	}
-	if suspect, wait := r.crashes.refusedFor(now, &q); wait > 0 {
-		return Refuse{Request: q.ID, Reason: Quarantined, RetryAfter: wait, Suspect: suspect}
+	if refusal, ok := r.refusedUnseen(now, &q); ok {
+		return refusal
 	}
 	r.budget(q.Service).RecordSend()
 	s := &request{Request: q, tried: make(map[identifier.Upstream]bool)}
+	s.chainPrompt(r.services[q.Service])
 	effect := r.dispatch(now, s)
 	if _, ok := effect.(Send); ok {
 		r.requests[q.ID] = s
@@ -260,6 +268,18 @@
 	return effect
 }
 
+// refusedUnseen returns the refusal of a request that is not even weighed. It changes
+// nothing.
+func (r *Reducer) refusedUnseen(now time.Time, q *Request) (Refuse, bool) {
+	if _, ok := r.services[q.Service]; !ok {
+		return Refuse{Request: q.ID, Reason: UnknownService, RetryAfter: r.retryAfter(now, q)}, true
+	}
+	if suspect, wait := r.crashes.refusedFor(now, q); wait > 0 {
+		return Refuse{Request: q.ID, Reason: Quarantined, RetryAfter: wait, Suspect: suspect}, true
+	}
+	return Refuse{}, false
+}
+
 func (r *Reducer) budget(service identifier.Service) *limiter.RetryBudget {
 	b, ok := r.budgets[service]
 	if !ok {
@@ -271,21 +291,37 @@
 
 // dispatch sends the request to the best upstream, or refuses it.
 func (r *Reducer) dispatch(now time.Time, s *request) Effect {
+	d := r.decide(now, s)
+	if d.reason != "" {
+		return r.giveUp(now, s, d.reason, d.forecast)
+	}
+	return r.send(now, s, d.target, d.forecast, r.services[s.Service])
+}
+
+// decision is what happens to a request: it is sent to the target, or given up for a reason.
+type decision struct {
+	target   *upstream
+	forecast time.Duration
+	reason   Reason
+}
+
+// decide decides about the request. It does not carry the decision out.
+func (r *Reducer) decide(now time.Time, s *request) decision {
 	if s.Deadline.Sub(now) < minRemaining {
-		return r.giveUp(now, s, DeadlineTooNear, 0)
+		return decision{reason: DeadlineTooNear}
 	}
 	if r.heldBack(now, &s.Request) {
-		return r.giveUp(now, s, Probation, 0)
+		return decision{reason: Probation}
 	}
 	policy := r.services[s.Service]
 	best, forecast := r.choose(now, s, policy)
 	if best == nil {
-		return r.giveUp(now, s, r.reasonWithoutUpstream(now, s, policy), 0)
+		return decision{reason: r.reasonWithoutUpstream(now, s, policy)}
 	}
 	if s.attempts == 0 && forecast > r.maxForecast(now, s) {
-		return r.giveUp(now, s, Overloaded, forecast)
+		return decision{reason: Overloaded, forecast: forecast}
 	}
-	return r.send(now, s, best, forecast, policy)
+	return decision{target: best, forecast: forecast}
 }
 
 // maxForecast returns the longest forecast of the time to the first byte with which
@@ -311,6 +347,11 @@
 	if s.mayHaveRun {
 		return Fail{Request: s.ID, Reason: reason}
 	}
+	return r.refusal(now, s, reason, forecast)
+}
+
+// refusal returns the refusal of a request that no attempt may have run. It changes nothing.
+func (r *Reducer) refusal(now time.Time, s *request, reason Reason, forecast time.Duration) Refuse {
 	wait := r.retryAfter(now, &s.Request)
 	switch reason {
 	case NoUpstream, NoHome, Evacuated:
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -13,6 +13,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/quarantiner"
 )
 
@@ -32,6 +33,8 @@
 	organisation identifier.Organisation
 	request      balancer.Request
 	arrivedAt    time.Time
+	// dryRun says that the request is explained and not served: nothing of it is recorded.
+	dryRun bool
 
 	// responseStarted is set once a byte of an upstream's response was sent to the caller.
 	responseStarted bool
@@ -48,6 +51,9 @@
 	longestPause time.Duration
 }
 
+// undeclaredProblem is the problem of a request to an entry without a declaration.
+const undeclaredProblem = "the entry has no declaration yet (send the request again after Retry-After)"
+
 // ServeHTTP serves one request of a caller.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrivedAt := r.clock.Now()
@@ -59,7 +65,7 @@
 	index := r.index.Load()
 	x := &exchange{relayer: r, index: index, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header)}
 	if index == nil {
-		x.replyLocally(http.StatusServiceUnavailable, "the entry has no declaration yet (send the request again after Retry-After)", undeclaredRetryAfter)
+		x.replyLocally(http.StatusServiceUnavailable, undeclaredProblem, undeclaredRetryAfter)
 		return
 	}
 	if status, problem := x.admit(index); status != 0 {
@@ -121,7 +127,7 @@
 	if x.header.Remaining > 0 {
 		timeout = min(timeout, x.header.Remaining)
 	}
-	random := x.relayer.nextRandom()
+	random := x.relayer.nextRandom(x.dryRun)
 	service := x.route.PickTarget(random)
 	return balancer.Request{
 		ID:                identifier.RequestID(x.header.Attempt),
@@ -129,13 +135,14 @@
 		Service:           service,
 		Fingerprint:       x.fingerprint(),
 		Parts:             x.partFingerprints(service),
+		Prompt:            x.header.PromptParts,
 		Repeatable:        x.route.Repeatable(),
 		Generates:         x.route.Generates,
 		PromptTokens:      x.header.PromptTokens,
 		AnswerTokens:      x.header.AnswerTokens,
 		Deadline:          x.arrivedAt.Add(timeout),
 		Objective:         x.route.FirstByte,
-		Resubmitted:       x.header.Remaining > 0 && x.relayer.isResubmitted(x.routeName, x.header.Remaining),
+		Resubmitted:       x.header.Remaining > 0 && x.relayer.isResubmitted(x.routeName, x.header.Remaining, x.dryRun),
 		MaximumAttempts:   max(1, x.route.MaximumAttempts),
 		RouteHomes:        x.route.Homes,
 		OrganisationHomes: organisation.Homes,
@@ -155,7 +162,7 @@
 func (x *exchange) partFingerprints(service identifier.Service) []quarantiner.Fingerprint {
 	var list []quarantiner.Fingerprint
 	for _, part := range x.sharedParts() {
-		list = append(list, quarantiner.FingerprintOf(nil, "part", string(service), part))
+		list = append(list, quarantiner.FingerprintOf(nil, "part", string(service), part.ID))
 	}
 	return list
 }
@@ -253,12 +260,16 @@
 
 // partsField ties together the log lines of requests that share a part of their prompts.
 func (x *exchange) partsField() zap.Field {
-	return zap.Strings("parts", x.sharedParts())
+	var ids []string
+	for _, part := range x.sharedParts() {
+		ids = append(ids, part.ID)
+	}
+	return zap.Strings("parts", ids)
 }
 
 // sharedParts returns the parts of the prompt that other requests may have too: all but the
 // last.
-func (x *exchange) sharedParts() []string {
+func (x *exchange) sharedParts() []indexer.Part {
 	parts := x.header.PromptParts
 	return parts[:max(0, len(parts)-1)]
 }
