balancer: order admission by class, and let requests in time go first

A request was refused only if its own best forecast missed 0.9 of its objective; one that was refused before had the whole objective.

The forecast wait, as a part of the longest with which the request is in time, is compared with a gate: lower for returned requests (with a place for one in 16), less urgent kinds, organisations beyond their share of the work and kinds that are admitted more often than others with the same claim, and for a random part of all as long as more than 8 in 100 first attempts are late. Nothing is refused while half of the places are free and nothing waits. No message is added.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -35,6 +35,8 @@
 		Forecast: forecast,
 		Load:     load,
 		LoadAge:  age,
+
+		Admission: s.admission,
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
@@ -79,6 +81,9 @@
 	s.firstByteAt = now
 	s.stopWaiting()
 	u.firstByte.Add(now.Sub(s.sentAt))
+	if s.attempts == 1 && !s.Resubmitted && s.Objective > 0 {
+		r.demandOf(s.Service).observeFirstByte(now.Sub(s.firstSentAt), s.Objective)
+	}
 	u.observe(now, e.Load, 0)
 	return NoEffect{}
 }
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -14,7 +14,9 @@
 // since all entries see the same reports; the more requests arrive between two
 // reports, the smaller the sample. A request whose best forecast misses its objective
 // is refused at once with a Retry-After, so that the admitted requests are served in
-// time.
+// time. While room is short, the pressure at which a request is refused depends on its
+// class: whether it was refused before, how its organisation and its kind fare, and how
+// many admitted requests were late. Nothing is refused while half of the places are free.
 //
 // A request that may have run is sent again only if its kind allows that, and within
 // the declared number of attempts and the retry budget. Refuse is answered only if no
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -36,6 +36,8 @@
 	// LimitStamp is the stamp of the upstream's limit, or 0 if none was known to be in
 	// force.
 	LimitStamp uint64
+	// Admission is the decision that began the request.
+	Admission Admission
 }
 
 // Refuse answers that the request has not run and never will.
@@ -49,6 +51,8 @@
 	// Forecast is the best forecast of the time to the first byte. It is set only
 	// with Overloaded.
 	Forecast time.Duration
+	// Admission is the decision about the request. It is zero if none was made.
+	Admission Admission
 }
 
 // Fail answers that the request may have run and that there is no complete
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -14,6 +14,7 @@
 type Request struct {
 	ID           identifier.RequestID
 	Organisation identifier.Organisation
+	Route        identifier.Route
 	Service      identifier.Service
 	// Fingerprint is the same for each resend of a request by its caller, or 0 if
 	// resends are not recognised.
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -73,6 +73,7 @@
 	services        map[identifier.Service]ServicePolicy
 	requests        map[identifier.RequestID]*request
 	budgets         map[identifier.Service]*limiter.RetryBudget
+	demands         map[identifier.Service]*demand
 	ejectionChanges []EjectionChange
 	crashes         *crashDetector
 	limitChanges    []LimitChange
@@ -86,10 +87,14 @@
 // request is a request that has not been answered yet.
 type request struct {
 	Request
-	attempts int
-	tried    map[identifier.Upstream]bool
-	target   *upstream
-	sentAt   time.Time
+	// admission is the last decision whether the request is begun, and admitted says that
+	// it was once to begin it.
+	admission Admission
+	admitted  bool
+	attempts  int
+	tried     map[identifier.Upstream]bool
+	target    *upstream
+	sentAt    time.Time
 	// firstByteAt is when the response of the current attempt began, or zero.
 	firstByteAt time.Time
 	answered    bool // the response of the current attempt has begun, or the attempt is over
@@ -109,6 +114,7 @@
 		services:  make(map[identifier.Service]ServicePolicy),
 		requests:  make(map[identifier.RequestID]*request),
 		budgets:   make(map[identifier.Service]*limiter.RetryBudget),
+		demands:   make(map[identifier.Service]*demand),
 		crashes:   newCrashDetector(),
 		notices:   make(map[process]*notice),
 	}
@@ -241,26 +247,19 @@
 	if best == nil {
 		return r.giveUp(now, s, r.reasonWithoutUpstream(now, s, policy), 0)
 	}
-	if s.attempts == 0 && forecast > r.maxForecast(now, s) {
-		return r.giveUp(now, s, Overloaded, forecast)
+	if s.attempts == 0 {
+		if s.admission = r.admit(now, s, best, forecast); !s.admission.Admitted() {
+			return r.giveUp(now, s, Overloaded, forecast)
+		}
 	}
 	return r.send(now, s, best, forecast, policy)
 }
 
 // maxForecast returns the longest forecast of the time to the first byte with which
-// the request is admitted. It is bounded by the objective, and by the time that is
+// the request is worth its place. It is bounded by the objective, and by the time that is
 // left for a response of mean length to be complete before the deadline.
 func (r *Reducer) maxForecast(now time.Time, s *request) time.Duration {
-	left := s.Deadline.Sub(now)
-	objective := s.Objective
-	if objective <= 0 {
-		objective = defaultObjective
-	}
-	margin := objectiveMargin
-	if s.Resubmitted {
-		margin = resubmittedMargin
-	}
-	return min(left-decodeTime(r.services[s.Service].Engine), time.Duration(margin*float64(objective)))
+	return min(s.Deadline.Sub(now)-decodeTime(r.services[s.Service].Engine), s.longestForecast())
 }
 
 // giveUp ends the request: with Refuse if no attempt may have run, otherwise with
@@ -277,7 +276,7 @@
 	case Resting:
 		wait = r.restRetryAfter(now, &s.Request)
 	}
-	refusal := Refuse{Request: s.ID, Reason: reason, RetryAfter: wait, Forecast: forecast}
+	refusal := Refuse{Request: s.ID, Reason: reason, RetryAfter: wait, Forecast: forecast, Admission: s.admission}
 	if reason == Probation {
 		refusal.Suspect = s.Fingerprint
 	}
