balancer: spread the Retry-After of callers with short times

Where the spread times lie beyond a third of the remaining time, all callers got just that third: those of routes of 600 and 800 ms came back together. They are now spread over the last quarter of it, which still shows that they were refused before.

--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -289,7 +289,10 @@
 	shortest := max(minRetryAfter, time.Duration(minRetryAfterFraction*float64(left)))
 	span := max(maxRetryAfter-shortest, maxRetryAfter-minRetryAfter)
 	wait := shortest + time.Duration(limiter.SplitMix64(q.Random)%uint64(span))
-	return min(wait, max(minRemaining, left/maxRetryAfterDivisor))
+	if wait >= left/maxRetryAfterDivisor {
+		return r.lateRetryAfter(now, q)
+	}
+	return wait
 }
 
 // lateRetryAfter returns the Retry-After of requests that no upstream can serve
--- a/balancer/room_test.go
+++ b/balancer/room_test.go
@@ -304,6 +304,22 @@
 	require.Greater(t, f.served, f.asked*88/100)
 }
 
+// Load pattern: callers with short times are refused together. Each still has most of its
+// time when it comes back, and they don't come back together.
+func TestCallersWithShortTimesAreServedWhenTheyComeBack(t *testing.T) {
+	r := newPlainReducer("a")
+	waits := make(map[time.Duration]bool)
+	for i := range 200 {
+		q := bookingRequest(requestID(fmt.Sprint(i)), false)
+		q.Objective, q.Deadline, q.Random = 120*time.Millisecond, start.Add(600*time.Millisecond), uint64(i)
+		if e, ok := r.Reduce(start, balancer.RequestArrived{Request: q}).(balancer.Refuse); ok {
+			require.LessOrEqual(t, e.RetryAfter, 200*time.Millisecond)
+			waits[e.RetryAfter.Round(5*time.Millisecond)] = true
+		}
+	}
+	require.Greater(t, len(waits), 5)
+}
+
 // Load pattern: engines far away have a long first byte, or one engine of many is full:
 // under half of the places are taken and nothing waits.
 func TestNothingIsRefusedWhileHalfOfThePlacesAreFree(t *testing.T) {
