--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -48,6 +48,8 @@
 	// known, and IgnoredParts why parts of the prompt were not compared.
 	HeldTokens   int
 	IgnoredParts indexer.Fault
+	// Admission is the decision that began the request.
+	Admission Admission
 }
 
 // Refuse answers that the request has not run and never will.
@@ -61,6 +63,8 @@
 	// Forecast is the best forecast of the time to the first byte. It is set only
 	// with Overloaded.
 	Forecast time.Duration
+	// Admission is the decision about the request. It is zero if none was made.
+	Admission Admission
 }
 
 // Fail answers that the request may have run and that there is no complete
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -16,10 +16,10 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	// Forecast is the expected time to the first byte at the choice, or the best one of a
-	// request that is refused for it. MaxForecast is the longest with which the request is
-	// admitted.
-	Forecast    time.Duration
-	MaxForecast time.Duration
+	// request that is refused for it.
+	Forecast time.Duration
+	// Admission is the decision whether the request is begun, if it came to that.
+	Admission Admission
 	// Candidates are all upstreams of the service, sorted by name.
 	Candidates []Candidate
 }
@@ -74,7 +74,13 @@
 	policy := r.services[q.Service]
 	s := &request{Request: q, tried: make(map[identifier.Upstream]bool)}
 	s.chainPrompt(policy)
-	x := Explanation{MaxForecast: r.maxForecast(now, s)}
+	x := Explanation{}
+	if d, ok := r.demands[q.Service]; ok {
+		r.demands[q.Service] = d.clone()
+		defer func() { r.demands[q.Service] = d }()
+	} else {
+		defer delete(r.demands, q.Service)
+	}
 	// The choice forgets old estimates of upstreams within their limits.
 	estimates := make(map[*upstream]*limiter.Mean, len(r.byService[q.Service]))
 	for _, u := range r.byService[q.Service] {
@@ -94,6 +100,7 @@
 			refusal = r.refusal(now, s, d.reason, d.forecast)
 		}
 	}
+	x.Admission = s.admission
 	x.Reason, x.RetryAfter = refusal.Reason, refusal.RetryAfter
 	if !x.Admitted {
 		x.Forecast = refusal.Forecast
