stager: empty an engine while the last chunks arrive, where time is short

Where more than a third of the outdated engines has to be out at a time, an engine whose turn it is stops taking requests once the rest of its chunks is to come within half a swap, by the rate at which they arrive. If none comes for 0.7 s it serves on, as before.

--- a/placer/pull.go
+++ b/placer/pull.go
@@ -42,6 +42,11 @@
 	progressedAt time.Time
 }
 
+// progress returns which part of the chunks has arrived.
+func (p *pull) progress() float64 {
+	return float64(p.held) / float64(len(p.target.pinned.Digests))
+}
+
 // update notes the chunks that have arrived since the last call.
 func (p *pull) update(now time.Time) {
 	if held := p.puller.Held(); held > p.held {
@@ -146,12 +151,12 @@
 	n := a.target.pinned.Number
 	wanted, earlier := a.pulls[n], a.pulls[a.earlier]
 	if report.Release == 0 && earlier != nil && earlier.chunks != nil && (wanted == nil || wanted.chunks == nil) {
-		return stager.Wanted{Release: a.earlier, Held: true}
+		return stager.Wanted{Release: a.earlier, Held: true, HeldFraction: 1}
 	}
 	if wanted == nil {
 		return stager.Wanted{Release: n}
 	}
-	return stager.Wanted{Release: n, Held: wanted.chunks != nil}
+	return stager.Wanted{Release: n, Held: wanted.chunks != nil, HeldFraction: wanted.progress()}
 }
 
 // awaitLocalMirror waits briefly until a mirror in this region is known. After a start
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -24,6 +24,11 @@
 	// order that shows no effect is given again.
 	retryDelay   = 300 * time.Millisecond
 	orderTimeout = 5 * time.Second
+	// stallTimeout is how long no further chunk may arrive before an engine that empties takes
+	// requests again: a few times what a chunk takes on a link of 8 Mbit/s shared by 8 of them.
+	stallTimeout = 700 * time.Millisecond
+	// minArrived is the part of the chunks from which on their rate tells when the rest comes.
+	minArrived = 0.5
 	// firstSwap is the part of Config.RolloutTime after which the first engine may load, since
 	// the release may be replaced at once.
 	firstSwap = 0.12
@@ -55,6 +60,8 @@
 	Release declarer.ReleaseNumber
 	// Held is set once all chunks of the release are here and verified.
 	Held bool
+	// HeldFraction is the fraction of the chunks that are here and verified.
+	HeldFraction float64
 	// WantedSince is when this release became wanted, or an earlier one that the engine does
 	// not have either. Config.RolloutTime is counted from it.
 	WantedSince time.Time
@@ -119,6 +126,11 @@
 	want     Wanted
 	observed *Observed
 
+	// firstChunkAt is when the first of the wanted chunks was here, and progressedAt when
+	// more of them last arrived.
+	firstChunkAt time.Time
+	progressedAt time.Time
+
 	rollout rollout
 	// swapping is the release for which the engine takes no more requests, or 0. Its turn
 	// doesn't pass once it has come.
@@ -151,7 +163,7 @@
 func (r *Reducer) Reduce(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Wanted:
-		r.want = e
+		r.follow(now, e)
 	case Observed:
 		r.observe(now, e)
 	case Unreachable:
@@ -178,6 +190,30 @@
 	return append(r.announce(), r.next(now)...)
 }
 
+// follow notes how fast chunks arrive.
+func (r *Reducer) follow(now time.Time, e Wanted) {
+	if e.Release != r.want.Release {
+		r.firstChunkAt, r.progressedAt = now, now
+	} else if e.HeldFraction > r.want.HeldFraction {
+		if r.want.HeldFraction == 0 {
+			r.firstChunkAt = now
+		}
+		r.progressedAt = now
+	}
+	r.want = e
+}
+
+// chunksComeSoon reports whether the rest of the chunks will be here within half a swap: while
+// they arrive the running requests end, so that the engine is out for no longer in all.
+func (r *Reducer) chunksComeSoon(now time.Time) bool {
+	arrived := r.want.HeldFraction
+	if arrived == 0 || now.Sub(r.progressedAt) > stallTimeout {
+		return false
+	}
+	rest := time.Duration((1 - arrived) / arrived * float64(now.Sub(r.firstChunkAt)))
+	return rest <= r.rollout.swapTime/2 && arrived >= minArrived
+}
+
 // observe applies a report. The last order is forgotten if the report shows that it is
 // in effect, that it ended without effect or that the engine restarted.
 func (r *Reducer) observe(now time.Time, e Observed) {
@@ -195,25 +231,31 @@
 }
 
 // takeTurn decides whether the engine takes no more requests from now on, so that it may
-// load. An engine that serves waits for its turn, and until its chunks are staged and verified.
+// load. An engine that serves waits for its turn, and until its chunks are staged and
+// verified, or will soon be where time is short. If they stay away, it serves on.
 func (r *Reducer) takeTurn(now time.Time) {
-	switch {
-	case r.swapping != r.want.Release:
+	if r.swapping != r.want.Release || (!r.want.Held && now.Sub(r.progressedAt) > stallTimeout) {
 		r.swapping = 0
-	case r.swapping != 0:
+	}
+	if r.swapping != 0 || r.observed == nil || !r.isOutdated() {
 		return
 	}
-	if r.observed == nil || !r.isOutdated() || !r.want.Held {
+	if r.observed.Report.Release == 0 {
+		if r.want.Held {
+			r.swapping = r.want.Release
+		}
 		return
 	}
 	elapsed := now.Sub(r.want.WantedSince)
-	rollout := r.cfg.RolloutTime
-	serves := r.observed.Report.Release != 0
-	switch {
-	case serves && r.ready != r.want.Release:
-	case serves && elapsed < time.Duration(firstSwap*float64(rollout)):
-	case serves && !r.rollout.isTurn(now, r.observed.Position, rollout-rolloutMargin-elapsed):
-	default:
+	if elapsed < time.Duration(firstSwap*float64(r.cfg.RolloutTime)) {
+		return
+	}
+	ready := r.want.Held && r.ready == r.want.Release
+	if !ready && (r.want.Held || !r.chunksComeSoon(now)) {
+		return
+	}
+	turn, short := r.rollout.isTurn(now, r.observed.Position, r.cfg.RolloutTime-rolloutMargin-elapsed)
+	if turn && (ready || short) {
 		r.swapping = r.want.Release
 	}
 }
@@ -231,7 +273,7 @@
 		return nil
 	}
 	release := r.observed.Report.Release
-	if (r.ordered != 0 && release < r.ordered) || (r.swapping != 0 && r.want.Held && r.isOutdated()) {
+	if (r.ordered != 0 && release < r.ordered) || (r.swapping != 0 && r.isOutdated()) {
 		release = 0
 	}
 	if r.hasAnnounced && release == r.announced {
--- a/stager/rollout.go
+++ b/stager/rollout.go
@@ -26,6 +26,9 @@
 	// lostAfterSwaps is how many swap times an engine may be out before it is taken for one
 	// that doesn't come back, and the others go on without it.
 	lostAfterSwaps = 2
+	// shortTime is the part of the outdated engines that has to be out at a time, from which on
+	// those whose turn it is empty while the last chunks arrive.
+	shortTime = 1.0 / 3
 	// turnPatience is how long an engine whose turn has come may still serve before the next
 	// one takes its turn: what the news of a swap takes to arrive, with room for lost messages.
 	turnPatience = 700 * time.Millisecond
@@ -102,10 +105,10 @@
 }
 
 // isTurn reports whether the engine at the position may take no more requests now, if all
-// engines have to hold the release within left.
-func (r *rollout) isTurn(now time.Time, p RolloutPosition, left time.Duration) bool {
+// engines have to hold the release within left. It also reports whether that time is short.
+func (r *rollout) isTurn(now time.Time, p RolloutPosition, left time.Duration) (turn, short bool) {
 	if left <= turnaround {
-		return true
+		return true, true
 	}
 	out, outdated := 0, 1
 	for _, o := range p.Others {
@@ -119,25 +122,25 @@
 			outdated++
 		}
 	}
-	slots := r.slots(outdated, left)
+	short = r.outFraction(left) > shortTime
+	slots := max(1, int(math.Ceil(float64(outdated)*r.outFraction(left))))
 	for _, o := range p.Others[:p.Rank] {
 		if out >= slots {
-			return false
+			return false, short
 		}
 		if o.Serves != 0 && o.Serves < r.release && !r.missedTurn(now, o.Upstream) {
 			out++
 		}
 	}
-	return out < slots
+	return out < slots, short
 }
 
-// slots returns how many engines have to be out at a time, so that all that are outdated
-// take no more requests with the old release once left is over. The last ones may still load
-// then: entries send no request to them, whether they are out or not. Half a swap of that is
-// kept for engines that take longer than others.
-func (r *rollout) slots(outdated int, left time.Duration) int {
-	usable := left + r.swapTime/2
-	return max(1, int(math.Ceil(float64(outdated)*float64(r.swapTime+turnaround)/float64(usable))))
+// outFraction returns which part of the outdated engines has to be out at a time, so that all of
+// them take no more requests with the old release once left is over. The last ones may still
+// load then: entries send no request to them, whether they are out or not. Half a swap of that
+// is kept for engines that take longer than others.
+func (r *rollout) outFraction(left time.Duration) float64 {
+	return float64(r.swapTime+turnaround) / float64(left+r.swapTime/2)
 }
 
 // missedTurn reports whether an engine still serves long after its turn came, as one whose
