--- a/balancer/aside.go
+++ b/balancer/aside.go
@@ -33,6 +33,9 @@
 	if u.ejectedUntil.Equal(before) {
 		return
 	}
+	if cause == NotConnected || cause == ConnectionLost || cause == FirstByteTimedOut {
+		r.suspectCold(now, u)
+	}
 	r.ejectionChanges = append(r.ejectionChanges, EjectionChange{Upstream: u.view.Upstream, Until: u.ejectedUntil, Cause: cause, Failures: u.failures})
 }
 
@@ -40,8 +43,12 @@
 // was ejected.
 func (r *Reducer) recordSuccess(now time.Time, u *upstream) {
 	u.failed.add(now, false)
-	if u.ejectionTime > 0 {
+	wasEjected := u.ejectionTime > 0
+	if wasEjected {
 		r.ejectionChanges = append(r.ejectionChanges, EjectionChange{Upstream: u.view.Upstream})
 	}
 	u.resetFailures()
+	if !u.cold.suspectedUntil.IsZero() && wasEjected {
+		r.suspectCold(now, u)
+	}
 }
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -41,8 +41,9 @@
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
-		u.pacer.Record(now)
 	}
+	effect.Cold = u.cold.bound
+	u.recordPacedSend(now, s)
 	switch {
 	case s.Resubmitted:
 		effect.Urgency = resubmittedUrgency
@@ -58,19 +59,6 @@
 	return effect
 }
 
-// minRelease returns the oldest release that may still begin a request. Each
-// release rules out all earlier ones once ReleaseGracePeriod has passed since it was
-// named.
-func (r *Reducer) minRelease(now time.Time, policy ServicePolicy) declarer.ReleaseNumber {
-	oldest := declarer.FirstRelease
-	for _, n := range policy.Releases {
-		if now.Sub(n.At) >= r.cfg.ReleaseGracePeriod {
-			oldest = max(oldest, n.Number)
-		}
-	}
-	return oldest
-}
-
 func (r *Reducer) answering(now time.Time, e ResponseStarted) Effect {
 	s, ok := r.requests[e.Request]
 	if !ok || s.answered {
@@ -164,10 +152,12 @@
 
 // reasonWithoutAttempt says why the request is not sent once more.
 func (r *Reducer) reasonWithoutAttempt(now time.Time, s *request) Reason {
-	if r.reasonWithoutUpstream(now, s, r.services[s.Service]) == Resting {
-		return Resting
+	switch reason := r.reasonWithoutUpstream(now, s, r.services[s.Service]); reason {
+	case Resting, Evacuated:
+		return reason
+	default:
+		return NoAttemptLeft
 	}
-	return NoAttemptLeft
 }
 
 // retry sends the request to another upstream if its attempts, its deadline and the
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -216,6 +216,24 @@
 // EvacuationsChanged carries all availability zones whose upstreams get no requests.
 type EvacuationsChanged struct{ Evacuated []identifier.AvailabilityZone }
 
+// ControlObserved says whether control works. While it does not, and anew from SteadySince on,
+// the time for a release does not pass.
+type ControlObserved struct {
+	Reached bool
+	// LastReached is when control was last reached.
+	LastReached time.Time
+	// SteadySince is since when it works without an outage, or zero.
+	SteadySince time.Time
+}
+
+// HomesChanged says that other homes were declared for the route or the organisation of a
+// request that is in flight.
+type HomesChanged struct {
+	Request           identifier.RequestID
+	RouteHomes        declarer.Homes
+	OrganisationHomes declarer.Homes
+}
+
 // CallerGone says that the caller has stopped waiting, which ends the request
 // without an answer.
 type CallerGone struct{ Request identifier.RequestID }
@@ -238,6 +256,8 @@
 
 func (LimitStated) isEvent()        {}
 func (EvacuationsChanged) isEvent() {}
+func (ControlObserved) isEvent()    {}
+func (HomesChanged) isEvent()       {}
 func (RestRequested) isEvent()      {}
 func (LeavingStated) isEvent()      {}
 func (AttemptConnected) isEvent()   {}
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -17,6 +17,9 @@
 	events        *metrics.Counter
 	crashes       *metrics.Counter
 	rests         *metrics.Counter
+	evacuated     *metrics.Gauge
+	coldChanges   *metrics.Counter
+	coldAttempts  *metrics.Counter
 	firstByte     *metrics.Histogram
 	longestPause  *metrics.Histogram
 	slowUpstreams *metrics.Counter
@@ -30,6 +33,9 @@
 		events:        set.NewCounter("celeryvalve_stream_events_total"),
 		crashes:       set.NewCounter("celeryvalve_upstream_crashes_total"),
 		rests:         set.NewCounter("celeryvalve_upstream_rests_total"),
+		evacuated:     set.NewGauge("celeryvalve_evacuated_zones", nil),
+		coldChanges:   set.NewCounter("celeryvalve_upstream_cold_total"),
+		coldAttempts:  set.NewCounter("celeryvalve_cold_attempts_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
 		slowUpstreams: set.NewCounter("celeryvalve_upstreams_found_slow_total"),
 		longestPause:  set.NewHistogram("celeryvalve_stream_longest_pause_seconds"),
@@ -53,6 +59,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_refusals_total{reason=%q}`, reason)).Inc()
 }
 
+// countHomeRefusal counts a refusal of a request that has homes.
+func (m *meters) countHomeRefusal(reason balancer.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_refusals_with_homes_total{reason=%q}`, reason)).Inc()
+}
+
 func (m *meters) countBreak(cause balancer.Cause) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_attempts_broken_total{cause=%q}`, cause)).Inc()
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -101,6 +101,13 @@
 	r.index.Store(index)
 }
 
+// ChangeEvacuations replaces the list of availability zones whose upstreams get no requests.
+// It must be called before Declare and ChangeUpstreams let the first request through.
+func (r *Relayer) ChangeEvacuations(zones []identifier.AvailabilityZone) {
+	r.meters.evacuated.Set(float64(len(zones)))
+	r.reduce(balancer.EvacuationsChanged{Evacuated: zones})
+}
+
 // ChangeUpstreams replaces the list of upstreams that requests may be sent to.
 func (r *Relayer) ChangeUpstreams(views []balancer.UpstreamView) {
 	services := make(map[identifier.Service]declarer.Service)
@@ -133,6 +140,11 @@
 	r.reduce(balancer.LoadObserved{Upstream: upstream, Load: load})
 }
 
+// ObserveControl records whether control works.
+func (r *Relayer) ObserveControl(status balancer.ControlObserved) {
+	r.reduce(status)
+}
+
 // idleLimit returns how many idle connections are kept to the address.
 func (r *Relayer) idleLimit(addr netip.AddrPort) int {
 	r.mu.Lock()
@@ -202,6 +214,7 @@
 	limits := r.reducer.TakeLimitChanges()
 	notices := r.reducer.TakeNotices()
 	speeds := r.reducer.TakeSpeedChanges()
+	colds := r.reducer.TakeColdChanges()
 	r.mu.Unlock()
 	for _, a := range asides {
 		r.logAside(a)
@@ -211,6 +224,7 @@
 	}
 	r.handleLimitChanges(limits)
 	r.handleNotices(notices)
+	r.handleColdChanges(colds)
 	r.handleCrashFindings(findings)
 	return effect
 }
