--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -29,7 +29,7 @@
 	for _, u := range r.sampleCandidates(now, s, policy) {
 		forecast := r.forecast(now, u, &s.Request, policy.Engine, u.othersRatio(othersRatio))
 		random = limiter.SplitMix64(random)
-		cost := time.Duration(u.speed.factor(now)*float64(forecast)) + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.greyPenalty(now, failed, known) + u.recoveryPenalty(now)
+		cost := time.Duration(u.speed.factor(now)*float64(forecast)) + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.greyPenalty(now, failed, known) + u.recoveryPenalty(now) + r.returnPenalty(now, u)
 		if u.limit.InForce && forecast <= r.maxForecast(now, s) {
 			cost -= limitedPreference
 		}
@@ -43,7 +43,7 @@
 // eligible reports whether the request may be sent to the upstream, apart from the limit
 // that the upstream may have named.
 func (r *Reducer) eligible(now time.Time, s *request, u *upstream, policy ServicePolicy) bool {
-	if u.view.Service != s.Service || u.draining() || u.resting(now) || !u.usable(now) {
+	if u.view.Service != s.Service || !s.mayBeServedAt(u) || u.draining() || u.resting(now) || !u.usable(now) || r.evacuates(now, u) {
 		return false
 	}
 	if s.tried[u.view.Upstream] && s.attempts > 0 {
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -41,6 +41,8 @@
 	// LimitStamp is the stamp of the upstream's limit, or 0 if none was known to be in
 	// force.
 	LimitStamp uint64
+	// Cold means that the upstream is cold, or may be.
+	Cold bool
 }
 
 // Refuse answers that the request has not run and never will.
@@ -70,10 +72,17 @@
 const (
 	UnknownService Reason = "UnknownService"
 	NoUpstream     Reason = "NoUpstream"
+	// NoHome: the service has upstreams, but none in a region in which the request may be
+	// served.
+	NoHome Reason = "NoHome"
 	// Limited: upstreams are ready, and the limits of all of them are used up.
 	Limited Reason = "Limited"
+	// Cold: upstreams are ready, and this entry's share of what cold ones bear is used up.
+	Cold Reason = "Cold"
 	// Resting: the upstreams that could run the request have asked for rest.
-	Resting         Reason = "Resting"
+	Resting Reason = "Resting"
+	// Evacuated: all upstreams that could run the request are in evacuated zones.
+	Evacuated       Reason = "Evacuated"
 	Overloaded      Reason = "Overloaded"
 	DeadlineTooNear Reason = "DeadlineTooNear"
 	NoAttemptLeft   Reason = "NoAttemptLeft"
--- a/balancer/notice.go
+++ b/balancer/notice.go
@@ -123,10 +123,17 @@
 	return u.notice != nil && !u.notice.leavingAt.IsZero()
 }
 
+// maySendNow reports whether the upstream of the attempt, which was chosen before the
+// connection was made, may still get it.
+func (r *Reducer) maySendNow(now time.Time, s *request) bool {
+	u := s.target
+	return !u.resting(now) && !u.leaving() && s.mayBeServedAt(u) && !r.evacuates(now, u) && !u.overdueForCold(now, s)
+}
+
 // connected decides whether an attempt that has a connection is still to be sent.
 func (r *Reducer) connected(now time.Time, e AttemptConnected) Effect {
 	s, ok := r.requests[e.Request]
-	if !ok || !s.target.resting(now) && !s.target.leaving() {
+	if !ok || r.maySendNow(now, s) {
 		return NoEffect{}
 	}
 	r.releaseAttempt(s, false)
@@ -134,12 +141,12 @@
 	return r.dispatch(now, s)
 }
 
-// firstRestEnd returns the end of the first rest of the service's upstreams to end, or zero
-// if none of them rests.
-func (r *Reducer) firstRestEnd(now time.Time, service identifier.Service) time.Time {
+// firstRestEnd returns the end of the first rest to end of the upstreams that may serve the
+// request, or zero if none of them rests.
+func (r *Reducer) firstRestEnd(now time.Time, q *Request) time.Time {
 	var first time.Time
-	for _, u := range r.byService[service] {
-		if u.draining() || !u.resting(now) {
+	for _, u := range r.byService[q.Service] {
+		if !q.mayBeServedAt(u) || u.draining() || !u.resting(now) || r.evacuates(now, u) {
 			continue
 		}
 		if end := u.notice.resumesAt(); first.IsZero() || end.Before(first) {
@@ -152,7 +159,7 @@
 // restRetryAfter returns the Retry-After of a request whose upstreams all rest: the end of
 // the first rest and a random time more, so that callers don't return together.
 func (r *Reducer) restRetryAfter(now time.Time, q *Request) time.Duration {
-	wait := r.firstRestEnd(now, q.Service).Sub(now)
+	wait := r.firstRestEnd(now, q).Sub(now)
 	latest := q.Deadline.Sub(now) / maxRetryAfterDivisor
 	if wait >= latest {
 		return r.lateRetryAfter(now, q)
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celeryvalve/declarer"
 	"celeryvalve/identifier"
 	"celeryvalve/limiter"
 )
@@ -19,8 +20,14 @@
 	// per first send, and how many can accumulate.
 	RetryRatio float64
 	RetryBurst float64
+	// ColdOverage and ColdAllowance bound the requests that a cold upstream gets from all
+	// entries in one second, as a factor of what it bears and a number more.
+	ColdOverage   float64
+	ColdAllowance float64
 	// ReleaseGracePeriod is how long after a release was named older ones are refused.
 	ReleaseGracePeriod time.Duration
+	// ColdReportTime is how long after it became cold an upstream has told so.
+	ColdReportTime time.Duration
 }
 
 const (
@@ -77,11 +84,17 @@
 	crashes         *crashDetector
 	limitChanges    []LimitChange
 	speedChanges    []SpeedChange
+	coldChanges     []ColdChange
 	notices         map[process]*notice
 	newNotices      []UpstreamNotice
+	evacuated       map[identifier.AvailabilityZone]bool
+	returns         zoneReturns
 	// entries are those that take requests.
 	entries          []Entry
 	entriesChangedAt time.Time
+	control          ControlObserved
+	// oldestReleases are the releases that have ruled out older ones, which stay ruled out.
+	oldestReleases map[identifier.Service]declarer.ReleaseNumber
 }
 
 // request is a request that has not been answered yet.
@@ -91,6 +104,8 @@
 	tried    map[identifier.Upstream]bool
 	target   *upstream
 	sentAt   time.Time
+	// paced reports whether the attempt counts against a share.
+	paced bool
 	// firstByteAt is when the response of the current attempt began, or zero.
 	firstByteAt time.Time
 	// measuredEvents and measuredAt are the events of the current attempt up to which its
@@ -116,6 +131,10 @@
 		budgets:   make(map[identifier.Service]*limiter.RetryBudget),
 		crashes:   newCrashDetector(),
 		notices:   make(map[process]*notice),
+		returns:   make(zoneReturns),
+
+		control:        ControlObserved{Reached: true},
+		oldestReleases: make(map[identifier.Service]declarer.ReleaseNumber),
 	}
 }
 
@@ -129,6 +148,9 @@
 		for _, s := range e.Services {
 			r.services[s.Service] = s
 		}
+		for _, u := range r.upstreams {
+			r.updateCold(now, u)
+		}
 	case LoadObserved:
 		if u, ok := r.upstreams[e.Upstream]; ok {
 			u.observe(now, &e.Load, agentReportAge)
@@ -145,14 +167,22 @@
 		r.refuseConnection(now, e)
 	case EntriesChanged:
 		r.changeEntries(now, e.Entries)
+	case ColdStated:
+		r.observeCold(now, e)
 	case LimitStated:
 		r.observeLimit(now, e)
+	case ControlObserved:
+		r.observeControl(now, e)
 	case RestRequested:
 		r.requestRest(now, e)
 	case LeavingStated:
 		r.recordLeaving(now, e)
+	case EvacuationsChanged:
+		r.changeEvacuations(now, e.Evacuated)
 	case RequestArrived:
 		return r.arrive(now, e.Request)
+	case HomesChanged:
+		r.changeHomes(e)
 	case AttemptConnected:
 		return r.connected(now, e)
 	case ResponseStarted:
@@ -181,6 +211,7 @@
 	known := make(map[identifier.Upstream]bool, len(views))
 	regroup := false
 	for _, v := range views {
+		v = r.assumeCold(v)
 		known[v.Upstream] = true
 		u, ok := r.upstreams[v.Upstream]
 		if !ok || u.view.Incarnation != v.Incarnation {
@@ -192,6 +223,7 @@
 		regroup = regroup || u.view.Service != v.Service
 		u.view = v
 		r.learnLimit(now, u, v.Limit)
+		r.updateCold(now, u)
 	}
 	for name := range r.upstreams {
 		if !known[name] {
@@ -281,7 +313,7 @@
 	}
 	wait := r.retryAfter(now, &s.Request)
 	switch reason {
-	case NoUpstream:
+	case NoUpstream, NoHome, Evacuated:
 		wait = r.lateRetryAfter(now, &s.Request)
 	case Resting:
 		wait = r.restRetryAfter(now, &s.Request)
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -56,7 +56,7 @@
 			newEntry,
 			func(e *entry) drainer { return e },
 		),
-		fx.Invoke(serveEntry, mountQuarantine),
+		fx.Invoke(serveEntry, mountQuarantine, watchHomes),
 	)
 }
 
@@ -66,8 +66,11 @@
 		Region:             placement.Region,
 		AvailabilityZone:   placement.AvailabilityZone,
 		RetryRatio:         retryRatioFactor * placement.Bounds.RetryRatio,
+		ColdOverage:        placement.Bounds.ColdOverage,
+		ColdAllowance:      placement.Bounds.ColdAllowance,
 		RetryBurst:         balancer.RetryBurst(placement.Bounds.RetryAllowance, 0),
 		ReleaseGracePeriod: expectAfter(placement.Bounds.ReleaseDeadline),
+		ColdReportTime:     coldReports * placement.HeartbeatInterval,
 	})
 }
 
@@ -95,6 +98,10 @@
 	listening atomic.Bool // for callers
 	stopped   chan struct{}
 
+	// applying guards evacuated, and makes changes of the declared state take turns.
+	applying  sync.Mutex
+	evacuated []identifier.AvailabilityZone
+
 	mu      sync.Mutex
 	callers *http.Server
 	// releaseNames holds the named releases of each model, each with the time from
@@ -127,6 +134,7 @@
 	e.spreader.WatchEntries(func(n int) { e.relayer.ChangeEntries(n, e.placement.Bounds.RetryAllowance) })
 	e.spreader.ReportServing(e.takesRequests)
 	e.spreader.WatchServing(e.updateServing)
+	e.spreader.WatchControl(e.updateControl)
 	e.spreader.WatchQuarantine(e.relayer.ChangeQuarantine)
 	lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
 }
@@ -175,10 +183,15 @@
 	}
 }
 
-// applyDeclaration passes the declaration in force to the relayer. The first one also
-// starts the server for callers.
+// applyDeclaration passes the evacuations and the declaration in force to the relayer. The
+// first declaration also starts the server for callers.
 func (e *entry) applyDeclaration() {
+	// Watchers run at once if changes follow each other closely. The last one to run here
+	// applies the newest state.
+	e.applying.Lock()
+	defer e.applying.Unlock()
 	declared := e.view.Declared()
+	e.applyEvacuations(declared.Evacuations)
 	if declared.Declaration.Version == 0 {
 		return
 	}
@@ -249,6 +262,7 @@
 }
 
 func (e *entry) updateUpstreams() {
+	now := e.clock.Now()
 	var views []balancer.UpstreamView
 	for _, k := range e.spreader.Upstreams() {
 		views = append(views, balancer.UpstreamView{
@@ -263,6 +277,7 @@
 			Draining:         k.State != registrar.Ready,
 			Stale:            k.Stale,
 			Limit:            k.Limit,
+			ColdUntil:        now.Add(k.ColdRemaining),
 		})
 	}
 	e.relayer.ChangeUpstreams(views)
@@ -282,6 +297,12 @@
 	e.relayer.ChangeServing(entries)
 }
 
+func (e *entry) updateControl(status spreader.ControlStatus) {
+	e.relayer.ObserveControl(balancer.ControlObserved{
+		Reached: status.Reached, LastReached: status.LastReached, SteadySince: status.SteadySince,
+	})
+}
+
 func (e *entry) updateLoads(loads []registrar.Load) {
 	for _, l := range loads {
 		e.relayer.ObserveLoad(l.Upstream, balancer.Load{Running: l.Running, Waiting: l.Waiting})
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"celeryvalve/declarer"
 	"celeryvalve/encoder"
@@ -28,13 +29,19 @@
 // Update is an update that either end of a stream sends to the other. An empty one
 // is a heartbeat.
 type Update struct {
-	Records   []registrar.Record  `cbor:",omitempty"`
+	Records []registrar.Record `cbor:",omitempty"`
+	// Refreshes are sent by a replica to the followers that want them, and by any other
+	// process for the upstreams that reported to it.
 	Refreshes []registrar.Refresh `cbor:",omitempty"`
 	Loads     []registrar.Load    `cbor:",omitempty"`
+	// WantsRefreshes is set by a follower that wants refreshes from this replica.
+	WantsRefreshes bool `cbor:",omitempty"`
 	// Revision is the revision of the sender's declared state.
 	Revision declarer.Revision
 	// Led reports that the sender is a control replica that knows the leader.
 	Led bool `cbor:",omitempty"`
+	// LedFor is how long it has known a leader, apart from short interruptions.
+	LedFor time.Duration `cbor:",omitempty"`
 	// Entries is the number of entries that the sender, a control replica, counts.
 	Entries int `cbor:",omitempty"`
 	// TakesRequests reports that the sender is an entry that callers send requests to.
@@ -90,12 +97,14 @@
 }
 
 // FetchDeclarationResponse answers FetchDeclarationRequest. Delta holds the whole declaration if the
-// sender no longer keeps the version that the requester has. Releases is always
-// complete.
+// sender no longer keeps the version that the requester has. Releases and Evacuations are
+// always complete. The declaration has version 0 if nothing was declared yet.
 type FetchDeclarationResponse struct {
 	Revision declarer.Revision
 	Delta    declarer.EncodedDelta
 	Releases map[identifier.Model]declarer.Release
+
+	Evacuations declarer.Evacuations `cbor:",omitempty"`
 }
 
 // The kinds of messages that a stream can begin with.
