--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"net/http"
 	"time"
 
 	"celeryvalve/declarer"
@@ -18,7 +19,8 @@
 	s.firstByteAt = time.Time{}
 	s.measuredEvents = 0
 	r.crashes.beginProbation(s)
-	load, age := u.load(now, u.othersRatio(r.othersRatio(s.Service)))
+	othersRatio := u.othersRatio(r.othersRatio(s.Service))
+	load, age := u.load(now, othersRatio)
 	u.recordSend(now)
 	u.inFlight++
 	u.waiting++
@@ -38,6 +40,9 @@
 		LoadAge:  age,
 		Pace:     u.reported.Pace,
 		Slowness: u.speed.at(now),
+
+		HeldTokens:   r.addPrompt(s, policy, othersRatio),
+		IgnoredParts: s.ignoredParts,
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
@@ -69,6 +74,9 @@
 	u.heardAt = now
 	s.firstByteAt = now
 	s.measuredEvents, s.measuredAt = 1, now
+	if e.Status < http.StatusBadRequest {
+		s.confirmPrompt()
+	}
 	s.stopWaiting()
 	u.firstByte.Add(now.Sub(s.sentAt))
 	u.observe(now, e.Load, 0)
@@ -124,6 +132,7 @@
 		r.recordLoss(now, s, e.Cause)
 		return r.giveUp(now, s, DeadlineExceeded, 0)
 	case Misdirected:
+		u.forgetPrefixes()
 		r.recordFailure(now, u, e.Cause)
 	case ConnectionLost, FirstByteTimedOut:
 		s.mayHaveRun = true
@@ -183,6 +192,7 @@
 	r.crashes.endProbation(s, reached)
 	u := s.target
 	u.inFlight--
+	s.withdrawPrompt()
 	s.stopWaiting()
 	if u.probe == s.ID {
 		u.probe = ""
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -25,14 +25,17 @@
 	var bestCost, bestForecast time.Duration
 	random := s.Random + uint64(s.attempts)
 	othersRatio := r.othersRatio(s.Service)
-	failed, known := r.failedShares(now, s.Service)
+	failed := r.failedShares(now, s.Service)
 	for _, u := range r.sampleCandidates(now, s, policy) {
 		forecast := r.forecast(now, u, &s.Request, policy.Engine, u.othersRatio(othersRatio))
 		random = limiter.SplitMix64(random)
-		cost := time.Duration(u.speed.factor(now)*float64(forecast)) + r.localityPenalty(u) + time.Duration(random%uint64(costJitter)) + healthPenalty(u) + u.greyPenalty(now, failed, known) + u.recoveryPenalty(now) + r.returnPenalty(now, u)
+		cost := forecast + r.penalty(now, u, forecast, failed) + time.Duration(random%uint64(costJitter))
 		if u.limit.InForce && forecast <= r.maxForecast(now, s) {
 			cost -= limitedPreference
 		}
+		if u == s.preferred {
+			cost -= costJitter
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost, bestForecast = u, cost, forecast
 		}
@@ -55,6 +58,12 @@
 	return u.view.Release >= r.minRelease(now, policy)
 }
 
+// penalty returns what is added to the forecast of the upstream to compare it with others.
+func (r *Reducer) penalty(now time.Time, u *upstream, forecast time.Duration, failed failedSum) time.Duration {
+	slower := time.Duration((u.speed.factor(now) - 1) * float64(forecast))
+	return slower + r.localityPenalty(u) + healthPenalty(u) + u.greyPenalty(now, failed) + u.recoveryPenalty(now) + r.returnPenalty(now, u)
+}
+
 func (r *Reducer) localityPenalty(u *upstream) time.Duration {
 	switch {
 	case u.view.Region != r.cfg.Region:
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -5,6 +5,7 @@
 
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/indexer"
 	"celeryvalve/quarantiner"
 )
 
@@ -43,6 +44,10 @@
 	LimitStamp uint64
 	// Cold means that the upstream is cold, or may be.
 	Cold bool
+	// HeldTokens is how many tokens of the prompt's beginning the upstream holds, as far as
+	// known, and IgnoredParts why parts of the prompt were not compared.
+	HeldTokens   int
+	IgnoredParts indexer.Fault
 }
 
 // Refuse answers that the request has not run and never will.
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -56,7 +56,7 @@
 			newEntry,
 			func(e *entry) drainer { return e },
 		),
-		fx.Invoke(serveEntry, mountQuarantine, watchHomes),
+		fx.Invoke(serveEntry, mountQuarantine, watchHomes, serveRoutes),
 	)
 }
 
@@ -85,6 +85,7 @@
 // entry serves callers, operators and the reports of upstreams.
 type entry struct {
 	placement parser.Placement
+	settings  parser.PlacedSettings
 	view      *declarer.View
 	spreader  *spreader.Spreader
 	relayer   *relayer.Relayer
@@ -109,10 +110,11 @@
 	releaseNames map[identifier.Model][]declarer.WantedRelease
 }
 
-func newEntry(placement parser.Placement, view *declarer.View, s *spreader.Spreader, rel *relayer.Relayer, o *controlAPI,
+func newEntry(placement parser.Placement, settings parser.PlacedSettings, view *declarer.View, s *spreader.Spreader, rel *relayer.Relayer, o *controlAPI,
 	r *replica, clock clockwork.Clock, log *zap.Logger) *entry {
 	e := &entry{
 		placement:    placement,
+		settings:     settings,
 		view:         view,
 		spreader:     s,
 		relayer:      rel,
@@ -252,7 +254,7 @@
 	}
 	var policies []balancer.ServicePolicy
 	for name, service := range declared.Declaration.Services {
-		policy := balancer.ServicePolicy{Service: name, Engine: service.Engine, ColdRate: service.ColdRate}
+		policy := balancer.ServicePolicy{Service: name, Engine: e.describeEngine(name, service.Engine), ColdRate: service.ColdRate}
 		if service.Engine != nil {
 			policy.Releases = e.releaseNames[service.Engine.Model]
 		}
@@ -261,6 +263,17 @@
 	return policies
 }
 
+// describeEngine returns the declared engine with what the settings add to it.
+func (e *entry) describeEngine(service identifier.Service, engine *declarer.Engine) *declarer.Engine {
+	settings, ok := e.settings.Engines[service]
+	if engine == nil || !ok {
+		return engine
+	}
+	described := *engine
+	described.PrefixTokens = settings.PrefixTokens
+	return &described
+}
+
 func (e *entry) updateUpstreams() {
 	now := e.clock.Now()
 	var views []balancer.UpstreamView
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -33,6 +33,7 @@
 	if send.Cold {
 		x.relayer.meters.coldAttempts.Inc()
 	}
+	x.relayer.meters.countPrompt(send)
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	var timedOut atomic.Bool
@@ -348,5 +349,13 @@
 	x.log("Served a request.", zap.Int("status", status), zap.String("upstream", string(x.lastSend.Target.Upstream)),
 		zap.Duration("forecast", x.lastSend.Forecast), zap.Int("load", x.lastSend.Load),
 		zap.Duration("loadAge", x.lastSend.LoadAge), zap.Int("events", x.events), zap.Duration("firstByte", x.firstByte),
-		zap.Duration("longestPause", x.longestPause), zap.Float64("pace", x.lastSend.Pace), zap.Float64("slowness", x.lastSend.Slowness))
+		zap.Duration("longestPause", x.longestPause), zap.Float64("pace", x.lastSend.Pace), zap.Float64("slowness", x.lastSend.Slowness), x.heldField())
+}
+
+// heldField says how many tokens of the prompt the upstream was taken to hold, if any.
+func (x *exchange) heldField() zap.Field {
+	if x.lastSend.HeldTokens == 0 {
+		return zap.Skip()
+	}
+	return zap.Int("held", x.lastSend.HeldTokens)
 }
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -20,6 +20,8 @@
 	evacuated     *metrics.Gauge
 	coldChanges   *metrics.Counter
 	coldAttempts  *metrics.Counter
+	heldTokens    *metrics.Counter
+	heldPrompts   *metrics.Counter
 	firstByte     *metrics.Histogram
 	longestPause  *metrics.Histogram
 	slowUpstreams *metrics.Counter
@@ -36,6 +38,8 @@
 		evacuated:     set.NewGauge("celeryvalve_evacuated_zones", nil),
 		coldChanges:   set.NewCounter("celeryvalve_upstream_cold_total"),
 		coldAttempts:  set.NewCounter("celeryvalve_cold_attempts_total"),
+		heldTokens:    set.NewCounter("celeryvalve_prompt_tokens_held_total"),
+		heldPrompts:   set.NewCounter("celeryvalve_prompts_held_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
 		slowUpstreams: set.NewCounter("celeryvalve_upstreams_found_slow_total"),
 		longestPause:  set.NewHistogram("celeryvalve_stream_longest_pause_seconds"),
@@ -64,6 +68,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_refusals_with_homes_total{reason=%q}`, reason)).Inc()
 }
 
+// countPrompt counts the tokens of prompts that upstreams hold already, and the prompts of
+// which parts are ignored.
+func (m *meters) countPrompt(send balancer.Send) {
+	if send.HeldTokens > 0 {
+		m.heldTokens.Add(send.HeldTokens)
+		m.heldPrompts.Inc()
+	}
+	if send.IgnoredParts != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_prompt_parts_ignored_total{reason=%q}`, send.IgnoredParts)).Inc()
+	}
+}
+
 func (m *meters) countBreak(cause balancer.Cause) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_attempts_broken_total{cause=%q}`, cause)).Inc()
 }
