--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -43,6 +43,7 @@
 
 		HeldTokens:   r.addPrompt(s, policy, othersRatio),
 		IgnoredParts: s.ignoredParts,
+		Admission:    s.admission,
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
@@ -79,6 +80,9 @@
 	}
 	s.stopWaiting()
 	u.firstByte.Add(now.Sub(s.sentAt))
+	if s.attempts == 1 && !s.Resubmitted && s.Objective > 0 {
+		r.demandOf(s.Service).observeFirstByte(now.Sub(s.firstSentAt), s.Objective)
+	}
 	u.observe(now, e.Load, 0)
 	return NoEffect{}
 }
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -81,6 +81,7 @@
 	services        map[identifier.Service]ServicePolicy
 	requests        map[identifier.RequestID]*request
 	budgets         map[identifier.Service]*limiter.RetryBudget
+	demands         map[identifier.Service]*demand
 	ejectionChanges []EjectionChange
 	crashes         *crashDetector
 	limitChanges    []LimitChange
@@ -101,10 +102,14 @@
 // request is a request that has not been answered yet.
 type request struct {
 	Request
-	attempts int
-	tried    map[identifier.Upstream]bool
-	target   *upstream
-	sentAt   time.Time
+	// admission is the last decision whether the request is begun, and admitted says that
+	// it was once to begin it.
+	admission Admission
+	admitted  bool
+	attempts  int
+	tried     map[identifier.Upstream]bool
+	target    *upstream
+	sentAt    time.Time
 	// paced reports whether the attempt counts against a share.
 	paced bool
 	// firstByteAt is when the response of the current attempt began, or zero.
@@ -135,6 +140,7 @@
 		services:  make(map[identifier.Service]ServicePolicy),
 		requests:  make(map[identifier.RequestID]*request),
 		budgets:   make(map[identifier.Service]*limiter.RetryBudget),
+		demands:   make(map[identifier.Service]*demand),
 		crashes:   newCrashDetector(),
 		notices:   make(map[process]*notice),
 		returns:   make(zoneReturns),
@@ -318,26 +324,19 @@
 	if best == nil {
 		return decision{reason: r.reasonWithoutUpstream(now, s, policy)}
 	}
-	if s.attempts == 0 && forecast > r.maxForecast(now, s) {
-		return decision{reason: Overloaded, forecast: forecast}
+	if s.attempts == 0 {
+		if s.admission = r.admit(now, s, best, forecast); !s.admission.Admitted() {
+			return decision{reason: Overloaded, forecast: forecast}
+		}
 	}
 	return decision{target: best, forecast: forecast}
 }
 
 // maxForecast returns the longest forecast of the time to the first byte with which
-// the request is admitted. It is bounded by the objective, and by the time that is
+// the request is worth its place. It is bounded by the objective, and by the time that is
 // left for a response of mean length to be complete before the deadline.
 func (r *Reducer) maxForecast(now time.Time, s *request) time.Duration {
-	left := s.Deadline.Sub(now)
-	objective := s.Objective
-	if objective <= 0 {
-		objective = defaultObjective
-	}
-	margin := objectiveMargin
-	if s.Resubmitted {
-		margin = resubmittedMargin
-	}
-	return min(left-decodeTime(r.services[s.Service].Engine), time.Duration(margin*float64(objective)))
+	return min(s.Deadline.Sub(now)-decodeTime(r.services[s.Service].Engine), s.longestForecast())
 }
 
 // giveUp ends the request: with Refuse if no attempt may have run, otherwise with
@@ -359,7 +358,7 @@
 	case Resting:
 		wait = r.restRetryAfter(now, &s.Request)
 	}
-	refusal := Refuse{Request: s.ID, Reason: reason, RetryAfter: wait, Forecast: forecast}
+	refusal := Refuse{Request: s.ID, Reason: reason, RetryAfter: wait, Forecast: forecast, Admission: s.admission}
 	if reason == Probation {
 		refusal.Suspect = s.Fingerprint
 	}
@@ -372,7 +371,10 @@
 	shortest := max(minRetryAfter, time.Duration(minRetryAfterFraction*float64(left)))
 	span := max(maxRetryAfter-shortest, maxRetryAfter-minRetryAfter)
 	wait := shortest + time.Duration(limiter.SplitMix64(q.Random)%uint64(span))
-	return min(wait, max(minRemaining, left/maxRetryAfterDivisor))
+	if wait >= left/maxRetryAfterDivisor {
+		return r.lateRetryAfter(now, q)
+	}
+	return wait
 }
 
 // lateRetryAfter returns the Retry-After of requests that no upstream can serve
--- a/commander/route.go
+++ b/commander/route.go
@@ -139,9 +139,9 @@
 		x.Entry, x.Route, x.Kind, cmp.Or(string(x.Organisation), "none"), x.Service, x.Priority, homes(x.RouteHomes), homes(x.OrganisationHomes),
 		map[bool]string{true: ", refused before"}[x.Resubmitted])
 	if d.Admitted {
-		fmt.Fprintf(&b, "admitted: to %s, first byte after %s (at most %s)\n", d.Choice, milliseconds(d.Forecast), milliseconds(d.MaxForecast))
+		fmt.Fprintf(&b, "admitted: to %s, first byte after %s%s\n", d.Choice, milliseconds(d.Forecast), describeAdmission(d.Admission))
 	} else {
-		fmt.Fprintf(&b, "refused: %s, come back after %s; best forecast %s (at most %s)\n", d.Reason, milliseconds(d.RetryAfter), milliseconds(d.Forecast), milliseconds(d.MaxForecast))
+		fmt.Fprintf(&b, "refused: %s, come back after %s; best forecast %s%s\n", d.Reason, milliseconds(d.RetryAfter), milliseconds(d.Forecast), describeAdmission(d.Admission))
 	}
 	rows := [][]string{{"UPSTREAM", "REGION", "ZONE", "LOAD", "OWN", "AGE", "HELD", "FORECAST", "PENALTY", "PASSED OVER"}}
 	for _, u := range d.Candidates {
@@ -182,3 +182,17 @@
 
 // Await returns at once.
 func (noVersions) Await(context.Context, identifier.ConfigurationVersion) {}
+
+// describeAdmission says how the pressure on the room compares with the gate of the request.
+func describeAdmission(a balancer.Admission) string {
+	switch {
+	case a.Class == "":
+		return ""
+	case a.Free:
+		return fmt.Sprintf(" (%s: half of the places are free)", a.Class)
+	case a.Unfinishable:
+		return fmt.Sprintf(" (%s: not complete before the deadline)", a.Class)
+	default:
+		return fmt.Sprintf(" (%s: pressure %.2f, gate %.2f)", a.Class, a.Pressure, a.Gate)
+	}
+}
