--- a/balancer/part_rule_test.go
+++ b/balancer/part_rule_test.go
@@ -306,7 +306,12 @@
 // Guards against the refusal of a part that was in flight at most of a few crashes by chance,
 // some of them of a whole rack. (Found by TestGuiltyPartIsRefusedAndNoOther.)
 func TestPartInFlightByChanceIsNotRefused(t *testing.T) {
-	partDay{entries: 3, upstreams: 8, luck: 0x4b5f, shape: "alone", guilty: 2, rack: true, restart: true}.play(t)
+	for _, d := range []partDay{
+		{entries: 3, upstreams: 8, luck: 0x4b5f, shape: "alone", guilty: 2, rack: true, restart: true},
+		{entries: 7, upstreams: 8, luck: 0x2, shape: "beside any", guilty: 2, rack: true, restart: true},
+	} {
+		t.Run(fmt.Sprint(d.entries), func(t *testing.T) { d.play(t) })
+	}
 }
 
 // partDay is a day on which a part of prompts crashes upstreams.
