--- a/placer/agent.go
+++ b/placer/agent.go
@@ -128,7 +128,7 @@
 		return
 	}
 	a.followRelease(own, report)
-	a.reduce(stager.Observed{Report: report, Position: rolloutPosition(own, all)})
+	a.reduce(stager.Observed{Report: report, Position: a.turn(own, all)})
 	a.announce()
 	if own.Upstream != "" {
 		a.spreader.ReportLoad(registrar.Load{Upstream: own.Upstream, Running: report.Running, Waiting: report.Waiting})
@@ -136,7 +136,7 @@
 }
 
 // engineRecords returns the record of the engine on this instance, and the records
-// of all engines of its service that are alive.
+// of all engines of its service, sorted by name.
 func (a *agent) engineRecords() (own registrar.Record, all []registrar.Record) {
 	known := a.spreader.Upstreams()
 	for _, k := range known {
@@ -145,13 +145,31 @@
 		}
 	}
 	for _, k := range known {
-		if own.Service != "" && k.Service == own.Service && (!k.Stale || k.Upstream == own.Upstream) {
+		if own.Service != "" && k.Service == own.Service {
 			all = append(all, k.Record)
 		}
 	}
 	return own, all
 }
 
+// turn returns the position of the engine among the engines of its service, and the
+// positions of the others that do not serve the target release yet.
+func (a *agent) turn(own registrar.Record, all []registrar.Record) stager.RolloutPosition {
+	a.mu.Lock()
+	wanted := a.target.pinned.Number
+	a.mu.Unlock()
+	turn := stager.RolloutPosition{Engines: len(all)}
+	for i, r := range all {
+		switch {
+		case r.Upstream == own.Upstream:
+			turn.Rank = i
+		case r.Serves() < wanted:
+			turn.Outdated = append(turn.Outdated, i)
+		}
+	}
+	return turn
+}
+
 // followRelease starts the transfers of a newly wanted release and reports their progress
 // to the reducer. Until the engine's service is known, the engine is assumed to serve
 // the only declared model.
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -15,26 +15,35 @@
 }
 
 const (
+	// waves is the number of waves in which the engines of a service load, so that most
+	// of them serve while some load.
+	waves = 3
+	// drainThreshold is the fraction of the chunks at which the engines of the first wave
+	// stop taking new requests: their running requests end while the rest arrives.
+	drainThreshold = 0.5
+	// stallTimeout is how long no further chunk may arrive before such engines take requests
+	// again: a few times what a chunk takes on a link of 8 Mbit/s shared by 8 of them.
+	stallTimeout = 700 * time.Millisecond
 	// stagedTTL is how long chunks that were read back count as verified.
 	stagedTTL = 1500 * time.Millisecond
-	// recheckInterval is how often the staged chunks of an engine that waits for its turn are
-	// read back, so that those that turn bad there are replaced before the turn comes.
-	recheckInterval = 2 * time.Second
 	// retryDelay is the pause after a failure. orderTimeout is the time after which an
 	// order that shows no effect is given again.
 	retryDelay   = 300 * time.Millisecond
 	orderTimeout = 5 * time.Second
-	// stallTimeout is how long no further chunk may arrive before an engine that empties takes
-	// requests again: a few times what a chunk takes on a link of 8 Mbit/s shared by 8 of them.
-	stallTimeout = 700 * time.Millisecond
-	// minArrived is the part of the chunks from which on their rate tells when the rest comes.
-	minArrived = 0.5
-	// firstSwap is the part of Config.RolloutTime after which the first engine may load, since
-	// the release may be replaced at once.
-	firstSwap = 0.12
+)
+
+const (
+	// firstWaveStart is the part of Config.RolloutTime after which the first wave may load.
+	firstWaveStart = 0.12
+	// swapTime is about how long an engine under load is out for a release: its running
+	// requests end, and it loads.
+	swapTime = 1600 * time.Millisecond
 	// rolloutMargin is how long before the end of Config.RolloutTime entries cease to send
 	// requests to engines with an older release.
 	rolloutMargin = 1200 * time.Millisecond
+	// stragglers is the part of the engines of earlier waves that a wave doesn't wait for,
+	// such as those with a narrow link.
+	stragglers = 0.1
 )
 
 // Report is the state that the engine reports.
@@ -67,6 +76,15 @@
 	WantedSince time.Time
 }
 
+// RolloutPosition is the place of an engine among those of its service that load a release.
+type RolloutPosition struct {
+	Engines int
+	// Rank is its index in a list that is the same on all agents.
+	Rank int
+	// Outdated lists the ranks of the other engines that don't serve the wanted release yet.
+	Outdated []int
+}
+
 // Observed delivers a report of the engine.
 type Observed struct {
 	Report   Report
@@ -126,23 +144,13 @@
 	want     Wanted
 	observed *Observed
 
-	// firstChunkAt is when the first of the wanted chunks was here, and progressedAt when
-	// more of them last arrived.
-	firstChunkAt time.Time
+	// progressedAt is when more of the wanted chunks last arrived, or when another release
+	// became wanted.
 	progressedAt time.Time
 
-	rollout rollout
-	// swapping is the release for which the engine takes no more requests, or 0. Its turn
-	// doesn't pass once it has come.
-	swapping declarer.ReleaseNumber
-
 	staging  bool
 	stagedAt time.Time
 	staged   declarer.ReleaseNumber
-	// checkedInTurn is set once the chunks were read back after the engine's turn had come.
-	checkedInTurn bool
-	// ready is the release whose chunks were all staged and verified at some time.
-	ready    declarer.ReleaseNumber
 	ordering bool
 	ordered  declarer.ReleaseNumber
 	// orderedAt is when the last order was given or accepted.
@@ -156,14 +164,17 @@
 
 // New returns a Reducer for an engine that has not been observed yet.
 func New(cfg Config) *Reducer {
-	return &Reducer{cfg: cfg, rollout: newRollout()}
+	return &Reducer{cfg: cfg}
 }
 
 // Reduce applies one event and returns the effects that the shell has to perform.
 func (r *Reducer) Reduce(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Wanted:
-		r.follow(now, e)
+		if e.Release != r.want.Release || e.HeldFraction > r.want.HeldFraction {
+			r.progressedAt = now
+		}
+		r.want = e
 	case Observed:
 		r.observe(now, e)
 	case Unreachable:
@@ -171,7 +182,7 @@
 	case Staged:
 		r.staging = false
 		if e.Verified {
-			r.staged, r.ready, r.stagedAt = e.Release, e.Release, now
+			r.staged, r.stagedAt = e.Release, now
 		} else {
 			r.staged = 0
 			r.retryAt = now.Add(retryDelay)
@@ -186,32 +197,7 @@
 			r.retryAt = now.Add(retryDelay)
 		}
 	}
-	r.takeTurn(now)
-	return append(r.announce(), r.next(now)...)
-}
-
-// follow notes how fast chunks arrive.
-func (r *Reducer) follow(now time.Time, e Wanted) {
-	if e.Release != r.want.Release {
-		r.firstChunkAt, r.progressedAt = now, now
-	} else if e.HeldFraction > r.want.HeldFraction {
-		if r.want.HeldFraction == 0 {
-			r.firstChunkAt = now
-		}
-		r.progressedAt = now
-	}
-	r.want = e
-}
-
-// chunksComeSoon reports whether the rest of the chunks will be here within half a swap: while
-// they arrive the running requests end, so that the engine is out for no longer in all.
-func (r *Reducer) chunksComeSoon(now time.Time) bool {
-	arrived := r.want.HeldFraction
-	if arrived == 0 || now.Sub(r.progressedAt) > stallTimeout {
-		return false
-	}
-	rest := time.Duration((1 - arrived) / arrived * float64(now.Sub(r.firstChunkAt)))
-	return rest <= r.rollout.swapTime/2 && arrived >= minArrived
+	return append(r.announce(now), r.next(now)...)
 }
 
 // observe applies a report. The last order is forgotten if the report shows that it is
@@ -219,7 +205,6 @@
 func (r *Reducer) observe(now time.Time, e Observed) {
 	previous := r.observed
 	r.observed = &e
-	r.rollout.observe(now, r.want.Release, e.Position)
 	if r.ordered == 0 || r.ordering {
 		return
 	}
@@ -230,50 +215,13 @@
 	}
 }
 
-// takeTurn decides whether the engine takes no more requests from now on, so that it may
-// load. An engine that serves waits for its turn, and until its chunks are staged and
-// verified, or will soon be where time is short. If they stay away, it serves on.
-func (r *Reducer) takeTurn(now time.Time) {
-	if r.swapping != r.want.Release || (!r.want.Held && now.Sub(r.progressedAt) > stallTimeout) {
-		r.swapping = 0
-	}
-	if r.swapping != 0 || r.observed == nil || !r.isOutdated() {
-		return
-	}
-	if r.observed.Report.Release == 0 {
-		if r.want.Held {
-			r.swapping = r.want.Release
-		}
-		return
-	}
-	elapsed := now.Sub(r.want.WantedSince)
-	if elapsed < time.Duration(firstSwap*float64(r.cfg.RolloutTime)) {
-		return
-	}
-	ready := r.want.Held && r.ready == r.want.Release
-	if !ready && (r.want.Held || !r.chunksComeSoon(now)) {
-		return
-	}
-	turn, short := r.rollout.isTurn(now, r.observed.Position, r.cfg.RolloutTime-rolloutMargin-elapsed)
-	if turn && (ready || short) {
-		r.swapping = r.want.Release
-	}
-}
-
-// isOutdated reports whether the engine lacks the wanted release.
-func (r *Reducer) isOutdated() bool {
-	return r.want.Release != 0 && r.observed.Report.Release < r.want.Release
-}
-
-// announce announces what the engine serves whenever that changes. Entries learn that it
-// takes no new requests while its chunks are read back, so that no request is on its way to
-// it when the order comes.
-func (r *Reducer) announce() []Effect {
+// announce announces what the engine serves whenever that changes.
+func (r *Reducer) announce(now time.Time) []Effect {
 	if r.observed == nil {
 		return nil
 	}
 	release := r.observed.Report.Release
-	if (r.ordered != 0 && release < r.ordered) || (r.swapping != 0 && r.isOutdated()) {
+	if (r.ordered != 0 && release < r.ordered) || r.shouldDrain(now) {
 		release = 0
 	}
 	if r.hasAnnounced && release == r.announced {
@@ -283,30 +231,75 @@
 	return []Effect{Announce{Release: release}}
 }
 
-// next returns the Stage or Order that is due, if any. Chunks are staged as soon as they
-// are here, and read back again once the turn of the engine has come.
+// shouldDrain reports whether the engine is to take no new requests because it may load
+// now: entries learn of it while the chunks are staged, so that no request is on its
+// way to the engine when the order comes. For the first wave they learn of it while
+// the rest of the chunks arrives, as long as chunks do arrive.
+func (r *Reducer) shouldDrain(now time.Time) bool {
+	if r.want.Release == 0 || r.observed.Report.Release >= r.want.Release || !r.mayLoad(now) {
+		return false
+	}
+	progressing := now.Sub(r.progressedAt) <= stallTimeout
+	return r.want.Held || (r.wave() == 0 && r.want.HeldFraction >= drainThreshold && progressing)
+}
+
+// next returns the Stage or Order that is due, if any.
 func (r *Reducer) next(now time.Time) []Effect {
 	if r.observed == nil || r.staging || r.ordering || r.ordered != 0 || now.Before(r.retryAt) {
 		return nil
 	}
 	report := r.observed.Report
-	if !r.want.Held || !r.isOutdated() || report.Busy {
+	if !r.want.Held || r.want.Release == 0 || report.Release >= r.want.Release || report.Busy {
 		return nil
 	}
-	ttl := recheckInterval
-	if r.swapping != 0 {
-		ttl = stagedTTL
+	if !r.mayLoad(now) {
+		return nil
 	}
-	if r.staged != r.want.Release || now.Sub(r.stagedAt) > ttl || (r.swapping != 0 && !r.checkedInTurn) {
+	if r.staged != r.want.Release || now.Sub(r.stagedAt) > stagedTTL {
 		r.staging = true
-		r.checkedInTurn = r.swapping != 0
 		return []Effect{Stage{Release: r.want.Release}}
 	}
-	if r.swapping == 0 {
-		return nil
-	}
 	r.ordering = true
 	r.ordered = r.want.Release
 	r.orderedAt = now
-	return append(r.announce(), Order{Model: r.want.Model, Release: r.want.Release, ExpectedOrders: report.Orders})
+	return append(r.announce(now), Order{Model: r.want.Model, Release: r.want.Release, ExpectedOrders: report.Orders})
+}
+
+// wave returns the wave in which the engine loads, from 0.
+func (r *Reducer) wave() int {
+	return r.observed.Position.Rank % waves
+}
+
+// mayLoad reports whether the engine may load now: the earlier waves are done, or the
+// last moment for its own wave has come. The first wave waits for its start. An engine that
+// serves nothing loads at once.
+func (r *Reducer) mayLoad(now time.Time) bool {
+	if r.observed.Report.Release == 0 {
+		return true
+	}
+	wave := r.wave()
+	if now.Sub(r.want.WantedSince) >= r.latestStart(wave) {
+		return true
+	}
+	return wave > 0 && r.earlierWavesDone(wave)
+}
+
+// latestStart returns how long after the release became wanted a wave loads in any case.
+// It leaves time for a swap by this wave and by each one after it.
+func (r *Reducer) latestStart(wave int) time.Duration {
+	first := time.Duration(firstWaveStart * float64(r.cfg.RolloutTime))
+	if wave == 0 {
+		return first
+	}
+	return max(first, r.cfg.RolloutTime-rolloutMargin-time.Duration(waves-wave)*swapTime)
+}
+
+func (r *Reducer) earlierWavesDone(wave int) bool {
+	outdated := 0
+	for _, rank := range r.observed.Position.Outdated {
+		if rank%waves < wave {
+			outdated++
+		}
+	}
+	return float64(outdated) <= stragglers*float64(r.observed.Position.Engines*wave)/waves
 }
