connector: take the answer of a peer that reads no more

Any call between processes may fail so: a fetch of the declared state, a read of the document.

Cause: a peer that has answered ends the stream, which tells the caller that nothing more is read. If that comes before the caller closes its own direction, closing fails, and the answer that was on its way was dropped.

Change: a call goes on to receive. If the connection is lost, receiving says so.

--- a/connector/stream.go
+++ b/connector/stream.go
@@ -170,9 +170,9 @@
 		return nil, err
 	}
 	defer s.finish()
-	if err := s.CloseSend(); err != nil {
-		return nil, err
-	}
+	// Closing fails if the peer has answered already and reads no more. If the connection is
+	// lost, receiving fails as well.
+	_ = s.CloseSend()
 	answer, err := s.Receive(ctx)
 	if errors.Is(err, io.EOF) {
 		return nil, explainer.New(explainer.Unavailable, "the peer closed the stream without an answer", "try again")
