--- a/balancer/evacuation.go
+++ b/balancer/evacuation.go
@@ -12,9 +12,11 @@
 	// returnTime is how long after its evacuation has ended a zone is preferred less, less and
 	// less. Its upstreams are idle then, and would be the first choice of all entries. It is
 	// as long as after a rest, and begins at another moment at each entry.
-	returnTime      = recoveryTime
-	maxReturnDelay  = maxResumeDelay
-	returnPenalty   = recoveryPenalty
+	returnTime     = recoveryTime
+	maxReturnDelay = maxResumeDelay
+	returnPenalty  = recoveryPenalty
+	// defaultColdTime is used where Config.ColdReportTime is not set: twice the usual interval
+	// of reports, with room for lost ones.
 	defaultColdTime = 5 * time.Second
 )
 
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -69,7 +69,8 @@
 )
 
 // Explain says what Reduce would do with the request if it arrived now. It takes the same
-// decision and carries nothing out: no state changes, no allowance is drawn from.
+// decision and carries nothing out: no allowance is drawn from, and no state changes but
+// what follows from the time alone, as at any request.
 func (r *Reducer) Explain(now time.Time, q Request) Explanation {
 	policy := r.services[q.Service]
 	s := &request{Request: q, tried: make(map[identifier.Upstream]bool)}
