placer, stager: let the time for a release wait for control to settle

Cause: entries refuse older weights once the time for a release is nearly over. Only outages of the leader of 3 s and more were taken into account.

Change: replicas tell their followers how long ago the last start of a replica was. The time counts anew once control has settled after it (contact_window_ms, less 0.5 s for the start of the process). Agents count the last moments of the second and third turn from there too. Ruled out: replicas that fall silent (an entry that froze would take its own fault for theirs), links that lose packets (not told from load).

--- a/parser/placement.go
+++ b/parser/placement.go
@@ -53,6 +53,9 @@
 	CatchUp time.Duration
 	// ReleaseDeadline is the time in which a wanted release must be in force.
 	ReleaseDeadline time.Duration
+	// ControlSettling is how long after the start of a control replica the time for a
+	// release does not pass.
+	ControlSettling time.Duration
 	// RetryRatio and RetryAllowance limit the retries of all entries together
 	// during RetryWindow: RetryRatio is a fraction of the requests, RetryAllowance
 	// a number of retries.
--- a/placer/agent.go
+++ b/placer/agent.go
@@ -65,6 +65,8 @@
 	// pulls holds the transfers of these two releases.
 	pulls   map[declarer.ReleaseNumber]*pull
 	serving *declarer.ReleaseNumber
+	// settledSince is when control settles after the last start of a replica, or zero.
+	settledSince time.Time
 }
 
 // target is the release that the engine should serve.
@@ -92,6 +94,7 @@
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.reconciler = repeater.New(clock, agentReconcileInterval, a.reconcile)
 	view.Watch(a.reconciler.Trigger)
+	s.WatchControl(a.updateControl)
 	return a
 }
 
@@ -197,12 +200,22 @@
 		a.ensureFallback(release, report)
 	}
 	wanted := a.chooseGoal(report)
+	settledSince := a.settledSince
 	a.mu.Unlock()
 	wanted.Model = model
 	wanted.WantedSince = release.WantedSince(report.Release)
+	wanted.TimedSince = settledSince
 	a.reduce(wanted)
 }
 
+// updateControl notes when control settles. The replica that the agent follows may have been
+// out of reach, so that nothing follows from how long it has known a leader.
+func (a *agent) updateControl(status spreader.ControlStatus) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settledSince = steadySince(spreader.ControlStatus{StartedAt: status.StartedAt}, a.placement.Bounds.ControlSettling)
+}
+
 func modelOf(declared declarer.Declared, own registrar.Record) (identifier.Model, bool) {
 	if own.Service != "" {
 		engine := declared.Declaration.Services[own.Service].Engine
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -34,6 +34,12 @@
 	// objective, and entries learn of a release at different times. The margin is at
 	// most half of the time for the release.
 	expectMargin = 1200 * time.Millisecond
+	// steadyLogStep is the least change of the time since when control is steady that is
+	// logged: more than its estimates differ.
+	steadyLogStep = time.Second
+	// replicaStartTime is the longest time between the start of an instance and that of its
+	// control replica, as where 40 instances start at once.
+	replicaStartTime = 500 * time.Millisecond
 	// lameDuckPeriod is how long a draining entry accepts new connections. The
 	// platform needs two failed readiness checks, one a second, before it sends
 	// connections to other entries.
@@ -108,6 +114,8 @@
 	// releaseNames holds the named releases of each model, each with the time from
 	// which its deadline counts in this process.
 	releaseNames map[identifier.Model][]declarer.WantedRelease
+	// steadySince is since when control was last logged to be steady.
+	steadySince time.Time
 }
 
 func newEntry(placement parser.Placement, settings parser.PlacedSettings, view *declarer.View, s *spreader.Spreader, rel *relayer.Relayer, o *controlAPI,
@@ -311,9 +319,31 @@
 }
 
 func (e *entry) updateControl(status spreader.ControlStatus) {
-	e.relayer.ObserveControl(balancer.ControlObserved{
-		Reached: status.Reached, LastReached: status.LastReached, SteadySince: status.SteadySince,
-	})
+	since := steadySince(status, e.placement.Bounds.ControlSettling)
+	e.relayer.ObserveControl(balancer.ControlObserved{Reached: status.Reached, LastReached: status.LastReached, SteadySince: since})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if since.Sub(e.steadySince) < steadyLogStep {
+		return
+	}
+	e.steadySince = since
+	e.log.Info("The time for releases counts anew.", zap.Time("since", since), zap.Time("replicaStarted", status.StartedAt), zap.Bool("reached", status.Reached))
+}
+
+// steadySince returns since when the time for a release passes: control works, and has
+// settled after the last start of a replica. It may be a time to come.
+func steadySince(status spreader.ControlStatus, settling time.Duration) time.Time {
+	if status.StartedAt.IsZero() || settling <= replicaStartTime {
+		return status.SteadySince
+	}
+	return later(status.SteadySince, status.StartedAt.Add(settling-replicaStartTime))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (e *entry) updateLoads(loads []registrar.Load) {
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -19,6 +19,7 @@
 	"celeryvalve/parser"
 	"celeryvalve/platform"
 	"celeryvalve/relayer"
+	"celeryvalve/spreader"
 )
 
 // Guards against an entry that restarts while a release is being loaded and then counts
@@ -109,3 +110,23 @@
 	require.Equal(t, 9100*time.Millisecond, expectAfter(10300*time.Millisecond))
 	require.Equal(t, 500*time.Millisecond, expectAfter(time.Second))
 }
+
+// Guards against entries that refuse older weights although a control replica has just
+// started, while the origin was away: 3.5 s without any upstream.
+func TestTimeOfAReleaseWaitsForControlToSettle(t *testing.T) {
+	at := func(s float64) time.Time {
+		return time.Unix(1_700_000_000, 0).Add(time.Duration(s * float64(time.Second)))
+	}
+	for name, test := range map[string]struct {
+		startedAt, steadySince time.Time
+		settling               time.Duration
+		want                   time.Time
+	}{
+		"a replica was replaced": {startedAt: at(19.5), steadySince: at(4), settling: 3 * time.Second, want: at(22)},
+		"no leader since then":   {startedAt: at(19.5), steadySince: at(23), settling: 3 * time.Second, want: at(23)},
+		"older replicas":         {steadySince: at(4), settling: 3 * time.Second, want: at(4)},
+		"no settling time":       {startedAt: at(19.5), steadySince: at(4), want: at(4)},
+	} {
+		require.Equal(t, test.want, steadySince(spreader.ControlStatus{StartedAt: test.startedAt, SteadySince: test.steadySince}, test.settling), name)
+	}
+}
--- a/spreader/control.go
+++ b/spreader/control.go
@@ -20,6 +20,8 @@
 	// SteadySince is since when the steadiest of the replicas runs and knows a leader. A
 	// process that was cut off by itself thus takes that for no outage of control.
 	SteadySince time.Time
+	// StartedAt is when the control replica that started last did, or zero if none has told.
+	StartedAt time.Time
 }
 
 // WatchControl registers f, which is called regularly with the status of control. Call it
@@ -34,6 +36,7 @@
 	now := s.clock.Now()
 	lastLed, ledFor := s.lastLed(now)
 	s.control = s.control.observe(now, lastLed, ledFor)
+	s.control.StartedAt = s.lastStart()
 	status := s.control
 	s.mu.Unlock()
 	for _, f := range s.controlWatchers {
@@ -59,6 +62,33 @@
 	return at, ledFor
 }
 
+// lastStart returns when the control replica that started last did. The caller holds s.mu.
+func (s *Spreader) lastStart() time.Time {
+	var last time.Time
+	if s.ownReplicas != nil {
+		last = s.startedAt
+	}
+	for _, status := range s.statuses {
+		if status.startedAt.After(last) {
+			last = status.startedAt
+		}
+	}
+	return last
+}
+
+// noteStart takes in how long ago a replica started. Of several updates about one start, the
+// one that was the shortest time on its way counts.
+func (s *replicaStatus) noteStart(now time.Time, ago time.Duration) {
+	if ago == 0 {
+		return
+	}
+	at := now.Add(-ago)
+	if ago < s.startedAgo || s.startedAt.IsZero() || at.Before(s.startedAt) {
+		s.startedAt = at
+	}
+	s.startedAgo = ago
+}
+
 // observe returns the status after a look at what the control replicas have told.
 func (c ControlStatus) observe(now, lastLed time.Time, ledFor time.Duration) ControlStatus {
 	if lastLed.After(c.LastReached) {
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -196,6 +196,7 @@
 	if s.ownReplicas != nil {
 		known = s.ownReplicas
 		update.Led = s.ownReplicas.Led
+		update.StartedAgo = s.clock.Since(s.lastStart())
 		if sent.includeLoads {
 			update.Entries = s.countFollowers()
 			if update.Led {
@@ -253,6 +254,7 @@
 	if from.IsValid() {
 		status := s.statuses[from]
 		status.lastReceived = now
+		status.noteStart(now, update.StartedAgo)
 		if update.Led {
 			status.lastLed = now
 			status.ledFor = update.LedFor
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -74,6 +74,9 @@
 	// WantedSince is when this release became wanted, or an earlier one that the engine does
 	// not have either. Config.RolloutTime is counted from it.
 	WantedSince time.Time
+	// TimedSince is when the time counts from in which the release has to be in force, if
+	// control has not been steady since WantedSince, or a time before that.
+	TimedSince time.Time
 }
 
 // RolloutPosition is the place of an engine among those of its service that load a release.
@@ -278,20 +281,25 @@
 		return true
 	}
 	wave := r.wave()
-	if now.Sub(r.want.WantedSince) >= r.latestStart(wave) {
+	if !now.Before(r.latestStart(wave)) {
 		return true
 	}
 	return wave > 0 && r.earlierWavesDone(wave)
 }
 
-// latestStart returns how long after the release became wanted a wave loads in any case.
-// It leaves time for a swap by this wave and by each one after it.
-func (r *Reducer) latestStart(wave int) time.Duration {
-	first := time.Duration(firstWaveStart * float64(r.cfg.RolloutTime))
-	if wave == 0 {
+// latestStart returns when a wave loads in any case. It leaves time for a swap by this wave
+// and by each one after it.
+func (r *Reducer) latestStart(wave int) time.Time {
+	first := r.want.WantedSince.Add(time.Duration(firstWaveStart * float64(r.cfg.RolloutTime)))
+	timedSince := r.want.TimedSince
+	if timedSince.Before(r.want.WantedSince) {
+		timedSince = r.want.WantedSince
+	}
+	latest := timedSince.Add(r.cfg.RolloutTime - rolloutMargin - time.Duration(waves-wave)*swapTime)
+	if wave == 0 || latest.Before(first) {
 		return first
 	}
-	return max(first, r.cfg.RolloutTime-rolloutMargin-time.Duration(waves-wave)*swapTime)
+	return latest
 }
 
 func (r *Reducer) earlierWavesDone(wave int) bool {
