spreader: tell only one's own start to those that follow all replicas

Cause, found by reading: each replica told the last start that it knew of, so that two of them passed the same start back and forth, each time later by the way of a message. Entries would have counted the time for a release from too late a moment on slow links, and gone on with old weights for longer than the users allow.

Change: entries and replicas, which follow all replicas, are told the start of the sender alone; agents, which follow one, the last start that it knows. The test fails without it.

--- a/puller/doc.go
+++ b/puller/doc.go
@@ -11,8 +11,8 @@
 // another one for each chunk and instance, or else from another region, and from the
 // origin last. A source keeps a request until it holds the chunk, and says that it is
 // alive meanwhile. Instances whose engines serve nothing are served one after another, so
-// that the first of them serve soon. A source that is silent is ejected, that is, not asked for a while; the
-// others are probed for a chunk that is late. Caches without a mirror in their region
+// that the first of them serve soon. A source that is silent is ejected, that is, not
+// asked for a while; the others are probed for a chunk that is late. Caches without a mirror in their region
 // agree on the one that fetches a chunk for all. Every chunk is checked against its pinned
 // digest before it counts.
 //
--- a/spreader/control.go
+++ b/spreader/control.go
@@ -76,6 +76,16 @@
 	return last
 }
 
+// startFor returns the start that a follower is told. One that follows all replicas gets that
+// of this one: replicas that passed on each other's word would delay it further each time.
+// The caller holds s.mu.
+func (s *Spreader) startFor(sent *sentState) time.Time {
+	if sent.includeLoads {
+		return s.startedAt
+	}
+	return s.lastStart()
+}
+
 // noteStart takes in how long ago a replica started. Of several updates about one start, the
 // one that was the shortest time on its way counts.
 func (s *replicaStatus) noteStart(now time.Time, ago time.Duration) {
--- a/spreader/control_test.go
+++ b/spreader/control_test.go
@@ -52,6 +52,9 @@
 	require.Equal(t, at(13.5), s.lastStart())
 	s.ownReplicas, s.startedAt = &Replicas{}, at(20)
 	require.Equal(t, at(20), s.lastStart(), "this process is a replica itself")
+	s.startedAt = at(1)
+	require.Equal(t, at(1), s.startFor(&sentState{includeLoads: true}), "no word of others comes back to them")
+	require.Equal(t, at(13.5), s.startFor(&sentState{}))
 
 	var led ledSpan
 	led.set(at(0), false)
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -42,8 +42,8 @@
 	Led bool `cbor:",omitempty"`
 	// LedFor is how long it has known a leader, apart from short interruptions.
 	LedFor time.Duration `cbor:",omitempty"`
-	// StartedAgo is how long ago the control replica that started last did, as the sender,
-	// a replica, knows.
+	// StartedAgo is how long ago the sender, a control replica, started; for a follower of
+	// this one alone, how long ago the replica that started last did.
 	StartedAgo time.Duration `cbor:",omitempty"`
 	// Entries is the number of entries that the sender, a control replica, counts.
 	Entries int `cbor:",omitempty"`
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -156,8 +156,8 @@
 	serving []ServingEntry
 	// ledFor is how long the replica had known a leader at lastLed.
 	ledFor time.Duration
-	// startedAt is when the replica that started last did, as this one knows, and startedAgo
-	// how long ago that was at its last update.
+	// startedAt is when the replica started, or the last one that it knows of, and
+	// startedAgo how long ago that was at its last update.
 	startedAt  time.Time
 	startedAgo time.Duration
 }
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -196,7 +196,7 @@
 	if s.ownReplicas != nil {
 		known = s.ownReplicas
 		update.Led = s.ownReplicas.Led
-		update.StartedAgo = s.clock.Since(s.lastStart())
+		update.StartedAgo = s.clock.Since(s.startFor(sent))
 		if sent.includeLoads {
 			update.Entries = s.countFollowers()
 			if update.Led {
