--- a/transferrer/upload_test.go
+++ b/transferrer/upload_test.go
@@ -26,9 +26,11 @@
 			if name == "idle-gone" {
 				ctx = gone
 			}
+			request := &fetcher.ChunkRequest{Upstream: identifier.Upstream(name), Idle: strings.HasPrefix(name, "idle")}
 			go func() {
-				if q.wait(ctx, &fetcher.ChunkRequest{Upstream: identifier.Upstream(name), Idle: strings.HasPrefix(name, "idle")}, 1) == nil {
+				if q.enter(ctx, q.turnOf(request)) == nil {
 					order = append(order, name)
+					q.leave()
 				}
 			}()
 			synctest.Wait()
@@ -38,5 +40,6 @@
 		q.leave()
 		synctest.Wait()
 		require.Contains(t, []string{"cache idle-a idle-a idle-b serving-b serving-a", "cache idle-b idle-a idle-a serving-b serving-a"}, strings.Join(order, " "))
+		require.NoError(t, q.wait(t.Context(), &fetcher.ChunkRequest{}, 1), "the link is free again")
 	})
 }
