--- a/placer/agent.go
+++ b/placer/agent.go
@@ -213,8 +213,8 @@
 	a.reduce(wanted)
 }
 
-// updateControl notes when control settles. The replica that the agent follows may have been
-// out of reach, so that nothing follows from how long it has known a leader.
+// updateControl notes when control settles. An agent isn't told for how long a leader has
+// been known, only when a replica started.
 func (a *agent) updateControl(status spreader.ControlStatus) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -74,8 +74,8 @@
 	// WantedSince is when this release became wanted, or an earlier one that the engine does
 	// not have either. Config.RolloutTime is counted from it.
 	WantedSince time.Time
-	// TimedSince is when the time counts from in which the release has to be in force, if
-	// control has not been steady since WantedSince, or a time before that.
+	// TimedSince is since when Config.RolloutTime counts, if control has not been steady ever
+	// since WantedSince. Any earlier time has no effect.
 	TimedSince time.Time
 }
 
