stager: keep to a time for a release that is over

Replicas restarted in turn after the time for the release was over, so that agents took new time for their turns, while entries refuse the old release for good once they have ruled it out. Engines waited for their turn and served nothing.

Change: once the time for a release is over, a later start of a replica gives agents no more of it. The extended test of the turns fails without it.

--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -177,7 +177,7 @@
 		if e.Release != r.want.Release || e.HeldFraction > r.want.HeldFraction {
 			r.progressedAt = now
 		}
-		r.want = e
+		r.want = r.keepTime(now, e)
 	case Observed:
 		r.observe(now, e)
 	case Unreachable:
@@ -203,6 +203,23 @@
 	return append(r.announce(now), r.next(now)...)
 }
 
+// keepTime returns what is wanted, with the time as it counted before if that is over: entries
+// refuse the earlier release from then on, also if control settles anew later.
+func (r *Reducer) keepTime(now time.Time, e Wanted) Wanted {
+	if e.Release == r.want.Release && !now.Before(r.timedSince().Add(r.cfg.RolloutTime-rolloutMargin)) {
+		e.TimedSince = r.want.TimedSince
+	}
+	return e
+}
+
+// timedSince returns since when Config.RolloutTime counts.
+func (r *Reducer) timedSince() time.Time {
+	if r.want.TimedSince.Before(r.want.WantedSince) {
+		return r.want.WantedSince
+	}
+	return r.want.TimedSince
+}
+
 // observe applies a report. The last order is forgotten if the report shows that it is
 // in effect, that it ended without effect or that the engine restarted.
 func (r *Reducer) observe(now time.Time, e Observed) {
@@ -291,11 +308,7 @@
 // and by each one after it.
 func (r *Reducer) latestStart(wave int) time.Time {
 	first := r.want.WantedSince.Add(time.Duration(firstWaveStart * float64(r.cfg.RolloutTime)))
-	timedSince := r.want.TimedSince
-	if timedSince.Before(r.want.WantedSince) {
-		timedSince = r.want.WantedSince
-	}
-	latest := timedSince.Add(r.cfg.RolloutTime - rolloutMargin - time.Duration(waves-wave)*swapTime)
+	latest := r.timedSince().Add(r.cfg.RolloutTime - rolloutMargin - time.Duration(waves-wave)*swapTime)
 	if wave == 0 || latest.Before(first) {
 		return first
 	}
--- a/stager/reducer_test.go
+++ b/stager/reducer_test.go
@@ -70,6 +70,13 @@
 	late.TimedSince = at(5 * time.Second)
 	require.Empty(t, r.Reduce(at(8*time.Second), late), "control has just settled")
 	require.NotEmpty(t, r.Reduce(at(11*time.Second), serving(1, 0, last)))
+
+	// Entries refused the old release while engines waited, as a replica had started later.
+	r = newReducer()
+	r.Reduce(at(0), serving(1, 0, last))
+	r.Reduce(at(6700*time.Millisecond), stager.Wanted{Model: "m", Release: 2, WantedSince: start})
+	r.Reduce(at(6900*time.Millisecond), stager.Wanted{Model: "m", Release: 2, WantedSince: start})
+	require.NotEmpty(t, r.Reduce(at(8*time.Second), late), "the time was over before")
 }
 
 // Load pattern: a release for 204 engines arrives 3.7 s after its naming. The second wave used
