fetcher: place a member that isn't in the list below the root of its region

Cause: a mirror that is removed from the list of control replicas while it is frozen, and does not know yet, placed itself last in its region and became the root of half of that region's stripes there.

Change: a member that is not in the list fetches from the root of its region. A list without any member still makes it a root.

--- a/fetcher/origin_reads_test.go
+++ b/fetcher/origin_reads_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"celeryvalve/asserter"
 	"celeryvalve/fetcher"
+	"celeryvalve/identifier"
 )
 
 // Guards against an origin that is lost while many chunks are being read, all of which are
@@ -68,3 +71,31 @@
 	}
 	require.True(t, n.runUntil(4*window, n.allReady))
 }
+
+// TestRemovedMemberReadsNothingTwice guards against a mirror that was removed from the list
+// and has not learned of it: it read a part of the release that the others read as well.
+func TestRemovedMemberReadsNothingTwice(t *testing.T) {
+	v := randomVersion(t, 1, "1", 96)
+	removed := fetcher.Peer{Upstream: "removed", Region: "b"}
+	var peers []fetcher.Peer
+	for _, region := range []identifier.Region{"a", "b", "c"} {
+		peers = append(peers, fetcher.Peer{Upstream: identifier.Upstream("member-" + region), Region: region})
+	}
+	cfg := fetcher.DefaultConfig()
+	cfg.Self = removed
+	f := fetcher.New(cfg, asserter.Strict{})
+	now := time.Unix(1000, 0)
+	f.Reduce(now, want(v, fetcher.OriginBytes))
+	f.Reduce(now, fetcher.ManifestArrived{Manifest: v.manifest})
+	asked := make(map[identifier.Upstream]int)
+	for _, effect := range f.Reduce(now, fetcher.PeersChanged{Manifest: v.manifest.Digest(), Peers: peers}) {
+		switch e := effect.(type) {
+		case fetcher.RequestOriginLease:
+			require.Fail(t, "it would read the origin", "%+v", e)
+		case fetcher.FetchChunkFromPeer:
+			asked[e.Peer.Upstream]++
+		}
+	}
+	require.Len(t, asked, 1)
+	require.NotZero(t, asked["member-b"], "it asks the root of its own region")
+}
--- a/fetcher/plan.go
+++ b/fetcher/plan.go
@@ -81,10 +81,18 @@
 	return out
 }
 
-// position returns the member's position in the stripe's tree.
-func (p *plan) position(stripe int, member identifier.Upstream) position {
+// position returns the member's position in the stripe's tree. One that isn't in the list
+// of members, as when it was removed and doesn't know yet, is placed below the root of its
+// region: the others have no part for it, so that what it read from the origin would be read
+// twice.
+func (p *plan) position(stripe int, member Peer) position {
 	t := p.trees[stripe]
-	at := p.index[member]
+	at, listed := p.index[member.Upstream]
+	if !listed {
+		root := t.regionRoot(p.peers, member.Region)
+		pos := p.position(stripe, p.peers[root])
+		return position{ancestors: append([]Peer{p.peers[root]}, pos.ancestors...), copyNumber: notRoot}
+	}
 	pos := position{copyNumber: t.copies[at]}
 	for at = t.parent[at]; at != noParent; at = t.parent[at] {
 		pos.ancestors = append(pos.ancestors, p.peers[at])
@@ -92,6 +100,17 @@
 	return pos
 }
 
+// regionRoot returns the root of the region in this tree, or that of the whole tree if it has
+// no member there.
+func (t *tree) regionRoot(peers []Peer, region identifier.Region) int {
+	for _, i := range t.order {
+		if peers[i].Region == region {
+			return i
+		}
+	}
+	return t.order[0]
+}
+
 // isDescendant reports whether the member is below the ancestor in the stripe's tree.
 func (p *plan) isDescendant(stripe int, member, ancestor identifier.Upstream) bool {
 	at, known := p.index[member]
--- a/fetcher/transfer.go
+++ b/fetcher/transfer.go
@@ -159,17 +159,14 @@
 	if t.manifest == nil || t.peers == nil {
 		return
 	}
-	peers := slices.Clone(t.peers)
-	if !slices.ContainsFunc(peers, func(p Peer) bool { return p.Upstream == self.Upstream }) {
-		for _, p := range peers { // control has not listed this member yet: place it last
-			self.Token = max(self.Token, p.Token+1)
-		}
-		peers = append(peers, self)
+	peers := t.peers
+	if len(peers) == 0 {
+		peers = []Peer{self}
 	}
 	n := len(t.stripes)
 	t.plan = newPlan(t.want.Manifest, peers, n, originRoots(t.want.Favour, n))
 	for i := range t.stripes {
-		t.stripes[i].position = t.plan.position(i, self.Upstream)
+		t.stripes[i].position = t.plan.position(i, self)
 		t.stripes[i].lastProgress = now
 	}
 }
