replicator, recorder: know what was committed before there is a leader

Cause: after a loss of all power a replica applied nothing until a leader was elected, though its disk held what had been committed.

Change: each frame of the log tells how far the log was known to be committed, and once nothing else is being written, so does a frame of its own. A replica that starts applies the log up to there with its first tick. What is committed never changes, so that this is what a leader would tell it, or a little less. Reads of the declaration still ask a leader.

Tests: TestCommittedStateIsKnownBeforeALeader; the recorder's scripts of crashes and damage, and the randomised runs, cover the new field.

--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -101,6 +101,7 @@
 			batch.HardState = j.persist.HardState
 		}
 		batch.Entries = overwrite(batch.Entries, j.persist.Entries)
+		batch.Committed = j.persist.Committed
 		sequence = j.persist.Sequence
 		n++
 	}
--- a/recorder/frame.go
+++ b/recorder/frame.go
@@ -33,6 +33,8 @@
 	// Reset removes all entries from the log, which continues after this position.
 	Reset   *Position `cbor:",omitempty"`
 	Entries []Entry   `cbor:",omitempty"`
+	// Committed is the index up to which the log is known to be committed, or 0.
+	Committed Index `cbor:",omitempty"`
 }
 
 var (
--- a/recorder/open.go
+++ b/recorder/open.go
@@ -62,7 +62,7 @@
 func (r *Recorder) reconcile(snapshot *Snapshot, log *replay) (reset *Position, err error) {
 	r.hardState = log.hardState
 	r.nextSequence = log.nextSequence
-	r.loaded = State{HardState: log.hardState, Snapshot: snapshot, Entries: log.entries}
+	r.loaded = State{HardState: log.hardState, Snapshot: snapshot, Entries: log.entries, Committed: log.committed}
 	if snapshot == nil {
 		if log.begin.Index > 0 {
 			return nil, corruptError("folder %s lacks the snapshot of entry %d", r.cfg.Folder, log.begin.Index)
@@ -71,6 +71,7 @@
 		return nil, nil
 	}
 	position := snapshot.Position
+	r.loaded.Committed = max(r.loaded.Committed, position.Index)
 	if len(r.segments) == 0 {
 		return nil, corruptError("folder %s holds a snapshot but no segment of the log", r.cfg.Folder)
 	}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -34,6 +34,9 @@
 	// Entries are consecutive. They replace all stored entries from the index of the
 	// first one on.
 	Entries []Entry
+	// Committed is the index up to which the log is known to be committed, or 0 if that is
+	// not known.
+	Committed Index
 }
 
 // State is what the data folder holds when it is opened.
@@ -42,6 +45,9 @@
 	Snapshot  *Snapshot
 	// Entries are those after Snapshot.
 	Entries []Entry
+	// Committed is the highest index that is known to be committed: that of Snapshot, or a
+	// later one that a Batch gave.
+	Committed Index
 }
 
 // Recorder stores the state of one replica on a disk. It is safe for concurrent use.
@@ -108,7 +114,7 @@
 			return err
 		}
 		r.appendTail(b.Entries)
-		if err := r.write(body{HardState: b.HardState, Entries: b.Entries}); err != nil {
+		if err := r.write(body{HardState: b.HardState, Entries: b.Entries, Committed: b.Committed}); err != nil {
 			return err
 		}
 		if r.written < int64(r.cfg.SegmentBytes) {
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -68,9 +68,10 @@
 					kept = append(kept, e)
 				}
 			}
-			truncated = recorder.State{HardState: s.HardState, Snapshot: s.Snapshot, Entries: kept}
+			truncated = recorder.State{HardState: s.HardState, Snapshot: s.Snapshot, Entries: kept, Committed: s.Committed}
 			s.Entries = append(slices.Clone(kept), b.Entries...)
 		}
+		s.Committed = max(s.Committed, b.Committed)
 		add(func(r *recorder.Recorder) error { return r.Append(b) })
 	}
 	last := func() recorder.Position { return s.Entries[len(s.Entries)-1].Position() }
@@ -79,14 +80,15 @@
 	first := entries(recorder.Position{}, 1, 6)
 	appendBatch(recorder.Batch{Entries: first})
 	appendBatch(recorder.Batch{HardState: &recorder.HardState{Cluster: "x", Term: 2}, Entries: entries(first[3].Position(), 2, 4)})
-	appendBatch(recorder.Batch{Entries: entries(last(), 2, 3)})
+	appendBatch(recorder.Batch{Entries: entries(last(), 2, 3), Committed: 4})
 	saved := recorder.Snapshot{Position: s.Entries[5].Position(), At: s.Entries[5].At, Data: []byte("state of 6")}
-	s.Snapshot, s.Entries = &saved, s.Entries[6:]
+	s.Snapshot, s.Entries, s.Committed = &saved, s.Entries[6:], saved.Position.Index
 	add(func(r *recorder.Recorder) error { return r.SaveSnapshot(saved) })
-	appendBatch(recorder.Batch{Entries: entries(last(), 3, 5)})
+	appendBatch(recorder.Batch{Entries: entries(last(), 3, 5), Committed: 8})
+	appendBatch(recorder.Batch{Committed: 9})
 	distant := entries(last(), 4, 20)[19].Position()
 	installed := recorder.Snapshot{Position: distant, Data: []byte("state of another replica")}
-	s.Snapshot, s.Entries = &installed, nil
+	s.Snapshot, s.Entries, s.Committed = &installed, nil, distant.Index
 	add(func(r *recorder.Recorder) error { return r.InstallSnapshot(installed) })
 	appendBatch(recorder.Batch{Entries: entries(distant, 5, 2)})
 	appendBatch(recorder.Batch{HardState: &recorder.HardState{Cluster: "x", Term: 6, Vote: "c2"}})
@@ -98,6 +100,7 @@
 	t.Helper()
 	require.Equal(t, want.HardState, got.HardState)
 	require.Equal(t, want.Snapshot, got.Snapshot)
+	require.Equal(t, want.Committed, got.Committed)
 	require.Len(t, got.Entries, len(want.Entries))
 	for i := range want.Entries {
 		require.Equal(t, want.Entries[i], got.Entries[i])
--- a/recorder/segment.go
+++ b/recorder/segment.go
@@ -49,6 +49,7 @@
 	hardState    HardState
 	begin        Position
 	entries      []Entry
+	committed    Index
 	nextSequence sequence
 	started      bool
 	// segmentBegin is the begin of the segment that was read last.
@@ -99,6 +100,7 @@
 		p.segmentBegin = b.Begin.Index
 	}
 	p.started = true
+	p.committed = max(p.committed, b.Committed)
 	for _, e := range b.Entries {
 		if err := p.appendEntry(e); err != nil {
 			return err
--- a/replicator/disk.go
+++ b/replicator/disk.go
@@ -15,9 +15,11 @@
 	// lastHardState is the sequence of the last Persist effect with a hard state.
 	lastHardState Sequence
 	// stable is the last index up to which the log is synced.
-	stable   recorder.Index
-	pending  []pendingPersist
-	deferred []deferredEffect
+	stable recorder.Index
+	// notedCommit is the commit index in the last Persist effect.
+	notedCommit recorder.Index
+	pending     []pendingPersist
+	deferred    []deferredEffect
 }
 
 // pendingPersist is a Persist effect that is not synced yet.
@@ -52,10 +54,20 @@
 func (r *Replicator) persist(p Persist, last recorder.Index) {
 	r.disk.lastIssued++
 	p.Sequence = r.disk.lastIssued
+	p.Committed = r.commit
+	r.disk.notedCommit = r.commit
 	r.disk.pending = append(r.disk.pending, pendingPersist{sequence: p.Sequence, last: last, issuedAt: r.now})
 	r.emit(p)
 }
 
+// noteCommit writes the commit index to the disk once nothing else is being written. A
+// replica that starts again then applies what was committed before it hears of a leader.
+func (r *Replicator) noteCommit() {
+	if r.commit > r.disk.notedCommit && len(r.disk.pending) == 0 {
+		r.persist(Persist{}, 0)
+	}
+}
+
 // sendAfter sends the message once every Persist effect up to sequence is synced.
 func (r *Replicator) sendAfter(sequence Sequence, e Send) {
 	if sequence <= r.disk.lastSynced {
--- a/replicator/effect.go
+++ b/replicator/effect.go
@@ -19,6 +19,8 @@
 	Entries   []recorder.Entry
 	// Install is a snapshot that replaces the whole log.
 	Install *recorder.Snapshot
+	// Committed is the index up to which the log is committed, as far as this replica knows.
+	Committed recorder.Index
 }
 
 // Send asks the caller to send a message. The message may be lost.
--- a/replicator/leader_test.go
+++ b/replicator/leader_test.go
@@ -108,6 +108,25 @@
 	}
 }
 
+// TestCommittedStateIsKnownBeforeALeader: after a loss of all power, a replica that no
+// other answers applies what was committed. Instances fetch weights by it meanwhile.
+func TestCommittedStateIsKnownBeforeALeader(t *testing.T) {
+	for seed := range uint64(20) {
+		sim := newSimulation(t, 300+seed, 3)
+		sim.heal()
+		sim.converge()
+		sim.advance(simulationConfig.ElectionTimeout)
+		for _, n := range sim.nodes {
+			n.crash()
+		}
+		alone := sim.nodes[seed%3]
+		alone.boot()
+		sim.advance(2 * tickEvery)
+		require.Equal(t, sim.lastCommitted, alone.applied.Index, "seed %d", 300+seed)
+		require.Nil(t, sim.leader())
+	}
+}
+
 // TestRestartedReplicaDisturbsNobody: a restarted replica campaigns after a shorter
 // timeout. It must not end the term of a leader that is still working.
 func TestRestartedReplicaDisturbsNobody(t *testing.T) {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -43,6 +43,9 @@
 	// taken from.
 	membershipIndex recorder.Index
 	commit          recorder.Index
+	// committedBefore is the commit index that the disk held at the start. It takes effect
+	// with the first tick.
+	committedBefore recorder.Index
 
 	disk             disk
 	election         election
@@ -91,6 +94,8 @@
 	}
 	r.log.append(state.Entries...)
 	r.disk.stable = r.log.last().Index
+	r.committedBefore = min(state.Committed, r.disk.stable)
+	r.disk.notedCommit = max(r.commit, r.committedBefore)
 	r.reloadMembership()
 	return r
 }
@@ -158,6 +163,8 @@
 }
 
 func (r *Replicator) tick(jitter float64) {
+	r.commitTo(r.committedBefore)
+	r.noteCommit()
 	if r.election.needsJitter {
 		r.election.needsJitter = false
 		r.election.jitter = jitter
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -391,6 +391,7 @@
 		if e.HardState != nil {
 			s.HardState = *e.HardState
 		}
+		s.Committed = max(s.Committed, e.Committed)
 		if len(e.Entries) > 0 {
 			before := slices.IndexFunc(s.Entries, func(o recorder.Entry) bool { return o.Index >= e.Entries[0].Index })
 			if before >= 0 {
