balancer: say why a broken request isn't sent again

Cause: a request that broke and wasn't sent again was always logged as NoAttemptLeft, whether its attempts, its time, the entry's share of the retry budget or the upstreams were used up, or its like crash upstreams.

Change: NoBudget, DeadlineTooNear, Quarantined and the reasons without an upstream are told apart. A refusal without an upstream asks its caller to wait longer, as it does for one that arrives then; nothing else is decided otherwise.

Test: TestReasonWithoutAnotherAttempt.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -110,7 +110,7 @@
 	s.mayHaveRun = true
 	r.recordFailure(now, u, UpstreamError)
 	if s.Repeatable {
-		if effect, ok := r.retry(now, s); ok {
+		if effect, reason := r.retry(now, s); reason == "" {
 			return effect
 		}
 	}
@@ -156,38 +156,36 @@
 	if e.Cause == NotConnected {
 		return r.dispatch(now, s)
 	}
-	effect, ok := r.retry(now, s)
-	if !ok {
-		return r.giveUp(now, s, r.reasonWithoutAttempt(now, s), 0)
+	effect, reason := r.retry(now, s)
+	if reason == "" {
+		return effect
 	}
-	return effect
-}
-
-// reasonWithoutAttempt says why the request is not sent once more.
-func (r *Reducer) reasonWithoutAttempt(now time.Time, s *request) Reason {
-	switch reason := r.reasonWithoutUpstream(now, s, r.services[s.Service]); reason {
-	case Resting, Evacuated:
-		return reason
-	default:
-		return NoAttemptLeft
+	switch other := r.reasonWithoutUpstream(now, s, r.services[s.Service]); other {
+	case Resting, Evacuated: // says when the request may come back
+		reason = other
 	}
+	return r.giveUp(now, s, reason, 0)
 }
 
-// retry sends the request to another upstream if its attempts, its deadline and the
-// retry budget allow it.
-func (r *Reducer) retry(now time.Time, s *request) (Effect, bool) {
-	if s.attempts >= s.MaximumAttempts || s.Deadline.Sub(now) < minRemaining || r.crashes.refuses(now, &s.Request) {
-		return nil, false
-	}
+// retry sends the request to another upstream, or says why it doesn't.
+func (r *Reducer) retry(now time.Time, s *request) (Effect, Reason) {
 	policy := r.services[s.Service]
+	switch {
+	case s.attempts >= s.MaximumAttempts:
+		return nil, NoAttemptLeft
+	case s.Deadline.Sub(now) < minRemaining:
+		return nil, DeadlineTooNear
+	case r.crashes.refuses(now, &s.Request):
+		return nil, Quarantined
+	}
 	best, forecast := r.choose(now, s, policy)
 	if best == nil || s.tried[best.view.Upstream] {
-		return nil, false
+		return nil, r.reasonWithoutUpstream(now, s, policy)
 	}
 	if !r.budget(s.Service).Take() {
-		return nil, false
+		return nil, NoBudget
 	}
-	return r.send(now, s, best, forecast, policy), true
+	return r.send(now, s, best, forecast, policy), ""
 }
 
 // releaseAttempt stops counting the current attempt on its upstream. reached reports whether
--- a/balancer/failure_test.go
+++ b/balancer/failure_test.go
@@ -172,3 +172,25 @@
 		})
 	}
 }
+
+// Why a broken request isn't sent again is told apart: attempts, time, budget and upstreams.
+func TestReasonWithoutAnotherAttempt(t *testing.T) {
+	for want, change := range map[balancer.Reason]func(q *balancer.Request, r *balancer.Reducer){
+		balancer.NoAttemptLeft:   func(q *balancer.Request, _ *balancer.Reducer) { q.MaximumAttempts = 1 },
+		balancer.DeadlineTooNear: func(q *balancer.Request, _ *balancer.Reducer) { q.Deadline = start.Add(time.Second) },
+		balancer.NoBudget:        func(_ *balancer.Request, r *balancer.Reducer) { r.Reduce(start, balancer.RetryBurstChanged{}) },
+		balancer.NoUpstream:      func(q *balancer.Request, _ *balancer.Reducer) { q.Service = "alone" },
+	} {
+		r := newPlainReducer("a", "b")
+		if want == balancer.NoUpstream {
+			r.Reduce(start, balancer.UpstreamsChanged{Upstreams: []balancer.UpstreamView{upstream("c", "alone")}})
+			r.Reduce(start, balancer.PolicyChanged{Services: []balancer.ServicePolicy{{Service: "alone"}}})
+		}
+		q := bookingRequest("x", true)
+		q.Deadline = start.Add(3 * time.Second)
+		change(&q, r)
+		r.Reduce(start, balancer.RequestArrived{Request: q})
+		effect := r.Reduce(start.Add(990*time.Millisecond), balancer.AttemptFailed{Request: "x", Cause: balancer.ConnectionLost})
+		require.Equal(t, balancer.Fail{Request: "x", Reason: want}, effect)
+	}
+}
