placer, stager, fetcher: load an earlier release before one that comes too late

Change: stager.Bridge works out from the times of both releases, the parts that are held and the rate of the origin's link, as declared, for how much longer engines are used if the earlier one comes first. If that is half a swap or more, mirrors read the rest of it first while the newer one waits beside it, caches and agents go on with it, and agents have it loaded; otherwise it is dropped as before. While the wanted release isn't pinned the one before it goes on. A process whose store can't hold both drops the earlier one. Where no rate is declared nothing changes. Engines of the first turn also stop taking requests no sooner than 1.2 s before their chunks can be here: on this origin's link half of them take 2.2 s, and they idled.

--- a/declarer/declaration.go
+++ b/declarer/declaration.go
@@ -78,6 +78,8 @@
 	// Origin is the address of an origin of weights. It is empty if the service
 	// runs requests.
 	Origin string
+	// OriginRate is what the origin's link carries, or 0 if that is not known.
+	OriginRate identifier.BytesPerSecond `cbor:",omitempty"`
 	// Engine is set if the upstreams are model engines.
 	Engine *Engine `cbor:",omitempty"`
 	// ColdRate is how many requests per second a cold upstream bears from all entries
--- a/fetcher/event.go
+++ b/fetcher/event.go
@@ -99,6 +99,8 @@
 	Source   string
 	Priority Priority
 	Favour   Favour
+	// Beside lets the other transfers of the name go on.
+	Beside bool
 }
 
 // Cancelled ends a transfer and drops its chunks.
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -131,7 +131,7 @@
 func (f *Fetcher) wanted(now time.Time, e Wanted) []Effect {
 	var effects []Effect
 	for _, id := range slices.Clone(f.order) {
-		if id != e.Manifest && f.transfers[id].want.Name == e.Name {
+		if id != e.Manifest && f.transfers[id].want.Name == e.Name && !e.Beside {
 			effects = append(effects, f.supersede(id)...)
 		}
 	}
--- a/fetcher/origin_reads_test.go
+++ b/fetcher/origin_reads_test.go
@@ -99,3 +99,24 @@
 	require.Len(t, asked, 1)
 	require.NotZero(t, asked["member-b"], "it asks the root of its own region")
 }
+
+// A newer release of the same name may rest beside an older one, which goes on to its end.
+func TestReleaseIsCompletedBeforeTheNewerOne(t *testing.T) {
+	older, newer := randomVersion(t, 1, "1", 256), randomVersion(t, 2, "2", 256)
+	n := newNetwork(t, 1, fetcher.DefaultConfig(), older, newer)
+	n.start(6, want(older, fetcher.OriginBytes))
+	n.runUntil(window/8, n.allReady)
+	beside := want(newer, fetcher.OriginBytes)
+	beside.Beside = true
+	for _, node := range n.nodes {
+		node.reduce(beside)
+		node.reduce(fetcher.Paused{Manifest: newer.manifest.Digest()})
+	}
+	require.True(t, n.runUntil(4*window, n.allReady), "the older one is complete")
+	n.wanted = beside
+	n.sendMembers()
+	for _, node := range n.nodes {
+		node.reduce(fetcher.Resumed{Manifest: newer.manifest.Digest()})
+	}
+	require.True(t, n.runUntil(8*window, n.allReady))
+}
--- a/placer/agent.go
+++ b/placer/agent.go
@@ -64,8 +64,12 @@
 	target  target
 	// names holds the named releases with times on this process's clock.
 	names []declarer.WantedRelease
-	// earlier is the release before target that an empty engine may load meanwhile, or 0.
-	earlier declarer.ReleaseNumber
+	// earlier is the release before target that the engine may load meanwhile, or 0: one that
+	// is empty, or any while bridging is set.
+	earlier  declarer.ReleaseNumber
+	bridging bool
+	// goal is the release that the engine should load now: target or earlier.
+	goal declarer.ReleaseNumber
 	// pulls holds the transfers of these two releases.
 	pulls   map[declarer.ReleaseNumber]*pull
 	serving *declarer.ReleaseNumber
@@ -161,10 +165,10 @@
 }
 
 // turn returns the position of the engine among the engines of its service, and the
-// positions of the others that do not serve the target release yet.
+// positions of the others that do not serve the release yet that it should load.
 func (a *agent) turn(own registrar.Record, all []registrar.Record) stager.RolloutPosition {
 	a.mu.Lock()
-	wanted := a.target.pinned.Number
+	wanted := a.goal
 	a.mu.Unlock()
 	turn := stager.RolloutPosition{Engines: len(all)}
 	for i, r := range all {
@@ -188,8 +192,9 @@
 		return
 	}
 	release := declared.Releases[model]
-	pinned, ok := release.Pin(release.Wanted)
-	if !ok {
+	// As long as the wanted release isn't pinned, the one before it goes on.
+	pinned := release.PinBefore(release.Wanted + 1)
+	if pinned.Number == 0 {
 		return
 	}
 	a.mu.Lock()
@@ -198,13 +203,17 @@
 	if a.target.model != model || a.target.pinned.Number != pinned.Number {
 		a.target = target{model: model, pinned: pinned}
 		a.earlier = release.PinBefore(pinned.Number).Number
-		a.cancelPulls()
+		a.bridging = false
+		a.cancelPulls(report.Release == 0)
 	}
 	if report.Release < pinned.Number {
 		a.ensurePull(a.target)
 		a.ensureFallback(release, report)
+		a.updateBridge(declared.Declaration, release, report)
 	}
 	wanted := a.chooseGoal(report)
+	wanted.CopyTime = copyTime(declared.Declaration, pinned)
+	a.goal = wanted.Release
 	settledSince := a.settledSince
 	a.mu.Unlock()
 	wanted.Model = model
--- a/placer/cache.go
+++ b/placer/cache.go
@@ -18,6 +18,7 @@
 	"celeryvalve/puller"
 	"celeryvalve/repeater"
 	"celeryvalve/spreader"
+	"celeryvalve/stager"
 	"celeryvalve/transferrer"
 	"celeryvalve/verifier"
 )
@@ -47,8 +48,8 @@
 type cache struct {
 	placement  parser.Placement
 	view       *declarer.View
+	clock      clockwork.Clock
 	sources    sources
-	puller     *puller.Puller
 	store      *transferrer.Cache
 	origins    originCache
 	log        *zap.Logger
@@ -62,10 +63,18 @@
 	pulls map[identifier.Model]cachePull
 }
 
-// cachePull is the transfer of the release that is wanted of a model.
+// cachePull is the transfer of the newest pinned release of a model.
 type cachePull struct {
-	number declarer.ReleaseNumber
+	pinned declarer.Pinned
+	puller *puller.Puller
 	cancel context.CancelFunc
+	// names holds the names of the model's releases with times on this process's clock.
+	names []declarer.WantedRelease
+}
+
+// progress returns which part of the chunks has arrived.
+func (p cachePull) progress() float64 {
+	return float64(p.puller.Held()) / float64(len(p.pinned.Digests))
 }
 
 func newCache(placement parser.Placement, view *declarer.View, s *spreader.Spreader, e *connector.Endpoint,
@@ -73,8 +82,8 @@
 	c := &cache{
 		placement: placement,
 		view:      view,
+		clock:     clock,
 		sources:   sources{placement: placement, spreader: s, endpoint: e, clock: clock, isCache: true},
-		puller:    newPuller(placement, cacheRemoteDelay, clock, log),
 		store: transferrer.NewCache(transferrer.CacheConfig{
 			UploadRate:    identifier.BytesPerSecond(cacheUploadFraction * float64(placement.LinkRate)),
 			Relays:        relaysIn(s),
@@ -107,46 +116,64 @@
 	})
 }
 
-// reconcile pulls each newly wanted release.
+// reconcile pulls each newly pinned release. The one before it is pulled to its end if engines
+// load that first.
 func (c *cache) reconcile(context.Context) {
 	declared := c.view.Declared()
 	for model, release := range declared.Releases {
+		previous, known := c.pulls[model]
+		release.Names = localNames(c.clock.Now(), release.Names, previous.names)
 		pinned, ok := release.Pin(release.Wanted)
-		pull, known := c.pulls[model]
-		if !ok || (known && pull.number == pinned.Number) {
+		if !ok || (known && previous.pinned.Number == pinned.Number) {
 			continue
 		}
-		if known {
-			pull.cancel()
+		if known && !c.isBridge(declared.Declaration, release, previous, pinned) {
+			previous.cancel()
 		}
-		ctx, cancel := context.WithCancel(c.ctx)
-		c.pulls[model] = cachePull{number: pinned.Number, cancel: cancel}
-		c.pull(ctx, declared.Declaration, target{model: model, pinned: pinned})
+		c.pulls[model] = c.pull(declared.Declaration, target{model: model, pinned: pinned}, release.Names)
 	}
 }
 
+// isBridge reports whether engines may load the release that is being pulled before the newer
+// one.
+func (c *cache) isBridge(d declarer.Declaration, release declarer.Release, p cachePull, newer declarer.Pinned) bool {
+	pair := newReleasePair(d, release, newer)
+	rolloutTime := c.placement.Bounds.ReleaseDeadline
+	inForceUntil := stager.RuledOutAt(pair.namedAt(p.pinned.Number), rolloutTime)
+	return pair.earlier.Number == p.pinned.Number &&
+		pair.bridge(p.progress(), 0, inForceUntil, rolloutTime).Saving(c.clock.Now()) > 0
+}
+
 // pull starts to fetch a release, and passes on each of its chunks as it arrives.
-func (c *cache) pull(ctx context.Context, declaration declarer.Declaration, t target) {
+func (c *cache) pull(declaration declarer.Declaration, t target, names []declarer.WantedRelease) cachePull {
+	ctx, cancel := context.WithCancel(c.ctx)
+	p := cachePull{pinned: t.pinned, puller: newPuller(c.placement, cacheRemoteDelay, c.clock, c.log), cancel: cancel, names: names}
 	manifest, err := manifestOf(t.model, t.pinned)
 	if err != nil {
 		c.log.Error("Can't build the manifest of a pinned release.", zap.Error(err))
-		return
+		return p
 	}
 	log := c.log.With(zap.String("model", string(t.model)), zap.Uint64("release", uint64(t.pinned.Number)))
-	if manifest.Size() > identifier.ByteCount(storeMemoryFraction*float64(c.placement.Memory)/2) {
+	if manifest.Size() > storeLimit(c.placement)/2 {
 		log.Warn("A release is too large for the memory of this cache.", zap.Int64("bytes", int64(manifest.Size())))
-		return
+		return p
 	}
 	log.Info("Caching a release.")
 	c.store.Hold(manifest.Digest(), manifest.ChunkCount())
 	// If no origin is declared, only the mirrors are asked.
 	origin, _ := c.origins.client(declaration)
 	c.work.Go(func() {
-		_, err := c.puller.Pull(ctx, puller.Task{
+		_, err := p.puller.Pull(ctx, puller.Task{
 			Release: t.pinned,
-			Sources: func() []puller.Source { return c.sources.of(origin, t.model, manifest.Digest()) },
+			Sources: func() []puller.Source {
+				if c.view.Declared().Releases[t.model].Wanted != t.pinned.Number {
+					return c.sources.of(nil, t.model, manifest.Digest()) // the origin has newer chunks to send
+				}
+				return c.sources.of(origin, t.model, manifest.Digest())
+			},
 			Arrived: func(i int, data []byte) { c.store.Add(manifest.Digest(), verifier.ChunkIndex(i), data) },
 		})
 		log.Info("Cached a release.", zap.Error(err))
 	})
+	return p
 }
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -21,6 +21,7 @@
 	"celeryvalve/puller"
 	"celeryvalve/repeater"
 	"celeryvalve/spreader"
+	"celeryvalve/stager"
 	"celeryvalve/transferrer"
 	"celeryvalve/verifier"
 )
@@ -108,6 +109,12 @@
 	// or zero if it goes on.
 	pausedFor declarer.ReleaseNumber
 	pausedAt  time.Time
+	// after is the earlier release that is read first, since engines load it before this
+	// one, or nil.
+	after *mirroredRelease
+	// pinned and names are what is known of the release, with times on this process's clock.
+	pinned declarer.Pinned
+	names  []declarer.WantedRelease
 }
 
 func newMirror(placement parser.Placement, view *declarer.View, s *spreader.Spreader, e *connector.Endpoint,
@@ -124,7 +131,7 @@
 		progress:  newProgressReporter(set, log.Named("mirror")),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	limit := identifier.ByteCount(storeMemoryFraction * float64(placement.Memory))
+	limit := storeLimit(placement)
 	store, err := transferrer.NewStore(transferrer.StoreConfig{Limit: limit})
 	if err != nil {
 		return nil, err
@@ -149,6 +156,11 @@
 	return m, nil
 }
 
+// storeLimit returns how many bytes of chunks a process holds in its memory.
+func storeLimit(placement parser.Placement) identifier.ByteCount {
+	return identifier.ByteCount(storeMemoryFraction * float64(placement.Memory))
+}
+
 func mirrorConfig(placement parser.Placement, limit identifier.ByteCount) fetcher.Config {
 	cfg := fetcher.DefaultConfig()
 	cfg.Self = mirrorPeer(placement.InternalAddress, placement.Region)
@@ -217,7 +229,7 @@
 	for model, release := range declared.Releases {
 		pinned, ok := release.Pin(release.Wanted)
 		if ok {
-			m.followRelease(model, pinned)
+			m.followRelease(declared, model, pinned)
 		} else {
 			m.restFor(model, release.Wanted)
 		}
@@ -261,7 +273,7 @@
 	m.inherited[manifest] = true
 }
 
-func (m *mirror) followRelease(model identifier.Model, pinned declarer.Pinned) {
+func (m *mirror) followRelease(declared declarer.Declared, model identifier.Model, pinned declarer.Pinned) {
 	release := m.releases[model]
 	if release.number != pinned.Number {
 		manifest, err := manifestOf(model, pinned)
@@ -269,22 +281,65 @@
 			m.log.Error("Can't build the manifest of a pinned release.", zap.Error(err))
 			return
 		}
-		release = mirroredRelease{number: pinned.Number, manifest: manifest.Digest()}
+		previous := release
+		release = mirroredRelease{number: pinned.Number, manifest: manifest.Digest(), pinned: pinned}
+		release.names = localNames(m.clock.Now(), declared.Releases[model].Names, previous.names)
+		if m.isBridge(declared, model, previous, release) {
+			release.after = &previous
+		}
 		m.startMirroring(model, release, manifest)
 	}
+	if release.after != nil && !m.isBridge(declared, model, *release.after, release) {
+		m.log.Info("Read the earlier release first.", zap.Uint64("release", uint64(release.number)), zap.Float64("held", m.progressOf(release.after.manifest)))
+		m.transferrer.Send(m.ctx, fetcher.Resumed{Manifest: release.manifest})
+		release.after = nil
+		m.releases[model] = release
+	}
+	m.updatePeers(release.manifest)
+	if release.after != nil {
+		m.updatePeers(release.after.manifest)
+	}
+}
+
+func (m *mirror) updatePeers(manifest identifier.Digest) {
 	peers := m.peers()
-	if !slices.Equal(peers, m.lastPeers[release.manifest]) {
-		m.lastPeers[release.manifest] = peers
-		m.transferrer.Send(m.ctx, fetcher.PeersChanged{Manifest: release.manifest, Peers: peers})
+	if !slices.Equal(peers, m.lastPeers[manifest]) {
+		m.lastPeers[manifest] = peers
+		m.transferrer.Send(m.ctx, fetcher.PeersChanged{Manifest: manifest, Peers: peers})
 	}
 }
 
+// isBridge reports whether the rest of the earlier release is read before the newer one, since
+// engines load it first.
+func (m *mirror) isBridge(declared declarer.Declared, model identifier.Model, earlier, newer mirroredRelease) bool {
+	held := m.progressOf(earlier.manifest)
+	pair := newReleasePair(declared.Declaration, declared.Releases[model], newer.pinned)
+	pair.names = newer.names
+	if earlier.number == 0 || held >= 1 || pair.earlier.Number != earlier.number || pair.size() > storeLimit(m.placement) {
+		return false
+	}
+	rolloutTime := m.placement.Bounds.ReleaseDeadline
+	inForceUntil := stager.RuledOutAt(pair.namedAt(earlier.number), rolloutTime)
+	return pair.bridge(held, m.progressOf(newer.manifest), inForceUntil, rolloutTime).IsNeeded(m.clock.Now())
+}
+
+// progressOf returns which part of a release's chunks is here.
+func (m *mirror) progressOf(manifest identifier.Digest) float64 {
+	for _, p := range m.transferrer.Snapshot() {
+		if p.Manifest == manifest && p.Chunks > 0 {
+			return float64(p.ChunksHeld) / float64(p.Chunks)
+		}
+	}
+	return 0
+}
+
 func (m *mirror) startMirroring(model identifier.Model, release mirroredRelease, manifest *verifier.Manifest) {
 	m.releases[model] = release
 	if !m.known {
 		m.inherit(release.manifest)
 	}
-	m.log.Info("Mirroring a release.", zap.String("model", string(model)), zap.Uint64("release", uint64(release.number)))
+	m.log.Info("Mirroring a release.", zap.String("model", string(model)), zap.Uint64("release", uint64(release.number)),
+		zap.Bool("afterTheEarlier", release.after != nil))
 	// Restored before the release is wanted, so that these chunks are not fetched.
 	// Chunks that no transfer wants yet are not dropped at once.
 	m.cache.restore(manifest, m.restoreChunk)
@@ -294,7 +349,11 @@
 		Name:     fetcher.Name{Model: model},
 		Source:   releaseSource(model, release.number),
 		Favour:   fetcher.OriginBytes,
+		Beside:   release.after != nil,
 	})
+	if release.after != nil {
+		m.transferrer.Send(m.ctx, fetcher.Paused{Manifest: release.manifest})
+	}
 }
 
 // peers returns the mirrors, whose addresses are those of the control replicas, without
--- a/placer/pull.go
+++ b/placer/pull.go
@@ -44,6 +44,9 @@
 
 // progress returns which part of the chunks has arrived.
 func (p *pull) progress() float64 {
+	if p.chunks != nil {
+		return 1
+	}
 	return float64(p.held) / float64(len(p.target.pinned.Digests))
 }
 
@@ -54,18 +57,18 @@
 	}
 }
 
-// cancelPulls ends the transfers that are running, since another release is wanted. Those
-// of target and earlier that are complete are kept, so that an engine that loses its
-// weights has them at once. The caller holds a.mu.
-func (a *agent) cancelPulls() {
+// cancelPulls ends the transfers of releases other than target and earlier, since another one
+// is wanted. The chunks of these two are kept, so that an engine that loses its weights has
+// them at once. An empty engine needs target soonest. The caller holds a.mu.
+func (a *agent) cancelPulls(empty bool) {
 	for n, p := range a.pulls {
-		switch {
-		case p.running:
+		if n == a.target.pinned.Number || (n == a.earlier && !(empty && p.running)) {
+			continue
+		}
+		if p.running {
 			p.cancel()
-			delete(a.pulls, n)
-		case n != a.target.pinned.Number && n != a.earlier:
-			delete(a.pulls, n)
 		}
+		delete(a.pulls, n)
 	}
 }
 
@@ -145,18 +148,26 @@
 }
 
 // chooseGoal returns the release that the engine should load now: the wanted one, or the
-// one before it while an empty engine can have that and not the wanted one. The caller
-// holds a.mu.
+// one before it while an empty engine can have that and not the wanted one, or while that
+// serves until the wanted one is there. The caller holds a.mu.
 func (a *agent) chooseGoal(report stager.Report) stager.Wanted {
 	n := a.target.pinned.Number
 	wanted, earlier := a.pulls[n], a.pulls[a.earlier]
 	if report.Release == 0 && earlier != nil && earlier.chunks != nil && (wanted == nil || wanted.chunks == nil) {
-		return stager.Wanted{Release: a.earlier, Held: true, HeldFraction: 1}
+		return earlier.goal()
+	}
+	if a.bridging {
+		return earlier.goal()
 	}
 	if wanted == nil {
 		return stager.Wanted{Release: n}
 	}
-	return stager.Wanted{Release: n, Held: wanted.chunks != nil, HeldFraction: wanted.progress()}
+	return wanted.goal()
+}
+
+// goal returns the release of the pull as one that the engine should load.
+func (p *pull) goal() stager.Wanted {
+	return stager.Wanted{Release: p.target.pinned.Number, Held: p.chunks != nil, HeldFraction: p.progress()}
 }
 
 // awaitLocalMirror waits briefly until a mirror in this region is known. After a start
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -19,8 +19,10 @@
 	// of them serve while some load.
 	waves = 3
 	// drainThreshold is the fraction of the chunks at which the engines of the first wave
-	// stop taking new requests: their running requests end while the rest arrives.
+	// stop taking new requests: their running requests end while the rest arrives. They
+	// stop later if the rest takes longer than drainTime, in which most requests end.
 	drainThreshold = 0.5
+	drainTime      = 1200 * time.Millisecond
 	// stallTimeout is how long no further chunk may arrive before such engines take requests
 	// again: a few times what a chunk takes on a link of 8 Mbit/s shared by 8 of them.
 	stallTimeout = 700 * time.Millisecond
@@ -71,6 +73,8 @@
 	Held bool
 	// HeldFraction is the fraction of the chunks that are here and verified.
 	HeldFraction float64
+	// CopyTime is the shortest time in which all chunks come, or 0 if that is not known.
+	CopyTime time.Duration
 	// WantedSince is when this release became wanted, or an earlier one that the engine does
 	// not have either. Config.RolloutTime is counted from it.
 	WantedSince time.Time
@@ -260,7 +264,13 @@
 		return false
 	}
 	progressing := now.Sub(r.progressedAt) <= stallTimeout
-	return r.want.Held || (r.wave() == 0 && r.want.HeldFraction >= drainThreshold && progressing)
+	return r.want.Held || (r.wave() == 0 && r.want.arrivesSoon() && progressing)
+}
+
+// arrivesSoon reports whether running requests may end while the rest of the chunks arrives.
+func (w Wanted) arrivesSoon() bool {
+	rest := time.Duration((1 - w.HeldFraction) * float64(w.CopyTime))
+	return w.HeldFraction >= drainThreshold && rest <= drainTime
 }
 
 // next returns the Stage or Order that is due, if any.
