balancer: leave a hanging upstream while its caller has time

Cause: a repeatable request was tried elsewhere after 1.2 s without a first byte at the earliest. A reminder has 1.0 s in all, so that an upstream which hangs was never left in time.

Change: a third of the caller's remaining time, if that is shorter.

The gain is shown by the test alone: TestHangingUpstreamIsLeftInTime fails before, with a timeout of 1.2 s of 1.0 s.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -60,7 +60,8 @@
 		effect.ExpectedRelease = u.view.Release
 	}
 	if s.Repeatable && s.attempts < s.MaximumAttempts {
-		effect.FirstByteTimeout = max(minFirstByteTimeout, firstByteTimeoutFactor*forecast)
+		shortest := min(minFirstByteTimeout, s.Deadline.Sub(now)/firstByteTimeoutDivisor)
+		effect.FirstByteTimeout = max(shortest, firstByteTimeoutFactor*forecast)
 	}
 	return effect
 }
--- a/balancer/failure_test.go
+++ b/balancer/failure_test.go
@@ -173,6 +173,19 @@
 	}
 }
 
+// Load pattern: an upstream hangs for a service whose callers wait a second. Guards against
+// requests that wait there to their end while others could serve them.
+func TestHangingUpstreamIsLeftInTime(t *testing.T) {
+	r := newPlainReducer("a", "b")
+	q := bookingRequest("x", true)
+	q.Objective, q.Deadline = 120*time.Millisecond, start.Add(time.Second)
+	sent := r.Reduce(start, balancer.RequestArrived{Request: q}).(balancer.Send)
+	require.Less(t, sent.FirstByteTimeout, time.Second/2, "the other upstream needs time too")
+	later := start.Add(sent.FirstByteTimeout)
+	again := r.Reduce(later, balancer.AttemptFailed{Request: "x", Cause: balancer.FirstByteTimedOut}).(balancer.Send)
+	require.NotEqual(t, sent.Target.Upstream, again.Target.Upstream)
+}
+
 // Why a broken request isn't sent again is told apart: attempts, time, budget and upstreams.
 func TestReasonWithoutAnotherAttempt(t *testing.T) {
 	for want, change := range map[balancer.Reason]func(q *balancer.Request, r *balancer.Reducer){
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -57,9 +57,11 @@
 	minRemaining = 30 * time.Millisecond
 	// firstByteTimeoutFactor is how many times its forecast a first byte may take
 	// before a repeatable request is tried elsewhere; minFirstByteTimeout is the
-	// lower bound.
-	firstByteTimeoutFactor = 4
-	minFirstByteTimeout    = 1200 * time.Millisecond
+	// lower bound, or the caller's remaining time divided by firstByteTimeoutDivisor
+	// if that is shorter: the other upstream needs time as well.
+	firstByteTimeoutFactor  = 4
+	minFirstByteTimeout     = 1200 * time.Millisecond
+	firstByteTimeoutDivisor = 3
 	// defaultObjective is used for requests without an objective.
 	defaultObjective = 5 * time.Second
 	// defaultUrgency is the urgency of a first attempt. Retries go first, since
