balancer: divide engines among entries, and believe reports as far as they hold

Cause: the forecast of a stream's first byte said nothing once engines had no room to spare.

Change: the entries of a zone divide its engines among themselves where each gets three at least, and send there first, so that an engine's load is mostly one entry's own. Two measurements correct the forecasts: which part of a report's distance from the engine's mean is still there when it answers, and the mean error of forecasts, apart for attended engines and others. An error is forgotten with the time, so that engines which nothing was sent to are tried again.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -12,6 +12,7 @@
 	s.tried[u.view.Upstream] = true
 	s.target = u
 	s.sentAt = now
+	s.uncorrected = forecast - r.biasOf(s.Service, u).at(now)
 	if s.attempts == 1 {
 		s.firstSentAt = now
 	}
@@ -81,10 +82,11 @@
 	}
 	s.stopWaiting()
 	u.firstByte.Add(now.Sub(s.sentAt))
+	r.learnBias(now, s)
 	if s.attempts == 1 && !s.Resubmitted && s.Objective > 0 {
 		r.demandOf(s.Service).observeFirstByte(now.Sub(s.firstSentAt), s.Objective)
 	}
-	u.observe(now, e.Load, 0)
+	r.observeAnswer(now, u, e.Load)
 	return NoEffect{}
 }
 
@@ -95,7 +97,7 @@
 	}
 	u := s.target
 	r.releaseAttempt(s, true)
-	u.observe(now, e.Load, 0)
+	r.observeAnswer(now, u, e.Load)
 	u.heardAt = now
 	// Without a length a crash may have ended the response, and an error says nothing about
 	// what a run to the end would do.
@@ -126,7 +128,7 @@
 	}
 	u := s.target
 	r.releaseAttempt(s, e.Cause != NotConnected)
-	u.observe(now, e.Load, 0)
+	r.observeAnswer(now, u, e.Load)
 	switch e.Cause {
 	case NotConnected:
 		r.recordFailure(now, u, e.Cause)
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -64,8 +64,12 @@
 	return slower + r.localityPenalty(u) + healthPenalty(u) + u.greyPenalty(now, failed) + u.recoveryPenalty(now) + r.returnPenalty(now, u)
 }
 
+// localityPenalty returns what is added for an upstream that isn't near, or that another entry
+// attends.
 func (r *Reducer) localityPenalty(u *upstream) time.Duration {
 	switch {
+	case u.attendant != "" && u.attendant != r.cfg.Entry && !u.limited():
+		return unattendedPenalty
 	case u.view.Region != r.cfg.Region:
 		return otherRegionPenalty
 	case u.view.AvailabilityZone != r.cfg.AvailabilityZone:
--- a/balancer/draw.go
+++ b/balancer/draw.go
@@ -21,10 +21,11 @@
 // sampleCandidates returns a random sample of the eligible upstreams, from which
 // one is chosen for the request. All entries see the same reports, and each would
 // send to the few upstreams that look best until the next reports arrive. So the
-// more requests come between two reports, the smaller the sample. Upstreams within their
-// limit are always in it, since their share of the limit is this entry's alone.
+// more requests come between two reports, the smaller the sample. Upstreams that
+// this entry attends, and those within their limit, are always in it: these are this entry's
+// own, or its share of their limit is.
 func (r *Reducer) sampleCandidates(now time.Time, s *request, policy ServicePolicy) []*upstream {
-	var local, remote, limited []*upstream
+	var local, remote, certain []*upstream
 	arrivals := 0.0
 	for _, u := range r.byService[s.Service] {
 		if !r.eligible(now, s, u, policy) {
@@ -36,10 +37,14 @@
 		if u.limited() {
 			if u.withinLimit(now) {
 				u.forgetOldEstimate(now)
-				limited = append(limited, u)
+				certain = append(certain, u)
 			}
 			continue
 		}
+		if r.attends(u) {
+			certain = append(certain, u)
+			continue
+		}
 		arrivals += completionRate(u, policy) * typicalReportAge.Seconds()
 		if u.view.Region == r.cfg.Region {
 			local = append(local, u)
@@ -53,7 +58,7 @@
 		size = max(minSampleSize, int(minSampleSize*float64(n)/arrivals))
 	}
 	random := limiter.SplitMix64(s.Random + uint64(s.attempts))
-	sample := slices.Concat(limited, randomSubset(local, size, random), randomSubset(remote, size, random))
+	sample := slices.Concat(certain, randomSubset(local, size, random), randomSubset(remote, size, random))
 	return r.addHolders(s, policy, sample, local[min(size, len(local)):], remote[min(size, len(remote)):])
 }
 
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -26,6 +26,10 @@
 	if engine == nil {
 		return plainForecast(u, load)
 	}
+	expected := float64(load)
+	if u.reportedByAgent {
+		expected = r.trustOf(q.Service).expect(u.meanLoad, expected)
+	}
 	deviation := 0.0
 	if age := now.Sub(u.reportedAt); !u.reportedAt.IsZero() && age <= reportLifetime {
 		deviation = loadDeviation(u.reported.Running, age, serviceTime(engine, u.slots()))
@@ -34,8 +38,8 @@
 	if !q.Resubmitted {
 		prefills -= u.waitingResubmitted
 	}
-	forecast := engineForecast(engine, load, u.slots(), deviation, float64(prefills)*(1+othersRatio), q)
-	return max(0, forecast-u.savedReading(q, engine))
+	forecast := engineForecast(engine, expected, u.slots(), deviation, float64(prefills)*(1+othersRatio), q)
+	return max(0, forecast-u.savedReading(q, engine)) + r.biasOf(q.Service, u).at(now)
 }
 
 // loadDeviation returns the standard deviation of an engine's load from its report.
@@ -74,10 +78,12 @@
 			all += u.reported.Running + u.reported.Waiting
 		}
 	}
-	if all <= own {
-		return 0
-	}
-	return min(maxOthersRatio, float64(all-own)/float64(own+1))
+	return ratioOfOthers(own, all)
+}
+
+// ratioOfOthers returns how many of all requests are other entries' for each one of this entry.
+func ratioOfOthers(own, all int) float64 {
+	return min(maxOthersRatio, float64(max(0, all-own))/float64(own+1))
 }
 
 func plainForecast(u *upstream, load int) time.Duration {
@@ -92,14 +98,14 @@
 // engineForecast adds up the wait for a slot, the rest of the current pass, the
 // prefill of the prompts ahead and of the request's own, and the pass that produces
 // the first event.
-func engineForecast(e *declarer.Engine, load, slots int, deviation, prefills float64, q *Request) time.Duration {
+func engineForecast(e *declarer.Engine, load float64, slots int, deviation, prefills float64, q *Request) time.Duration {
 	prompt := q.PromptTokens
 	if prompt == 0 {
 		prompt = e.MeanPrompt
 	}
-	running := min(load, slots)
+	running := min(int(load), slots)
 	pass := passTime(e, running+1)
-	wait := time.Duration(expectedQueue(float64(load+1-slots), deviation) * float64(serviceTime(e, slots)) / float64(slots))
+	wait := time.Duration(expectedQueue(load+1-float64(slots), deviation) * float64(serviceTime(e, slots)) / float64(slots))
 	return wait + pass/2 + prefillTime(e, prompt) + time.Duration(prefills*float64(prefillTime(e, e.MeanPrompt))/2) + pass
 }
 
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -76,6 +76,7 @@
 	}
 	r.entries = slices.Clone(entries)
 	r.entriesChangedAt = now
+	r.assignAttendants()
 	for _, u := range r.upstreams {
 		r.updateShare(now, u)
 	}
@@ -154,11 +155,16 @@
 }
 
 // othersRatio returns how many requests the other entries are assumed to send to the
-// upstream for each of this one, where ratio is that of all upstreams of the service.
+// upstream for each of this one, where ratio is that of all upstreams of the service. For one
+// that an entry attends it follows from its own load, which is mostly that entry's.
 func (u *upstream) othersRatio(ratio float64) float64 {
 	if u.limit.InForce {
 		return 0
 	}
+	if u.attendant != "" && !u.reportedAt.IsZero() {
+		own := max(0, u.inFlight-u.sentSince(u.reportedAt))
+		ratio = ratioOfOthers(own, u.reported.Running+u.reported.Waiting)
+	}
 	if u.cold.bound {
 		return min(ratio, float64(u.holders-1))
 	}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -99,6 +99,8 @@
 	control          ControlObserved
 	// oldestReleases are the releases that have ruled out older ones, which stay ruled out.
 	oldestReleases map[identifier.Service]declarer.ReleaseNumber
+	trusts         map[identifier.Service]*trust
+	biases         map[identifier.Service]*biases
 }
 
 // request is a request that has not been answered yet.
@@ -112,6 +114,8 @@
 	tried     map[identifier.Upstream]bool
 	target    *upstream
 	sentAt    time.Time
+	// uncorrected is the forecast of the first byte without the bias of such forecasts.
+	uncorrected time.Duration
 	// paced reports whether the attempt counts against a share.
 	paced bool
 	// firstByteAt is when the response of the current attempt began, or zero.
@@ -149,6 +153,8 @@
 
 		control:        ControlObserved{Reached: true},
 		oldestReleases: make(map[identifier.Service]declarer.ReleaseNumber),
+		trusts:         make(map[identifier.Service]*trust),
+		biases:         make(map[identifier.Service]*biases),
 	}
 }
 
@@ -166,10 +172,10 @@
 			r.updateCold(now, u)
 		}
 		r.changePrefixCapacities()
+		r.assignAttendants()
 	case LoadObserved:
 		if u, ok := r.upstreams[e.Upstream]; ok {
-			u.observe(now, &e.Load, agentReportAge)
-			u.heardAt = now
+			u.observeReport(now, e.Load)
 		}
 	case QuarantineChanged:
 		r.crashes.changeQuarantine(now, e.Summary)
@@ -260,6 +266,7 @@
 		u := r.upstreams[name]
 		r.byService[u.view.Service] = append(r.byService[u.view.Service], u)
 	}
+	r.assignAttendants()
 }
 
 func (r *Reducer) arrive(now time.Time, q Request) Effect {
--- a/balancer/room_test.go
+++ b/balancer/room_test.go
@@ -56,18 +56,27 @@
 	fates   map[stream]*fate
 	total   *fate
 	serial  uint64
+	// reportAge is how old reports are when they come, and loads holds those to come.
+	reportAge time.Duration
+	loads     map[identifier.Upstream][]balancer.Load
 }
 
 func newRoom(entries, engines int) *room {
-	w := &room{timeline: newTimeline(roomStep), engines: make(map[identifier.Upstream]*roomEngine), fates: make(map[stream]*fate), total: &fate{}}
+	w := &room{timeline: newTimeline(roomStep), engines: make(map[identifier.Upstream]*roomEngine), fates: make(map[stream]*fate), total: &fate{},
+		loads: make(map[identifier.Upstream][]balancer.Load)}
 	for i := range engines {
 		name := upstreamName(fmt.Sprintf("%c%d", 'a'+i%26, i))
 		w.names = append(w.names, name)
 		w.engines[name] = &roomEngine{}
 	}
-	for range entries {
-		r := balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10, ReleaseGracePeriod: time.Hour})
+	var listed []balancer.Entry
+	for i := range entries {
+		listed = append(listed, balancer.Entry{Name: identifier.Instance(fmt.Sprint("entry-", i))})
+	}
+	for _, e := range listed {
+		r := balancer.New(balancer.Config{Entry: e.Name, RetryRatio: 0.2, RetryBurst: 10, ReleaseGracePeriod: time.Hour})
 		r.Reduce(start, balancer.PolicyChanged{Services: []balancer.ServicePolicy{{Service: "drafting", Engine: engine()}}})
+		r.Reduce(start, balancer.EntriesChanged{Entries: listed})
 		w.entries = append(w.entries, r)
 	}
 	w.keep(engines)
@@ -100,10 +109,19 @@
 			}
 		}
 		if at%(100*time.Millisecond) == 0 {
-			for _, name := range w.names {
-				for _, r := range w.entries {
-					r.Reduce(w.now, balancer.LoadObserved{Upstream: name, Load: w.load(name)})
-				}
+			w.report()
+		}
+	}
+}
+
+// report tells all entries the loads as they were reportAge ago.
+func (w *room) report() {
+	for _, name := range w.names {
+		w.loads[name] = append(w.loads[name], w.load(name))
+		loads := w.loads[name]
+		if old := int(w.reportAge / (100 * time.Millisecond)); len(loads) > old {
+			for _, r := range w.entries {
+				r.Reduce(w.now, balancer.LoadObserved{Upstream: name, Load: loads[len(loads)-1-old]})
 			}
 		}
 	}
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -37,6 +37,8 @@
 // upstream is what the reducer knows of one upstream.
 type upstream struct {
 	view UpstreamView
+	// attendant is the entry that sends requests here first, or empty.
+	attendant identifier.Instance
 	// inFlight is the number of this entry's requests at the upstream, and waiting
 	// the number of those without a byte of a response.
 	inFlight int
@@ -47,6 +49,11 @@
 	// reported is the last load report, and reportedAt the time that it describes.
 	reported   Load
 	reportedAt time.Time
+	// reportedByAgent says that an agent polled the last report, and not that an answer
+	// brought it.
+	reportedByAgent bool
+	// meanLoad is the mean of what agents reported lately.
+	meanLoad float64
 	// sendTimes are the times at which this entry sent requests, up to
 	// reportLifetime ago.
 	sendTimes []time.Time
@@ -151,6 +158,7 @@
 	}
 	u.reported = *load
 	u.reportedAt = now.Add(-ago)
+	u.reportedByAgent = ago > 0
 }
 
 func (u *upstream) slots() int {
--- a/placer/pull.go
+++ b/placer/pull.go
@@ -62,7 +62,7 @@
 // them at once. An empty engine needs target soonest. The caller holds a.mu.
 func (a *agent) cancelPulls(empty bool) {
 	for n, p := range a.pulls {
-		if n == a.target.pinned.Number || (n == a.earlier && !(empty && p.running)) {
+		if n == a.target.pinned.Number || (n == a.earlier && (!empty || !p.running)) {
 			continue
 		}
 		if p.running {
