balancer: correct reports by trust only where engines are attended

Cause: TestCallersThatComeBackAreServedAfterABurst had one refusal too many, and 787 of 790 served, with reports corrected to engines' means at entries that attend no engines: reports are fresh in that model, and most of an engine's load is other entries'.

Change: reports are corrected where entries attend their engines; the measured error of forecasts corrects all engines' forecasts.

--- a/balancer/bias.go
+++ b/balancer/bias.go
@@ -24,6 +24,9 @@
 // at returns the bias now. It is never negative: a forecast that is too long costs no caller
 // his objective.
 func (b *bias) at(now time.Time) time.Duration {
+	if b == nil {
+		return 0
+	}
 	age := max(0, now.Sub(b.learnedAt))
 	return time.Duration(float64(max(0, b.mean)) * math.Exp2(-age.Seconds()/biasHalfLife.Seconds()))
 }
@@ -38,7 +41,11 @@
 // whose load it knows less. Forecasts are corrected by them.
 type biases struct{ attended, unattended bias }
 
+// biasOf returns the bias of forecasts for the upstream, or nil if its service has no engines.
 func (r *Reducer) biasOf(service identifier.Service, u *upstream) *bias {
+	if r.services[service].Engine == nil {
+		return nil
+	}
 	b, ok := r.biases[service]
 	if !ok {
 		b = &biases{}
@@ -53,9 +60,9 @@
 // learnBias takes in when the first byte came. Requests that others overtake say nothing, and
 // one that takes very long counts as one that misses its objective by as much again.
 func (r *Reducer) learnBias(now time.Time, s *request) {
-	if r.services[s.Service].Engine == nil || s.Resubmitted || s.Objective <= 0 {
+	b := r.biasOf(s.Service, s.target)
+	if b == nil || s.Resubmitted || s.Objective <= 0 {
 		return
 	}
-	found := min(now.Sub(s.sentAt), 2*s.Objective) - s.uncorrected
-	r.biasOf(s.Service, s.target).add(now, found)
+	b.add(now, min(now.Sub(s.sentAt), 2*s.Objective)-s.uncorrected)
 }
--- a/balancer/forecast.go
+++ b/balancer/forecast.go
@@ -27,7 +27,7 @@
 		return plainForecast(u, load)
 	}
 	expected := float64(load)
-	if u.reportedByAgent {
+	if u.reportedByAgent && u.attendant != "" {
 		expected = r.trustOf(q.Service).expect(u.meanLoad, expected)
 	}
 	deviation := 0.0
--- a/balancer/trust.go
+++ b/balancer/trust.go
@@ -51,7 +51,7 @@
 // observeAnswer takes in the load that an upstream states in an answer, and compares it with
 // what was expected by the agent's last report.
 func (r *Reducer) observeAnswer(now time.Time, u *upstream, load *Load) {
-	if load != nil && u.reportedByAgent && now.Sub(u.reportedAt) <= reportLifetime {
+	if load != nil && u.reportedByAgent && u.attendant != "" && now.Sub(u.reportedAt) <= reportLifetime {
 		expected, _ := u.load(now, u.othersRatio(r.othersRatio(u.view.Service)))
 		r.trustOf(u.view.Service).compare(u.meanLoad, float64(expected), float64(load.Running+load.Waiting))
 	}
