placer: end the rest of an earlier release whose time is over

Cause, by reading: a mirror that gave up the earlier of two releases resumed the newer one, and went on with the earlier one beside it: it was wanted beside, so that nothing replaced it, and both shared the origin's link.

Change: the newer release is wanted once more, no longer beside the earlier one, which ends that.

Test: TestReleaseIsCompletedBeforeTheNewerOne, extended: the same event without Beside ends the older transfer.

--- a/fetcher/event.go
+++ b/fetcher/event.go
@@ -99,7 +99,7 @@
 	Source   string
 	Priority Priority
 	Favour   Favour
-	// Beside lets the other transfers of the name go on.
+	// Beside lets the other transfers of the name go on. The same event without it ends them.
 	Beside bool
 }
 
--- a/fetcher/origin_reads_test.go
+++ b/fetcher/origin_reads_test.go
@@ -119,4 +119,9 @@
 		node.reduce(fetcher.Resumed{Manifest: newer.manifest.Digest()})
 	}
 	require.True(t, n.runUntil(8*window, n.allReady))
+	for _, node := range n.nodes {
+		require.Len(t, node.f.Snapshot(n.time()), 2)
+		node.reduce(want(newer, fetcher.OriginBytes))
+		require.Len(t, node.f.Snapshot(n.time()), 1, "the same without Beside ends the older one")
+	}
 }
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -117,6 +117,18 @@
 	names  []declarer.WantedRelease
 }
 
+// wanted returns the event that begins the transfer. It replaces that of an earlier release,
+// unless that is read first.
+func (r mirroredRelease) wanted(model identifier.Model) fetcher.Wanted {
+	return fetcher.Wanted{
+		Manifest: r.manifest,
+		Name:     fetcher.Name{Model: model},
+		Source:   releaseSource(model, r.number),
+		Favour:   fetcher.OriginBytes,
+		Beside:   r.after != nil,
+	}
+}
+
 func newMirror(placement parser.Placement, view *declarer.View, s *spreader.Spreader, e *connector.Endpoint,
 	clock clockwork.Clock, set *metrics.Set, a asserter.Asserter, log *zap.Logger) (*mirror, error) {
 	m := &mirror{
@@ -290,10 +302,7 @@
 		m.startMirroring(model, release, manifest)
 	}
 	if release.after != nil && !m.isBridge(declared, model, *release.after, release) {
-		m.log.Info("Read the earlier release first.", zap.Uint64("release", uint64(release.number)), zap.Float64("held", m.progressOf(release.after.manifest)))
-		m.transferrer.Send(m.ctx, fetcher.Resumed{Manifest: release.manifest})
-		release.after = nil
-		m.releases[model] = release
+		release = m.goOn(model, release)
 	}
 	m.updatePeers(release.manifest)
 	if release.after != nil {
@@ -301,6 +310,20 @@
 	}
 }
 
+// goOn reads a release that came after an earlier one, and drops what is missing of that: its
+// time is over.
+func (m *mirror) goOn(model identifier.Model, release mirroredRelease) mirroredRelease {
+	held := m.progressOf(release.after.manifest)
+	m.log.Info("The earlier release was read first.", zap.Uint64("release", uint64(release.number)), zap.Float64("held", held))
+	release.after = nil
+	m.releases[model] = release
+	if held < 1 {
+		m.transferrer.Send(m.ctx, release.wanted(model))
+	}
+	m.transferrer.Send(m.ctx, fetcher.Resumed{Manifest: release.manifest})
+	return release
+}
+
 func (m *mirror) updatePeers(manifest identifier.Digest) {
 	peers := m.peers()
 	if !slices.Equal(peers, m.lastPeers[manifest]) {
@@ -344,13 +367,7 @@
 	// Chunks that no transfer wants yet are not dropped at once.
 	m.cache.restore(manifest, m.restoreChunk)
 	m.transferrer.AddManifest(manifest)
-	m.transferrer.Send(m.ctx, fetcher.Wanted{
-		Manifest: release.manifest,
-		Name:     fetcher.Name{Model: model},
-		Source:   releaseSource(model, release.number),
-		Favour:   fetcher.OriginBytes,
-		Beside:   release.after != nil,
-	})
+	m.transferrer.Send(m.ctx, release.wanted(model))
 	if release.after != nil {
 		m.transferrer.Send(m.ctx, fetcher.Paused{Manifest: release.manifest})
 	}
