balancer: divide engines in time that grows with their number

Change: each engine goes to the next entry on a ring of hashes that has not got its part, and that is worked out by the first request after a change.

--- a/balancer/attend.go
+++ b/balancer/attend.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"celeryvalve/identifier"
+	"celeryvalve/limiter"
 )
 
 // The entries of an availability zone divide its engines among themselves, and each sends
@@ -29,9 +30,13 @@
 	keptAttended = 2
 )
 
-// assignAttendants chooses the entry that attends each engine. All entries choose alike from
-// the same lists.
+// assignAttendants chooses the entry that attends each engine, if lists have changed since it
+// last did. All entries choose alike from the same lists.
 func (r *Reducer) assignAttendants() {
+	if !r.attendantsDue {
+		return
+	}
+	r.attendantsDue = false
 	for service, list := range r.byService {
 		byZone := make(map[identifier.AvailabilityZone][]*upstream)
 		for _, u := range list {
@@ -58,7 +63,8 @@
 }
 
 // assign divides the upstreams among the entries, as many to each as to any other or one more.
-// One that comes or goes changes few of the other assignments. Nobody attends upstreams of which
+// Each goes to the first entry after it on a ring of hashes that has not got its part, so that
+// one that comes or goes changes few of the other assignments. Nobody attends upstreams of which
 // there are too few.
 func assign(upstreams []*upstream, entries []identifier.Instance) {
 	least := minAttended
@@ -71,32 +77,54 @@
 	if len(entries) == 0 || len(upstreams) < least*len(entries) {
 		return
 	}
-	type pair struct {
-		upstream *upstream
-		entry    int
-		score    uint64
-	}
-	pairs := make([]pair, 0, len(upstreams)*len(entries))
+	ring := newEntryRing(entries)
+	each, more := len(upstreams)/len(entries), len(upstreams)%len(entries)
+	counts := make(map[identifier.Instance]int, len(entries))
 	for _, u := range upstreams {
-		for i, e := range entries {
-			pairs = append(pairs, pair{u, i, xxhash.Sum64String(string(u.view.Upstream) + " " + string(e))})
+		for at := ring.after(u.view.Upstream); ; at = (at + 1) % len(ring) {
+			entry := ring[at].entry
+			if n := counts[entry]; n > each || (n == each && more == 0) {
+				continue
+			}
+			if counts[entry] == each {
+				more--
+			}
+			counts[entry]++
+			u.attendant = entry
+			break
 		}
 	}
-	slices.SortFunc(pairs, func(a, b pair) int { return cmp.Compare(a.score, b.score) })
-	each, more := len(upstreams)/len(entries), len(upstreams)%len(entries)
-	counts := make([]int, len(entries))
-	for _, p := range pairs {
-		switch {
-		case p.upstream.attendant != "" || counts[p.entry] > each:
-			continue
-		case counts[p.entry] == each && more == 0:
-			continue
-		case counts[p.entry] == each:
-			more--
+}
+
+// ringPoints is how many points each entry has on a ring.
+const ringPoints = 8
+
+// entryRing holds points of entries, by ascending hash.
+type entryRing []ringPoint
+
+type ringPoint struct {
+	hash  uint64
+	entry identifier.Instance
+}
+
+func newEntryRing(entries []identifier.Instance) entryRing {
+	ring := make(entryRing, 0, ringPoints*len(entries))
+	for _, e := range entries {
+		hash := xxhash.Sum64String(string(e))
+		for range ringPoints {
+			hash = limiter.SplitMix64(hash)
+			ring = append(ring, ringPoint{hash, e})
 		}
-		counts[p.entry]++
-		p.upstream.attendant = entries[p.entry]
 	}
+	slices.SortFunc(ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
+	return ring
+}
+
+// after returns the index of the first point after the upstream's.
+func (r entryRing) after(name identifier.Upstream) int {
+	hash := xxhash.Sum64String(string(name))
+	i, _ := slices.BinarySearchFunc(r, hash, func(p ringPoint, hash uint64) int { return cmp.Compare(p.hash, hash) })
+	return i % len(r)
 }
 
 // attends reports whether this entry attends the upstream.
--- a/balancer/attend_test.go
+++ b/balancer/attend_test.go
@@ -72,7 +72,9 @@
 	}
 	r.Reduce(start, balancer.UpstreamsChanged{Upstreams: views})
 	r.Reduce(start, balancer.EntriesChanged{Entries: listed})
-	x := r.Explain(start, generationRequest("x"))
+	q := generationRequest("x")
+	q.Deadline = start.Add(6 * time.Second)
+	x := r.Explain(start, q)
 	var list []identifier.Upstream
 	for _, c := range x.Candidates {
 		if c.Penalty == 0 {
@@ -81,3 +83,25 @@
 	}
 	return list
 }
+
+// BenchmarkEnginesChange is the cost of a request after the list of a thousand engines has changed,
+// at one of a hundred entries.
+func BenchmarkEnginesChange(b *testing.B) {
+	r := balancer.New(balancer.Config{Entry: "e0", AvailabilityZone: "z", ReleaseGracePeriod: time.Hour})
+	r.Reduce(start, balancer.PolicyChanged{Services: []balancer.ServicePolicy{{Service: "drafting", Engine: engine()}}})
+	var listed []balancer.Entry
+	for k := range 100 {
+		listed = append(listed, balancer.Entry{Name: identifier.Instance(fmt.Sprint("e", k)), AvailabilityZone: "z"})
+	}
+	r.Reduce(start, balancer.EntriesChanged{Entries: listed})
+	var views []balancer.UpstreamView
+	for k := range 1000 {
+		v := upstream(upstreamName(fmt.Sprintf("%c%d", 'a'+k%26, k)), "drafting")
+		v.AvailabilityZone = "z"
+		views = append(views, v)
+	}
+	for i := range b.N {
+		r.Reduce(start, balancer.UpstreamsChanged{Upstreams: views[:999+i%2]})
+		arrive(r, start, generationRequest("x"))
+	}
+}
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -21,6 +21,7 @@
 // candidates, or nil if there is none, and its forecast without penalties and
 // jitter.
 func (r *Reducer) choose(now time.Time, s *request, policy ServicePolicy) (*upstream, time.Duration) {
+	r.assignAttendants()
 	var best *upstream
 	var bestCost, bestForecast time.Duration
 	random := s.Random + uint64(s.attempts)
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -76,7 +76,7 @@
 	}
 	r.entries = slices.Clone(entries)
 	r.entriesChangedAt = now
-	r.assignAttendants()
+	r.attendantsDue = true
 	for _, u := range r.upstreams {
 		r.updateShare(now, u)
 	}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -99,8 +99,10 @@
 	control          ControlObserved
 	// oldestReleases are the releases that have ruled out older ones, which stay ruled out.
 	oldestReleases map[identifier.Service]declarer.ReleaseNumber
-	trusts         map[identifier.Service]*trust
-	biases         map[identifier.Service]*biases
+	// attendantsDue says that lists have changed since engines were divided among entries.
+	attendantsDue bool
+	trusts        map[identifier.Service]*trust
+	biases        map[identifier.Service]*biases
 }
 
 // request is a request that has not been answered yet.
@@ -172,7 +174,7 @@
 			r.updateCold(now, u)
 		}
 		r.changePrefixCapacities()
-		r.assignAttendants()
+		r.attendantsDue = true
 	case LoadObserved:
 		if u, ok := r.upstreams[e.Upstream]; ok {
 			u.observeReport(now, e.Load)
@@ -266,7 +268,7 @@
 		u := r.upstreams[name]
 		r.byService[u.view.Service] = append(r.byService[u.view.Service], u)
 	}
-	r.assignAttendants()
+	r.attendantsDue = true
 }
 
 func (r *Reducer) arrive(now time.Time, q Request) Effect {
