--- a/balancer/bias.go
+++ b/balancer/bias.go
@@ -21,8 +21,8 @@
 	learnedAt time.Time
 }
 
-// at returns the bias now. It is never negative: a forecast that is too long costs no caller
-// his objective.
+// at returns the bias now. It is never negative: a forecast that is too long makes no
+// request late.
 func (b *bias) at(now time.Time) time.Duration {
 	if b == nil {
 		return 0
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -69,7 +69,7 @@
 // attends.
 func (r *Reducer) localityPenalty(u *upstream) time.Duration {
 	switch {
-	case u.attendant != "" && u.attendant != r.cfg.Entry && !u.limited():
+	case u.attendant != "" && !r.attends(u) && !u.limited():
 		return unattendedPenalty
 	case u.view.Region != r.cfg.Region:
 		return otherRegionPenalty
