spreader, placer, narrator: tell what a process lacks to serve

Added: the seeds in "Started." and "Seeds changed."; "Follows other processes." with the list that it rests on; "Readiness changed." with what an entry lacks; one line when a process has been behind the declared state for a second, and one when it has caught up; gauges for the revision held, the highest announced, the age of the difference and the replicas known and heard; fetches counted by whether they brought anything. overview lists the processes that are behind. No decision changes.

The test of an entry whose port is held now declares something, since the check looks at the declaration before the port.

--- a/narrator/overview.go
+++ b/narrator/overview.go
@@ -25,6 +25,8 @@
 	Repairs []ReplicaChange
 	// Evacuated are the availability zones to which entries send no requests, by name.
 	Evacuated []EvacuatedZone
+	// Behind are the processes that know of a newer declared state than they hold, by name.
+	Behind []BehindProcess
 	// Aside are the upstreams that entries have ejected and that have not served since.
 	Aside []EjectedUpstream
 }
@@ -63,6 +65,14 @@
 	Entries          []string
 }
 
+// BehindProcess is a process that has heard of revision Announced of the declared state and
+// holds revision Held.
+type BehindProcess struct {
+	Instance        string
+	Held, Announced uint64
+	Since           time.Time
+}
+
 // EjectedUpstream is an upstream that an entry has ejected after failures. The entry sends it
 // no requests before Until.
 type EjectedUpstream struct {
@@ -92,6 +102,8 @@
 	ejected map[[2]string]EjectedUpstream
 	// evacuated holds the evacuated zones by entry.
 	evacuated map[string][]string
+	// behind holds the processes that are behind, by instance.
+	behind map[string]BehindProcess
 }
 
 // engine is the upstream and the release that an agent logged for its engine.
@@ -113,6 +125,8 @@
 		"Evacuated zones changed.":             (*state).zonesEvacuated,
 		"Set an upstream aside.":               (*state).upstreamEjected,
 		"Upstream serves again.":               (*state).upstreamRecovered,
+		"Behind the declared state.":           (*state).fellBehind,
+		"Caught up with the declared state.":   (*state).caughtUp,
 	}}
 }
 
@@ -135,6 +149,7 @@
 		engines:   make(map[string]engine),
 		ejected:   make(map[[2]string]EjectedUpstream),
 		evacuated: make(map[string][]string),
+		behind:    make(map[string]BehindProcess),
 	}
 	slices.SortStableFunc(o.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	for _, l := range o.lines {
@@ -148,6 +163,7 @@
 		Leader:    s.leader,
 		Repairs:   s.repairs,
 		Evacuated: s.evacuatedZones(),
+		Behind:    slices.SortedFunc(maps.Values(s.behind), func(a, b BehindProcess) int { return cmp.Compare(a.Instance, b.Instance) }),
 		Aside:     s.ejectedAt(o.at),
 	}
 }
@@ -155,6 +171,7 @@
 func (s *state) processStarted(l Line) {
 	s.declared[l.Instance] = 0
 	delete(s.evacuated, l.Instance)
+	delete(s.behind, l.Instance)
 	maps.DeleteFunc(s.ejected, func(key [2]string, _ EjectedUpstream) bool { return key[0] == l.Instance })
 }
 
@@ -222,6 +239,16 @@
 	}
 }
 
+func (s *state) fellBehind(l Line) {
+	since, err := time.Parse(time.RFC3339Nano, l.field("since"))
+	if err != nil {
+		since = l.Time
+	}
+	s.behind[l.Instance] = BehindProcess{Instance: l.Instance, Held: l.number("held"), Announced: l.number("announced"), Since: since}
+}
+
+func (s *state) caughtUp(l Line) { delete(s.behind, l.Instance) }
+
 func (s *state) upstreamEjected(l Line) {
 	until, err := time.Parse(time.RFC3339Nano, l.field("until"))
 	if err != nil {
@@ -300,6 +327,9 @@
 	for _, z := range o.Evacuated {
 		fmt.Fprintf(&b, "Evacuated %s: %d, %s\n", z.AvailabilityZone, len(z.Entries), shorten(z.Entries))
 	}
+	for _, p := range o.Behind {
+		fmt.Fprintf(&b, "Behind: %s holds revision %d of %d since %s\n", p.Instance, p.Held, p.Announced, formatTime(p.Since))
+	}
 	for _, a := range o.Aside {
 		fmt.Fprintf(&b, "Aside: %s at %s until %s, %s, %d failures in a row\n", a.Upstream, a.Entry, formatTime(a.Until), a.Cause, a.Failures)
 	}
--- a/narrator/overview_test.go
+++ b/narrator/overview_test.go
@@ -26,6 +26,9 @@
 {"ts":"2026-03-08T10:00:04Z","logger":"entry","msg":"Evacuated zones changed.","instance":"front-1","zones":["z2"]}
 {"ts":"2026-03-08T10:00:05Z","logger":"entry","msg":"Evacuated zones changed.","instance":"front-2","zones":["z2"]}
 {"ts":"2026-03-08T10:00:05Z","logger":"relayer","msg":"Set an upstream aside.","instance":"front-1","upstream":"u1","until":"2026-03-08T10:00:07Z","cause":"Silent","failures":3}
+{"ts":"2026-03-08T10:00:03Z","logger":"spreader","msg":"Behind the declared state.","instance":"front-2","held":3,"announced":5,"since":"2026-03-08T10:00:02Z"}
+{"ts":"2026-03-08T10:00:03Z","logger":"spreader","msg":"Behind the declared state.","instance":"side-2","held":3,"announced":5,"since":"2026-03-08T10:00:02Z"}
+{"ts":"2026-03-08T10:00:04Z","logger":"spreader","msg":"Caught up with the declared state.","instance":"side-2","held":5}
 {"ts":"2026-03-08T10:00:05Z","logger":"relayer","msg":"Set an upstream aside.","instance":"front-2","upstream":"u2","until":"2026-03-08T10:00:06Z","cause":"Lost","failures":4}
 `
 
@@ -46,6 +49,7 @@
 		"Release none: 1, u2",
 		"Repair: Admit front-3 by front-1 at 10:00:04.000, ended: its disk was lost",
 		"Evacuated z2: 2, front-1 front-2",
+		"Behind: front-2 holds revision 3 of 5 since 10:00:02.000",
 		"Aside: u1 at front-1 until 10:00:07.000, Silent, 3 failures in a row",
 	}, strings.Split(strings.TrimSpace(o.Overview().Text()), "\n"))
 }
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -103,7 +103,9 @@
 	readiness *http.Server
 	draining  atomic.Bool
 	listening atomic.Bool // for callers
-	stopped   chan struct{}
+	// readinessLogged is the last Readiness that was logged.
+	readinessLogged atomic.Value
+	stopped         chan struct{}
 
 	// applying guards evacuated, and makes changes of the declared state take turns.
 	applying  sync.Mutex
@@ -119,7 +121,7 @@
 }
 
 func newEntry(placement parser.Placement, settings parser.PlacedSettings, view *declarer.View, s *spreader.Spreader, rel *relayer.Relayer, o *controlAPI,
-	r *replica, clock clockwork.Clock, log *zap.Logger) *entry {
+	r *replica, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *entry {
 	e := &entry{
 		placement:    placement,
 		settings:     settings,
@@ -132,6 +134,12 @@
 		releaseNames: make(map[identifier.Model][]declarer.WantedRelease),
 		stopped:      make(chan struct{}),
 	}
+	set.NewGauge("celeryvalve_entry_ready", func() float64 {
+		if e.checkReadiness() == Ready {
+			return 1
+		}
+		return 0
+	})
 	e.control = &http.Server{Handler: platform.NewControlHandler(o, log), ReadHeaderTimeout: readHeaderTimeout}
 	e.readiness = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: readHeaderTimeout}
 	return e
@@ -185,10 +193,41 @@
 	return err
 }
 
+// Readiness says whether an entry can serve callers, and otherwise what it lacks.
+type Readiness string
+
+// The values of Readiness.
+const (
+	Ready         Readiness = "Ready"
+	Draining      Readiness = "Draining"
+	NoDeclaration Readiness = "NoDeclaration"
+	NotListening  Readiness = "NotListening"
+	NoUpstreams   Readiness = "NoUpstreams"
+)
+
+func (e *entry) checkReadiness() Readiness {
+	switch {
+	case e.draining.Load():
+		return Draining
+	case e.view.CurrentVersion() == 0:
+		return NoDeclaration
+	case !e.listening.Load():
+		return NotListening
+	case len(e.spreader.Upstreams()) == 0:
+		return NoUpstreams
+	default:
+		return Ready
+	}
+}
+
 // serveReadiness responds with 200 if the entry can serve callers, and with 503
 // otherwise.
 func (e *entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.draining.Load() || !e.listening.Load() || e.view.CurrentVersion() == 0 || len(e.spreader.Upstreams()) == 0 {
+	readiness := e.checkReadiness()
+	if last := e.readinessLogged.Swap(readiness); last != readiness {
+		e.log.Info("Readiness changed.", zap.String("readiness", string(readiness)))
+	}
+	if readiness != Ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"celeryvalve/asserter"
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
@@ -46,7 +47,9 @@
 	clock := clockwork.NewFakeClock()
 	placement := parser.Placement{Callers: held.Addr().(*net.TCPAddr).AddrPort()}
 	rel := relayer.New(newReducer(placement), platform.Headers{}, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
-	e := newEntry(placement, parser.PlacedSettings{}, nil, nil, rel, nil, nil, clock, zap.NewNop())
+	view := declarer.NewView(asserter.Strict{})
+	require.True(t, view.Set(declarer.Declared{Revision: 1, Declaration: declarer.Declaration{Version: 1}}))
+	e := newEntry(placement, parser.PlacedSettings{}, view, nil, rel, nil, nil, clock, metrics.NewSet(), zap.NewNop())
 	e.startCallersServer()
 	require.False(t, e.listening.Load())
 	ready := httptest.NewRecorder()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -100,7 +100,7 @@
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	log.Info("Started.", zap.String("zone", string(placement.AvailabilityZone)), zap.Bool("firstStart", placement.FirstStart),
+	log.Info("Started.", zap.Stringers("seeds", placement.Seeds), zap.String("zone", string(placement.AvailabilityZone)), zap.Bool("firstStart", placement.FirstStart),
 		zap.String("dataFolder", placement.DataFolder), zap.Stringer("inner", placement.InternalAddress))
 	watchSettings(options, parts, signals, log)
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), placement.Bounds.ShutdownGrace-stopMargin)
@@ -150,7 +150,9 @@
 		log.Warn("Can't reload the settings; the current ones stay in force.", zap.Error(err))
 		return
 	}
-	parts.Spreader.SetSeeds(placement.Seeds)
+	if parts.Spreader.SetSeeds(placement.Seeds) {
+		log.Info("Seeds changed.", zap.Stringers("seeds", placement.Seeds))
+	}
 }
 
 // newLogger returns a logger that writes one JSON object per line. It samples the
@@ -242,13 +244,14 @@
 }
 
 func newSpreader(lc fx.Lifecycle, placement parser.Placement, table *registrar.Table, view *declarer.View,
-	e *connector.Endpoint, clock clockwork.Clock, log *zap.Logger) *spreader.Spreader {
+	e *connector.Endpoint, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *spreader.Spreader {
 	cfg := spreader.Config{
 		Process:          string(placement.Instance),
 		Address:          placement.InternalAddress,
 		Region:           placement.Region,
 		AvailabilityZone: placement.AvailabilityZone,
 		FollowAll:        placement.Callers.IsValid(),
+		Metrics:          set,
 	}
 	s := spreader.New(cfg, placement.Seeds, table, view, e, clock, log)
 	s.Register(e)
--- /dev/null
+++ b/spreader/progress.go
@@ -0,0 +1,108 @@
+package spreader
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"celeryvalve/declarer"
+)
+
+// behindLogDelay is how long this process must be behind before that is logged. A change is
+// fetched within a round trip, and is no news by itself.
+const behindLogDelay = time.Second
+
+// Progress compares the declared state that a process holds with what it was told of.
+type Progress struct {
+	Held, Announced declarer.Revision
+	// BehindSince is since when a higher revision than the one held is known, or zero.
+	BehindSince time.Time
+}
+
+// fetchMetrics counts the fetches of the declared state by their result.
+type fetchMetrics struct {
+	newer, unchanged, failed *metrics.Counter
+}
+
+func newFetchMetrics(set *metrics.Set) fetchMetrics {
+	return fetchMetrics{
+		newer:     set.NewCounter(`celeryvalve_declaration_fetches_total{result="Newer"}`),
+		unchanged: set.NewCounter(`celeryvalve_declaration_fetches_total{result="Unchanged"}`),
+		failed:    set.NewCounter(`celeryvalve_declaration_fetches_total{result="Failed"}`),
+	}
+}
+
+// exposeProgress adds the gauges of this process's progress to the set.
+func (s *Spreader) exposeProgress(set *metrics.Set) {
+	set.NewGauge("celeryvalve_declaration_revision", func() float64 { return float64(s.Progress().Held) })
+	set.NewGauge("celeryvalve_declaration_revision_announced", func() float64 { return float64(s.Progress().Announced) })
+	set.NewGauge("celeryvalve_declaration_behind_seconds", func() float64 {
+		p := s.Progress()
+		if p.BehindSince.IsZero() {
+			return 0
+		}
+		return s.clock.Since(p.BehindSince).Seconds()
+	})
+	set.NewGauge("celeryvalve_control_replicas_known", func() float64 { return float64(len(s.ReplicaList().Addresses)) })
+	set.NewGauge("celeryvalve_control_replicas_heard", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(s.countHeard())
+	})
+}
+
+// Progress returns how far this process has followed the declared state.
+func (s *Spreader) Progress() Progress {
+	held := s.view.Declared().Revision
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Progress{Held: held, Announced: max(s.announced, held)}
+	if p.Announced > held {
+		p.BehindSince = s.behindSince
+	}
+	return p
+}
+
+// countHeard returns how many of the processes that this one follows are heard. The caller
+// holds s.mu.
+func (s *Spreader) countHeard() int {
+	n := 0
+	for addr := range s.statuses {
+		if s.isHeard(addr) {
+			n++
+		}
+	}
+	return n
+}
+
+// logProgress writes one line when this process has been behind for behindLogDelay, and one
+// when it has caught up.
+func (s *Spreader) logProgress() {
+	p := s.Progress()
+	behind := !p.BehindSince.IsZero() && s.clock.Since(p.BehindSince) >= behindLogDelay
+	switch {
+	case behind && !s.behindLogged:
+		s.log.Warn("Behind the declared state.", zap.Uint64("held", uint64(p.Held)), zap.Uint64("announced", uint64(p.Announced)),
+			zap.Time("since", p.BehindSince))
+	case s.behindLogged && p.BehindSince.IsZero():
+		s.log.Info("Caught up with the declared state.", zap.Uint64("held", uint64(p.Held)))
+	default:
+		return
+	}
+	s.behindLogged = behind
+}
+
+// logFollowed writes a line when this process follows others than before. The caller holds
+// s.mu.
+func (s *Spreader) logFollowed(wanted []netip.AddrPort) {
+	sorted := slices.SortedFunc(slices.Values(wanted), netip.AddrPort.Compare)
+	if slices.Equal(sorted, s.followedLogged) {
+		return
+	}
+	s.followedLogged = sorted
+	s.log.Info("Follows other processes.", zap.Stringers("addresses", sorted), zap.Int("replicas", len(s.replicas.Addresses)),
+		zap.Uint64("listIndex", s.replicas.Index), zap.Stringers("seeds", s.seeds))
+}
--- a/spreader/replicas.go
+++ b/spreader/replicas.go
@@ -11,11 +11,13 @@
 )
 
 // SetSeeds replaces the seeds: addresses of processes that know the control
-// replicas.
-func (s *Spreader) SetSeeds(seeds []netip.AddrPort) {
+// replicas. It reports whether they have changed.
+func (s *Spreader) SetSeeds(seeds []netip.AddrPort) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	changed := !slices.Equal(seeds, s.seeds)
 	s.seeds = seeds
+	return changed
 }
 
 // SetReplicas sets the list of control replicas that this process, itself a
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -69,6 +70,9 @@
 	// FollowAll makes the process follow all control replicas, as entries and
 	// replicas do. Without it the process follows one of them, as agents do.
 	FollowAll bool
+	// Metrics is the set in which the spreader registers its metrics. Nil selects a set of
+	// its own.
+	Metrics *metrics.Set
 }
 
 // Spreader runs the streams of one process and keeps the state that they carry.
@@ -141,6 +145,13 @@
 	fetchStarted time.Time
 	// announced is the highest revision that a replica has told.
 	announced declarer.Revision
+	// behindSince is when this process first heard of a higher revision than it holds, and
+	// behindLogged whether that was logged. behindLogged is used by the goroutine of run.
+	behindSince  time.Time
+	behindLogged bool
+	// followedLogged holds the processes that this one follows as they were last logged.
+	followedLogged []netip.AddrPort
+	fetches        fetchMetrics
 	// statuses holds the status of each followed replica that has sent an update.
 	statuses map[netip.AddrPort]replicaStatus
 }
@@ -165,6 +176,9 @@
 // New returns a Spreader. Call Start to open its streams.
 func New(cfg Config, seeds []netip.AddrPort, table *registrar.Table, view *declarer.View, endpoint Endpoint,
 	clock clockwork.Clock, log *zap.Logger) *Spreader {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
 	s := &Spreader{
 		cfg:      cfg,
 		view:     view,
@@ -183,7 +197,9 @@
 
 		entriesSeen: make(map[string]seenEntry),
 		startedAt:   clock.Now(),
+		fetches:     newFetchMetrics(cfg.Metrics),
 	}
+	s.exposeProgress(cfg.Metrics)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.refreshPublisher = repeater.New(clock, reportInterval, s.publishRefreshes)
 	s.loadPublisher = repeater.New(clock, loadBatchInterval, s.publishLoads)
@@ -346,6 +362,7 @@
 		s.reconcileStreams()
 		s.notifyServing()
 		s.notifyControl()
+		s.logProgress()
 		select {
 		case <-s.ctx.Done():
 		case <-s.clock.After(heartbeatInterval):
@@ -358,6 +375,7 @@
 	defer s.mu.Unlock()
 	wanted := s.replicasToFollow()
 	s.choosePrimary(wanted)
+	s.logFollowed(wanted)
 	for addr, cancel := range s.streams {
 		if !slices.Contains(wanted, addr) {
 			cancel()
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -316,6 +316,10 @@
 func (s *Spreader) announce(r declarer.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	held := s.view.Declared().Revision
+	if r > held && s.announced <= held {
+		s.behindSince = s.clock.Now()
+	}
 	s.announced = max(s.announced, r)
 }
 
@@ -354,17 +358,26 @@
 	msg, err := s.endpoint.Call(ctx, addr, &FetchDeclarationRequest{Have: s.view.CurrentVersion(), WeightsOnly: !s.cfg.FollowAll})
 	answer, ok := msg.(*FetchDeclarationResponse)
 	if err != nil || !ok {
+		s.fetches.failed.Inc()
 		s.log.Warn("Can't fetch the declared state; the next update triggers a retry.", zap.Stringer("address", addr), zap.Error(err))
 		return false
 	}
 	delta, err := answer.Delta.Decode()
 	if err != nil {
+		s.fetches.failed.Inc()
 		s.log.Error("Can't decode the fetched declaration.", zap.Stringer("address", addr), zap.Error(err))
 		return false
 	}
+	before := s.view.Declared().Revision
 	if !s.view.ApplyDelta(answer.Revision, delta, answer.Releases, answer.Evacuations) {
+		s.fetches.unchanged.Inc()
 		return false
 	}
+	if s.view.Declared().Revision > before {
+		s.fetches.newer.Inc()
+	} else {
+		s.fetches.unchanged.Inc()
+	}
 	if s.view.CurrentVersion() > 0 {
 		s.log.Info("Declaration is in force.", zap.Uint64("version", uint64(s.view.CurrentVersion())),
 			zap.Uint64("revision", uint64(answer.Revision)), zap.Bool("whole", delta.Whole), zap.Stringer("from", addr))
