spreader: add failing tests of processes that nobody tells of the replicas

- a replica that was cut off while all others were replaced asks only those;
- a stale peer is asked 51 times in a row, though another one has the newer state.

--- a/spreader/catchup_test.go
+++ b/spreader/catchup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -59,3 +60,69 @@
 	require.NoError(t, err)
 	require.Zero(t, answer.Revision)
 }
+
+// peersEndpoint answers fetches as the peers would, and counts them. A peer without an answer
+// doesn't respond.
+type peersEndpoint struct {
+	t       *testing.T
+	during  func(addr netip.AddrPort)
+	holds   map[netip.AddrPort]declarer.Revision
+	mu      sync.Mutex
+	fetches map[netip.AddrPort]int
+}
+
+func (*peersEndpoint) Open(context.Context, netip.AddrPort, any) (*connector.Stream, error) {
+	return nil, context.Canceled
+}
+
+func (*peersEndpoint) Replace(netip.AddrPort) {}
+
+// fetchLimit ends a loop of fetches in which nothing changes.
+const fetchLimit = 50
+
+func (e *peersEndpoint) Call(_ context.Context, addr netip.AddrPort, _ any) (any, error) {
+	e.mu.Lock()
+	e.fetches[addr]++
+	n := e.fetches[addr]
+	revision, ok := e.holds[addr]
+	e.mu.Unlock()
+	if e.during != nil {
+		e.during(addr)
+	}
+	if !ok || n > fetchLimit {
+		return nil, context.DeadlineExceeded
+	}
+	delta, err := declarer.Declaration{}.DeltaFrom(declarer.Declaration{}).Encode()
+	require.NoError(e.t, err)
+	return &FetchDeclarationResponse{Revision: revision, Delta: delta}, nil
+}
+
+// Guards against entries that handled requests by an old configuration to the end of the day,
+// after the replica that had told them of the new one lost power: each fetched the old state
+// from another entry without end, and turned away the replica that came back with the new one.
+func TestStalePeerKeepsNobodyFromTheNewestState(t *testing.T) {
+	lost, stale, back := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
+	for name, held := range map[string]declarer.Revision{"holds an older state": 3, "holds nothing": 0} {
+		t.Run(name, func(t *testing.T) {
+			e := &peersEndpoint{t: t, holds: map[netip.AddrPort]declarer.Revision{stale: held, back: 7}, fetches: make(map[netip.AddrPort]int)}
+			view := declarer.NewView(asserter.Strict{})
+			view.Set(declarer.Declared{Revision: held})
+			s := New(Config{Process: "p"}, nil, registrar.New(registrar.Config{}), view, e, clockwork.NewFakeClock(), zap.NewNop())
+			s.applyUpdate(&Update{Revision: 7}, lost, &sentState{})
+			s.done.Wait()
+			var once sync.Once
+			e.during = func(addr netip.AddrPort) {
+				if addr == stale {
+					once.Do(func() { s.applyUpdate(&Update{Revision: 7}, back, &sentState{}) })
+				}
+			}
+			s.applyUpdate(&Update{Revision: held}, stale, &sentState{})
+			s.done.Wait()
+			e.during = nil
+			s.applyUpdate(&Update{Revision: 7}, back, &sentState{})
+			s.done.Wait()
+			require.EqualValues(t, 7, view.Declared().Revision)
+			require.LessOrEqual(t, e.fetches[stale], 1, "fetches from a peer without news")
+		})
+	}
+}
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -65,9 +65,14 @@
 	return c.start("north", true, setUp, seeds)
 }
 
+// nextAddress returns the address of the process that is started next.
+func (c *cluster) nextAddress() netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("127.41.7.%d:7911", c.next+1))
+}
+
 func (c *cluster) start(region identifier.Region, followAll bool, setUp func(*spreader.Spreader), seeds []netip.AddrPort) *process {
+	address := c.nextAddress()
 	c.next++
-	address := netip.MustParseAddrPort(fmt.Sprintf("127.41.7.%d:7911", c.next))
 	codec, err := encoder.New(append(spreader.Messages(), declarer.Messages()...)...)
 	require.NoError(c.t, err)
 	view := declarer.NewView(asserter.Strict{})
@@ -139,6 +144,39 @@
 	require.Equal(t, identifier.Region("north"), newcomer.RegionOf(hub.address))
 }
 
+// Guards against a loss of all power after which entries without a disk know only each other
+// as seeds and are up after the replicas have a leader: nobody told them of the replicas, and
+// they served nobody (incident RECOVER).
+func TestSeedsThatStartLateLearnOfTheReplicas(t *testing.T) {
+	c := newCluster(t)
+	hub := c.nextAddress()
+	first, second := netip.MustParseAddrPort("127.41.7.2:7911"), netip.MustParseAddrPort("127.41.7.3:7911")
+	c.processWatching(func(s *spreader.Spreader) {
+		s.SetReplicas(spreader.Replicas{Index: 1, Led: true, Addresses: []netip.AddrPort{hub}})
+	}, first, second)
+	for _, seed := range []*process{c.process("north", true, first, second), c.process("south", true, first, second)} {
+		require.Eventually(t, seed.Connected, time.Minute, 5*time.Millisecond)
+		require.Equal(t, []netip.AddrPort{hub}, seed.ReplicaAddresses())
+	}
+}
+
+// Guards against a replica that was cut off while all others were replaced: it asked only
+// those of the list that it knew, which are gone, for as long as it ran.
+func TestReplicaWithAnOldListFindsTheNewReplicas(t *testing.T) {
+	c := newCluster(t)
+	hub := c.replica(5)
+	seed := c.process("north", true, hub.address)
+	c.eventually(seed.Connected)
+	gone := netip.MustParseAddrPort("127.41.7.99:7911")
+	own := c.nextAddress()
+	cutOff := c.processWatching(func(s *spreader.Spreader) {
+		s.SetReplicas(spreader.Replicas{Index: 1, Led: true, Addresses: []netip.AddrPort{gone, own}})
+		s.SetReplicas(spreader.Replicas{Index: 1, Addresses: []netip.AddrPort{gone, own}})
+	}, seed.address)
+	require.Eventually(t, func() bool { return cutOff.ReplicaList().Index == 5 }, time.Minute, 5*time.Millisecond)
+	c.eventually(cutOff.Connected)
+}
+
 // Guards against a process that stays at an old declaration, merges a difference
 // wrongly, or goes back to an older revision, and against evacuations that come only with
 // a declaration.
