spreader: have control replicas follow the seeds that don't follow them

Cause: who knew of whom went one way. A process without a disk starts with its seeds alone; a replica has the list of replicas on its disk, and followed the seeds only until it knew a leader, some 0.3 to 0.5 s. Where the seeds are entries without a disk, as they may be once they were turned over, and are up later than that, these know each other and nobody else, for good. Agents know only the seeds as well, so that no engine loads its weights. In the same way a replica that was cut off while all others were replaced asked only those, and an entry one of whose old replicas still ran asked no seed.

Change: a control replica follows each seed that neither is in its list nor follows it; once the seed has the list, it follows the replicas itself, and the stream to it ends. A seed that doesn't respond is tried every 2 s. Other processes ask their seeds again when no replica of their list knows the leader, instead of when none responds.

--- a/spreader/replicas.go
+++ b/spreader/replicas.go
@@ -52,7 +52,7 @@
 
 // ReplicaAddresses returns the addresses at which to look for control replicas. Those of
 // the newest list come first. The seeds follow as long as there is no list, or
-// if none of its replicas responds.
+// if none of its replicas knows the leader.
 func (s *Spreader) ReplicaAddresses() []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -77,7 +77,7 @@
 
 func (s *Spreader) candidates() []netip.AddrPort {
 	list := slices.Clone(s.replicas.Addresses)
-	if len(list) == 0 || s.replicasUnreachable() {
+	if len(list) == 0 || s.isWithoutControl() {
 		for _, seed := range s.seeds {
 			if !slices.Contains(list, seed) {
 				list = append(list, seed)
@@ -87,22 +87,37 @@
 	return list
 }
 
-// replicasUnreachable reports whether no followed replica has sent an update within
-// twice heartbeatTimeout. All replicas of the list may have been replaced in the
-// meantime. It is always false on a control replica, which has a list without
-// receiving one.
-func (s *Spreader) replicasUnreachable() bool {
+// isWithoutControl reports whether no followed process has known the leader within twice
+// heartbeatTimeout. All replicas of the list may have been replaced in the meantime, and one
+// that was removed may still respond. It is always false on a control replica, which follows
+// its unconnected seeds besides.
+func (s *Spreader) isWithoutControl() bool {
 	if s.ownReplicas != nil {
 		return false
 	}
 	for _, status := range s.statuses {
-		if s.clock.Since(status.lastReceived) < 2*heartbeatTimeout {
+		if s.clock.Since(status.lastLed) < 2*heartbeatTimeout {
 			return false
 		}
 	}
 	return true
 }
 
+// unconnectedSeeds returns the seeds that neither are in the list nor follow this control
+// replica. A process that knows only such seeds can't find the replicas by itself, and a
+// replica whose list is out of date can't find its successors.
+func (s *Spreader) unconnectedSeeds(list []netip.AddrPort) []netip.AddrPort {
+	connected := make(map[netip.AddrPort]bool)
+	for _, seen := range s.entriesSeen {
+		if s.clock.Since(seen.heardAt) <= heartbeatTimeout {
+			connected[seen.address] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(s.seeds), func(seed netip.AddrPort) bool {
+		return seed == s.cfg.Address || connected[seed] || slices.Contains(list, seed)
+	})
+}
+
 // updateReplicas stores the list unless it is empty, older than the current one or
 // created by a replica without a leader. The caller holds s.mu.
 func (s *Spreader) updateReplicas(r Replicas) {
@@ -139,13 +154,16 @@
 }
 
 // replicasToFollow returns the addresses to which streams are kept open. With
-// FollowAll these are all candidates. Otherwise the process stays with its replica
+// FollowAll these are all candidates, and on a control replica the unconnected seeds. Otherwise the process stays with its replica
 // while that one sends updates and knows the leader, but for one in its region, which
 // it tries every nearRetryDelay. Without such a replica it selects one by a hash of its
 // name, which distributes the agents over the replicas, and another one after each
 // noLeaderTimeout.
 func (s *Spreader) replicasToFollow() []netip.AddrPort {
 	list := slices.DeleteFunc(s.candidates(), func(a netip.AddrPort) bool { return a == s.cfg.Address })
+	if s.ownReplicas != nil {
+		list = append(list, s.unconnectedSeeds(list)...)
+	}
 	if s.cfg.FollowAll || len(list) == 0 {
 		return list
 	}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -30,7 +30,9 @@
 	heartbeatTimeout = 1600 * time.Millisecond
 	dialTimeout      = time.Second
 	reconnectDelay   = 200 * time.Millisecond
-	fetchTimeout     = time.Second
+	// seedRetryDelay is how often a control replica tries a seed that doesn't respond.
+	seedRetryDelay = 2 * time.Second
+	fetchTimeout   = time.Second
 	// fetchHedgeDelay is how long a fetch from one replica may take before a second
 	// replica is asked as well.
 	fetchHedgeDelay = 250 * time.Millisecond
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -82,11 +82,22 @@
 		failed = true
 		select {
 		case <-ctx.Done():
-		case <-s.clock.After(reconnectDelay):
+		case <-s.clock.After(s.reconnectDelayTo(addr)):
 		}
 	}
 }
 
+// reconnectDelayTo returns the pause before the next attempt to follow addr. A control replica
+// tries a seed that is none seldom: it may have been gone for long.
+func (s *Spreader) reconnectDelayTo(addr netip.AddrPort) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ownReplicas != nil && len(s.replicas.Addresses) > 0 && !slices.Contains(s.replicas.Addresses, addr) {
+		return seedRetryDelay
+	}
+	return reconnectDelay
+}
+
 func (s *Spreader) followOnce(ctx context.Context, addr netip.AddrPort, reconnecting bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
