subscriber: ask a peer that can't answer at most once a second

The class of the stale peer, looked for elsewhere: on the settings path every message carries the sender's version, and each message with a newer one made a request, though a peer that lacks a service of the need answers nothing; and for up to 2 s a slow peer kept the others from being asked.

Change: the view asks by package catcher, as the spreader does.

Evidence: TestPeerThatCannotAnswerIsAskedSeldom, which hung on the code before (the peer with the newer version was never asked while the mute one was).

--- a/assembler/process.go
+++ b/assembler/process.go
@@ -118,8 +118,8 @@
 
 // newView returns a view of the whole configuration on entries and control replicas, and
 // of the part for one service on agents.
-func newView(settings parser.Settings, a asserter.Asserter) *subscriber.View {
-	return subscriber.NewView(needOf(settings), a)
+func newView(settings parser.Settings, a asserter.Asserter, clock clockwork.Clock) *subscriber.View {
+	return subscriber.NewView(needOf(settings), a, clock)
 }
 
 func needOf(settings parser.Settings) configurer.Need {
--- a/subscriber/doc.go
+++ b/subscriber/doc.go
@@ -16,7 +16,7 @@
 //
 // # Usage
 //
-//	view := subscriber.NewView(need, asserter)
+//	view := subscriber.NewView(need, asserter, clock)
 //	view.Connect(endpoint)
 //	endpoint.Handle(subscriber.ConfigurationRequestKind, view.ServeRequest)
 //	s := subscriber.New(subscriber.Config{...}, view, endpoint, holder, clock, logger)
--- a/subscriber/view.go
+++ b/subscriber/view.go
@@ -9,7 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"celeryvalve/asserter"
+	"celeryvalve/catcher"
 	"celeryvalve/configurer"
 	"celeryvalve/connector"
 	"celeryvalve/identifier"
@@ -20,6 +23,12 @@
 	// configuration version that the message carries.
 	catchUpTimeout = 500 * time.Millisecond
 	fetchTimeout   = 2 * time.Second
+	// fetchHedgeDelay is how long a fetch may take before a second peer is asked as well.
+	fetchHedgeDelay = 250 * time.Millisecond
+	// fetchRetryDelay bounds the requests to a peer that can't answer. Peers tell their
+	// version with every message.
+	fetchRetryDelay = time.Second
+	abandonDelay    = 10 * time.Second
 )
 
 // Caller makes remote calls.
@@ -41,17 +50,24 @@
 	index      uint64
 	quarantine Quarantine
 	changed    chan struct{}
-	fetching   bool
-	watchers   []func()
+	clock      clockwork.Clock
+	// catcher decides which peers are asked for a newer version.
+	catcher  *catcher.Catcher
+	watchers []func()
 }
 
 // NewView returns an empty view for a process with the given need.
-func NewView(need configurer.Need, a asserter.Asserter) *View {
+func NewView(need configurer.Need, a asserter.Asserter, clock clockwork.Clock) *View {
 	return &View{
 		need:     need,
 		asserter: a,
-		members:  make(map[identifier.Upstream]Member),
-		changed:  make(chan struct{}),
+		clock:    clock,
+		catcher: catcher.New(catcher.Config{
+			HedgeDelay: fetchHedgeDelay, RetryDelay: fetchRetryDelay,
+			Timeout: fetchTimeout, MaxTimeout: fetchTimeout, AbandonDelay: abandonDelay,
+		}),
+		members: make(map[identifier.Upstream]Member),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -153,6 +169,7 @@
 	v.cfg = next
 	close(v.changed)
 	v.changed = make(chan struct{})
+	v.catchUp(catcher.Held{Revision: catcher.Revision(next.Version)})
 	return true, nil
 }
 
@@ -170,30 +187,37 @@
 }
 
 // Observe handles the configuration version that a message from a peer carried. If it is
-// newer, the view requests the delta from that peer, one request at a time.
+// newer, the view requests the delta from that peer, unless a request in progress brings it.
 func (v *View) Observe(peer netip.AddrPort, version identifier.ConfigurationVersion) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if version <= v.cfg.Version || v.fetching || v.caller == nil {
+	if version <= v.cfg.Version || v.caller == nil {
 		return
 	}
-	v.fetching = true
-	go v.fetch(v.caller, peer, v.cfg.Version)
+	v.catchUp(catcher.Told{Peer: peer, Revision: catcher.Revision(version)})
 }
 
-func (v *View) fetch(caller Caller, peer netip.AddrPort, have identifier.ConfigurationVersion) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+// catchUp feeds an event to the catcher, and begins the fetches that it returns. The caller
+// holds v.mu.
+func (v *View) catchUp(event catcher.Event) {
+	for _, f := range v.catcher.Reduce(v.clock.Now(), event) {
+		go v.fetch(v.caller, f, v.cfg.Version)
+	}
+}
+
+func (v *View) fetch(caller Caller, f catcher.Fetch, have identifier.ConfigurationVersion) {
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
 	defer cancel()
-	msg, err := caller.Call(ctx, peer, &ConfigurationRequest{Need: v.need, Have: have})
-	v.mu.Lock()
-	v.fetching = false
-	v.mu.Unlock()
-	answer, ok := msg.(*ConfigurationAnswer)
-	if err != nil || !ok || answer.Configuration == nil {
-		return
+	ended := catcher.Ended{Peer: f.Peer}
+	msg, err := caller.Call(ctx, f.Peer, &ConfigurationRequest{Need: v.need, Have: have})
+	if answer, ok := msg.(*ConfigurationAnswer); err == nil && ok && answer.Configuration != nil {
+		ended.Revision = catcher.Revision(answer.Configuration.Version)
+		// A delta that can't be merged is dropped; the subscription delivers a complete one.
+		_ = v.Apply(&Update{Configuration: answer.Configuration})
 	}
-	// A delta that can't be merged is dropped; the subscription delivers a complete one.
-	_ = v.Apply(&Update{Configuration: answer.Configuration})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.catchUp(ended)
 }
 
 // Await waits until the version is in force in this process, but at most for
--- a/subscriber/view_test.go
+++ b/subscriber/view_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -43,7 +46,7 @@
 // behind. The version in force must not decrease.
 func TestViewNeverGoesBack(t *testing.T) {
 	v := versions(t, 5)
-	view := subscriber.NewView(all, asserter.Strict{})
+	view := subscriber.NewView(all, asserter.Strict{}, clockwork.NewFakeClock())
 	require.NoError(t, view.Apply(update(v[4], 0)))
 	// Both a complete older configuration, as a lagging replica sends it, and a delta to
 	// an older version are ignored.
@@ -76,7 +79,7 @@
 // not be merged.
 func TestViewRefusesADeltaThatLeavesAGap(t *testing.T) {
 	v := versions(t, 4)
-	view := subscriber.NewView(all, asserter.Strict{})
+	view := subscriber.NewView(all, asserter.Strict{}, clockwork.NewFakeClock())
 	require.NoError(t, view.Apply(update(v[1], 0)))
 	err := view.Apply(update(v[4], 3))
 	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
@@ -95,7 +98,7 @@
 	v := versions(t, 3)
 	peer := netip.MustParseAddrPort("127.0.0.9:7400")
 	calls := 0
-	view := subscriber.NewView(all, asserter.Strict{})
+	view := subscriber.NewView(all, asserter.Strict{}, clockwork.NewFakeClock())
 	require.NoError(t, view.Apply(update(v[1], 0)))
 	view.Connect(callerFunc(func(addr netip.AddrPort, request any) (any, error) {
 		calls++
@@ -112,6 +115,42 @@
 	require.Equal(t, 1, calls)
 }
 
+// Guards against a peer that is asked again with every message, since it announces a newer
+// version and can't answer for all services, and against one that keeps others from being asked.
+func TestPeerThatCannotAnswerIsAskedSeldom(t *testing.T) {
+	v := versions(t, 3)
+	mute, good := netip.MustParseAddrPort("127.0.0.8:7400"), netip.MustParseAddrPort("127.0.0.9:7400")
+	var calls sync.Map
+	clock := clockwork.NewFakeClock()
+	view := subscriber.NewView(all, asserter.Strict{}, clock)
+	require.NoError(t, view.Apply(update(v[1], 0)))
+	blocked, answered := make(chan struct{}), make(chan struct{}, 64)
+	view.Connect(callerFunc(func(addr netip.AddrPort, request any) (any, error) {
+		n, _ := calls.LoadOrStore(addr, new(atomic.Int64))
+		n.(*atomic.Int64).Add(1)
+		if addr == mute {
+			<-blocked
+			defer func() { answered <- struct{}{} }()
+			return &subscriber.ConfigurationAnswer{}, nil
+		}
+		return &subscriber.ConfigurationAnswer{Configuration: update(v[2], request.(*subscriber.ConfigurationRequest).Have).Configuration}, nil
+	}))
+	view.Observe(mute, v[3].Version)
+	clock.Advance(300 * time.Millisecond)
+	view.Observe(good, v[2].Version)
+	for view.Current() < v[2].Version {
+		view.Await(t.Context(), v[2].Version)
+	}
+	close(blocked)
+	<-answered
+	for range 100 {
+		view.Observe(mute, v[3].Version)
+		clock.Advance(7 * time.Millisecond)
+	}
+	n, _ := calls.Load(mute)
+	require.LessOrEqual(t, n.(*atomic.Int64).Load(), int64(2), "in 1 s")
+}
+
 // Guards against a process that ends since no control replica is named.
 func TestSubscriberWithoutAddresses(t *testing.T) {
 	s := subscriber.New(subscriber.Config{}, nil, nil, nil, clockwork.NewFakeClock(), zap.NewNop())
@@ -122,7 +161,7 @@
 // Whole and incremental updates change the list of members. An update that only confirms a
 // renewal must not call the watchers.
 func TestMembersFollowUpdates(t *testing.T) {
-	view := subscriber.NewView(all, asserter.Strict{})
+	view := subscriber.NewView(all, asserter.Strict{}, clockwork.NewFakeClock())
 	changes := 0
 	view.Watch(func() { changes++ })
 	require.NoError(t, view.Apply(&subscriber.Update{Members: &subscriber.MembersUpdate{
