relayer: keep a connection from any attempt that it has carried

A report of another operator: a faulty runner wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run which a runner had run or was running. Here answers are matched by the attempt's id, and a connection that had carried the same attempt was left, but only among its last two requests.

What callers saw, by TestRefusalWrittenOnceMoreIsNotTakenForAnotherAnswer: a resend under the same attempt id was answered 503 while it ran, where two or more other requests had used the connection in between. Requests that must not run twice have connections of their own, and were not affected.

Change: a connection remembers all attempts that it has carried, and ends after 256.

Two further reports are ruled out here by tests that pass before as well: TestStreamIsNotContinuedByAnError (the upstream that is to go on with a broken stream answers with an error, a refusal, another body, half a head or nothing: the stream ends cut off, without a byte of it) and TestHeadThatEndsEarlyIsNoAnswer (a head that ends after any of its bytes is answered 502).

--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"celeryvalve/identifier"
@@ -25,6 +27,8 @@
 	readerSize          = 4 << 10
 	writerSize          = 4 << 10
 	maxEarlierResponses = 2 // responses to earlier attempts that are skipped before giving up
+	// maxCarried is how many requests a connection carries before it is closed.
+	maxCarried = 256
 	// maxHeadSize limits the bytes in which the head of a response must be complete, with
 	// the informational responses before it.
 	maxHeadSize = 64 << 10
@@ -44,9 +48,9 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	used        bool
-	// carried holds the attempt ids of the last maxEarlierResponses requests. An extra
-	// response to one of them may still arrive.
-	carried []identifier.AttemptID
+	// carried holds the hashes of the attempt ids of all requests on the connection. An
+	// extra response to any of them may still arrive.
+	carried []uint64
 }
 
 // dial opens a connection to the upstream within connectTimeout.
@@ -75,10 +79,10 @@
 	return errors.Join(err, sockErr)
 }
 
-// reusable reports whether an idle connection may carry another request: its idle
-// timeout has not passed, it is open, and no unsolicited bytes have arrived on it.
+// reusable reports whether an idle connection may carry another request: it has carried
+// fewer than maxCarried, its idle timeout has not passed, it is open, and no unsolicited bytes have arrived on it.
 func (c *connection) reusable(now time.Time) bool {
-	if c.reader.Buffered() > 0 || (c.idleTimeout > 0 && now.Sub(c.idleSince) > c.idleTimeout) {
+	if len(c.carried) >= maxCarried || c.reader.Buffered() > 0 || (c.idleTimeout > 0 && now.Sub(c.idleSince) > c.idleTimeout) {
 		return false
 	}
 	sys, ok := c.conn.(syscall.Conn)
@@ -101,8 +105,12 @@
 
 // carry records that a request of the attempt is sent on the connection.
 func (c *connection) carry(attempt identifier.AttemptID) {
-	c.carried = append(c.carried, attempt)
-	c.carried = c.carried[max(0, len(c.carried)-maxEarlierResponses):]
+	c.carried = append(c.carried, xxhash.Sum64String(string(attempt)))
+}
+
+// hasCarried reports whether a request of the attempt was sent on the connection.
+func (c *connection) hasCarried(attempt identifier.AttemptID) bool {
+	return slices.Contains(c.carried, xxhash.Sum64String(string(attempt)))
 }
 
 // write sends the request. sent reports whether any byte may have reached the upstream.
--- a/relayer/pool.go
+++ b/relayer/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,16 +47,16 @@
 }
 
 // get returns the most recently used idle connection that is reusable, or a new
-// connection if there is none. A connection that has just carried a request with the same
-// attempt id is closed: an extra response to that request could not be told from the
-// response to this one.
+// connection if there is none. A connection that has carried a request with the same attempt
+// id is closed: an extra response to that request could not be told from the response to
+// this one.
 func (p *pool) get(ctx context.Context, addr netip.AddrPort, attempt identifier.AttemptID) (*connection, error) {
 	for {
 		c := p.pop(addr)
 		if c == nil {
 			return dial(ctx, addr)
 		}
-		if !slices.Contains(c.carried, attempt) && c.reusable(p.clock.Now()) {
+		if !c.hasCarried(attempt) && c.reusable(p.clock.Now()) {
 			c.used = true
 			return c, nil
 		}
