executor: keep connections only to an upstream that names the attempt

The HTTP client takes whatever arrives on a kept connection for the answer to the request that it has sent: an earlier answer that the upstream writes once more, or one to a probe.

What callers saw, by TestEarlierResponseIsNotTakenForTheNext: the answer to another request, as complete. Only repeatable requests use kept connections.

Change: an answer that names another attempt is corrupt, and so is one without a name on a kept connection. Connections are kept while the upstream's answers name the attempt (X-Attempt-Id); others get a new connection for each request, on the same instance. Half a head is no answer here either: TestHeadThatEndsEarlyIsNoAnswer.

TestAttemptIsSentOnceOnAReusedConnection and TestAnswerIsPassedOnWhole now name the attempt, so that they still run over a kept connection; without one, the test's server drops the header Connection that the latter is about.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -89,6 +90,9 @@
 	// that the upstream has closed, the HTTP client might resend a request by itself.
 	singleUseClient *http.Client
 	pooledClient    *http.Client
+	// echoesAttempts is set while the upstream's responses name their attempt. Only then is a
+	// connection kept: an extra response could otherwise be taken for that to the next request.
+	echoesAttempts atomic.Bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -17,6 +17,7 @@
 	c := newTestCluster(t)
 	c.add("u1", func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id")) // keeps the connection, and so the header Connection
 		w.Header().Set("Trailer", "X-Sum")
 		w.Header().Set("Connection", "X-Private")
 		w.Header().Set("X-Private", "no")
@@ -24,6 +25,7 @@
 		w.(http.Flusher).Flush()
 		w.Header().Set("X-Sum", "7")
 	})
+	require.Equal(t, router.Completed, c.send(t.Context(), http.MethodGet, "/first", nil).outcome)
 	got := c.send(t.Context(), http.MethodGet, "/a%2Fb?x=1", nil)
 	require.NoError(t, got.err)
 	require.Equal(t, "GET /a%2Fb?x=1 housing ", got.body)
--- a/executor/failure_test.go
+++ b/executor/failure_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -316,6 +318,7 @@
 	var aborted atomic.Int32
 	var srv *http.Server
 	u := c.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		if r.URL.Path == "/abort" {
 			aborted.Add(1)
 			_ = srv.Close()
@@ -328,3 +331,75 @@
 	require.Equal(t, router.Unknown, got.outcome, "the request ran, so its outcome must not be NotRun")
 	require.Equal(t, int32(1), aborted.Load())
 }
+
+// Guards against an earlier response that an upstream writes once more on a kept connection:
+// its caller would get the answer to another request.
+func TestEarlierResponseIsNotTakenForTheNext(t *testing.T) {
+	for _, echoes := range []bool{true, false} {
+		t.Run(fmt.Sprint("upstream names the attempt: ", echoes), func(t *testing.T) {
+			c := newTestCluster(t)
+			var mu sync.Mutex
+			earlier := make(map[string]string) // by the address of the connection's other end
+			c.add("u1", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/x" {
+					return // a probe
+				}
+				conn, _, err := w.(http.Hijacker).Hijack()
+				require.NoError(t, err)
+				defer func() { _ = conn.Close() }()
+				respond := func(r *http.Request) {
+					head := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+					if echoes {
+						head += "X-Attempt-Id: " + r.Header.Get("X-Attempt-Id") + "\r\n"
+					}
+					response := head + "\r\n" + r.URL.RawQuery
+					mu.Lock()
+					_, _ = io.WriteString(conn, earlier[r.RemoteAddr]+response)
+					earlier[r.RemoteAddr] = response
+					mu.Unlock()
+				}
+				reader := bufio.NewReader(conn)
+				remote := r.RemoteAddr
+				for err == nil {
+					respond(r)
+					if r, err = http.ReadRequest(reader); err == nil {
+						r.RemoteAddr = remote
+					}
+				}
+			})
+			for i := range 5 {
+				want := fmt.Sprint("ask=", i)
+				got := c.send(t.Context(), http.MethodGet, "/x?"+want, nil)
+				if got.outcome == router.Completed {
+					require.Equal(t, want, got.body)
+				}
+				if !echoes {
+					require.Equal(t, router.Completed, got.outcome)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a success, framed as whole, that is made of the beginning of a head: the
+// upstream closes the connection after any of its bytes.
+func TestHeadThatEndsEarlyIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n"
+	c := newTestCluster(t)
+	var cut atomic.Int64
+	c.add("u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/x" {
+			return // a probe
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		require.NoError(t, err)
+		_, _ = io.WriteString(conn, head[:cut.Load()])
+		_ = conn.Close()
+	})
+	for n := range len(head) {
+		cut.Store(int64(n))
+		got := c.send(t.Context(), http.MethodPost, "/x", nil, "Idempotency-Key", fmt.Sprint("k", n))
+		require.NotEqual(t, router.Completed, got.outcome, "%q", head[:n])
+		require.GreaterOrEqual(t, got.status, http.StatusInternalServerError)
+	}
+}
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -79,11 +79,15 @@
 		return nil, err
 	}
 	started := x.clock.Now()
-	resp, err := x.clientFor(r).Do(req)
+	client := x.clientFor(r)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := x.checkAttempt(r, resp, client == x.pooledClient); err != nil {
+		return nil, err
+	}
 	x.post(admitter.ResponseStarted{
 		Attempt: r.start.Attempt,
 		Latency: x.clock.Since(started),
@@ -128,12 +132,24 @@
 }
 
 func (x *Executor) clientFor(r *run) *http.Client {
-	if r.start.Class == router.NonIdempotent {
+	if r.start.Class == router.NonIdempotent || !x.echoesAttempts.Load() {
 		return x.singleUseClient
 	}
 	return x.pooledClient
 }
 
+// checkAttempt returns an error if the response names another attempt, or none although the
+// connection has carried other requests.
+func (x *Executor) checkAttempt(r *run, resp *http.Response, kept bool) error {
+	named := resp.Header.Get(headerAttempt)
+	x.echoesAttempts.Store(named == string(r.start.Attempt))
+	if named == string(r.start.Attempt) || named == "" && !kept {
+		return nil
+	}
+	return explainer.New(explainer.Corrupt, fmt.Sprintf("the response names attempt %q instead of %q", named, r.start.Attempt),
+		"have the upstream answer each request once, with the request's "+headerAttempt)
+}
+
 func (x *Executor) newRequest(r *run) (*http.Request, error) {
 	s := r.start
 	url := fmt.Sprintf("http://%s%s", x.cfg.Address, s.Path)
