--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -74,7 +74,7 @@
 	}
 	c.metrics = newMetrics(c)
 	c.inbox = newInbox(c.metrics.dropped)
-	c.writer = newWriter(store, clock, c.metrics.syncSeconds, c.inbox.put, c.fail)
+	c.writer = newWriter(store, clock, c.metrics.syncSeconds, c.log, c.inbox.put, c.fail)
 	return c
 }
 
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -2,14 +2,20 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
 
+// slowWrite is how long a write of the log takes at least to be logged: several commits may
+// then miss the time that their submitters wait.
+const slowWrite = 500 * time.Millisecond
+
 // job is one write: a Persist effect or a snapshot to save.
 type job struct {
 	persist  replicator.Persist
@@ -23,6 +29,7 @@
 	store       *recorder.Recorder
 	clock       clockwork.Clock
 	syncSeconds *metrics.Histogram
+	log         *zap.Logger
 	notify      func(replicator.Event)
 	fail        func(error)
 
@@ -31,9 +38,9 @@
 	signal chan struct{}
 }
 
-func newWriter(store *recorder.Recorder, clock clockwork.Clock, syncSeconds *metrics.Histogram,
+func newWriter(store *recorder.Recorder, clock clockwork.Clock, syncSeconds *metrics.Histogram, log *zap.Logger,
 	notify func(replicator.Event), fail func(error)) *writer {
-	return &writer{store: store, clock: clock, syncSeconds: syncSeconds, notify: notify, fail: fail, signal: make(chan struct{}, 1)}
+	return &writer{store: store, clock: clock, syncSeconds: syncSeconds, log: log, notify: notify, fail: fail, signal: make(chan struct{}, 1)}
 }
 
 func (w *writer) put(j job) {
@@ -83,7 +90,11 @@
 		if err := w.store.Append(batch); err != nil {
 			return err
 		}
-		w.syncSeconds.Update(w.clock.Since(start).Seconds())
+		took := w.clock.Since(start)
+		w.syncSeconds.Update(took.Seconds())
+		if took >= slowWrite {
+			w.log.Warn("A write of the log took long.", zap.Duration("took", took), zap.Int("merged", n), zap.Int("entries", len(batch.Entries)))
+		}
 		w.notify(replicator.Persisted{Sequence: sequence})
 		jobs = jobs[n:]
 	}
