balancer: use a part of one's share of a cold upstream at once

A known failure: where all entries restart as upstreams turn cold, none uses its share for 2.2 s, since another entry may still use the same one, and the upstreams get 217 to 248 of the 255 requests that they should in 3 s.

Cause: the time to take over a share has no middle between nothing and all, though a cold upstream bears more than the shares of all entries together: cold_per_s x overage + allowance.

Change: within that time an entry uses the part of its share that is left of this when all shares are used twice, with a request more from each: 0.23 where an upstream bears 26 a second x 1.5 + 5. Where a limit is in force, which must hold at once, it is none.

--- a/balancer/cold.go
+++ b/balancer/cold.go
@@ -101,7 +101,7 @@
 		r.coldChanges = append(r.coldChanges, change)
 	}
 	if bound && u.pacer != nil {
-		u.pacer.SetRate(r.paceOf(now, u) / float64(u.holders))
+		u.pacer.SetRate(r.ownPace(now, u))
 	}
 }
 
@@ -117,6 +117,18 @@
 	return max(minColdRate, min(rate, room))
 }
 
+// takeoverFraction returns the part of its share that an entry uses although another one may
+// still use the same share. Together, with one request more from each, they stay within what a
+// cold upstream bears. It is 0 for an upstream with a limit, which must hold at once.
+func (r *Reducer) takeoverFraction(u *upstream) float64 {
+	rate := r.services[u.view.Service].ColdRate
+	if !u.cold.bound || u.limit.InForce || rate <= 0 || r.cfg.ColdOverage <= 0 {
+		return 0
+	}
+	room := rate*r.cfg.ColdOverage + r.cfg.ColdAllowance - 2*float64(holdersOf(rate))
+	return min(1, max(0, room/r.coldTop(u)-1))
+}
+
 // minColdRate keeps what is sent to a cold upstream positive, in requests per second.
 const minColdRate = 0.5
 
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -83,25 +83,36 @@
 }
 
 // updateShare sets the pace at which this entry sends requests to the upstream. A share
-// that another entry may have had is used takeoverDelay after the entries changed.
+// that another entry may have had is used takeoverDelay after the entries changed, but for
+// the part that the upstream bears besides the shares of all.
 func (r *Reducer) updateShare(now time.Time, u *upstream) {
 	share, rank := r.shareOf(now, u)
 	switch {
 	case share == 0:
 		u.pacer = nil
 	case u.pacer == nil:
-		first := r.entriesChangedAt.Add(takeoverDelay)
-		if first.Before(now) {
+		first := later(now, r.entriesChangedAt.Add(takeoverDelay))
+		if u.wholeShareFrom = first; first.After(now) && r.takeoverFraction(u) > 0 {
 			first = now
 		}
 		// Entries whose shares begin together take turns.
 		turn := time.Duration(float64(rank) * float64(time.Second) / r.paceOf(now, u))
-		u.pacer = limiter.NewPacer(share, first.Add(turn))
+		u.pacer = limiter.NewPacer(r.ownPace(now, u), first.Add(turn))
 	default:
-		u.pacer.SetRate(share)
+		u.pacer.SetRate(r.ownPace(now, u))
 	}
 }
 
+// ownPace returns the requests per second that this entry, which has a share, may send to the
+// upstream now: a part of its share until takeoverDelay has passed.
+func (r *Reducer) ownPace(now time.Time, u *upstream) float64 {
+	share := r.paceOf(now, u) / float64(u.holders)
+	if fraction := r.takeoverFraction(u); fraction > 0 && now.Before(u.wholeShareFrom) {
+		return fraction * share
+	}
+	return share
+}
+
 // shareOf returns this entry's share of what the upstream accepts, in requests per second, and
 // its rank among the entries that have one. All entries rank each other alike for an
 // upstream, those in its availability zone first. The first ones share the limit equally:
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -63,6 +63,8 @@
 	limit limiter.RequestLimit
 	pacer *limiter.Pacer
 
+	// wholeShareFrom is when no other entry uses the share that pacer stands for any more.
+	wholeShareFrom time.Time
 	// holders is the number of entries that share what the upstream accepts while it is
 	// limited or cold.
 	holders int
