placer: read differing manifests a bounded number of times

TestManifestThatNeverAgreesIsReadAFewTimes read without end before (until the time of the attempt was over).

--- a/placer/pinner.go
+++ b/placer/pinner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"celeryvalve/declarer"
+	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/platform"
 )
@@ -22,6 +24,8 @@
 	// matchingReads is how many equal copies of a manifest must be read in a row
 	// before it is pinned: the origin may corrupt one of them.
 	matchingReads = 2
+	// maxManifestReads bounds the reads of one attempt, whose copies may all differ.
+	maxManifestReads = 8
 )
 
 // pinner proposes the digests of each named release, so that they are pinned. It is
@@ -90,8 +94,8 @@
 	return readManifest(ctx, origin, model, n)
 }
 
-// readManifest reads the manifest until matchingReads copies in a row are equal. The
-// first copies are read at once: the origin may be lost soon.
+// readManifest reads the manifest until matchingReads copies in a row are equal, at most
+// maxManifestReads times. The first copies are read at once: the origin may be lost soon.
 func readManifest(ctx context.Context, origin *platform.OriginClient, model identifier.Model, n declarer.ReleaseNumber) (declarer.Pinned, error) {
 	copies := make([]declarer.Pinned, matchingReads)
 	var group errgroup.Group
@@ -108,13 +112,19 @@
 	for _, next := range copies[1:] {
 		last, matches = compareManifest(last, next, matches)
 	}
-	for matches < matchingReads {
+	for range maxManifestReads - matchingReads {
+		if matches == matchingReads {
+			break
+		}
 		next, err := origin.Manifest(ctx, model, n)
 		if err != nil {
 			return next, err
 		}
 		last, matches = compareManifest(last, next, matches)
 	}
+	if matches < matchingReads {
+		return declarer.Pinned{}, explainer.New(explainer.Corrupt, fmt.Sprintf("no %d of %d manifests in a row are equal", matchingReads, maxManifestReads), "check the origin")
+	}
 	return last, nil
 }
 
