spreader, registrar: send tables of upstreams only to whom lacks them

Cause: whenever a stream began, each end sent its whole table, some 0.8 MB of records. After a restart of all replicas 300 processes sent it to each replica that they follow, and got it back from each as the replicas relearned it: hundreds of megabytes over links of 26 Mbit/s. Elections and streams timed out on these links, and streams that begin anew send the table again. It is the class of the stale peer: a loop that costs a whole state each time, with no check whether that brought anything.

Change: with 128 records or more a follower tells the digests of those that it has, and the replica leaves these out for 10 s, unless it has sent another record of the same upstream. The follower keeps its own table back for up to 8 s, spread over the followers, and sends it only if the sum of the replica's still differs then. Smaller tables are sent as before. Both fields are optional: a process of the release before sends and gets whole tables.

--- a/registrar/record.go
+++ b/registrar/record.go
@@ -1,8 +1,12 @@
 package registrar
 
 import (
+	"encoding/binary"
+	"math"
 	"net/netip"
 
+	"github.com/cespare/xxhash/v2"
+
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
 	"celeryvalve/limiter"
@@ -70,6 +74,29 @@
 	return r == other
 }
 
+// Digest is a hash of a record without what can change with every report.
+type Digest uint64
+
+// Digest returns the digest of the record. It is the same at all processes.
+func (r Record) Digest() Digest {
+	var b []byte
+	for _, text := range []string{
+		string(r.Upstream), string(r.Service), r.Address.String(), string(r.AvailabilityZone), string(r.Region), string(r.State), string(r.Model),
+	} {
+		b = append(append(b, text...), 0)
+	}
+	for _, n := range []uint64{
+		uint64(r.Incarnation), uint64(r.Slots), uint64(r.Release), uint64(r.Noted), r.Stamp,
+		math.Float64bits(r.Limit.PerSecond), r.Limit.Stamp,
+	} {
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	if r.Limit.InForce {
+		b = append(b, 1)
+	}
+	return Digest(xxhash.Sum64(b))
+}
+
 // newerThan reports whether r is newer than the other record of the same upstream.
 func (r Record) newerThan(other Record) bool {
 	if r.Incarnation != other.Incarnation {
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -31,10 +31,13 @@
 	// byName holds the entries sorted by name, or nil if one was added or dropped since.
 	byName []*entry
 	cursor Cursor
+	// sum combines the digests of all records.
+	sum uint64
 }
 
 type entry struct {
 	record  Record
+	digest  Digest // of the record
 	heardAt time.Time
 	changed Cursor
 	// coldUntil is when the upstream has warmed up, by the report with coldSequence.
@@ -191,6 +194,9 @@
 func (t *Table) markChanged(e *entry) {
 	t.cursor++
 	e.changed = t.cursor
+	t.sum -= uint64(e.digest)
+	e.digest = e.record.Digest()
+	t.sum += uint64(e.digest)
 }
 
 // Refresh records that an upstream has sent a new report. It returns false if the
@@ -238,6 +244,31 @@
 	return list, t.cursor
 }
 
+// Len returns the number of records.
+func (t *Table) Len() int {
+	return len(t.entries)
+}
+
+// Sum returns a value that is equal for tables with equal records, but for what changes with
+// every report.
+func (t *Table) Sum() uint64 {
+	return t.sum
+}
+
+// Digests returns the digests of all records, sorted by upstream.
+func (t *Table) Digests() []Digest {
+	list := make([]Digest, 0, len(t.entries))
+	for _, e := range t.sorted() {
+		list = append(list, e.digest)
+	}
+	return list
+}
+
+// Cursor returns the position after the last change.
+func (t *Table) Cursor() Cursor {
+	return t.cursor
+}
+
 // Upstreams returns all upstreams that are not Gone, sorted by name.
 func (t *Table) Upstreams(now time.Time) []KnownUpstream {
 	list := make([]KnownUpstream, 0, len(t.entries))
@@ -283,6 +314,7 @@
 		if now.Sub(e.heardAt) > t.cfg.ForgetAfter {
 			delete(t.entries, name)
 			t.byName = nil
+			t.sum -= uint64(e.digest)
 		}
 	}
 }
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -24,6 +24,9 @@
 	Loads bool
 	// Start tells the processes of one entry that follow each other apart.
 	Start int64 `cbor:",omitempty"`
+	// Digests holds those of the records that the follower has, eight bytes each, big-endian.
+	// It is empty if these are few.
+	Digests []byte `cbor:",omitempty"`
 }
 
 // Update is an update that either end of a stream sends to the other. An empty one
@@ -45,6 +48,8 @@
 	// StartedAgo is how long ago the sender, a control replica, started; for a follower of
 	// this one alone, how long ago the replica that started last did.
 	StartedAgo time.Duration `cbor:",omitempty"`
+	// TableSum is the sum of the records of the sender, a control replica, if these are many.
+	TableSum uint64 `cbor:",omitempty"`
 	// Entries is the number of entries that the sender, a control replica, counts.
 	Entries int `cbor:",omitempty"`
 	// TakesRequests reports that the sender is an entry that callers send requests to.
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -43,12 +43,14 @@
 	if follower.Address.IsValid() {
 		s.regions[follower.Address.String()] = follower.Region
 	}
+	known := newKnownRecords(s.clock.Now(), follower.Digests)
 	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
-	sent := &sentState{includeLoads: follower.Loads, follower: follower}
+	follower.Digests = nil
+	sent := &sentState{includeLoads: follower.Loads, follower: follower, known: known}
 	var done sync.WaitGroup
 	defer done.Wait()
 	done.Go(func() {
@@ -103,17 +105,23 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
-	stream, err := s.endpoint.Open(dialCtx, addr, &FollowRequest{
+	sent := &sentState{includeLoads: !s.cfg.FollowAll, followed: addr}
+	s.mu.Lock()
+	request := &FollowRequest{
 		Process: s.cfg.Process, Address: s.cfg.Address, Region: s.cfg.Region, AvailabilityZone: s.cfg.AvailabilityZone,
-		Loads: s.cfg.FollowAll, Start: s.startedAt.UnixNano(),
-	})
+		Loads: s.cfg.FollowAll, Start: s.startedAt.UnixNano(), Digests: s.encodeDigests(),
+	}
+	if sent.backlog = s.newBacklog(); sent.backlog != nil {
+		sent.cursor = sent.backlog.upTo
+	}
+	s.mu.Unlock()
+	stream, err := s.endpoint.Open(dialCtx, addr, request)
 	cancelDial()
 	if err != nil {
 		return err
 	}
 	defer stream.Cancel()
 	defer s.catchUp(catcher.Left{Peer: addr})
-	sent := &sentState{includeLoads: !s.cfg.FollowAll, followed: addr}
 	var done sync.WaitGroup
 	defer done.Wait()
 	defer cancel()
@@ -173,6 +181,13 @@
 	quarantine   quarantiner.Summary
 	quarantineAt time.Time
 	serving      []ServingEntry
+	// known holds what the follower at the other end had when the stream began, if it has said
+	// so and that is not long ago.
+	known *knownRecords
+	// backlog is the table that this follower may still have to send, and peerSum the sum of
+	// the table of the replica that it follows.
+	backlog *backlog
+	peerSum uint64
 }
 
 // sendUpdates sends changes and heartbeats until the stream breaks. Changes that
@@ -210,6 +225,7 @@
 		known = s.ownReplicas
 		update.Led = s.ownReplicas.Led
 		update.StartedAgo = s.clock.Since(s.startFor(sent))
+		update.TableSum = s.largeTableSum()
 		if sent.includeLoads {
 			update.Entries = s.countFollowers()
 			if update.Led {
@@ -231,8 +247,7 @@
 		sent.replicas = known
 		update.Replicas = known
 	}
-	update.Records, sent.cursor = s.table.Since(s.clock.Now(), sent.cursor)
-	update.Records = s.withoutReceived(update.Records, sent)
+	update.Records = s.nextRecords(sent)
 	update.WantsRefreshes = sent.followed.IsValid() && s.wantsRefreshesFrom(sent.followed)
 	update.Refreshes = s.nextRefreshes(sent)
 	if sent.includeLoads && s.loadRound != sent.loadRound {
@@ -258,6 +273,7 @@
 		s.noteReceived(r, sent)
 	}
 	sent.wantsRefreshes = update.WantsRefreshes
+	sent.peerSum = update.TableSum
 	for _, f := range update.Refreshes {
 		s.table.Refresh(now, f)
 	}
