--- a/balancer/explain_test.go
+++ b/balancer/explain_test.go
@@ -35,8 +35,12 @@
 		both(start, balancer.EntriesChanged{Entries: []balancer.Entry{{}}})
 		both(start, balancer.UpstreamsChanged{Upstreams: views})
 		now := start
-		for i := range rapid.IntRange(1, 40).Draw(t, "requests") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+		longestPause, requests := 300, rapid.IntRange(1, 40).Draw(t, "requests")
+		if rapid.Bool().Draw(t, "rush") {
+			longestPause, requests = 10, 5*requests
+		}
+		for i := range requests {
+			now = now.Add(time.Duration(rapid.IntRange(0, longestPause).Draw(t, "pause")) * time.Millisecond)
 			q := promptRequest(fmt.Sprint("q", i), rapid.SampledFrom([]string{"p", "r"}).Draw(t, "part"), 900)
 			q.Objective = time.Duration(rapid.IntRange(60, 400).Draw(t, "objective")) * time.Millisecond
 			q.Random = rapid.Uint64().Draw(t, "random")
