--- a/placer/entry.go
+++ b/placer/entry.go
@@ -103,8 +103,8 @@
 	readiness *http.Server
 	draining  atomic.Bool
 	listening atomic.Bool // for callers
-	// readinessLogged is the last Readiness that was logged.
-	readinessLogged atomic.Value
+	// loggedReadiness is the last readiness that was logged.
+	loggedReadiness atomic.Value
 	stopped         chan struct{}
 
 	// applying guards evacuated, and makes changes of the declared state take turns.
@@ -135,7 +135,7 @@
 		stopped:      make(chan struct{}),
 	}
 	set.NewGauge("celeryvalve_entry_ready", func() float64 {
-		if e.checkReadiness() == Ready {
+		if e.checkReadiness() == isReady {
 			return 1
 		}
 		return 0
@@ -193,41 +193,40 @@
 	return err
 }
 
-// Readiness says whether an entry can serve callers, and otherwise what it lacks.
-type Readiness string
+// readiness says whether an entry can serve callers, and otherwise what it lacks.
+type readiness string
 
-// The values of Readiness.
 const (
-	Ready         Readiness = "Ready"
-	Draining      Readiness = "Draining"
-	NoDeclaration Readiness = "NoDeclaration"
-	NotListening  Readiness = "NotListening"
-	NoUpstreams   Readiness = "NoUpstreams"
+	isReady       readiness = "Ready"
+	isDraining    readiness = "Draining"
+	noDeclaration readiness = "NoDeclaration"
+	notListening  readiness = "NotListening"
+	noUpstreams   readiness = "NoUpstreams"
 )
 
-func (e *entry) checkReadiness() Readiness {
+func (e *entry) checkReadiness() readiness {
 	switch {
 	case e.draining.Load():
-		return Draining
+		return isDraining
 	case e.view.CurrentVersion() == 0:
-		return NoDeclaration
+		return noDeclaration
 	case !e.listening.Load():
-		return NotListening
+		return notListening
 	case len(e.spreader.Upstreams()) == 0:
-		return NoUpstreams
+		return noUpstreams
 	default:
-		return Ready
+		return isReady
 	}
 }
 
 // serveReadiness responds with 200 if the entry can serve callers, and with 503
 // otherwise.
 func (e *entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	readiness := e.checkReadiness()
-	if last := e.readinessLogged.Swap(readiness); last != readiness {
-		e.log.Info("Readiness changed.", zap.String("readiness", string(readiness)))
+	now := e.checkReadiness()
+	if last := e.loggedReadiness.Swap(now); last != now {
+		e.log.Info("Readiness changed.", zap.String("readiness", string(now)))
 	}
-	if readiness != Ready {
+	if now != isReady {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/spreader/backlog_test.go
+++ b/spreader/backlog_test.go
@@ -44,15 +44,9 @@
 
 // follow begins a stream of the follower to the replica.
 func (n *tableNetwork) follow(s *Spreader) {
-	stream := &tableStream{follower: s, up: &sentState{followed: netip.MustParseAddrPort("10.0.0.1:1")}}
-	if stream.up.backlog = s.newBacklog(); stream.up.backlog != nil {
-		stream.up.cursor = stream.up.backlog.upTo
-	}
-	stream.down = &sentState{
-		follower: &FollowRequest{Process: s.cfg.Process}, includeLoads: true,
-		known: newKnownRecords(n.clock.Now(), s.encodeDigests()),
-	}
-	n.streams = append(n.streams, stream)
+	request, up := s.newFollowRequest(netip.MustParseAddrPort("10.0.0.1:1"))
+	down := &sentState{follower: request, includeLoads: true, known: newKnownRecords(n.clock.Now(), request.Digests)}
+	n.streams = append(n.streams, &tableStream{follower: s, up: up, down: down})
 }
 
 // run passes updates on every 100 ms: small ones would be sent at once.
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -43,14 +43,13 @@
 	if follower.Address.IsValid() {
 		s.regions[follower.Address.String()] = follower.Region
 	}
-	known := newKnownRecords(s.clock.Now(), follower.Digests)
 	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
-	follower.Digests = nil
-	sent := &sentState{includeLoads: follower.Loads, follower: follower, known: known}
+	sent := &sentState{includeLoads: follower.Loads, follower: follower, known: newKnownRecords(s.clock.Now(), follower.Digests)}
+	follower.Digests = nil // follower is kept as long as the stream
 	var done sync.WaitGroup
 	defer done.Wait()
 	done.Go(func() {
@@ -104,17 +103,8 @@
 func (s *Spreader) followOnce(ctx context.Context, addr netip.AddrPort, reconnecting bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	request, sent := s.newFollowRequest(addr)
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
-	sent := &sentState{includeLoads: !s.cfg.FollowAll, followed: addr}
-	s.mu.Lock()
-	request := &FollowRequest{
-		Process: s.cfg.Process, Address: s.cfg.Address, Region: s.cfg.Region, AvailabilityZone: s.cfg.AvailabilityZone,
-		Loads: s.cfg.FollowAll, Start: s.startedAt.UnixNano(), Digests: s.encodeDigests(),
-	}
-	if sent.backlog = s.newBacklog(); sent.backlog != nil {
-		sent.cursor = sent.backlog.upTo
-	}
-	s.mu.Unlock()
 	stream, err := s.endpoint.Open(dialCtx, addr, request)
 	cancelDial()
 	if err != nil {
@@ -146,6 +136,21 @@
 	}
 }
 
+// newFollowRequest returns the first message of a stream to addr, and the state of the stream.
+func (s *Spreader) newFollowRequest(addr netip.AddrPort) (*FollowRequest, *sentState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	request := &FollowRequest{
+		Process: s.cfg.Process, Address: s.cfg.Address, Region: s.cfg.Region, AvailabilityZone: s.cfg.AvailabilityZone,
+		Loads: s.cfg.FollowAll, Start: s.startedAt.UnixNano(), Digests: s.encodeDigests(),
+	}
+	sent := &sentState{includeLoads: !s.cfg.FollowAll, followed: addr, backlog: s.newBacklog()}
+	if sent.backlog != nil {
+		sent.cursor = sent.backlog.upTo
+	}
+	return request, sent
+}
+
 func (s *Spreader) receive(ctx context.Context, stream *connector.Stream) (*Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
