--- a/spreader/doc.go
+++ b/spreader/doc.go
@@ -10,8 +10,13 @@
 // reach consensus.
 //
 // The declared state is fetched instead: a replica sends its revision with each
-// update, and a process with an older revision requests the difference. Versions
-// never decrease.
+// update, and a process with an older revision requests the difference from a peer
+// that package catcher chooses. Versions never decrease.
+//
+// A process without a disk knows only its seeds when it starts. A control replica
+// therefore follows the seeds that don't follow it, until they have learned of the
+// replicas. With many upstreams, the ends of a new stream compare their tables before
+// they send them.
 //
 // # Usage
 //
