--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -80,7 +80,8 @@
 }
 
 // reusable reports whether an idle connection may carry another request: it has carried
-// fewer than maxCarried, its idle timeout has not passed, it is open, and no unsolicited bytes have arrived on it.
+// fewer than maxCarried, its idle timeout has not passed, it is open, and no unsolicited
+// bytes have arrived on it.
 func (c *connection) reusable(now time.Time) bool {
 	if len(c.carried) >= maxCarried || c.reader.Buffered() > 0 || (c.idleTimeout > 0 && now.Sub(c.idleSince) > c.idleTimeout) {
 		return false
--- a/spreader/backlog.go
+++ b/spreader/backlog.go
@@ -27,6 +27,7 @@
 	// backlogRetries is how many heartbeats later a table that differs is compared again
 	// before it is sent: changes may be on their way.
 	backlogRetries = 2
+	digestSize     = 8 // bytes of an encoded digest
 )
 
 // knownRecords holds the digests of the records that a follower had when its stream began.
@@ -55,13 +56,12 @@
 	if len(encoded) == 0 {
 		return nil
 	}
-	const size = 8 // bytes of a digest
 	k := &knownRecords{
-		digests: make(map[registrar.Digest]struct{}, len(encoded)/size),
+		digests: make(map[registrar.Digest]struct{}, len(encoded)/digestSize),
 		until:   now.Add(knownLifetime),
 		sent:    make(map[identifier.Upstream]struct{}),
 	}
-	for ; len(encoded) >= size; encoded = encoded[size:] {
+	for ; len(encoded) >= digestSize; encoded = encoded[digestSize:] {
 		k.digests[registrar.Digest(binary.BigEndian.Uint64(encoded))] = struct{}{}
 	}
 	return k
@@ -102,24 +102,35 @@
 	return &backlog{upTo: s.table.Cursor(), due: s.clock.Now().Add(delay)}
 }
 
+// takeBacklog reports whether the stream's backlog is to be sent now. It is dropped if the
+// replica has the same table meanwhile. The caller holds s.mu.
+func (s *Spreader) takeBacklog(now time.Time, sent *sentState) bool {
+	b := sent.backlog
+	switch {
+	case b == nil || now.Before(b.due):
+		return false
+	case sent.peerSum != 0 && sent.peerSum == s.table.Sum():
+		sent.backlog = nil
+		return false
+	case sent.peerSum != 0 && b.retries < backlogRetries:
+		b.retries++
+		b.due = now.Add(heartbeatInterval)
+		return false
+	default:
+		sent.backlog = nil
+		return true
+	}
+}
+
 // nextRecords returns the records that the other end of the stream is to be sent now. The
 // caller holds s.mu.
 func (s *Spreader) nextRecords(sent *sentState) []registrar.Record {
 	now := s.clock.Now()
-	from := sent.cursor
-	if b := sent.backlog; b != nil && !now.Before(b.due) {
-		switch {
-		case sent.peerSum != 0 && sent.peerSum == s.table.Sum():
-			sent.backlog = nil
-		case sent.peerSum != 0 && b.retries < backlogRetries:
-			b.retries++
-			b.due = now.Add(heartbeatInterval)
-		default:
-			sent.backlog, from = nil, 0
-		}
+	if s.takeBacklog(now, sent) {
+		sent.cursor = 0
 	}
 	var records []registrar.Record
-	records, sent.cursor = s.table.Since(now, from)
+	records, sent.cursor = s.table.Since(now, sent.cursor)
 	records = s.withoutReceived(records, sent)
 	if sent.known == nil {
 		return records
