review: show that an acknowledged departure is lost with the machine that took it

Cause: placer's controlAPI.Leave confirms as soon as its own table has the record; no other process needs to have it.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,13 +25,14 @@
 // cases plays a case and reports whether its rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"late-heartbeat": lateHeartbeat,
+	"acked-leave":    ackedLeave,
 }
 
 func main() {
 	name := flag.String("case", "", "name of the case")
 	root := flag.String("root", ".", "folder of the repository")
 	folder := flag.String("folder", ".", "folder of the record")
-	plain := flag.Int("plain", 2, "machines without a disk")
+	plain := flag.Int("plain", 3, "machines without a disk")
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
 	os.Exit(run(*name, *root, *folder, *plain, *trouble))
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -71,8 +71,8 @@
 	u.runs++
 	u.mu.Unlock()
 	u.fleet.record.add("runner", "%s runs request %s (%s %s, %d bytes)", u.id, attempt, r.Method, r.URL.RequestURI(), len(body))
-	time.Sleep(u.work)
 	h.Set("Celeryvalve-Response-Signature", u.id+"."+attempt)
+	time.Sleep(u.work)
 	_, _ = fmt.Fprintf(w, "%s answered %s", u.id, attempt)
 }
 
