review: show that a raised limit on headers is never in force

Cause: relayer.Server sets the limit on headers once, from the first declaration that a process learns of.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,6 +25,7 @@
 // cases plays a case and reports whether its rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"late-heartbeat": lateHeartbeat,
+	"header-limit":   headerLimit,
 	"acked-leave":    ackedLeave,
 }
 
