review: show that bodies within the limit end a process by its memory

Cause: relayer reads each body whole before it admits the request, and nothing bounds the bytes that are held at once.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"late-heartbeat": lateHeartbeat,
 	"header-limit":   headerLimit,
+	"memory":         memory,
 	"acked-leave":    ackedLeave,
 }
 
