review: show that consumers that leave in order are told of a success

Cause: where a caller's channel has ended, relayer returns without an answer, and the HTTP server completes it: 200 without a body, or the end mark of a stream that was cut.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,6 +25,7 @@
 // cases plays a case and reports whether its rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"late-heartbeat": lateHeartbeat,
+	"leaver":         leavingConsumers,
 	"header-limit":   headerLimit,
 	"memory":         memory,
 	"acked-leave":    ackedLeave,
@@ -60,14 +61,14 @@
 	defer f.close()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	type outcome struct {
+	type ending struct {
 		broken bool
 		err    error
 	}
-	done := make(chan outcome, 1)
+	done := make(chan ending, 1)
 	go func() {
 		isBroken, err := play(f, trouble)
-		done <- outcome{isBroken, err}
+		done <- ending{isBroken, err}
 	}()
 	select {
 	case o := <-done:
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -20,11 +20,14 @@
 	fleet                  *fleet
 	id, service, addr, zon string
 	work                   time.Duration
-	controls               []string
+	// events is how many events an answer has, or 0 for an answer without events.
+	events   int
+	controls []string
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	server *http.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+	listener net.Listener
+	server   *http.Server
 
 	mu   sync.Mutex
 	seq  uint64
@@ -36,7 +39,18 @@
 // startRunner starts a runner, which registers at once. Its first control address is the
 // machine at the given place.
 func startRunner(f *fleet, id, service, addr, zone string, place int, cut bool) (*runner, error) {
-	u := &runner{fleet: f, id: id, service: service, addr: addr, zon: zone, work: 20 * time.Millisecond, cut: cut}
+	u, err := newRunner(f, id, service, addr, zone, place)
+	if err != nil {
+		return nil, err
+	}
+	u.cut = cut
+	u.start()
+	return u, nil
+}
+
+// newRunner returns a runner that listens and has to be started.
+func newRunner(f *fleet, id, service, addr, zone string, place int) (*runner, error) {
+	u := &runner{fleet: f, id: id, service: service, addr: addr, zon: zone, work: 20 * time.Millisecond}
 	for i := range f.machines {
 		u.controls = append(u.controls, f.machines[(place+i)%len(f.machines)].control())
 	}
@@ -44,14 +58,19 @@
 	if err != nil {
 		return nil, err
 	}
+	u.listener = listener
 	u.ctx, u.cancel = context.WithCancel(context.Background())
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: time.Minute}
-	go func() { _ = u.server.Serve(listener) }()
-	go u.beat()
-	f.record.add("runner", "%s of %s starts at %s in %s", id, service, addr, zone)
 	return u, nil
 }
 
+// start serves requests and sends heartbeats.
+func (u *runner) start() {
+	go func() { _ = u.server.Serve(u.listener) }()
+	go u.beat()
+	u.fleet.record.add("runner", "%s of %s starts at %s in %s", u.id, u.service, u.addr, u.zon)
+}
+
 func (u *runner) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	attempt, target := r.Header.Get("Celeryvalve-Attempt-Id"), r.Header.Get("Celeryvalve-Target-Instance")
@@ -72,10 +91,30 @@
 	u.mu.Unlock()
 	u.fleet.record.add("runner", "%s runs request %s (%s %s, %d bytes)", u.id, attempt, r.Method, r.URL.RequestURI(), len(body))
 	h.Set("Celeryvalve-Response-Signature", u.id+"."+attempt)
+	if u.events > 0 {
+		u.stream(w, r, attempt)
+		return
+	}
 	time.Sleep(u.work)
 	_, _ = fmt.Fprintf(w, "%s answered %s", u.id, attempt)
 }
 
+// stream sends the events of an answer in equal steps.
+func (u *runner) stream(w http.ResponseWriter, r *http.Request, attempt string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range u.events {
+		select {
+		case <-r.Context().Done():
+			u.fleet.record.add("runner", "%s: request %s is cut off after %d of %d events", u.id, attempt, i, u.events)
+			return
+		case <-time.After(u.work / time.Duration(u.events)):
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: answered %s\n\n", i+1, attempt)
+		_ = http.NewResponseController(w).Flush()
+	}
+	u.fleet.record.add("runner", "%s ends request %s after %d events", u.id, attempt, u.events)
+}
+
 // heartbeat returns the next heartbeat.
 func (u *runner) heartbeat(state string) []byte {
 	u.mu.Lock()
