--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
-exec "$root/review/bin/harness" --case leaver --root "$root" --folder "$here" --trouble="$([ "${TROUBLE:-1}" = 0 ] && echo false || echo true)"
+exec "$root/review/bin/harness" --case acked-leave --root "$root" --folder "$here" --trouble="$([ "${TROUBLE:-1}" = 0 ] && echo false || echo true)"
