--- a/review/harness/acked.go
+++ b/review/harness/acked.go
@@ -95,14 +95,20 @@
 	u.mu.Lock()
 	before := u.runs
 	u.mu.Unlock()
+	served := 0
 	for i := 0; time.Since(confirmed) < drainTime+lingers; i++ {
-		f.send(f.core()[i%len(f.core())], http.MethodGet, "jepu9.example", "/records/2f", 3*time.Second, nil)
+		if f.send(f.core()[i%len(f.core())], http.MethodGet, "jepu9.example", "/records/2f", 3*time.Second, nil).served() {
+			served++
+		}
 		time.Sleep(30 * time.Millisecond)
 	}
 	u.mu.Lock()
 	late := u.runs - before
 	u.mu.Unlock()
 	_ = u.server.Close()
+	if served == 0 {
+		return 0, errors.New("no request was served")
+	}
 	f.record.add("runner", "%s exits; %d requests reached it later than drain_ms after the confirmation", u.id, late)
 	return late, nil
 }
--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -55,8 +56,12 @@
 	root, folder, subnet string
 	record               *record
 	machines             []*machine
-	// listeners remembers the stand-ins' next address.
+	// next is the last part of the last stand-in's address.
 	next int
+
+	mu sync.Mutex
+	// closed is set once the run is over: nothing is started any more.
+	closed bool
 }
 
 // newFleet lays out machines on a loopback network of which the ports are free: one machine
@@ -150,6 +155,11 @@
 
 // start starts the process of a machine with the command of the deploy file.
 func (f *fleet) start(m *machine) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return errors.New("the run is over")
+	}
 	if err := f.writeSettings(m); err != nil {
 		return err
 	}
@@ -197,6 +207,9 @@
 
 // close ends all processes and removes the files.
 func (f *fleet) close() {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
 	for _, m := range f.machines {
 		m.signal(syscall.SIGKILL)
 		m.signal(syscall.SIGCONT)
