spreader, placer: confirm a departure once a majority of replicas hold it

Cause: Leave and Report (draining) confirmed as soon as the record was in the table of their own process; streams carry it on in the background, and an upstream doesn't repeat what was confirmed. Connected says nothing of the record.

Change: ReportDeparture sends the record to all control replicas and returns once a majority hold it; otherwise the upstream gets 503 and asks another process. Why it works: a record survives whatever consensus survives, and any replica that holds it passes it on to every process over its streams.

Related paths: a heartbeat with draining had the same fault and goes the same way. Ready heartbeats repeat themselves and promise nothing. Configurations, releases, evacuations, crashes, and Leave on the settings path go through the log.

--- a/placer/office.go
+++ b/placer/office.go
@@ -151,27 +151,28 @@
 	return answer
 }
 
-// Report records what an upstream reports of itself. A report that it is not ready any
-// more is accepted only while this process can pass it on.
-func (c *controlAPI) Report(_ context.Context, r registrar.Record) error {
+// Report records what an upstream reports of itself. A report that it accepts no new requests
+// is confirmed only once a majority of the control replicas hold it.
+func (c *controlAPI) Report(ctx context.Context, r registrar.Record) error {
 	r.Region = c.placement.Regions[r.AvailabilityZone]
-	if r.State != registrar.Ready && !c.spreader.Connected() {
-		return explainer.New(explainer.Unavailable, "this process has no connection to a led control replica", "report to another process")
+	var changed bool
+	var err error
+	if r.State == registrar.Ready {
+		changed = c.spreader.Report(r)
+	} else {
+		changed, err = c.reportDeparture(ctx, r)
 	}
-	if c.spreader.Report(r) {
+	if changed {
 		c.log.Info("Upstream changed.", zap.String("upstream", string(r.Upstream)), zap.String("state", string(r.State)),
 			zap.String("service", string(r.Service)), zap.Stringer("address", r.Address), zap.Uint64("sequence", r.Sequence),
 			zap.Uint64("release", uint64(r.Release)))
 	}
-	return nil
+	return err
 }
 
-// Leave records that an upstream has left. It returns an error of kind Unavailable if
-// this process can't pass that on.
-func (c *controlAPI) Leave(_ context.Context, upstream identifier.Upstream, incarnation identifier.Incarnation) error {
-	if !c.spreader.Connected() {
-		return explainer.New(explainer.Unavailable, "this process has no connection to a led control replica", "report to another process")
-	}
+// Leave records that an upstream has left. It returns an error of kind Unavailable unless a
+// majority of the control replicas hold that.
+func (c *controlAPI) Leave(ctx context.Context, upstream identifier.Upstream, incarnation identifier.Incarnation) error {
 	r, ok := c.spreader.Find(upstream)
 	if !ok {
 		r = registrar.Record{Upstream: upstream, Incarnation: incarnation}
@@ -180,7 +181,22 @@
 		r.Incarnation = incarnation
 	}
 	r.State = registrar.Gone
-	c.spreader.Report(r)
+	if _, err := c.reportDeparture(ctx, r); err != nil {
+		return err
+	}
 	c.log.Info("Upstream left.", zap.String("upstream", string(upstream)))
 	return nil
 }
+
+// reportDeparture records that an upstream accepts no new requests, and returns whether that
+// changed what is known of it.
+func (c *controlAPI) reportDeparture(ctx context.Context, r registrar.Record) (bool, error) {
+	if !c.spreader.Connected() {
+		return false, explainer.New(explainer.Unavailable, "this process has no connection to a led control replica", "report to another process")
+	}
+	changed, err := c.spreader.ReportDeparture(ctx, r)
+	if err != nil {
+		c.log.Warn("Can't confirm a departure.", zap.String("upstream", string(r.Upstream)), zap.String("state", string(r.State)), zap.Error(err))
+	}
+	return changed, err
+}
--- a/spreader/doc.go
+++ b/spreader/doc.go
@@ -7,7 +7,8 @@
 // table of upstreams at once and unasked, and refreshes and loads of upstreams at
 // intervals. A report that one process received therefore reaches every other
 // process over any replica that both can reach, even while the replicas cannot
-// reach consensus.
+// reach consensus. A report that an upstream leaves is confirmed only once a majority of
+// the replicas have confirmed it, since the upstream need not repeat it.
 //
 // The declared state is fetched instead: a replica sends its revision with each
 // update, and a process with an older revision requests the difference from a peer
@@ -25,5 +26,6 @@
 //	s.Register(endpoint)
 //	s.Start()
 //	s.Report(record)        // a record that an upstream reported to this process
+//	_, err := s.ReportDeparture(ctx, record) // of an upstream that leaves
 //	s.SetReplicas(replicas) // on a control replica only
 package spreader
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -129,6 +129,43 @@
 	c.eventually(hasState(late, "u", registrar.Draining))
 }
 
+// Guards against a departure that is lost with the process that confirmed it: at that moment a
+// majority of the replicas must hold it, and pass it on to processes that know the upstream as
+// ready.
+func TestConfirmedDepartureOutlivesTheProcess(t *testing.T) {
+	c := newCluster(t)
+	first := c.nextAddress()
+	addresses := []netip.AddrPort{first, netip.AddrPortFrom(first.Addr().Next(), first.Port()), netip.AddrPortFrom(first.Addr().Next().Next(), first.Port())}
+	var replicas []*process
+	for range addresses {
+		replicas = append(replicas, c.processWatching(func(s *spreader.Spreader) {
+			s.SetReplicas(spreader.Replicas{Index: 1, Led: true, Addresses: addresses})
+		}))
+	}
+	other := c.process("north", true, addresses...)
+	reporter := c.process("south", true, addresses...)
+	c.eventually(func() bool { return other.Connected() && reporter.Connected() })
+	for i := range 10 {
+		name := identifier.Upstream(fmt.Sprintf("u%d", i))
+		r := record(name, registrar.Ready)
+		r.Address = netip.AddrPortFrom(r.Address.Addr(), uint16(80+i))
+		reporter.Report(r)
+		c.eventually(hasState(other, name, registrar.Ready))
+		r.State = registrar.Gone
+		_, err := reporter.ReportDeparture(t.Context(), r)
+		holding := 0
+		for _, replica := range replicas {
+			if hasState(replica, name, registrar.Gone)() {
+				holding++
+			}
+		}
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, holding, 2)
+	}
+	reporter.Stop()
+	c.eventually(hasState(other, "u9", registrar.Gone))
+}
+
 // Guards against processes that find no replica because their seed is not one: any
 // process sends the list of replicas.
 func TestAnyProcessIsASeed(t *testing.T) {
