stager, placer: announce a release only once the engine is proven to hold it whole

Cause: staged chunks were read back one after the other before the order. A chunk that became corrupt after its own reading and before the engine took it went unnoticed, and nothing looked again. The time between was not bounded: reading up to 10 s, 1.5 s until the order, a silent engine, a process that stands still.

Change: only the agent writes chunks, so chunks that are read back whole after the engine has accepted the order, with none written since it was given, were whole when it took them. The reducer verifies after each accepted order and announces the release only then. Otherwise the engine is ordered to give up the layers of the corrupt chunks (start with from and to), and loads again; a partial range of layers counts as no release. What an agent before this one ordered can't be proven: it is given up, unless entries were told of it. An engine with requests gets an order only soon after the first reading, since requests that wait run before the second one. A restart of the engine is noticed also if reports failed in between.

The settings path stages nothing.

TestOrdersRestOnFreshChecks and TestLastAttemptToStageCounts take the new events and results; they check as much as before, and that one thing is done at a time.

--- a/placer/agent.go
+++ b/placer/agent.go
@@ -138,15 +138,30 @@
 		a.reduce(stager.Unreachable{})
 		return
 	}
+	if !report.Layers.AreAll(layersOf(a.view.Declared(), own)) {
+		report.Release = 0
+	}
 	a.idle.Store(report.Release == 0)
 	a.followRelease(own, report)
-	a.reduce(stager.Observed{Report: report, Position: a.turn(own, all)})
+	a.reduce(stager.Observed{Report: report, Position: a.turn(own, all), Standing: standing(own, report)})
 	a.announce()
 	if own.Upstream != "" {
 		a.spreader.ReportLoad(registrar.Load{Upstream: own.Upstream, Running: report.Running, Waiting: report.Waiting})
 	}
 }
 
+// standing returns what entries know of the release that the engine holds.
+func standing(own registrar.Record, report stager.Report) stager.Standing {
+	switch {
+	case own.Upstream == "":
+		return stager.Unknown
+	case own.Stamp == 0 || own.Noted == report.Release:
+		return stager.Believed
+	default:
+		return stager.Withheld
+	}
+}
+
 // engineRecords returns the record of the engine on this instance, and the records
 // of all engines of its service, sorted by name.
 func (a *agent) engineRecords() (own registrar.Record, all []registrar.Record) {
@@ -247,6 +262,13 @@
 	return "", false
 }
 
+// model returns the model whose releases the engine should serve.
+func (a *agent) model() identifier.Model {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.target.model
+}
+
 func (a *agent) reduce(event stager.Event) {
 	a.mu.Lock()
 	effects := a.reducer.Reduce(a.clock.Now(), event)
@@ -256,8 +278,13 @@
 		case stager.Stage:
 			t, chunks := a.chunksOf(e.Release)
 			a.work.Go(func() { a.stage(t, chunks) })
+		case stager.Verify:
+			model := a.model()
+			a.work.Go(func() { a.verify(model, e.Release) })
 		case stager.Order:
 			a.work.Go(func() { a.sendOrder(e) })
+		case stager.Discard:
+			a.work.Go(func() { a.discard(e) })
 		case stager.Announce:
 			a.mu.Lock()
 			a.serving = &e.Release
--- a/placer/agent_test.go
+++ b/placer/agent_test.go
@@ -76,7 +76,7 @@
 		}))
 		a := &agent{engine: platform.NewEngine(netip.MustParseAddrPort(server.Listener.Addr().String()))}
 		pinned := declarer.Pinned{Number: 1, ChunkSize: 5, Digests: []identifier.Digest{digest}}
-		err := a.stageChunks(t.Context(), target{model: "m", pinned: pinned}, map[identifier.Digest][]byte{digest: data})
+		_, err := a.stageChunks(t.Context(), target{model: "m", pinned: pinned}, map[identifier.Digest][]byte{digest: data})
 		require.Equal(t, ok, err == nil, "%d corrupt writes", corruptWrites)
 		require.LessOrEqual(t, writes, stageAttempts)
 		server.Close()
--- a/stager/reducer.go
+++ b/stager/reducer.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"celeryvalve/declarer"
-	"celeryvalve/identifier"
 )
 
 // Config configures a Reducer.
@@ -26,8 +25,12 @@
 	// stallTimeout is how long no further chunk may arrive before such engines take requests
 	// again: a few times what a chunk takes on a link of 8 Mbit/s shared by 8 of them.
 	stallTimeout = 700 * time.Millisecond
-	// stagedTTL is how long chunks that were read back count as verified.
+	// stagedTTL is how long chunks that were read back count as verified before an order. For
+	// an engine with requests it counts from the first reading: those that wait would run with
+	// what it loads before that is verified again.
 	stagedTTL = 1500 * time.Millisecond
+	// discardRetryDelay is the pause after an order to discard that had no effect.
+	discardRetryDelay = 5 * time.Second
 	// retryDelay is the pause after a failure. orderTimeout is the time after which an
 	// order that shows no effect is given again.
 	retryDelay   = 300 * time.Millisecond
@@ -48,108 +51,14 @@
 	stragglers = 0.1
 )
 
-// Report is the state that the engine reports.
-type Report struct {
-	Model identifier.Model
-	// Release is the release that it has loaded completely, or 0.
-	Release declarer.ReleaseNumber
-	// Busy is set while an order is in progress.
-	Busy bool
-	// Orders is how many orders it has accepted since its start.
-	Orders uint64
-	// Running and Waiting are the numbers of its requests.
-	Running int
-	Waiting int
-}
-
-// Event is an input of the reducer.
-type Event interface{ isEvent() }
-
-// Wanted tells which release is wanted, and whether its chunks are here.
-type Wanted struct {
-	Model   identifier.Model
-	Release declarer.ReleaseNumber
-	// Held is set once all chunks of the release are here and verified.
-	Held bool
-	// HeldFraction is the fraction of the chunks that are here and verified.
-	HeldFraction float64
-	// CopyTime is the shortest time in which all chunks come, or 0 if that is not known.
-	CopyTime time.Duration
-	// WantedSince is when this release became wanted, or an earlier one that the engine does
-	// not have either. Config.RolloutTime is counted from it.
-	WantedSince time.Time
-	// TimedSince is since when Config.RolloutTime counts, if control has not been steady ever
-	// since WantedSince. Any earlier time has no effect.
-	TimedSince time.Time
-}
-
-// RolloutPosition is the place of an engine among those of its service that load a release.
-type RolloutPosition struct {
-	Engines int
-	// Rank is its index in a list that is the same on all agents.
-	Rank int
-	// Outdated lists the ranks of the other engines that don't serve the wanted release yet.
-	Outdated []int
-}
-
-// Observed delivers a report of the engine.
-type Observed struct {
-	Report   Report
-	Position RolloutPosition
-}
-
-// Unreachable reports that the engine did not answer the request for a report.
-type Unreachable struct{}
-
-// Staged delivers the result of a Stage.
-type Staged struct {
-	Release declarer.ReleaseNumber
-	// Verified is set if every chunk was read back and matched its digest.
-	Verified bool
-}
-
-// Ordered delivers the result of an Order.
-type Ordered struct {
-	// Accepted is set if the order has begun or is in effect already.
-	Accepted bool
-}
-
-func (Wanted) isEvent()      {}
-func (Observed) isEvent()    {}
-func (Unreachable) isEvent() {}
-func (Staged) isEvent()      {}
-func (Ordered) isEvent()     {}
-
-// Effect is an action that the shell has to perform.
-type Effect interface{ isEffect() }
-
-// Stage copies the chunks of the release to where the engine loads them from, and
-// reads them back. Staged must follow.
-type Stage struct{ Release declarer.ReleaseNumber }
-
-// Order orders the engine to load the release. Ordered must follow.
-type Order struct {
-	Model   identifier.Model
-	Release declarer.ReleaseNumber
-	// ExpectedOrders is how many orders the engine must have accepted before. It keeps an order
-	// whose answer was lost from being given twice.
-	ExpectedOrders uint64
-}
-
-// Announce announces the release that the engine serves, or 0 while it takes no new
-// requests.
-type Announce struct{ Release declarer.ReleaseNumber }
-
-func (Stage) isEffect()    {}
-func (Order) isEffect()    {}
-func (Announce) isEffect() {}
-
 // Reducer decides when one engine stages and loads a release. It is not safe for
 // concurrent use.
 type Reducer struct {
 	cfg      Config
 	want     Wanted
 	observed *Observed
+	// lastOrders is Report.Orders of the last report.
+	lastOrders uint64
 
 	// progressedAt is when more of the wanted chunks last arrived, or when another release
 	// became wanted.
@@ -157,13 +66,19 @@
 
 	staging  bool
 	stagedAt time.Time
-	staged   declarer.ReleaseNumber
-	ordering bool
-	ordered  declarer.ReleaseNumber
+	// readSince is when the first of the staged chunks was read back.
+	readSince time.Time
+	staged    declarer.ReleaseNumber
+	ordering  bool
+	ordered   declarer.ReleaseNumber
+	lastOrder Order
 	// orderedAt is when the last order was given or accepted.
 	orderedAt time.Time
-	// retryAt is when the next Stage or Order is allowed after a failure.
-	retryAt time.Time
+	// retryAt is when the next Stage, Verify or Order is allowed after a failure, and discardAt
+	// when the next Discard is.
+	retryAt   time.Time
+	discardAt time.Time
+	proof     proof
 
 	announced    declarer.ReleaseNumber
 	hasAnnounced bool
@@ -188,25 +103,46 @@
 		r.observed = nil
 	case Staged:
 		r.staging = false
+		r.proof.staged(e)
 		if e.Verified {
-			r.staged, r.stagedAt = e.Release, now
+			r.staged, r.stagedAt, r.readSince = e.Release, now, e.Began
 		} else {
 			r.staged = 0
 			r.retryAt = now.Add(retryDelay)
 		}
+	case Verified:
+		r.proof.verified(e)
+		if e.Failed {
+			r.retryAt = now.Add(retryDelay)
+		}
+		if r.observed != nil {
+			r.proof.promote(r.observed.Report.Release)
+		}
 	case Ordered:
+		r.takeOutcome(now, e.Outcome)
+	case Discarded:
 		r.ordering = false
-		r.staged = 0
-		if e.Accepted {
-			r.orderedAt = now
-		} else {
-			r.ordered = 0
-			r.retryAt = now.Add(retryDelay)
+		r.discardAt = now.Add(discardRetryDelay)
+		if e.Outcome == Begun {
+			r.proof.discarded()
 		}
 	}
 	return append(r.announce(now), r.next(now)...)
 }
 
+// takeOutcome applies what became of an order to load.
+func (r *Reducer) takeOutcome(now time.Time, outcome Outcome) {
+	r.ordering = false
+	r.staged = 0
+	r.proof.ordered(r.lastOrder, outcome)
+	if outcome == Begun || outcome == InEffect {
+		r.orderedAt = now
+		return
+	}
+	r.ordered = 0
+	r.retryAt = now.Add(retryDelay)
+}
+
 // keepTime returns what is wanted, with the time as it counted before if that is over: entries
 // refuse the earlier release from then on, also if control settles anew later.
 func (r *Reducer) keepTime(now time.Time, e Wanted) Wanted {
@@ -227,12 +163,19 @@
 // observe applies a report. The last order is forgotten if the report shows that it is
 // in effect, that it ended without effect or that the engine restarted.
 func (r *Reducer) observe(now time.Time, e Observed) {
-	previous := r.observed
+	restarted := e.Report.Orders < r.lastOrders
+	r.lastOrders = e.Report.Orders
 	r.observed = &e
-	if r.ordered == 0 || r.ordering {
+	if restarted {
+		r.proof.restarted()
+	}
+	if r.ordering {
+		return
+	}
+	r.proof.observe(e.Report, e.Standing)
+	if r.ordered == 0 {
 		return
 	}
-	restarted := previous != nil && e.Report.Orders < previous.Report.Orders
 	done := e.Report.Release >= r.ordered
 	if done || restarted || (!e.Report.Busy && now.Sub(r.orderedAt) > orderTimeout) {
 		r.ordered = 0
@@ -241,11 +184,11 @@
 
 // announce announces what the engine serves whenever that changes.
 func (r *Reducer) announce(now time.Time) []Effect {
-	if r.observed == nil {
+	if r.observed == nil || !r.proof.settled {
 		return nil
 	}
 	release := r.observed.Report.Release
-	if (r.ordered != 0 && release < r.ordered) || r.shouldDrain(now) {
+	if release != r.proof.whole || (r.ordered != 0 && release < r.ordered) || r.shouldDrain(now) {
 		release = 0
 	}
 	if r.hasAnnounced && release == r.announced {
@@ -273,26 +216,54 @@
 	return w.HeldFraction >= drainThreshold && rest <= drainTime
 }
 
-// next returns the Stage or Order that is due, if any.
+// next returns the Verify, Discard, Stage or Order that is due, if any.
 func (r *Reducer) next(now time.Time) []Effect {
-	if r.observed == nil || r.staging || r.ordering || r.ordered != 0 || now.Before(r.retryAt) {
+	if r.observed == nil || r.staging || r.ordering || r.proof.verifying || now.Before(r.retryAt) {
 		return nil
 	}
+	if r.proof.due != 0 {
+		r.proof.verifying = true
+		return []Effect{Verify{Release: r.proof.due}}
+	}
 	report := r.observed.Report
+	if r.shouldDiscard(now) {
+		r.ordering = true
+		return []Effect{Discard{Model: report.Model, Release: report.Release, Corrupt: r.proof.corrupt, ExpectedOrders: report.Orders}}
+	}
+	if r.ordered != 0 {
+		return nil
+	}
 	if !r.want.Held || r.want.Release == 0 || report.Release >= r.want.Release || report.Busy {
 		return nil
 	}
 	if !r.mayLoad(now) {
 		return nil
 	}
-	if r.staged != r.want.Release || now.Sub(r.stagedAt) > stagedTTL {
+	if !r.isFresh(now) {
 		r.staging = true
 		return []Effect{Stage{Release: r.want.Release}}
 	}
 	r.ordering = true
 	r.ordered = r.want.Release
 	r.orderedAt = now
-	return append(r.announce(now), Order{Model: r.want.Model, Release: r.want.Release, ExpectedOrders: report.Orders})
+	r.lastOrder = Order{Model: r.want.Model, Release: r.want.Release, ExpectedOrders: report.Orders}
+	return append(r.announce(now), r.lastOrder)
+}
+
+// shouldDiscard reports whether the engine holds a release that may be corrupt and can be
+// ordered to give it up.
+func (r *Reducer) shouldDiscard(now time.Time) bool {
+	report := r.observed.Report
+	return report.Release != 0 && report.Release == r.proof.suspect && !report.Busy && !now.Before(r.discardAt)
+}
+
+// isFresh reports whether the wanted release was staged so short ago that the engine may be
+// ordered to load it.
+func (r *Reducer) isFresh(now time.Time) bool {
+	if r.staged != r.want.Release || now.Sub(r.stagedAt) > stagedTTL {
+		return false
+	}
+	return r.observed.Report.isIdle() || now.Sub(r.readSince) <= stagedTTL
 }
 
 // wave returns the wave in which the engine loads, from 0.
--- a/stager/reducer_test.go
+++ b/stager/reducer_test.go
@@ -34,7 +34,8 @@
 	require.Equal(t, []stager.Effect{stager.Announce{}}, r.Reduce(at(0), serving(0, 0, stager.RolloutPosition{})))
 	require.Equal(t, []stager.Effect{stager.Stage{Release: 2}}, r.Reduce(at(0), held()))
 	require.Equal(t, []stager.Effect{stager.Order{Model: "m", Release: 2}}, r.Reduce(at(100*time.Millisecond), stager.Staged{Release: 2, Verified: true}))
-	r.Reduce(at(200*time.Millisecond), stager.Ordered{Accepted: true})
+	require.Equal(t, []stager.Effect{stager.Verify{Release: 2}}, r.Reduce(at(200*time.Millisecond), stager.Ordered{Outcome: stager.Begun}))
+	r.Reduce(at(300*time.Millisecond), stager.Verified{Release: 2})
 	require.Equal(t, []stager.Effect{stager.Announce{Release: 2}}, r.Reduce(at(time.Second), serving(2, 1, stager.RolloutPosition{})))
 }
 
@@ -121,7 +122,7 @@
 	r.Reduce(at(0), serving(0, 3, stager.RolloutPosition{}))
 	r.Reduce(at(0), held())
 	r.Reduce(at(0), stager.Staged{Release: 2, Verified: true})
-	r.Reduce(at(time.Second), stager.Ordered{}) // the answer was lost: the order may have begun
+	r.Reduce(at(time.Second), stager.Ordered{Outcome: stager.Unanswered})
 	loading := stager.Observed{Report: stager.Report{Busy: true, Orders: 4}}
 	require.Empty(t, r.Reduce(at(2*time.Second), loading), "the order has begun")
 }
@@ -141,11 +142,12 @@
 		r := newReducer()
 		now := start
 		var wholeAt time.Time
-		ordering, staging := false, false
+		ordering, staging, discarding := false, false, false
+		var verifying *stager.Verify
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
 			var event stager.Event
-			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0:
 				w := held()
 				w.Release = declarer.ReleaseNumber(rapid.IntRange(2, 4).Draw(t, "wanted"))
@@ -172,15 +174,34 @@
 					continue
 				}
 				ordering = false
-				event = stager.Ordered{Accepted: rapid.Bool().Draw(t, "accepted")}
+				event = stager.Ordered{Outcome: drawOutcome(t)}
+			case 5:
+				if verifying == nil {
+					continue
+				}
+				v := stager.Verified{Release: verifying.Release, Failed: rapid.Bool().Draw(t, "failed")}
+				if !v.Failed && rapid.Bool().Draw(t, "corrupt") {
+					v.Corrupt = []int{3}
+				}
+				verifying = nil
+				event = v
+			case 6:
+				if !discarding {
+					continue
+				}
+				discarding = false
+				event = stager.Discarded{Outcome: drawOutcome(t)}
 			}
 			for _, effect := range r.Reduce(now, event) {
-				switch effect.(type) {
+				require.False(t, !isAnnounce(effect) && (staging || ordering || discarding || verifying != nil), "one thing at a time")
+				switch e := effect.(type) {
 				case stager.Stage:
-					require.False(t, staging)
 					staging = true
+				case stager.Verify:
+					verifying = &e
+				case stager.Discard:
+					discarding = true
 				case stager.Order:
-					require.False(t, ordering)
 					ordering = true
 					require.LessOrEqual(t, now.Sub(wholeAt), 1500*time.Millisecond)
 				}
@@ -189,6 +210,15 @@
 	})
 }
 
+func drawOutcome(t *rapid.T) stager.Outcome {
+	return rapid.SampledFrom([]stager.Outcome{stager.Refused, stager.Begun, stager.InEffect, stager.Unanswered}).Draw(t, "outcome")
+}
+
+func isAnnounce(e stager.Effect) bool {
+	_, ok := e.(stager.Announce)
+	return ok
+}
+
 // Load pattern: the origin fails in the middle of a release. An engine of the first wave,
 // which stopped taking requests when most of the chunks were here, takes them again while
 // the rest does not arrive.
