relayer: keep a silent attempt until another one answers

A sound server may fall silent for a second and go on.

Cause: the timers of the first byte and of pauses in a stream cancelled the attempt first and asked for another upstream then. With none left, or one that turned the request away, a begun stream was aborted and other requests got 502, while the answer was on its way.

Change: the attempt's read waits while another upstream is tried from within it. The first event or the whole answer of that one closes the silent connection; if no other takes over, the read goes on.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,26 +35,18 @@
 	x.relayer.meters.countPrompt(send)
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	var timedOut atomic.Bool
-	var firstByteTimer interface{ Stop() bool }
-	if send.FirstByteTimeout > 0 {
-		firstByteTimer = x.relayer.clock.AfterFunc(send.FirstByteTimeout, func() {
-			timedOut.Store(true)
-			cancel()
-		})
-	}
 	a := &attempt{exchange: x, send: send, ctx: ctx, cancel: cancel}
-	a.stopFirstByteTimer = func() bool {
-		if firstByteTimer != nil {
-			firstByteTimer.Stop()
-		}
-		return !timedOut.Load()
+	a.silence.a = a
+	if send.FirstByteTimeout > 0 {
+		a.silence.start(send.FirstByteTimeout)
 	}
 	effect, cause := a.run()
-	if effect != nil {
+	switch {
+	case a.handedOver != nil:
+		return a.handedOver
+	case effect != nil:
 		return effect
-	}
-	if timedOut.Load() && cause == balancer.ConnectionLost {
+	case a.silence.hasBroken() && cause == balancer.ConnectionLost:
 		cause = balancer.FirstByteTimedOut
 	}
 	return a.reportBreak(cause)
@@ -64,13 +55,14 @@
 // attempt is one attempt to send the request to one upstream.
 type attempt struct {
 	*exchange
-	send   balancer.Send
-	ctx    context.Context
-	cancel context.CancelFunc
-	// stopFirstByteTimer stops the timeout for the first byte. It returns false if the
-	// timeout has already expired.
-	stopFirstByteTimer func() bool
-	load               *balancer.Load
+	send    balancer.Send
+	ctx     context.Context
+	cancel  context.CancelFunc
+	silence silence
+	// handedOver is the effect with which the request goes on if another attempt has begun to
+	// answer it, and givenUp the one that ends it if this attempt breaks after no other took over.
+	handedOver, givenUp balancer.Effect
+	load                *balancer.Load
 	// answer is the header of the response, if one was read.
 	answer ResponseHeader
 }
@@ -90,6 +82,9 @@
 	x.log("Attempt broke.", x.fingerprintField(), x.partsField(), zap.String("cause", string(cause)), zap.String("upstream", string(a.send.Target.Upstream)),
 		zap.Int("load", a.send.Load), zap.Duration("loadAge", a.send.LoadAge), zap.Duration("forecast", a.send.Forecast),
 		zap.Bool("passed", x.responseStarted), zap.Duration("rest", a.answer.Rest), zap.Bool("leaving", a.answer.Leaving))
+	if a.givenUp != nil {
+		return a.givenUp
+	}
 	x.updateHomes()
 	return x.relayer.reduce(balancer.AttemptFailed{
 		Request:    x.request.ID,
@@ -114,7 +109,9 @@
 	reusable := false
 	var responseHeader http.Header
 	defer func() {
-		if stop() && reusable && a.request.Repeatable {
+		c.setSource(c.conn)
+		sound := a.silence.detach()
+		if stop() && sound && reusable && a.request.Repeatable {
 			a.relayer.pool.put(addr, c, responseHeader, a.relayer.idleLimit(addr))
 		} else {
 			c.close()
@@ -132,6 +129,10 @@
 		}
 		return nil, balancer.ConnectionLost
 	}
+	if !a.silence.attach(c.conn) {
+		return nil, balancer.ConnectionLost
+	}
+	c.setSource(&a.silence)
 	response, header, cause := a.readHead(c, request)
 	if cause != "" {
 		return nil, cause
@@ -278,10 +279,9 @@
 	if err != nil || len(body) > maxBufferedBody {
 		return nil, balancer.ConnectionLost
 	}
-	if !a.stopFirstByteTimer() {
-		return nil, balancer.ConnectionLost
-	}
+	a.silence.stop()
 	x := a.exchange
+	x.leaveSilent()
 	x.relayer.reduce(balancer.ResponseStarted{Request: x.request.ID, Status: response.StatusCode, Load: header.Load})
 	a.recordFirstByte()
 	failed := response.StatusCode >= http.StatusInternalServerError || meansNotExecuted(response.StatusCode)
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -42,6 +42,8 @@
 	events          int
 	attempts        int
 	lastSend        balancer.Send
+	// silent holds the attempts that have handed over to the one in progress.
+	silent []*attempt
 	// firstByte is the time from the arrival of the request until the first byte of the
 	// response could be sent to the caller.
 	firstByte time.Duration
@@ -170,6 +172,17 @@
 
 // run executes the reducer's effects until the request is answered.
 func (x *exchange) run(effect balancer.Effect) {
+	switch e := x.runAttempts(effect).(type) {
+	case balancer.Refuse:
+		x.refuse(e)
+	case balancer.Fail:
+		x.fail(e)
+	}
+}
+
+// runAttempts runs attempts until one has answered the request. Otherwise it returns the effect
+// that gives it up.
+func (x *exchange) runAttempts(effect balancer.Effect) balancer.Effect {
 	for {
 		switch e := effect.(type) {
 		case balancer.Send:
@@ -179,14 +192,10 @@
 				x.relayer.meters.countAdmission(&x.request, e.Admission)
 			}
 			effect = x.attempt(e)
-		case balancer.Refuse:
-			x.refuse(e)
-			return
-		case balancer.Fail:
-			x.fail(e)
-			return
+		case balancer.Refuse, balancer.Fail:
+			return e
 		default:
-			return
+			return nil
 		}
 	}
 }
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"celeryvalve/balancer"
@@ -27,27 +26,26 @@
 func (a *attempt) relayStream(response *http.Response) (balancer.Effect, balancer.Cause) {
 	x := a.exchange
 	events := newEventReader(response.Body)
-	detector := a.newStallDetector()
-	defer detector.stop()
-	first := true
-	count := 0
-	for {
+	for count := 0; ; {
+		if count > 0 && a.mayHandOver() {
+			a.silence.start(max(minStallTimeout, stallFactor*a.route.BetweenEvents))
+		}
 		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && !first {
+		a.silence.stop()
+		if errors.Is(err, io.EOF) && count > 0 {
 			return a.endStream(response)
 		}
-		if err != nil || !a.stopFirstByteTimer() {
-			return nil, detector.cause()
+		if err != nil {
+			return nil, balancer.ConnectionLost
 		}
-		if first {
+		if count == 0 {
+			x.leaveSilent()
 			x.relayer.reduce(balancer.ResponseStarted{Request: x.request.ID, Status: response.StatusCode, Load: a.load})
 			if !x.responseStarted {
 				a.recordFirstByte()
 				x.beginStream(response)
 			}
-			first = false
 		}
-		detector.reset()
 		if _, err := x.w.Write(event); err != nil {
 			return nil, balancer.ConnectionLost
 		}
@@ -62,6 +60,12 @@
 	}
 }
 
+// mayHandOver reports whether another upstream may go on with the stream while this one is
+// silent.
+func (a *attempt) mayHandOver() bool {
+	return a.route.Resumable && a.send.Attempt < a.request.MaximumAttempts && a.givenUp == nil
+}
+
 // recordEvent counts an event that was sent to the caller, and the pause before it.
 func (x *exchange) recordEvent() {
 	now := x.relayer.clock.Now()
@@ -94,54 +98,3 @@
 	// disconnected.
 	_ = http.NewResponseController(x.w).Flush()
 }
-
-// stallDetector cancels an attempt whose stream, after an event, sends no other one
-// within the timeout.
-type stallDetector struct {
-	a       *attempt
-	timeout time.Duration
-	timer   interface {
-		Stop() bool
-		Reset(time.Duration) bool
-	}
-	fired atomic.Bool
-}
-
-// newStallDetector returns a detector for the attempt's stream. It is inactive for
-// streams that can't be resumed elsewhere; these may pause for any time.
-func (a *attempt) newStallDetector() *stallDetector {
-	s := &stallDetector{a: a}
-	if !a.route.Resumable || a.send.Attempt >= a.request.MaximumAttempts {
-		return s
-	}
-	s.timeout = max(minStallTimeout, stallFactor*a.route.BetweenEvents)
-	return s
-}
-
-func (s *stallDetector) reset() {
-	if s.timeout == 0 {
-		return
-	}
-	if s.timer == nil {
-		s.timer = s.a.relayer.clock.AfterFunc(s.timeout, func() {
-			s.fired.Store(true)
-			s.a.cancel()
-		})
-		return
-	}
-	s.timer.Reset(s.timeout)
-}
-
-func (s *stallDetector) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
-
-// cause returns Silent if the stream stalled, and Lost if it broke.
-func (s *stallDetector) cause() balancer.Cause {
-	if s.fired.Load() {
-		return balancer.FirstByteTimedOut
-	}
-	return balancer.ConnectionLost
-}
