balancer, placer: refuse what may outlive a draining entry, and answer the rest

Callers saw (other operators' report; it can happen here): requests that came late in a planned stop were passed on and cut off without an answer at the end of the grace, among them requests that may not be repeated.

Cause: nothing compared the time that a request may take with what was left of the grace, for late arrivals, late bodies and second attempts; what was in progress at the end was closed. The transfer of the leadership, up to 1 s, came before the time in which new connections are taken.

Change: while it drains, an entry refuses what may outlive it as long as that has provably not run, with when to come back: requests that may not be repeated at once, others when callers no longer come. What is in progress at the end gets 504. The leadership is transferred meanwhile.

Related paths: the settings path refuses new requests as soon as it drains; agents carry none on the platform.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -178,6 +178,8 @@
 		return nil, NoAttemptLeft
 	case s.Deadline.Sub(now) < minRemaining:
 		return nil, DeadlineTooNear
+	case !s.mayHaveRun && r.isTooLate(now, s):
+		return nil, Draining
 	case r.crashes.refuses(now, &s.Request):
 		return nil, Quarantined
 	}
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -101,7 +101,9 @@
 	Quarantined Reason = "Quarantined"
 	// Probation: upstreams have crashed while requests with the same fingerprint were in
 	// flight, and another entry or another request finds out whether they were the cause.
-	Probation        Reason = "Probation"
+	Probation Reason = "Probation"
+	// Draining: the entry may end before the request does.
+	Draining         Reason = "Draining"
 	MayHaveRun       Reason = "MayHaveRun"
 	DeadlineExceeded Reason = "TimeEnded"
 )
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -264,6 +264,7 @@
 
 func (LimitStated) isEvent()        {}
 func (EvacuationsChanged) isEvent() {}
+func (DrainStarted) isEvent()       {}
 func (ControlObserved) isEvent()    {}
 func (HomesChanged) isEvent()       {}
 func (RestRequested) isEvent()      {}
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -97,6 +97,7 @@
 	entries          []Entry
 	entriesChangedAt time.Time
 	control          ControlObserved
+	drain            DrainStarted
 	// oldestReleases are the releases that have ruled out older ones, which stay ruled out.
 	oldestReleases map[identifier.Service]declarer.ReleaseNumber
 	// attendantsDue says that lists have changed since engines were divided among entries.
@@ -200,6 +201,8 @@
 		r.requestRest(now, e)
 	case LeavingStated:
 		r.recordLeaving(now, e)
+	case DrainStarted:
+		r.drain = e
 	case EvacuationsChanged:
 		r.changeEvacuations(now, e.Evacuated)
 	case RequestArrived:
@@ -327,6 +330,9 @@
 	if s.Deadline.Sub(now) < minRemaining {
 		return decision{reason: DeadlineTooNear}
 	}
+	if r.isTooLate(now, s) {
+		return decision{reason: Draining}
+	}
 	if r.heldBack(now, &s.Request) {
 		return decision{reason: Probation}
 	}
@@ -368,6 +374,8 @@
 		wait = r.lateRetryAfter(now, &s.Request)
 	case Resting:
 		wait = r.restRetryAfter(now, &s.Request)
+	case Draining:
+		wait = min(drainRetryAfter, s.Deadline.Sub(now)/maxRetryAfterDivisor)
 	}
 	refusal := Refuse{Request: s.ID, Reason: reason, RetryAfter: wait, Forecast: forecast, Admission: s.admission}
 	if reason == Probation {
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -43,7 +43,10 @@
 	// lameDuckPeriod is how long a draining entry accepts new connections. The
 	// platform needs two failed readiness checks, one a second, before it sends
 	// connections to other entries.
-	lameDuckPeriod    = 2500 * time.Millisecond
+	lameDuckPeriod = 2500 * time.Millisecond
+	// endMargin is the part of the time to drain that is left to answer the requests that have
+	// not ended.
+	endMargin         = 300 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
 	// idleAfter is the time without a request after which an entry counts as one that
 	// callers don't use: several times the mean time between two requests of an entry.
@@ -391,12 +394,23 @@
 }
 
 // drain makes the entry report that it is not ready, serves until callers have moved
-// to other entries, and then waits for the requests in progress.
+// to other entries, and then waits for the requests in progress. Those that are still in progress
+// endMargin before ctx ends get a final answer.
 func (e *entry) drain(ctx context.Context) {
 	e.draining.Store(true)
-	e.relayer.Drain()
+	now := e.clock.Now()
+	waiting, endAt := ctx, time.Time{}
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		waiting, cancel = context.WithDeadline(ctx, deadline.Add(-endMargin))
+		defer cancel()
+		endAt = now.Add(time.Until(deadline) - endMargin)
+	}
+	e.relayer.Drain(now.Add(lameDuckPeriod), endAt)
+	var transfer sync.WaitGroup
+	defer transfer.Wait()
 	if e.replica != nil {
-		e.replica.transferLeadership(ctx)
+		transfer.Go(func() { e.replica.transferLeadership(ctx) })
 	}
 	select {
 	case <-ctx.Done():
@@ -406,7 +420,11 @@
 	if callers == nil {
 		return
 	}
+	if callers.Shutdown(waiting) == nil {
+		return
+	}
+	e.log.Warn("Requests did not finish within the grace period and were ended.", zap.Int("requests", e.relayer.EndRequests()))
 	if err := callers.Shutdown(ctx); err != nil {
-		e.log.Warn("Requests did not finish within the grace period and were cut off.", zap.Int("requests", e.relayer.InFlight()), zap.Error(err))
+		e.log.Warn("Requests were cut off.", zap.Int("requests", e.relayer.InFlight()), zap.Error(err))
 	}
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -75,7 +75,7 @@
 		x.log("Caller left.", zap.String("upstream", string(a.send.Target.Upstream)))
 		return x.relayer.reduce(balancer.CallerGone{Request: x.request.ID})
 	}
-	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) && cause != balancer.NotConnected && cause != balancer.NotExecuted {
+	if x.ctx.Err() != nil && cause != balancer.NotConnected && cause != balancer.NotExecuted {
 		cause = balancer.Expired
 	}
 	x.relayer.meters.countBreak(cause)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -47,6 +48,9 @@
 	index    atomic.Pointer[declarer.Index]
 	draining atomic.Bool
 	entries  atomic.Int64
+	// serving ends with the requests in progress, by endRequests.
+	serving     context.Context
+	endRequests context.CancelFunc
 
 	mu      sync.Mutex
 	reducer *balancer.Reducer
@@ -79,6 +83,7 @@
 		random:       seed,
 	}
 	r.entries.Store(balancer.MinEntries)
+	r.serving, r.endRequests = context.WithCancel(context.Background())
 	r.poolCleaner = repeater.New(clock, poolCleanupInterval, r.cleanPool)
 	return r
 }
@@ -160,9 +165,18 @@
 }
 
 // Drain makes the relayer close each caller's connection after its next response,
-// so that callers connect to other entries. Requests are still served.
-func (r *Relayer) Drain() {
+// so that callers connect to other entries. Requests are still served, but for those that may
+// not have ended at endAt and that may not be repeated or arrive after acceptUntil.
+func (r *Relayer) Drain(acceptUntil, endAt time.Time) {
 	r.draining.Store(true)
+	r.reduce(balancer.DrainStarted{AcceptUntil: acceptUntil, EndAt: endAt})
+}
+
+// EndRequests ends the requests in progress: their callers are told that they may have run,
+// unless a stream has begun already. It returns how many there were.
+func (r *Relayer) EndRequests() int {
+	r.endRequests()
+	return r.InFlight()
 }
 
 // InFlight returns the number of requests in flight.
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -76,6 +76,7 @@
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), x.request.Deadline)
 	defer cancel()
+	defer context.AfterFunc(r.serving, cancel)()
 	x.ctx = ctx
 	x.run(r.reduce(balancer.RequestArrived{Request: x.request}))
 }
