relayer: abort the connection of a request that ends without a response

Cause: CallerGone has no effect, the handler returned, and net/http completes what its handler has left open.

Change: an exchange that has sent no whole response when no effect is left is aborted, whatever the reason.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -343,8 +343,9 @@
 	}
 }
 
-// recordServed counts and logs a request that an upstream answered.
+// recordServed counts and logs a request that an upstream has answered as a whole.
 func (x *exchange) recordServed(status int) {
+	x.replied = true
 	x.relayer.meters.countResponse(status)
 	x.log("Served a request.", zap.Int("status", status), zap.String("upstream", string(x.lastSend.Target.Upstream)),
 		zap.Duration("forecast", x.lastSend.Forecast), zap.Int("load", x.lastSend.Load),
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -448,6 +448,43 @@
 	<-gone
 }
 
+// Guards against a success that no upstream gave: a caller that ends its side of the connection and
+// reads on got 200 without a body, or a stream that was cut off and looked whole (review case 2).
+func TestCallerThatLeavesAndReadsOnGetsNoSuccess(t *testing.T) {
+	for name, kind := range map[string]declarer.RequestKind{"a stream": declarer.Streaming, "a booking": declarer.NonIdempotent} {
+		t.Run(name, func(t *testing.T) {
+			left := make(chan struct{})
+			b := startUpstream(t, func(conn net.Conn, r *http.Request) {
+				if kind == declarer.Streaming {
+					writeStreamHead(conn, r, 1000)
+					_, _ = io.WriteString(conn, event(1))
+				}
+				_, _ = io.Copy(io.Discard, conn)
+				close(left)
+			})
+			server := startRelayer(t, kind, false, b.view("u"))
+			conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, request(t, server, "/slots/1").Write(conn))
+			reader := bufio.NewReader(conn)
+			if kind == declarer.Streaming {
+				_, err = reader.Peek(1) // the stream has begun
+				require.NoError(t, err)
+			}
+			require.Eventually(t, func() bool { return len(b.received()) == 1 }, time.Minute, time.Millisecond)
+			require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+			<-left
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			require.True(t, err != nil || response.StatusCode >= http.StatusBadRequest, "status %d, and the body looks whole", response.StatusCode)
+		})
+	}
+}
+
 func TestUnreachableUpstreamIsNoAttempt(t *testing.T) {
 	healthy := startUpstream(t, signedResponse("right"))
 	down := balancer.UpstreamView{Upstream: "a", Service: "booking", Slots: 8, Address: netip.MustParseAddrPort("127.0.0.1:1")}
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -42,6 +42,8 @@
 	events          int
 	attempts        int
 	lastSend        balancer.Send
+	// replied is set once the caller was sent a whole response.
+	replied bool
 	// silent holds the attempts that have handed over to the one in progress.
 	silent []*attempt
 	// firstByte is the time from the arrival of the request until the first byte of the
@@ -179,6 +181,11 @@
 	case balancer.Fail:
 		x.fail(e)
 	}
+	if !x.replied {
+		// The caller has left, but it may still read: without an answer net/http would send a
+		// success.
+		x.abort()
+	}
 }
 
 // runAttempts runs attempts until one has answered the request. Otherwise it returns the effect
@@ -260,6 +267,7 @@
 		// The error is ignored because response recorders in tests have no deadlines.
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
+	x.replied = true
 	x.relayer.meters.countResponse(status)
 	if status < http.StatusInternalServerError {
 		x.log("Denied a request.", zap.Int("status", status), zap.String("reason", problem))
