registrar: let any process take back a displacement

Cause: the upstream that reported last holds an address, and the other became Gone. A table could reverse that for upstreams that it had displaced itself; other processes took Gone for the upstream's own, final word.

Change: Displaced is a part of the record, beside the state that the upstream reported. A later report reverses it at every process. Where starts are reported, an upstream that started earlier displaces nobody.

--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -10,8 +10,9 @@
 // taken over by another upstream.
 //
 // Leaving is final for an incarnation: a delayed report can't bring an upstream
-// back. An upstream that takes over the address of another one displaces it: the
-// state of the displaced upstream becomes Gone.
+// back. An upstream that takes over the address of another one displaces it, unless it has
+// started earlier. A later report of the displaced one reverses that, at all processes: where
+// starts are not reported, a delayed report can displace the living upstream until its next one.
 //
 // # Usage
 //
--- a/registrar/record.go
+++ b/registrar/record.go
@@ -20,7 +20,7 @@
 const (
 	Ready    State = "Ready"
 	Draining State = "Draining" // finishes its requests and accepts no new ones
-	Gone     State = "Gone"     // has left, or its address belongs to another upstream
+	Gone     State = "Gone"     // has left
 )
 
 var ranks = map[State]int{Ready: 1, Draining: 2, Gone: 3}
@@ -40,6 +40,10 @@
 	Region           identifier.Region
 	Slots            int
 	State            State
+	// Displaced is set if another upstream has reported the address since the report with
+	// Sequence. A later report of this one takes the address back: which of the two is over can
+	// be told only by who goes on reporting.
+	Displaced bool `cbor:",omitempty"`
 	// ColdMillis is how long the upstream stays cold, in milliseconds from when the record
 	// is sent.
 	ColdMillis int64
@@ -57,6 +61,11 @@
 	Limit limiter.RequestLimit
 }
 
+// IsOver reports whether the upstream gets no requests any more.
+func (r Record) IsOver() bool {
+	return r.State == Gone || r.Displaced
+}
+
 // Serves returns the release with which the upstream serves new requests, or 0 if
 // there is none. The agent's announcement takes precedence over the report.
 func (r Record) Serves() declarer.ReleaseNumber {
@@ -94,6 +103,9 @@
 	if r.Limit.InForce {
 		b = append(b, 1)
 	}
+	if r.Displaced {
+		b = append(b, 2)
+	}
 	return Digest(xxhash.Sum64(b))
 }
 
@@ -105,6 +117,18 @@
 	return r.Sequence > other.Sequence
 }
 
+// advances reports whether r says more of the same report than the other record, or of a
+// different one that its upstream can't take back.
+func (r Record) advances(other Record) bool {
+	if r.Incarnation != other.Incarnation {
+		return false
+	}
+	if r.State != other.State {
+		return ranks[r.State] > ranks[other.State]
+	}
+	return r.Displaced && !other.Displaced && r.Sequence == other.Sequence
+}
+
 // Load holds the numbers of running and waiting requests of an upstream, as
 // reported by its agent.
 type Load struct {
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -45,9 +45,6 @@
 	coldSequence uint64
 	// refreshedSequence is the sequence that Refreshes returned last.
 	refreshedSequence uint64
-	// displaced is set if the upstream is Gone only because another one took over its
-	// address.
-	displaced bool
 }
 
 // KnownUpstream is a record with its age in this process.
@@ -121,7 +118,7 @@
 		t.displace(r)
 		return true
 	}
-	if r.Incarnation == e.record.Incarnation && ranks[r.State] < ranks[e.record.State] && !e.displaced {
+	if r.Incarnation == e.record.Incarnation && ranks[r.State] < ranks[e.record.State] {
 		// Leaving is final for an incarnation. This report was delayed in transit,
 		// or the upstream has reversed its decision to leave too late, or has said
 		// only in its answers that it leaves.
@@ -130,8 +127,7 @@
 		}
 		return false
 	}
-	advances := r.Incarnation == e.record.Incarnation && ranks[r.State] > ranks[e.record.State]
-	if !r.newerThan(e.record) && !advances {
+	if !r.newerThan(e.record) && !r.advances(e.record) {
 		if r.Incarnation != e.record.Incarnation {
 			return false
 		}
@@ -154,12 +150,13 @@
 	}
 	if r.Incarnation != e.record.Incarnation {
 		e.coldUntil, e.coldSequence = time.Time{}, 0
+	} else if !r.newerThan(e.record) {
+		r.Displaced = r.Displaced || e.record.Displaced
 	}
 	cold := e.recordCold(now, r)
 	same := r.equivalent(e.record) && !cold
 	r.Sequence = max(r.Sequence, sequenceWithin(e.record, r.Incarnation))
 	e.record = r
-	e.displaced = false
 	if same {
 		return false
 	}
@@ -176,17 +173,25 @@
 	return r.Sequence
 }
 
-// displace marks as Gone every other upstream whose address r has taken over.
+// displace marks as Displaced every other upstream whose address r has taken over, or r itself
+// if another one that has started later holds the address.
 func (t *Table) displace(r Record) {
-	if r.State == Gone {
+	if r.IsOver() {
 		return
 	}
+	var others []*entry
 	for _, e := range t.entries {
-		if e.record.Upstream == r.Upstream || e.record.Address != r.Address || e.record.State == Gone {
+		if e.record.Upstream == r.Upstream || e.record.Address != r.Address || e.record.IsOver() {
 			continue
 		}
-		e.record.State = Gone
-		e.displaced = true
+		if r.Incarnation != 0 && r.Incarnation < e.record.Incarnation {
+			others = []*entry{t.entries[r.Upstream]}
+			break
+		}
+		others = append(others, e)
+	}
+	for _, e := range others {
+		e.record.Displaced = true
 		t.markChanged(e)
 	}
 }
@@ -206,7 +211,7 @@
 	if !ok || e.record.Incarnation != f.Incarnation {
 		return false
 	}
-	if f.Sequence > e.record.Sequence {
+	if f.Sequence > e.record.Sequence && !e.record.Displaced {
 		e.record.Sequence = f.Sequence
 		e.heardAt = now
 	}
@@ -218,7 +223,7 @@
 func (t *Table) Refreshes() []Refresh {
 	var list []Refresh
 	for _, e := range t.sorted() {
-		if e.record.State == Gone || e.record.Sequence == e.refreshedSequence {
+		if e.record.IsOver() || e.record.Sequence == e.refreshedSequence {
 			continue
 		}
 		e.refreshedSequence = e.record.Sequence
@@ -269,11 +274,11 @@
 	return t.cursor
 }
 
-// Upstreams returns all upstreams that are not Gone, sorted by name.
+// Upstreams returns all upstreams that are neither Gone nor Displaced, sorted by name.
 func (t *Table) Upstreams(now time.Time) []KnownUpstream {
 	list := make([]KnownUpstream, 0, len(t.entries))
 	for _, e := range t.sorted() {
-		if e.record.State == Gone {
+		if e.record.IsOver() {
 			continue
 		}
 		age := now.Sub(e.heardAt)
--- a/registrar/table_test.go
+++ b/registrar/table_test.go
@@ -85,6 +85,101 @@
 	require.Equal(t, identifier.Upstream("b"), known[0].Upstream)
 }
 
+// exchange sends the records that changed since the cursors from each table to the other one, until
+// nothing is left.
+func exchange(one, two *registrar.Table) {
+	var sentOne, sentTwo registrar.Cursor
+	for range 8 {
+		var fromOne, fromTwo []registrar.Record
+		fromOne, sentOne = one.Since(start, sentOne)
+		fromTwo, sentTwo = two.Since(start, sentTwo)
+		for _, r := range fromOne {
+			two.Merge(start, r)
+		}
+		for _, r := range fromTwo {
+			one.Merge(start, r)
+		}
+	}
+}
+
+// Guards against an upstream that no entry uses any more though it reports: a delayed report of
+// its predecessor at the address displaced it at one process, and the others took that for its own
+// word (review case 1).
+func TestDelayedReportOfThePredecessorIsUndoneEverywhere(t *testing.T) {
+	for _, names := range [][2]identifier.Upstream{{"b", "a"}, {"a", "b"}} {
+		old, living := record(names[0], 4, registrar.Ready), record(names[1], 1, registrar.Ready)
+		living.Address = old.Address
+		serves := func(table *registrar.Table) []identifier.Upstream {
+			var list []identifier.Upstream
+			for _, k := range table.Upstreams(start) {
+				list = append(list, k.Upstream)
+			}
+			return list
+		}
+		for name, hears := range map[string]func(one, two *registrar.Table) *registrar.Table{
+			"the process that got the delayed report": func(one, _ *registrar.Table) *registrar.Table { return one },
+			"another one": func(_, two *registrar.Table) *registrar.Table { return two },
+		} {
+			one, two := registrar.New(cfg), registrar.New(cfg)
+			one.Merge(start, old)
+			exchange(one, two)
+			two.Merge(start, living)
+			exchange(one, two)
+			require.Equal(t, []identifier.Upstream{living.Upstream}, serves(one))
+			delayed := old
+			delayed.Sequence++
+			one.Merge(start, delayed)
+			exchange(one, two)
+			next := living
+			next.Sequence++
+			hears(one, two).Merge(start, next)
+			exchange(one, two)
+			for _, table := range []*registrar.Table{one, two} {
+				require.Equal(t, []identifier.Upstream{living.Upstream}, serves(table), "%s hears the living one", name)
+			}
+			require.Equal(t, one.Sum(), two.Sum())
+		}
+	}
+}
+
+// The same while the processes know different reports of the living upstream, and refreshes of it
+// arrive in between.
+func TestDisplacementByADelayedReportEndsWithTheNextReport(t *testing.T) {
+	old, living := record("b", 4, registrar.Ready), record("a", 1, registrar.Ready)
+	living.Address = old.Address
+	one, two := registrar.New(cfg), registrar.New(cfg)
+	one.Merge(start, old)
+	one.Merge(start, living)
+	exchange(one, two)
+	living.Sequence = 2
+	two.Merge(start, living)
+	old.Sequence = 5
+	one.Merge(start, old)
+	one.Refresh(start, registrar.Refresh{Upstream: "a", Sequence: 3})
+	exchange(one, two)
+	living.Sequence = 3
+	two.Merge(start, living)
+	exchange(one, two)
+	for _, table := range []*registrar.Table{one, two} {
+		require.Len(t, table.Upstreams(start), 1)
+		require.Equal(t, identifier.Upstream("a"), table.Upstreams(start)[0].Upstream)
+	}
+	require.Equal(t, one.Sum(), two.Sum())
+}
+
+// Where starts are reported, a delayed report changes nothing.
+func TestUpstreamThatStartedEarlierDisplacesNobody(t *testing.T) {
+	old, living := record("b", 4, registrar.Ready), record("a", 1, registrar.Ready)
+	old.Incarnation, living.Incarnation, living.Address = 1, 2, old.Address
+	table := registrar.New(cfg)
+	table.Merge(start, old)
+	table.Merge(start, living)
+	old.Sequence = 5
+	table.Merge(start, old)
+	require.Len(t, table.Upstreams(start), 1)
+	require.Equal(t, identifier.Upstream("a"), table.Upstreams(start)[0].Upstream)
+}
+
 func TestSilentUpstreamIsStaleAndThenForgotten(t *testing.T) {
 	table := registrar.New(cfg)
 	table.Merge(start, record("a", 1, registrar.Ready))
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -275,14 +275,14 @@
 	s.recordNote(func() bool { return s.table.RecordLeaving(name, incarnation) })
 }
 
-// Upstreams returns the upstreams of the table, without those in the state Gone.
+// Upstreams returns the upstreams of the table, without those that are gone or displaced.
 func (s *Spreader) Upstreams() []registrar.KnownUpstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.table.Upstreams(s.clock.Now())
 }
 
-// Find returns the record of an upstream, also of one in the state Gone.
+// Find returns the record of an upstream, also of one that is gone or displaced.
 func (s *Spreader) Find(name identifier.Upstream) (registrar.Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -344,7 +344,7 @@
 	}
 	s.ownRefreshes = s.ownRefreshes[:0:0]
 	for _, name := range slices.Sorted(maps.Keys(s.reported)) {
-		if r, ok := s.table.Find(name); ok && r.State != registrar.Gone {
+		if r, ok := s.table.Find(name); ok && !r.IsOver() {
 			s.ownRefreshes = append(s.ownRefreshes, registrar.Refresh{Upstream: name, Incarnation: r.Incarnation, Sequence: r.Sequence})
 		}
 	}
