relayer: apply the limits on headers and idle connections that are in force

Cause: the limits of http.Server can't be changed while it serves, and were set from the first declaration.

--- /dev/null
+++ b/relayer/limits_test.go
@@ -0,0 +1,107 @@
+package relayer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"celeryvalve/balancer"
+	"celeryvalve/declarer"
+	"celeryvalve/identifier"
+)
+
+// attemptDialect takes each request for one with an attempt id.
+type attemptDialect struct{ Dialect }
+
+func (attemptDialect) ReadCaller(http.Header) CallerHeader { return CallerHeader{Attempt: "a1"} }
+
+func (attemptDialect) WriteOwn(http.Header, identifier.AttemptID, time.Duration) {}
+
+// limitedServer serves callers by limits that a test declares.
+type limitedServer struct {
+	t       *testing.T
+	relayer *Relayer
+	clock   *clockwork.FakeClock
+	address string
+	version int
+}
+
+func newLimitedServer(t *testing.T) *limitedServer {
+	clock := clockwork.NewFakeClock()
+	r := New(balancer.New(balancer.Config{}), attemptDialect{}, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := r.Server("")
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return &limitedServer{t: t, relayer: r, clock: clock, address: listener.Addr().String()}
+}
+
+func (s *limitedServer) declare(l declarer.Limits) {
+	s.version++
+	s.relayer.Declare(declarer.NewIndex(declarer.Declaration{Version: identifier.ConfigurationVersion(s.version), Limits: l}), nil)
+}
+
+func (s *limitedServer) dial() net.Conn {
+	conn, err := net.Dial("tcp4", s.address)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// status sends a request with a header of n bytes, and returns the status of the response: 404 if
+// the headers are accepted, as there is no route.
+func (s *limitedServer) status(conn net.Conn, n int) int {
+	_, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: a.example\r\nCookie: %s\r\n\r\n", strings.Repeat("c", n))
+	require.NoError(s.t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(s.t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(s.t, err)
+	return response.StatusCode
+}
+
+// isClosed reports whether the server has closed the connection, which sends nothing else.
+func isClosed(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err := conn.Read(make([]byte, 1))
+	netErr, ok := err.(net.Error)
+	return !ok || !netErr.Timeout()
+}
+
+// Guards against limits that are those of the first declaration for ever: headers within a raised
+// limit got 431 (review case 4).
+func TestLimitsAreThoseInForce(t *testing.T) {
+	s := newLimitedServer(t)
+	s.declare(declarer.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second})
+	kept := s.dial()
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, s.status(s.dial(), 30_000))
+	require.Equal(t, http.StatusNotFound, s.status(kept, 10_000))
+
+	s.declare(declarer.Limits{HeaderBytes: 64 << 10, HeaderTimeout: 30 * time.Second, IdleTimeout: time.Minute})
+	require.Equal(t, http.StatusNotFound, s.status(s.dial(), 30_000))
+	require.Equal(t, http.StatusNotFound, s.status(kept, 30_000), "also on a connection from before")
+
+	slow := s.dial()
+	time.Sleep(50 * time.Millisecond) // the timers of both connections run
+	s.clock.Advance(20 * time.Second)
+	require.False(t, isClosed(kept) || isClosed(slow), "both are within the new limits")
+	s.clock.Advance(20 * time.Second)
+	require.True(t, isClosed(slow))
+	require.False(t, isClosed(kept))
+	s.clock.Advance(30 * time.Second)
+	require.True(t, isClosed(kept))
+
+	s.declare(declarer.Limits{HeaderBytes: 16 << 10})
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, s.status(s.dial(), 30_000), "a lower limit counts too")
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -20,14 +18,6 @@
 )
 
 const (
-	// These defaults apply until limits are declared.
-	defaultHeaderBytes   = 16 << 10
-	defaultBodyBytes     = 4 << 20
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdleTimeout   = 15 * time.Second
-	// serverIdleMargin is added to the declared idle timeout, so that the server does
-	// not close a connection just as a caller reuses it.
-	serverIdleMargin = 2 * time.Second
 	// poolCleanupInterval is the time between two checks for expired idle connections.
 	poolCleanupInterval = time.Second
 	// undeclaredRetryAfter is the Retry-After time of an entry that has no declaration yet.
@@ -186,30 +176,6 @@
 	return r.inFlight
 }
 
-// Server returns an HTTP server for callers. Its limits are those declared at the
-// time of the call.
-func (r *Relayer) Server(addr string) *http.Server {
-	limits := declarer.Limits{}
-	if index := r.index.Load(); index != nil {
-		limits = index.Declaration.Limits
-	}
-	return &http.Server{
-		Addr:              addr,
-		Handler:           r,
-		ReadHeaderTimeout: positiveOr(limits.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:       positiveOr(limits.IdleTimeout, defaultIdleTimeout) + serverIdleMargin,
-		MaxHeaderBytes:    int(positiveOr(int64(limits.HeaderBytes), defaultHeaderBytes)),
-		ErrorLog:          zap.NewStdLog(r.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-		ConnState:         r.countConnection,
-	}
-}
-
-func (r *Relayer) countConnection(_ net.Conn, state http.ConnState) {
-	if state == http.StateNew {
-		r.meters.connections.Inc()
-	}
-}
-
 // positiveOr returns value if it is positive, and fallback otherwise.
 func positiveOr[T time.Duration | int64](value, fallback T) T {
 	if value > 0 {
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -90,6 +90,10 @@
 	if x.header.Attempt == "" {
 		return http.StatusBadRequest, "the request has no attempt id (send one in its header)"
 	}
+	limits := x.relayer.limits()
+	if problem := headersProblem(x.r, limits); problem != "" {
+		return http.StatusRequestHeaderFieldsTooLarge, problem
+	}
 	var ok bool
 	x.routeName, x.route, ok = index.FindRoute(x.r.Host, x.r.URL.EscapedPath())
 	if !ok {
@@ -99,7 +103,7 @@
 	if !ok && !x.route.Public && len(index.Declaration.Organisations) > 0 {
 		return http.StatusUnauthorized, "the key belongs to no organisation (check the key)"
 	}
-	if status, problem := x.readBody(index.Declaration.Limits); status != 0 {
+	if status, problem := x.readBody(limits); status != 0 {
 		return status, problem
 	}
 	x.request = x.balancerRequest(index.Declaration.Organisations[x.organisation])
@@ -108,8 +112,7 @@
 
 // readBody reads the body. It returns a status and a problem like admit.
 func (x *exchange) readBody(limits declarer.Limits) (status int, problem string) {
-	limit := positiveOr(limits.BodyBytes, defaultBodyBytes)
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes))
 	var maxBytesErr *http.MaxBytesError
 	switch {
 	case errors.As(err, &maxBytesErr):
