--- a/placer/staging_test.go
+++ b/placer/staging_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -54,12 +53,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	chunk, _ := strconv.Atoi(r.URL.Query().Get("num"))
-	switch path := r.URL.Path; {
-	case path == "/report":
+	switch {
+	case r.URL.Path == "/report":
 		e.report(w)
-	case path == "/order":
+	case r.URL.Path == "/order":
 		e.order(w, r)
-	case strings.HasPrefix(path, "/stage-put/"):
+	case r.Method == http.MethodPut:
 		data, _ := io.ReadAll(r.Body)
 		e.staged[chunk] = string(data)
 	default:
--- a/relayer/limits_test.go
+++ b/relayer/limits_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -75,8 +77,7 @@
 func isClosed(conn net.Conn) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 	_, err := conn.Read(make([]byte, 1))
-	netErr, ok := err.(net.Error)
-	return !ok || !netErr.Timeout()
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Guards against limits that are those of the first declaration for ever: headers within a raised
--- a/stager/proof_test.go
+++ b/stager/proof_test.go
@@ -31,10 +31,8 @@
 	release  declarer.ReleaseNumber
 	from, to int
 	expected uint64
-	// lost is set if nobody waits for the answer.
-	lost    bool
-	outcome stager.Outcome
-	done    bool
+	outcome  stager.Outcome
+	done     bool
 }
 
 // accept carries out an order.
