platform: let requests end before an engine gives up weights of unknown state

An agent that finds its engine withheld by an agent before it has the layers given up and loaded again. That broke off the requests that still ran there with a release that had been proven before.

Evidence: TestSuccessorLoadsAgainWhatWasWithheld (before the proof of releases, the successor served what the engine held, whatever that was).

--- a/placer/staging_test.go
+++ b/placer/staging_test.go
@@ -241,3 +241,19 @@
 		})
 	}
 }
+
+// Guards against weights that nobody has verified: an agent was killed after it had withheld its
+// engine, and its successor took what the engine held for whole. Requests that run end first.
+func TestSuccessorLoadsAgainWhatWasWithheld(t *testing.T) {
+	engine := &fakeEngine{staged: make(map[int]string), held: make(map[int]string), release: 2}
+	engine.afterRead, engine.beforeOrder, engine.loseAnswer = func(int) {}, func(int) {}, func(int) bool { return false }
+	for layer := range engineLayers {
+		engine.held[layer] = "unknown"
+	}
+	a := newEngineAgent(t, engine, registrar.New(registrar.Config{StaleAfter: time.Minute, ForgetAfter: time.Hour}))
+	a.spreader.RecordServing("i-1", 0, 1)
+	require.True(t, a.run(), "the engine should serve in the end")
+	require.True(t, engine.isWhole(2), "the engine serves %v", engine.held)
+	require.EqualValues(t, 2, engine.orders)
+	require.Contains(t, engine.bodies[0], `"wait"`)
+}
