--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -36,9 +36,9 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	a := &attempt{exchange: x, send: send, ctx: ctx, cancel: cancel}
-	a.silence.a = a
+	a.stall.a = a
 	if send.FirstByteTimeout > 0 {
-		a.silence.start(send.FirstByteTimeout)
+		a.stall.start(send.FirstByteTimeout)
 	}
 	effect, cause := a.run()
 	switch {
@@ -46,7 +46,7 @@
 		return a.handedOver
 	case effect != nil:
 		return effect
-	case a.silence.hasBroken() && cause == balancer.ConnectionLost:
+	case a.stall.hasBroken() && cause == balancer.ConnectionLost:
 		cause = balancer.FirstByteTimedOut
 	}
 	return a.reportBreak(cause)
@@ -55,10 +55,10 @@
 // attempt is one attempt to send the request to one upstream.
 type attempt struct {
 	*exchange
-	send    balancer.Send
-	ctx     context.Context
-	cancel  context.CancelFunc
-	silence silence
+	send   balancer.Send
+	ctx    context.Context
+	cancel context.CancelFunc
+	stall  stallDetector
 	// handedOver is the effect with which the request goes on if another attempt has begun to
 	// answer it, and givenUp the one that ends it if this attempt breaks after no other took over.
 	handedOver, givenUp balancer.Effect
@@ -110,7 +110,7 @@
 	var responseHeader http.Header
 	defer func() {
 		c.setSource(c.conn)
-		sound := a.silence.detach()
+		sound := a.stall.detach()
 		if stop() && sound && reusable && a.request.Repeatable {
 			a.relayer.pool.put(addr, c, responseHeader, a.relayer.idleLimit(addr))
 		} else {
@@ -129,10 +129,10 @@
 		}
 		return nil, balancer.ConnectionLost
 	}
-	if !a.silence.attach(c.conn) {
+	if !a.stall.attach(c.conn) {
 		return nil, balancer.ConnectionLost
 	}
-	c.setSource(&a.silence)
+	c.setSource(&a.stall)
 	response, header, cause := a.readHead(c, request)
 	if cause != "" {
 		return nil, cause
@@ -279,9 +279,9 @@
 	if err != nil || len(body) > maxBufferedBody {
 		return nil, balancer.ConnectionLost
 	}
-	a.silence.stop()
+	a.stall.stop()
 	x := a.exchange
-	x.leaveSilent()
+	x.closeStalled()
 	x.relayer.reduce(balancer.ResponseStarted{Request: x.request.ID, Status: response.StatusCode, Load: header.Load})
 	a.recordFirstByte()
 	failed := response.StatusCode >= http.StatusInternalServerError || meansNotExecuted(response.StatusCode)
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -44,8 +44,8 @@
 	lastSend        balancer.Send
 	// replied is set once the caller was sent a whole response.
 	replied bool
-	// silent holds the attempts that have handed over to the one in progress.
-	silent []*attempt
+	// stalled holds the attempts that have handed over to the one in progress.
+	stalled []*attempt
 	// firstByte is the time from the arrival of the request until the first byte of the
 	// response could be sent to the caller.
 	firstByte time.Duration
--- a/relayer/silence.go
+++ b/relayer/stall.go
@@ -15,10 +15,10 @@
 // errHandedOver ends the reads of an attempt whose request another one has answered.
 var errHandedOver = errors.New("another attempt has taken over")
 
-// silence notices that an attempt's upstream has sent nothing for a time. While the attempt waits
-// for bytes, it then hands the request over to another one, and goes on if no other upstream
-// takes it over. Before that it breaks, since nothing that it has could get lost.
-type silence struct {
+// stallDetector notices that an attempt's upstream has sent nothing for a timeout. An attempt that
+// waits for bytes then hands the request over to another one, and goes on if no other upstream
+// takes it over. One that is still connecting or sending breaks: it has no answer to lose.
+type stallDetector struct {
 	a *attempt
 
 	mu    sync.Mutex
@@ -28,14 +28,14 @@
 	}
 	// conn is the connection that the attempt reads from, or nil before.
 	conn net.Conn
-	// fired is set if the time is over and the reads haven't noticed yet.
+	// fired is set if the timeout has passed and the reads haven't noticed yet.
 	fired bool
-	// broke is set if the time was over before the attempt read.
+	// broke is set if the timeout had passed before the attempt read.
 	broke bool
 }
 
-// start lets the time begin, anew if it has begun.
-func (s *silence) start(timeout time.Duration) {
+// start starts the timeout, anew if it has started.
+func (s *stallDetector) start(timeout time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.timer == nil {
@@ -45,7 +45,7 @@
 	s.timer.Reset(timeout)
 }
 
-func (s *silence) stop() {
+func (s *stallDetector) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.timer != nil {
@@ -54,7 +54,7 @@
 }
 
 // fire interrupts the read in progress, or the attempt if it doesn't read yet.
-func (s *silence) fire() {
+func (s *stallDetector) fire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conn == nil {
@@ -66,17 +66,17 @@
 	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// attach has the attempt read from the connection. It returns false if the time is over.
-func (s *silence) attach(conn net.Conn) bool {
+// attach has the attempt read from the connection. It returns false if the timeout has passed.
+func (s *stallDetector) attach(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conn = conn
 	return !s.broke
 }
 
-// detach ends the reads and the time. It returns false if the connection can't be used any
+// detach ends the reads and the timeout. It returns false if the connection can't be used any
 // more.
-func (s *silence) detach() bool {
+func (s *stallDetector) detach() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.timer != nil {
@@ -87,7 +87,7 @@
 }
 
 // close closes the connection that the attempt reads from.
-func (s *silence) close() {
+func (s *stallDetector) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conn != nil {
@@ -95,15 +95,15 @@
 	}
 }
 
-// hasBroken reports whether the time was over before the attempt read.
-func (s *silence) hasBroken() bool {
+// hasBroken reports whether the timeout had passed before the attempt read.
+func (s *stallDetector) hasBroken() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.broke
 }
 
-// take reports whether the time is over, and lets the connection be read again.
-func (s *silence) take() bool {
+// take reports whether the timeout has passed, and lets the connection be read again.
+func (s *stallDetector) take() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.fired {
@@ -114,9 +114,9 @@
 	return true
 }
 
-// Read reads from the connection. If the time is over before any byte has come, it hands the
+// Read reads from the connection. If the timeout passes before any byte has come, it hands the
 // request over, and waits on if that fails.
-func (s *silence) Read(p []byte) (int, error) {
+func (s *stallDetector) Read(p []byte) (int, error) {
 	for {
 		n, err := s.conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !s.take() {
@@ -137,27 +137,27 @@
 func (a *attempt) handOver() bool {
 	x := a.exchange
 	effect := a.reportBreak(balancer.FirstByteTimedOut)
-	x.silent = append(x.silent, a)
+	x.stalled = append(x.stalled, a)
 	givenUp := x.runAttempts(effect)
-	if givenUp == nil || len(x.silent) == 0 {
+	if givenUp == nil || len(x.stalled) == 0 {
 		a.handedOver = givenUp
 		if givenUp == nil {
 			a.handedOver = balancer.NoEffect{}
 		}
 		return false
 	}
-	x.silent = x.silent[:len(x.silent)-1]
+	x.stalled = x.stalled[:len(x.stalled)-1]
 	x.lastSend = a.send
 	a.givenUp = givenUp
 	x.log("No other upstream took over. Waiting for the silent one.", zap.String("upstream", string(a.send.Target.Upstream)))
 	return true
 }
 
-// leaveSilent closes the connections of the attempts that have handed over, since this one has
+// closeStalled closes the connections of the attempts that have handed over, since this one has
 // an answer.
-func (x *exchange) leaveSilent() {
-	for _, a := range x.silent {
-		a.silence.close()
+func (x *exchange) closeStalled() {
+	for _, a := range x.stalled {
+		a.stall.close()
 	}
-	x.silent = nil
+	x.stalled = nil
 }
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -28,10 +28,10 @@
 	events := newEventReader(response.Body)
 	for count := 0; ; {
 		if count > 0 && a.mayHandOver() {
-			a.silence.start(max(minStallTimeout, stallFactor*a.route.BetweenEvents))
+			a.stall.start(max(minStallTimeout, stallFactor*a.route.BetweenEvents))
 		}
 		event, id, err := events.next()
-		a.silence.stop()
+		a.stall.stop()
 		if errors.Is(err, io.EOF) && count > 0 {
 			return a.endStream(response)
 		}
@@ -39,7 +39,7 @@
 			return nil, balancer.ConnectionLost
 		}
 		if count == 0 {
-			x.leaveSilent()
+			x.closeStalled()
 			x.relayer.reduce(balancer.ResponseStarted{Request: x.request.ID, Status: response.StatusCode, Load: a.load})
 			if !x.responseStarted {
 				a.recordFirstByte()
