balancer: keep silent attempts in progress beside other ones

What callers saw: a request whose upstream was silent for a second was handed to another one. From then on the reducer knew only the new attempt: if that broke or answered with an error, the request was over, and the answer of the first one, which went on, had no place any more. While the first one went on it was not counted at its upstream, which looked idle and got more. An upstream that had gone on stayed ejected, and its requests were held for what may crash upstreams.

Cause: a request had one attempt. A timeout ended it like a lost connection.

Change: an attempt has a state of its own, and a request may have several. Events name theirs by Send.Attempt. AttemptStalled says that an upstream is silent: its attempt goes on and stays counted, and another one may be sent beside it, within the attempts and the retry budget as before. A request is given up only with its last attempt (Await until then). AttemptChosen ends the others. An upstream that goes on is sound at once; an attempt counts as a loss of a possible crash only if it ends while its upstream is silent.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -2,23 +2,66 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"celeryvalve/declarer"
+	"celeryvalve/identifier"
 )
 
+// attempt is one attempt of a request that is in progress.
+type attempt struct {
+	*request
+	number int // Send.Attempt
+	target *upstream
+	sentAt time.Time
+	// uncorrected is the forecast of the first byte without the bias of such forecasts.
+	uncorrected time.Duration
+	// paced reports whether the attempt counts against a share.
+	paced bool
+	// firstByteAt is when the response began, or zero.
+	firstByteAt time.Time
+	// measuredEvents and measuredAt are the events up to which the upstream's speed was
+	// measured, and when the last of them came.
+	measuredEvents int
+	measuredAt     time.Time
+	answered       bool // the response has begun, or the attempt is over
+	// silent is set while the upstream has sent nothing for long.
+	silent bool
+}
+
+// attemptOf returns an attempt in progress by its number, or the latest one for number 0.
+func (r *Reducer) attemptOf(id identifier.RequestID, number int) (*attempt, bool) {
+	s, ok := r.requests[id]
+	if !ok || len(s.inProgress) == 0 {
+		return nil, false
+	}
+	if number == 0 {
+		return s.inProgress[len(s.inProgress)-1], true
+	}
+	for _, a := range s.inProgress {
+		if a.number == number {
+			return a, true
+		}
+	}
+	return nil, false
+}
+
 func (r *Reducer) send(now time.Time, s *request, u *upstream, forecast time.Duration, policy ServicePolicy) Effect {
 	s.attempts++
+	s.sends++
 	s.tried[u.view.Upstream] = true
-	s.target = u
-	s.sentAt = now
-	s.uncorrected = forecast - r.biasOf(s.Service, u).at(now)
+	a := &attempt{
+		request:     s,
+		number:      s.sends,
+		target:      u,
+		sentAt:      now,
+		uncorrected: forecast - r.biasOf(s.Service, u).at(now),
+	}
+	s.inProgress = append(s.inProgress, a)
 	if s.attempts == 1 {
 		s.firstSentAt = now
 	}
-	s.answered = false
-	s.firstByteAt = time.Time{}
-	s.measuredEvents = 0
 	r.crashes.beginProbation(s)
 	othersRatio := u.othersRatio(r.othersRatio(s.Service))
 	load, age := u.load(now, othersRatio)
@@ -33,7 +76,7 @@
 	}
 	effect := Send{
 		Request:  s.ID,
-		Attempt:  s.attempts,
+		Attempt:  a.number,
 		Target:   u.view,
 		Urgency:  defaultUrgency,
 		Forecast: forecast,
@@ -42,7 +85,7 @@
 		Pace:     u.reported.Pace,
 		Slowness: u.speed.at(now),
 
-		HeldTokens:   r.addPrompt(s, policy, othersRatio),
+		HeldTokens:   r.addPrompt(a, policy, othersRatio),
 		IgnoredParts: s.ignoredParts,
 		Admission:    s.admission,
 	}
@@ -50,7 +93,7 @@
 		effect.LimitStamp = u.limit.Stamp
 	}
 	effect.Cold = u.cold.bound
-	u.recordPacedSend(now, s)
+	u.recordPacedSend(now, a)
 	switch {
 	case s.Resubmitted:
 		effect.Urgency = resubmittedUrgency
@@ -68,66 +111,120 @@
 }
 
 func (r *Reducer) answering(now time.Time, e ResponseStarted) Effect {
-	s, ok := r.requests[e.Request]
-	if !ok || s.answered {
+	a, ok := r.attemptOf(e.Request, e.Attempt)
+	if !ok || a.answered {
 		return NoEffect{}
 	}
-	s.mayHaveRun = true
-	u := s.target
+	a.mayHaveRun = true
+	a.silent = false
+	u := a.target
 	u.heardAt = now
-	s.firstByteAt = now
-	s.measuredEvents, s.measuredAt = 1, now
+	a.firstByteAt = now
+	a.measuredEvents, a.measuredAt = 1, now
 	if e.Status < http.StatusBadRequest {
-		s.confirmPrompt()
+		a.confirmPrompt()
 	}
-	s.stopWaiting()
-	u.firstByte.Add(now.Sub(s.sentAt))
-	r.learnBias(now, s)
-	if s.attempts == 1 && !s.Resubmitted && s.Objective > 0 {
-		r.demandOf(s.Service).observeFirstByte(now.Sub(s.firstSentAt), s.Objective)
+	a.stopWaiting()
+	u.firstByte.Add(now.Sub(a.sentAt))
+	r.learnBias(now, a)
+	if a.attempts == 1 && !a.Resubmitted && a.Objective > 0 {
+		r.demandOf(a.Service).observeFirstByte(now.Sub(a.firstSentAt), a.Objective)
 	}
 	r.observeAnswer(now, u, e.Load)
 	return NoEffect{}
 }
 
+// awaitsAnswer reports whether an attempt is in progress whose upstream isn't silent.
+func (s *request) awaitsAnswer() bool {
+	return slices.ContainsFunc(s.inProgress, func(a *attempt) bool { return !a.silent })
+}
+
+// stalled asks another upstream while the one of the attempt is silent. The attempt goes on.
+func (r *Reducer) stalled(now time.Time, e AttemptStalled) Effect {
+	a, ok := r.attemptOf(e.Request, e.Attempt)
+	if !ok {
+		return NoEffect{}
+	}
+	if !a.silent {
+		a.silent = true
+		r.recordFailure(now, a.target, FirstByteTimedOut)
+	}
+	mayRetry := a.Repeatable
+	if e.PartlySent {
+		mayRetry = e.Resumable
+	}
+	if !mayRetry || a.awaitsAnswer() {
+		return NoEffect{}
+	}
+	if effect, reason := r.retry(now, a.request); reason == "" {
+		return effect
+	}
+	return NoEffect{}
+}
+
+// chosen ends the other attempts of a request, since the caller gets the response of this one.
+func (r *Reducer) chosen(now time.Time, e AttemptChosen) Effect {
+	a, ok := r.attemptOf(e.Request, e.Attempt)
+	if !ok {
+		return NoEffect{}
+	}
+	if a.silent {
+		a.silent = false
+		a.target.heardAt = now
+		r.recordSuccess(now, a.target)
+	}
+	for _, other := range slices.Clone(a.inProgress) {
+		if other != a {
+			r.abandon(now, other)
+		}
+	}
+	return NoEffect{}
+}
+
 func (r *Reducer) ended(now time.Time, e ResponseCompleted) Effect {
-	s, ok := r.requests[e.Request]
+	a, ok := r.attemptOf(e.Request, e.Attempt)
 	if !ok {
 		return NoEffect{}
 	}
-	u := s.target
-	r.releaseAttempt(s, true)
+	s, u := a.request, a.target
+	r.releaseAttempt(a, true)
 	r.observeAnswer(now, u, e.Load)
 	u.heardAt = now
 	// Without a length a crash may have ended the response, and an error says nothing about
 	// what a run to the end would do.
-	if !e.IsError && (!e.Unframed || s.survived(now)) {
-		r.crashes.recordCompletion(now, s.Fingerprint, s.sentAt)
-		r.crashes.recordParts(now, s)
+	if !e.IsError && (!e.Unframed || a.survived(now)) {
+		r.crashes.recordCompletion(now, s.Fingerprint, a.sentAt)
+		r.crashes.recordParts(now, a)
 	}
 	if !e.IsError {
 		r.recordSuccess(now, u)
-		delete(r.requests, s.ID)
+		r.end(now, s)
 		return NoEffect{}
 	}
 	s.mayHaveRun = true
 	r.recordFailure(now, u, UpstreamError)
+	if s.awaitsAnswer() {
+		return Await{Request: s.ID}
+	}
 	if s.Repeatable {
 		if effect, reason := r.retry(now, s); reason == "" {
 			return effect
 		}
 	}
-	delete(r.requests, s.ID)
+	if len(s.inProgress) > 0 {
+		return Await{Request: s.ID}
+	}
+	r.end(now, s)
 	return NoEffect{}
 }
 
 func (r *Reducer) broke(now time.Time, e AttemptFailed) Effect {
-	s, ok := r.requests[e.Request]
+	a, ok := r.attemptOf(e.Request, e.Attempt)
 	if !ok {
 		return NoEffect{}
 	}
-	u := s.target
-	r.releaseAttempt(s, e.Cause != NotConnected)
+	s, u := a.request, a.target
+	r.releaseAttempt(a, e.Cause != NotConnected)
 	r.observeAnswer(now, u, e.Load)
 	switch e.Cause {
 	case NotConnected:
@@ -136,19 +233,22 @@
 	case NotExecuted:
 	case Expired:
 		s.mayHaveRun = true
-		r.recordLoss(now, s, e.Cause)
+		r.recordLoss(now, a, e.Cause)
 		return r.giveUp(now, s, DeadlineExceeded, 0)
 	case Misdirected:
 		u.forgetPrefixes()
 		r.recordFailure(now, u, e.Cause)
 	case ConnectionLost, FirstByteTimedOut:
 		s.mayHaveRun = true
-		r.recordLoss(now, s, e.Cause)
+		r.recordLoss(now, a, e.Cause)
 		r.recordFailure(now, u, e.Cause)
 	default:
 		s.mayHaveRun = true
 		r.recordFailure(now, u, e.Cause)
 	}
+	if s.awaitsAnswer() {
+		return Await{Request: s.ID}
+	}
 	mayRetry := !s.mayHaveRun || s.Repeatable
 	if e.PartlySent {
 		mayRetry = e.Resumable
@@ -167,7 +267,7 @@
 	case Resting, Evacuated: // says when the request may come back
 		reason = other
 	}
-	return r.giveUp(now, s, reason, 0)
+	return r.giveUpUnlessInProgress(now, s, reason, 0)
 }
 
 // retry sends the request to another upstream, or says why it doesn't.
@@ -178,7 +278,7 @@
 		return nil, NoAttemptLeft
 	case s.Deadline.Sub(now) < minRemaining:
 		return nil, DeadlineTooNear
-	case !s.mayHaveRun && r.isTooLate(now, s):
+	case !s.mayHaveRun && len(s.inProgress) == 0 && r.isTooLate(now, s):
 		return nil, Draining
 	case r.crashes.refuses(now, &s.Request):
 		return nil, Quarantined
@@ -193,28 +293,46 @@
 	return r.send(now, s, best, forecast, policy), ""
 }
 
-// releaseAttempt stops counting the current attempt on its upstream. reached reports whether
+// releaseAttempt ends the attempt and stops counting it on its upstream. reached reports whether
 // the upstream got the request.
-func (r *Reducer) releaseAttempt(s *request, reached bool) {
-	r.crashes.endProbation(s, reached)
-	u := s.target
+func (r *Reducer) releaseAttempt(a *attempt, reached bool) {
+	r.crashes.endProbation(a, reached)
+	u := a.target
 	u.inFlight--
-	s.withdrawPrompt()
-	s.stopWaiting()
-	if u.probe == s.ID {
+	a.withdrawPrompt()
+	a.stopWaiting()
+	if u.probe == a.ID {
 		u.probe = ""
 	}
+	a.inProgress = slices.DeleteFunc(a.inProgress, func(other *attempt) bool { return other == a })
+}
+
+// abandon ends an attempt whose response isn't needed. If its upstream was silent, it may have
+// crashed.
+func (r *Reducer) abandon(now time.Time, a *attempt) {
+	if a.silent {
+		r.recordLoss(now, a, FirstByteTimedOut)
+	}
+	r.releaseAttempt(a, true)
 }
 
-// stopWaiting stops counting the current attempt as waiting, since its response has
-// begun or the attempt is over.
-func (s *request) stopWaiting() {
-	if s.answered {
+// end ends the request with all attempts that are still in progress.
+func (r *Reducer) end(now time.Time, s *request) {
+	for _, a := range slices.Clone(s.inProgress) {
+		r.abandon(now, a)
+	}
+	delete(r.requests, s.ID)
+}
+
+// stopWaiting stops counting the attempt as waiting, since its response has begun or the
+// attempt is over.
+func (a *attempt) stopWaiting() {
+	if a.answered {
 		return
 	}
-	s.answered = true
-	s.target.waiting--
-	if s.Resubmitted {
-		s.target.waitingResubmitted--
+	a.answered = true
+	a.target.waiting--
+	if a.Resubmitted {
+		a.target.waitingResubmitted--
 	}
 }
--- a/balancer/bias.go
+++ b/balancer/bias.go
@@ -59,10 +59,10 @@
 
 // learnBias takes in when the first byte came. Requests that others overtake say nothing, and
 // one that takes very long counts as one that misses its objective by as much again.
-func (r *Reducer) learnBias(now time.Time, s *request) {
-	b := r.biasOf(s.Service, s.target)
-	if b == nil || s.Resubmitted || s.Objective <= 0 {
+func (r *Reducer) learnBias(now time.Time, a *attempt) {
+	b := r.biasOf(a.Service, a.target)
+	if b == nil || a.Resubmitted || a.Objective <= 0 {
 		return
 	}
-	b.add(now, min(now.Sub(s.sentAt), 2*s.Objective)-s.uncorrected)
+	b.add(now, min(now.Sub(a.sentAt), 2*a.Objective)-a.uncorrected)
 }
--- a/balancer/cold.go
+++ b/balancer/cold.go
@@ -181,8 +181,8 @@
 
 // overdueForCold reports whether the attempt, which has its connection only now, was not
 // decided under the bound of a cold upstream, or too long ago.
-func (u *upstream) overdueForCold(now time.Time, s *request) bool {
-	return u.cold.bound && (!s.paced || now.Sub(s.sentAt) > maxPacedDelay)
+func (u *upstream) overdueForCold(now time.Time, a *attempt) bool {
+	return u.cold.bound && (!a.paced || now.Sub(a.sentAt) > maxPacedDelay)
 }
 
 func later(a, b time.Time) time.Time {
@@ -192,10 +192,10 @@
 	return b
 }
 
-// recordPacedSend counts the request against this entry's share.
-func (u *upstream) recordPacedSend(now time.Time, s *request) {
-	s.paced = u.limited()
-	if s.paced {
+// recordPacedSend counts the attempt against this entry's share.
+func (u *upstream) recordPacedSend(now time.Time, a *attempt) {
+	a.paced = u.limited()
+	if a.paced {
 		u.pacer.Record(now)
 	}
 }
--- a/balancer/crash.go
+++ b/balancer/crash.go
@@ -112,34 +112,34 @@
 	return findings
 }
 
-// recordLoss records that the current attempt of the request was lost. It counts as soon
+// recordLoss records that the attempt was lost. It counts as soon
 // as there is evidence of a crash of its upstream.
-func (r *Reducer) recordLoss(now time.Time, s *request, cause Cause) {
-	d, u := r.crashes, s.target
+func (r *Reducer) recordLoss(now time.Time, a *attempt, cause Cause) {
+	d, u := r.crashes, a.target
 	silent := cause != ConnectionLost
-	if s.survived(now) {
-		d.recordParts(now, s)
+	if a.survived(now) {
+		d.recordParts(now, a)
 	}
 	if silent && now.Sub(u.heardAt) < crashSpan {
 		return
 	}
-	suspects := d.suspectsOf(now, s)
+	suspects := d.suspectsOf(now, a)
 	if len(suspects) == 0 {
 		return
 	}
 	p := u.process()
-	if s.crashes == nil {
-		s.crashes = new(int)
+	if a.crashes == nil {
+		a.crashes = new(int)
 	}
 	l := lostAttempt{
 		suspects:    suspects,
-		firstSentAt: s.firstSentAt,
+		firstSentAt: a.firstSentAt,
 		at:          now,
-		crashes:     s.crashes,
+		crashes:     a.crashes,
 		silent:      silent,
 	}
 	d.expire(now)
-	if s.sentAt.Before(d.crashed[p]) {
+	if a.sentAt.Before(d.crashed[p]) {
 		d.report(p, KnownCrash, []lostAttempt{l})
 		return
 	}
@@ -153,28 +153,28 @@
 }
 
 // survived reports whether the upstream has lived on for survivalTime after it began to
-// respond to the current attempt.
-func (s *request) survived(now time.Time) bool {
-	return !s.firstByteAt.IsZero() && now.Sub(s.firstByteAt) >= survivalTime
+// respond to the attempt.
+func (a *attempt) survived(now time.Time) bool {
+	return !a.firstByteAt.IsZero() && now.Sub(a.firstByteAt) >= survivalTime
 }
 
 // suspectsOf returns what may have crashed the upstream under the request: the request
 // itself, unless one like it has lately run to its end, and the parts of its prompt, unless
 // the upstream has survived the beginning of its response.
-func (d *crashDetector) suspectsOf(now time.Time, s *request) []quarantiner.InFlight {
+func (d *crashDetector) suspectsOf(now time.Time, a *attempt) []quarantiner.InFlight {
 	var list []quarantiner.InFlight
-	base := quarantiner.InFlight{Organisation: s.Organisation, Service: s.Service}
-	if s.Fingerprint != 0 && !d.completed.contains(now, s.Fingerprint) {
-		base.Fingerprint = s.Fingerprint
+	base := quarantiner.InFlight{Organisation: a.Organisation, Service: a.Service}
+	if a.Fingerprint != 0 && !d.completed.contains(now, a.Fingerprint) {
+		base.Fingerprint = a.Fingerprint
 		list = append(list, base)
 	}
-	if s.survived(now) {
+	if a.survived(now) {
 		return list
 	}
-	for _, f := range s.Parts {
+	for _, f := range a.Parts {
 		part := base
 		part.Fingerprint, part.Part, part.CompletedBefore = f, true, d.completed.contains(now, f)
-		part.Beside = slices.DeleteFunc(slices.Clone(s.Parts), func(g quarantiner.Fingerprint) bool { return g == f })
+		part.Beside = slices.DeleteFunc(slices.Clone(a.Parts), func(g quarantiner.Fingerprint) bool { return g == f })
 		list = append(list, part)
 	}
 	return list
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -3,8 +3,9 @@
 //
 // Reducer processes events: requests that arrive, changes of the known upstreams, and
 // the progress of attempts. Each event that concerns a request returns one effect:
-// send the request to an upstream, answer it, or do nothing. A request has at most
-// one attempt at a time.
+// send the request to an upstream, answer it, or do nothing. A request has one attempt at
+// a time. While its upstream is silent there may be another one beside it; the request is
+// over once one is complete, or none is in progress.
 //
 // Upstreams are compared by a forecast of the time to the first byte. The load of an
 // upstream is taken from its last report; the requests that this entry has sent since,
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -20,8 +20,8 @@
 	Request identifier.RequestID
 	Attempt int // from 1
 	Target  UpstreamView
-	// FirstByteTimeout is the time without a byte of the response after which the
-	// attempt fails with FirstByteTimedOut, or 0 for no limit.
+	// FirstByteTimeout is the time without a response after which AttemptStalled is to follow,
+	// or 0 for none.
 	FirstByteTimeout time.Duration
 	// ExpectedRelease is the release that the upstream must hold, or 0 for any.
 	ExpectedRelease declarer.ReleaseNumber
@@ -52,6 +52,10 @@
 	Admission Admission
 }
 
+// Await means that the attempt is over, and that another one in progress may still answer the
+// request. The caller gets a response that was received only if none does.
+type Await struct{ Request identifier.RequestID }
+
 // Refuse answers that the request has not run and never will.
 type Refuse struct {
 	Request    identifier.RequestID
@@ -110,5 +114,6 @@
 
 func (NoEffect) isEffect() {}
 func (Send) isEffect()     {}
+func (Await) isEffect()    {}
 func (Refuse) isEffect()   {}
 func (Fail) isEffect()     {}
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -103,7 +103,8 @@
 	Pace float64
 }
 
-// Event is an input of the reducer.
+// Event is an input of the reducer. The Attempt of an event is Send.Attempt, or 0 for the latest
+// attempt of the request in progress.
 type Event interface{ isEvent() }
 
 // UpstreamsChanged carries all upstreams that may be chosen.
@@ -124,6 +125,7 @@
 // ResponseStarted says that the head of a response arrived. NoEffect follows.
 type ResponseStarted struct {
 	Request identifier.RequestID
+	Attempt int
 	Status  int
 	Load    *Load
 }
@@ -132,13 +134,15 @@
 // the last came just now. NoEffect follows.
 type StreamProgressed struct {
 	Request identifier.RequestID
+	Attempt int
 	Events  int
 }
 
-// ResponseCompleted says that the response of the attempt was received completely. NoEffect or Send
-// follows: Send if a failed response is to be dropped for another attempt.
+// ResponseCompleted says that the response of the attempt was received completely. NoEffect
+// follows if the caller gets it. Of an error Send may follow for another attempt, or Await.
 type ResponseCompleted struct {
 	Request identifier.RequestID
+	Attempt int
 	Load    *Load
 	// IsError says that the response is an error of the upstream itself.
 	IsError bool
@@ -175,7 +179,8 @@
 	Misdirected Cause = "Mistaken"
 	// ConnectionLost: the connection broke after bytes were sent. The request may have run.
 	ConnectionLost Cause = "Lost"
-	// FirstByteTimedOut: nothing arrived within FirstByteTimeout. The request may have run.
+	// FirstByteTimedOut: nothing arrived for a timeout. The request may have run. It occurs in
+	// EjectionChange and AttemptFailed.
 	FirstByteTimedOut Cause = "Silent"
 	// Expired: the deadline of the request passed first. The request may have run.
 	// This does not count as a failure of the upstream.
@@ -187,10 +192,11 @@
 	ProtocolError Cause = "Garbled"
 )
 
-// AttemptFailed says that the attempt ended without a complete response. Send, Refuse or
+// AttemptFailed says that the attempt ended without a complete response. Send, Await, Refuse or
 // Fail follows.
 type AttemptFailed struct {
 	Request identifier.RequestID
+	Attempt int
 	Cause   Cause
 	Load    *Load
 	// PartlySent says that a part of the response has gone to the caller.
@@ -200,9 +206,30 @@
 }
 
 // AttemptConnected says that the attempt has a connection and is about to be sent. NoEffect
-// follows if it is to be sent. Otherwise Send, Refuse or Fail follows, and nothing is sent on
-// the connection.
-type AttemptConnected struct{ Request identifier.RequestID }
+// follows if it is to be sent. Otherwise Send, Await, Refuse or Fail follows, and nothing is sent
+// on the connection.
+type AttemptConnected struct {
+	Request identifier.RequestID
+	Attempt int
+}
+
+// AttemptStalled says that nothing has come from the upstream of the attempt for a timeout. The
+// attempt goes on. Send follows if another one is to be made beside it, and NoEffect otherwise.
+type AttemptStalled struct {
+	Request identifier.RequestID
+	Attempt int
+	// PartlySent says that a part of a response has gone to the caller.
+	PartlySent bool
+	// Resumable says that another upstream can continue the response.
+	Resumable bool
+}
+
+// AttemptChosen says that the caller gets the response of the attempt, and that the other
+// attempts of the request are closed. NoEffect follows.
+type AttemptChosen struct {
+	Request identifier.RequestID
+	Attempt int
+}
 
 // RestRequested says that an upstream wants no requests of this entry for a time.
 type RestRequested struct {
@@ -270,6 +297,8 @@
 func (RestRequested) isEvent()      {}
 func (LeavingStated) isEvent()      {}
 func (AttemptConnected) isEvent()   {}
+func (AttemptStalled) isEvent()     {}
+func (AttemptChosen) isEvent()      {}
 func (EntriesChanged) isEvent()     {}
 func (UpstreamsChanged) isEvent()   {}
 func (LoadObserved) isEvent()       {}
--- a/balancer/notice.go
+++ b/balancer/notice.go
@@ -125,20 +125,23 @@
 
 // maySendNow reports whether the upstream of the attempt, which was chosen before the
 // connection was made, may still get it.
-func (r *Reducer) maySendNow(now time.Time, s *request) bool {
-	u := s.target
-	return !u.resting(now) && !u.leaving() && s.mayBeServedAt(u) && !r.evacuates(now, u) && !u.overdueForCold(now, s)
+func (r *Reducer) maySendNow(now time.Time, a *attempt) bool {
+	u := a.target
+	return !u.resting(now) && !u.leaving() && a.mayBeServedAt(u) && !r.evacuates(now, u) && !u.overdueForCold(now, a)
 }
 
 // connected decides whether an attempt that has a connection is still to be sent.
 func (r *Reducer) connected(now time.Time, e AttemptConnected) Effect {
-	s, ok := r.requests[e.Request]
-	if !ok || r.maySendNow(now, s) {
+	a, ok := r.attemptOf(e.Request, e.Attempt)
+	if !ok || r.maySendNow(now, a) {
 		return NoEffect{}
 	}
-	r.releaseAttempt(s, false)
-	s.attempts--
-	return r.dispatch(now, s)
+	r.releaseAttempt(a, false)
+	a.attempts--
+	if a.awaitsAnswer() {
+		return Await{Request: a.ID}
+	}
+	return r.dispatch(now, a.request)
 }
 
 // firstRestEnd returns the end of the first rest to end of the upstreams that may serve the
--- a/balancer/prefix.go
+++ b/balancer/prefix.go
@@ -109,34 +109,34 @@
 // addPrompt records the beginning of the request's prompt at its upstream, and returns how
 // many tokens of it the upstream held before. The other entries are assumed to have sent
 // prompts in proportion, of which as much was new to the upstream.
-func (r *Reducer) addPrompt(s *request, policy ServicePolicy, othersRatio float64) int {
-	if !policy.keepsPrefixes() || len(s.beginning) == 0 {
+func (r *Reducer) addPrompt(a *attempt, policy ServicePolicy, othersRatio float64) int {
+	if !policy.keepsPrefixes() || len(a.beginning) == 0 {
 		return 0
 	}
-	u := s.target
-	blocks := max(minIndexedBlocks, min(indexer.MaxBlocks, maxIndexedBlocks/max(1, len(r.byService[s.Service]))))
+	u := a.target
+	blocks := max(minIndexedBlocks, min(indexer.MaxBlocks, maxIndexedBlocks/max(1, len(r.byService[a.Service]))))
 	if u.prefixes == nil {
 		u.prefixes = indexer.NewHolder(blocks)
 	}
 	u.prefixes.SetMaximum(blocks)
 	u.prefixes.SetCapacity(policy.Engine.PrefixTokens)
-	held := u.prefixes.Held(s.beginning)
-	u.prefixes.Displace(int(othersRatio * float64(s.beginning.Tokens()-held)))
-	u.prefixes.Add(s.beginning)
+	held := u.prefixes.Held(a.beginning)
+	u.prefixes.Displace(int(othersRatio * float64(a.beginning.Tokens()-held)))
+	u.prefixes.Add(a.beginning)
 	return held
 }
 
 // confirmPrompt records that the upstream has read the request's prompt.
-func (s *request) confirmPrompt() {
-	if s.target.prefixes != nil {
-		s.target.prefixes.Confirm(s.beginning)
+func (a *attempt) confirmPrompt() {
+	if a.target.prefixes != nil {
+		a.target.prefixes.Confirm(a.beginning)
 	}
 }
 
 // withdrawPrompt takes back what was recorded of an attempt whose prompt was not read.
-func (s *request) withdrawPrompt() {
-	if s.target.prefixes != nil {
-		s.target.prefixes.Withdraw(s.beginning)
+func (a *attempt) withdrawPrompt() {
+	if a.target.prefixes != nil {
+		a.target.prefixes.Withdraw(a.beginning)
 	}
 }
 
--- a/balancer/probation.go
+++ b/balancer/probation.go
@@ -76,9 +76,9 @@
 
 // endProbation records that the attempt of the request is over, and whether its upstream
 // got it.
-func (d *crashDetector) endProbation(s *request, reached bool) {
-	p := d.probations[s.Fingerprint]
-	if p == nil || p.request != s.ID {
+func (d *crashDetector) endProbation(a *attempt, reached bool) {
+	p := d.probations[a.Fingerprint]
+	if p == nil || p.request != a.ID {
 		return
 	}
 	p.request = ""
--- a/balancer/quarantine.go
+++ b/balancer/quarantine.go
@@ -65,11 +65,11 @@
 	return wait > 0 || d.probations[q.Fingerprint] != nil
 }
 
-// recordParts records that a request ran far enough to show that no part of its prompt can
+// recordParts records that an attempt ran far enough to show that no part of its prompt can
 // be what crashes upstreams.
-func (d *crashDetector) recordParts(now time.Time, s *request) {
-	for _, f := range s.Parts {
-		d.recordCompletion(now, f, s.sentAt)
+func (d *crashDetector) recordParts(now time.Time, a *attempt) {
+	for _, f := range a.Parts {
+		d.recordCompletion(now, f, a.sentAt)
 	}
 }
 
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -113,21 +113,13 @@
 	// it was once to begin it.
 	admission Admission
 	admitted  bool
-	attempts  int
-	tried     map[identifier.Upstream]bool
-	target    *upstream
-	sentAt    time.Time
-	// uncorrected is the forecast of the first byte without the bias of such forecasts.
-	uncorrected time.Duration
-	// paced reports whether the attempt counts against a share.
-	paced bool
-	// firstByteAt is when the response of the current attempt began, or zero.
-	firstByteAt time.Time
-	// measuredEvents and measuredAt are the events of the current attempt up to which its
-	// upstream's speed was measured, and when the last of them came.
-	measuredEvents int
-	measuredAt     time.Time
-	answered       bool // the response of the current attempt has begun, or the attempt is over
+	// attempts counts the attempts that may have reached an upstream, and sends all of them.
+	attempts int
+	sends    int
+	tried    map[identifier.Upstream]bool
+	// inProgress lists the attempts in progress in the order in which they were sent: several
+	// while upstreams are silent.
+	inProgress []*attempt
 	// mayHaveRun is set once any attempt may have run.
 	mayHaveRun bool
 	// firstSentAt is when the first attempt was sent, and crashes counts the attempts
@@ -214,15 +206,19 @@
 	case ResponseStarted:
 		return r.answering(now, e)
 	case StreamProgressed:
-		if s, ok := r.requests[e.Request]; ok {
-			r.progressed(now, s, e.Events)
+		if a, ok := r.attemptOf(e.Request, e.Attempt); ok {
+			r.progressed(now, a, e.Events)
 		}
+	case AttemptStalled:
+		return r.stalled(now, e)
+	case AttemptChosen:
+		return r.chosen(now, e)
 	case ResponseCompleted:
 		return r.ended(now, e)
 	case AttemptFailed:
 		return r.broke(now, e)
 	case CallerGone:
-		r.forget(e.Request)
+		r.forget(now, e.Request)
 	}
 	return NoEffect{}
 }
@@ -309,11 +305,12 @@
 	return b
 }
 
-// dispatch sends the request to the best upstream, or refuses it.
+// dispatch sends the request to the best upstream. Otherwise it refuses the request, unless
+// another attempt is in progress.
 func (r *Reducer) dispatch(now time.Time, s *request) Effect {
 	d := r.decide(now, s)
 	if d.reason != "" {
-		return r.giveUp(now, s, d.reason, d.forecast)
+		return r.giveUpUnlessInProgress(now, s, d.reason, d.forecast)
 	}
 	return r.send(now, s, d.target, d.forecast, r.services[s.Service])
 }
@@ -356,10 +353,18 @@
 	return min(s.Deadline.Sub(now)-decodeTime(r.services[s.Service].Engine), s.longestForecast())
 }
 
+// giveUpUnlessInProgress gives the request up, unless another attempt may still answer it.
+func (r *Reducer) giveUpUnlessInProgress(now time.Time, s *request, reason Reason, forecast time.Duration) Effect {
+	if len(s.inProgress) > 0 {
+		return Await{Request: s.ID}
+	}
+	return r.giveUp(now, s, reason, forecast)
+}
+
 // giveUp ends the request: with Refuse if no attempt may have run, otherwise with
 // Fail.
 func (r *Reducer) giveUp(now time.Time, s *request, reason Reason, forecast time.Duration) Effect {
-	delete(r.requests, s.ID)
+	r.end(now, s)
 	if s.mayHaveRun {
 		return Fail{Request: s.ID, Reason: reason}
 	}
@@ -405,11 +410,8 @@
 	return max(minRemaining, latest-spread)
 }
 
-func (r *Reducer) forget(id identifier.RequestID) {
-	s, ok := r.requests[id]
-	if !ok {
-		return
+func (r *Reducer) forget(now time.Time, id identifier.RequestID) {
+	if s, ok := r.requests[id]; ok {
+		r.end(now, s)
 	}
-	r.releaseAttempt(s, true)
-	delete(r.requests, id)
 }
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -72,19 +72,19 @@
 
 // progressed measures the upstream by the pauses between the events of a stream since the
 // last measurement by it.
-func (r *Reducer) progressed(now time.Time, s *request, events int) {
-	u, engine := s.target, r.services[s.Service].Engine
-	pauses := events - s.measuredEvents
-	if engine == nil || s.measuredEvents == 0 || pauses <= 0 {
+func (r *Reducer) progressed(now time.Time, a *attempt, events int) {
+	u, engine := a.target, r.services[a.Service].Engine
+	pauses := events - a.measuredEvents
+	if engine == nil || a.measuredEvents == 0 || pauses <= 0 {
 		return
 	}
 	load, _ := u.load(now, 0)
 	expected := expectedPause(engine, min(u.slots(), max(1, load)))
 	if expected > 0 {
-		u.speed.add(now, pauses, float64(now.Sub(s.measuredAt))/float64(pauses)/float64(expected))
+		u.speed.add(now, pauses, float64(now.Sub(a.measuredAt))/float64(pauses)/float64(expected))
 		r.noteSpeed(now, u)
 	}
-	s.measuredEvents, s.measuredAt = events, now
+	a.measuredEvents, a.measuredAt = events, now
 }
 
 // SpeedChange reports that an upstream has become slow, or as fast as usual again.
