relayer: answer requests whose bodies come too late

What callers saw: a request whose body did not arrive whole got no answer, neither at the time limit of its route nor when a planned stop ended the requests in progress: its connection was closed. Such a request is not passed on.

Cause: the body was read without a limit, before the request had a deadline, and EndRequests reached only requests that had one.

Change: the body must be there within the time limit of the request, else 408; both promise that it has not run. When the entry ends its requests, those whose bodies are not there get 503 with a Retry-After.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -22,6 +22,9 @@
 	poolCleanupInterval = time.Second
 	// undeclaredRetryAfter is the Retry-After time of an entry that has no declaration yet.
 	undeclaredRetryAfter = 500 * time.Millisecond
+	// stoppedRetryAfter is the Retry-After time of an entry that stops: other entries take the
+	// request at once.
+	stoppedRetryAfter = 200 * time.Millisecond
 )
 
 // Relayer serves the callers of one entry. It is safe for concurrent use.
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,7 +78,11 @@
 		return
 	}
 	if status, problem := x.admit(index); status != 0 {
-		x.replyLocally(status, problem, 0)
+		retryAfter := time.Duration(0)
+		if status == http.StatusServiceUnavailable {
+			retryAfter = stoppedRetryAfter
+		}
+		x.replyLocally(status, problem, retryAfter)
 		return
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), x.request.Deadline)
@@ -113,13 +119,29 @@
 	return 0, ""
 }
 
-// readBody reads the body. It returns a status and a problem like admit.
+// readBody reads the body until the time limit of the request, or until the entry ends its
+// requests. It returns a status and a problem like admit.
 func (x *exchange) readBody(limits declarer.Limits) (status int, problem string) {
+	if x.r.Body != http.NoBody {
+		// The errors are ignored because response recorders in tests have no deadlines.
+		controller := http.NewResponseController(x.w)
+		_ = controller.SetReadDeadline(time.Now().Add(x.timeout()))
+		stop := context.AfterFunc(x.relayer.serving, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+		defer func() {
+			if stop() {
+				_ = controller.SetReadDeadline(time.Time{})
+			}
+		}()
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes))
 	var maxBytesErr *http.MaxBytesError
 	switch {
 	case errors.As(err, &maxBytesErr):
 		return http.StatusRequestEntityTooLarge, "the request body is larger than the limit (send a smaller one)"
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.relayer.serving.Err() != nil:
+		return http.StatusServiceUnavailable, "the entry stops before the request body is complete (send the request again after Retry-After)"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, fmt.Sprintf("the request body is incomplete after %v (send the request again)", x.timeout())
 	case err != nil:
 		return http.StatusBadRequest, "the request body is incomplete (send the request again)"
 	}
@@ -134,10 +156,6 @@
 	if organisation.Priority != nil {
 		priority = *organisation.Priority
 	}
-	timeout := x.route.Timeout
-	if x.header.Remaining > 0 {
-		timeout = min(timeout, x.header.Remaining)
-	}
 	random := x.relayer.nextRandom(x.dryRun)
 	service := x.route.PickTarget(random)
 	return balancer.Request{
@@ -152,7 +170,7 @@
 		Generates:         x.route.Generates,
 		PromptTokens:      x.header.PromptTokens,
 		AnswerTokens:      x.header.AnswerTokens,
-		Deadline:          x.arrivedAt.Add(timeout),
+		Deadline:          x.arrivedAt.Add(x.timeout()),
 		Objective:         x.route.FirstByte,
 		Resubmitted:       x.header.Remaining > 0 && x.relayer.isResubmitted(x.routeName, x.header.Remaining, x.dryRun),
 		MaximumAttempts:   max(1, x.route.MaximumAttempts),
@@ -163,6 +181,14 @@
 	}
 }
 
+// timeout returns how long after its arrival the request must be answered.
+func (x *exchange) timeout() time.Duration {
+	if x.header.Remaining > 0 {
+		return min(x.route.Timeout, x.header.Remaining)
+	}
+	return x.route.Timeout
+}
+
 // fingerprint returns the fingerprint of the request. It contains neither the route nor
 // the service, since a resend may be sent to another service than the request before it.
 func (x *exchange) fingerprint() quarantiner.Fingerprint {
