relayer: reset connections whose requests have ended without their answers

What runners saw: machines that had stood still for a second found, when they woke, requests whose callers had left long before (GONE).

Cause: an attempt that ends with its request closed its connection. The kernel goes on sending what the other host has not taken in, and that host finds a whole request.

Change: the connection is reset if its request has ended before it was answered whole, so that nothing is sent again. That says nothing of what the upstream has taken in already: such a request may have run, as before. On Linux it can also still be read there, but its connection ends with a reset.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -74,9 +74,13 @@
 	reusable := false
 	var responseHeader http.Header
 	defer func() {
-		if stop() && reusable && a.request.Repeatable {
+		unhurt := stop()
+		switch {
+		case unhurt && reusable && a.request.Repeatable:
 			a.relayer.pool.put(addr, c, responseHeader, a.relayer.idleLimit(addr))
-		} else {
+		case a.ctx.Err() != nil && !reusable:
+			c.reset()
+		default:
 			c.close()
 		}
 	}()
--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -170,6 +170,16 @@
 	_ = c.conn.Close()
 }
 
+// reset closes the connection and withdraws what the upstream's host has not taken in yet. After
+// a close it would be sent again until the host goes on, and the upstream would run a request that
+// nobody waits for.
+func (c *connection) reset() {
+	if conn, ok := c.conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	c.close()
+}
+
 // countingWriter counts the bytes that are written to the connection.
 type countingWriter struct {
 	conn net.Conn
