balancer: forget losses in silence once the upstream answers

What callers saw: half of the upstreams of a service were silent for 1.9 s and went on. Requests whose other attempt was answered meanwhile, and parts of their prompts, stayed on the list of what may crash those upstreams. If one of them restarted within 15 s, for whatever reason, they were reported as suspects, so that they or their like could be refused.

Cause: an attempt that is given up while its upstream is silent is kept as a loss until evidence of a crash comes or lossRetention is over, and no answer of that upstream in between takes it back.

Change: the first byte, an event or the end of a response shows that the upstream runs, and drops what was lost there in silence. Lost connections stay: an upstream that crashes and one that resets both break them.

A case of TestOnlyCrashesMakeSuspects fails without it too.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -118,7 +118,7 @@
 	a.mayHaveRun = true
 	a.silent = false
 	u := a.target
-	u.heardAt = now
+	r.recordSign(now, u)
 	a.firstByteAt = now
 	a.measuredEvents, a.measuredAt = 1, now
 	if e.Status < http.StatusBadRequest {
@@ -170,7 +170,7 @@
 	}
 	if a.silent {
 		a.silent = false
-		a.target.heardAt = now
+		r.recordSign(now, a.target)
 		r.recordSuccess(now, a.target)
 	}
 	for _, other := range slices.Clone(a.inProgress) {
@@ -189,7 +189,7 @@
 	s, u := a.request, a.target
 	r.releaseAttempt(a, true)
 	r.observeAnswer(now, u, e.Load)
-	u.heardAt = now
+	r.recordSign(now, u)
 	// Without a length a crash may have ended the response, and an error says nothing about
 	// what a run to the end would do.
 	if !e.IsError && (!e.Unframed || a.survived(now)) {
--- a/balancer/crash.go
+++ b/balancer/crash.go
@@ -152,6 +152,16 @@
 	}
 }
 
+// recordSign records that the upstream has shown that it runs. It has not crashed under attempts
+// that were given up while it was silent.
+func (r *Reducer) recordSign(now time.Time, u *upstream) {
+	u.heardAt = now
+	losses, p := r.crashes.losses, u.process()
+	if len(losses[p]) > 0 {
+		losses[p] = slices.DeleteFunc(losses[p], func(l lostAttempt) bool { return l.silent })
+	}
+}
+
 // survived reports whether the upstream has lived on for survivalTime after it began to
 // respond to the attempt.
 func (a *attempt) survived(now time.Time) bool {
--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -83,6 +83,12 @@
 	serve := func(e *crashEntry, now time.Time) {
 		e.Reduce(now, balancer.LoadObserved{Upstream: "a"})
 	}
+	answerAndRestart := func(e *crashEntry, now time.Time) {
+		sent := arrive(e.Reducer, now, fingerprinted("y", 8)).(balancer.Send)
+		e.Reduce(now, balancer.ResponseStarted{Request: sent.Request, Status: 200})
+		e.Reduce(now, balancer.ResponseCompleted{Request: sent.Request})
+		restart(e, now)
+	}
 	type step func(e *crashEntry, now time.Time)
 	nothing := func(*crashEntry, time.Time) {}
 	for name, c := range map[string]struct {
@@ -90,19 +96,20 @@
 		cause         balancer.Cause
 		crashes       int
 	}{
-		"reset":                      {nothing, nothing, balancer.ConnectionLost, 0},
-		"crash, refuses connections": {nothing, refuse, balancer.ConnectionLost, 1},
-		"crash, back at once":        {nothing, restart, balancer.ConnectionLost, 1},
-		"crash, back as another":     {nothing, replace, balancer.ConnectionLost, 1},
-		"silent crash":               {nothing, restart, balancer.Expired, 1},
-		"slow, later crash":          {serve, restart, balancer.Expired, 0},
-		"garbled response":           {nothing, restart, balancer.ProtocolError, 0},
-		"not executed":               {nothing, restart, balancer.NotExecuted, 0},
-		"freeze":                     {nothing, refuse, balancer.FirstByteTimedOut, 0},
-		"planned stop":               {drain, refuse, balancer.ConnectionLost, 0},
-		"said that it leaves":        {sayLeaving, refuse, balancer.ConnectionLost, 0},
-		"planned restart":            {drain, restart, balancer.ConnectionLost, 0},
-		"left, address used again":   {leave, replace, balancer.ConnectionLost, 0},
+		"reset":                       {nothing, nothing, balancer.ConnectionLost, 0},
+		"crash, refuses connections":  {nothing, refuse, balancer.ConnectionLost, 1},
+		"crash, back at once":         {nothing, restart, balancer.ConnectionLost, 1},
+		"crash, back as another":      {nothing, replace, balancer.ConnectionLost, 1},
+		"silent crash":                {nothing, restart, balancer.Expired, 1},
+		"slow, later crash":           {serve, restart, balancer.Expired, 0},
+		"silent, goes on and crashes": {nothing, answerAndRestart, balancer.Expired, 0},
+		"garbled response":            {nothing, restart, balancer.ProtocolError, 0},
+		"not executed":                {nothing, restart, balancer.NotExecuted, 0},
+		"freeze":                      {nothing, refuse, balancer.FirstByteTimedOut, 0},
+		"planned stop":                {drain, refuse, balancer.ConnectionLost, 0},
+		"said that it leaves":         {sayLeaving, refuse, balancer.ConnectionLost, 0},
+		"planned restart":             {drain, restart, balancer.ConnectionLost, 0},
+		"left, address used again":    {leave, replace, balancer.ConnectionLost, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newCrashEntry("a")
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -74,6 +74,7 @@
 // last measurement by it.
 func (r *Reducer) progressed(now time.Time, a *attempt, events int) {
 	u, engine := a.target, r.services[a.Service].Engine
+	r.recordSign(now, u)
 	pauses := events - a.measuredEvents
 	if engine == nil || a.measuredEvents == 0 || pauses <= 0 {
 		return
