balancer: don't learn the load from the time of a silence

What callers saw: half of the upstreams of a service were silent for 1.9 s at 60% load. In the first and second second after they had gone on, 21 to 36% and 1 to 22% of the requests were refused as Overloaded, while a fifth to two fifths of the places were free.

Cause: the time to the first byte of each request that had waited there was learnt like any other: as the usual time of a plain upstream, which doesn't fade, as the bias of forecasts for engines, and as requests that are late despite their forecasts, which lowers all gates.

Change: an upstream counts as silent from the moment at which an attempt stalls and nothing at all has come from it for crashSpan, until it shows that it runs. Requests that were sent there before that moment teach nothing about its load. An upstream with a long queue isn't silent, since others of its requests progress.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -125,13 +125,22 @@
 		a.confirmPrompt()
 	}
 	a.stopWaiting()
-	u.firstByte.Add(now.Sub(a.sentAt))
+	r.measureFirstByte(now, a)
+	r.observeAnswer(now, u, e.Load)
+	return NoEffect{}
+}
+
+// measureFirstByte learns from the time to the first byte. If the upstream was silent in between,
+// that says nothing of its load.
+func (r *Reducer) measureFirstByte(now time.Time, a *attempt) {
+	if a.sentAt.Before(a.target.wentOnAt) {
+		return
+	}
+	a.target.firstByte.Add(now.Sub(a.sentAt))
 	r.learnBias(now, a)
 	if a.attempts == 1 && !a.Resubmitted && a.Objective > 0 {
 		r.demandOf(a.Service).observeFirstByte(now.Sub(a.firstSentAt), a.Objective)
 	}
-	r.observeAnswer(now, u, e.Load)
-	return NoEffect{}
 }
 
 // awaitsAnswer reports whether an attempt is in progress whose upstream isn't silent.
@@ -147,6 +156,7 @@
 	}
 	if !a.silent {
 		a.silent = true
+		a.target.silent = a.target.silent || now.Sub(a.target.heardAt) >= crashSpan
 		r.recordFailure(now, a.target, FirstByteTimedOut)
 	}
 	mayRetry := a.Repeatable
--- a/balancer/crash.go
+++ b/balancer/crash.go
@@ -156,6 +156,9 @@
 // that were given up while it was silent.
 func (r *Reducer) recordSign(now time.Time, u *upstream) {
 	u.heardAt = now
+	if u.silent {
+		u.silent, u.wentOnAt = false, now
+	}
 	losses, p := r.crashes.losses, u.process()
 	if len(losses[p]) > 0 {
 		losses[p] = slices.DeleteFunc(losses[p], func(l lostAttempt) bool { return l.silent })
--- a/balancer/stall_test.go
+++ b/balancer/stall_test.go
@@ -157,3 +157,36 @@
 	r.Reduce(awake, balancer.UpstreamsChanged{Upstreams: []balancer.UpstreamView{restarted}})
 	require.Empty(t, r.TakeCrashFindings().Crashes, "a request in progress is no loss")
 }
+
+// Guards against requests that are refused as if upstreams were full, since they were silent.
+func TestSilenceIsNoLoad(t *testing.T) {
+	for name, policy := range map[string]balancer.ServicePolicy{
+		"plain":   {Service: "drafting"},
+		"engines": {Service: "drafting", Engine: engine()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := balancer.New(balancer.Config{RetryRatio: 1, RetryBurst: 10})
+			r.Reduce(start, balancer.PolicyChanged{Services: []balancer.ServicePolicy{policy}})
+			r.Reduce(start, balancer.UpstreamsChanged{Upstreams: []balancer.UpstreamView{upstream("a", "drafting")}})
+			answer := func(now time.Time, id string) {
+				r.Reduce(now, balancer.ResponseStarted{Request: requestID(id), Status: 200})
+				r.Reduce(now, balancer.ResponseCompleted{Request: requestID(id)})
+			}
+			arrive(r, start, generationRequest("1"))
+			answer(start.Add(100*time.Millisecond), "1")
+			silentAt := start.Add(time.Second)
+			before := arrive(r, silentAt, generationRequest("2")).(balancer.Send)
+			for _, id := range []string{"3", "4", "5"} {
+				require.IsType(t, balancer.Send{}, arrive(r, silentAt, generationRequest(requestID(id))))
+			}
+			r.Reduce(silentAt.Add(silentFor), balancer.AttemptStalled{Request: "2"})
+			for _, id := range []string{"2", "3", "4", "5"} {
+				answer(silentAt.Add(silentFor+10*time.Millisecond), id)
+			}
+			after, ok := arrive(r, silentAt.Add(silentFor+time.Second), generationRequest("6")).(balancer.Send)
+			require.True(t, ok)
+			require.InDelta(t, before.Forecast, after.Forecast, float64(10*time.Millisecond))
+			require.Equal(t, before.Admission.Threshold, after.Admission.Threshold)
+		})
+	}
+}
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -83,6 +83,10 @@
 	// of it was last requested.
 	heardAt  time.Time
 	probedAt time.Time
+	// silent is set once an attempt has stalled and nothing has come from the upstream for
+	// crashSpan, until it goes on at wentOnAt.
+	silent   bool
+	wentOnAt time.Time
 
 	// failures is the number of consecutive failures, the last of them at failedAt.
 	failures     int
