relayer: close callers' connections only between requests

The timer of a connection was stopped when net/http called it active, that is, once a head had been read. A timer that had fired by then closed the connection all the same, beside the handler. The decision to close and the beginning of a request were not taken in one place. Besides, the time in which a head arrives on a kept connection counted as idle.

Server returns a type of its own, as it has to wrap the connections that it accepts.

--- a/placer/entry.go
+++ b/placer/entry.go
@@ -115,7 +115,7 @@
 	evacuated []identifier.AvailabilityZone
 
 	mu      sync.Mutex
-	callers *http.Server
+	callers *relayer.Server
 	// releaseNames holds the named releases of each model, each with the time from
 	// which its deadline counts in this process.
 	releaseNames map[identifier.Model][]declarer.WantedRelease
@@ -162,7 +162,7 @@
 
 func (e *entry) start(context.Context) error {
 	e.relayer.Start()
-	for server, addr := range map[*http.Server]string{
+	for server, addr := range map[listenerServer]string{
 		e.control:   e.placement.Operators.String(),
 		e.readiness: e.placement.Readiness.String(),
 	} {
@@ -173,7 +173,12 @@
 	return nil
 }
 
-func (e *entry) listen(server *http.Server, addr string) error {
+// listenerServer serves the connections of a listener.
+type listenerServer interface {
+	Serve(net.Listener) error
+}
+
+func (e *entry) listen(server listenerServer, addr string) error {
 	listener, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return explainer.Wrap(err, explainer.Unavailable, "can't listen on TCP "+addr, "choose an address that no other process uses")
@@ -259,14 +264,14 @@
 	if e.callers != nil {
 		return
 	}
-	e.callers = e.relayer.Server("")
+	e.callers = e.relayer.Server()
 	if !e.listenForCallers(e.callers) {
 		go e.keepTryingToListen(e.callers)
 	}
 }
 
 // listenForCallers reports whether the server listens. The entry is not ready before.
-func (e *entry) listenForCallers(server *http.Server) bool {
+func (e *entry) listenForCallers(server *relayer.Server) bool {
 	if err := e.listen(server, e.placement.Callers.String()); err != nil {
 		e.log.Error("Can't listen for callers. Trying again.", zap.Error(err))
 		return false
@@ -275,7 +280,7 @@
 	return true
 }
 
-func (e *entry) keepTryingToListen(server *http.Server) {
+func (e *entry) keepTryingToListen(server *relayer.Server) {
 	for {
 		select {
 		case <-e.stopped:
@@ -288,7 +293,7 @@
 	}
 }
 
-func (e *entry) callersServer() *http.Server {
+func (e *entry) callersServer() *relayer.Server {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.callers
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -28,5 +28,5 @@
 //	r.Declare(index, policies)
 //	r.ChangeUpstreams(views)
 //	r.Start()
-//	server := r.Server("10.0.0.1:8005")
+//	err := r.Server().Serve(listener)
 package relayer
--- a/relayer/limits_test.go
+++ b/relayer/limits_test.go
@@ -33,6 +33,7 @@
 type limitedServer struct {
 	t       *testing.T
 	relayer *Relayer
+	server  *Server
 	clock   *clockwork.FakeClock
 	address string
 	version int
@@ -40,13 +41,24 @@
 
 func newLimitedServer(t *testing.T) *limitedServer {
 	clock := clockwork.NewFakeClock()
-	r := New(balancer.New(balancer.Config{}), attemptDialect{}, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
+	s := newLimitedServerWith(t, clock, attemptDialect{})
+	s.clock = clock
+	s.start()
+	return s
+}
+
+// newLimitedServerWith returns a server that does not serve before start.
+func newLimitedServerWith(t *testing.T, clock clockwork.Clock, d Dialect) *limitedServer {
+	r := New(balancer.New(balancer.Config{}), d, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
+	return &limitedServer{t: t, relayer: r, server: r.Server()}
+}
+
+func (s *limitedServer) start() {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	server := r.Server("")
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return &limitedServer{t: t, relayer: r, clock: clock, address: listener.Addr().String()}
+	require.NoError(s.t, err)
+	s.address = listener.Addr().String()
+	go func() { _ = s.server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = s.server.Close() })
 }
 
 func (s *limitedServer) declare(l declarer.Limits) {
@@ -64,10 +76,18 @@
 // status sends a request with a header of n bytes, and returns the status of the response: 404 if
 // the headers are accepted, as there is no route.
 func (s *limitedServer) status(conn net.Conn, n int) int {
-	_, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: a.example\r\nCookie: %s\r\n\r\n", strings.Repeat("c", n))
+	s.write(conn, fmt.Sprintf("GET / HTTP/1.1\r\nHost: a.example\r\nCookie: %s\r\n\r\n", strings.Repeat("c", n)))
+	return s.readStatus(conn)
+}
+
+func (s *limitedServer) write(conn net.Conn, text string) {
+	_, err := io.WriteString(conn, text)
 	require.NoError(s.t, err)
+}
+
+func (s *limitedServer) readStatus(conn net.Conn) int {
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	require.NoError(s.t, err)
+	require.NoError(s.t, err, "the connection was closed without an answer")
 	_, err = io.Copy(io.Discard, response.Body)
 	require.NoError(s.t, err)
 	return response.StatusCode
@@ -76,6 +96,7 @@
 // isClosed reports whether the server has closed the connection, which sends nothing else.
 func isClosed(conn net.Conn) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
 	_, err := conn.Read(make([]byte, 1))
 	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
