relayer: count callers' connections that limits close, by phase

Logs and metrics did not tell connections that were idle from those whose head was slow, nor that a request had arrived as its connection was closed. The former are counted now, by what they had sent, and the latter are counted and logged: they were not passed on.

--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -13,6 +13,7 @@
 type meters struct {
 	set           *metrics.Set
 	connections   *metrics.Counter
+	crossed       *metrics.Counter
 	attempts      *metrics.Counter
 	events        *metrics.Counter
 	crashes       *metrics.Counter
@@ -31,6 +32,7 @@
 	return &meters{
 		set:           set,
 		connections:   set.NewCounter("celeryvalve_caller_connections_total"),
+		crossed:       set.NewCounter("celeryvalve_requests_on_closed_connections_total"),
 		attempts:      set.NewCounter("celeryvalve_attempts_total"),
 		events:        set.NewCounter("celeryvalve_stream_events_total"),
 		crashes:       set.NewCounter("celeryvalve_upstream_crashes_total"),
@@ -46,6 +48,11 @@
 	}
 }
 
+// countExpiry counts a caller's connection that was closed because a phase lasted for too long.
+func (m *meters) countExpiry(p phase) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_caller_connections_expired_total{phase=%q}`, p)).Inc()
+}
+
 func (m *meters) countResponse(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_answers_total{status="%d"}`, status)).Inc()
 }
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -57,6 +57,8 @@
 // its caller gets no answer.
 func (s *Server) serve(w http.ResponseWriter, req *http.Request) {
 	if conn, ok := req.Context().Value(callerConnectionKey{}).(*callerConnection); ok && conn.isClosed() {
+		s.relayer.meters.crossed.Inc()
+		s.relayer.log.Info("Request arrived as its connection was closed.", zap.String("request", string(s.relayer.dialect.ReadCaller(req.Header).Attempt)))
 		panic(http.ErrAbortHandler)
 	}
 	s.relayer.ServeHTTP(w, req)
@@ -169,6 +171,7 @@
 		c.enter(phaseHead)
 		return false
 	}
+	c.relayer.meters.countExpiry(c.phase)
 	c.enter(phaseClosed)
 	return true
 }
--- a/relayer/server_test.go
+++ b/relayer/server_test.go
@@ -128,6 +128,7 @@
 	require.NoError(t, err)
 	<-ended
 	require.Equal(t, arrived, s.relayer.LastArrival(), "the second request was served")
+	require.EqualValues(t, 1, s.relayer.meters.crossed.Get())
 }
 
 // Guards against a head that is cut off as the time of the idle connection ends.
@@ -196,21 +197,22 @@
 		before, late []step // before the time passes, and a second before the limit of that phase
 		limit        time.Duration
 		more         time.Duration // that the connection stays open after limit
+		phase        phase         // in which it is closed
 	}{
-		"nothing comes":                     {limit: 3 * time.Second},
-		"no other request comes":            {before: []step{idle}, limit: idleLimit},
-		"a head stops":                      {before: []step{head}, limit: 3 * time.Second},
-		"a head trickles in":                {before: []step{head}, late: []step{head}, limit: 3 * time.Second},
-		"a kept connection's head stops":    {before: []step{idle, head}, limit: 3 * time.Second},
-		"the first head starts late":        {late: []step{head}, limit: 3 * time.Second, more: 2 * time.Second},
-		"another head starts late":          {before: []step{idle}, late: []step{head}, limit: idleLimit, more: 2 * time.Second},
-		"the first head is not read yet":    {late: []step{unread}, limit: 3 * time.Second, more: 3 * time.Second},
-		"another head is not read yet":      {before: []step{idle}, late: []step{unread}, limit: idleLimit, more: 3 * time.Second},
-		"a connection has just turned idle": {before: []step{idle}, late: []step{idle}, limit: idleLimit, more: idleLimit - time.Second},
+		"nothing comes":                     {limit: 3 * time.Second, phase: phaseUnused},
+		"no other request comes":            {before: []step{idle}, limit: idleLimit, phase: phaseIdle},
+		"a head stops":                      {before: []step{head}, limit: 3 * time.Second, phase: phaseHead},
+		"a head trickles in":                {before: []step{head}, late: []step{head}, limit: 3 * time.Second, phase: phaseHead},
+		"a kept connection's head stops":    {before: []step{idle, head}, limit: 3 * time.Second, phase: phaseHead},
+		"the first head starts late":        {late: []step{head}, limit: 3 * time.Second, more: 2 * time.Second, phase: phaseHead},
+		"another head starts late":          {before: []step{idle}, late: []step{head}, limit: idleLimit, more: 2 * time.Second, phase: phaseHead},
+		"the first head is not read yet":    {late: []step{unread}, limit: 3 * time.Second, more: 3 * time.Second, phase: phaseHead},
+		"another head is not read yet":      {before: []step{idle}, late: []step{unread}, limit: idleLimit, more: 3 * time.Second, phase: phaseHead},
+		"a connection has just turned idle": {before: []step{idle}, late: []step{idle}, limit: idleLimit, more: idleLimit - time.Second, phase: phaseIdle},
 	} {
 		t.Run(name, func(t *testing.T) {
 			clock := newLateClock()
-			caller, c, _ := callerPair(t, clock)
+			caller, c, s := callerPair(t, clock)
 			for _, do := range test.before {
 				do(t, caller, c)
 			}
@@ -231,6 +233,7 @@
 			for len(clock.fired) > 0 || !c.isClosed() {
 				(<-clock.fired)()
 			}
+			require.EqualValues(t, 1, s.relayer.meters.set.GetOrCreateCounter(`celeryvalve_caller_connections_expired_total{phase="`+string(test.phase)+`"}`).Get())
 		})
 	}
 }
