forwarder: abort the connection of a request that ends without a response

A caller that closed only its sending direction and read on got an empty 200 while its request was in progress, and so did one whose request was in progress when the forwarder stopped with its server still open. The handler returned without writing anything, and net/http then sends a success.

The connection is now closed whenever there is no complete response, not only after its head.

--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -95,8 +95,7 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	f.reportObservation(ex, answer, rep)
 	if rep.broken {
-		// The status was already sent, so only closing the connection tells the
-		// caller that the response is broken.
+		// Only closing the connection tells the caller that there is no complete response.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -136,8 +135,8 @@
 	heldBack   []byte
 	started    bool
 	callerGone bool
-	// broken means that the response is incomplete after its head was sent, so that the
-	// connection to the caller must be closed.
+	// broken means that there is no response or an incomplete one, so that the connection to
+	// the caller must be closed.
 	broken     bool
 	firstByte  time.Duration
 	lastPartAt time.Time
@@ -159,7 +158,7 @@
 			callerDone = nil
 			p.markCallerGone()
 		case <-p.f.ctx.Done():
-			p.broken = p.started
+			p.broken = true
 			return router.Answer{Request: p.ex.id, Outcome: router.Unknown, Cause: router.CallerLeft}
 		}
 	}
@@ -271,7 +270,8 @@
 func (p *reply) end(answer router.Answer) {
 	switch {
 	case p.callerGone:
-		p.broken = p.started
+		// The caller may still read: without an answer net/http would send a success.
+		p.broken = true
 	case answer.Stored != nil && isComplete(answer.Stored.Outcome):
 		p.endStored(answer.Stored)
 	case isComplete(answer.Outcome) && p.head != nil:
