forwarder: count the sending of a body as progress

A request whose body took more than 2 s to send to its agent, as a few megabytes do over a link between regions that others use too, was never sent whole: the agent sends nothing before it has received all of the body, so the attempt counted as silent. Its stream was cancelled and the connection replaced, which broke the streams of all other requests to that agent, and the request began anew until its tries were used up.

Each part of the body that the stream takes is now progress, as each part of the response that the caller takes was already. An agent that takes nothing for 2 s still counts as silent.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -36,7 +36,7 @@
 		return
 	}
 	defer cancelOnDone(l.ctx, s)()
-	if err := sendBody(s, e.Attempt, ex.body); err != nil {
+	if err := f.sendBody(ex, l, s); err != nil {
 		f.reportBreak(ex, l, router.NotHandedOver)
 		return
 	}
@@ -72,13 +72,16 @@
 	}
 }
 
-func sendBody(s Stream, attempt identifier.AttemptID, body []byte) error {
-	for offset := 0; offset < len(body); offset += bodyChunkSize {
-		data := body[offset:min(offset+bodyChunkSize, len(body))]
-		chunk := &router.BodyChunk{Attempt: attempt, Offset: identifier.ByteCount(offset), Data: data}
+// sendBody sends the body. Each part that the stream takes counts as progress, since the agent
+// sends nothing before it has received all of them.
+func (f *Forwarder) sendBody(ex *exchange, l *link, s Stream) error {
+	for offset := 0; offset < len(ex.body); offset += bodyChunkSize {
+		data := ex.body[offset:min(offset+bodyChunkSize, len(ex.body))]
+		chunk := &router.BodyChunk{Attempt: l.attempt, Offset: identifier.ByteCount(offset), Data: data}
 		if err := s.Send(chunk); err != nil {
 			return err
 		}
+		f.post(router.AttemptProgressed{Request: ex.id, Attempt: l.attempt})
 	}
 	return nil
 }
