forwarder: move a request that was never sent to another upstream

A booking whose agent could not be reached, or took in none of its body, was answered Unknown with 502, and its idempotency key was settled as Unknown, though it had not been sent. Dialling fails after 3 s and the reducer calls an attempt silent after 2 s, so it asked the same agent about the attempt until it gave up. Had the dial failed first, the booking would have gone to another upstream.

Whether an attempt was handed over is now decided in one place, its link: an attempt whose end mark was not sent when its stream ends can't run any more. It is reported as not handed over instead of being asked about.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -41,6 +41,7 @@
 		return
 	}
 	// The agent may start the attempt as soon as it has received BodyEnd.
+	l.handedOver = true
 	if s.Send(&router.BodyEnd{Attempt: e.Attempt, Length: identifier.ByteCount(len(ex.body))}) != nil {
 		f.reportBreak(ex, l, router.LinkLost)
 		return
@@ -87,12 +88,14 @@
 }
 
 // askAttempt continues the attempt on a new stream in the background. It waits for
-// the previous stream to finish and resumes the response where that one stopped.
+// the previous stream to finish and resumes the response where that one stopped. An
+// attempt that was not handed over on it can't run any more, and is not asked about.
 // The caller must hold f.mu.
 func (f *Forwarder) askAttempt(e router.AskAttempt) {
 	f.counters.asks.Inc()
 	ex := f.exchanges[e.Request]
 	l := newLink(f.ctx, e.Attempt, e.Holder)
+	l.handedOver = true
 	previous := ex.replaceLink(l)
 	f.inBackground(func() {
 		defer close(l.finished)
@@ -100,9 +103,13 @@
 		if previous != nil {
 			<-previous.finished
 			if previous.attempt == l.attempt {
-				l.progress = previous.progress
+				l.progress, l.handedOver = previous.progress, previous.handedOver
 			}
 		}
+		if !l.handedOver {
+			f.reportBreak(ex, l, router.NotHandedOver)
+			return
+		}
 		f.ask(ex, l, e)
 	})
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -98,8 +98,11 @@
 	finished chan struct{}
 	attempt  identifier.AttemptID
 	// holder is the request that the attempt belongs to at the agent.
-	holder   identifier.RequestID
-	progress *progress
+	holder identifier.RequestID
+	// handedOver is set before the end mark of the body is sent. Without it the agent never
+	// starts the attempt. It and progress may be read by others once finished is closed.
+	handedOver bool
+	progress   *progress
 }
 
 func newLink(parent context.Context, attempt identifier.AttemptID, holder identifier.RequestID) *link {
--- a/forwarder/sending_test.go
+++ b/forwarder/sending_test.go
@@ -193,3 +193,27 @@
 	require.Len(t, network.opened, 1)
 	require.Zero(t, network.replaced)
 }
+
+// Guards against a request that was never sent, since its agent can't be reached, and is answered as
+// one that may have run.
+func TestRequestThatWasNotSentGoesElsewhere(t *testing.T) {
+	for name, network := range map[string]*slowNetwork{
+		"the agent can't be reached": {unreachable: true},
+		"the agent takes in no body": {chunks: make(chan bool)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock, outcome := book(t, network, nearAgent, farAgent)
+			network.opens(t, 1)
+			for range 40 {
+				pass(clock)
+				select {
+				case got := <-outcome:
+					require.Equal(t, string(router.Completed), got)
+					return
+				default:
+				}
+			}
+			require.Fail(t, "the request gets no answer")
+		})
+	}
+}
