forwarder, assembler: answer what is left at the end of a planned stop

On the settings path, requests that were still in progress at the drain deadline got no answer: their connections were closed. Among them were those that may not be repeated, and those whose bodies had not arrived whole, which the drain didn't count at all.

drainEntry waited until the deadline and then closed the server, and nothing told the requests' handlers to answer before. Now the reducer answers every request at the deadline (DrainEnded): NotRun if it was not handed over, and Unknown otherwise. The reading of bodies ends at the same moment, and the connections are closed once the answers are sent, at the latest after half of stopGrace. Only a streamed answer that has begun is broken off.

A body is now read until the request's deadline, at most 30 s as before. Whether it came in time is decided in one place: before, the read deadline could pass between the end of the body and its removal, and net/http then took the caller for gone while the request was passed on.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -30,6 +30,10 @@
 	"celeryvalve/subscriber"
 )
 
+// lastAnswersTimeout limits the time to send answers after the drain deadline. The rest of
+// stopGrace is for the other components.
+const lastAnswersTimeout = stopGrace / 2
+
 func entryOptions() fx.Option {
 	return fx.Options(
 		fx.Provide(reporter.NewTally, newSampler, newForwarder),
@@ -149,14 +153,20 @@
 	return nil
 }
 
-// drainEntry finishes the requests under way, then closes the connections. Requests are
-// cut off only by the drain deadline of the settings.
+// drainEntry finishes the requests under way, then closes the connections. Only the drain
+// deadline of the settings ends requests before. Their callers are told whether they may have
+// run, unless a streamed answer has begun.
 func drainEntry(ctx context.Context, parts entryParts, server *http.Server) error {
-	ctx, cancel := drainContext(ctx, parts.Settings)
+	draining, cancel := drainContext(ctx, parts.Settings)
 	defer cancel()
-	err := parts.Forwarder.Drain(ctx)
-	err = errors.Join(err, server.Shutdown(ctx))
-	logCutOff(parts.Logger, parts.Forwarder.Unanswered())
+	err := errors.Join(parts.Forwarder.Drain(draining), server.Shutdown(draining))
+	if err != nil {
+		logCutOff(parts.Logger, parts.Forwarder.Unanswered())
+		parts.Forwarder.EndRequests()
+		ending, cancel := context.WithTimeout(ctx, lastAnswersTimeout)
+		defer cancel()
+		err = errors.Join(err, server.Shutdown(ending))
+	}
 	err = errors.Join(err, server.Close())
 	parts.Forwarder.Stop()
 	return err
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -26,14 +26,15 @@
 
 const (
 	// tickInterval is the time between two Ticked events of the reducer.
-	tickInterval   = 50 * time.Millisecond
-	claimTimeout   = 3 * time.Second
-	settleTimeout  = 3 * time.Second
-	cancelTimeout  = 3 * time.Second
-	openTimeout    = 4 * time.Second
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	bodyTimeout    = 30 * time.Second
+	tickInterval  = 50 * time.Millisecond
+	claimTimeout  = 3 * time.Second
+	settleTimeout = 3 * time.Second
+	cancelTimeout = 3 * time.Second
+	openTimeout   = 4 * time.Second
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxBodyTime limits the time to read a body whose request has a later deadline.
+	maxBodyTime    = 30 * time.Second
 	writeTimeout   = 15 * time.Second
 	maxHeaderBytes = 64 << 10
 	defaultTimeout = 2 * time.Minute
@@ -129,6 +130,9 @@
 	background sync.WaitGroup
 	ticker     *repeater.Repeater
 	drained    chan struct{}
+	// ending ends with the requests in progress, by EndRequests.
+	ending    context.Context
+	endBodies context.CancelFunc
 
 	mu         sync.Mutex
 	reducer    *router.Reducer
@@ -156,6 +160,7 @@
 		deps.OnAnswer = func(Observation) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	ending, endBodies := context.WithCancel(ctx)
 	f := &Forwarder{
 		cfg:           cfg,
 		opener:        deps.Opener,
@@ -170,6 +175,8 @@
 		ctx:           ctx,
 		cancel:        cancel,
 		drained:       make(chan struct{}),
+		ending:        ending,
+		endBodies:     endBodies,
 		reducer:       router.New(router.Config{Region: cfg.Region, AvailabilityZone: cfg.AvailabilityZone}, deps.Check),
 		exchanges:     make(map[identifier.RequestID]*exchange),
 		services:      make(map[identifier.Service]ServiceSettings),
@@ -204,6 +211,15 @@
 	}
 }
 
+// EndRequests answers all requests that are left after Drain, and ends the reading of
+// bodies that have not arrived whole: those requests have not run. A streamed response that
+// has begun is broken off.
+func (f *Forwarder) EndRequests() {
+	f.post(router.Draining{})
+	f.post(router.DrainEnded{})
+	f.endBodies()
+}
+
 // Handler returns the HTTP handler for callers.
 func (f *Forwarder) Handler() http.Handler {
 	m := mux.NewRouter().SkipClean(true).UseEncodedPath()
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if ex.body, err = f.readBody(w, r); err != nil {
+	if ex.body, err = f.readBody(w, r, deadline); err != nil {
 		return nil, err
 	}
 	digest := identifier.DigestOf(ex.body)
@@ -198,22 +199,56 @@
 	}, nil
 }
 
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	// The deadline limits a slow caller. Connections use the system clock, not f.clock.
-	// The error is ignored because response recorders in tests have no deadlines.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+// readBody reads the body until the deadline of the request, maxBodyTime or EndRequests.
+func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
+	limit := &readLimit{controller: http.NewResponseController(w)}
+	timer := f.clock.AfterFunc(min(maxBodyTime, deadline.Sub(f.clock.Now())), limit.expire)
+	defer timer.Stop()
+	defer context.AfterFunc(f.ending, limit.expire)()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(f.cfg.MaxBody)))
 	var maxBytesErr *http.MaxBytesError
+	expired := limit.end()
 	switch {
+	case expired && f.ending.Err() != nil:
+		return nil, requestErrorf(http.StatusServiceUnavailable, "the entry ends before the request body is complete (send the request to another entry)")
 	case errors.As(err, &maxBytesErr):
 		return nil, f.tooLarge()
-	case err != nil:
+	case err != nil || expired:
 		return nil, requestErrorf(http.StatusRequestTimeout, "the request body is incomplete (send the request again)")
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
+// readLimit ends the reading of a body, unless that has ended already. A deadline that was set
+// later would end the request itself, since net/http goes on reading to learn whether the caller
+// has left.
+type readLimit struct {
+	controller *http.ResponseController
+
+	mu      sync.Mutex
+	ended   bool
+	expired bool
+}
+
+func (l *readLimit) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.expired = true
+	// The error is ignored because response recorders in tests have no deadlines.
+	_ = l.controller.SetReadDeadline(time.Unix(1, 0))
+}
+
+// end reports whether the limit has expired. If it has not, it does not expire any more.
+func (l *readLimit) end() (expired bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	return l.expired
+}
+
 func (f *Forwarder) tooLarge() error {
 	return requestErrorf(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes (send less)", f.cfg.MaxBody)
 }
--- a/router/event.go
+++ b/router/event.go
@@ -174,6 +174,9 @@
 // request is answered.
 type Draining struct{}
 
+// DrainEnded says that the requests that are left must be answered now.
+type DrainEnded struct{}
+
 // Ticked makes the reducer check its timeouts. It is sent at short intervals.
 type Ticked struct{}
 
@@ -190,4 +193,5 @@
 func (AttemptBroke) isEvent()       {}
 func (CallerGone) isEvent()         {}
 func (Draining) isEvent()           {}
+func (DrainEnded) isEvent()         {}
 func (Ticked) isEvent()             {}
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -47,6 +47,7 @@
 	CallerLeft        Cause = "CallerLeft"
 	HolderLost        Cause = "HolderLost"
 	BrokenAnswer      Cause = "BrokenAnswer"
+	DrainTimeout      Cause = "DrainTimeout"
 )
 
 // Priority orders requests inside an engine. Higher runs first.
--- a/router/request.go
+++ b/router/request.go
@@ -172,6 +172,25 @@
 	}
 }
 
+// endAll answers all requests: those that may have run as Unknown, the others as NotRun.
+func (r *Reducer) endAll() {
+	for _, id := range r.requestIDs() {
+		q := r.requests[id]
+		switch q.phase {
+		case queued:
+			r.unqueue(q)
+			r.giveUp(q, DrainTimeout, minRetryAfter)
+		case claiming:
+			r.finish(q, NotRun, DrainTimeout, minRetryAfter)
+		case verifying:
+			r.finish(q, Unknown, DrainTimeout, 0)
+		case attempting:
+			r.cancel(q, !q.attempt.foreign)
+			r.finish(q, Unknown, DrainTimeout, 0)
+		}
+	}
+}
+
 func (r *Reducer) unqueue(q *request) {
 	if s := r.services[q.Service]; s != nil {
 		s.queue.RemoveWhere(func(id identifier.RequestID) bool { return id == q.ID })
--- a/router/router.go
+++ b/router/router.go
@@ -79,6 +79,8 @@
 		r.callerGone(e)
 	case Draining:
 		r.draining = true
+	case DrainEnded:
+		r.endAll()
 	case Ticked:
 		r.tick()
 	default:
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -290,3 +290,29 @@
 	require.True(t, only[router.CancelAttempt](t, effects).Stop)
 	require.NotEqual(t, hung.Target.Upstream, only[router.StartAttempt](t, effects).Target.Upstream)
 }
+
+// Guards against requests that get no answer when the time to drain has passed, and against a false
+// promise that they have not run.
+func TestEndOfDrainAnswersEveryRequest(t *testing.T) {
+	r := newReducer("u1")
+	running := handOver(t, r, "running")
+	verified := handOver(t, r, "verified")
+	r.Reduce(epoch, router.AttemptBroke{Request: "verified", Attempt: verified.Attempt, Kind: router.Gone, Reason: router.UpstreamBroke})
+	r.Reduce(epoch, arrival("claimed", router.NonIdempotent))
+	r.Reduce(epoch, router.UpstreamsChanged{})
+	r.Reduce(epoch, arrival("queued", router.Idempotent))
+	r.Reduce(epoch, router.Draining{})
+	effects := r.Reduce(epoch, router.DrainEnded{})
+	require.Equal(t, running.Attempt, only[router.CancelAttempt](t, effects).Attempt)
+	only[router.Drained](t, effects)
+	outcomes := make(map[identifier.RequestID]router.Outcome)
+	for _, e := range effects {
+		if answer, ok := e.(router.Answer); ok {
+			outcomes[answer.Request] = answer.Outcome
+		}
+	}
+	require.Equal(t, map[identifier.RequestID]router.Outcome{
+		"running": router.Unknown, "verified": router.Unknown, "claimed": router.NotRun, "queued": router.NotRun,
+	}, outcomes)
+	require.Zero(t, r.Pending())
+}
