placer: let calls to control end before their server closes

Calls of operators and upstreams that were being served when a process stopped got no answer: the server was closed with all its connections, though a call takes 2 s at most and its effect may already be acknowledged by control. Their callers can't tell such a call from one that was lost, and send it again.

stop now shuts the server down first: it accepts nothing new, and waits for the calls in progress, for 2 s at most and not beyond the grace period.

--- a/placer/entry.go
+++ b/placer/entry.go
@@ -48,6 +48,9 @@
 	// not ended.
 	endMargin         = 300 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
+	// callsTimeout is how long a stop waits for calls of operators and upstreams: as long as
+	// package platform lets one take.
+	callsTimeout = 2 * time.Second
 	// idleAfter is the time without a request after which an entry counts as one that
 	// callers don't use: several times the mean time between two requests of an entry.
 	idleAfter = 3 * time.Second
@@ -191,9 +194,9 @@
 	return nil
 }
 
-func (e *entry) stop(context.Context) error {
+func (e *entry) stop(ctx context.Context) error {
 	close(e.stopped)
-	err := errors.Join(e.control.Close(), e.readiness.Close())
+	err := errors.Join(e.stopControl(ctx), e.readiness.Close())
 	if callers := e.callersServer(); callers != nil {
 		err = errors.Join(err, callers.Close())
 	}
@@ -201,6 +204,17 @@
 	return err
 }
 
+// stopControl closes the server for operators and upstreams once the calls in progress are
+// answered. What is left then is cut off, and sent again by its caller.
+func (e *entry) stopControl(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callsTimeout)
+	defer cancel()
+	if err := e.control.Shutdown(ctx); err != nil {
+		e.log.Warn("Calls to control were cut off.", zap.Error(err))
+	}
+	return e.control.Close()
+}
+
 // readiness says whether an entry can serve callers, and otherwise what it lacks.
 type readiness string
 
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -65,6 +65,46 @@
 	require.NoError(t, e.stop(t.Context()))
 }
 
+// Guards against a call of an operator or a runner that gets no answer since the process stops: it
+// was received, and its connection was closed while it was served.
+func TestStopAnswersCallsInProgress(t *testing.T) {
+	held, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := held.Addr().String()
+	require.NoError(t, held.Close())
+	clock := clockwork.NewFakeClock()
+	rel := relayer.New(newReducer(parser.Placement{}), platform.Headers{}, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
+	e := newEntry(parser.Placement{}, parser.PlacedSettings{}, declarer.NewView(asserter.Strict{}), nil, rel, nil, nil, clock, metrics.NewSet(), zap.NewNop())
+	received, finish := make(chan bool), make(chan bool)
+	e.control.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		received <- true
+		<-finish
+		w.WriteHeader(http.StatusAccepted)
+	})
+	require.NoError(t, e.listen(e.control, address))
+	answered := make(chan error, 1)
+	go func() {
+		response, err := http.Post("http://"+address, "", nil)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		answered <- err
+	}()
+	<-received
+	stopped := make(chan error, 1)
+	go func() { stopped <- e.stop(t.Context()) }()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp4", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, time.Minute, time.Millisecond, "it accepts no more calls")
+	close(finish)
+	require.NoError(t, <-answered)
+	require.NoError(t, <-stopped)
+}
+
 // Guards against retry budgets whose shares for 16 entries add up to more than what all
 // entries may send, when there are more entries or some restart.
 func TestRetriesOfAllEntriesStayWithinTheBudget(t *testing.T) {
