executor: end no request for its upstream's silence before its deadline

On the settings path a request whose upstream was silent for 30 s was broken off and answered Unknown, or its stream cut, though its deadline was later (2 min by default, an hour at most) and nobody else had been asked.

The agent's watchdog cancelled the run. Until the deadline of the attempt it now waits: the entry tries a repeatable request elsewhere by itself, and otherwise nothing replaces the answer that may still come. After the deadline silence ends the run as before, so that a hung upstream doesn't hold a slot for ever.

--- a/executor/bench_test.go
+++ b/executor/bench_test.go
@@ -231,10 +231,16 @@
 // add starts an upstream with its agent, waits until it is ready and makes it known to
 // the entry.
 func (c *testCluster) add(name identifier.Upstream, h http.HandlerFunc) *httptest.Server {
+	return c.addWithTimeout(name, 0, h)
+}
+
+// addWithTimeout also sets the progress timeout of the agent.
+func (c *testCluster) addWithTimeout(name identifier.Upstream, progressTimeout time.Duration, h http.HandlerFunc) *httptest.Server {
 	srv := httptest.NewServer(h)
 	c.t.Cleanup(srv.Close)
 	x := executor.New(executor.Config{
 		Upstream: name, Incarnation: 1, Address: netip.MustParseAddrPort(srv.Listener.Addr().String()), EventStreamEnd: "[DONE]",
+		ProgressTimeout: progressTimeout,
 	}, executor.Dependencies{
 		Claims: c.control, CrashReporter: discardCrashReports{}, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Asserter: asserter.Strict{},
 	})
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -53,8 +53,10 @@
 	// EventStreamEnd is the data of the last event of every event stream. An event
 	// stream that ends without it is incomplete. Empty disables this check.
 	EventStreamEnd string
-	// ProgressTimeout is the longest time without a byte from the upstream, 30 s if
-	// zero. It also bounds how long a full buffer may hold back the upstream.
+	// ProgressTimeout is the longest time without a byte from the upstream once the
+	// deadline of the attempt has passed, 30 s if zero. Until the deadline, a silent
+	// upstream may still answer. It also bounds how long a full buffer may hold back
+	// the upstream.
 	ProgressTimeout time.Duration
 	// MaxBody is the maximum size of a request body, 8 MiB if zero.
 	MaxBody identifier.ByteCount
--- a/executor/failure_test.go
+++ b/executor/failure_test.go
@@ -64,6 +64,38 @@
 	require.Equal(t, int32(1), runs.Load())
 }
 
+// Guards against a request whose answer is lost since its upstream is silent for longer than the
+// progress timeout, though there is time left and nobody else answers.
+func TestSilenceEndsNoRequestBeforeItsDeadline(t *testing.T) {
+	const progressTimeout = 50 * time.Millisecond
+	c := newTestCluster(t)
+	ended := make(chan bool, 16)
+	c.addWithTimeout("u1", progressTimeout, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hangs" {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			ended <- true
+			return
+		}
+		time.Sleep(4 * progressTimeout)
+		_, _ = io.WriteString(w, "data: 1\n\n")
+		w.(http.Flusher).Flush()
+		time.Sleep(4 * progressTimeout)
+		_, _ = io.WriteString(w, "data: 2\n\n")
+	})
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		got := c.send(t.Context(), method, "/slots", nil)
+		require.NoError(t, got.err)
+		require.Equal(t, router.Completed, got.outcome)
+		require.Equal(t, "data: 1\n\ndata: 2\n\n", got.body)
+	}
+	require.Eventually(t, func() bool {
+		got := c.send(t.Context(), http.MethodPost, "/hangs", strings.NewReader("x"), "Celeryvalve-Deadline", "500ms")
+		return got.outcome == router.Unknown
+	}, waitTimeout, pollInterval, "a request runs")
+	<-ended // the upstream is left once the deadline has passed
+}
+
 func TestLostUpstreamMakesNonIdempotentUnknownAndIdempotentGoesElsewhere(t *testing.T) {
 	c := newTestCluster(t)
 	abort := func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }
--- a/executor/run.go
+++ b/executor/run.go
@@ -6,6 +6,7 @@
 	"hash"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"celeryvalve/identifier"
 	"celeryvalve/router"
@@ -25,10 +26,12 @@
 
 // run holds one attempt with the body of its request and its response.
 type run struct {
-	start  router.AttemptStart
-	body   []byte
-	ctx    context.Context
-	cancel context.CancelFunc
+	start router.AttemptStart
+	body  []byte
+	// deadline is that of the attempt. Silence of the upstream ends the run only after it.
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
 	// connected reports that the HTTP client obtained a connection to the upstream, so
 	// that bytes of the request may have been sent.
 	connected atomic.Bool
@@ -56,15 +59,16 @@
 	return r.end != nil || r.stopped
 }
 
-func newRun(parent context.Context, start router.AttemptStart, body []byte) *run {
+func newRun(parent context.Context, start router.AttemptStart, body []byte, now time.Time) *run {
 	ctx, cancel := context.WithCancel(parent)
 	return &run{
-		start:   start,
-		body:    body,
-		ctx:     ctx,
-		cancel:  cancel,
-		hash:    sha256.New(),
-		changed: make(chan struct{}),
+		start:    start,
+		body:     body,
+		deadline: now.Add(start.Timeout),
+		ctx:      ctx,
+		cancel:   cancel,
+		hash:     sha256.New(),
+		changed:  make(chan struct{}),
 	}
 }
 
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -103,7 +103,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.runs[start.Attempt] == nil {
-		x.runs[start.Attempt] = newRun(x.ctx, *start, body)
+		x.runs[start.Attempt] = newRun(x.ctx, *start, body, x.clock.Now())
 	}
 	x.reduce(admitter.AttemptArrived{Start: *start, Stream: q.id})
 	return true
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -72,7 +72,8 @@
 // execute sends the request to the upstream and buffers the response. It returns the
 // end of the response, or an error if the response is not complete.
 func (x *Executor) execute(r *run) (*router.ResponseEnd, error) {
-	watchdog := x.clock.AfterFunc(x.cfg.ProgressTimeout, r.cancel)
+	silence := func() time.Duration { return max(x.cfg.ProgressTimeout, r.deadline.Sub(x.clock.Now())) }
+	watchdog := x.clock.AfterFunc(silence(), r.cancel)
 	defer watchdog.Stop()
 	req, err := x.newRequest(r)
 	if err != nil {
@@ -99,7 +100,7 @@
 	}
 	r.setHead(responseHead(r.start, resp))
 	detector := newEndDetector(x.cfg.EventStreamEnd, resp)
-	err = copyBody(r, resp.Body, detector, func() { watchdog.Reset(x.cfg.ProgressTimeout) })
+	err = copyBody(r, resp.Body, detector, func() { watchdog.Reset(silence()) })
 	if err != nil {
 		return nil, err
 	}
