router: keep a slow attempt while no other upstream has room

On the settings path a repeatable request whose upstream was slow to answer was cancelled there and queued again, also where every other upstream was full: its answer was given up for a place in the queue. Two slow requests on two full upstreams cancelled each other's work and changed places.

The attempt is now given up only where another upstream can start the request in the same step. Two attempts at once, as the relayer has them, are not possible here: the answer of a slow upstream is still given up for one that may be slow too.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -316,3 +316,27 @@
 	}, outcomes)
 	require.Zero(t, r.Pending())
 }
+
+// Guards against a request whose answer is given up because its upstream is slow, though no other
+// one has room for it: it would wait, and end without an answer that was on its way.
+func TestSlowUpstreamIsKeptWhileNoOtherHasRoom(t *testing.T) {
+	r := newReducer("u1", "u2")
+	const progressTimeout = 10 * time.Second
+	r.Reduce(epoch, router.PolicyChanged{Policy: router.Policy{Services: []router.ServicePolicy{{Service: drafting, ProgressTimeout: progressTimeout}}}})
+	full := router.LoadReport{Limit: 1, Running: 1}
+	attempts := make(map[identifier.RequestID]identifier.AttemptID)
+	for _, id := range []identifier.RequestID{"r1", "r2"} {
+		attempts[id] = only[router.StartAttempt](t, r.Reduce(epoch, arrival(id, router.Idempotent))).Attempt
+		r.Reduce(epoch, router.AttemptWasAccepted{Request: id, Attempt: attempts[id], Load: full})
+	}
+	for now := epoch; now.Before(epoch.Add(2 * progressTimeout)); now = now.Add(time.Second) {
+		for id, attempt := range attempts {
+			r.Reduce(now, router.AttemptProgressed{Request: id, Attempt: attempt, Load: &full})
+		}
+		require.Empty(t, r.Reduce(now, router.Ticked{}), "both are silent, and full")
+	}
+	now := epoch.Add(2 * progressTimeout)
+	for id, attempt := range attempts {
+		only[router.PassOn](t, r.Reduce(now, router.AttemptAnswering{Request: id, Attempt: attempt, Status: 200}))
+	}
+}
--- a/router/tick.go
+++ b/router/tick.go
@@ -74,12 +74,22 @@
 		r.ask(q, true)
 	case a.askAt.IsZero() && r.now.Sub(a.lastProgress) >= silenceTimeout:
 		r.ask(q, true)
-	case r.isSlow(q) && r.mayRetry(q):
+	case r.isSlow(q) && r.hasRoomElsewhere(q) && r.mayRetry(q):
 		r.cancel(q, true)
 		r.retry(q)
 	}
 }
 
+// hasRoomElsewhere reports whether another upstream could start the request now.
+func (r *Reducer) hasRoomElsewhere(q *request) bool {
+	s := r.services[q.Service]
+	usable := r.usableOf(s)
+	others := slices.DeleteFunc(r.withRoom(usable), func(u *upstream) bool {
+		return u.view.Upstream == q.attempt.target.Upstream
+	})
+	return len(r.eligible(s, q, others, countStable(usable, r.now))) > 0
+}
+
 // isSlow reports whether an idempotent attempt has reached the progress timeout
 // without a response.
 func (r *Reducer) isSlow(q *request) bool {
