reader: decide once whether a body came in time

What callers might have seen: a request whose body came just as its time limit passed, or as the entry ended its requests, was passed on and got no answer. By reading: the read deadline stayed in force after the body, and net/http, which goes on reading to learn whether the caller has left, took it for the caller's departure.

Change: the lock that the forwarder had for this is a package, and the relayer uses it. Either the body has ended, or the limit has expired, and then the request is not passed on. The relayer's limit goes by its clock.

Tests: TestLimitDoesNotExpireAfterTheEnd; the tests of late bodies pass as before.

--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +15,7 @@
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/quarantiner"
+	"celeryvalve/reader"
 	"celeryvalve/router"
 )
 
@@ -201,13 +201,13 @@
 
 // readBody reads the body until the deadline of the request, maxBodyTime or EndRequests.
 func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
-	limit := &readLimit{controller: http.NewResponseController(w)}
-	timer := f.clock.AfterFunc(min(maxBodyTime, deadline.Sub(f.clock.Now())), limit.expire)
+	limit := reader.NewLimit(w)
+	timer := f.clock.AfterFunc(min(maxBodyTime, deadline.Sub(f.clock.Now())), limit.Expire)
 	defer timer.Stop()
-	defer context.AfterFunc(f.ending, limit.expire)()
+	defer context.AfterFunc(f.ending, limit.Expire)()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(f.cfg.MaxBody)))
 	var maxBytesErr *http.MaxBytesError
-	expired := limit.end()
+	expired := limit.End()
 	switch {
 	case expired && f.ending.Err() != nil:
 		return nil, requestErrorf(http.StatusServiceUnavailable, "the entry ends before the request body is complete (send the request to another entry)")
@@ -219,36 +219,6 @@
 	return body, nil
 }
 
-// readLimit ends the reading of a body, unless that has ended already. A deadline that was set
-// later would end the request itself, since net/http goes on reading to learn whether the caller
-// has left.
-type readLimit struct {
-	controller *http.ResponseController
-
-	mu      sync.Mutex
-	ended   bool
-	expired bool
-}
-
-func (l *readLimit) expire() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.ended {
-		return
-	}
-	l.expired = true
-	// The error is ignored because response recorders in tests have no deadlines.
-	_ = l.controller.SetReadDeadline(time.Unix(1, 0))
-}
-
-// end reports whether the limit has expired. If it has not, it does not expire any more.
-func (l *readLimit) end() (expired bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ended = true
-	return l.expired
-}
-
 func (f *Forwarder) tooLarge() error {
 	return requestErrorf(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes (send less)", f.cfg.MaxBody)
 }
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +16,7 @@
 	"celeryvalve/identifier"
 	"celeryvalve/indexer"
 	"celeryvalve/quarantiner"
+	"celeryvalve/reader"
 )
 
 // exchange is one request of a caller and the state of its response.
@@ -122,26 +122,21 @@
 // readBody reads the body until the time limit of the request, or until the entry ends its
 // requests. It returns a status and a problem like admit.
 func (x *exchange) readBody(limits declarer.Limits) (status int, problem string) {
+	limit := reader.NewLimit(x.w)
 	if x.r.Body != http.NoBody {
-		// The errors are ignored because response recorders in tests have no deadlines.
-		controller := http.NewResponseController(x.w)
-		_ = controller.SetReadDeadline(time.Now().Add(x.timeout()))
-		stop := context.AfterFunc(x.relayer.serving, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
-		defer func() {
-			if stop() {
-				_ = controller.SetReadDeadline(time.Time{})
-			}
-		}()
+		defer x.relayer.clock.AfterFunc(x.timeout(), limit.Expire).Stop()
+		defer context.AfterFunc(x.relayer.serving, limit.Expire)()
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes))
+	expired := limit.End()
 	var maxBytesErr *http.MaxBytesError
 	switch {
-	case errors.As(err, &maxBytesErr):
-		return http.StatusRequestEntityTooLarge, "the request body is larger than the limit (send a smaller one)"
-	case errors.Is(err, os.ErrDeadlineExceeded) && x.relayer.serving.Err() != nil:
+	case expired && x.relayer.serving.Err() != nil:
 		return http.StatusServiceUnavailable, "the entry stops before the request body is complete (send the request again after Retry-After)"
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case expired:
 		return http.StatusRequestTimeout, fmt.Sprintf("the request body is incomplete after %v (send the request again)", x.timeout())
+	case errors.As(err, &maxBytesErr):
+		return http.StatusRequestEntityTooLarge, "the request body is larger than the limit (send a smaller one)"
 	case err != nil:
 		return http.StatusBadRequest, "the request body is incomplete (send the request again)"
 	}
