balancer: ask again an upstream that could not be connected to

What callers saw: while their upstream was silent, the only other one could not be connected to once. It was not asked again, however long the first one stayed silent.

Cause: an upstream counted as tried although nothing had reached it; only a request without any other attempt was free to try it again.

Change: such an upstream doesn't count as tried.

TestUnreachedUpstreamIsTriedAgain failed before (NoEffect).

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -240,6 +240,7 @@
 	case NotConnected:
 		r.recordFailure(now, u, e.Cause)
 		s.attempts-- // nothing reached the upstream
+		delete(s.tried, u.view.Upstream)
 	case NotExecuted:
 	case Expired:
 		s.mayHaveRun = true
--- a/balancer/stall_test.go
+++ b/balancer/stall_test.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// Guards against a silent upstream that is waited for alone, since the only other one could not be
+// connected to once.
+func TestUnreachedUpstreamIsTriedAgain(t *testing.T) {
+	r, first, _ := stalledRequest(t, 2)
+	later := start.Add(silentFor + time.Second)
+	var refused []balancer.Send
+	effect := r.Reduce(later, balancer.AttemptFailed{Request: "x", Cause: balancer.NotConnected})
+	for send, ok := effect.(balancer.Send); ok; send, ok = effect.(balancer.Send) {
+		refused = append(refused, send)
+		effect = r.Reduce(later, balancer.AttemptFailed{Request: "x", Attempt: send.Attempt, Cause: balancer.NotConnected})
+	}
+	require.Equal(t, balancer.Await{Request: "x"}, effect, "each upstream is tried once at a time")
+	require.Len(t, refused, 1)
+	ejected := later.Add(time.Second)
+	require.IsType(t, balancer.Send{}, r.Reduce(ejected, balancer.AttemptStalled{Request: "x", Attempt: first.Attempt}))
+}
+
 // Guards against an upstream that looks idle while it is silent, since its request is tried
 // elsewhere.
 func TestSilentAttemptIsCountedAtItsUpstream(t *testing.T) {
