--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -37,8 +37,8 @@
 	// resumeAfter is the id of the event after which a stream is to go on, or empty.
 	resumeAfter string
 	silence     silence
-	// events counts the events of the stream that were sent to the caller.
-	events int
+	// eventsSent counts the events of its stream that were sent to the caller.
+	eventsSent int
 	// load and answer are of the header of the response, if one was read.
 	load   *balancer.Load
 	answer ResponseHeader
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -40,7 +40,7 @@
 	s := &a.silence
 	switch {
 	case s.timer == nil:
-	case a.events > 1:
+	case a.eventsSent > 1:
 		s.since = a.relayer.clock.Now() // the timer sees it when it fires
 	case a.route.Resumable:
 		a.watch(max(minStallTimeout, stallFactor*a.route.BetweenEvents))
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -42,7 +42,7 @@
 // handleStreamed sends an event to the caller. Nothing is sent before the first one.
 func (x *exchange) handleStreamed(a *attempt, m streamed) balancer.Effect {
 	x.choose(a)
-	if a.events == 0 {
+	if a.eventsSent == 0 {
 		x.relayer.reduce(balancer.ResponseStarted{Request: x.request.ID, Attempt: a.send.Attempt, Status: m.response.StatusCode, Load: a.load})
 		if !x.responseStarted {
 			x.recordFirstByte(a)
@@ -54,8 +54,8 @@
 	}
 	x.flush()
 	x.recordEvent()
-	if a.events++; a.events%progressInterval == 0 {
-		x.relayer.reduce(balancer.StreamProgressed{Request: x.request.ID, Attempt: a.send.Attempt, Events: a.events})
+	if a.eventsSent++; a.eventsSent%progressInterval == 0 {
+		x.relayer.reduce(balancer.StreamProgressed{Request: x.request.ID, Attempt: a.send.Attempt, Events: a.eventsSent})
 	}
 	if m.id != "" {
 		x.lastEvent = m.id
