relayer: tell requests with the same attempt id apart

What callers saw: of two requests in progress with one attempt id, such as a request and its repeat after a reset, one ended without an answer. With several attempts in progress the other one waited for good, also beyond its time limit. Found by review.

Cause: the reducer knew requests by the id that their callers chose. The second one took the place of the first, and each got the effects of the other.

Change: the entry numbers its requests. An exchange without an attempt in progress never waits.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -66,7 +66,7 @@
 		x.begin(e)
 		return true
 	case balancer.Await:
-		return true
+		return len(x.inProgress) > 0
 	case balancer.Refuse:
 		x.refuse(e)
 	case balancer.Fail:
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -154,7 +155,7 @@
 	random := x.relayer.nextRandom(x.dryRun)
 	service := x.route.PickTarget(random)
 	return balancer.Request{
-		ID:                identifier.RequestID(x.header.Attempt),
+		ID:                requestID(x.header.Attempt, random),
 		Organisation:      x.organisation,
 		Route:             x.routeName,
 		Service:           service,
@@ -176,6 +177,11 @@
 	}
 }
 
+// requestID returns the id of a request at this entry. Callers may use an attempt id again.
+func requestID(attempt identifier.AttemptID, number uint64) identifier.RequestID {
+	return identifier.RequestID(string(attempt) + "/" + strconv.FormatUint(number, 36))
+}
+
 // timeout returns how long after its arrival the request must be answered.
 func (x *exchange) timeout() time.Duration {
 	if x.header.Remaining > 0 {
