relayer: pass on an answer that came before its body was taken in

What callers saw: an upstream answered from the head of a long request and ended the connection, or read nothing for 3 s more. The caller got 502, although a whole answer, or the statement that nothing had run, lay in the socket. Found by review.

Cause: the response was read only after the whole request had been written, and an attempt whose writing failed was given up.

Change: after a failed write the response is read all the same. The connection is not used again.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -94,11 +94,9 @@
 	}
 	request := a.upstreamRequest()
 	c.carry(a.header.Attempt)
-	if sent, err := c.write(request); err != nil {
-		if !sent {
-			return failed{balancer.NotConnected}
-		}
-		return failed{balancer.ConnectionLost}
+	sent, writeErr := c.write(request)
+	if !sent && writeErr != nil {
+		return failed{balancer.NotConnected}
 	}
 	response, header, cause := a.readHead(c, request)
 	if cause != "" {
@@ -107,7 +105,7 @@
 	responseHeader = response.Header
 	a.load, a.answer = header.Load, header
 	fullyRead := func() bool {
-		return isFramed(response) && !response.Close && c.reader.Buffered() == 0
+		return writeErr == nil && isFramed(response) && !response.Close && c.reader.Buffered() == 0
 	}
 	switch {
 	case header.Misdirected, header.NotExecuted:
