relayer: count bytes in either direction as signs of an upstream

What callers saw: an upstream that sent a long answer, or took in a long body, steadily but slowly counted as silent: it was set aside after three such requests, and another upstream ran the request as well. Found by review.

Cause: only a whole event or a whole answer ended the timeout.

Change: the timeout counts from the last bytes that were sent or received. A body is written in parts of 64 KiB, so that its progress shows.

Test: TestUpstreamThatSendsSlowlyIsNotSilent failed before.

--- a/relayer/answer_test.go
+++ b/relayer/answer_test.go
@@ -84,3 +84,30 @@
 	}
 	require.Eventually(t, func() bool { return r.InFlight() == 0 }, patience, time.Millisecond)
 }
+
+// Guards against an upstream that counts as silent while it sends its answer slowly.
+func TestUpstreamThatSendsSlowlyIsNotSilent(t *testing.T) {
+	step := make(chan struct{})
+	u := startUpstream(t, func(conn net.Conn, r *http.Request) {
+		text, _ := responseOf(http.StatusOK, "a", "text/plain", "slowly")
+		for _, b := range []byte(text) {
+			_, _ = conn.Write([]byte{b})
+			<-step
+		}
+	})
+	second := startHeld(t, "")
+	views := []balancer.UpstreamView{u.view("a"), second.view("b")}
+	views[1].Region = "far"
+	clock := clockwork.NewFakeClockAt(time.Now())
+	server, _ := startRoute(t, clock, declarer.Route{Kind: declarer.Idempotent, Timeout: requestTimeout, MaximumAttempts: 2}, views...)
+	call := startCall(t, server, "body", 0)
+	text, _ := responseOf(http.StatusOK, "a", "text/plain", "slowly")
+	for range len(text) {
+		time.Sleep(settleTime / 5) // the byte has arrived
+		clock.Advance(200 * time.Millisecond)
+		step <- struct{}{}
+	}
+	o := wait(t, call.outcome, "the request ends")
+	require.Equal(t, "slowly", o.body)
+	require.Empty(t, second.received())
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -93,11 +93,14 @@
 		return failed{balancer.NotConnected}
 	}
 	request := a.upstreamRequest()
+	c.onMoved = a.noteMoved
+	defer func() { c.onMoved = nil }()
 	c.carry(a.header.Attempt)
 	sent, writeErr := c.write(request)
 	if !sent && writeErr != nil {
 		return failed{balancer.NotConnected}
 	}
+	// An upstream may have answered before it took in the whole body, and ended the connection.
 	response, header, cause := a.readHead(c, request)
 	if cause != "" {
 		return failed{cause}
--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -26,7 +26,8 @@
 	userTimeout         = 3 * time.Second
 	readerSize          = 4 << 10
 	writerSize          = 4 << 10
-	maxEarlierResponses = 2 // responses to earlier attempts that are skipped before giving up
+	maxWriteSize        = 64 << 10 // bytes of a body that are written at once
+	maxEarlierResponses = 2        // responses to earlier attempts that are skipped before giving up
 	// maxCarried is how many requests a connection carries before it is closed.
 	maxCarried = 256
 	// maxHeadSize limits the bytes in which the head of a response must be complete, with
@@ -39,10 +40,12 @@
 
 // connection is an HTTP/1.1 connection to an upstream. It carries one request at a time.
 type connection struct {
-	conn   net.Conn
-	bound  *headBound
-	reader *bufio.Reader
-	writer *bufio.Writer
+	conn  net.Conn
+	bound *headBound
+	// onMoved is called when bytes were sent or received, unless it is nil.
+	onMoved func()
+	reader  *bufio.Reader
+	writer  *bufio.Writer
 	// idleSince is when the connection became idle, and idleTimeout is how long it may
 	// then be reused. A timeout of 0 means that there is no limit.
 	idleSince   time.Time
@@ -62,13 +65,29 @@
 	if err != nil {
 		return nil, err
 	}
-	bound := &headBound{r: conn}
-	return &connection{
-		conn:   conn,
-		bound:  bound,
-		reader: bufio.NewReaderSize(bound, readerSize),
-		writer: bufio.NewWriterSize(conn, writerSize),
-	}, nil
+	c := &connection{conn: conn, writer: bufio.NewWriterSize(conn, writerSize)}
+	c.bound = &headBound{r: readerFunc(c.receive)}
+	c.reader = bufio.NewReaderSize(c.bound, readerSize)
+	return c, nil
+}
+
+// readerFunc is a function as an io.Reader.
+type readerFunc func([]byte) (int, error)
+
+// Read calls the function.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// receive reads from the connection.
+func (c *connection) receive(p []byte) (int, error) {
+	n, err := c.conn.Read(p)
+	c.noteMoved(n)
+	return n, err
+}
+
+func (c *connection) noteMoved(n int) {
+	if n > 0 && c.onMoved != nil {
+		c.onMoved()
+	}
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -116,7 +135,7 @@
 
 // write sends the request. sent reports whether any byte may have reached the upstream.
 func (c *connection) write(r *http.Request) (sent bool, err error) {
-	counting := &countingWriter{conn: c.conn}
+	counting := &countingWriter{connection: c}
 	c.writer.Reset(counting)
 	if err := r.Write(c.writer); err != nil {
 		return counting.n > 0, err
@@ -182,13 +201,21 @@
 
 // countingWriter counts the bytes that are written to the connection.
 type countingWriter struct {
-	conn net.Conn
-	n    int
+	connection *connection
+	n          int
 }
 
-// Write writes p to the connection.
+// Write writes p to the connection, in parts that show its progress.
 func (w *countingWriter) Write(p []byte) (int, error) {
-	n, err := w.conn.Write(p)
-	w.n += n
-	return n, err
+	written := 0
+	for written < len(p) {
+		n, err := w.connection.conn.Write(p[written:min(len(p), written+maxWriteSize)])
+		w.connection.noteMoved(n)
+		w.n += n
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
 }
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -9,9 +10,13 @@
 	"celeryvalve/balancer"
 )
 
-// silence notices that the upstream of an attempt has sent nothing for a timeout. Only the
-// exchange changes it.
+// silence notices that the upstream of an attempt has neither sent nor taken in anything for a
+// timeout. Only the exchange changes it, but for moved.
 type silence struct {
+	// moved is how long after the arrival of the request its connection last sent or received
+	// bytes, in nanoseconds.
+	moved atomic.Int64
+
 	// timer is nil if the timeout is 0, which means that there is none.
 	timer   clockwork.Timer
 	timeout time.Duration
@@ -38,10 +43,9 @@
 // watchStream starts the timeout anew after an event.
 func (a *attempt) watchStream() {
 	s := &a.silence
+	s.since = a.relayer.clock.Now() // the timer sees it when it fires
 	switch {
-	case s.timer == nil:
-	case a.eventsSent > 1:
-		s.since = a.relayer.clock.Now() // the timer sees it when it fires
+	case s.timer == nil || a.eventsSent > 1:
 	case a.route.Resumable:
 		a.watch(max(minStallTimeout, stallFactor*a.route.BetweenEvents))
 	default:
@@ -49,6 +53,17 @@
 	}
 }
 
+// noteMoved records that bytes were sent or received.
+func (a *attempt) noteMoved() {
+	a.silence.moved.Store(int64(a.relayer.clock.Since(a.arrivedAt)))
+}
+
+// silentFor returns for how long the upstream has been silent.
+func (a *attempt) silentFor() time.Duration {
+	moved := a.arrivedAt.Add(time.Duration(a.silence.moved.Load()))
+	return min(a.relayer.clock.Since(moved), a.relayer.clock.Since(a.silence.since))
+}
+
 // stop ends the timeout.
 func (s *silence) stop() {
 	if s.timer != nil {
@@ -59,7 +74,7 @@
 // handleSilent tries another upstream while the attempt's one is silent, and goes on with both.
 func (x *exchange) handleSilent(a *attempt) balancer.Effect {
 	s := &a.silence
-	if left := s.timeout - x.relayer.clock.Since(s.since); left > 0 {
+	if left := s.timeout - a.silentFor(); left > 0 {
 		s.timer.Reset(left)
 		return balancer.Await{}
 	}
