relayer: close other attempts before a whole answer is sent

By reading: a caller that takes its answer slowly kept the other attempts of its request at work, which the reducer no longer counted. They are closed once an answer is chosen. They are also cancelled before they learn that the request is over, so that they always reset their connections.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -101,10 +101,10 @@
 
 // closeAttempts closes the attempts that are still in progress, since the request is over.
 func (x *exchange) closeAttempts() {
-	close(x.over)
 	for len(x.inProgress) > 0 {
 		x.end(x.inProgress[0])
 	}
+	close(x.over)
 }
 
 // handle handles a message of an attempt. It returns Await if the request goes on with the
@@ -157,6 +157,11 @@
 	}
 	x.relayer.reduce(balancer.AttemptChosen{Request: x.request.ID, Attempt: a.send.Attempt})
 	a.silence.reported = false
+	x.endOthers(a)
+}
+
+// endOthers ends all attempts in progress but one.
+func (x *exchange) endOthers(a *attempt) {
 	for _, other := range slices.Clone(x.inProgress) {
 		if other != a {
 			x.end(other)
@@ -187,6 +192,7 @@
 	case balancer.Await:
 		x.log("The upstream answered with an error. Waiting for another one.", zap.Int("status", status), zap.String("upstream", string(a.send.Target.Upstream)))
 	default:
+		x.endOthers(a)
 		x.reply(a, m)
 		return balancer.NoEffect{}
 	}
