relayer: keep the time limit of a test below what breaks connections

On a busy machine TestRequestThatHasEndedIsWithdrawn doubled its time limit of 1 s to 4 s, beyond the 3 s after which bytes that aren't taken in break a connection, and got 502 for 504. The limit now ends at 2.5 s; the checks are the same.

--- a/relayer/gone_test.go
+++ b/relayer/gone_test.go
@@ -29,6 +29,8 @@
 	// goneTimeout is the time limit of requests that should reach it while their upstream
 	// stands still. It is too short if the request has not arrived by then.
 	goneTimeout = time.Second
+	// maxGoneTimeout is below the 3 s after which bytes that aren't taken in break a connection.
+	maxGoneTimeout = 2500 * time.Millisecond
 	// bufferedBody is the size of a body that the connection to an upstream that doesn't read
 	// holds as a whole, most of it on the sender's side.
 	bufferedBody = 1 << 20
@@ -157,7 +159,7 @@
 					t.Run(fmt.Sprintf("%s, %s body, %s connection, %v", name, size, connection, kind), func(t *testing.T) {
 						t.Parallel()
 						var left *leftover
-						for d := d; left == nil; d.timeout *= 2 {
+						for d := d; left == nil; d.timeout = min(2*d.timeout, max(d.timeout, maxGoneTimeout)) {
 							left = depart(t, d, kind, kept, strings.Repeat("b", body))
 						}
 						if left.whole {
