balancer: don't learn the speed from the time of a silence

A sound upstream whose streams paused for 2 s counted as six times slower than declared for seconds, and others were preferred. The pause between two events across a silence was learnt like any other. It isn't any more, like the time to the first byte. Found by review; TestSilenceIsNoSlowness failed before.

--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -81,7 +81,7 @@
 	}
 	load, _ := u.load(now, 0)
 	expected := expectedPause(engine, min(u.slots(), max(1, load)))
-	if expected > 0 {
+	if expected > 0 && !a.measuredAt.Before(u.wentOnAt) {
 		u.speed.add(now, pauses, float64(now.Sub(a.measuredAt))/float64(pauses)/float64(expected))
 		r.noteSpeed(now, u)
 	}
--- a/balancer/stall_test.go
+++ b/balancer/stall_test.go
@@ -207,3 +207,18 @@
 		})
 	}
 }
+
+// Guards against a sound upstream that counts as slow since its streams paused while it was silent.
+func TestSilenceIsNoSlowness(t *testing.T) {
+	r := balancer.New(balancer.Config{RetryRatio: 1, RetryBurst: 10})
+	r.Reduce(start, balancer.PolicyChanged{Services: []balancer.ServicePolicy{{Service: "drafting", Engine: engine()}}})
+	r.Reduce(start, balancer.UpstreamsChanged{Upstreams: []balancer.UpstreamView{upstream("a", "drafting")}})
+	before := arrive(r, start, generationRequest("1")).(balancer.Send)
+	r.Reduce(start, balancer.ResponseStarted{Request: "1", Status: 200})
+	r.Reduce(start.Add(silentFor), balancer.AttemptStalled{Request: "1", PartlySent: true, Resumable: true})
+	awake := start.Add(silentFor + time.Millisecond)
+	r.Reduce(awake, balancer.AttemptChosen{Request: "1"})
+	r.Reduce(awake, balancer.StreamProgressed{Request: "1", Events: 4})
+	after := arrive(r, awake, generationRequest("2")).(balancer.Send)
+	require.Equal(t, before.Slowness, after.Slowness)
+}
