balancer: count the failure of a silent attempt once

An attempt counted as failed when its upstream fell silent and again when it ended, so that two requests ejected an upstream, which three in a row are to do. Found by review; TestSilentAttemptFailsOnce failed before.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -148,6 +148,13 @@
 	return slices.ContainsFunc(s.inProgress, func(a *attempt) bool { return !a.silent })
 }
 
+// recordAttemptFailure counts the failure of an attempt, unless its silence was counted already.
+func (r *Reducer) recordAttemptFailure(now time.Time, a *attempt, cause Cause) {
+	if !a.silent {
+		r.recordFailure(now, a.target, cause)
+	}
+}
+
 // stalled asks another upstream while the one of the attempt is silent. The attempt goes on.
 func (r *Reducer) stalled(now time.Time, e AttemptStalled) Effect {
 	a, ok := r.attemptOf(e.Request, e.Attempt)
@@ -212,7 +219,7 @@
 		return NoEffect{}
 	}
 	s.mayHaveRun = true
-	r.recordFailure(now, u, UpstreamError)
+	r.recordAttemptFailure(now, a, UpstreamError)
 	if s.awaitsAnswer() {
 		return Await{Request: s.ID}
 	}
@@ -252,10 +259,10 @@
 	case ConnectionLost, FirstByteTimedOut:
 		s.mayHaveRun = true
 		r.recordLoss(now, a, e.Cause)
-		r.recordFailure(now, u, e.Cause)
+		r.recordAttemptFailure(now, a, e.Cause)
 	default:
 		s.mayHaveRun = true
-		r.recordFailure(now, u, e.Cause)
+		r.recordAttemptFailure(now, a, e.Cause)
 	}
 	if s.awaitsAnswer() {
 		return Await{Request: s.ID}
--- a/balancer/stall_test.go
+++ b/balancer/stall_test.go
@@ -208,6 +208,23 @@
 	}
 }
 
+// Guards against an upstream that is ejected early, since an attempt was counted as failed when it
+// fell silent and again when it ended.
+func TestSilentAttemptFailsOnce(t *testing.T) {
+	r := balancer.New(balancer.Config{RetryRatio: 1, RetryBurst: 10})
+	r.Reduce(start, balancer.PolicyChanged{Services: []balancer.ServicePolicy{{Service: "drafting", Engine: engine()}}})
+	r.Reduce(start, balancer.UpstreamsChanged{Upstreams: []balancer.UpstreamView{upstream("a", "drafting")}})
+	silent := start.Add(silentFor)
+	for _, id := range []string{"1", "2"} {
+		require.IsType(t, balancer.Send{}, arrive(r, start, generationRequest(requestID(id))))
+	}
+	for _, id := range []string{"1", "2"} {
+		r.Reduce(silent, balancer.AttemptStalled{Request: requestID(id)})
+		r.Reduce(silent, balancer.AttemptFailed{Request: requestID(id), Cause: balancer.ConnectionLost})
+	}
+	require.Empty(t, r.TakeEjectionChanges(), "two attempts have failed")
+}
+
 // Guards against a sound upstream that counts as slow since its streams paused while it was silent.
 func TestSilenceIsNoSlowness(t *testing.T) {
 	r := balancer.New(balancer.Config{RetryRatio: 1, RetryBurst: 10})
