--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -15,13 +15,15 @@
 // NoEffect means that there is nothing to do.
 type NoEffect struct{}
 
-// Send starts an attempt. ResponseStarted, ResponseCompleted or AttemptFailed must follow.
+// Send starts an attempt. AttemptConnected follows before the request is sent, AttemptStalled while
+// its upstream is silent, and ResponseCompleted or AttemptFailed once it is over, unless another
+// attempt is chosen or the request ends.
 type Send struct {
 	Request identifier.RequestID
 	Attempt int // from 1
 	Target  UpstreamView
-	// FirstByteTimeout is the time without a response after which AttemptStalled is to follow,
-	// or 0 for none.
+	// FirstByteTimeout is the silence of the upstream after which AttemptStalled is to follow,
+	// up to the first event of a stream or the end of another response. It is 0 for none.
 	FirstByteTimeout time.Duration
 	// ExpectedRelease is the release that the upstream must hold, or 0 for any.
 	ExpectedRelease declarer.ReleaseNumber
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -179,8 +179,8 @@
 	Misdirected Cause = "Mistaken"
 	// ConnectionLost: the connection broke after bytes were sent. The request may have run.
 	ConnectionLost Cause = "Lost"
-	// FirstByteTimedOut: nothing arrived for a timeout. The request may have run. It occurs in
-	// EjectionChange and AttemptFailed.
+	// FirstByteTimedOut: nothing arrived for a timeout. The request may have run. Of an attempt
+	// that goes on it occurs in EjectionChange only.
 	FirstByteTimedOut Cause = "Silent"
 	// Expired: the deadline of the request passed first. The request may have run.
 	// This does not count as a failure of the upstream.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -25,8 +25,9 @@
 // maxBufferedBody is the largest response body, in bytes, that is buffered or skipped.
 const maxBufferedBody = 16 << 20
 
-// attempt is one attempt to send the request to one upstream. It performs the I/O and tells its
-// exchange what comes.
+// attempt is one attempt to send the request to one upstream. It performs the I/O on a goroutine of
+// its own and tells its exchange what comes. Of the exchange it only reads what doesn't change while
+// the request is in progress.
 type attempt struct {
 	*exchange
 	send   balancer.Send
@@ -220,8 +221,8 @@
 	return nil, ResponseHeader{}, balancer.ProtocolError
 }
 
-// causeOf returns Lost if the connection ended or failed, and Garbled if the bytes
-// received are not an HTTP response.
+// causeOf returns ConnectionLost if the connection ended or failed, and ProtocolError if the
+// bytes received are not an HTTP response.
 func causeOf(err error) balancer.Cause {
 	var netErr interface{ Timeout() bool }
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -95,7 +95,7 @@
 	phaseUnused  phase = "Unused"  // for the first request
 	phaseIdle    phase = "Idle"    // for another request
 	phaseHead    phase = "Head"    // for the rest of a head
-	phaseServing phase = "Serving" // for a body or an answer, which have limits of their own
+	phaseServing phase = "Serving" // for a body, which has a limit of its own, or an answer
 	phaseClosed  phase = "Closed"
 )
 
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -10,6 +10,14 @@
 	"celeryvalve/balancer"
 )
 
+// The upstream of a stream that has begun is silent after stallFactor times the longest pause between
+// events that counts as on time, and after minStallTimeout at least. Callers wait for eight times the
+// pause that counts as on time.
+const (
+	stallFactor     = 4
+	minStallTimeout = 1200 * time.Millisecond
+)
+
 // silence notices that the upstream of an attempt has neither sent nor taken in anything for a
 // timeout. Only the exchange changes it, but for moved.
 type silence struct {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -4,22 +4,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"celeryvalve/balancer"
 )
 
-const (
-	// The stall timeout is stallFactor times the longest pause between events that
-	// counts as on time, and at least minStallTimeout. A resumable stream that pauses
-	// for longer is resumed on another upstream. Callers wait for eight times the
-	// pause that counts as on time.
-	stallFactor     = 4
-	minStallTimeout = 1200 * time.Millisecond
-	// progressInterval is the number of events after which the reducer is told of a stream's
-	// progress. Half of the answers of the known deployments have more than seven.
-	progressInterval = 3
-)
+// progressInterval is the number of events after which the reducer is told of a stream's progress.
+// Half of the answers of the known deployments have more than seven.
+const progressInterval = 3
 
 // readStream posts the events of a stream and returns the last message, or nil if the request is
 // over.
