relayer, balancer: name activity and resumption by the usual terms

recordSign, wentOnAt, noteMoved and awaitsAnswer become recordActivity, resumedAt, noteActivity and hasResponsiveAttempt. No behaviour changes.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -118,7 +118,7 @@
 	a.mayHaveRun = true
 	a.silent = false
 	u := a.target
-	r.recordSign(now, u)
+	r.recordActivity(now, u)
 	a.firstByteAt = now
 	a.measuredEvents, a.measuredAt = 1, now
 	if e.Status < http.StatusBadRequest {
@@ -133,7 +133,7 @@
 // measureFirstByte learns from the time to the first byte. If the upstream was silent in between,
 // that says nothing of its load.
 func (r *Reducer) measureFirstByte(now time.Time, a *attempt) {
-	if a.sentAt.Before(a.target.wentOnAt) {
+	if a.sentAt.Before(a.target.resumedAt) {
 		return
 	}
 	a.target.firstByte.Add(now.Sub(a.sentAt))
@@ -143,8 +143,8 @@
 	}
 }
 
-// awaitsAnswer reports whether an attempt is in progress whose upstream isn't silent.
-func (s *request) awaitsAnswer() bool {
+// hasResponsiveAttempt reports whether an attempt is in progress whose upstream isn't silent.
+func (s *request) hasResponsiveAttempt() bool {
 	return slices.ContainsFunc(s.inProgress, func(a *attempt) bool { return !a.silent })
 }
 
@@ -170,7 +170,7 @@
 	if e.PartlySent {
 		mayRetry = e.Resumable
 	}
-	if !mayRetry || a.awaitsAnswer() {
+	if !mayRetry || a.hasResponsiveAttempt() {
 		return NoEffect{}
 	}
 	if effect, reason := r.retry(now, a.request); reason == "" {
@@ -187,7 +187,7 @@
 	}
 	if a.silent {
 		a.silent = false
-		r.recordSign(now, a.target)
+		r.recordActivity(now, a.target)
 		r.recordSuccess(now, a.target)
 	}
 	for _, other := range slices.Clone(a.inProgress) {
@@ -206,7 +206,7 @@
 	s, u := a.request, a.target
 	r.releaseAttempt(a, true)
 	r.observeAnswer(now, u, e.Load)
-	r.recordSign(now, u)
+	r.recordActivity(now, u)
 	// Without a length a crash may have ended the response, and an error says nothing about
 	// what a run to the end would do.
 	if !e.IsError && (!e.Unframed || a.survived(now)) {
@@ -220,7 +220,7 @@
 	}
 	s.mayHaveRun = true
 	r.recordAttemptFailure(now, a, UpstreamError)
-	if s.awaitsAnswer() {
+	if s.hasResponsiveAttempt() {
 		return Await{Request: s.ID}
 	}
 	if s.Repeatable {
@@ -264,7 +264,7 @@
 		s.mayHaveRun = true
 		r.recordAttemptFailure(now, a, e.Cause)
 	}
-	if s.awaitsAnswer() {
+	if s.hasResponsiveAttempt() {
 		return Await{Request: s.ID}
 	}
 	mayRetry := !s.mayHaveRun || s.Repeatable
--- a/balancer/crash.go
+++ b/balancer/crash.go
@@ -152,12 +152,12 @@
 	}
 }
 
-// recordSign records that the upstream has shown that it runs. It has not crashed under attempts
+// recordActivity records that the upstream has shown that it runs. It has not crashed under attempts
 // that were given up while it was silent.
-func (r *Reducer) recordSign(now time.Time, u *upstream) {
+func (r *Reducer) recordActivity(now time.Time, u *upstream) {
 	u.heardAt = now
 	if u.silent {
-		u.silent, u.wentOnAt = false, now
+		u.silent, u.resumedAt = false, now
 	}
 	losses, p := r.crashes.losses, u.process()
 	if len(losses[p]) > 0 {
--- a/balancer/notice.go
+++ b/balancer/notice.go
@@ -138,7 +138,7 @@
 	}
 	r.releaseAttempt(a, false)
 	a.attempts--
-	if a.awaitsAnswer() {
+	if a.hasResponsiveAttempt() {
 		return Await{Request: a.ID}
 	}
 	return r.dispatch(now, a.request)
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -74,14 +74,14 @@
 // last measurement by it.
 func (r *Reducer) progressed(now time.Time, a *attempt, events int) {
 	u, engine := a.target, r.services[a.Service].Engine
-	r.recordSign(now, u)
+	r.recordActivity(now, u)
 	pauses := events - a.measuredEvents
 	if engine == nil || a.measuredEvents == 0 || pauses <= 0 {
 		return
 	}
 	load, _ := u.load(now, 0)
 	expected := expectedPause(engine, min(u.slots(), max(1, load)))
-	if expected > 0 && !a.measuredAt.Before(u.wentOnAt) {
+	if expected > 0 && !a.measuredAt.Before(u.resumedAt) {
 		u.speed.add(now, pauses, float64(now.Sub(a.measuredAt))/float64(pauses)/float64(expected))
 		r.noteSpeed(now, u)
 	}
--- a/balancer/upstream.go
+++ b/balancer/upstream.go
@@ -84,9 +84,9 @@
 	heardAt  time.Time
 	probedAt time.Time
 	// silent is set once an attempt has stalled and nothing has come from the upstream for
-	// crashSpan, until it goes on at wentOnAt.
-	silent   bool
-	wentOnAt time.Time
+	// crashSpan, until it goes on at resumedAt.
+	silent    bool
+	resumedAt time.Time
 
 	// failures is the number of consecutive failures, the last of them at failedAt.
 	failures     int
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -50,7 +50,7 @@
 	select {
 	case a.messages <- message{a, content}:
 		return true
-	case <-a.over:
+	case <-a.done:
 		return false
 	}
 }
@@ -75,9 +75,9 @@
 	reusable := false
 	var responseHeader http.Header
 	defer func() {
-		unhurt := stop()
+		intact := stop()
 		switch {
-		case unhurt && reusable && a.request.Repeatable:
+		case intact && reusable && a.request.Repeatable:
 			a.relayer.pool.put(addr, c, responseHeader, a.relayer.idleLimit(addr))
 		case a.ctx.Err() != nil && !reusable:
 			c.reset()
@@ -94,8 +94,8 @@
 		return failed{balancer.NotConnected}
 	}
 	request := a.upstreamRequest()
-	c.onMoved = a.noteMoved
-	defer func() { c.onMoved = nil }()
+	c.onActivity = a.noteActivity
+	defer func() { c.onActivity = nil }()
 	c.carry(a.header.Attempt)
 	sent, writeErr := c.write(request)
 	if !sent && writeErr != nil {
--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -42,10 +42,10 @@
 type connection struct {
 	conn  net.Conn
 	bound *headBound
-	// onMoved is called when bytes were sent or received, unless it is nil.
-	onMoved func()
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	// onActivity is called when bytes were sent or received, unless it is nil.
+	onActivity func()
+	reader     *bufio.Reader
+	writer     *bufio.Writer
 	// idleSince is when the connection became idle, and idleTimeout is how long it may
 	// then be reused. A timeout of 0 means that there is no limit.
 	idleSince   time.Time
@@ -80,13 +80,13 @@
 // receive reads from the connection.
 func (c *connection) receive(p []byte) (int, error) {
 	n, err := c.conn.Read(p)
-	c.noteMoved(n)
+	c.noteActivity(n)
 	return n, err
 }
 
-func (c *connection) noteMoved(n int) {
-	if n > 0 && c.onMoved != nil {
-		c.onMoved()
+func (c *connection) noteActivity(n int) {
+	if n > 0 && c.onActivity != nil {
+		c.onActivity()
 	}
 }
 
@@ -210,7 +210,7 @@
 	written := 0
 	for written < len(p) {
 		n, err := w.connection.conn.Write(p[written:min(len(p), written+maxWriteSize)])
-		w.connection.noteMoved(n)
+		w.connection.noteActivity(n)
 		w.n += n
 		written += n
 		if err != nil {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -43,7 +43,7 @@
 // run executes the reducer's effects until the request is answered. All attempts in progress are
 // read: the first whole response is the caller's, or the first event that goes on with a stream.
 func (x *exchange) run(effect balancer.Effect) {
-	x.messages, x.over = make(chan message), make(chan struct{})
+	x.messages, x.done = make(chan message), make(chan struct{})
 	defer x.closeAttempts()
 	for x.execute(effect) {
 		effect = x.handle(<-x.messages)
@@ -104,7 +104,7 @@
 	for len(x.inProgress) > 0 {
 		x.end(x.inProgress[0])
 	}
-	close(x.over)
+	close(x.done)
 }
 
 // handle handles a message of an attempt. It returns Await if the request goes on with the
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -46,10 +46,10 @@
 	attempts        int
 	// replied is set once the caller was sent a whole response.
 	replied bool
-	// inProgress lists the attempts in progress, which send messages until over is closed.
+	// inProgress lists the attempts in progress, which send messages until done is closed.
 	inProgress []*attempt
 	messages   chan message
-	over       chan struct{}
+	done       chan struct{}
 	// lastError sends the last error of an upstream that was kept, or is nil if there is none.
 	lastError func()
 	// firstByte is the time from the arrival of the request until the first byte of the
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -19,11 +19,11 @@
 )
 
 // silence notices that the upstream of an attempt has neither sent nor taken in anything for a
-// timeout. Only the exchange changes it, but for moved.
+// timeout. Only the exchange changes it, but for lastActivity.
 type silence struct {
-	// moved is how long after the arrival of the request its connection last sent or received
+	// lastActivity is how long after the arrival of the request its connection last sent or received
 	// bytes, in nanoseconds.
-	moved atomic.Int64
+	lastActivity atomic.Int64
 
 	// timer is nil if the timeout is 0, which means that there is none.
 	timer   clockwork.Timer
@@ -61,15 +61,15 @@
 	}
 }
 
-// noteMoved records that bytes were sent or received.
-func (a *attempt) noteMoved() {
-	a.silence.moved.Store(int64(a.relayer.clock.Since(a.arrivedAt)))
+// noteActivity records that bytes were sent or received.
+func (a *attempt) noteActivity() {
+	a.silence.lastActivity.Store(int64(a.relayer.clock.Since(a.arrivedAt)))
 }
 
 // silentFor returns for how long the upstream has been silent.
 func (a *attempt) silentFor() time.Duration {
-	moved := a.arrivedAt.Add(time.Duration(a.silence.moved.Load()))
-	return min(a.relayer.clock.Since(moved), a.relayer.clock.Since(a.silence.since))
+	active := a.arrivedAt.Add(time.Duration(a.silence.lastActivity.Load()))
+	return min(a.relayer.clock.Since(active), a.relayer.clock.Since(a.silence.since))
 }
 
 // stop ends the timeout.
