registrar: let no spoilt number win for good, and bound the table

What callers saw: one heartbeat of a sound upstream's id with a start of 2^64-1 ms made all its own heartbeats late ones. Its service had no upstream at any process.

Cause: of two records the one of the later incarnation and the higher sequence wins, wherever these numbers come from, and nothing takes that back. A record that claims the latest start also displaced whoever reported at its address. A table took in records without bound: each new name was compared with all others, and kept for a minute.

Change: a process refuses a report whose start lies over an hour ahead of its clock, or whose sequence is impossible or jumps, with 400 and the number. A record that is wrong within these limits gives way once it is stale and two reports in a row contradict it: whoever goes on reporting holds the name. The new record has a higher epoch, which all tables put before incarnation and sequence, so that they stay equal; the field is optional, and read by the previous release as if it were not there. A stale record displaces nobody. A table holds 8,192 records, drops those first that are over, and finds the holder of an address without looking at all.

--- a/placer/evacuation_test.go
+++ b/placer/evacuation_test.go
@@ -62,7 +62,8 @@
 			view, set := declarer.NewView(asserter.Strict{}), metrics.NewSet()
 			address := netip.MustParseAddrPort("127.0.0.1:1")
 			sp := spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{StaleAfter: time.Hour, ForgetAfter: time.Hour}), view, nil, clock, zap.NewNop())
-			sp.Report(registrar.Record{Upstream: "u", Service: "app", State: registrar.Ready, AvailabilityZone: "z3", Address: address})
+			_, err := sp.Report(registrar.Record{Upstream: "u", Service: "app", State: registrar.Ready, AvailabilityZone: "z3", Address: address})
+			require.NoError(t, err)
 			go func() {
 				for clock.BlockUntilContext(t.Context(), 1) == nil {
 					clock.Advance(hangUpNotice)
@@ -83,7 +84,7 @@
 			if c.hungUp {
 				cancel()
 			}
-			err := api.Evacuate(ctx, c.zone, false)
+			err = api.Evacuate(ctx, c.zone, false)
 			require.Equal(t, c.calls, caller.calls)
 			var text bytes.Buffer
 			set.WritePrometheus(&text)
--- a/placer/office.go
+++ b/placer/office.go
@@ -158,7 +158,7 @@
 	var changed bool
 	var err error
 	if r.State == registrar.Ready {
-		changed = c.spreader.Report(r)
+		changed, err = c.spreader.Report(r)
 	} else {
 		changed, err = c.reportDeparture(ctx, r)
 	}
--- a/placer/office_test.go
+++ b/placer/office_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
@@ -102,3 +104,24 @@
 		})
 	}
 }
+
+// Guards against an upstream whose spoilt report or departure claimed a start beyond all others: its
+// own reports were late ones from then on, and its service had no upstream.
+func TestSpoiltStartOfAnUpstreamIsRefused(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	view := declarer.NewView(asserter.Strict{})
+	s := spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{StaleAfter: time.Hour, ForgetAfter: time.Hour}), view, nil, clock, zap.NewNop())
+	s.SetReplicas(spreader.Replicas{Index: 1, Led: true})
+	c := newControlAPI(parser.Placement{}, nil, s, nil, nil, view, clock, metrics.NewSet(), zap.NewNop())
+	sound := registrar.Record{
+		Upstream: "i-1", Incarnation: identifier.Incarnation(clock.Now().UnixMilli()), Sequence: 1, Service: "booking", State: registrar.Ready,
+	}
+	require.NoError(t, c.Report(t.Context(), sound))
+	spoilt := sound
+	spoilt.Incarnation, spoilt.Service = math.MaxUint64, "elsewhere"
+	require.Equal(t, explainer.InvalidInput, explainer.KindOf(c.Report(t.Context(), spoilt)))
+	require.Equal(t, explainer.InvalidInput, explainer.KindOf(c.Leave(t.Context(), "i-1", math.MaxUint64)))
+	known := s.Upstreams()
+	require.Len(t, known, 1)
+	require.Equal(t, sound, known[0].Record)
+}
--- a/placer/staging_test.go
+++ b/placer/staging_test.go
@@ -180,7 +180,8 @@
 	a.ctx, a.cancel = context.WithCancel(t.Context())
 	t.Cleanup(a.cancel)
 	a.pulls = map[declarer.ReleaseNumber]*pull{2: {target: a.target, chunks: chunks, puller: newPuller(a.placement, 0, clock, zap.NewNop())}}
-	a.spreader.Report(registrar.Record{Upstream: "i-1", Sequence: 1, Service: "llm", Address: address, State: registrar.Ready})
+	_, err := a.spreader.Report(registrar.Record{Upstream: "i-1", Sequence: 1, Service: "llm", Address: address, State: registrar.Ready})
+	require.NoError(t, err)
 	return engineAgent{agent: a, clock: clock}
 }
 
--- a/registrar/record.go
+++ b/registrar/record.go
@@ -33,7 +33,10 @@
 	// upstream does not report it.
 	Incarnation identifier.Incarnation
 	// Sequence increases with each report of one incarnation.
-	Sequence         uint64
+	Sequence uint64
+	// Epoch counts how often reports have replaced a record of the upstream that claimed to be
+	// later, but was not reported again. Of two records the one with the higher epoch is newer.
+	Epoch            uint64 `cbor:",omitempty"`
 	Service          identifier.Service
 	Address          netip.AddrPort
 	AvailabilityZone identifier.AvailabilityZone
@@ -100,6 +103,9 @@
 	} {
 		b = binary.BigEndian.AppendUint64(b, n)
 	}
+	if r.Epoch > 0 {
+		b = binary.BigEndian.AppendUint64(b, r.Epoch)
+	}
 	if r.Limit.InForce {
 		b = append(b, 1)
 	}
@@ -111,6 +117,9 @@
 
 // newerThan reports whether r is newer than the other record of the same upstream.
 func (r Record) newerThan(other Record) bool {
+	if r.Epoch != other.Epoch {
+		return r.Epoch > other.Epoch
+	}
 	if r.Incarnation != other.Incarnation {
 		return r.Incarnation > other.Incarnation
 	}
--- /dev/null
+++ b/registrar/report.go
@@ -0,0 +1,87 @@
+package registrar
+
+import (
+	"fmt"
+	"time"
+
+	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+)
+
+const (
+	// maxUpstreams bounds the records of a table. It is ten times the number of upstreams in
+	// docs/CAPACITY.md.
+	maxUpstreams = 1 << 13
+	// maxStartAhead is how far the start of an upstream may lie ahead of this process's clock.
+	// Clocks of instances differ by seconds.
+	maxStartAhead = time.Hour
+	// maxSequence is the largest integer that every JSON encoder writes exactly.
+	maxSequence = 1<<53 - 1
+	// maxSequenceStep is by how much the sequence may rise between two reports: one report a
+	// millisecond for as long as a silent upstream is remembered.
+	maxSequenceStep = 1 << 16
+)
+
+// Report merges a report that an upstream has sent to this process, and reports whether that
+// changed what Merge says. It returns an error of kind InvalidInput if the report's numbers
+// can't be true, and of kind Unavailable if the table is full.
+//
+// A report that is older than the record is late, unless the record is stale and a second report
+// follows the first one: then the record was wrong, and is replaced in all tables.
+func (t *Table) Report(now time.Time, r Record) (changed bool, err error) {
+	if err := r.checkNumbers(now); err != nil {
+		return false, err
+	}
+	e, ok := t.entries[r.Upstream]
+	if !ok {
+		if changed = t.Merge(now, r); !changed {
+			return false, explainer.New(explainer.Unavailable, fmt.Sprintf("the table has %d upstreams, no more are taken in", len(t.entries)),
+				"find out who reports under ever new names")
+		}
+		return true, nil
+	}
+	r.Epoch = e.record.Epoch
+	plausible := r.Incarnation != e.record.Incarnation || r.Sequence <= e.record.Sequence || r.Sequence-e.record.Sequence <= maxSequenceStep
+	if plausible && r.newerThan(e.record) {
+		return t.Merge(now, r), nil
+	}
+	if t.contests(now, e, r) {
+		r.Epoch++
+		return t.Merge(now, r), nil
+	}
+	if !plausible {
+		return false, explainer.New(explainer.InvalidInput,
+			fmt.Sprintf("the report's sequence %d is more than %d above the last one, %d", r.Sequence, maxSequenceStep, e.record.Sequence),
+			"count the reports of an upstream by one")
+	}
+	return t.Merge(now, r), nil
+}
+
+// contests reports whether r is the second of two reports in a row that contradict a stale record.
+func (t *Table) contests(now time.Time, e *entry, r Record) bool {
+	if !t.isStale(now, e) || r.Incarnation == e.record.Incarnation && ranks[r.State] < ranks[e.record.State] {
+		return false
+	}
+	first := e.contender
+	e.contender = &r
+	return first != nil && first.Incarnation == r.Incarnation && r.Sequence > first.Sequence && r.Sequence-first.Sequence <= maxSequenceStep
+}
+
+// isStale reports whether the upstream has not reported for longer than Config.StaleAfter.
+func (t *Table) isStale(now time.Time, e *entry) bool {
+	return now.Sub(e.heardAt) > t.cfg.StaleAfter
+}
+
+// checkNumbers returns an error if the report claims a start in the future or a sequence that no
+// upstream reaches: such a record would count as the newest for good.
+func (r Record) checkNumbers(now time.Time) error {
+	if latest := identifier.Incarnation(now.Add(maxStartAhead).UnixMilli()); r.Incarnation > latest {
+		return explainer.New(explainer.InvalidInput, fmt.Sprintf("the upstream's start, %d ms after 1970, is more than %v ahead", r.Incarnation, maxStartAhead),
+			"report the start in Unix milliseconds, and set the clocks")
+	}
+	if r.Sequence > maxSequence {
+		return explainer.New(explainer.InvalidInput, fmt.Sprintf("the report's sequence %d is above %d", r.Sequence, uint64(maxSequence)),
+			"count the reports of an upstream by one")
+	}
+	return nil
+}
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -28,6 +30,10 @@
 type Table struct {
 	cfg     Config
 	entries map[identifier.Upstream]*entry
+	// holders holds the entries that are not over, by the address of their record.
+	holders map[netip.AddrPort][]*entry
+	// over holds the entries that are over.
+	over map[*entry]struct{}
 	// byName holds the entries sorted by name, or nil if one was added or dropped since.
 	byName []*entry
 	cursor Cursor
@@ -37,7 +43,8 @@
 
 type entry struct {
 	record  Record
-	digest  Digest // of the record
+	digest  Digest         // of the record
+	held    netip.AddrPort // under which the table's holders have the entry, or invalid
 	heardAt time.Time
 	changed Cursor
 	// coldUntil is when the upstream has warmed up, by the report with coldSequence.
@@ -45,6 +52,8 @@
 	coldSequence uint64
 	// refreshedSequence is the sequence that Refreshes returned last.
 	refreshedSequence uint64
+	// contender is the last report that contradicted the record while that was stale.
+	contender *Record
 }
 
 // KnownUpstream is a record with its age in this process.
@@ -61,7 +70,12 @@
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, entries: make(map[identifier.Upstream]*entry)}
+	return &Table{
+		cfg:     cfg,
+		entries: make(map[identifier.Upstream]*entry),
+		holders: make(map[netip.AddrPort][]*entry),
+		over:    make(map[*entry]struct{}),
+	}
 }
 
 // RecordServing records the agent's announcement of the release that an upstream serves, and
@@ -110,13 +124,11 @@
 	}
 	e, ok := t.entries[r.Upstream]
 	if !ok {
-		e = &entry{record: r, heardAt: now}
-		e.recordCold(now, r)
-		t.entries[r.Upstream] = e
-		t.byName = nil
-		t.markChanged(e)
-		t.displace(r)
-		return true
+		return t.add(now, r)
+	}
+	renewed := r.Epoch > e.record.Epoch
+	if renewed && r.Incarnation == e.record.Incarnation && ranks[r.State] < ranks[e.record.State] {
+		r.State = e.record.State
 	}
 	if r.Incarnation == e.record.Incarnation && ranks[r.State] < ranks[e.record.State] {
 		// Leaving is final for an incarnation. This report was delayed in transit,
@@ -140,6 +152,7 @@
 		return serving || limit || cold
 	}
 	e.heardAt = now
+	e.contender = nil
 	if r.Incarnation == e.record.Incarnation {
 		if r.Stamp < e.record.Stamp {
 			r.Noted, r.Stamp = e.record.Noted, e.record.Stamp
@@ -148,43 +161,99 @@
 			r.Limit = e.record.Limit
 		}
 	}
-	if r.Incarnation != e.record.Incarnation {
+	if renewed || r.Incarnation != e.record.Incarnation {
 		e.coldUntil, e.coldSequence = time.Time{}, 0
 	} else if !r.newerThan(e.record) {
 		r.Displaced = r.Displaced || e.record.Displaced
 	}
 	cold := e.recordCold(now, r)
 	same := r.equivalent(e.record) && !cold
-	r.Sequence = max(r.Sequence, sequenceWithin(e.record, r.Incarnation))
+	if !renewed && r.Incarnation == e.record.Incarnation {
+		r.Epoch, r.Sequence = e.record.Epoch, max(r.Sequence, e.record.Sequence)
+	}
 	e.record = r
 	if same {
 		return false
 	}
 	t.markChanged(e)
-	t.displace(r)
+	t.displace(now, r)
 	return true
 }
 
-// sequenceWithin returns the sequence of r, or 0 if r is of another incarnation.
-func sequenceWithin(r Record, incarnation identifier.Incarnation) uint64 {
-	if r.Incarnation != incarnation {
-		return 0
+// add adds the record of an upstream that is not known. It reports false if the table is full.
+func (t *Table) add(now time.Time, r Record) bool {
+	if len(t.entries) >= maxUpstreams && !t.dropOver() {
+		return false
+	}
+	e := &entry{record: r, heardAt: now}
+	e.recordCold(now, r)
+	t.entries[r.Upstream] = e
+	t.byName = nil
+	t.markChanged(e)
+	t.displace(now, r)
+	return true
+}
+
+// dropOver drops half of the records that get no requests any more, those that were not heard for
+// longest. It returns false if there are none.
+func (t *Table) dropOver() bool {
+	over := slices.SortedFunc(maps.Keys(t.over), func(a, b *entry) int { return a.heardAt.Compare(b.heardAt) })
+	for _, e := range over[:(len(over)+1)/2] {
+		t.drop(e)
+	}
+	return len(over) > 0
+}
+
+func (t *Table) drop(e *entry) {
+	delete(t.entries, e.record.Upstream)
+	t.release(e)
+	t.byName = nil
+	t.sum -= uint64(e.digest)
+}
+
+// hold files the entry among the holders of its address, or among those that are over.
+func (t *Table) hold(e *entry) {
+	if e.held.IsValid() && e.held == e.record.Address && !e.record.IsOver() {
+		return
+	}
+	t.release(e)
+	if e.record.IsOver() {
+		t.over[e] = struct{}{}
+		return
+	}
+	if e.record.Address.IsValid() {
+		e.held = e.record.Address
+		t.holders[e.held] = append(t.holders[e.held], e)
 	}
-	return r.Sequence
+}
+
+// release removes the entry from the holders of its address, and from those that are over.
+func (t *Table) release(e *entry) {
+	delete(t.over, e)
+	if !e.held.IsValid() {
+		return
+	}
+	left := slices.DeleteFunc(t.holders[e.held], func(other *entry) bool { return other == e })
+	if len(left) == 0 {
+		delete(t.holders, e.held)
+	} else {
+		t.holders[e.held] = left
+	}
+	e.held = netip.AddrPort{}
 }
 
 // displace marks as Displaced every other upstream whose address r has taken over, or r itself
-// if another one that has started later holds the address.
-func (t *Table) displace(r Record) {
+// if another one that has started later holds the address and still reports.
+func (t *Table) displace(now time.Time, r Record) {
 	if r.IsOver() {
 		return
 	}
 	var others []*entry
-	for _, e := range t.entries {
-		if e.record.Upstream == r.Upstream || e.record.Address != r.Address || e.record.IsOver() {
+	for _, e := range t.holders[r.Address] {
+		if e.record.Upstream == r.Upstream {
 			continue
 		}
-		if r.Incarnation != 0 && r.Incarnation < e.record.Incarnation {
+		if r.Incarnation != 0 && r.Incarnation < e.record.Incarnation && !t.isStale(now, e) {
 			others = []*entry{t.entries[r.Upstream]}
 			break
 		}
@@ -202,6 +271,7 @@
 	t.sum -= uint64(e.digest)
 	e.digest = e.record.Digest()
 	t.sum += uint64(e.digest)
+	t.hold(e)
 }
 
 // Refresh records that an upstream has sent a new report. It returns false if the
@@ -211,7 +281,7 @@
 	if !ok || e.record.Incarnation != f.Incarnation {
 		return false
 	}
-	if f.Sequence > e.record.Sequence && !e.record.Displaced {
+	if f.Sequence > e.record.Sequence && f.Sequence-e.record.Sequence <= maxSequenceStep && !e.record.Displaced {
 		e.record.Sequence = f.Sequence
 		e.heardAt = now
 	}
@@ -281,8 +351,7 @@
 		if e.record.IsOver() {
 			continue
 		}
-		age := now.Sub(e.heardAt)
-		list = append(list, KnownUpstream{Record: e.record, Age: age, ColdRemaining: e.coldRemaining(now), Stale: age > t.cfg.StaleAfter})
+		list = append(list, KnownUpstream{Record: e.record, Age: now.Sub(e.heardAt), ColdRemaining: e.coldRemaining(now), Stale: t.isStale(now, e)})
 	}
 	return list
 }
@@ -315,11 +384,9 @@
 // Forget drops the records of upstreams without a report for more than
 // Config.ForgetAfter.
 func (t *Table) Forget(now time.Time) {
-	for name, e := range t.entries {
+	for _, e := range t.entries {
 		if now.Sub(e.heardAt) > t.cfg.ForgetAfter {
-			delete(t.entries, name)
-			t.byName = nil
-			t.sum -= uint64(e.digest)
+			t.drop(e)
 		}
 	}
 }
--- a/spreader/departure.go
+++ b/spreader/departure.go
@@ -30,7 +30,12 @@
 // consensus does. It returns an error of kind Unavailable if it can't be told that a majority
 // holds the record; the record stays in this process's table.
 func (s *Spreader) ReportDeparture(ctx context.Context, r registrar.Record) (changed bool, err error) {
-	changed = s.Report(r)
+	if changed, err = s.Report(r); err != nil {
+		return false, err
+	}
+	if known, ok := s.Find(r.Upstream); ok {
+		r.Epoch = known.Epoch
+	}
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	replicas, missing := s.departureQuorum()
--- a/spreader/refresh_test.go
+++ b/spreader/refresh_test.go
@@ -85,7 +85,8 @@
 	round := func() (toReplica, toEntry *Update) {
 		clock.Advance(reportInterval)
 		sequence++
-		entry.Report(registrar.Record{Upstream: "mine", Sequence: sequence, State: registrar.Ready})
+		_, err := entry.Report(registrar.Record{Upstream: "mine", Sequence: sequence, State: registrar.Ready})
+		require.NoError(t, err)
 		replica.applyUpdate(&Update{Refreshes: []registrar.Refresh{{Upstream: "other", Sequence: sequence}}}, netip.AddrPort{}, &sentState{})
 		entry.publishRefreshes(context.Background())
 		replica.publishRefreshes(context.Background())
@@ -95,7 +96,8 @@
 		entry.applyUpdate(toEntry, addrs[0], up)
 		return toReplica, toEntry
 	}
-	replica.Report(registrar.Record{Upstream: "other", Sequence: 1, State: registrar.Ready})
+	_, err := replica.Report(registrar.Record{Upstream: "other", Sequence: 1, State: registrar.Ready})
+	require.NoError(t, err)
 	first, back := round()
 	require.Len(t, first.Records, 1)
 	require.Equal(t, identifier.Upstream("other"), back.Records[0].Upstream)
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -229,11 +229,14 @@
 }
 
 // Report merges a record that an upstream reported to this process into the table,
-// and returns whether that changed what is known of the upstream.
-func (s *Spreader) Report(r registrar.Record) bool {
+// and returns whether that changed what is known of the upstream. The error is that of
+// registrar.Table.Report.
+func (s *Spreader) Report(r registrar.Record) (changed bool, err error) {
 	s.mu.Lock()
-	changed := s.table.Merge(s.clock.Now(), r)
-	s.reported[r.Upstream] = true
+	changed, err = s.table.Report(s.clock.Now(), r)
+	if err == nil {
+		s.reported[r.Upstream] = true
+	}
 	if changed {
 		s.signalChange()
 	}
@@ -241,7 +244,7 @@
 	if changed {
 		s.notifyWatchers()
 	}
-	return changed
+	return changed, err
 }
 
 // RecordServing records the release that an upstream serves, as its agent sees it. A call
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -121,9 +121,11 @@
 	hub := c.replica(1)
 	a, b := c.process("north", true, hub.address), c.process("south", false, hub.address)
 	c.eventually(func() bool { return a.Connected() && b.Connected() })
-	a.Report(record("u", registrar.Ready))
+	_, err := a.Report(record("u", registrar.Ready))
+	require.NoError(t, err)
 	c.eventually(hasState(b, "u", registrar.Ready))
-	a.Report(record("u", registrar.Draining))
+	_, err = a.Report(record("u", registrar.Draining))
+	require.NoError(t, err)
 	c.eventually(hasState(b, "u", registrar.Draining))
 	late := c.process("south", true, hub.address)
 	c.eventually(hasState(late, "u", registrar.Draining))
@@ -149,10 +151,11 @@
 		name := identifier.Upstream(fmt.Sprintf("u%d", i))
 		r := record(name, registrar.Ready)
 		r.Address = netip.AddrPortFrom(r.Address.Addr(), uint16(80+i))
-		reporter.Report(r)
+		_, err := reporter.Report(r)
+		require.NoError(t, err)
 		c.eventually(hasState(other, name, registrar.Ready))
 		r.State = registrar.Gone
-		_, err := reporter.ReportDeparture(t.Context(), r)
+		_, err = reporter.ReportDeparture(t.Context(), r)
 		holding := 0
 		for _, replica := range replicas {
 			if hasState(replica, name, registrar.Gone)() {
