--- a/spreader/backlog_test.go
+++ b/spreader/backlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"celeryvalve/asserter"
 	"celeryvalve/declarer"
+	"celeryvalve/encoder"
 	"celeryvalve/identifier"
 	"celeryvalve/registrar"
 )
@@ -132,3 +134,32 @@
 		require.Equal(t, slots, got.Slots)
 	}
 }
+
+// Guards against a table that no follower can receive: with thousands of long names its update
+// was larger than a frame, and each stream to the replica ended with it.
+func TestLargeTableIsSentInSeveralUpdates(t *testing.T) {
+	const upstreams = 8000
+	codec, err := encoder.New(Messages()...)
+	require.NoError(t, err)
+	n := &tableNetwork{t: t, clock: clockwork.NewFakeClock()}
+	n.restartReplica()
+	long := strings.Repeat("n", 200)
+	for u := range upstreams {
+		name := identifier.Upstream(fmt.Sprint(long, u))
+		n.replica.table.Merge(n.clock.Now(), registrar.Record{
+			Upstream: name, Sequence: 1, State: registrar.Ready, Service: identifier.Service(long), Model: identifier.Model(long),
+			AvailabilityZone: identifier.AvailabilityZone(long), Region: identifier.Region(long),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(u >> 8), byte(u)}), 80),
+		})
+	}
+	s := n.newSpreader("p", true)
+	down := &sentState{follower: &FollowRequest{}}
+	for updates := 0; s.table.Len() < upstreams; updates++ {
+		require.Less(t, updates, 10)
+		update, _ := n.replica.nextUpdate(down)
+		frame, err := codec.Encode(1, update)
+		require.NoError(t, err)
+		require.LessOrEqual(t, identifier.ByteCount(len(frame)), encoder.MaxFrameSize)
+		s.applyUpdate(update, netip.AddrPort{}, &sentState{})
+	}
+}
