relayer: measure the time to connect by the process's clock

Cause: all limits of the relayer go by its clock but this one, which went by the system's. Tests that mix both wait for good where a process gets no processor for a second: the attempt ends as unreachable, and the fake clock stands.

Change: dial takes the clock. Two of its callers have one that is fake in tests.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -146,7 +146,7 @@
 // request is sent, and then it is not known whether the request ran.
 func (a *attempt) connect() (*connection, error) {
 	if !a.request.Repeatable {
-		return dial(a.ctx, a.send.Target.Address)
+		return dial(a.ctx, a.relayer.clock, a.send.Target.Address)
 	}
 	return a.relayer.pool.get(a.ctx, a.send.Target.Address, a.header.Attempt)
 }
--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 
 	"celeryvalve/identifier"
@@ -57,9 +58,11 @@
 }
 
 // dial opens a connection to the upstream within connectTimeout.
-func dial(ctx context.Context, addr netip.AddrPort) (*connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+func dial(ctx context.Context, clock clockwork.Clock, addr netip.AddrPort) (*connection, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := clock.AfterFunc(connectTimeout, cancel)
+	defer timer.Stop()
 	dialer := net.Dialer{Control: setUserTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -55,7 +55,7 @@
 
 // probe finds out whether the upstream still accepts connections.
 func (r *Relayer) probe(v balancer.UpstreamView) {
-	c, err := dial(context.Background(), v.Address)
+	c, err := dial(context.Background(), r.clock, v.Address)
 	if err != nil {
 		r.noteDialError(v, err)
 		return
--- a/relayer/pool.go
+++ b/relayer/pool.go
@@ -54,7 +54,7 @@
 	for {
 		c := p.pop(addr)
 		if c == nil {
-			return dial(ctx, addr)
+			return dial(ctx, p.clock, addr)
 		}
 		if !c.hasCarried(attempt) && c.reusable(p.clock.Now()) {
 			c.used = true
