connector: leave room beside streams whose receivers don't read

What callers saw: on the settings path three callers that don't read their answers filled the window of the connection to an agent. No answer on another of its streams came until the entry replaced the connection, after 2 s.

Cause: the window of a connection had room for two streams at first, each of which may fill its own.

Change: it has room for 64 at any time, 16 MiB for each connection where they do. Beyond 64 such streams the connection is replaced as before.

--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -23,14 +23,16 @@
 	alpnProtocol  = "celeryvalve/1"
 	resetKeyLabel = "connector reset"
 
-	keepAlivePeriod     = 2 * time.Second
-	keepAliveTimeout    = 6 * time.Second
-	handshakeTimeout    = 3 * time.Second
-	maxStreams          = 4096
-	streamWindow        = 256 << 10
-	maxStreamWindow     = 1 << 20
-	connectionWindow    = 512 << 10
-	maxConnectionWindow = 4 << 20
+	keepAlivePeriod  = 2 * time.Second
+	keepAliveTimeout = 6 * time.Second
+	handshakeTimeout = 3 * time.Second
+	maxStreams       = 4096
+	streamWindow     = 256 << 10
+	maxStreamWindow  = 1 << 20
+	// connectionWindow leaves room beside slowStreams streams whose receivers don't read.
+	connectionWindow    = slowStreams * streamWindow
+	slowStreams         = 64
+	maxConnectionWindow = connectionWindow
 	firstFrameTimeout   = 5 * time.Second
 
 	// minBusyPackets is how many packets a connection must receive between two calls
