relayer, reader: bound what answers and bodies take of a process's memory

A faulty upstream that sent without end behind a proper head filled the memory of an entry. Each answer was bounded by 16 MiB and nothing bounded their sum; a line of a stream had no bound at all, since it was read whole before the size of its event was compared; a length announced above the bound was read all the same; and the bodies of callers had no sum either.

A reader.Budget of a quarter of the process's memory is shared by all requests. Bodies of callers, answers, errors kept to be sent later, events and heads of responses draw from it as their bytes come. A draw may hold no more than it leaves free: the largest is refused first, whoever holds what, and something is left for small ones. What was read is kept in chunks, so that it grows without a copy. An event is bounded while its line is read, and a length above the bound fails at once.

An attempt that gets nothing more ends with the cause TooLarge or NoMemory. Both count as failures of the upstream, which is ejected, and not as a crash; the request may have run. A caller's body that finds no room is refused with 503 and Retry-After, and has not run. A caller that does not read its answer is cut off 10 s after the time of its request.

The body of a response that isn't needed counted as read to its end after 16 MiB, and its connection could be used again. It counts so no longer.

An answer of 16 MiB to a body of 4 MiB passes with the least memory of the deployments.

--- a/balancer/event.go
+++ b/balancer/event.go
@@ -190,6 +190,12 @@
 	UpstreamError Cause = "Failed"
 	// ProtocolError: the response violated the protocol or belongs to another request.
 	ProtocolError Cause = "Garbled"
+	// TooLarge: the response, or an event of it, exceeds what an entry takes in. The request
+	// may have run.
+	TooLarge Cause = "TooLarge"
+	// NoMemory: the response needs more of the entry's memory than is left for it. The request
+	// may have run.
+	NoMemory Cause = "NoMemory"
 )
 
 // AttemptFailed says that the attempt ended without a complete response. Send, Await, Refuse or
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -20,6 +20,7 @@
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
 	"celeryvalve/platform"
+	"celeryvalve/reader"
 	"celeryvalve/registrar"
 	"celeryvalve/relayer"
 	"celeryvalve/spreader"
@@ -56,12 +57,18 @@
 	idleAfter = 3 * time.Second
 	// listenRetryDelay is the pause before a port that another process still has is tried again.
 	listenRetryDelay = 500 * time.Millisecond
+	// bufferMemoryFraction is the fraction of the memory that the bodies of requests and answers
+	// may take beside the chunks of a cache, within the soft limit of the Go runtime.
+	bufferMemoryFraction = 0.25
+	// defaultBufferedBytes is what they may take where the memory is not given.
+	defaultBufferedBytes = 64 << 20
 )
 
 func entryModule() fx.Option {
 	return fx.Options(
 		fx.Provide(
 			newReducer,
+			newBudget,
 			newRelayer,
 			newCrashReporter,
 			newControlAPI,
@@ -90,8 +97,16 @@
 	return max(within/2, within-expectMargin)
 }
 
-func newRelayer(placement parser.Placement, reducer *balancer.Reducer, reporter *crashReporter, s *spreader.Spreader, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *relayer.Relayer {
-	return relayer.New(reducer, platform.Headers{}, reporter, s, clock, set, log, seedOf(placement))
+// newBudget returns the budget of what requests and their answers take of the memory.
+func newBudget(placement parser.Placement) *reader.Budget {
+	if placement.Memory == 0 {
+		return reader.NewBudget(defaultBufferedBytes)
+	}
+	return reader.NewBudget(identifier.ByteCount(bufferMemoryFraction * float64(placement.Memory)))
+}
+
+func newRelayer(placement parser.Placement, reducer *balancer.Reducer, reporter *crashReporter, s *spreader.Spreader, memory *reader.Budget, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *relayer.Relayer {
+	return relayer.New(reducer, platform.Headers{}, reporter, s, memory, clock, set, log, seedOf(placement))
 }
 
 // entry serves callers, operators and the reports of upstreams.
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -46,7 +46,7 @@
 	require.NoError(t, err)
 	clock := clockwork.NewFakeClock()
 	placement := parser.Placement{Callers: held.Addr().(*net.TCPAddr).AddrPort()}
-	rel := relayer.New(newReducer(placement), platform.Headers{}, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
+	rel := relayer.New(newReducer(placement), platform.Headers{}, nil, nil, newBudget(parser.Placement{}), clock, metrics.NewSet(), zap.NewNop(), 1)
 	view := declarer.NewView(asserter.Strict{})
 	require.True(t, view.Set(declarer.Declared{Revision: 1, Declaration: declarer.Declaration{Version: 1}}))
 	e := newEntry(placement, parser.PlacedSettings{}, view, nil, rel, nil, nil, clock, metrics.NewSet(), zap.NewNop())
@@ -73,7 +73,7 @@
 	address := held.Addr().String()
 	require.NoError(t, held.Close())
 	clock := clockwork.NewFakeClock()
-	rel := relayer.New(newReducer(parser.Placement{}), platform.Headers{}, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
+	rel := relayer.New(newReducer(parser.Placement{}), platform.Headers{}, nil, nil, newBudget(parser.Placement{}), clock, metrics.NewSet(), zap.NewNop(), 1)
 	e := newEntry(parser.Placement{}, parser.PlacedSettings{}, declarer.NewView(asserter.Strict{}), nil, rel, nil, nil, clock, metrics.NewSet(), zap.NewNop())
 	received, finish := make(chan bool), make(chan bool)
 	e.control.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/placer/route_test.go
+++ b/placer/route_test.go
@@ -73,7 +73,7 @@
 	t.Cleanup(engine.Close)
 	clock := clockwork.NewFakeClockAt(time.Now())
 	placement := parser.Placement{Instance: "entry-1"}
-	w.relayer = relayer.New(newReducer(placement), plainDialect{}, nil, (*spreader.Spreader)(nil), clock, metrics.NewSet(), zap.NewNop(), 1)
+	w.relayer = relayer.New(newReducer(placement), plainDialect{}, nil, (*spreader.Spreader)(nil), newBudget(placement), clock, metrics.NewSet(), zap.NewNop(), 1)
 	t.Cleanup(w.relayer.Stop)
 	w.relayer.Declare(declarer.NewIndex(declarer.Declaration{
 		Version: 1,
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -1,9 +1,10 @@
 package relayer
 
 import (
-	"bytes"
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -14,6 +15,7 @@
 
 	"celeryvalve/balancer"
 	"celeryvalve/limiter"
+	"celeryvalve/reader"
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -40,6 +42,9 @@
 	silence     silence
 	// eventsSent counts the events of its stream that were sent to the caller.
 	eventsSent int
+	// memory is what its answer holds: until the attempt ends, or until a whole response isn't
+	// needed any more.
+	memory *reader.Draw
 	// load and answer are of the header of the response, if one was read.
 	load   *balancer.Load
 	answer ResponseHeader
@@ -57,9 +62,12 @@
 
 // run performs the attempt. Its connection can be used again when the last message is posted.
 func (a *attempt) run() {
-	if content := a.perform(); content != nil {
-		a.post(content)
+	content := a.perform()
+	posted := content != nil && a.post(content)
+	if _, ok := content.(received); ok && posted {
+		return // the exchange has its memory
 	}
+	a.memory.Close()
 }
 
 // perform performs the attempt and returns the last message, or nil if the request is over.
@@ -94,8 +102,8 @@
 		return failed{balancer.NotConnected}
 	}
 	request := a.upstreamRequest()
-	c.onActivity = a.noteActivity
-	defer func() { c.onActivity = nil }()
+	c.onActivity, c.bound.memory = a.noteActivity, a.memory
+	defer func() { c.onActivity, c.bound.memory = nil, nil }()
 	c.carry(a.header.Attempt)
 	sent, writeErr := c.write(request)
 	if !sent && writeErr != nil {
@@ -113,7 +121,7 @@
 	}
 	switch {
 	case header.Misdirected, header.NotExecuted:
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody))
+		err := discard(response)
 		reusable = err == nil && fullyRead()
 		if header.Misdirected {
 			return failed{balancer.Misdirected}
@@ -127,14 +135,44 @@
 		reusable = complete && fullyRead()
 		return last
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
-	if err != nil || len(body) > maxBufferedBody {
-		return failed{balancer.ConnectionLost}
+	body, err := a.readWhole(response)
+	if err != nil {
+		return failed{causeOfBody(err)}
 	}
 	reusable = fullyRead()
 	return received{response, body}
 }
 
+// errBodyTooLarge means that the body of a response has, or announces, too many bytes.
+var errBodyTooLarge = fmt.Errorf("the body of a response has more than %d bytes", maxBufferedBody)
+
+// readWhole reads the body of the response.
+func (a *attempt) readWhole(response *http.Response) (*reader.Buffer, error) {
+	if response.ContentLength > maxBufferedBody {
+		return nil, errBodyTooLarge
+	}
+	body, err := reader.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1), a.memory)
+	if err != nil {
+		return nil, err
+	}
+	if body.Len() > maxBufferedBody {
+		return nil, errBodyTooLarge
+	}
+	return body, nil
+}
+
+// discard reads the body of a response that isn't needed.
+func discard(response *http.Response) error {
+	if response.ContentLength > maxBufferedBody {
+		return errBodyTooLarge
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody+1))
+	if err == nil && n > maxBufferedBody {
+		err = errBodyTooLarge
+	}
+	return err
+}
+
 // isFramed reports whether the response has a length or chunks, so that its end can be told
 // from that of its connection.
 func isFramed(response *http.Response) bool {
@@ -162,10 +200,10 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        r.Header.Clone(),
-		ContentLength: int64(len(a.body)),
+		ContentLength: a.body.Len(),
 	}
-	if len(a.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(a.body))
+	if a.body.Len() > 0 {
+		out.Body = io.NopCloser(a.body.Reader())
 	}
 	removeHopByHopHeaders(out.Header)
 	if _, ok := out.Header["User-Agent"]; !ok {
@@ -214,16 +252,20 @@
 		if header.Limit.Kind == limiter.LimitNamed {
 			a.noteLimit(header)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody)); err != nil {
-			return nil, header, balancer.ConnectionLost
+		if err := discard(response); err != nil {
+			return nil, header, causeOfBody(err)
 		}
 	}
 	return nil, ResponseHeader{}, balancer.ProtocolError
 }
 
-// causeOf returns ConnectionLost if the connection ended or failed, and ProtocolError if the
+// causeOf returns NoMemory if there is none for the head, ConnectionLost if the connection ended or failed, and ProtocolError if the
 // bytes received are not an HTTP response.
 func causeOf(err error) balancer.Cause {
+	var noMemory *reader.NoMemoryError
+	if errors.As(err, &noMemory) {
+		return balancer.NoMemory
+	}
 	var netErr interface{ Timeout() bool }
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
 		return balancer.ConnectionLost
@@ -231,6 +273,18 @@
 	return balancer.ProtocolError
 }
 
+// causeOfBody returns why the body of a response could not be read.
+func causeOfBody(err error) balancer.Cause {
+	var noMemory *reader.NoMemoryError
+	switch {
+	case errors.Is(err, errBodyTooLarge), errors.Is(err, bufio.ErrTooLong):
+		return balancer.TooLarge
+	case errors.As(err, &noMemory):
+		return balancer.NoMemory
+	}
+	return balancer.ConnectionLost
+}
+
 func isSuccess(status int) bool {
 	return status >= 200 && status < 300
 }
--- a/relayer/body_test.go
+++ b/relayer/body_test.go
@@ -17,6 +17,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/reader"
 	"celeryvalve/relayer"
 )
 
@@ -36,7 +37,7 @@
 // startBodyCaller starts a relayer whose only route has the timeout, and sends it the head of a
 // request and a part of the body.
 func startBodyCaller(t *testing.T, timeout time.Duration, views ...balancer.UpstreamView) (*relayer.Relayer, *bodyCaller) {
-	r := relayer.New(balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10}), dialect{}, noReports{}, noReports{},
+	r := relayer.New(balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10}), dialect{}, noReports{}, noReports{}, reader.NewBudget(memory),
 		clockwork.NewRealClock(), metrics.NewSet(), zap.NewNop(), 1)
 	r.Declare(declarer.NewIndex(declarer.Declaration{
 		Version:  1,
--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"celeryvalve/identifier"
+	"celeryvalve/reader"
 )
 
 const (
@@ -166,7 +167,9 @@
 // headBound reads from r, with an error once more than the bytes that begin allows were
 // read before end.
 type headBound struct {
-	r      io.Reader
+	r io.Reader
+	// memory is what the head is taken from, or nil.
+	memory *reader.Draw
 	active bool
 	left   int
 }
@@ -185,6 +188,11 @@
 	}
 	n, err := b.r.Read(p[:min(len(p), b.left)])
 	b.left -= n
+	if b.memory != nil {
+		if memoryErr := b.memory.Grow(n); memoryErr != nil {
+			return 0, memoryErr
+		}
+	}
 	return n, err
 }
 
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -24,7 +24,7 @@
 //
 // # Usage
 //
-//	r := relayer.New(reducer, dialect, reporter, limits, clock, set, log, seed)
+//	r := relayer.New(reducer, dialect, reporter, limits, memory, clock, set, log, seed)
 //	r.Declare(index, policies)
 //	r.ChangeUpstreams(views)
 //	r.Start()
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
+	"celeryvalve/reader"
 )
 
 // message is what an attempt or its timer tells the exchange.
@@ -34,7 +35,7 @@
 	// received brings a whole response that is not a stream.
 	received struct {
 		response *http.Response
-		body     []byte
+		body     *reader.Buffer
 	}
 	// failed says that the attempt ended without a complete response.
 	failed struct{ cause balancer.Cause }
@@ -82,7 +83,7 @@
 		x.relayer.meters.coldAttempts.Inc()
 	}
 	x.relayer.meters.countPrompt(send)
-	a := &attempt{exchange: x, send: send, proceed: make(chan struct{}, 1), resumeAfter: x.lastEvent}
+	a := &attempt{exchange: x, send: send, proceed: make(chan struct{}, 1), resumeAfter: x.lastEvent, memory: x.relayer.memory.Draw()}
 	if a.resumeAfter == "" {
 		a.resumeAfter = x.header.LastEvent
 	}
@@ -105,6 +106,16 @@
 		x.end(x.inProgress[0])
 	}
 	close(x.done)
+	x.hold(nil)
+}
+
+// hold keeps the memory of an attempt whose whole response may be sent to the caller, instead of
+// that of an earlier one.
+func (x *exchange) hold(a *attempt) {
+	if x.held != nil {
+		x.held.memory.Close()
+	}
+	x.held = a
 }
 
 // handle handles a message of an attempt. It returns Await if the request goes on with the
@@ -112,6 +123,9 @@
 func (x *exchange) handle(m message) balancer.Effect {
 	a := m.attempt
 	if !slices.Contains(x.inProgress, a) {
+		if _, ok := m.content.(received); ok {
+			a.memory.Close()
+		}
 		return balancer.Await{}
 	}
 	switch content := m.content.(type) {
@@ -127,6 +141,7 @@
 		return balancer.NoEffect{}
 	case received:
 		x.end(a)
+		x.hold(a)
 		return x.handleReceived(a, content)
 	case failed:
 		x.end(a)
@@ -211,10 +226,10 @@
 		return
 	}
 	x.copyHeader(m.response)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(m.body)))
+	x.w.Header().Set("Content-Length", strconv.FormatInt(m.body.Len(), 10))
 	x.w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
-	_, _ = x.w.Write(m.body)
+	_, _ = m.body.WriteTo(x.w)
 	x.recordServed(a, status)
 }
 
@@ -230,7 +245,8 @@
 	x.relayer.meters.countBreak(cause)
 	x.log("Attempt broke.", x.fingerprintField(), x.partsField(), zap.String("cause", string(cause)), zap.String("upstream", string(a.send.Target.Upstream)),
 		zap.Int("load", a.send.Load), zap.Duration("loadAge", a.send.LoadAge), zap.Duration("forecast", a.send.Forecast),
-		zap.Bool("passed", x.responseStarted), zap.Duration("rest", a.answer.Rest), zap.Bool("leaving", a.answer.Leaving))
+		zap.Bool("passed", x.responseStarted), zap.Duration("rest", a.answer.Rest), zap.Bool("leaving", a.answer.Leaving),
+		zap.Int64("buffered", int64(a.memory.Held())))
 	x.updateHomes()
 	return x.relayer.reduce(balancer.AttemptFailed{
 		Request:    x.request.ID,
--- a/relayer/limits_test.go
+++ b/relayer/limits_test.go
@@ -20,6 +20,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/reader"
 )
 
 // attemptDialect takes each request for one with an attempt id.
@@ -49,7 +50,7 @@
 
 // newLimitedServerWith returns a server that does not serve before start.
 func newLimitedServerWith(t *testing.T, clock clockwork.Clock, d Dialect) *limitedServer {
-	r := New(balancer.New(balancer.Config{}), d, nil, nil, clock, metrics.NewSet(), zap.NewNop(), 1)
+	r := New(balancer.New(balancer.Config{}), d, nil, nil, reader.NewBudget(64<<20), clock, metrics.NewSet(), zap.NewNop(), 1)
 	return &limitedServer{t: t, relayer: r, server: r.Server()}
 }
 
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"celeryvalve/balancer"
+	"celeryvalve/reader"
 )
 
 // meters holds the relayer's metrics.
@@ -26,9 +27,13 @@
 	firstByte     *metrics.Histogram
 	longestPause  *metrics.Histogram
 	slowUpstreams *metrics.Counter
+	bodiesRefused *metrics.Counter
 }
 
-func newMeters(set *metrics.Set) *meters {
+func newMeters(set *metrics.Set, memory *reader.Budget) *meters {
+	set.NewGauge("celeryvalve_buffered_bytes", func() float64 { return float64(memory.Use().Used) })
+	set.NewGauge("celeryvalve_buffered_bytes_peak", func() float64 { return float64(memory.Use().Peak) })
+	set.NewGauge("celeryvalve_buffered_bytes_limit", func() float64 { return float64(memory.Use().Limit) })
 	return &meters{
 		set:           set,
 		connections:   set.NewCounter("celeryvalve_caller_connections_total"),
@@ -44,6 +49,7 @@
 		heldPrompts:   set.NewCounter("celeryvalve_prompts_held_total"),
 		firstByte:     set.NewHistogram("celeryvalve_first_byte_seconds"),
 		slowUpstreams: set.NewCounter("celeryvalve_upstreams_found_slow_total"),
+		bodiesRefused: set.NewCounter("celeryvalve_request_bodies_without_memory_total"),
 		longestPause:  set.NewHistogram("celeryvalve_stream_longest_pause_seconds"),
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/reader"
 	"celeryvalve/repeater"
 )
 
@@ -22,9 +23,9 @@
 	poolCleanupInterval = time.Second
 	// undeclaredRetryAfter is the Retry-After time of an entry that has no declaration yet.
 	undeclaredRetryAfter = 500 * time.Millisecond
-	// stoppedRetryAfter is the Retry-After time of an entry that stops: other entries take the
-	// request at once.
-	stoppedRetryAfter = 200 * time.Millisecond
+	// elsewhereRetryAfter is the Retry-After time of an entry that stops or has no memory for
+	// the request: other entries take it at once.
+	elsewhereRetryAfter = 200 * time.Millisecond
 )
 
 // Relayer serves the callers of one entry. It is safe for concurrent use.
@@ -37,6 +38,7 @@
 	poolCleaner *repeater.Repeater
 	reporter    CrashReporter
 	upstreams   UpstreamRecorder
+	memory      *reader.Budget
 
 	index    atomic.Pointer[declarer.Index]
 	draining atomic.Bool
@@ -60,16 +62,17 @@
 
 // New returns a relayer that refuses all requests until Declare is called. seed starts
 // the sequence of its random numbers; different seeds make entries choose differently
-// among equal upstreams.
-func New(reducer *balancer.Reducer, dialect Dialect, reporter CrashReporter, upstreams UpstreamRecorder, clock clockwork.Clock, set *metrics.Set, log *zap.Logger, seed uint64) *Relayer {
+// among equal upstreams. memory bounds what the bodies of all requests and answers take.
+func New(reducer *balancer.Reducer, dialect Dialect, reporter CrashReporter, upstreams UpstreamRecorder, memory *reader.Budget, clock clockwork.Clock, set *metrics.Set, log *zap.Logger, seed uint64) *Relayer {
 	r := &Relayer{
 		dialect:      dialect,
 		clock:        clock,
 		log:          log.Named("relayer"),
-		meters:       newMeters(set),
+		meters:       newMeters(set, memory),
 		pool:         newPool(clock),
 		reporter:     reporter,
 		upstreams:    upstreams,
+		memory:       memory,
 		reducer:      reducer,
 		maxRemaining: make(map[identifier.Route]time.Duration),
 		idleLimits:   make(map[netip.AddrPort]int),
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -24,9 +24,13 @@
 	"celeryvalve/identifier"
 	"celeryvalve/limiter"
 	"celeryvalve/quarantiner"
+	"celeryvalve/reader"
 	"celeryvalve/relayer"
 )
 
+// memory is the budget of buffered bytes of an entry with 184 MB, the least in the deployments.
+const memory = 46_000_000
+
 // dialect uses the names of the fields as header names.
 type dialect struct{}
 
@@ -155,7 +159,7 @@
 // startWithHomes also returns a function that declares the homes of the route.
 func startWithHomes(t *testing.T, clock clockwork.Clock, kind declarer.RequestKind, resumable bool, views ...balancer.UpstreamView) (*httptest.Server, func(...identifier.Region)) {
 	reducer := balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10})
-	r := relayer.New(reducer, dialect{}, noReports{}, noReports{}, clock, metrics.NewSet(), zap.NewNop(), 1)
+	r := relayer.New(reducer, dialect{}, noReports{}, noReports{}, reader.NewBudget(memory), clock, metrics.NewSet(), zap.NewNop(), 1)
 	d := declarer.Declaration{
 		Version:  1,
 		Services: map[identifier.Service]declarer.Service{"booking": {}},
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,7 +28,8 @@
 	ctx     context.Context
 
 	header       CallerHeader
-	body         []byte
+	body         *reader.Buffer
+	memory       *reader.Draw // of the body
 	bodyRead     bool
 	routeName    identifier.Route
 	route        declarer.Route
@@ -50,6 +50,8 @@
 	inProgress []*attempt
 	messages   chan message
 	done       chan struct{}
+	// held is the attempt whose whole response came last, or nil if there is none.
+	held *attempt
 	// lastError sends the last error of an upstream that was kept, or is nil if there is none.
 	lastError func()
 	// firstByte is the time from the arrival of the request until the first byte of the
@@ -73,7 +75,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	index := r.index.Load()
-	x := &exchange{relayer: r, index: index, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header)}
+	x := &exchange{relayer: r, index: index, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header), memory: r.memory.Draw()}
+	defer x.memory.Close()
 	if index == nil {
 		x.replyLocally(http.StatusServiceUnavailable, undeclaredProblem, undeclaredRetryAfter)
 		return
@@ -81,7 +84,7 @@
 	if status, problem := x.admit(index); status != 0 {
 		retryAfter := time.Duration(0)
 		if status == http.StatusServiceUnavailable {
-			retryAfter = stoppedRetryAfter
+			retryAfter = elsewhereRetryAfter
 		}
 		x.replyLocally(status, problem, retryAfter)
 		return
@@ -89,6 +92,7 @@
 	ctx, cancel := context.WithDeadline(req.Context(), x.request.Deadline)
 	defer cancel()
 	defer context.AfterFunc(r.serving, cancel)()
+	defer context.AfterFunc(ctx, x.limitReply)()
 	x.ctx = ctx
 	x.run(r.reduce(balancer.RequestArrived{Request: x.request}))
 }
@@ -128,9 +132,10 @@
 		defer x.relayer.clock.AfterFunc(x.timeout(), limit.Expire).Stop()
 		defer context.AfterFunc(x.relayer.serving, limit.Expire)()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes))
+	body, err := reader.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes), x.memory)
 	expired := limit.End()
 	var maxBytesErr *http.MaxBytesError
+	var noMemory *reader.NoMemoryError
 	switch {
 	case expired && x.relayer.serving.Err() != nil:
 		return http.StatusServiceUnavailable, "the entry stops before the request body is complete (send the request again after Retry-After)"
@@ -138,6 +143,10 @@
 		return http.StatusRequestTimeout, fmt.Sprintf("the request body is incomplete after %v (send the request again)", x.timeout())
 	case errors.As(err, &maxBytesErr):
 		return http.StatusRequestEntityTooLarge, "the request body is larger than the limit (send a smaller one)"
+	case errors.As(err, &noMemory):
+		x.relayer.meters.bodiesRefused.Inc()
+		x.log("Refused a request, since there is no memory for its body.", zap.Int64("length", x.r.ContentLength), zap.Error(err))
+		return http.StatusServiceUnavailable, "the entry has no memory left for the request body (send the request again after Retry-After)"
 	case err != nil:
 		return http.StatusBadRequest, "the request body is incomplete (send the request again)"
 	}
@@ -193,7 +202,7 @@
 // fingerprint returns the fingerprint of the request. It contains neither the route nor
 // the service, since a resend may be sent to another service than the request before it.
 func (x *exchange) fingerprint() quarantiner.Fingerprint {
-	return quarantiner.FingerprintOf(x.body, string(x.organisation), x.r.Method, x.r.URL.RequestURI())
+	return quarantiner.FingerprintOfAll(x.body, string(x.organisation), x.r.Method, x.r.URL.RequestURI())
 }
 
 // partFingerprints returns the fingerprints of the parts of the prompt that other requests
@@ -263,6 +272,16 @@
 // needed, so that the connection can be used again. A slow sender gets its response then.
 const unreadBodyTimeout = 50 * time.Millisecond
 
+// replyTimeout is how long a caller may still take in its answer once the time of the request is
+// over.
+const replyTimeout = 10 * time.Second
+
+// limitReply ends the sending to a caller that does not read, since its answer takes memory.
+func (x *exchange) limitReply() {
+	// The error is ignored because response recorders in tests have no deadlines.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(replyTimeout))
+}
+
 // replyLocally sends a response that the relayer generates itself.
 func (x *exchange) replyLocally(status int, problem string, retryAfter time.Duration) {
 	if !x.bodyRead {
--- a/relayer/silence_test.go
+++ b/relayer/silence_test.go
@@ -25,6 +25,7 @@
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/reader"
 	"celeryvalve/relayer"
 )
 
@@ -62,7 +63,7 @@
 	route.Host, route.Prefix = "a.example", "/slots/"
 	route.Targets = []declarer.Target{{Service: "booking", Weight: 1}}
 	reducer := balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10})
-	r := relayer.New(reducer, patientDialect{}, noReports{}, noReports{}, clock, metrics.NewSet(), zap.NewNop(), 1)
+	r := relayer.New(reducer, patientDialect{}, noReports{}, noReports{}, reader.NewBudget(memory), clock, metrics.NewSet(), zap.NewNop(), 1)
 	r.Declare(declarer.NewIndex(declarer.Declaration{
 		Version:       1,
 		Services:      map[identifier.Service]declarer.Service{"booking": {MaximumConnections: 64}},
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -15,14 +15,14 @@
 // readStream posts the events of a stream and returns the last message, or nil if the request is
 // over.
 func (a *attempt) readStream(response *http.Response) any {
-	events := newEventReader(response.Body)
+	events := newEventReader(response.Body, a.memory)
 	for count := 0; ; count++ {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && count > 0 {
 			return finished{response}
 		}
 		if err != nil {
-			return failed{balancer.ConnectionLost}
+			return failed{causeOfBody(err)}
 		}
 		if !a.post(streamed{response, event, id}) {
 			return nil
@@ -40,7 +40,9 @@
 			x.beginStream(m.response)
 		}
 	}
-	if _, err := x.w.Write(m.event); err != nil {
+	_, err := x.w.Write(m.event)
+	a.memory.Shrink(cap(m.event))
+	if err != nil {
 		return x.reportCallerGone(a)
 	}
 	x.flush()
