--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -259,8 +259,8 @@
 	return nil, ResponseHeader{}, balancer.ProtocolError
 }
 
-// causeOf returns NoMemory if there is none for the head, ConnectionLost if the connection ended or failed, and ProtocolError if the
-// bytes received are not an HTTP response.
+// causeOf returns NoMemory if there is none for the head, ConnectionLost if the connection ended
+// or failed, and ProtocolError if the bytes received are not an HTTP response.
 func causeOf(err error) balancer.Cause {
 	var noMemory *reader.NoMemoryError
 	if errors.As(err, &noMemory) {
