connector, spreader: expose messages that can't be read and an unconfirmed state

A process that can't read what a peer sends logged no more than "Lost a control replica.", and no metric told a message that can't be decoded from a connection that was lost.

celeryvalve_unreadable_messages_total{kind} counts received messages that can't be decoded, and "Can't read a message." names the peer, the kind and the cause, ten times and then once a second at most. celeryvalve_declaration_unconfirmed_seconds says since when no control replica that knows the leader has confirmed the held state as the newest.

Decode returns the header of a malformed message of a known kind with the error.

--- a/assembler/process.go
+++ b/assembler/process.go
@@ -145,7 +145,7 @@
 
 func newEndpoint(lc fx.Lifecycle, settings parser.Settings, codec *encoder.Codec, source *certifier.Source,
 	view *subscriber.View, set *metrics.Set, logger *zap.Logger) *connector.Endpoint {
-	e := connector.New(connector.Config{Listen: settings.Listen}, codec, source, view, logger)
+	e := connector.New(connector.Config{Listen: settings.Listen, Metrics: set}, codec, source, view, logger)
 	set.NewGauge("celeryvalve_control_bytes_sent", func() float64 {
 		sent, _ := e.Traffic()
 		return float64(sent)
--- a/catcher/catcher.go
+++ b/catcher/catcher.go
@@ -80,6 +80,7 @@
 	// confirmedSince is since when peers have confirmed that no revision above the held one
 	// exists, or zero.
 	confirmedSince time.Time
+	confirmedAt    time.Time
 }
 
 // peer is what is known of a peer that has told a newer revision, or has lately been asked.
@@ -110,6 +111,12 @@
 	return c.progress
 }
 
+// ConfirmedAt returns when a peer that knows the newest revision last told one while this process
+// was not behind, or zero if none has.
+func (c *Catcher) ConfirmedAt() time.Time {
+	return c.confirmedAt
+}
+
 // Reduce takes an event and returns the fetches to begin.
 func (c *Catcher) Reduce(now time.Time, event Event) []Fetch {
 	switch e := event.(type) {
@@ -130,6 +137,9 @@
 
 func (c *Catcher) told(now time.Time, e Told) {
 	c.updateAnnounced(now, e.Revision)
+	if e.Confirmed && c.progress.BehindSince.IsZero() {
+		c.confirmedAt = now
+	}
 	if p, ok := c.peers[e.Peer]; ok {
 		p.told = e.Revision
 	} else if e.Revision > c.progress.Held {
--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
@@ -62,6 +63,9 @@
 type Config struct {
 	// Listen is the UDP address on which the endpoint listens and from which it dials.
 	Listen netip.AddrPort
+	// Metrics is the set in which the endpoint registers its metrics. Nil selects a set of
+	// its own.
+	Metrics *metrics.Set
 }
 
 // Endpoint accepts connections and dials peers on one UDP socket.
@@ -72,6 +76,8 @@
 	versions Versions
 	logger   *zap.Logger
 
+	unreadable unreadable
+
 	transport  *quic.Transport
 	listener   *quic.Listener
 	ctx        context.Context
@@ -89,18 +95,20 @@
 // New returns an endpoint. Call Start before any method that uses the network.
 func New(cfg Config, codec *encoder.Codec, source *certifier.Source, versions Versions, logger *zap.Logger) *Endpoint {
 	ctx, cancel := context.WithCancel(context.Background())
+	logger = logger.Named("connector")
 	return &Endpoint{
-		cfg:       cfg,
-		codec:     codec,
-		source:    source,
-		versions:  versions,
-		logger:    logger.Named("connector"),
-		ctx:       ctx,
-		cancel:    cancel,
-		handlers:  make(map[encoder.Kind]Handler),
-		addrConns: make(map[netip.AddrPort]*addrConn),
-		outboxes:  make(map[netip.AddrPort]chan any),
-		accepted:  make(map[*quic.Conn]*acceptedConn),
+		cfg:        cfg,
+		codec:      codec,
+		source:     source,
+		versions:   versions,
+		logger:     logger,
+		unreadable: newUnreadable(cfg.Metrics, logger),
+		ctx:        ctx,
+		cancel:     cancel,
+		handlers:   make(map[encoder.Kind]Handler),
+		addrConns:  make(map[netip.AddrPort]*addrConn),
+		outboxes:   make(map[netip.AddrPort]chan any),
+		accepted:   make(map[*quic.Conn]*acceptedConn),
 	}
 }
 
--- a/connector/stream.go
+++ b/connector/stream.go
@@ -107,6 +107,7 @@
 	s.endpoint.traffic.received.Add(int64(len(data)) + lengthSize)
 	header, msg, err := s.endpoint.codec.Decode(data)
 	if err != nil {
+		s.endpoint.unreadable.note(s.peer, header.Kind, err)
 		return header, nil, err
 	}
 	s.endpoint.versions.Observe(s.peer.Address, header.ConfigurationVersion)
--- /dev/null
+++ b/connector/unreadable_test.go
@@ -0,0 +1,52 @@
+package connector_test
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"celeryvalve/certifier"
+	"celeryvalve/connector"
+	"celeryvalve/encoder"
+)
+
+// Guards against messages that a process can't read and that neither its log nor its metrics
+// tell of: the peer, the kind and the cause.
+func TestUnreadableMessageIsCountedAndLogged(t *testing.T) {
+	folder := newFolder(t, "a", "b")
+	codec, err := encoder.New(encoder.Message[struct{ N string }]("Ping"), encoder.Message[pong]("Pong"))
+	require.NoError(t, err)
+	cfg := connector.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0")}
+	sender := connector.New(cfg, codec, certifier.NewSource(certifier.PathsIn(folder, "a")), &versions{}, zap.NewNop())
+	require.NoError(t, sender.Start())
+	t.Cleanup(func() { require.NoError(t, sender.Stop()) })
+	core, logs := observer.New(zap.WarnLevel)
+	codec, err = encoder.New(encoder.Message[ping]("Ping"))
+	require.NoError(t, err)
+	cfg.Metrics = metrics.NewSet()
+	reader := connector.New(cfg, codec, certifier.NewSource(certifier.PathsIn(folder, "b")), &versions{}, zap.New(core))
+	require.NoError(t, reader.Start())
+	t.Cleanup(func() { require.NoError(t, reader.Stop()) })
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for _, msg := range []any{&struct{ N string }{N: "x"}, &pong{}} {
+		_, err = sender.Call(ctx, reader.Address(), msg)
+		require.Error(t, err)
+	}
+	var b bytes.Buffer
+	cfg.Metrics.WritePrometheus(&b)
+	require.Contains(t, b.String(), `celeryvalve_unreadable_messages_total{kind="Ping"} 1`)
+	require.Contains(t, b.String(), `celeryvalve_unreadable_messages_total{kind="Unknown"} 1`)
+	lines := logs.FilterMessage("Can't read a message.").All()
+	require.Len(t, lines, 2)
+	require.Equal(t, "a", lines[0].ContextMap()["peer"])
+	require.Equal(t, "Ping", lines[0].ContextMap()["kind"])
+	require.Contains(t, lines[0].ContextMap()["error"], "N")
+}
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -107,7 +107,8 @@
 }
 
 // Decode returns the header of a frame and its message, as a pointer to the Go type of the
-// kind. All of its errors are of kind Corrupt.
+// kind. All of its errors are of kind Corrupt. If the frame is of a known kind, the header is
+// returned with an error too.
 func (c *Codec) Decode(data []byte) (Header, any, error) {
 	var f frame
 	if identifier.ByteCount(len(data)) > MaxFrameSize {
@@ -123,11 +124,12 @@
 	if !ok {
 		return Header{}, nil, corruptError(fmt.Sprintf("message kind %q is not known", f.Kind), nil)
 	}
+	header := Header{Kind: f.Kind, ConfigurationVersion: f.ConfigurationVersion}
 	msg := reflect.New(typ)
 	if err := c.dec.Unmarshal(f.Body, msg.Interface()); err != nil {
-		return Header{}, nil, corruptError(fmt.Sprintf("message %s is malformed", f.Kind), err)
+		return header, nil, corruptError(fmt.Sprintf("message %s is malformed", f.Kind), err)
 	}
-	return Header{Kind: f.Kind, ConfigurationVersion: f.ConfigurationVersion}, msg.Interface(), nil
+	return header, msg.Interface(), nil
 }
 
 func corruptError(problem string, cause error) error {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -227,7 +227,7 @@
 
 func newEndpoint(lc fx.Lifecycle, placement parser.Placement, codec *encoder.Codec, source *certifier.Source,
 	view *declarer.View, set *metrics.Set, log *zap.Logger) *connector.Endpoint {
-	e := connector.New(connector.Config{Listen: placement.InternalAddress}, codec, source, versions{view}, log)
+	e := connector.New(connector.Config{Listen: placement.InternalAddress, Metrics: set}, codec, source, versions{view}, log)
 	set.NewGauge("celeryvalve_control_bytes_sent", func() float64 {
 		sent, _ := e.Traffic()
 		return float64(sent)
--- a/spreader/progress.go
+++ b/spreader/progress.go
@@ -40,6 +40,7 @@
 		}
 		return s.clock.Since(p.BehindSince).Seconds()
 	})
+	set.NewGauge("celeryvalve_declaration_unconfirmed_seconds", func() float64 { return s.unconfirmedFor().Seconds() })
 	set.NewGauge("celeryvalve_control_replicas_known", func() float64 { return float64(len(s.ReplicaList().Addresses)) })
 	set.NewGauge("celeryvalve_control_replicas_heard", func() float64 {
 		s.mu.Lock()
@@ -55,6 +56,23 @@
 	return s.catcher.Progress()
 }
 
+// unconfirmedFor returns how long ago the held state was last confirmed as the newest: by an
+// update of a control replica that knows the leader, or by this process if it is one. Before
+// the first time it counts from the start.
+func (s *Spreader) unconfirmedFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	confirmedAt := s.catcher.ConfirmedAt()
+	switch {
+	case s.ownReplicas != nil && s.ownReplicas.Led && s.catcher.Progress().BehindSince.IsZero():
+		return 0
+	case confirmedAt.IsZero():
+		return s.clock.Since(s.startedAt)
+	default:
+		return s.clock.Since(confirmedAt)
+	}
+}
+
 // countHeard returns how many of the processes that this one follows are heard. The caller
 // holds s.mu.
 func (s *Spreader) countHeard() int {
