encoder: read any string, and encode nothing that can't be read

What one process encoded another one could refuse to decode: a string that is not UTF-8, a frame above MaxFrameSize, an array or map above the decoder's limits, a value that is nested too deeply. The sender was not told, and one such element kept the whole message from its receivers.

Messages between processes now may hold any bytes in strings, since some of them come from callers and are passed on unchanged. Encode refuses what is too large, too long or too deep for Decode. A message type can name optional fields: Decode leaves out what it can't read of them, element by element, and lists it in the header; the connector counts that in celeryvalve_unreadable_records_total{kind,field} and logs it. After a message that can't be decoded a stream goes on, as the frames are intact: IsUnreadable tells such an error from the loss of the stream.

Commands of the replicated log still have to be UTF-8, and are not encoded otherwise: replicas of two releases must agree on them.

--- a/connector/stream.go
+++ b/connector/stream.go
@@ -55,16 +55,14 @@
 	return s.peer
 }
 
-// Send sends one message. It returns an error of kind InvalidInput if the message
-// exceeds encoder.MaxFrameSize, and of kind Unavailable if the stream has failed.
+// Send sends one message. It returns an error of kind InvalidInput if the message can't be
+// encoded, as one that exceeds encoder.MaxFrameSize, and of kind Unavailable if the stream has
+// failed.
 func (s *Stream) Send(msg any) error {
 	data, err := s.endpoint.codec.Encode(s.endpoint.versions.Current(), msg)
 	if err != nil {
 		return err
 	}
-	if identifier.ByteCount(len(data)) > encoder.MaxFrameSize {
-		return explainer.New(explainer.InvalidInput, "the message exceeds the size limit of a frame", "split it into several messages")
-	}
 	buf := make([]byte, lengthSize, lengthSize+len(data))
 	binary.BigEndian.PutUint32(buf, uint32(len(data)))
 	buf = append(buf, data...)
@@ -78,8 +76,9 @@
 }
 
 // Receive returns the next message, a pointer to the type of its kind. It returns
-// io.EOF after the peer's last message. If ctx ends during the call, the stream can't
-// receive any more messages.
+// io.EOF after the peer's last message. For a message that can't be decoded, it returns an
+// error for which IsUnreadable holds, and the stream goes on. If ctx ends during the call, the
+// stream can't receive any more messages.
 func (s *Stream) Receive(ctx context.Context) (any, error) {
 	_, msg, err := s.receive(ctx)
 	return msg, err
@@ -108,8 +107,9 @@
 	header, msg, err := s.endpoint.codec.Decode(data)
 	if err != nil {
 		s.endpoint.unreadable.note(s.peer, header.Kind, err)
-		return header, nil, err
+		return header, nil, unreadableError{err}
 	}
+	s.endpoint.unreadable.noteLeftOut(s.peer, header)
 	s.endpoint.versions.Observe(s.peer.Address, header.ConfigurationVersion)
 	return header, msg, nil
 }
--- a/connector/unreadable.go
+++ b/connector/unreadable.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -21,6 +22,26 @@
 // unknownKind is the kind under which messages of no known kind are counted.
 const unknownKind encoder.Kind = "Unknown"
 
+// unreadableError is the error of Receive for a message that can't be decoded.
+type unreadableError struct {
+	error
+}
+
+func (e unreadableError) Unwrap() error { return e.error }
+
+// IsUnreadable reports whether Receive has returned err for one message that can't be decoded.
+// The stream is intact, and the next call returns the message after it.
+func IsUnreadable(err error) bool {
+	var unreadable unreadableError
+	return errors.As(err, &unreadable)
+}
+
+// UnreadableRecords returns the counter of the records that were left out of messages of the
+// kind, of which they stood in the field.
+func UnreadableRecords(set *metrics.Set, kind encoder.Kind, field string) *metrics.Counter {
+	return set.GetOrCreateCounter(fmt.Sprintf("celeryvalve_unreadable_records_total{kind=%q,field=%q}", string(kind), field))
+}
+
 // unreadable counts and logs the received messages that can't be decoded.
 type unreadable struct {
 	metrics *metrics.Set
@@ -47,3 +68,14 @@
 			zap.String("kind", string(kind)), zap.Error(err))
 	}
 }
+
+// noteLeftOut records that parts of a message were left out since they can't be decoded.
+func (u unreadable) noteLeftOut(peer Peer, header encoder.Header) {
+	for _, part := range header.LeftOut {
+		UnreadableRecords(u.metrics, header.Kind, part.Field).Inc()
+		if u.limit.Allow() {
+			u.logger.Warn("Left out a record that can't be read.", zap.String("peer", peer.Name), zap.Stringer("address", peer.Address),
+				zap.String("kind", string(header.Kind)), zap.String("field", part.Field), zap.Error(part.Err))
+		}
+	}
+}
--- a/connector/unreadable_test.go
+++ b/connector/unreadable_test.go
@@ -14,6 +14,7 @@
 	"celeryvalve/certifier"
 	"celeryvalve/connector"
 	"celeryvalve/encoder"
+	"celeryvalve/explainer"
 )
 
 // Guards against messages that a process can't read and that neither its log nor its metrics
@@ -50,3 +51,30 @@
 	require.Equal(t, "Ping", lines[0].ContextMap()["kind"])
 	require.Contains(t, lines[0].ContextMap()["error"], "N")
 }
+
+// Guards against one message that can't be decoded and that ends a stream whose frames are intact.
+func TestStreamGoesOnAfterAnUnreadableMessage(t *testing.T) {
+	folder := newFolder(t, "a", "b")
+	a := newEndpoint(t, folder, "a", &versions{})
+	codec, err := encoder.New(encoder.Message[ping]("Ping"), encoder.Message[struct{ X int }]("Odd"))
+	require.NoError(t, err)
+	cfg := connector.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0")}
+	b := connector.New(cfg, codec, certifier.NewSource(certifier.PathsIn(folder, "b")), &versions{}, zap.NewNop())
+	b.Handle("Ping", func(_ context.Context, s *connector.Stream, first any) {
+		for _, msg := range []any{&struct{ X int }{1}, first} {
+			if s.Send(msg) != nil {
+				return
+			}
+		}
+	})
+	require.NoError(t, b.Start())
+	t.Cleanup(func() { require.NoError(t, b.Stop()) })
+	s, err := a.Open(t.Context(), b.Address(), &ping{N: 4})
+	require.NoError(t, err)
+	_, err = s.Receive(t.Context())
+	require.True(t, connector.IsUnreadable(err), "%v", err)
+	require.Equal(t, explainer.Corrupt, explainer.KindOf(err))
+	msg, err := s.Receive(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, &ping{N: 4}, msg)
+}
--- a/controller/codec.go
+++ b/controller/codec.go
@@ -41,11 +41,10 @@
 
 // commandCodec encodes only commands, so that no other message can enter the log.
 var commandCodec = sync.OnceValue(func() *encoder.Codec {
-	return newCodec(commands())
+	return must(encoder.NewForLog(commands()...))
 })
 
-func newCodec(entries []encoder.MessageType) *encoder.Codec {
-	codec, err := encoder.New(entries...)
+func must(codec *encoder.Codec, err error) *encoder.Codec {
 	if err != nil {
 		panic(err) // two message kinds have the same name
 	}
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -70,7 +70,7 @@
 )
 
 var snapshotCodec = sync.OnceValue(func() *encoder.Codec {
-	return newCodec([]encoder.MessageType{
+	return must(encoder.NewForSnapshots(
 		encoder.Message[snapshotHeader]("Head"),
 		encoder.Message[historyFrame]("History"),
 		encoder.Message[answersFrame]("Answers"),
@@ -79,7 +79,7 @@
 		encoder.Message[claimsFrame]("Claims"),
 		encoder.Message[originFrame]("Origin"),
 		encoder.Message[suspectsFrame]("Suspects"),
-	})
+	))
 })
 
 // Snapshot encodes the whole state.
--- a/declarer/command.go
+++ b/declarer/command.go
@@ -83,51 +83,57 @@
 	)
 }
 
-var codec = sync.OnceValue(func() *encoder.Codec {
-	c, err := encoder.New(append(commands(),
-		encoder.Message[Declaration]("Declarer.Declaration"),
-		encoder.Message[Delta]("Declarer.Delta"),
-		encoder.Message[snapshot]("Declarer.Snapshot"),
-	)...)
+// logCodec encodes what is in the log. The Declaration is in a Replace.
+var logCodec = sync.OnceValue(func() *encoder.Codec {
+	return must(encoder.NewForLog(append(commands(), encoder.Message[Declaration]("Declarer.Declaration"))...))
+})
+
+// stateCodec encodes the state, and changes of it. A delta may be larger than the declaration
+// that it leads to.
+var stateCodec = sync.OnceValue(func() *encoder.Codec {
+	return must(encoder.NewForSnapshots(encoder.Message[Delta]("Declarer.Delta"), encoder.Message[snapshot]("Declarer.Snapshot")))
+})
+
+func must(c *encoder.Codec, err error) *encoder.Codec {
 	if err != nil {
 		panic(err) // two message kinds have the same name
 	}
 	return c
-})
+}
 
 // Layout lists the fields of the commands and the state that are kept on disk, as
 // encoder.LayoutOf does.
 func Layout() []string {
-	return codec().Layout()
+	return append(logCodec().Layout(), stateCodec().Layout()...)
 }
 
 // EncodeCommand encodes a command for the log. A Replace is compressed.
 func EncodeCommand(command any) ([]byte, error) {
 	replace, ok := command.(*Replace)
 	if !ok {
-		return codec().Encode(0, command)
+		return logCodec().Encode(0, command)
 	}
 	document, err := compress(replace.Document)
 	if err != nil {
 		return nil, err
 	}
-	rest, err := codec().Encode(0, replace.Declaration)
+	rest, err := logCodec().Encode(0, replace.Declaration)
 	if err != nil {
 		return nil, err
 	}
 	if rest, err = compress(rest); err != nil {
 		return nil, err
 	}
-	return codec().Encode(0, encodedReplace{Document: document, Rest: rest})
+	return logCodec().Encode(0, encodedReplace{Document: document, Rest: rest})
 }
 
 // declaration decompresses and decodes the declaration of the command.
 func (p *encodedReplace) declaration() (Declaration, error) {
-	data, err := decompress(p.Rest)
+	data, err := decompress(p.Rest, encoder.MaxFrameSize)
 	if err != nil {
 		return Declaration{}, err
 	}
-	_, msg, err := codec().Decode(data)
+	_, msg, err := logCodec().Decode(data)
 	if err != nil {
 		return Declaration{}, err
 	}
--- a/declarer/pack.go
+++ b/declarer/pack.go
@@ -8,6 +8,7 @@
 
 	"celeryvalve/encoder"
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
 )
 
 // Declarations and documents are compressed because they are sent to many processes
@@ -30,19 +31,23 @@
 	return compressed.Bytes(), nil
 }
 
+// maxDeltaSize is the size of the largest encoded delta: a declaration, the names of all objects of
+// another one, and a little more.
+const maxDeltaSize = 2*encoder.MaxFrameSize + 1<<10
+
 // decompress decompresses data. It returns an error of kind Corrupt if the result
-// is larger than encoder.MaxFrameSize.
-func decompress(compressed []byte) ([]byte, error) {
+// is larger than the limit.
+func decompress(compressed []byte, limit identifier.ByteCount) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(compressed))
 	if err != nil {
 		return nil, corrupt(err)
 	}
-	data, err := io.ReadAll(io.LimitReader(r, int64(encoder.MaxFrameSize)+1))
+	data, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err != nil {
 		return nil, corrupt(err)
 	}
-	if len(data) > int(encoder.MaxFrameSize) {
-		return nil, corrupt(fmt.Errorf("more than %d bytes", encoder.MaxFrameSize))
+	if identifier.ByteCount(len(data)) > limit {
+		return nil, corrupt(fmt.Errorf("more than %d bytes", limit))
 	}
 	return data, nil
 }
@@ -53,7 +58,7 @@
 
 // DecompressDocument decompresses the result of State.CompressedDocument.
 func DecompressDocument(compressed []byte) ([]byte, error) {
-	return decompress(compressed)
+	return decompress(compressed, encoder.MaxFrameSize)
 }
 
 // EncodedDelta is an encoded and compressed Delta, as it is sent between processes.
@@ -61,7 +66,7 @@
 
 // Encode encodes and compresses the delta.
 func (d Delta) Encode() (EncodedDelta, error) {
-	data, err := codec().Encode(0, d)
+	data, err := stateCodec().Encode(0, d)
 	if err != nil {
 		return nil, err
 	}
@@ -70,11 +75,11 @@
 
 // Decode decompresses and decodes the delta.
 func (p EncodedDelta) Decode() (Delta, error) {
-	data, err := decompress(p)
+	data, err := decompress(p, maxDeltaSize)
 	if err != nil {
 		return Delta{}, err
 	}
-	_, msg, err := codec().Decode(data)
+	_, msg, err := stateCodec().Decode(data)
 	if err != nil {
 		return Delta{}, err
 	}
--- a/declarer/state.go
+++ b/declarer/state.go
@@ -89,7 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.index = index
-	_, command, err := codec().Decode(data)
+	_, command, err := logCodec().Decode(data)
 	if err != nil {
 		return &Rejected{Problem: err.Error()}
 	}
@@ -223,7 +223,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return codec().Encode(0, snapshot{
+	return stateCodec().Encode(0, snapshot{
 		Index:       s.index,
 		Declared:    s.current,
 		Document:    s.document,
@@ -238,7 +238,7 @@
 // Restore replaces the whole state by a snapshot. A snapshot whose revision is
 // lower than the current one is an error of kind Fenced and changes nothing.
 func (s *State) Restore(data []byte) error {
-	_, msg, err := codec().Decode(data)
+	_, msg, err := stateCodec().Decode(data)
 	if err != nil {
 		return err
 	}
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -14,9 +14,16 @@
 // rejected.
 const FormatVersion = 1
 
-// MaxFrameSize is the size of the largest frame that Decode accepts, in bytes. Encode does not
-// check it; the sender does.
-const MaxFrameSize identifier.ByteCount = 8 << 20
+const (
+	// MaxFrameSize is the size of the largest frame of a message or a command, in bytes.
+	MaxFrameSize identifier.ByteCount = 8 << 20
+	// maxSnapshotFrameSize is that of the largest frame of a snapshot, which holds what many
+	// commands have brought.
+	maxSnapshotFrameSize identifier.ByteCount = 256 << 20
+	// maxArrayElements and maxSnapshotElements are the lengths of the longest arrays.
+	maxArrayElements    = 1 << 20
+	maxSnapshotElements = 1 << 24
+)
 
 // Kind is the name of a message type on the wire.
 type Kind string
@@ -25,12 +32,15 @@
 type Header struct {
 	Kind                 Kind
 	ConfigurationVersion identifier.ConfigurationVersion // of the sender
+	// LeftOut lists the parts of the message that Decode could not read and left out.
+	LeftOut []LeftOut
 }
 
 // MessageType maps a kind of message to a Go type. Message returns one.
 type MessageType struct {
-	kind Kind
-	typ  reflect.Type
+	kind     Kind
+	typ      reflect.Type
+	optional []string
 }
 
 // Message returns the entry with which a codec decodes messages of the kind into a *T.
@@ -38,6 +48,14 @@
 	return MessageType{kind: kind, typ: reflect.TypeFor[T]()}
 }
 
+// Optional returns the entry with fields, by their names in Go, without which the rest of a
+// message still holds. Decode leaves out such a field that it can't read, or of a slice the
+// elements that it can't read, and lists them in the header.
+func (e MessageType) Optional(fields ...string) MessageType {
+	e.optional = fields
+	return e
+}
+
 // Kind returns the kind of the entry's messages.
 func (e MessageType) Kind() Kind {
 	return e.kind
@@ -52,43 +70,71 @@
 	Body                 cbor.RawMessage
 }
 
-// Codec encodes and decodes a fixed set of messages. It is safe for concurrent use.
+// Codec encodes and decodes a fixed set of messages. It encodes nothing that it can't decode.
+// It is safe for concurrent use.
 type Codec struct {
-	types map[Kind]reflect.Type
-	kinds map[reflect.Type]Kind
-	enc   cbor.EncMode
-	dec   cbor.DecMode
+	maxSize  identifier.ByteCount
+	textOnly bool // strings must be valid UTF-8
+	types    map[Kind]reflect.Type
+	kinds    map[reflect.Type]Kind
+	optional map[Kind][]string
+	enc      cbor.EncMode
+	dec      cbor.DecMode
 }
 
-// New returns a codec for the message types of the entries. It returns an error if two
-// entries have the same kind.
+// New returns a codec for messages between processes. Strings may hold any bytes, as those that
+// callers send do; what a name may hold is checked where it comes in. It returns an error if two
+// entries have the same kind, or an optional field does not exist.
 func New(entries ...MessageType) (*Codec, error) {
-	enc, err := cbor.EncOptions{Sort: cbor.SortNone, Time: cbor.TimeUnixMicro}.EncMode()
+	return newCodec(Codec{maxSize: MaxFrameSize}, maxArrayElements, entries)
+}
+
+// NewForLog returns a codec for the commands of a replicated log. Strings that are not valid
+// UTF-8 are errors, now and in every release: replicas must agree on what a command is.
+func NewForLog(entries ...MessageType) (*Codec, error) {
+	return newCodec(Codec{maxSize: MaxFrameSize, textOnly: true}, maxArrayElements, entries)
+}
+
+// NewForSnapshots returns a codec for the parts of a state that is kept on disk, whose frames
+// may be larger than messages.
+func NewForSnapshots(entries ...MessageType) (*Codec, error) {
+	return newCodec(Codec{maxSize: maxSnapshotFrameSize}, maxSnapshotElements, entries)
+}
+
+func newCodec(c Codec, maxElements int, entries []MessageType) (*Codec, error) {
+	text := cbor.UTF8DecodeInvalid
+	if c.textOnly {
+		text = cbor.UTF8RejectInvalid
+	}
+	var err error
+	c.enc, err = cbor.EncOptions{Sort: cbor.SortNone, Time: cbor.TimeUnixMicro}.EncMode()
 	if err != nil {
 		return nil, err
 	}
-	dec, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: 1 << 20}.DecMode()
+	c.dec, err = cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: maxElements, UTF8: text}.DecMode()
 	if err != nil {
 		return nil, err
 	}
-	c := &Codec{
-		types: make(map[Kind]reflect.Type),
-		kinds: make(map[reflect.Type]Kind),
-		enc:   enc,
-		dec:   dec,
-	}
+	c.types, c.kinds, c.optional = make(map[Kind]reflect.Type), make(map[reflect.Type]Kind), make(map[Kind][]string)
 	for _, e := range entries {
 		if _, ok := c.types[e.kind]; ok {
 			return nil, fmt.Errorf("message kind %q is defined twice", e.kind)
 		}
+		for _, field := range e.optional {
+			if _, ok := e.typ.FieldByName(field); !ok {
+				return nil, fmt.Errorf("message kind %q has no field %q", e.kind, field)
+			}
+		}
+		c.optional[e.kind] = e.optional
 		c.types[e.kind] = e.typ
 		c.kinds[e.typ] = e.kind
 	}
-	return c, nil
+	return &c, nil
 }
 
 // Encode returns the frame of msg, which is a T or *T of one of the codec's entries. For
-// any other type it returns an error of kind Internal.
+// any other type it returns an error of kind Internal, and for a message that Decode could not
+// read, such as one that is too large, an error of kind InvalidInput.
 func (c *Codec) Encode(version identifier.ConfigurationVersion, msg any) ([]byte, error) {
 	typ := reflect.TypeOf(msg)
 	if typ != nil && typ.Kind() == reflect.Pointer {
@@ -103,7 +149,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.enc.Marshal(frame{Format: FormatVersion, Kind: kind, ConfigurationVersion: version, Body: body})
+	data, err := c.enc.Marshal(frame{Format: FormatVersion, Kind: kind, ConfigurationVersion: version, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	if identifier.ByteCount(len(data)) > c.maxSize {
+		return nil, explainer.New(explainer.InvalidInput, fmt.Sprintf("message %s has %d bytes, but a frame has at most %d", kind, len(data), c.maxSize),
+			"split it into several messages")
+	}
+	err = c.dec.Wellformed(data)
+	if err == nil && c.textOnly {
+		err = c.dec.Unmarshal(body, reflect.New(typ).Interface())
+	}
+	if err != nil {
+		return nil, explainer.Wrap(err, explainer.InvalidInput, fmt.Sprintf("message %s could not be read by its receiver", kind), "correct its contents")
+	}
+	return data, nil
 }
 
 // Decode returns the header of a frame and its message, as a pointer to the Go type of the
@@ -111,7 +172,7 @@
 // returned with an error too.
 func (c *Codec) Decode(data []byte) (Header, any, error) {
 	var f frame
-	if identifier.ByteCount(len(data)) > MaxFrameSize {
+	if identifier.ByteCount(len(data)) > c.maxSize {
 		return Header{}, nil, corruptError("frame is larger than the limit", nil)
 	}
 	if err := c.dec.Unmarshal(data, &f); err != nil {
@@ -126,7 +187,12 @@
 	}
 	header := Header{Kind: f.Kind, ConfigurationVersion: f.ConfigurationVersion}
 	msg := reflect.New(typ)
-	if err := c.dec.Unmarshal(f.Body, msg.Interface()); err != nil {
+	err := c.dec.Unmarshal(f.Body, msg.Interface())
+	if err != nil && len(c.optional[f.Kind]) > 0 {
+		msg.Elem().SetZero()
+		header.LeftOut, err = c.decodeParts(f.Body, msg.Elem(), c.optional[f.Kind])
+	}
+	if err != nil {
 		return header, nil, corruptError(fmt.Sprintf("message %s is malformed", f.Kind), err)
 	}
 	return header, msg.Interface(), nil
--- a/recorder/frame.go
+++ b/recorder/frame.go
@@ -51,7 +51,7 @@
 }
 
 func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 24}.DecMode()
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 24, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err)
 	}
