spreader: leave out a record that can't be read and go on

Callers were refused as only an older version of the configuration allows, after a newer one had been confirmed. One heartbeat or deregistration with an id that is not UTF-8 made a record that no follower could decode. Each follower ended its stream, and the next replica sent the same record, so that neither the revision of the configuration nor who leads came through.

A follower now leaves out records and loads that it can't read, or whose ids and other names not every process can hold by identifier.CheckName, counts and logs them, and applies the rest of the update. So does a replica that is asked to confirm a departure.

--- /dev/null
+++ b/identifier/name.go
@@ -0,0 +1,36 @@
+package identifier
+
+import (
+	"fmt"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// MaxNameLength is the length of the longest name, in bytes.
+const MaxNameLength = 1024
+
+// CheckName returns an error that quotes the name unless every process can hold it: it is valid
+// UTF-8, neither empty nor longer than MaxNameLength, and has no control characters. The
+// replacement character counts as invalid, since decoders put it in place of bytes that they
+// can't read. field says in the error what the name is.
+func CheckName[T ~string](field string, name T) error {
+	if name == "" {
+		return fmt.Errorf("%s is empty", field)
+	}
+	return CheckOptionalName(field, name)
+}
+
+// CheckOptionalName is CheckName for a name that may be empty.
+func CheckOptionalName[T ~string](field string, name T) error {
+	text := string(name)
+	switch {
+	case len(text) > MaxNameLength:
+		return fmt.Errorf("%s %.64q... has %d bytes, but a name has at most %d", field, text, len(text), MaxNameLength)
+	case !utf8.ValidString(text) || strings.ContainsRune(text, utf8.RuneError):
+		return fmt.Errorf("%s %q is not valid UTF-8", field, text)
+	case strings.ContainsFunc(text, unicode.IsControl):
+		return fmt.Errorf("%s %q has a control character", field, text)
+	}
+	return nil
+}
--- a/registrar/record.go
+++ b/registrar/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"math"
 	"net/netip"
 
@@ -64,6 +65,19 @@
 	Limit limiter.RequestLimit
 }
 
+// Check returns an error that names the fields whose value is no name that every process can
+// hold. A record of an upstream that has left may lack all but its id.
+func (r Record) Check() error {
+	return errors.Join(
+		identifier.CheckName("upstream", r.Upstream),
+		identifier.CheckOptionalName("service", r.Service),
+		identifier.CheckOptionalName("availability zone", r.AvailabilityZone),
+		identifier.CheckOptionalName("region", r.Region),
+		identifier.CheckOptionalName("model", r.Model),
+		identifier.CheckOptionalName("address zone", r.Address.Addr().Zone()),
+	)
+}
+
 // IsOver reports whether the upstream gets no requests any more.
 func (r Record) IsOver() bool {
 	return r.State == Gone || r.Displaced
--- a/spreader/departure.go
+++ b/spreader/departure.go
@@ -115,6 +115,9 @@
 	if !ok {
 		return
 	}
+	if s.checkRecord(DepartureKind, stream.Peer().Name, request.Record) != nil {
+		return
+	}
 	s.recordNote(func() bool { return s.table.Merge(s.clock.Now(), request.Record) })
 	s.mu.Lock()
 	own := s.ownReplicas
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -134,12 +134,15 @@
 	DepartureKind        encoder.Kind = "Spreader.Departure"
 )
 
+const updateKind encoder.Kind = "Spreader.Told"
+
 // Messages returns the messages of this package, for registration with the
 // encoder.
 func Messages() []encoder.MessageType {
 	return []encoder.MessageType{
 		encoder.Message[FollowRequest](FollowKind),
-		encoder.Message[Update]("Spreader.Told"),
+		// What can't be read of these must not keep back the revision, nor who leads.
+		encoder.Message[Update](updateKind).Optional(recordsField, refreshesField, loadsField, "Serving", "Caches", "Replicas", "Quarantine"),
 		encoder.Message[FetchDeclarationRequest](FetchDeclarationKind),
 		encoder.Message[FetchDeclarationResponse]("Spreader.DeclaredAnswer"),
 		encoder.Message[DepartureRequest](DepartureKind),
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"celeryvalve/catcher"
 	"celeryvalve/connector"
@@ -148,6 +149,7 @@
 	// followedLogged holds the processes that this one follows as they were last logged.
 	followedLogged []netip.AddrPort
 	fetches        fetchMetrics
+	leftOutLimit   *rate.Limiter
 	// statuses holds the status of each followed replica that has sent an update.
 	statuses map[netip.AddrPort]replicaStatus
 }
@@ -195,6 +197,8 @@
 		startedAt:   clock.Now(),
 		catcher:     newCatcher(cfg),
 		fetches:     newFetchMetrics(cfg.Metrics),
+
+		leftOutLimit: newLeftOutLimit(),
 	}
 	s.catcher.Reduce(clock.Now(), catcher.Held{Revision: catcher.Revision(view.Declared().Revision)})
 	s.exposeProgress(cfg.Metrics)
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -46,6 +46,8 @@
 	t    *testing.T
 	keys string
 	next byte
+	// records are in the table of the process that is started next.
+	records []registrar.Record
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -78,6 +80,10 @@
 	view := declarer.NewView(asserter.Strict{})
 	e := connector.New(connector.Config{Listen: address}, codec, certifier.NewSource(certifier.PathsIn(c.keys, "entry")), noConfiguration{}, zap.NewNop())
 	table := registrar.New(registrar.Config{StaleAfter: time.Minute, ForgetAfter: time.Hour})
+	for _, r := range c.records {
+		require.True(c.t, table.Merge(time.Now(), r))
+	}
+	c.records = nil
 	cfg := spreader.Config{Process: address.String(), Address: address, Region: region, FollowAll: followAll}
 	s := spreader.New(cfg, seeds, table, view, e, clockwork.NewRealClock(), zap.NewNop())
 	s.Register(e)
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -41,7 +41,7 @@
 	if follower.Loads {
 		s.noteEntry(follower, false)
 	}
-	if follower.Address.IsValid() {
+	if follower.Address.IsValid() && identifier.CheckOptionalName("region", follower.Region) == nil {
 		s.regions[follower.Address.String()] = follower.Region
 	}
 	s.mu.Unlock()
@@ -57,8 +57,9 @@
 		defer cancel()
 		s.sendUpdates(ctx, stream, sent)
 	})
+	in := &incoming{spreader: s, stream: stream}
 	for {
-		update, err := s.receive(ctx, stream)
+		update, err := in.next(ctx)
 		if err != nil {
 			return
 		}
@@ -121,8 +122,9 @@
 		s.sendUpdates(ctx, stream, sent)
 	})
 	received := false
+	in := &incoming{spreader: s, stream: stream}
 	for {
-		update, err := s.receive(ctx, stream)
+		update, err := in.next(ctx)
 		if err != nil {
 			if errors.Is(err, context.DeadlineExceeded) {
 				s.endpoint.Replace(addr)
@@ -196,6 +198,14 @@
 	peerSum uint64
 }
 
+// peer names the process at the other end in logs.
+func (s *sentState) peer() string {
+	if s.follower != nil {
+		return s.follower.Process
+	}
+	return s.followed.String()
+}
+
 // sendUpdates sends changes and heartbeats until the stream breaks. Changes that
 // occur while an update is being sent are combined in the next one.
 func (s *Spreader) sendUpdates(ctx context.Context, stream *connector.Stream, sent *sentState) {
@@ -283,6 +293,7 @@
 func (s *Spreader) applyUpdate(update *Update, from netip.AddrPort, sent *sentState) {
 	now := s.clock.Now()
 	changed := false
+	s.leaveOutUnreadable(update, sent.peer())
 	s.mu.Lock()
 	for _, r := range update.Records {
 		changed = s.table.Merge(now, r) || changed
