identifier: allow names of up to 256 bytes

An update holds the records, refreshes and loads of many upstreams. With names of 1,024 bytes a full table of 8,192 refreshes alone took more than a frame may have; with 256 all three fit. The test of large tables uses the longest names now.

--- a/identifier/name.go
+++ b/identifier/name.go
@@ -7,8 +7,9 @@
 	"unicode/utf8"
 )
 
-// MaxNameLength is the length of the longest name, in bytes.
-const MaxNameLength = 1024
+// MaxNameLength is the length of the longest name, in bytes: more than a host name has, and short
+// enough for the records of a full table to fit into few messages.
+const MaxNameLength = 256
 
 // CheckName returns an error that quotes the name unless every process can hold it: it is valid
 // UTF-8, neither empty nor longer than MaxNameLength, and has no control characters. The
--- a/identifier/name_test.go
+++ b/identifier/name_test.go
@@ -21,7 +21,7 @@
 		"i-\x00":                        `service "i-\x00" has a control character`,
 		"a\nb":                          `service "a\nb" has a control character`,
 		"\u0085":                        `service "\u0085" has a control character`,
-		strings.Repeat("x", 1025):       "has 1025 bytes, but a name has at most 1024",
+		strings.Repeat("x", 257):        "has 257 bytes, but a name has at most 256",
 		strings.Repeat("\xff", 100_000): "has 100000 bytes",
 	} {
 		require.ErrorContains(t, identifier.CheckName("service", identifier.Service(name)), problem)
--- a/spreader/backlog_test.go
+++ b/spreader/backlog_test.go
@@ -143,7 +143,7 @@
 	require.NoError(t, err)
 	n := &tableNetwork{t: t, clock: clockwork.NewFakeClock()}
 	n.restartReplica()
-	long := strings.Repeat("n", 200)
+	long := strings.Repeat("n", identifier.MaxNameLength-4)
 	for u := range upstreams {
 		name := identifier.Upstream(fmt.Sprint(long, u))
 		n.replica.table.Merge(n.clock.Now(), registrar.Record{
