--- a/spreader/unreadable_test.go
+++ b/spreader/unreadable_test.go
@@ -27,7 +27,8 @@
 	hub.view.Set(declarer.Declared{Revision: 1, Declaration: declarer.Declaration{Version: 7}})
 	sound := record("u", registrar.Ready)
 	sound.Sequence++
-	hub.Report(sound)
+	_, err := hub.Report(sound)
+	require.NoError(t, err)
 	for _, p := range []*process{entry, agent} {
 		c.eventually(func() bool { return p.Connected() && p.Progress().Held == 1 })
 		c.eventually(hasState(p, "u", registrar.Ready))
