balancer, relayer: withdraw requests that a release is too late to begin

Callers saw work on the wrong version: a request began on version 1 up to 8.6 s after version 2 was confirmed, where 8 s are allowed. A request begins at an engine with its first token. Entries refuse an older release 1.2 s before the end of its time, and looked at it only when they chose an upstream. What then lay at the engine for longer, because it was silent, full or read a long prompt, began too late: nothing ended it.

Now an attempt carries the time at which its response must have begun, 0.4 s before the release's time ends. The relayer asks the reducer at that time, and each 0.5 s before, whether the attempt goes on: the time follows an outage of control and releases that were named after the request was sent. If it is over, the attempt ends with a reset, which an engine reads before it makes its first token, even if it was silent when the reset came. The request goes to a newer release if it may run twice, and otherwise fails with 502, as it may have run. The release is also looked at again when the connection is ready.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -26,6 +26,9 @@
 	measuredEvents int
 	measuredAt     time.Time
 	answered       bool // the response has begun, or the attempt is over
+	sent           bool // its upstream may have got the request
+	// release is what the upstream held when it was chosen.
+	release declarer.ReleaseNumber
 	// silent is set while the upstream has sent nothing for long.
 	silent bool
 }
@@ -56,6 +59,7 @@
 		number:      s.sends,
 		target:      u,
 		sentAt:      now,
+		release:     u.view.Release,
 		uncorrected: forecast - r.biasOf(s.Service, u).at(now),
 	}
 	s.inProgress = append(s.inProgress, a)
@@ -88,6 +92,7 @@
 		HeldTokens:   r.addPrompt(a, policy, othersRatio),
 		IgnoredParts: s.ignoredParts,
 		Admission:    s.admission,
+		BeginBy:      r.nextBeginCheck(now, s, policy, u.view.Release),
 	}
 	if u.limit.InForce {
 		effect.LimitStamp = u.limit.Stamp
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -25,6 +25,9 @@
 	// FirstByteTimeout is the silence of the upstream after which AttemptStalled is to follow,
 	// up to the first event of a stream or the end of another response. It is 0 for none.
 	FirstByteTimeout time.Duration
+	// BeginBy is when AttemptUnbegun is to follow unless the response has begun by then, or
+	// zero.
+	BeginBy time.Time
 	// ExpectedRelease is the release that the upstream must hold, or 0 for any.
 	ExpectedRelease declarer.ReleaseNumber
 	// Urgency orders the request among others that wait at the upstream; 0 goes
@@ -54,6 +57,13 @@
 	Admission Admission
 }
 
+// Postpone means that the attempt goes on, and that AttemptUnbegun is to follow at BeginBy unless
+// the response has begun by then.
+type Postpone struct {
+	Request identifier.RequestID
+	BeginBy time.Time
+}
+
 // Await means that the attempt is over, and that another one in progress may still answer the
 // request. The caller gets a response that was received only if none does.
 type Await struct{ Request identifier.RequestID }
@@ -117,5 +127,6 @@
 func (NoEffect) isEffect() {}
 func (Send) isEffect()     {}
 func (Await) isEffect()    {}
+func (Postpone) isEffect() {}
 func (Refuse) isEffect()   {}
 func (Fail) isEffect()     {}
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -188,6 +188,9 @@
 	// UpstreamError: the response is an error of the upstream itself. It occurs in EjectionChange
 	// but not in AttemptFailed.
 	UpstreamError Cause = "Failed"
+	// NotBegun: the attempt was withdrawn since its upstream had not begun it in the time for its
+	// release. The request may have run. It does not occur in AttemptFailed.
+	NotBegun Cause = "NotBegun"
 	// ProtocolError: the response violated the protocol or belongs to another request.
 	ProtocolError Cause = "Garbled"
 	// TooLarge: the response, or an event of it, exceeds what an entry takes in. The request
@@ -230,6 +233,18 @@
 	Resumable bool
 }
 
+// AttemptUnbegun says that BeginBy has come and the response of the attempt has not begun. Postpone
+// follows if the attempt goes on. Otherwise Send, Await, Refuse or Fail follows, and the attempt is
+// withdrawn.
+type AttemptUnbegun struct {
+	Request identifier.RequestID
+	Attempt int
+	// PartlySent says that a part of a response has gone to the caller.
+	PartlySent bool
+	// Resumable says that another upstream can continue the response.
+	Resumable bool
+}
+
 // AttemptChosen says that the caller gets the response of the attempt, and that the other
 // attempts of the request are closed. NoEffect follows.
 type AttemptChosen struct {
@@ -304,6 +319,7 @@
 func (LeavingStated) isEvent()      {}
 func (AttemptConnected) isEvent()   {}
 func (AttemptStalled) isEvent()     {}
+func (AttemptUnbegun) isEvent()     {}
 func (AttemptChosen) isEvent()      {}
 func (EntriesChanged) isEvent()     {}
 func (UpstreamsChanged) isEvent()   {}
--- a/balancer/notice.go
+++ b/balancer/notice.go
@@ -127,15 +127,24 @@
 // connection was made, may still get it.
 func (r *Reducer) maySendNow(now time.Time, a *attempt) bool {
 	u := a.target
-	return !u.resting(now) && !u.leaving() && a.mayBeServedAt(u) && !r.evacuates(now, u) && !u.overdueForCold(now, a)
+	return !r.isRuledOut(now, a) && !u.resting(now) && !u.leaving() && a.mayBeServedAt(u) && !r.evacuates(now, u) && !u.overdueForCold(now, a)
 }
 
 // connected decides whether an attempt that has a connection is still to be sent.
 func (r *Reducer) connected(now time.Time, e AttemptConnected) Effect {
 	a, ok := r.attemptOf(e.Request, e.Attempt)
-	if !ok || r.maySendNow(now, a) {
+	if !ok {
 		return NoEffect{}
 	}
+	if r.maySendNow(now, a) {
+		a.sent = true
+		return NoEffect{}
+	}
+	return r.withhold(now, a)
+}
+
+// withhold ends an attempt that was not sent, and finds another upstream for its request.
+func (r *Reducer) withhold(now time.Time, a *attempt) Effect {
 	r.releaseAttempt(a, false)
 	a.attempts--
 	if a.hasResponsiveAttempt() {
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -27,6 +27,9 @@
 	ColdAllowance float64
 	// ReleaseGracePeriod is how long after a release was named older ones are refused.
 	ReleaseGracePeriod time.Duration
+	// ReleaseBeginPeriod is how long after a release was named a request that was sent to an
+	// older one may begin, or 0 for no limit.
+	ReleaseBeginPeriod time.Duration
 	// ColdReportTime is how long after it became cold an upstream has told so.
 	ColdReportTime time.Duration
 }
@@ -201,6 +204,17 @@
 		return r.arrive(now, e.Request)
 	case HomesChanged:
 		r.changeHomes(e)
+	case CallerGone:
+		r.forget(now, e.Request)
+	default:
+		return r.reduceAttempt(now, event)
+	}
+	return NoEffect{}
+}
+
+// reduceAttempt processes an event of an attempt.
+func (r *Reducer) reduceAttempt(now time.Time, event Event) Effect {
+	switch e := event.(type) {
 	case AttemptConnected:
 		return r.connected(now, e)
 	case ResponseStarted:
@@ -211,14 +225,14 @@
 		}
 	case AttemptStalled:
 		return r.stalled(now, e)
+	case AttemptUnbegun:
+		return r.overdue(now, e)
 	case AttemptChosen:
 		return r.chosen(now, e)
 	case ResponseCompleted:
 		return r.ended(now, e)
 	case AttemptFailed:
 		return r.broke(now, e)
-	case CallerGone:
-		r.forget(now, e.Request)
 	}
 	return NoEffect{}
 }
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -35,6 +35,10 @@
 	// objective, and entries learn of a release at different times. The margin is at
 	// most half of the time for the release.
 	expectMargin = 1200 * time.Millisecond
+	// beginMargin is how long before the deadline of a release requests are withdrawn that have
+	// not begun on an older one: the reset must arrive first, and entries learn of a release and
+	// of the state of control up to a heartbeat apart.
+	beginMargin = 400 * time.Millisecond
 	// steadyLogStep is the least change of the time since when control is steady that is
 	// logged: more than its estimates differ.
 	steadyLogStep = time.Second
@@ -89,6 +93,7 @@
 		ColdAllowance:      placement.Bounds.ColdAllowance,
 		RetryBurst:         balancer.RetryBurst(placement.Bounds.RetryAllowance, 0),
 		ReleaseGracePeriod: expectAfter(placement.Bounds.ReleaseDeadline),
+		ReleaseBeginPeriod: beginWithin(placement.Bounds.ReleaseDeadline),
 		ColdReportTime:     coldReports * placement.HeartbeatInterval,
 	})
 }
@@ -97,6 +102,11 @@
 	return max(within/2, within-expectMargin)
 }
 
+// beginWithin returns how long after a release was named a request may begin on an older one.
+func beginWithin(within time.Duration) time.Duration {
+	return max(expectAfter(within), within-beginMargin)
+}
+
 // newBudget returns the budget of what requests and their answers take of the memory.
 func newBudget(placement parser.Placement) *reader.Budget {
 	if placement.Memory == 0 {
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -154,6 +154,14 @@
 	require.Equal(t, 500*time.Millisecond, expectAfter(time.Second))
 }
 
+// Guards against requests that are withdrawn after the deadline of a newer release, or before entries
+// refuse the older one.
+func TestRequestsAreWithdrawnBeforeTheDeadlineOfARelease(t *testing.T) {
+	require.Equal(t, 7600*time.Millisecond, beginWithin(8*time.Second))
+	require.Equal(t, 600*time.Millisecond, beginWithin(time.Second))
+	require.Equal(t, 250*time.Millisecond, beginWithin(500*time.Millisecond))
+}
+
 // Guards against entries that refuse older weights although a control replica has just
 // started, while the origin was away: 3.5 s without any upstream.
 func TestTimeOfAReleaseWaitsForControlToSettle(t *testing.T) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
@@ -37,9 +38,12 @@
 	cancel context.CancelFunc
 	// proceed lets a connected attempt send the request.
 	proceed chan struct{}
+	beganAt time.Time
 	// resumeAfter is the id of the event after which a stream is to go on, or empty.
 	resumeAfter string
 	silence     silence
+	// unbegun fires when the response must have begun. It is nil if there is no such time.
+	unbegun clockwork.Timer
 	// eventsSent counts the events of its stream that were sent to the caller.
 	eventsSent int
 	// memory is what its answer holds: until the attempt ends, or until a whole response isn't
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -24,6 +24,8 @@
 	connected struct{}
 	// silent says that the attempt's timer has fired.
 	silent struct{}
+	// unbegun says that the time has come at which the response must have begun.
+	unbegun struct{}
 	// streamed brings one event of a stream.
 	streamed struct {
 		response *http.Response
@@ -83,13 +85,17 @@
 		x.relayer.meters.coldAttempts.Inc()
 	}
 	x.relayer.meters.countPrompt(send)
-	a := &attempt{exchange: x, send: send, proceed: make(chan struct{}, 1), resumeAfter: x.lastEvent, memory: x.relayer.memory.Draw()}
+	a := &attempt{
+		exchange: x, send: send, proceed: make(chan struct{}, 1), beganAt: x.relayer.clock.Now(),
+		resumeAfter: x.lastEvent, memory: x.relayer.memory.Draw(),
+	}
 	if a.resumeAfter == "" {
 		a.resumeAfter = x.header.LastEvent
 	}
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	x.inProgress = append(x.inProgress, a)
 	a.watch(send.FirstByteTimeout)
+	a.watchBeginning(send.BeginBy)
 	go a.run()
 }
 
@@ -97,6 +103,7 @@
 func (x *exchange) end(a *attempt) {
 	x.inProgress = slices.DeleteFunc(x.inProgress, func(other *attempt) bool { return other == a })
 	a.silence.stop()
+	a.stopWatchingBeginning()
 	a.cancel()
 }
 
@@ -133,6 +140,8 @@
 		return x.handleConnected(a)
 	case silent:
 		return x.handleSilent(a)
+	case unbegun:
+		return x.handleUnbegun(a)
 	case streamed:
 		return x.handleStreamed(a, content)
 	case finished:
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -34,6 +34,7 @@
 func (x *exchange) handleStreamed(a *attempt, m streamed) balancer.Effect {
 	x.choose(a)
 	if a.eventsSent == 0 {
+		a.stopWatchingBeginning()
 		x.relayer.reduce(balancer.ResponseStarted{Request: x.request.ID, Attempt: a.send.Attempt, Status: m.response.StatusCode, Load: a.load})
 		if !x.responseStarted {
 			x.recordFirstByte(a)
