platform: refuse names that not every process can hold

An id, service, zone, model or host from outside was taken as it came: raw bytes of a path that are no UTF-8, control characters, 60,000 bytes. Some of them could be encoded and not decoded by other processes.

identifier.CheckName is the one rule: valid UTF-8 without the replacement character, which the JSON decoder puts in place of bytes that it can't read, no control characters, 1,024 bytes at most.

--- a/identifier/name.go
+++ b/identifier/name.go
@@ -24,10 +24,16 @@
 
 // CheckOptionalName is CheckName for a name that may be empty.
 func CheckOptionalName[T ~string](field string, name T) error {
-	text := string(name)
+	if len(name) > MaxNameLength {
+		return fmt.Errorf("%s %.64q... has %d bytes, but a name has at most %d", field, string(name), len(name), MaxNameLength)
+	}
+	return CheckText(field, name)
+}
+
+// CheckText is CheckOptionalName for a text of any length, such as a path.
+func CheckText[T ~string](field string, value T) error {
+	text := string(value)
 	switch {
-	case len(text) > MaxNameLength:
-		return fmt.Errorf("%s %.64q... has %d bytes, but a name has at most %d", field, text, len(text), MaxNameLength)
 	case !utf8.ValidString(text) || strings.ContainsRune(text, utf8.RuneError):
 		return fmt.Errorf("%s %q is not valid UTF-8", field, text)
 	case strings.ContainsFunc(text, unicode.IsControl):
--- a/registrar/record.go
+++ b/registrar/record.go
@@ -1,8 +1,8 @@
 package registrar
 
 import (
+	"cmp"
 	"encoding/binary"
-	"errors"
 	"math"
 	"net/netip"
 
@@ -65,10 +65,10 @@
 	Limit limiter.RequestLimit
 }
 
-// Check returns an error that names the fields whose value is no name that every process can
+// Check returns an error that names the first field whose value is no name that every process can
 // hold. A record of an upstream that has left may lack all but its id.
 func (r Record) Check() error {
-	return errors.Join(
+	return cmp.Or(
 		identifier.CheckName("upstream", r.Upstream),
 		identifier.CheckOptionalName("service", r.Service),
 		identifier.CheckOptionalName("availability zone", r.AvailabilityZone),
