assembler: read stored answers whose headers are not UTF-8

A caller that repeated a non-idempotent request could not get the stored answer if a header of it was not UTF-8: it was encoded as it came, and decoding it failed. The decoder now takes any string, as upstreams' headers are passed on unchanged.

TestStoredAnswerWithOddHeaderIsReadable failed before with "the stored answer is malformed: cbor: invalid UTF-8 string", and passes.

--- a/assembler/claims.go
+++ b/assembler/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -72,6 +73,15 @@
 	controller.Fenced:     router.Fenced,
 }
 
+// storedAnswers decodes the answers of upstreams, whose headers may hold any bytes.
+var storedAnswers = sync.OnceValue(func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+})
+
 func claimAnswerOf(a *controller.ClaimAnswer) (router.ClaimAnswer, error) {
 	answer := router.ClaimAnswer{
 		Status:      claimStatuses[a.Status],
@@ -86,7 +96,7 @@
 		return answer, nil
 	}
 	if len(a.Answer) > 0 {
-		if err := cbor.Unmarshal(a.Answer, &answer.Answer); err != nil {
+		if err := storedAnswers().Unmarshal(a.Answer, &answer.Answer); err != nil {
 			return answer, explainer.Wrap(err, explainer.Corrupt, "the stored answer is malformed",
 				"check that all processes run compatible releases")
 		}
