connector: pass over unreadable messages where each holds by itself

The streams of consensus and of subscribers' reports ended at one message that can't be decoded, and what was sent meanwhile was lost with them. Each of their messages holds without the others, so that the loops now go on with the next one by ReceiveReadable. Streams whose messages belong together (the parts of a request, a chunk, differences of the configuration) still end, as what follows a missing part is worth nothing.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -204,7 +204,7 @@
 			logger.Warn("Refused a replica without the role Control.", zap.String("peer", s.Peer().Name))
 			return
 		}
-		for msg, err := first, error(nil); err == nil; msg, err = s.Receive(ctx) {
+		for msg, err := first, error(nil); err == nil; msg, err = s.ReceiveReadable(ctx) {
 			c.Receive(s.Peer().Address, msg)
 		}
 	}
--- a/connector/stream.go
+++ b/connector/stream.go
@@ -84,6 +84,17 @@
 	return msg, err
 }
 
+// ReceiveReadable returns the next message that can be decoded. It is for streams whose messages
+// hold without each other.
+func (s *Stream) ReceiveReadable(ctx context.Context) (any, error) {
+	for {
+		msg, err := s.Receive(ctx)
+		if !IsUnreadable(err) {
+			return msg, err
+		}
+	}
+}
+
 func (s *Stream) receive(ctx context.Context) (encoder.Header, any, error) {
 	stop := context.AfterFunc(ctx, func() { _ = s.raw.SetReadDeadline(time.Unix(0, 1)) })
 	defer stop()
--- a/connector/unreadable_test.go
+++ b/connector/unreadable_test.go
@@ -61,7 +61,8 @@
 	cfg := connector.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0")}
 	b := connector.New(cfg, codec, certifier.NewSource(certifier.PathsIn(folder, "b")), &versions{}, zap.NewNop())
 	b.Handle("Ping", func(_ context.Context, s *connector.Stream, first any) {
-		for _, msg := range []any{&struct{ X int }{1}, first} {
+		odd := &struct{ X int }{1}
+		for _, msg := range []any{odd, first, odd, first} {
 			if s.Send(msg) != nil {
 				return
 			}
@@ -77,4 +78,7 @@
 	msg, err := s.Receive(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, &ping{N: 4}, msg)
+	msg, err = s.ReceiveReadable(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, &ping{N: 4}, msg)
 }
--- a/placer/control.go
+++ b/placer/control.go
@@ -83,7 +83,7 @@
 			log.Warn("Refused a replica without the role Control.", zap.String("peer", s.Peer().Name))
 			return
 		}
-		for msg, err := first, error(nil); err == nil; msg, err = s.Receive(ctx) {
+		for msg, err := first, error(nil); err == nil; msg, err = s.ReceiveReadable(ctx) {
 			r.receive(s.Peer().Address, msg)
 		}
 	}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -212,7 +212,7 @@
 // subscription that is newer than the version adds nothing to the propagation delay.
 func (p *Publisher) receiveReports(ctx context.Context, s *connector.Stream, sub *subscription) {
 	for {
-		msg, err := s.Receive(ctx)
+		msg, err := s.ReceiveReadable(ctx)
 		if err != nil {
 			return
 		}
