connector: allocate for a frame as its bytes come

A frame was allocated by its announced length, up to 8 MiB, before any byte of it had come, on each of up to 4096 streams. It now takes 64 KiB at first and grows with what has come.

--- a/connector/stream.go
+++ b/connector/stream.go
@@ -22,6 +22,8 @@
 	cancelled    quic.StreamErrorCode = 1
 	outboxLength                      = 256
 	postTimeout                       = 5 * time.Second
+	// firstFrameSize is what is allocated for a frame before its bytes come, at most.
+	firstFrameSize = 64 << 10
 )
 
 // traffic counts the bytes of the frames in each direction, with their length prefixes.
@@ -107,11 +109,8 @@
 		return encoder.Header{}, nil, explainer.New(explainer.Corrupt, "the received frame exceeds the size limit",
 			"check that both processes run compatible releases")
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(s.raw, data); err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
+	data, err := readFrame(s.raw, int(size))
+	if err != nil {
 		return encoder.Header{}, nil, receiveError(ctx, err)
 	}
 	s.endpoint.traffic.received.Add(int64(len(data)) + lengthSize)
@@ -125,6 +124,23 @@
 	return header, msg, nil
 }
 
+// readFrame reads a frame of size bytes. It allocates as they come, since a peer may announce a
+// large frame on each of many streams and send none.
+func readFrame(r io.Reader, size int) ([]byte, error) {
+	data := make([]byte, 0, min(size, firstFrameSize))
+	for {
+		n, err := io.ReadFull(r, data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil || len(data) == size {
+			return data, err
+		}
+		data = append(make([]byte, 0, min(size, 2*cap(data))), data...)
+	}
+}
+
 func receiveError(ctx context.Context, err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.EOF
