forwarder: bound what buffered answers take

On the settings path an entry buffers the answer to a request that may not be repeated until it is complete, and nothing bounded it: an upstream that sent without end filled the entry until the deadline of the request.

Such answers now draw from one budget, 256 MiB by default, and one alone may take half of it. An answer that gets nothing more ends its request, which may have run: 502, Unknown. It is kept as the parts that came, without a copy.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/quarantiner"
+	"celeryvalve/reader"
 	"celeryvalve/repeater"
 	"celeryvalve/router"
 )
@@ -46,6 +47,8 @@
 
 	defaultMaxBody      identifier.ByteCount = 4 << 20
 	defaultMaxTotalBody identifier.ByteCount = 256 << 20
+	// defaultMaxTotalAnswer lets one answer alone take half of it.
+	defaultMaxTotalAnswer identifier.ByteCount = 256 << 20
 )
 
 // Config holds the location of the entry and the limits on requests.
@@ -57,6 +60,9 @@
 	// MaxTotalBody is the maximum total size of the bodies of all requests in flight. Zero
 	// means 256 MiB.
 	MaxTotalBody identifier.ByteCount
+	// MaxTotalAnswer is the maximum total size of the answers that are buffered until they
+	// are complete. Zero means 256 MiB.
+	MaxTotalAnswer identifier.ByteCount
 	// Timeout limits a request that gives no deadline. Zero means 2 minutes.
 	Timeout time.Duration
 }
@@ -124,6 +130,7 @@
 	counters      counters
 	random        func() uint64
 	onAnswer      func(Observation)
+	answers       *reader.Budget
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -150,6 +157,9 @@
 	if cfg.MaxTotalBody == 0 {
 		cfg.MaxTotalBody = defaultMaxTotalBody
 	}
+	if cfg.MaxTotalAnswer == 0 {
+		cfg.MaxTotalAnswer = defaultMaxTotalAnswer
+	}
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
@@ -172,6 +182,7 @@
 		counters:      newCounters(deps.Metrics),
 		random:        deps.Random,
 		onAnswer:      deps.OnAnswer,
+		answers:       reader.NewBudget(cfg.MaxTotalAnswer),
 		ctx:           ctx,
 		cancel:        cancel,
 		drained:       make(chan struct{}),
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"celeryvalve/identifier"
+	"celeryvalve/reader"
 	"celeryvalve/router"
 )
 
@@ -90,7 +93,8 @@
 	f.exchanges[ex.id] = ex
 	f.reduce(ex.arrived)
 	f.mu.Unlock()
-	rep := &reply{f: f, ex: ex, w: w, buffered: ex.arrived.Class == router.NonIdempotent}
+	rep := &reply{f: f, ex: ex, w: w, buffered: ex.arrived.Class == router.NonIdempotent, memory: f.answers.Draw()}
+	defer rep.memory.Close()
 	answer := rep.run(r)
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	f.reportObservation(ex, answer, rep)
@@ -127,8 +131,12 @@
 	// buffered means that nothing is sent until the response is complete.
 	buffered bool
 
+	// memory is what body takes. noMemory means that there was none for all of it.
+	memory   *reader.Draw
+	noMemory bool
+
 	head     *router.ResponseHead
-	body     []byte
+	body     [][]byte
 	received identifier.ByteCount
 	// heldBack is the last part of a body of declared length. It is sent once the
 	// response is known to be complete.
@@ -220,11 +228,18 @@
 
 // writeBody buffers body bytes if the reply is buffered, and sends them otherwise.
 func (p *reply) writeBody(data []byte) {
-	if p.buffered {
-		p.body = append(p.body, data...)
+	if !p.buffered {
+		p.writeData(data)
+		return
+	}
+	if err := p.memory.Grow(len(data)); err != nil {
+		p.f.logger.Warn("An answer is not taken in, since there is no memory for it.", zap.String("request", string(p.ex.id)), zap.Error(err))
+		p.noMemory, p.body = true, nil
+		p.memory.Close()
+		p.markCallerGone() // ends the request
 		return
 	}
-	p.writeData(data)
+	p.body = append(p.body, data)
 }
 
 // writeData sends body bytes. It holds back those that complete the declared length,
@@ -269,6 +284,8 @@
 // end finishes the response according to the reducer's answer.
 func (p *reply) end(answer router.Answer) {
 	switch {
+	case p.noMemory:
+		p.endLocally(router.Answer{Request: answer.Request, Outcome: router.Unknown, Cause: answer.Cause})
 	case p.callerGone:
 		// The caller may still read: without an answer net/http would send a success.
 		p.broken = true
@@ -294,7 +311,11 @@
 		return
 	}
 	p.start(outcome)
-	p.write(p.body)
+	for _, data := range p.body {
+		if !p.callerGone {
+			p.write(data)
+		}
+	}
 	p.broken = p.callerGone
 }
 
