spreader: send what is too large for one message in parts

An update with more records than a frame may hold could not be sent: its stream ended without a line in any log, and the next one began with the same update. Followers held neither the table nor the declaration.

An update now holds at most 512 records, refreshes and loads each, which stay below the limit of a frame with the longest names, and further ones follow. What can't be sent for another cause than a lost stream is logged as "Can't send a message."

TestLargeTableIsSentInParts, 3,000 records with long names, failed before: no follower held them nor the revision within 20 s. It passes, and so do all tests of spreader.

--- a/spreader/fetch.go
+++ b/spreader/fetch.go
@@ -100,8 +100,10 @@
 		s.log.Error("Can't encode the declaration for a follower.", zap.Error(err))
 		return
 	}
-	// The error is ignored: a peer that lost the connection sends the request again.
-	_ = stream.Send(answer)
+	// A peer that lost the connection sends the request again.
+	if err := stream.Send(answer); err != nil {
+		s.logUnsent(stream, err)
+	}
 }
 
 // fetchAnswers holds the answers to the requests for one revision. Dozens of followers send
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -74,6 +74,30 @@
 	return len(t.Records) == 0 && len(t.Refreshes) == 0 && len(t.Loads) == 0 && t.Replicas == nil && t.Quarantine == nil && t.Serving == nil && t.Caches == nil
 }
 
+// maxListLength is the number of records, refreshes and loads of one update. Even with the longest
+// names these stay below encoder.MaxFrameSize.
+const maxListLength = 512
+
+// parts returns the update as one or more updates whose lists are not too long for a message.
+func (t *Update) parts() []*Update {
+	rest := *t
+	var parts []*Update
+	for first := true; first || len(rest.Records)+len(rest.Refreshes)+len(rest.Loads) > 0; first = false {
+		part := rest
+		part.Records, rest.Records = cutList(rest.Records)
+		part.Refreshes, rest.Refreshes = cutList(rest.Refreshes)
+		part.Loads, rest.Loads = cutList(rest.Loads)
+		rest.Serving, rest.Caches, rest.Replicas, rest.Quarantine = nil, nil, nil, nil
+		parts = append(parts, &part)
+	}
+	return parts
+}
+
+func cutList[E any](list []E) (head, tail []E) {
+	n := min(len(list), maxListLength)
+	return list[:n:n], list[n:]
+}
+
 // CacheList lists the entries of one region, all of which pass on the weights that they
 // hold, by their addresses in rising order.
 type CacheList struct {
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -14,6 +14,7 @@
 	"celeryvalve/connector"
 	"celeryvalve/declarer"
 	"celeryvalve/encoder"
+	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/quarantiner"
 	"celeryvalve/registrar"
@@ -216,8 +217,13 @@
 		update, changed := s.nextUpdate(sent)
 		pending := !update.isEmpty() || update.Revision != sent.revision
 		sent.revision = update.Revision
-		if (heartbeatDue || pending) && stream.Send(update) != nil {
-			return
+		if heartbeatDue || pending {
+			for _, part := range update.parts() {
+				if err := stream.Send(part); err != nil {
+					s.logUnsent(stream, err)
+					return
+				}
+			}
 		}
 		heartbeatDue = false
 		select {
@@ -230,6 +236,14 @@
 	}
 }
 
+// logUnsent logs that a message could not be sent, unless its stream has failed: that one is
+// logged by the process that follows.
+func (s *Spreader) logUnsent(stream *connector.Stream, err error) {
+	if explainer.KindOf(err) != explainer.Unavailable {
+		s.log.Error("Can't send a message.", zap.String("peer", stream.Peer().Name), zap.Stringer("address", stream.Peer().Address), zap.Error(err))
+	}
+}
+
 // nextUpdate returns the changes not yet sent on the stream, and a channel that is
 // closed at the next change.
 func (s *Spreader) nextUpdate(sent *sentState) (*Update, <-chan struct{}) {
--- a/spreader/unreadable_test.go
+++ b/spreader/unreadable_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -12,6 +15,7 @@
 	"celeryvalve/connector"
 	"celeryvalve/declarer"
 	"celeryvalve/encoder"
+	"celeryvalve/identifier"
 	"celeryvalve/registrar"
 	"celeryvalve/spreader"
 )
@@ -85,3 +89,22 @@
 	_, ok := hub.Find("i-\xff")
 	require.False(t, ok)
 }
+
+// Guards against a table that is too large for one message, which no follower got, and with it
+// no declaration.
+func TestLargeTableIsSentInParts(t *testing.T) {
+	const records = 3_000
+	c := newCluster(t)
+	padding := strings.Repeat("x", 900)
+	name := func(i int) identifier.Upstream { return identifier.Upstream(fmt.Sprint(padding, i)) }
+	for i := range records {
+		r := record(name(i), registrar.Ready)
+		r.Address = netip.AddrPortFrom(r.Address.Addr(), uint16(i+1))
+		r.Service, r.AvailabilityZone, r.Model = identifier.Service(padding), identifier.AvailabilityZone(padding), identifier.Model(padding)
+		c.records = append(c.records, r)
+	}
+	hub := c.replica(1)
+	hub.view.Set(declarer.Declared{Revision: 1, Declaration: declarer.Declaration{Version: 7}})
+	follower := c.process("north", true, hub.address)
+	c.eventually(func() bool { return follower.Progress().Held == 1 && len(follower.Upstreams()) == records })
+}
