forwarder: refuse an idempotency key that is not UTF-8

A claim with such a key was encoded and rejected by every replica, since commands of the log are text, and its caller was told that control is unavailable and to try again, for good. It now gets 400 before the claim.

TestKeyThatIsNoTextIsRefused failed before, as the request went on to the claim, and passes with the other tests of forwarder.

--- a/forwarder/caller_test.go
+++ b/forwarder/caller_test.go
@@ -139,3 +139,15 @@
 		})
 	}
 }
+
+// Guards against a key that no command of the log can hold: its claim failed for good, and the
+// caller was told to try again.
+func TestKeyThatIsNoTextIsRefused(t *testing.T) {
+	_, server, _ := startSilent(t)
+	c := dial(t, server)
+	_, err := fmt.Fprint(c.conn, "POST /drafting/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer token\r\nIdempotency-Key: k-\xff\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	response, err := c.response()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadRequest, response.StatusCode)
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
@@ -153,6 +154,9 @@
 	if len(key) > maxKeyLength {
 		return "", "", requestErrorf(http.StatusBadRequest, "%s is longer than %d bytes (choose a shorter one)", HeaderIdempotencyKey, maxKeyLength)
 	}
+	if !utf8.ValidString(key) {
+		return "", "", requestErrorf(http.StatusBadRequest, "%s %q is not valid UTF-8 (choose another one)", HeaderIdempotencyKey, key)
+	}
 	if key != "" {
 		return router.NonIdempotent, identifier.IdempotencyKey(key), nil
 	}
