--- a/encoder/doc.go
+++ b/encoder/doc.go
@@ -4,7 +4,10 @@
 // message, the configuration version of the sender, and the message itself. The
 // message is a CBOR map whose keys are the names of the Go fields. A codec decodes
 // only the kinds that were passed to New. Any other kind, and any malformed frame, is
-// an error of kind Corrupt.
+// an error of kind Corrupt. It encodes nothing that it could not decode.
+//
+// New is for messages between processes, NewForLog for the commands of a replicated log, and
+// NewForSnapshots for the parts of a state on disk.
 //
 // # Usage
 //
--- a/spreader/doc.go
+++ b/spreader/doc.go
@@ -19,6 +19,9 @@
 // replicas. With many upstreams, the ends of a new stream compare their tables before
 // they send them.
 //
+// What a process can't read of an update it leaves out, counts and logs: the revision and who
+// leads must not depend on the record of one upstream.
+//
 // # Usage
 //
 //	cfg := spreader.Config{Process: "entry-1", Address: address, Region: "north", FollowAll: true}
