spreader: cut an update into parts in one place

Two changes did so: the table returned 2,048 changes at most, and the stream sends updates in parts. The second one also bounds refreshes and loads, so the first one goes. The two tests of large tables stay, with 8,000 records of the longest names.

--- a/registrar/table.go
+++ b/registrar/table.go
@@ -22,10 +22,6 @@
 	ForgetAfter time.Duration
 }
 
-// MaxChanges is how many records Since returns at most. With the longest names they fit into one
-// message.
-const MaxChanges = 1 << 11
-
 // Cursor is a position in the sequence of a table's changes.
 type Cursor uint64
 
@@ -307,31 +303,20 @@
 }
 
 // Since returns the records that changed after the cursor, and the cursor for the
-// next call. Their ColdMillis count from now. Of more than MaxChanges records it returns those that
-// changed first; the cursor is then before that of the last change.
+// next call. Their ColdMillis count from now.
 func (t *Table) Since(now time.Time, after Cursor) ([]Record, Cursor) {
 	if after == t.cursor {
 		return nil, t.cursor
 	}
-	var changed []*entry
+	var list []Record
 	for _, e := range t.sorted() {
 		if e.changed > after {
-			changed = append(changed, e)
+			r := e.record
+			r.ColdMillis = e.coldRemaining(now).Milliseconds()
+			list = append(list, r)
 		}
 	}
-	next := t.cursor
-	if len(changed) > MaxChanges {
-		slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.changed, b.changed) })
-		changed = changed[:MaxChanges]
-		next = changed[MaxChanges-1].changed
-	}
-	var list []Record
-	for _, e := range changed {
-		r := e.record
-		r.ColdMillis = e.coldRemaining(now).Milliseconds()
-		list = append(list, r)
-	}
-	return list, next
+	return list, t.cursor
 }
 
 // Len returns the number of records.
--- a/spreader/backlog_test.go
+++ b/spreader/backlog_test.go
@@ -154,12 +154,12 @@
 	}
 	s := n.newSpreader("p", true)
 	down := &sentState{follower: &FollowRequest{}}
-	for updates := 0; s.table.Len() < upstreams; updates++ {
-		require.Less(t, updates, 10)
-		update, _ := n.replica.nextUpdate(down)
-		frame, err := codec.Encode(1, update)
+	update, _ := n.replica.nextUpdate(down)
+	for _, part := range update.parts() {
+		frame, err := codec.Encode(1, part)
 		require.NoError(t, err)
 		require.LessOrEqual(t, identifier.ByteCount(len(frame)), encoder.MaxFrameSize)
-		s.applyUpdate(update, netip.AddrPort{}, &sentState{})
+		s.applyUpdate(part, netip.AddrPort{}, &sentState{})
 	}
+	require.Equal(t, upstreams, s.table.Len())
 }
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -289,19 +289,9 @@
 		update.Quarantine = &quarantine
 		sent.quarantine, sent.quarantineAt = quarantine, s.clock.Now()
 	}
-	if sent.cursor != s.table.Cursor() {
-		return update, alreadyChanged
-	}
 	return update, s.changed
 }
 
-// alreadyChanged is closed: there are more records to send than one update holds.
-var alreadyChanged = func() <-chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}()
-
 // applyUpdate merges an update from a peer. from is the peer's address if this
 // process follows it, and zero if the peer is a follower.
 func (s *Spreader) applyUpdate(update *Update, from netip.AddrPort, sent *sentState) {
--- a/spreader/unreadable_test.go
+++ b/spreader/unreadable_test.go
@@ -93,9 +93,9 @@
 // Guards against a table that is too large for one message, which no follower got, and with it
 // no declaration.
 func TestLargeTableIsSentInParts(t *testing.T) {
-	const records = 3_000
+	const records = 8_000
 	c := newCluster(t)
-	padding := strings.Repeat("x", 900)
+	padding := strings.Repeat("x", identifier.MaxNameLength-4)
 	name := func(i int) identifier.Upstream { return identifier.Upstream(fmt.Sprint(padding, i)) }
 	for i := range records {
 		r := record(name(i), registrar.Ready)
