--- a/reader/budget_test.go
+++ b/reader/budget_test.go
@@ -73,6 +73,12 @@
 			require.NoError(t, err)
 			require.True(t, bytes.Equal(content, read))
 		}
+		draw.Close()
+		draw = budget.Draw()
+		data, err := reader.ReadBytes(bytes.NewReader(content[:min(size, 8<<20)]), draw)
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(content[:len(data)], data))
+		require.EqualValues(t, len(data), draw.Held())
 	}
 }
 
--- a/reader/buffer.go
+++ b/reader/buffer.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// ReadBytes reads r to its end like ReadAll, and returns the bytes in one piece.
+func ReadBytes(r io.Reader, draw *Draw) ([]byte, error) {
+	b, err := ReadAll(r, draw)
+	if err != nil {
+		return nil, err
+	}
+	if err := draw.Grow(int(b.size)); err != nil {
+		return nil, err
+	}
+	data := make([]byte, 0, b.size)
+	for _, chunk := range b.chunks {
+		data = append(data, chunk...)
+		draw.Shrink(cap(chunk))
+	}
+	return data, nil
+}
+
 // fill reads until the chunk is full, or up to an error, and returns what was read.
 func fill(r io.Reader, chunk []byte) ([]byte, error) {
 	n := 0
