relayer: set no limit on a reply after its request

Cause: the time limit of a request may pass as its handler returns. The deadline for writes that is set then could be that of the next request on the connection, which net/http had cleared already.

Change: the handler waits until the deadline is set. net/http clears it after the handler.

By reading, the first fault has no test.

--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -212,6 +212,33 @@
 	require.Zero(t, w.arrived.Load(), "a request whose body is not whole must not run")
 }
 
+// Guards against the rest of a long body that is taken for the answer to the next request.
+func TestConnectionIsNotUsedAgainWithinABody(t *testing.T) {
+	const taken = 16 << 20 // what is read of a body that isn't needed
+	var mu sync.Mutex
+	connections := make(map[net.Conn]bool)
+	u := startUpstream(t, func(conn net.Conn, r *http.Request) {
+		mu.Lock()
+		connections[conn] = true
+		mu.Unlock()
+		fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nAttempt: %s\r\nNot-Executed: 1\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Attempt"), taken+1)
+		_, _ = conn.Write(make([]byte, taken))
+	})
+	server, _ := startRoute(t, clockwork.NewRealClock(), declarer.Route{Kind: declarer.Idempotent, Timeout: longTimeout, MaximumAttempts: 2}, u.view("u"))
+	for i := range 2 {
+		r := request(t, server, "/slots/1")
+		r.Header.Set("Attempt", fmt.Sprint("a", i))
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	}
+	require.Len(t, u.received(), 2)
+	mu.Lock()
+	defer mu.Unlock()
+	require.Len(t, connections, 2)
+}
+
 // Guards against a sound large answer, or a large body, that finds no room in an entry with the least
 // memory.
 func TestLargestAnswerFindsRoom(t *testing.T) {
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithDeadline(req.Context(), x.request.Deadline)
 	defer cancel()
 	defer context.AfterFunc(r.serving, cancel)()
-	defer context.AfterFunc(ctx, x.limitReply)()
+	defer x.limitReply(ctx)()
 	x.ctx = ctx
 	x.run(r.reduce(balancer.RequestArrived{Request: x.request}))
 }
@@ -276,10 +276,21 @@
 // over.
 const replyTimeout = 10 * time.Second
 
-// limitReply ends the sending to a caller that does not read, since its answer takes memory.
-func (x *exchange) limitReply() {
-	// The error is ignored because response recorders in tests have no deadlines.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(replyTimeout))
+// limitReply ends the sending to a caller that does not read, since its answer takes memory,
+// replyTimeout after ctx has ended. The function that it returns leaves no limit for the next
+// request on the connection.
+func (x *exchange) limitReply(ctx context.Context) (stop func()) {
+	limited := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(limited)
+		// The error is ignored because response recorders in tests have no deadlines.
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(replyTimeout))
+	})
+	return func() {
+		if !cancel() {
+			<-limited // net/http takes the deadline back after the request
+		}
+	}
 }
 
 // replyLocally sends a response that the relayer generates itself.
