--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -24,6 +24,9 @@
 // attempt ran: each was rejected by its upstream as not executed, or no byte of it
 // was sent.
 //
+// A release rules out older ones some time after it was named. A request that an upstream of
+// an older one has not begun by then is withdrawn, and sent elsewhere or failed.
+//
 // Upstreams that fail repeatedly are ejected for a while, longer with each further
 // failure. After that they are tried with one request at a time.
 //
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -16,7 +16,8 @@
 // An upstream that is silent for long keeps its attempt while another one is tried. All
 // attempts in progress are read; the first whole response goes to the caller, or the first
 // event that goes on with the stream, and the other attempts are closed then. An error goes
-// to the caller once no attempt is left that may still answer.
+// to the caller once no attempt is left that may still answer. An attempt whose response has not
+// begun in the time for its release is ended by a reset.
 //
 // A connection to an upstream carries one request at a time. It is closed if it
 // delivers unsolicited bytes or a malformed response. A response to an earlier
