registrar: let no late reports replace a stale record

A report that contradicts a stale record replaces it once a second one follows, since the record may have been a spoilt one. Callers would see requests go to an upstream that has crashed, and none to its successor: reports that a partition has delayed arrive together, and the second one was taken for that of an upstream that goes on.

The reports must now go on for as long as a record takes to become stale. A spoilt record gives way later, after twice that time.

TestLateReportsBringNoDeadUpstreamBack failed before: the table had the crashed upstream a, expected b. The tests of spoilt records pass as they were.

--- a/registrar/report.go
+++ b/registrar/report.go
@@ -26,8 +26,8 @@
 // changed what Merge says. It returns an error of kind InvalidInput if the report's numbers
 // can't be true, and of kind Unavailable if the table is full.
 //
-// A report that is older than the record is late, unless the record is stale and a second report
-// follows the first one: then the record was wrong, and is replaced in all tables.
+// A report that is older than the record is late, unless the record is stale and further reports
+// follow for as long again: then the record was wrong, and is replaced in all tables.
 func (t *Table) Report(now time.Time, r Record) (changed bool, err error) {
 	if err := r.checkNumbers(now); err != nil {
 		return false, err
@@ -57,14 +57,26 @@
 	return t.Merge(now, r), nil
 }
 
-// contests reports whether r is the second of two reports in a row that contradict a stale record.
+// contender is an upstream whose reports contradict the record of its name while that is stale.
+type contender struct {
+	incarnation identifier.Incarnation
+	sequence    uint64
+	since       time.Time
+}
+
+// contests reports whether reports in a row, of which r is the last, have contradicted a stale
+// record for Config.StaleAfter. Reports that were delayed in transit arrive together.
 func (t *Table) contests(now time.Time, e *entry, r Record) bool {
 	if !t.isStale(now, e) || r.Incarnation == e.record.Incarnation && ranks[r.State] < ranks[e.record.State] {
 		return false
 	}
-	first := e.contender
-	e.contender = &r
-	return first != nil && first.Incarnation == r.Incarnation && r.Sequence > first.Sequence && r.Sequence-first.Sequence <= maxSequenceStep
+	c := e.contender
+	if c == nil || c.incarnation != r.Incarnation || r.Sequence <= c.sequence || r.Sequence-c.sequence > maxSequenceStep {
+		e.contender = &contender{incarnation: r.Incarnation, sequence: r.Sequence, since: now}
+		return false
+	}
+	c.sequence = r.Sequence
+	return now.Sub(c.since) >= t.cfg.StaleAfter
 }
 
 // isStale reports whether the upstream has not reported for longer than Config.StaleAfter.
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -52,8 +52,8 @@
 	coldSequence uint64
 	// refreshedSequence is the sequence that Refreshes returned last.
 	refreshedSequence uint64
-	// contender is the last report that contradicted the record while that was stale.
-	contender *Record
+	// contender has contradicted the record while that was stale. It is nil if nobody has.
+	contender *contender
 }
 
 // KnownUpstream is a record with its age in this process.
@@ -135,7 +135,7 @@
 		// or the upstream has reversed its decision to leave too late, or has said
 		// only in its answers that it leaves.
 		if r.newerThan(e.record) {
-			e.record.Sequence, e.heardAt = r.Sequence, now
+			e.record.Sequence, e.heardAt, e.contender = r.Sequence, now, nil
 		}
 		return false
 	}
@@ -283,7 +283,7 @@
 	}
 	if f.Sequence > e.record.Sequence && f.Sequence-e.record.Sequence <= maxSequenceStep && !e.record.Displaced {
 		e.record.Sequence = f.Sequence
-		e.heardAt = now
+		e.heardAt, e.contender = now, nil
 	}
 	return true
 }
