--- a/balancer/release_test.go
+++ b/balancer/release_test.go
@@ -99,8 +99,7 @@
 
 func seconds(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 
-// Guards against requests that are sent to an older release in time, lie at its upstream and begin
-// after the time for it.
+// Guards against requests that are sent to an older release in time and begin there after it.
 func TestRequestThatHasNotBegunIsWithdrawnFromAnOlderRelease(t *testing.T) {
 	for name, test := range map[string]struct {
 		repeatable, sent, newer bool
@@ -146,8 +145,7 @@
 	}
 }
 
-// Guards against a request that is withdrawn from an older release though it may go on: control was
-// out, so that the time counts anew, or its upstream has loaded the newer release.
+// Guards against a request that is withdrawn from an older release though it may still begin there.
 func TestRequestStaysWhileItsReleaseMayBeginRequests(t *testing.T) {
 	unbegun := balancer.AttemptUnbegun{Request: "x", Attempt: 1}
 	lost := balancer.ControlObserved{LastReached: seconds(7.5)}
@@ -201,8 +199,7 @@
 	}
 }
 
-// Guards against a request that waits at its upstream since before a release was named, and begins
-// after the time for the one before.
+// Guards against a request that lies at its upstream since before a release was named and begins too late.
 func TestRequestSentBeforeAReleaseWasNamedIsWithdrawn(t *testing.T) {
 	r := balancer.New(balancer.Config{ReleaseGracePeriod: 7 * time.Second, ReleaseBeginPeriod: 8 * time.Second})
 	policy := balancer.ServicePolicy{Service: "drafting", Engine: engine(), Releases: []declarer.WantedRelease{{Number: 1, At: start.Add(-time.Hour)}}}
@@ -227,8 +224,7 @@
 	}
 }
 
-// Guards against a request that is sent to an older release after it was ruled out, since its
-// connection took long.
+// Guards against a request that is sent to a release that was ruled out while its connection was made.
 func TestRequestIsNotSentToAReleaseThatWasRuledOutMeanwhile(t *testing.T) {
 	r := olderRelease()
 	sent, ok := arrive(r, seconds(6.9), generationRequest("x")).(balancer.Send)
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -154,8 +154,7 @@
 	require.Equal(t, 500*time.Millisecond, expectAfter(time.Second))
 }
 
-// Guards against requests that are withdrawn after the deadline of a newer release, or before entries
-// refuse the older one.
+// Guards against requests that begin on an older release after the deadline of a newer one.
 func TestRequestsAreWithdrawnBeforeTheDeadlineOfARelease(t *testing.T) {
 	require.Equal(t, 7600*time.Millisecond, beginWithin(8*time.Second))
 	require.Equal(t, 600*time.Millisecond, beginWithin(time.Second))
--- a/relayer/beginning_test.go
+++ b/relayer/beginning_test.go
@@ -94,8 +94,7 @@
 	"once":               {declarer.Route{Kind: declarer.NonIdempotent}, false},
 }
 
-// Guards against requests that a silent upstream finds when it goes on, and begins after the time for
-// its release. What had arrived before a reset can be read on Linux.
+// Guards against requests that a silent upstream begins as it goes on, after the time for its release.
 func TestRequestIsWithdrawnFromASilentUpstreamOfAnOlderRelease(t *testing.T) {
 	for name, kind := range generationKinds {
 		for size, body := range map[string]int{"small": 4, "buffered": bufferedBody} {
@@ -150,8 +149,7 @@
 	return u
 }
 
-// Guards against requests that wait in the queue of an upstream, with the head of their stream sent or
-// not, and begin after the time for its release.
+// Guards against requests that wait in the queue of an upstream and begin after the time for its release.
 func TestRequestIsWithdrawnFromTheQueueOfAnOlderRelease(t *testing.T) {
 	stream, head := conversation{kind: declarer.Streaming}.response("o", 0)
 	for name, kind := range generationKinds {
