relayer, balancer: blame no upstream for an entry without memory

What callers would see: three answers in a row that an entry had no memory for ejected their upstream, though other answers had filled it.

Change: an answer that finds no room ends with TooLarge from 256 KiB on, which counts as its upstream's failure: that is where answers without end stand. Below that it ends with NoMemory, which doesn't. The request may have run either way.

Evidence: TestEntryWithoutMemoryEjectsNobody failed before (request 3 was refused). TestEndlessAnswersStayWithinTheMemoryOfTheEntry still finds endless upstreams ejected.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -258,6 +258,8 @@
 		s.mayHaveRun = true
 		r.recordLoss(now, a, e.Cause)
 		return r.giveUp(now, s, DeadlineExceeded, 0)
+	case NoMemory:
+		s.mayHaveRun = true
 	case Misdirected:
 		u.forgetPrefixes()
 		r.recordFailure(now, u, e.Cause)
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -193,11 +193,11 @@
 	NotBegun Cause = "NotBegun"
 	// ProtocolError: the response violated the protocol or belongs to another request.
 	ProtocolError Cause = "Garbled"
-	// TooLarge: the response, or an event of it, exceeds what an entry takes in. The request
-	// may have run.
+	// TooLarge: the response, or an event of it, exceeds what an entry takes in, or has room for.
+	// The request may have run.
 	TooLarge Cause = "TooLarge"
-	// NoMemory: the response needs more of the entry's memory than is left for it. The request
-	// may have run.
+	// NoMemory: the entry has no memory for a response that isn't large. The request may have run,
+	// and the upstream is not at fault.
 	NoMemory Cause = "NoMemory"
 )
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -147,6 +147,10 @@
 	return received{response, body}
 }
 
+// largeAnswer is the size, in bytes, from which on a response that finds no room counts as too
+// large. One below it may find none because of others.
+const largeAnswer = 256 << 10
+
 // errBodyTooLarge means that the body of a response has, or announces, too many bytes.
 var errBodyTooLarge = fmt.Errorf("the body of a response has more than %d bytes", maxBufferedBody)
 
@@ -283,6 +287,8 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge), errors.Is(err, bufio.ErrTooLong):
 		return balancer.TooLarge
+	case errors.As(err, &noMemory) && noMemory.Held >= largeAnswer:
+		return balancer.TooLarge
 	case errors.As(err, &noMemory):
 		return balancer.NoMemory
 	}
