registrar, platform: take sequences and versions of any origin

Cause: the bounds of this change's forerunners refused what the users' page allows: a sequence that increases with each call may rise by more than 65,536 where an upstream takes nanoseconds for it, and so may a version. Such an upstream would have been out of service for good.

Change: sequences and versions are bounded by 2^63 - 1 alone. A sequence that is too high by mistake is found by the reports that contradict its record, as a start that is.

--- a/registrar/report.go
+++ b/registrar/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"celeryvalve/explainer"
@@ -15,11 +16,8 @@
 	// maxStartAhead is how far the start of an upstream may lie ahead of this process's clock.
 	// Clocks of instances differ by seconds.
 	maxStartAhead = time.Hour
-	// maxSequence is the largest integer that every JSON encoder writes exactly.
-	maxSequence = 1<<53 - 1
-	// maxSequenceStep is by how much the sequence may rise between two reports: one report a
-	// millisecond for as long as a silent upstream is remembered.
-	maxSequenceStep = 1 << 16
+	// maxSequence is above what upstreams count to, also those that take nanoseconds for it.
+	maxSequence = math.MaxInt64
 )
 
 // Report merges a report that an upstream has sent to this process, and reports whether that
@@ -41,18 +39,8 @@
 		return true, nil
 	}
 	r.Epoch = e.record.Epoch
-	plausible := r.Incarnation != e.record.Incarnation || r.Sequence <= e.record.Sequence || r.Sequence-e.record.Sequence <= maxSequenceStep
-	if plausible && r.newerThan(e.record) {
-		return t.Merge(now, r), nil
-	}
-	if t.contests(now, e, r) {
+	if !r.newerThan(e.record) && t.contests(now, e, r) {
 		r.Epoch++
-		return t.Merge(now, r), nil
-	}
-	if !plausible {
-		return false, explainer.New(explainer.InvalidInput,
-			fmt.Sprintf("the report's sequence %d is more than %d above the last one, %d", r.Sequence, maxSequenceStep, e.record.Sequence),
-			"count the reports of an upstream by one")
 	}
 	return t.Merge(now, r), nil
 }
@@ -71,7 +59,7 @@
 		return false
 	}
 	c := e.contender
-	if c == nil || c.incarnation != r.Incarnation || r.Sequence <= c.sequence || r.Sequence-c.sequence > maxSequenceStep {
+	if c == nil || c.incarnation != r.Incarnation || r.Sequence <= c.sequence {
 		e.contender = &contender{incarnation: r.Incarnation, sequence: r.Sequence, since: now}
 		return false
 	}
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -281,7 +281,7 @@
 	if !ok || e.record.Incarnation != f.Incarnation {
 		return false
 	}
-	if f.Sequence > e.record.Sequence && f.Sequence-e.record.Sequence <= maxSequenceStep && !e.record.Displaced {
+	if f.Sequence > e.record.Sequence && !e.record.Displaced {
 		e.record.Sequence = f.Sequence
 		e.heardAt, e.contender = now, nil
 	}
