reader: call a part of a budget a reservation

A reader of rate limiters and of flow control looks for that word; draw is one of our own. Names alone change: Draw becomes Reservation, Budget.Draw becomes Budget.Reserve.

--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -93,7 +93,7 @@
 	f.exchanges[ex.id] = ex
 	f.reduce(ex.arrived)
 	f.mu.Unlock()
-	rep := &reply{f: f, ex: ex, w: w, buffered: ex.arrived.Class == router.NonIdempotent, memory: f.answers.Draw()}
+	rep := &reply{f: f, ex: ex, w: w, buffered: ex.arrived.Class == router.NonIdempotent, memory: f.answers.Reserve()}
 	defer rep.memory.Close()
 	answer := rep.run(r)
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
@@ -132,7 +132,7 @@
 	buffered bool
 
 	// memory is what body takes. noMemory means that there was none for all of it.
-	memory   *reader.Draw
+	memory   *reader.Reservation
 	noMemory bool
 
 	head     *router.ResponseHead
--- a/reader/buffer.go
+++ b/reader/buffer.go
@@ -16,12 +16,12 @@
 	size   int64
 }
 
-// ReadAll reads r to its end. It takes from draw what it allocates as bytes come, and returns a
+// ReadAll reads r to its end. It takes from res what it allocates as bytes come, and returns a
 // NoMemoryError if there is no more.
-func ReadAll(r io.Reader, draw *Draw) (*Buffer, error) {
+func ReadAll(r io.Reader, res *Reservation) (*Buffer, error) {
 	b := &Buffer{}
 	for size := firstChunkSize; ; size = min(maxChunkSize, 2*size) {
-		if err := draw.Grow(size); err != nil {
+		if err := res.Grow(size); err != nil {
 			return nil, err
 		}
 		chunk, err := fill(r, make([]byte, size))
@@ -37,18 +37,18 @@
 }
 
 // ReadBytes reads r to its end like ReadAll, and returns the bytes in one piece.
-func ReadBytes(r io.Reader, draw *Draw) ([]byte, error) {
-	b, err := ReadAll(r, draw)
+func ReadBytes(r io.Reader, res *Reservation) ([]byte, error) {
+	b, err := ReadAll(r, res)
 	if err != nil {
 		return nil, err
 	}
-	if err := draw.Grow(int(b.size)); err != nil {
+	if err := res.Grow(int(b.size)); err != nil {
 		return nil, err
 	}
 	data := make([]byte, 0, b.size)
 	for _, chunk := range b.chunks {
 		data = append(data, chunk...)
-		draw.Shrink(cap(chunk))
+		res.Shrink(cap(chunk))
 	}
 	return data, nil
 }
--- a/reader/doc.go
+++ b/reader/doc.go
@@ -6,15 +6,15 @@
 // since net/http goes on reading to learn whether the caller has left.
 //
 // A Budget is shared by all requests of a process: bounds of each alone say nothing of their sum.
-// Bytes are drawn as they come, not as they are announced.
+// Bytes are reserved as they come, not as they are announced.
 //
 // # Usage
 //
 //	limit := reader.NewLimit(w)
 //	timer := clock.AfterFunc(timeout, limit.Expire)
-//	draw := budget.Draw()
-//	defer draw.Close()
-//	body, err := reader.ReadAll(r.Body, draw)
+//	reservation := budget.Reserve()
+//	defer reservation.Close()
+//	body, err := reader.ReadAll(r.Body, reservation)
 //	timer.Stop()
 //	if limit.End() {
 //		// The body did not come in time, whatever err says.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -48,7 +48,7 @@
 	eventsSent int
 	// memory is what its answer holds: until the attempt ends, or until a whole response isn't
 	// needed any more.
-	memory *reader.Draw
+	memory *reader.Reservation
 	// load and answer are of the header of the response, if one was read.
 	load   *balancer.Load
 	answer ResponseHeader
--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -169,7 +169,7 @@
 type headBound struct {
 	r io.Reader
 	// memory is what the head is taken from, or nil.
-	memory *reader.Draw
+	memory *reader.Reservation
 	active bool
 	left   int
 }
--- a/relayer/event.go
+++ b/relayer/event.go
@@ -18,12 +18,12 @@
 // eventReader splits a stream of server-sent events into events.
 type eventReader struct {
 	r      *bufio.Reader
-	memory *reader.Draw
+	memory *reader.Reservation
 }
 
 // newEventReader returns a reader that takes from memory what it allocates for an event. Who gets
 // an event gives its capacity back.
-func newEventReader(body io.Reader, memory *reader.Draw) *eventReader {
+func newEventReader(body io.Reader, memory *reader.Reservation) *eventReader {
 	return &eventReader{r: bufio.NewReaderSize(body, readerSize), memory: memory}
 }
 
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -87,7 +87,7 @@
 	x.relayer.meters.countPrompt(send)
 	a := &attempt{
 		exchange: x, send: send, proceed: make(chan struct{}, 1), beganAt: x.relayer.clock.Now(),
-		resumeAfter: x.lastEvent, memory: x.relayer.memory.Draw(),
+		resumeAfter: x.lastEvent, memory: x.relayer.memory.Reserve(),
 	}
 	if a.resumeAfter == "" {
 		a.resumeAfter = x.header.LastEvent
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -64,7 +64,7 @@
 // path of ServeHTTP up to the decision and records nothing: no request is counted, logged
 // or sent.
 func (r *Relayer) Explain(request *http.Request) Explanation {
-	x := &exchange{relayer: r, r: request, arrivedAt: r.clock.Now(), header: r.dialect.ReadCaller(request.Header), memory: r.memory.Draw(), dryRun: true}
+	x := &exchange{relayer: r, r: request, arrivedAt: r.clock.Now(), header: r.dialect.ReadCaller(request.Header), memory: r.memory.Reserve(), dryRun: true}
 	defer x.memory.Close()
 	index := r.index.Load()
 	if index == nil {
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -29,7 +29,7 @@
 
 	header       CallerHeader
 	body         *reader.Buffer
-	memory       *reader.Draw // of the body
+	memory       *reader.Reservation // of the body
 	bodyRead     bool
 	routeName    identifier.Route
 	route        declarer.Route
@@ -75,7 +75,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	index := r.index.Load()
-	x := &exchange{relayer: r, index: index, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header), memory: r.memory.Draw()}
+	x := &exchange{relayer: r, index: index, w: w, r: req, arrivedAt: arrivedAt, header: r.dialect.ReadCaller(req.Header), memory: r.memory.Reserve()}
 	defer x.memory.Close()
 	if index == nil {
 		x.replyLocally(http.StatusServiceUnavailable, undeclaredProblem, undeclaredRetryAfter)
