acceptor: bound the memory of the heads of all HTTP clients

A front held as much as clients put into heads that don't end: 400 connections with a head of 1,000,000 bytes each took 478 to 506 MB at any of the doors for callers, control, readiness and metrics, and 493 MB of an agent, where machines have 184 and 152 MB. Legal heads did so too: 1,000 heads of 16 KB in lines of six bytes, whose bodies stop, took 291 MB at the door for callers and 295 MB at that for control. Such a process is killed, and with it end the requests of all its callers.

Cause: net/http holds a head whole before a handler sees it, up to 1 MiB whatever is declared; a line takes some 25 times its size once it is parsed; and no budget counted either.

Now each server's connections are those of package acceptor, which was the caller connection of relayer: a head beyond the limit in force is not read on and gets 431, and what a head takes, by bytes and by lines, is reserved from the budget of the process until the request ends. Without memory it gets 503 with Retry-After: nothing was passed on. Control, readiness, metrics and the operators' API get limits on the time of heads and of idle connections by the same code. The tests of relayer's connections move along; the one that a closed connection is served no request now looks at any handler, not at relayer's.

--- a/administrator/server.go
+++ b/administrator/server.go
@@ -11,10 +11,12 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/certifier"
 	"celeryvalve/connector"
 	"celeryvalve/controller"
@@ -22,11 +24,19 @@
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/publisher"
+	"celeryvalve/reader"
 )
 
 const (
 	headerTimeout  = 5 * time.Second
+	idleTimeout    = 5 * time.Minute
 	requestTimeout = 8 * time.Second
+	// answerTimeout is longer than a request takes, its body and its answer.
+	answerTimeout = 30 * time.Second
+	// headerBytes includes the handshake of TLS, in which a client sends its certificates.
+	headerBytes = 64 << 10
+	// maxHeads bounds the memory of the heads of all clients.
+	maxHeads identifier.ByteCount = 16 << 20
 	// gatherTimeout limits the calls to other processes for one view.
 	gatherTimeout = time.Second
 	maxBody       = 1 << 20 // bytes
@@ -62,6 +72,7 @@
 	Publisher *publisher.Publisher
 	Caller    Caller
 	Clock     clockwork.Clock
+	Metrics   *metrics.Set
 }
 
 // Server serves the operators' API of one control replica.
@@ -70,7 +81,7 @@
 	source *certifier.Source
 	deps   Dependencies
 	logger *zap.Logger
-	server *http.Server
+	server *acceptor.Server
 	bound  net.Addr
 }
 
@@ -88,14 +99,18 @@
 			"choose an address of this machine that no other process uses")
 	}
 	s.bound = listener.Addr()
-	s.server = &http.Server{
-		Handler:           s.routes(),
-		ReadHeaderTimeout: headerTimeout,
-		TLSConfig:         s.source.ServerConfig("http/1.1"),
-		ErrorLog:          zap.NewStdLog(s.logger),
-	}
+	limits := acceptor.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.server = acceptor.New(acceptor.Config{
+		Name:          "operator",
+		Limits:        func() acceptor.Limits { return limits },
+		AnswerTimeout: answerTimeout,
+		Memory:        reader.NewBudget(maxHeads),
+		Clock:         s.deps.Clock,
+		Metrics:       s.deps.Metrics,
+		Log:           s.logger,
+	}, s.routes())
 	go func() {
-		if err := s.server.ServeTLS(listener, "", ""); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.server.ServeTLS(listener, s.source.ServerConfig("http/1.1")); !errors.Is(err, http.ErrServerClosed) {
 			s.logger.Error("Stopped serving the operators' API.", zap.Error(err))
 		}
 	}()
@@ -157,6 +172,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 		defer cancel()
+		if r.Body != http.NoBody {
+			limit := reader.NewLimit(w)
+			defer limit.End()
+			defer s.deps.Clock.AfterFunc(requestTimeout, limit.Expire).Stop()
+		}
 		operator, err := operatorOf(r)
 		if err == nil && barrier {
 			err = s.deps.Replica.Barrier(ctx)
--- a/assembler/control.go
+++ b/assembler/control.go
@@ -161,8 +161,8 @@
 
 func newAdministrator(settings parser.Settings, source *certifier.Source, state *controller.State,
 	c *coordinator.Coordinator, s *submitter.Submitter, p *publisher.Publisher, e *connector.Endpoint,
-	clock clockwork.Clock, logger *zap.Logger) *administrator.Server {
-	deps := administrator.Dependencies{State: state, Replica: c, Submitter: s, Publisher: p, Caller: e, Clock: clock}
+	clock clockwork.Clock, set *metrics.Set, logger *zap.Logger) *administrator.Server {
+	deps := administrator.Dependencies{State: state, Replica: c, Submitter: s, Publisher: p, Caller: e, Clock: clock, Metrics: set}
 	return administrator.New(settings.Control.Operators, source, deps, logger)
 }
 
--- a/assembler/drain_test.go
+++ b/assembler/drain_test.go
@@ -92,7 +92,7 @@
 	f.ChangeUpstreams([]router.UpstreamView{{Upstream: "u1", Incarnation: 1, Service: "booking", Ready: true}})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := f.Server(netip.AddrPort{})
+	server := f.Server()
 	go func() { _ = server.Serve(listener) }()
 
 	running := beginBooking(t, listener.Addr().String(), "xx")
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 
@@ -14,6 +16,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/asserter"
 	"celeryvalve/configurer"
 	"celeryvalve/connector"
@@ -126,11 +129,11 @@
 		return nil
 	})
 	parts.Lifecycle.Append(fx.StartStopHook(parts.Sampler.Start, parts.Sampler.Stop))
-	server := parts.Forwarder.Server(parts.Settings.Entry.Listen)
+	server := parts.Forwarder.Server()
 	parts.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			parts.Forwarder.Start()
-			return listen(server, parts.Logger)
+			return listen(server, parts.Settings.Entry.Listen, parts.Logger)
 		},
 		OnStop: func(ctx context.Context) error {
 			draining.Store(true)
@@ -139,10 +142,10 @@
 	})
 }
 
-func listen(server *http.Server, logger *zap.Logger) error {
-	listener, err := net.Listen("tcp", server.Addr)
+func listen(server *acceptor.Server, address netip.AddrPort, logger *zap.Logger) error {
+	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return explainer.Wrap(err, explainer.Unavailable, "can't listen on TCP "+server.Addr,
+		return explainer.Wrap(err, explainer.Unavailable, fmt.Sprintf("can't listen on TCP %s", address),
 			"choose an address of this machine that no other process uses")
 	}
 	go func() {
@@ -156,7 +159,7 @@
 // drainEntry finishes the requests under way, then closes the connections. Only the drain
 // deadline of the settings ends requests before. Their callers are told whether they may have
 // run, unless a streamed answer has begun.
-func drainEntry(ctx context.Context, parts entryParts, server *http.Server) error {
+func drainEntry(ctx context.Context, parts entryParts, server *acceptor.Server) error {
 	draining, cancel := drainContext(ctx, parts.Settings)
 	defer cancel()
 	err := errors.Join(parts.Forwarder.Drain(draining), server.Shutdown(draining))
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -164,9 +164,9 @@
 	e.Handle(subscriber.ConfigurationRequestKind, view.ServeRequest)
 }
 
-func newExposer(lc fx.Lifecycle, settings parser.Settings, set *metrics.Set, view *subscriber.View,
+func newExposer(lc fx.Lifecycle, settings parser.Settings, set *metrics.Set, clock clockwork.Clock, view *subscriber.View,
 	logger *zap.Logger) *exposer.Exposer {
-	e := exposer.New(settings.Admin, set, logger)
+	e := exposer.New(settings.Admin, set, clock, logger)
 	e.AddReadinessCheck("configuration", func() error {
 		if view.Current() == 0 {
 			return explainer.New(explainer.Unavailable, "this process has received no configuration yet", "wait for the control plane, or submit the first patch")
--- a/exposer/doc.go
+++ b/exposer/doc.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	e := exposer.New(listen, set, logger)
+//	e := exposer.New(listen, set, clock, logger)
 //	e.AddReadinessCheck("configuration", func() error { ... })
 //	err := e.Start()
 //	defer e.Stop(ctx)
--- a/exposer/exposer.go
+++ b/exposer/exposer.go
@@ -15,12 +15,24 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/explainer"
+	"celeryvalve/identifier"
+	"celeryvalve/reader"
 )
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 5 * time.Minute
+	// answerTimeout is longer than a profile takes.
+	answerTimeout = time.Minute
+	headerBytes   = 16 << 10
+	// maxHeads bounds the memory of the heads of all clients.
+	maxHeads identifier.ByteCount = 2 << 20
+)
 
 // ReadinessCheck is a readiness check. It returns nil, or an error that says why the process
 // is not ready.
@@ -30,8 +42,9 @@
 type Exposer struct {
 	listen       netip.AddrPort
 	set          *metrics.Set
+	clock        clockwork.Clock
 	logger       *zap.Logger
-	server       *http.Server
+	server       *acceptor.Server
 	boundAddress net.Addr
 
 	mu              sync.Mutex
@@ -40,10 +53,11 @@
 }
 
 // New returns an exposer that serves the metrics of set and is not started.
-func New(listen netip.AddrPort, set *metrics.Set, logger *zap.Logger) *Exposer {
+func New(listen netip.AddrPort, set *metrics.Set, clock clockwork.Clock, logger *zap.Logger) *Exposer {
 	return &Exposer{
 		listen:          listen,
 		set:             set,
+		clock:           clock,
 		logger:          logger.Named("exposer"),
 		readinessChecks: make(map[string]ReadinessCheck),
 		mounts:          make(map[string]http.Handler),
@@ -72,7 +86,16 @@
 			"choose an address of this machine that no other process uses")
 	}
 	e.boundAddress = listener.Addr()
-	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout}
+	limits := acceptor.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	e.server = acceptor.New(acceptor.Config{
+		Name:          "metrics",
+		Limits:        func() acceptor.Limits { return limits },
+		AnswerTimeout: answerTimeout,
+		Memory:        reader.NewBudget(maxHeads),
+		Clock:         e.clock,
+		Metrics:       e.set,
+		Log:           e.logger,
+	}, e.routes())
 	go func() {
 		if err := e.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			e.logger.Error("HTTP server for metrics and health stopped unexpectedly.", zap.Error(err))
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -19,7 +19,7 @@
 //	f.ChangePolicy(policy, services)
 //	f.ChangeUpstreams(views)
 //	f.Start()
-//	server := f.Server(addr)
+//	server := f.Server()
 //	...
 //	err := f.Drain(ctx)
 //	f.Stop()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/asserter"
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
@@ -57,8 +58,8 @@
 	AvailabilityZone identifier.AvailabilityZone
 	// MaxBody is the maximum size of a request body. Zero means 4 MiB.
 	MaxBody identifier.ByteCount
-	// MaxTotalBody is the maximum total size of the bodies of all requests in flight. Zero
-	// means 256 MiB.
+	// MaxTotalBody is the maximum total size of the bodies of all requests in flight, and that of
+	// their heads. Zero means 256 MiB.
 	MaxTotalBody identifier.ByteCount
 	// MaxTotalAnswer is the maximum total size of the answers that are buffered until they
 	// are complete. Zero means 256 MiB.
@@ -131,6 +132,7 @@
 	random        func() uint64
 	onAnswer      func(Observation)
 	answers       *reader.Budget
+	heads         *reader.Budget
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -183,6 +185,7 @@
 		random:        deps.Random,
 		onAnswer:      deps.OnAnswer,
 		answers:       reader.NewBudget(cfg.MaxTotalAnswer),
+		heads:         reader.NewBudget(cfg.MaxTotalBody),
 		ctx:           ctx,
 		cancel:        cancel,
 		drained:       make(chan struct{}),
@@ -239,17 +242,18 @@
 	return m
 }
 
-// Server returns an HTTP server for callers with limits on slow callers and on the
-// size of headers.
-func (f *Forwarder) Server(addr netip.AddrPort) *http.Server {
-	return &http.Server{
-		Addr:              addr.String(),
-		Handler:           f.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(f.logger),
-	}
+// Server returns an HTTP server for callers with limits on slow callers, on the number of
+// connections and on the size of headers.
+func (f *Forwarder) Server() *acceptor.Server {
+	limits := acceptor.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return acceptor.New(acceptor.Config{
+		Name:    "caller",
+		Limits:  func() acceptor.Limits { return limits },
+		Memory:  f.heads,
+		Clock:   f.clock,
+		Metrics: f.counters.set,
+		Log:     f.logger,
+	}, f.Handler())
 }
 
 // ChangePolicy replaces the policy and the settings of the services.
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/explainer"
@@ -51,8 +52,7 @@
 	lameDuckPeriod = 2500 * time.Millisecond
 	// endMargin is the part of the time to drain that is left to answer the requests that have
 	// not ended.
-	endMargin         = 300 * time.Millisecond
-	readHeaderTimeout = 5 * time.Second
+	endMargin = 300 * time.Millisecond
 	// callsTimeout is how long a stop waits for calls of operators and upstreams: as long as
 	// package platform lets one take.
 	callsTimeout = 2 * time.Second
@@ -130,8 +130,8 @@
 	clock     clockwork.Clock
 	log       *zap.Logger
 
-	control   *http.Server
-	readiness *http.Server
+	control   *acceptor.Server
+	readiness *acceptor.Server
 	draining  atomic.Bool
 	listening atomic.Bool // for callers
 	// loggedReadiness is the last readiness that was logged.
@@ -143,7 +143,7 @@
 	evacuated []identifier.AvailabilityZone
 
 	mu      sync.Mutex
-	callers *relayer.Server
+	callers *acceptor.Server
 	// releaseNames holds the named releases of each model, each with the time from
 	// which its deadline counts in this process.
 	releaseNames map[identifier.Model][]declarer.WantedRelease
@@ -152,7 +152,7 @@
 }
 
 func newEntry(placement parser.Placement, settings parser.PlacedSettings, view *declarer.View, s *spreader.Spreader, rel *relayer.Relayer, o *controlAPI,
-	r *replica, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *entry {
+	r *replica, memory *reader.Budget, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *entry {
 	e := &entry{
 		placement:    placement,
 		settings:     settings,
@@ -171,8 +171,8 @@
 		}
 		return 0
 	})
-	e.control = &http.Server{Handler: platform.NewControlHandler(o, log), ReadHeaderTimeout: readHeaderTimeout}
-	e.readiness = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: readHeaderTimeout}
+	e.control = acceptor.New(e.serverConfig("control", memory, set), platform.NewControlHandler(o, log))
+	e.readiness = acceptor.New(e.serverConfig("readiness", memory, set), http.HandlerFunc(e.serveReadiness))
 	return e
 }
 
@@ -303,14 +303,14 @@
 	if e.callers != nil {
 		return
 	}
-	e.callers = e.relayer.Server()
+	e.callers = e.relayer.Server(0)
 	if !e.listenForCallers(e.callers) {
 		go e.keepTryingToListen(e.callers)
 	}
 }
 
 // listenForCallers reports whether the server listens. The entry is not ready before.
-func (e *entry) listenForCallers(server *relayer.Server) bool {
+func (e *entry) listenForCallers(server *acceptor.Server) bool {
 	if err := e.listen(server, e.placement.Callers.String()); err != nil {
 		e.log.Error("Can't listen for callers. Trying again.", zap.Error(err))
 		return false
@@ -319,7 +319,7 @@
 	return true
 }
 
-func (e *entry) keepTryingToListen(server *relayer.Server) {
+func (e *entry) keepTryingToListen(server *acceptor.Server) {
 	for {
 		select {
 		case <-e.stopped:
@@ -332,7 +332,7 @@
 	}
 }
 
-func (e *entry) callersServer() *relayer.Server {
+func (e *entry) callersServer() *acceptor.Server {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.callers
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/asserter"
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
@@ -46,10 +47,11 @@
 	require.NoError(t, err)
 	clock := clockwork.NewFakeClock()
 	placement := parser.Placement{Callers: held.Addr().(*net.TCPAddr).AddrPort()}
-	rel := relayer.New(newReducer(placement), platform.Headers{}, nil, nil, newBudget(parser.Placement{}), clock, metrics.NewSet(), zap.NewNop(), 1)
+	memory := newBudget(parser.Placement{})
+	rel := relayer.New(newReducer(placement), platform.Headers{}, nil, nil, memory, clock, metrics.NewSet(), zap.NewNop(), 1)
 	view := declarer.NewView(asserter.Strict{})
 	require.True(t, view.Set(declarer.Declared{Revision: 1, Declaration: declarer.Declaration{Version: 1}}))
-	e := newEntry(placement, parser.PlacedSettings{}, view, nil, rel, nil, nil, clock, metrics.NewSet(), zap.NewNop())
+	e := newEntry(placement, parser.PlacedSettings{}, view, nil, rel, nil, nil, memory, clock, metrics.NewSet(), zap.NewNop())
 	e.startCallersServer()
 	require.False(t, e.listening.Load())
 	ready := httptest.NewRecorder()
@@ -73,14 +75,15 @@
 	address := held.Addr().String()
 	require.NoError(t, held.Close())
 	clock := clockwork.NewFakeClock()
-	rel := relayer.New(newReducer(parser.Placement{}), platform.Headers{}, nil, nil, newBudget(parser.Placement{}), clock, metrics.NewSet(), zap.NewNop(), 1)
-	e := newEntry(parser.Placement{}, parser.PlacedSettings{}, declarer.NewView(asserter.Strict{}), nil, rel, nil, nil, clock, metrics.NewSet(), zap.NewNop())
+	memory := newBudget(parser.Placement{})
+	rel := relayer.New(newReducer(parser.Placement{}), platform.Headers{}, nil, nil, memory, clock, metrics.NewSet(), zap.NewNop(), 1)
+	e := newEntry(parser.Placement{}, parser.PlacedSettings{}, declarer.NewView(asserter.Strict{}), nil, rel, nil, nil, memory, clock, metrics.NewSet(), zap.NewNop())
 	received, finish := make(chan bool), make(chan bool)
-	e.control.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	e.control = acceptor.New(e.serverConfig("control", memory, metrics.NewSet()), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		received <- true
 		<-finish
 		w.WriteHeader(http.StatusAccepted)
-	})
+	}))
 	require.NoError(t, e.listen(e.control, address))
 	answered := make(chan error, 1)
 	go func() {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -266,8 +266,8 @@
 	return submitter.New(e, placement.Seeds, clock)
 }
 
-func newExposer(placement parser.Placement, set *metrics.Set, log *zap.Logger) *exposer.Exposer {
-	return exposer.New(netip.AddrPortFrom(placement.IP, metricsPort), set, log)
+func newExposer(placement parser.Placement, set *metrics.Set, clock clockwork.Clock, log *zap.Logger) *exposer.Exposer {
+	return exposer.New(netip.AddrPortFrom(placement.IP, metricsPort), set, clock, log)
 }
 
 // exposeMetrics serves metrics and profiles on metricsPort. A process that can't
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -29,5 +29,5 @@
 //	r.Declare(index, policies)
 //	r.ChangeUpstreams(views)
 //	r.Start()
-//	err := r.Server().Serve(listener)
+//	err := r.Server(maxConnections).Serve(listener)
 package relayer
--- a/relayer/limits_test.go
+++ b/relayer/limits_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
@@ -34,7 +35,7 @@
 type limitedServer struct {
 	t       *testing.T
 	relayer *Relayer
-	server  *Server
+	server  *acceptor.Server
 	clock   *clockwork.FakeClock
 	address string
 	version int
@@ -51,7 +52,7 @@
 // newLimitedServerWith returns a server that does not serve before start.
 func newLimitedServerWith(t *testing.T, clock clockwork.Clock, d Dialect) *limitedServer {
 	r := New(balancer.New(balancer.Config{}), d, nil, nil, reader.NewBudget(64<<20), clock, metrics.NewSet(), zap.NewNop(), 1)
-	return &limitedServer{t: t, relayer: r, server: r.Server()}
+	return &limitedServer{t: t, relayer: r, server: r.Server(0)}
 }
 
 func (s *limitedServer) start() {
--- a/relayer/meters.go
+++ b/relayer/meters.go
@@ -13,7 +13,6 @@
 // meters holds the relayer's metrics.
 type meters struct {
 	set           *metrics.Set
-	connections   *metrics.Counter
 	crossed       *metrics.Counter
 	attempts      *metrics.Counter
 	events        *metrics.Counter
@@ -36,7 +35,6 @@
 	set.NewGauge("celeryvalve_buffered_bytes_limit", func() float64 { return float64(memory.Use().Limit) })
 	return &meters{
 		set:           set,
-		connections:   set.NewCounter("celeryvalve_caller_connections_total"),
 		crossed:       set.NewCounter("celeryvalve_requests_on_closed_connections_total"),
 		attempts:      set.NewCounter("celeryvalve_attempts_total"),
 		events:        set.NewCounter("celeryvalve_stream_events_total"),
@@ -54,11 +52,6 @@
 	}
 }
 
-// countExpiry counts a caller's connection that was closed because a phase lasted for too long.
-func (m *meters) countExpiry(p phase) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_caller_connections_expired_total{phase=%q}`, p)).Inc()
-}
-
 func (m *meters) countResponse(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`celeryvalve_answers_total{status="%d"}`, status)).Inc()
 }
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/balancer"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
@@ -132,11 +133,15 @@
 		defer x.relayer.clock.AfterFunc(x.timeout(), limit.Expire).Stop()
 		defer context.AfterFunc(x.relayer.serving, limit.Expire)()
 	}
+	end := acceptor.BeginBody(x.r.Context())
 	body, err := reader.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes), x.memory)
+	closed := end()
 	expired := limit.End()
 	var maxBytesErr *http.MaxBytesError
 	var noMemory *reader.NoMemoryError
 	switch {
+	case closed:
+		return http.StatusServiceUnavailable, "the connection was closed for another one before the request body was complete (send the request again)"
 	case expired && x.relayer.serving.Err() != nil:
 		return http.StatusServiceUnavailable, "the entry stops before the request body is complete (send the request again after Retry-After)"
 	case expired:
