acceptor: bound the connections of each server

Connections that stay took the descriptors that callers need. While the crowd stays no caller gets an answer, and control can't open its files.

Cause: nothing bounded the connections of a server. Those for control, readiness and metrics had no idle timeout, and a handler that does not read a body left it to net/http, which waits for it without a deadline before it sends the answer.

Now a server has at most the connections that the memory and the descriptors of its process give it; limits.max_fds is read. Once it is full it closes one for a new client: an idle one, or else the one whose client has been waited for the longest, to send the rest of its request (0.5 s at least) or to read its answer (2 s). A request that was passed on is not cut off for another one. The rest of the descriptors stays for upstreams, peers and files. An answer does not wait for a body that is not read, and calls to control, metrics and operators that are not read end.

--- a/acceptor/doc.go
+++ b/acceptor/doc.go
@@ -23,7 +23,7 @@
 //		Clock:          clock,
 //		Metrics:        set,
 //		Log:            log,
-//	}, handler)
+//	}, acceptor.AnswerPromptly(handler))
 //	err := server.Serve(listener)
 //
 // A handler that reads a body says so, as the connection may be closed for another one meanwhile:
--- a/administrator/server.go
+++ b/administrator/server.go
@@ -35,8 +35,10 @@
 	answerTimeout = 30 * time.Second
 	// headerBytes includes the handshake of TLS, in which a client sends its certificates.
 	headerBytes = 64 << 10
-	// maxHeads bounds the memory of the heads of all clients.
-	maxHeads identifier.ByteCount = 16 << 20
+	// maxConnections is how many operators may be connected, and maxHeads bounds the memory of their
+	// heads.
+	maxConnections                      = 64
+	maxHeads       identifier.ByteCount = 16 << 20
 	// gatherTimeout limits the calls to other processes for one view.
 	gatherTimeout = time.Second
 	maxBody       = 1 << 20 // bytes
@@ -101,14 +103,15 @@
 	s.bound = listener.Addr()
 	limits := acceptor.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	s.server = acceptor.New(acceptor.Config{
-		Name:          "operator",
-		Limits:        func() acceptor.Limits { return limits },
-		AnswerTimeout: answerTimeout,
-		Memory:        reader.NewBudget(maxHeads),
-		Clock:         s.deps.Clock,
-		Metrics:       s.deps.Metrics,
-		Log:           s.logger,
-	}, s.routes())
+		Name:           "operator",
+		MaxConnections: maxConnections,
+		Limits:         func() acceptor.Limits { return limits },
+		AnswerTimeout:  answerTimeout,
+		Memory:         reader.NewBudget(maxHeads),
+		Clock:          s.deps.Clock,
+		Metrics:        s.deps.Metrics,
+		Log:            s.logger,
+	}, acceptor.AnswerPromptly(s.routes()))
 	go func() {
 		if err := s.server.ServeTLS(listener, s.source.ServerConfig("http/1.1")); !errors.Is(err, http.ErrServerClosed) {
 			s.logger.Error("Stopped serving the operators' API.", zap.Error(err))
--- a/exposer/exposer.go
+++ b/exposer/exposer.go
@@ -30,8 +30,10 @@
 	// answerTimeout is longer than a profile takes.
 	answerTimeout = time.Minute
 	headerBytes   = 16 << 10
-	// maxHeads bounds the memory of the heads of all clients.
-	maxHeads identifier.ByteCount = 2 << 20
+	// maxConnections is how many clients may be connected, and maxHeads bounds the memory of their
+	// heads.
+	maxConnections                      = 32
+	maxHeads       identifier.ByteCount = 2 << 20
 )
 
 // ReadinessCheck is a readiness check. It returns nil, or an error that says why the process
@@ -88,14 +90,15 @@
 	e.boundAddress = listener.Addr()
 	limits := acceptor.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	e.server = acceptor.New(acceptor.Config{
-		Name:          "metrics",
-		Limits:        func() acceptor.Limits { return limits },
-		AnswerTimeout: answerTimeout,
-		Memory:        reader.NewBudget(maxHeads),
-		Clock:         e.clock,
-		Metrics:       e.set,
-		Log:           e.logger,
-	}, e.routes())
+		Name:           "metrics",
+		MaxConnections: maxConnections,
+		Limits:         func() acceptor.Limits { return limits },
+		AnswerTimeout:  answerTimeout,
+		Memory:         reader.NewBudget(maxHeads),
+		Clock:          e.clock,
+		Metrics:        e.set,
+		Log:            e.logger,
+	}, acceptor.AnswerPromptly(e.routes()))
 	go func() {
 		if err := e.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			e.logger.Error("HTTP server for metrics and health stopped unexpectedly.", zap.Error(err))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,6 +61,9 @@
 	// MaxTotalBody is the maximum total size of the bodies of all requests in flight, and that of
 	// their heads. Zero means 256 MiB.
 	MaxTotalBody identifier.ByteCount
+	// MaxConnections is how many connections of callers there may be. Zero means as many as the
+	// descriptors of the process allow.
+	MaxConnections int
 	// MaxTotalAnswer is the maximum total size of the answers that are buffered until they
 	// are complete. Zero means 256 MiB.
 	MaxTotalAnswer identifier.ByteCount
@@ -168,6 +171,9 @@
 	if deps.Random == nil {
 		deps.Random = rand.Uint64
 	}
+	if cfg.MaxConnections == 0 {
+		cfg.MaxConnections = acceptor.Capacity(0, 0)
+	}
 	if deps.OnAnswer == nil {
 		deps.OnAnswer = func(Observation) {}
 	}
@@ -247,12 +253,13 @@
 func (f *Forwarder) Server() *acceptor.Server {
 	limits := acceptor.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	return acceptor.New(acceptor.Config{
-		Name:    "caller",
-		Limits:  func() acceptor.Limits { return limits },
-		Memory:  f.heads,
-		Clock:   f.clock,
-		Metrics: f.counters.set,
-		Log:     f.logger,
+		Name:           "caller",
+		MaxConnections: f.cfg.MaxConnections,
+		Limits:         func() acceptor.Limits { return limits },
+		Memory:         f.heads,
+		Clock:          f.clock,
+		Metrics:        f.counters.set,
+		Log:            f.logger,
 	}, f.Handler())
 }
 
--- a/parser/placement.go
+++ b/parser/placement.go
@@ -36,8 +36,10 @@
 	// time.
 	FirstStart bool
 	// ToleratedLosses is the number of replicas that may be lost at once.
-	ToleratedLosses   int
-	Memory            identifier.ByteCount
+	ToleratedLosses int
+	Memory          identifier.ByteCount
+	// Descriptors is how many files and sockets the process may have open, or 0 if that is not given.
+	Descriptors       int
 	LinkRate          identifier.BytesPerSecond
 	HeartbeatInterval time.Duration
 	Bounds            PlatformLimits
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -130,6 +130,7 @@
 	clock     clockwork.Clock
 	log       *zap.Logger
 
+	capacity  capacity
 	control   *acceptor.Server
 	readiness *acceptor.Server
 	draining  atomic.Bool
@@ -171,8 +172,9 @@
 		}
 		return 0
 	})
-	e.control = acceptor.New(e.serverConfig("control", memory, set), platform.NewControlHandler(o, log))
-	e.readiness = acceptor.New(e.serverConfig("readiness", memory, set), http.HandlerFunc(e.serveReadiness))
+	e.capacity = newCapacity(placement)
+	e.control = acceptor.New(e.serverConfig("control", e.capacity.control, memory, set), acceptor.AnswerPromptly(platform.NewControlHandler(o, log)))
+	e.readiness = acceptor.New(e.serverConfig("readiness", e.capacity.readiness, memory, set), acceptor.AnswerPromptly(http.HandlerFunc(e.serveReadiness)))
 	return e
 }
 
@@ -303,7 +305,7 @@
 	if e.callers != nil {
 		return
 	}
-	e.callers = e.relayer.Server(0)
+	e.callers = e.relayer.Server(e.capacity.callers)
 	if !e.listenForCallers(e.callers) {
 		go e.keepTryingToListen(e.callers)
 	}
--- a/placer/entry_test.go
+++ b/placer/entry_test.go
@@ -79,7 +79,7 @@
 	rel := relayer.New(newReducer(parser.Placement{}), platform.Headers{}, nil, nil, memory, clock, metrics.NewSet(), zap.NewNop(), 1)
 	e := newEntry(parser.Placement{}, parser.PlacedSettings{}, declarer.NewView(asserter.Strict{}), nil, rel, nil, nil, memory, clock, metrics.NewSet(), zap.NewNop())
 	received, finish := make(chan bool), make(chan bool)
-	e.control = acceptor.New(e.serverConfig("control", memory, metrics.NewSet()), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	e.control = acceptor.New(e.serverConfig("control", e.capacity.control, memory, metrics.NewSet()), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		received <- true
 		<-finish
 		w.WriteHeader(http.StatusAccepted)
--- a/prover/cluster_test.go
+++ b/prover/cluster_test.go
@@ -83,6 +83,8 @@
 	unfenced bool
 	// drain is the drain deadline of every process, if any.
 	drain string
+	// descriptors is how many files and sockets every process may have open, or 0 for no lower limit.
+	descriptors int
 }
 
 // termination asks a process to drain.
@@ -137,6 +139,10 @@
 	require.NoError(c.t, err)
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	if c.descriptors > 0 {
+		limited := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, c.descriptors)
+		cmd = exec.Command("sh", append([]string{"-c", limited, filepath.Join(binaries, program)}, args...)...)
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	require.NoError(c.t, cmd.Start())
 	p := &process{t: c.t, name: name, cmd: cmd, ended: make(chan struct{})}
