acceptor: limit what the kernel holds unread for a server

What has arrived and was not read counts as memory of a machine, and no process sees it.

Cause: the kernel holds up to several hundred KB of each connection by its own choice, and up to 4,096 connections that were not accepted yet.

Now a listener sets 16 KiB for each connection, which with the kernel's own rounding is some 28 KB, and 256 connections before they are accepted.

--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -12,11 +12,17 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/sys/unix"
 
 	"celeryvalve/reader"
 )
 
 const (
+	// receiveBuffer is how many bytes of a connection the kernel holds until they are read, but for
+	// what it adds for its own use. It is also the least that a client may send in a round trip.
+	receiveBuffer = 16 << 10
+	// backlog is how many connections the kernel opens before they are accepted.
+	backlog = 256
 	// maxHeaderBytes limits the heads of net/http, which come after the limits of a connection.
 	maxHeaderBytes = 1 << 20
 )
@@ -94,11 +100,13 @@
 // Serve serves the clients that connect to a TCP listener. Like that of http.Server, it returns
 // http.ErrServerClosed after Shutdown or Close.
 func (s *Server) Serve(l net.Listener) error {
+	limitKernel(l)
 	return s.server.Serve(listener{Listener: l, server: s})
 }
 
 // ServeTLS serves clients as Serve does, by TLS.
 func (s *Server) ServeTLS(l net.Listener, cfg *tls.Config) error {
+	limitKernel(l)
 	s.encrypted = true
 	s.server.TLSConfig = cfg
 	return s.server.ServeTLS(listener{Listener: l, server: s}, "", "")
@@ -134,6 +142,22 @@
 	})
 }
 
+// limitKernel limits how many connections the kernel holds until they are accepted, and how much of
+// each until it is read: that is memory which no process sees. A listener that can't be limited
+// serves as well.
+func limitKernel(l net.Listener) {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+			_ = unix.Listen(int(fd), backlog)
+		})
+	}
+}
+
 // listener accepts connections within the limits of a server.
 type listener struct {
 	net.Listener
