forwarder: reserve the memory of bodies as their bytes come

70 callers who had sent one byte of a chunked body each, and stopped, shut out all others on the settings path: ordinary requests got 503 "too many large requests are under way" for 30 s, and then the same callers could come again.

Cause: a chunked body reserved Config.MaxBody before its first byte, and an announced one its whole length. The platform's path reserves what has come.

Now both do, by reader.Budget, in which the largest bodies are refused first and something is always left for small ones. Heads are taken from the same budget.

TestCrowdOfOneByteBodies failed on (the ordinary booking was refused) and passes.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,8 +58,8 @@
 	AvailabilityZone identifier.AvailabilityZone
 	// MaxBody is the maximum size of a request body. Zero means 4 MiB.
 	MaxBody identifier.ByteCount
-	// MaxTotalBody is the maximum total size of the bodies of all requests in flight, and that of
-	// their heads. Zero means 256 MiB.
+	// MaxTotalBody bounds what the heads and the bodies of all requests in flight take. Zero
+	// means 256 MiB. One request alone may take half of it.
 	MaxTotalBody identifier.ByteCount
 	// MaxConnections is how many connections of callers there may be. Zero means as many as the
 	// descriptors of the process allow.
@@ -135,7 +135,7 @@
 	random        func() uint64
 	onAnswer      func(Observation)
 	answers       *reader.Budget
-	heads         *reader.Budget
+	requests      *reader.Budget // heads and bodies
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -151,7 +151,6 @@
 	exchanges  map[identifier.RequestID]*exchange
 	services   map[identifier.Service]ServiceSettings
 	replacedAt map[netip.AddrPort]time.Time
-	bodyBytes  identifier.ByteCount
 }
 
 // New returns a forwarder that is not started.
@@ -191,7 +190,7 @@
 		random:        deps.Random,
 		onAnswer:      deps.OnAnswer,
 		answers:       reader.NewBudget(cfg.MaxTotalAnswer),
-		heads:         reader.NewBudget(cfg.MaxTotalBody),
+		requests:      reader.NewBudget(cfg.MaxTotalBody),
 		ctx:           ctx,
 		cancel:        cancel,
 		drained:       make(chan struct{}),
@@ -256,7 +255,7 @@
 		Name:           "caller",
 		MaxConnections: f.cfg.MaxConnections,
 		Limits:         func() acceptor.Limits { return limits },
-		Memory:         f.heads,
+		Memory:         f.requests,
 		Clock:          f.clock,
 		Metrics:        f.counters.set,
 		Log:            f.logger,
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
+	"celeryvalve/acceptor"
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/quarantiner"
@@ -48,7 +48,7 @@
 }
 
 // readRequest reads the caller's request completely and classifies it.
-func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request, org identifier.Organisation) (*exchange, error) {
+func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request, org identifier.Organisation, memory *reader.Reservation) (*exchange, error) {
 	ex := newExchange(newRequestID())
 	ex.startedAt = f.clock.Now()
 	ex.method = r.Method
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if ex.body, err = f.readBody(w, r, deadline); err != nil {
+	if ex.body, err = f.readBody(w, r, deadline, memory); err != nil {
 		return nil, err
 	}
 	digest := identifier.DigestOf(ex.body)
@@ -180,43 +180,30 @@
 	}
 }
 
-// reserveBody reserves memory for the body under Config.MaxTotalBody. A body of unknown
-// length reserves MaxBody. release ends the reservation.
-func (f *Forwarder) reserveBody(r *http.Request) (release func(), err error) {
-	size := identifier.ByteCount(r.ContentLength)
-	if size < 0 {
-		size = f.cfg.MaxBody
-	}
-	if size > f.cfg.MaxBody {
+// readBody reads the body until the deadline of the request, maxBodyTime or EndRequests.
+func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time, memory *reader.Reservation) ([]byte, error) {
+	if r.ContentLength > int64(f.cfg.MaxBody) {
 		return nil, f.tooLarge()
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.bodyBytes+size > f.cfg.MaxTotalBody {
-		return nil, requestErrorf(http.StatusServiceUnavailable, "too many large requests are under way (send again later)")
-	}
-	f.bodyBytes += size
-	return func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.bodyBytes -= size
-	}, nil
-}
-
-// readBody reads the body until the deadline of the request, maxBodyTime or EndRequests.
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
 	limit := reader.NewLimit(w)
 	timer := f.clock.AfterFunc(min(maxBodyTime, deadline.Sub(f.clock.Now())), limit.Expire)
 	defer timer.Stop()
 	defer context.AfterFunc(f.ending, limit.Expire)()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(f.cfg.MaxBody)))
-	var maxBytesErr *http.MaxBytesError
+	end := acceptor.BeginBody(r.Context())
+	body, err := reader.ReadBytes(http.MaxBytesReader(w, r.Body, int64(f.cfg.MaxBody)), memory)
+	closed := end()
 	expired := limit.End()
+	var maxBytesErr *http.MaxBytesError
+	var noMemory *reader.NoMemoryError
 	switch {
+	case closed:
+		return nil, requestErrorf(http.StatusServiceUnavailable, "the connection was closed for another one before the request body was complete (send the request again)")
 	case expired && f.ending.Err() != nil:
 		return nil, requestErrorf(http.StatusServiceUnavailable, "the entry ends before the request body is complete (send the request to another entry)")
 	case errors.As(err, &maxBytesErr):
 		return nil, f.tooLarge()
+	case errors.As(err, &noMemory):
+		return nil, requestErrorf(http.StatusServiceUnavailable, "too many large requests are under way (send again later)")
 	case err != nil || expired:
 		return nil, requestErrorf(http.StatusRequestTimeout, "the request body is incomplete (send the request again)")
 	}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -77,13 +77,9 @@
 		f.refuse(w, err)
 		return
 	}
-	release, err := f.reserveBody(r)
-	if err != nil {
-		f.refuse(w, err)
-		return
-	}
-	defer release()
-	ex, err := f.readRequest(w, r, org)
+	memory := f.requests.Reserve()
+	defer memory.Close()
+	ex, err := f.readRequest(w, r, org, memory)
 	if err != nil {
 		f.refuse(w, err)
 		return
--- a/prover/crowd_test.go
+++ b/prover/crowd_test.go
@@ -35,6 +35,15 @@
 	require.Less(t, peak.Descriptors, crowdDescriptors)
 }
 
+// Guards against a few clients who send one byte of a body each and take the memory of all others.
+func TestCrowdOfOneByteBodies(t *testing.T) {
+	text := "POST /booking/slots HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer " + callerToken +
+		"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+	entryBesideACrowd(t, 131, func(ip string) []crowder.Client {
+		return crowder.Alike(70, ip+":8080", crowder.Whole([]byte(text)))
+	})
+}
+
 // Guards against connections to any server of an entry that take the descriptors of callers.
 func TestCrowdOfIdleConnections(t *testing.T) {
 	for i, door := range []string{":8080", ":7401", ":7402"} {
