parser, assembler: take the memory of a process from its settings

Cause: the sums for bodies and answers are constants of 256 MiB, since a process of the settings path does not know its memory, and the Go runtime has no limit.

Now Memory in the settings says what a process may take. The runtime's soft limit, the sums of requests and answers and the number of connections follow from it, as on the platform. It is 0 by default, which leaves the sums as they were; less than 64 MB is a fault.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -65,7 +65,11 @@
 func newForwarder(settings parser.Settings, e *connector.Endpoint, view *subscriber.View, s *submitter.Submitter,
 	tally *reporter.Tally, clock clockwork.Clock, set *metrics.Set, a asserter.Asserter,
 	logger *zap.Logger) *forwarder.Forwarder {
-	cfg := forwarder.Config{Region: settings.Region, AvailabilityZone: settings.AvailabilityZone}
+	cfg := forwarder.Config{Region: settings.Region, AvailabilityZone: settings.AvailabilityZone, MaxConnections: acceptor.Capacity(settings.Memory, 0)}
+	if settings.Memory > 0 {
+		cfg.MaxTotalBody = settings.Memory / requestShare
+		cfg.MaxTotalAnswer = settings.Memory / requestShare
+	}
 	return forwarder.New(cfg, forwarder.Dependencies{
 		Opener:        forwarder.NewOpener(e),
 		Claims:        claimClient{process: settings.Name, submitter: s},
--- a/assembler/processors.go
+++ b/assembler/resources.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"runtime/debug"
 
 	"celeryvalve/parser"
 )
@@ -16,3 +17,16 @@
 		runtime.GOMAXPROCS(min(agentProcessors, runtime.NumCPU()))
 	}
 }
+
+const (
+	// memoryLimitFraction is the fraction of the memory that is the soft limit of the Go runtime.
+	memoryLimitFraction = 0.6
+	// requestShare is the part of the memory that requests may take, and the one that answers may.
+	requestShare = 8
+)
+
+func limitMemory(settings parser.Settings) {
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Memory)))
+	}
+}
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -139,6 +139,7 @@
 // caught and ignored: requests are cut off only by the drain deadline of the settings.
 func serve(settings parser.Settings, stderr io.Writer) error {
 	limitProcessors(settings)
+	limitMemory(settings)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	logger := newLogger(settings.Log, stderr).With(zap.String("process", settings.Name))
--- a/parser/check.go
+++ b/parser/check.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"fmt"
 	"net/netip"
 
 	"celeryvalve/explainer"
@@ -71,6 +72,9 @@
 		}
 		seen[role] = true
 	}
+	if s.Memory > 0 && s.Memory < minMemory {
+		c.addFault("Memory", fmt.Sprintf("%d bytes are too few for a process", s.Memory), fmt.Sprintf("write %dMB or more, or 0 if it isn't known", minMemory/1e6))
+	}
 	if s.HasRole(Control) && s.DataFolder == "" {
 		c.addFault("DataFolder", "role Control has no data folder", "set DataFolder to a folder on a disk, or leave Control out of Roles")
 	}
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -82,6 +82,7 @@
 	Listen           netip.AddrPort              `help:"QUIC, for the system's other processes"`
 	Advertise        netip.AddrPort              `help:"where others reach Listen; unset means at Listen itself"`
 	Admin            netip.AddrPort              `help:"HTTP, for metrics and health"`
+	Memory           identifier.ByteCount        `help:"memory that the process may take; 0 if it isn't known"`
 	Keys             KeySettings
 	Log              LogSettings
 	Control          ControlSettings
@@ -143,6 +144,9 @@
 	Deadline time.Duration `help:"how long a shutdown waits for requests in progress; 0 waits for the last one"`
 }
 
+// minMemory is the least memory with which a process can work.
+const minMemory = 64 * identifier.ByteCount(1e6)
+
 const (
 	defaultName        = "celeryvalved"
 	defaultUpstream    = "upstream"
--- a/parser/settings_test.go
+++ b/parser/settings_test.go
@@ -28,6 +28,7 @@
 	s.Agent.UploadRate = 20e6 / 8
 	s.Agent.DownloadRate = 1234567.0
 	s.Agent.ChunkMemory = 3 << 19
+	s.Memory = 184e6
 	reparsed, err := parser.ParseSettings("printed.toml", parser.FormatSettings(s))
 	require.NoError(t, err, "%s", parser.FormatSettings(s))
 	require.Equal(t, s, reparsed)
@@ -105,6 +106,7 @@
 		"[Keys]\nFolder = \"k\"\nAuthority = \"a\"\n":                    "Keys.PrivateKey: value is missing",
 		"Admin = \"127.0.0.1:80\"\n[Entry]\nListen = \"127.0.0.1:80\"\n": "bad.toml:3:1: Entry.Listen: address is also that of Admin",
 		"[Agent]\nKind = \"Engine\"\nChunkMemory = \"0B\"\n":             "bad.toml:3:1: Agent.ChunkMemory: chunks have no storage",
+		"Memory = \"1MB\"\n":                                             "bad.toml:1:1: Memory: 1000000 bytes are too few",
 		"[Control]\nMembers = [{Name = \"a\", Address = \"[::1]:x\"}]\n": "bad.toml:2:25: Control.Members[0].Address: address",
 	}
 	for file, want := range cases {
--- a/prover/cluster_test.go
+++ b/prover/cluster_test.go
@@ -85,6 +85,8 @@
 	drain string
 	// descriptors is how many files and sockets every process may have open, or 0 for no lower limit.
 	descriptors int
+	// memory is what every process may take, by its settings, or 0 where they don't say.
+	memory int
 }
 
 // termination asks a process to drain.
@@ -209,7 +211,11 @@
 	if c.drain != "" {
 		drain = fmt.Sprintf("[Drain]\nDeadline = %q\n\n", c.drain)
 	}
-	return fmt.Sprintf(`Name = %[1]q
+	memory := ""
+	if c.memory > 0 {
+		memory = fmt.Sprintf("Memory = \"%dB\"\n", c.memory)
+	}
+	return memory + fmt.Sprintf(`Name = %[1]q
 Instance = %[1]q
 Region = %[2]q
 AvailabilityZone = "%[2]s-a"
