relayer, acceptor: test a body whose connection is closed for another caller

The request must not be passed on, as its caller sends it again. A constant of package acceptor moves to the others.

--- a/acceptor/capacity.go
+++ b/acceptor/capacity.go
@@ -1,9 +1,9 @@
 package acceptor
 
 import (
-	"celeryvalve/identifier"
-
 	"golang.org/x/sys/unix"
+
+	"celeryvalve/identifier"
 )
 
 const (
@@ -16,6 +16,8 @@
 	// of clients. The rest is for connections to upstreams and other processes.
 	fileDescriptors = 200
 	socketFraction  = 0.6
+	// maxDescriptors is how many descriptors a process uses where the system sets no limit.
+	maxDescriptors = 1 << 16
 	// minConnections is how many connections fit in any case.
 	minConnections = 32
 )
@@ -43,6 +45,3 @@
 	}
 	return int(limit.Cur)
 }
-
-// maxDescriptors is how many descriptors a process uses where the system sets no limit.
-const maxDescriptors = 1 << 16
--- a/relayer/body_test.go
+++ b/relayer/body_test.go
@@ -37,8 +37,17 @@
 // startBodyCaller starts a relayer whose only route has the timeout, and sends it the head of a
 // request and a part of the body.
 func startBodyCaller(t *testing.T, timeout time.Duration, views ...balancer.UpstreamView) (*relayer.Relayer, *bodyCaller) {
+	r := newBodyRelayer(clockwork.NewRealClock(), timeout, views)
+	server := httptest.NewServer(r)
+	t.Cleanup(r.Stop)
+	t.Cleanup(server.Close)
+	return r, beginBody(t, server.Listener.Addr().String())
+}
+
+// newBodyRelayer returns a relayer whose only route has the timeout.
+func newBodyRelayer(clock clockwork.Clock, timeout time.Duration, views []balancer.UpstreamView) *relayer.Relayer {
 	r := relayer.New(balancer.New(balancer.Config{RetryRatio: 0.2, RetryBurst: 10}), dialect{}, noReports{}, noReports{}, reader.NewBudget(memory),
-		clockwork.NewRealClock(), metrics.NewSet(), zap.NewNop(), 1)
+		clock, metrics.NewSet(), zap.NewNop(), 1)
 	r.Declare(declarer.NewIndex(declarer.Declaration{
 		Version:  1,
 		Services: map[identifier.Service]declarer.Service{"booking": {}},
@@ -48,15 +57,17 @@
 		}},
 	}), []balancer.ServicePolicy{{Service: "booking"}})
 	r.ChangeUpstreams(views)
-	server := httptest.NewServer(r)
-	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+	return r
+}
+
+// beginBody sends the head of a request and a part of the body.
+func beginBody(t *testing.T, address string) *bodyCaller {
+	conn, err := net.Dial("tcp4", address)
 	require.NoError(t, err)
-	t.Cleanup(r.Stop)
-	t.Cleanup(server.Close)
 	t.Cleanup(func() { _ = conn.Close() })
 	_, err = io.WriteString(conn, "POST /slots/1 HTTP/1.1\r\nHost: a.example\r\nAttempt: a1\r\nContent-Length: 4\r\n\r\nbo")
 	require.NoError(t, err)
-	return r, &bodyCaller{t: t, conn: conn}
+	return &bodyCaller{t: t, conn: conn}
 }
 
 // response returns the response, which must be whole.
@@ -93,3 +104,31 @@
 	require.NotEmpty(t, response.Header.Get("Retry-After"))
 	require.Empty(t, upstream.received())
 }
+
+// Guards against a request that is passed on although its connection was closed for another caller as
+// its body arrived: its caller may send it again.
+func TestRequestWhoseConnectionWasClosedForAnotherIsNotPassedOn(t *testing.T) {
+	upstream := startUpstream(t, signedResponse("booked"))
+	clock := clockwork.NewFakeClock()
+	r := newBodyRelayer(clock, longTimeout, []balancer.UpstreamView{upstream.view("u")})
+	server := r.Server(1)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(r.Stop)
+	t.Cleanup(func() { _ = server.Close() })
+	first := beginBody(t, listener.Addr().String())
+	require.Eventually(t, func() bool { return r.InFlight() == 1 }, hangTimeout, time.Millisecond)
+	// Its body may be waited for a moment after it is in flight.
+	require.Eventually(t, func() bool {
+		clock.Advance(time.Second)
+		response, err := http.Get("http://" + listener.Addr().String() + "/nowhere")
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil
+	}, hangTimeout, time.Millisecond)
+	_, _ = io.WriteString(first.conn, "ok") // fails once the reset has come
+	require.Eventually(t, func() bool { return r.InFlight() == 0 }, hangTimeout, time.Millisecond)
+	require.Empty(t, upstream.received())
+}
