acceptor: don't count a body as part of its head

A request of 3 KB of line ends reserved 498 KB until it was answered, since net/http reads up to 4 KB at once and the lines of a body that come with the head counted as those of the head. A few hundred sound requests with bodies of short lines would have found no memory.

Now what is reserved is corrected once the head is parsed. TestBodyBehindAHeadTakesNoMemoryOfHeads failed with 498,404 bytes for a bound of 1,024, and passes.

--- a/acceptor/head.go
+++ b/acceptor/head.go
@@ -101,24 +101,32 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, maxDiscarded))
 }
 
-// reserveHead reserves what the head of a request takes unless that was done as it was read: it was not
-// if it came behind another request. It returns false if there is no memory.
+// reserveHead makes what is reserved that which the head of a request takes: as it was read, a part of
+// the body may have come with it, or nothing was reserved as it came behind another request. It returns
+// false if there is no memory.
 func (c *Conn) reserveHead(r *http.Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head.bytes > 0 {
-		return true
+	size := sizeOf(r)
+	more := size.memory() - c.head.memory()
+	if more > 0 && c.memory.Grow(more) != nil {
+		return false
+	}
+	if more < 0 {
+		c.memory.Shrink(-more)
 	}
-	size := headSize{bytes: len(r.RequestURI)}
+	c.head = size
+	return true
+}
+
+// sizeOf returns the size of the head of a request, but for its host and what separates its parts.
+func sizeOf(r *http.Request) headSize {
+	size := headSize{bytes: len(r.Method) + len(r.RequestURI), lines: 1}
 	for name, values := range r.Header {
 		for _, v := range values {
 			size.bytes += len(name) + len(v)
 			size.lines++
 		}
 	}
-	if c.memory.Grow(size.memory()) != nil {
-		return false
-	}
-	c.head = size
-	return true
+	return size
 }
--- a/acceptor/limit_test.go
+++ b/acceptor/limit_test.go
@@ -173,6 +173,22 @@
 	require.Eventually(t, func() bool { return s.server.cfg.Memory.Use().Used == 0 }, time.Minute, time.Millisecond)
 }
 
+// Guards against requests that find no memory since the lines of bodies count as those of heads: what
+// is read at once may hold both.
+func TestBodyBehindAHeadTakesNoMemoryOfHeads(t *testing.T) {
+	used := make(chan int64, 1)
+	var s *testServer
+	s = newTestServer(t, clockwork.NewFakeClock(), 0, func(http.ResponseWriter, *http.Request) {
+		used <- int64(s.server.cfg.Memory.Use().Used)
+	})
+	s.start()
+	const size = 3 << 10
+	s.write(s.dial(), fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("\n", size)))
+	n := <-used
+	require.Positive(t, n)
+	require.Less(t, n, int64(1<<10))
+}
+
 // Guards against calls that get no answer since the rest of their body, which no handler reads, does
 // not come.
 func TestAnswerDoesNotWaitForABodyThatIsNotRead(t *testing.T) {
