--- a/relayer/body_test.go
+++ b/relayer/body_test.go
@@ -70,6 +70,21 @@
 	return &bodyCaller{t: t, conn: conn}
 }
 
+// Guards against a caller that learns late that its body is too large, which its head has announced,
+// and against memory that is taken for it meanwhile.
+func TestAnnouncedBodyBeyondTheLimitIsRefusedAtOnce(t *testing.T) {
+	r := newBodyRelayer(clockwork.NewFakeClock(), longTimeout, nil)
+	server := httptest.NewServer(r)
+	t.Cleanup(r.Stop)
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, "POST /slots/1 HTTP/1.1\r\nHost: a.example\r\nAttempt: a1\r\nContent-Length: 1000000000000\r\n\r\nbo")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestEntityTooLarge, (&bodyCaller{t: t, conn: conn}).response().StatusCode)
+}
+
 // response returns the response, which must be whole.
 func (c *bodyCaller) response() *http.Response {
 	require.NoError(c.t, c.conn.SetReadDeadline(time.Now().Add(hangTimeout)))
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -64,6 +64,9 @@
 	longestPause time.Duration
 }
 
+// bodyTooLarge is the problem of a body beyond its limit.
+const bodyTooLarge = "the request body is larger than the limit (send a smaller one)"
+
 // undeclaredProblem is the problem of a request to an entry without a declaration.
 const undeclaredProblem = "the entry has no declaration yet (send the request again after Retry-After)"
 
@@ -128,6 +131,9 @@
 // readBody reads the body until the time limit of the request, or until the entry ends its
 // requests. It returns a status and a problem like admit.
 func (x *exchange) readBody(limits declarer.Limits) (status int, problem string) {
+	if x.r.ContentLength > limits.BodyBytes {
+		return http.StatusRequestEntityTooLarge, bodyTooLarge
+	}
 	limit := reader.NewLimit(x.w)
 	if x.r.Body != http.NoBody {
 		defer x.relayer.clock.AfterFunc(x.timeout(), limit.Expire).Stop()
@@ -147,7 +153,7 @@
 	case expired:
 		return http.StatusRequestTimeout, fmt.Sprintf("the request body is incomplete after %v (send the request again)", x.timeout())
 	case errors.As(err, &maxBytesErr):
-		return http.StatusRequestEntityTooLarge, "the request body is larger than the limit (send a smaller one)"
+		return http.StatusRequestEntityTooLarge, bodyTooLarge
 	case errors.As(err, &noMemory):
 		x.relayer.meters.bodiesRefused.Inc()
 		x.log("Refused a request, since there is no memory for its body.", zap.Int64("length", x.r.ContentLength), zap.Error(err))
