forwarder: let a body of the largest size find room

A body of MaxBody was refused with 503 though no other request was there, where MaxTotalBody is less than about four times MaxBody: Memory below 140 MB in the settings, or the configuration of executor's tests.

Now MaxTotalBody is at least five times MaxBody.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,6 +48,9 @@
 
 	defaultMaxBody      identifier.ByteCount = 4 << 20
 	defaultMaxTotalBody identifier.ByteCount = 256 << 20
+	// bodyRoom is how many times the size of a body must fit: it is held twice as it is put into one
+	// piece, and one request may take half.
+	bodyRoom = 5
 	// defaultMaxTotalAnswer lets one answer alone take half of it.
 	defaultMaxTotalAnswer identifier.ByteCount = 256 << 20
 )
@@ -59,7 +62,8 @@
 	// MaxBody is the maximum size of a request body. Zero means 4 MiB.
 	MaxBody identifier.ByteCount
 	// MaxTotalBody bounds what the heads and the bodies of all requests in flight take. Zero
-	// means 256 MiB. One request alone may take half of it.
+	// means 256 MiB. One request alone may take half of it; less than bodyRoom times MaxBody counts
+	// as that, so that a body of MaxBody finds room.
 	MaxTotalBody identifier.ByteCount
 	// MaxConnections is how many connections of callers there may be. Zero means as many as the
 	// descriptors of the process allow.
@@ -161,6 +165,7 @@
 	if cfg.MaxTotalBody == 0 {
 		cfg.MaxTotalBody = defaultMaxTotalBody
 	}
+	cfg.MaxTotalBody = max(cfg.MaxTotalBody, bodyRoom*cfg.MaxBody)
 	if cfg.MaxTotalAnswer == 0 {
 		cfg.MaxTotalAnswer = defaultMaxTotalAnswer
 	}
