--- a/acceptor/answer.go
+++ b/acceptor/answer.go
@@ -19,7 +19,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		body := &countedBody{ReadCloser: r.Body}
+		body := &trackedBody{ReadCloser: r.Body}
 		r.Body = body
 		p := &promptWriter{ResponseWriter: w, body: body}
 		next.ServeHTTP(p, r)
@@ -27,14 +27,14 @@
 	})
 }
 
-// countedBody notes whether a body was read to its end.
-type countedBody struct {
+// trackedBody notes whether a body was read to its end.
+type trackedBody struct {
 	io.ReadCloser
 	ended bool
 }
 
 // Read reads from the body.
-func (b *countedBody) Read(p []byte) (int, error) {
+func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.ended = b.ended || errors.Is(err, io.EOF)
 	return n, err
@@ -43,7 +43,7 @@
 // promptWriter leaves little time for the rest of the body as the answer begins.
 type promptWriter struct {
 	http.ResponseWriter
-	body  *countedBody
+	body  *trackedBody
 	begun bool
 }
 
--- a/acceptor/conn_test.go
+++ b/acceptor/conn_test.go
@@ -80,7 +80,7 @@
 	return response.StatusCode
 }
 
-// closed reports whether the server has closed the connection, which sends nothing else.
+// isClosed reports whether the server has closed the connection, which sends nothing else.
 func isClosed(conn net.Conn) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
