review: show that a confirmed departure of a server is forgotten

Cause: a departure is kept in the memory of a majority of the core alone. If the core's processes are killed, a process that stood still meanwhile tells them the old record, and the server gets requests again.

Change: case 8, a script that freezes a front, has a server deregister and kills the three processes of the core. The stand-ins record each request.

--- a/review/scene2/main.go
+++ b/review/scene2/main.go
@@ -16,6 +16,7 @@
 
 // cases are the scripted cases by name.
 var cases = map[string]func(*world) int{
+	"departure":    departure,
 	"replacements": replacements,
 	"successor":    successor,
 }
--- a/review/scene2/replacements.go
+++ b/review/scene2/replacements.go
@@ -59,7 +59,7 @@
 	time.Sleep(contactWindow)
 	for i := range 10 {
 		m := now[i%len(now)]
-		w.note("client: read %d at %s: %d", i, m.name, w.ask(m, fmt.Sprintf("/read/%d", i), fmt.Sprintf("%016x", i+1)))
+		w.ask(m, fmt.Sprintf("/read/%d", i), fmt.Sprintf("%016x", i+1))
 	}
 	next := configuration(9, 2500)
 	acked := w.replace(next, 9, now, 30*time.Second) == http.StatusOK
--- a/review/scene2/world.go
+++ b/review/scene2/world.go
@@ -284,6 +284,7 @@
 	mu          sync.Mutex
 	seq         int
 	runs        map[string]int
+	silent      bool // it sends no more heartbeats
 }
 
 // newServer starts a server and its heartbeats, which go to the machines in turn.
@@ -314,6 +315,10 @@
 // beat sends one heartbeat, to the next machine if one does not acknowledge it.
 func (s *server) beat(first *machine, list []*machine) {
 	s.mu.Lock()
+	if s.silent {
+		s.mu.Unlock()
+		return
+	}
 	s.seq++
 	body := fmt.Sprintf(`{"service":"ledger","address":%q,"zone":"nord-a","version":"v1","slots":6,"state":"ready","cold_remaining_ms":0,"seq":%d}`, s.address, s.seq)
 	s.mu.Unlock()
@@ -324,6 +329,27 @@
 	}
 }
 
+// stopBeats ends the heartbeats, and waits for one that is on its way.
+func (s *server) stopBeats() {
+	s.mu.Lock()
+	s.silent = true
+	s.mu.Unlock()
+	time.Sleep(100 * time.Millisecond)
+}
+
+// countRuns returns how many requests have run whose ids begin so.
+func (s *server) countRuns(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for id := range s.runs {
+		if strings.HasPrefix(id, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // ServeHTTP runs a request that names this server.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
@@ -341,6 +367,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	s.mu.Unlock()
+	s.world.note("%s runs %s", s.id, id)
 	time.Sleep(30 * time.Millisecond)
 	w.Header().Set("Celeryvalve-Response-Signature", s.id+"."+id)
 	_, _ = w.Write(bytes.Repeat([]byte("x"), 10+len(body)))
@@ -348,6 +375,13 @@
 
 // ask sends one request of a client to a machine and returns the status, or 0 without an answer.
 func (w *world) ask(m *machine, path, id string) int {
+	w.note("client sends %s to %s", id, m.name)
+	status := w.send(m, path, id)
+	w.note("client gets %d for %s", status, id)
+	return status
+}
+
+func (w *world) send(m *machine, path, id string) int {
 	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", m.ip, frontPort, path), strings.NewReader("body "+id))
 	if err != nil {
 		return 0
