review: show that a kill during the first start keeps control from ever starting

Cause: only the first founder creates the set of replicas, and it knows the founders only while its settings say bootstrap. Killed before all three have found each other, and started again with bootstrap false, it waits like the others, for good.

--- a/review/scene2/main.go
+++ b/review/scene2/main.go
@@ -17,6 +17,7 @@
 // cases are the scripted cases by name.
 var cases = map[string]func(*world) int{
 	"departure":    departure,
+	"firststart":   firstStart,
 	"replacements": replacements,
 	"successor":    successor,
 }
