replicator, repairer: give the place of a lost voter to a standby in time

Cause: detection (3.5 of the 4 s of catch_up_s, counted anew by each new leader), admission, catching up, vote and removal followed each other. A planned stop handed over the leadership, not the place among the voters.

Change: a new replica is admitted at once as a standby, a learner without a vote. A standby takes the place of a voter that has been silent for half of catch_up_s, or that announces its end in its answers from SIGTERM on. A lost voter is removed before the standby votes; one that still answers, after it. Heartbeats carry how long each member has been silent, so that a new leader goes on counting. docs/design/0023 divides the time.

The steps are in the log's membership, so that any later leader goes on, and no step needs a majority that counts a lost disk: this is why the bound holds in both orders of events and over changes of the leader.

The case "restart of a voter is waited for" asked that nothing is done while a voter is silent and a new replica is there; the new replica now becomes a standby, which takes nothing from the voter. That the voter keeps its place is checked as before, with the standby present.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -173,6 +173,25 @@
 	return err
 }
 
+// AddStandby adds the new replica that announced itself under the name as a standby: a
+// learner that has no vote until ReplaceMember gives it one. It works on the leader only.
+func (c *Coordinator) AddStandby(ctx context.Context, name string) error {
+	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
+		return replicator.AdmitRequested{ID: id, Name: name, Standby: true}
+	})
+	return err
+}
+
+// ReplaceMember gives the place of the voter to the standby, and returns once the standby
+// is a voter, has synced the log, and the other one is no member any more. If voter is
+// empty, the standby becomes a further voter. It works on the leader only.
+func (c *Coordinator) ReplaceMember(ctx context.Context, voter, standby identifier.Replica) error {
+	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
+		return replicator.ReplaceRequested{ID: id, Voter: voter, Standby: standby}
+	})
+	return err
+}
+
 // RemoveMember removes the member of that name. If a learner has the name, it
 // cancels the admission of the learner instead. It works on the leader only.
 func (c *Coordinator) RemoveMember(ctx context.Context, name string) error {
@@ -182,6 +201,12 @@
 	return err
 }
 
+// AnnounceLeave tells the leader that this replica is about to stop, so that a standby can
+// take its place.
+func (c *Coordinator) AnnounceLeave() {
+	c.inbox.put(replicator.LeaveAnnounced{})
+}
+
 // SetContacts sets the addresses to which this replica announces itself while
 // its disk is empty, in addition to those of Config.Members.
 func (c *Coordinator) SetContacts(addrs []netip.AddrPort) {
--- a/placer/control.go
+++ b/placer/control.go
@@ -23,11 +23,13 @@
 	// where the platform sets no time to catch up. It is longer than freezes, restarts
 	// and network partitions that end without a repair.
 	defaultVoterSilence = 10 * time.Second
+	// voterSilenceFraction is the part of the time to catch up for which a voter may be
+	// silent before a standby takes its place. The rest is for the steps of the change.
+	voterSilenceFraction = 0.5
 	// minVoterSilence is longer than a restart and two elections take.
 	minVoterSilence = 2 * time.Second
-	// replacementMargin is the part of the time to catch up that is left for two changes
-	// of the membership.
-	replacementMargin = 500 * time.Millisecond
+	// memberAnswerTimeout is three heartbeats of the consensus protocol.
+	memberAnswerTimeout = 300 * time.Millisecond
 	// joinerLifetime is how long an announcement of a new replica is valid.
 	// Announcements are repeated with every heartbeat of the consensus protocol.
 	joinerLifetime = time.Second
@@ -35,6 +37,9 @@
 	// reopenInterval is how often a failed disk is opened again.
 	reopenInterval            = 3 * time.Second
 	leadershipTransferTimeout = time.Second
+	// handOverTimeout is how long a stopping replica waits, after the transfer of the
+	// leadership, for a standby to take its place.
+	handOverTimeout = 2 * time.Second
 	// removedFolder is where the control folder is moved before it is deleted, so
 	// that a partly deleted folder is not opened as a replica's disk.
 	removedFolder = "control-removed"
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -453,10 +453,10 @@
 		endAt = now.Add(time.Until(deadline) - endMargin)
 	}
 	e.relayer.Drain(now.Add(lameDuckPeriod), endAt)
-	var transfer sync.WaitGroup
-	defer transfer.Wait()
+	var handOver sync.WaitGroup
+	defer handOver.Wait()
 	if e.replica != nil {
-		transfer.Go(func() { e.replica.transferLeadership(ctx) })
+		handOver.Go(func() { e.replica.handOver(ctx) })
 	}
 	select {
 	case <-ctx.Done():
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -55,15 +55,17 @@
 
 // repairerConfig returns the configuration by which a replacement votes, and the replica
 // that it replaces does not, before the platform may take another one.
+// docs/design/0023-replacements.md divides the time.
 func repairerConfig(placement parser.Placement) repairer.Config {
 	silence := defaultVoterSilence
 	if placement.Bounds.CatchUp > 0 {
-		silence = max(minVoterSilence, placement.Bounds.CatchUp-replacementMargin)
+		silence = max(minVoterSilence, time.Duration(voterSilenceFraction*float64(placement.Bounds.CatchUp)))
 	}
 	return repairer.Config{
 		ToleratedLosses: placement.ToleratedLosses,
 		SilentAfter:     silence,
 		JoinerLifetime:  joinerLifetime,
+		AnswerTimeout:   memberAnswerTimeout,
 	}
 }
 
@@ -129,10 +131,39 @@
 	}
 }
 
-// transferLeadership gives up the leadership before the process stops.
-func (r *replica) transferLeadership(ctx context.Context) {
+// handOver gives up the leadership and, if there is a standby, the place among the voters
+// before the process stops.
+func (r *replica) handOver(ctx context.Context) {
 	node := r.currentNode()
-	if node == nil || !node.coordinator.IsLeader() {
+	if node == nil {
+		return
+	}
+	node.coordinator.AnnounceLeave()
+	r.transferLeadership(ctx, node)
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for isReplaceable(node.coordinator.Status().Status) {
+		select {
+		case <-ctx.Done():
+			r.log.Warn("No standby took the place of this replica in time.")
+			return
+		case <-r.clock.After(replicaReconcileInterval):
+		}
+	}
+}
+
+// isReplaceable reports whether the replica is a voter and a learner could take its place.
+func isReplaceable(s replicator.Status) bool {
+	voter, learner := false, false
+	for _, m := range s.Members {
+		voter = voter || m.Replica == s.Replica && m.Voter
+		learner = learner || !m.Voter || m.Replaces == s.Replica
+	}
+	return voter && learner
+}
+
+func (r *replica) transferLeadership(ctx context.Context, node *replicaNode) {
+	if !node.coordinator.IsLeader() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, leadershipTransferTimeout)
@@ -176,8 +207,10 @@
 	}
 	replicas := spreader.Replicas{Index: uint64(status.MembershipIndex), Led: status.LeaderAddr.IsValid()}
 	for _, m := range status.Members {
-		replicas.Addresses = append(replicas.Addresses, m.Addr)
 		replicas.Disks = append(replicas.Disks, m.Replica)
+		if !m.Standby {
+			replicas.Addresses = append(replicas.Addresses, m.Addr)
+		}
 	}
 	r.spreader.SetReplicas(replicas)
 }
@@ -206,6 +239,10 @@
 	switch action.Kind {
 	case repairer.Admit:
 		err = node.coordinator.AdmitMember(ctx, action.Name)
+	case repairer.AddStandby:
+		err = node.coordinator.AddStandby(ctx, action.Name)
+	case repairer.Replace:
+		err = node.coordinator.ReplaceMember(ctx, action.Voter, action.Standby)
 	case repairer.Remove:
 		err = node.coordinator.RemoveMember(ctx, action.Name)
 	}
@@ -213,6 +250,9 @@
 	r.mu.Lock()
 	r.changeInProgress = false
 	r.mu.Unlock()
+	if err == nil {
+		r.reconciler.Trigger()
+	}
 }
 
 // document returns the declaration as the operator wrote it, or the leader's address if
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"celeryvalve/identifier"
 	"celeryvalve/parser"
 	"celeryvalve/recorder"
 	"celeryvalve/repairer"
@@ -26,22 +27,24 @@
 		{Member: recorder.Member{Replica: "b", Name: "b", Voter: true}},
 		{Member: recorder.Member{Replica: "c", Name: "c", Voter: true}, LastHeard: lost},
 	}
-	var removedAt time.Duration
-	for at := time.Duration(0); at < time.Minute && removedAt == 0; at += replicaReconcileInterval {
+	var replacedAt time.Duration
+	for at := time.Duration(0); at < time.Minute && replacedAt == 0; at += replicaReconcileInterval {
 		now := lost.Add(at)
 		status.Members[0].LastHeard, status.Members[1].LastHeard = now, now
 		if at >= replacedAfter && len(status.Members) == 3 {
 			status.Joiners = []replicator.JoinerStatus{{Replica: "d", Name: "d", LastHeard: now}}
 		}
 		switch action := r.Decide(now, status); action.Kind {
-		case repairer.Admit:
+		case repairer.AddStandby:
 			status.Joiners = nil
-			status.Members = append(status.Members, replicator.MemberStatus{Member: recorder.Member{Replica: "d", Name: "d", Voter: true}, LastHeard: now.Add(time.Hour)})
-		case repairer.Remove:
-			require.Equal(t, "c", action.Name)
-			removedAt = at
+			status.Members = append(status.Members, replicator.MemberStatus{Member: recorder.Member{Replica: "d", Name: "d", Standby: true}, LastHeard: now.Add(time.Hour)})
+		case repairer.Replace:
+			require.Equal(t, identifier.Replica("c"), action.Voter)
+			replacedAt = at
 		}
 	}
-	require.Positive(t, removedAt)
-	require.LessOrEqual(t, removedAt, replacedAfter+catchUp)
+	require.Positive(t, replacedAt)
+	require.LessOrEqual(t, replacedAt, replacedAfter+catchUp)
+	// The steps of the change have the rest of the time, also if the successor starts at the loss.
+	require.LessOrEqual(t, replacedAt, catchUp/2+2*replicaReconcileInterval)
 }
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -72,6 +72,9 @@
 	for _, member := range m.Members {
 		_, _ = h.WriteString(string(member.Replica) + separator + member.Name + separator + member.Addr.String() + separator)
 		_, _ = h.WriteString(string(member.Replaces) + separator + strconv.FormatBool(member.Voter) + separator)
+		if member.Standby {
+			_, _ = h.WriteString("standby" + separator)
+		}
 	}
 }
 
@@ -82,8 +85,10 @@
 	Addr    netip.AddrPort
 	// Voter is false while the replica is a learner, which counts in no quorum.
 	Voter bool
-	// Replaces is the member that is removed once this one is a voter, or empty.
+	// Replaces is the voter whose place this member takes, or empty.
 	Replaces identifier.Replica `cbor:",omitempty"`
+	// Standby is set for a learner that stays one until it takes the place of a voter.
+	Standby bool `cbor:",omitempty"`
 }
 
 // Membership is the set of replicas that applies from one entry of the log on.
--- a/repairer/doc.go
+++ b/repairer/doc.go
@@ -3,19 +3,20 @@
 // needed.
 //
 // It keeps enough voters to tolerate the loss of Config.ToleratedLosses replicas. A
-// member is silent if the leader has received no message from it for a time set in
-// Config. A replica that announces itself under the name of a silent member is
-// that member with an empty disk, and replaces it. Any other new replica is
-// admitted while too few voters respond. A silent voter is removed only while there
-// are more voters than wanted, so only after its replacement has caught up and
-// synced. At most one change runs at a time, and package replicator rejects changes
-// that the quorum does not allow.
+// new replica is admitted at once as a standby: a learner that holds the log and has
+// no vote. A standby takes the place of a voter that has been silent for
+// Config.SilentAfter or has announced that it is about to stop. A replica that
+// announces itself under the name of a silent member is that member with an empty
+// disk, and replaces it. At most one change runs at a time, and package replicator
+// rejects changes that the quorum does not allow.
 //
 // # Usage
 //
-//	r := repairer.New(repairer.Config{ToleratedLosses: 1, SilentAfter: 8 * time.Second, JoinerLifetime: time.Second})
+//	r := repairer.New(repairer.Config{ToleratedLosses: 1, SilentAfter: 2 * time.Second, JoinerLifetime: time.Second, AnswerTimeout: 300 * time.Millisecond})
 //	switch action := r.Decide(now, status); action.Kind {
 //	case repairer.Admit: err = coordinator.AdmitMember(ctx, action.Name)
+//	case repairer.AddStandby: err = coordinator.AddStandby(ctx, action.Name)
+//	case repairer.Replace: err = coordinator.ReplaceMember(ctx, action.Voter, action.Standby)
 //	case repairer.Remove: err = coordinator.RemoveMember(ctx, action.Name)
 //	}
 package repairer
--- a/repairer/repairer.go
+++ b/repairer/repairer.go
@@ -21,13 +21,15 @@
 type Config struct {
 	// ToleratedLosses is the number of replicas that may be lost at the same time.
 	ToleratedLosses int
-	// SilentAfter is how long a voter must be silent before another replica may
-	// replace it. It must be longer than a restart takes.
+	// SilentAfter is how long a voter must be silent before a standby takes its place.
+	// It must be longer than a restart takes.
 	SilentAfter time.Duration
 	// JoinerLifetime is how long an announcement of a new replica remains valid. It
 	// is also how long a member must be silent before a new replica of the same
 	// name may replace it.
 	JoinerLifetime time.Duration
+	// AnswerTimeout is how long a new leader waits for the first answers of the members.
+	AnswerTimeout time.Duration
 }
 
 // Kind is the kind of an Action.
@@ -35,17 +37,25 @@
 
 // The kinds of actions.
 const (
-	None   Kind = "None"
-	Admit  Kind = "Admit"
+	None Kind = "None"
+	// Admit adds the new replica called Name in the place of the member of that name.
+	Admit Kind = "Admit"
+	// AddStandby adds the new replica called Name as a standby.
+	AddStandby Kind = "AddStandby"
+	// Replace gives the place of Voter, which is called Name, to Standby. Without a
+	// Voter the standby, which is called Name, becomes a further voter.
+	Replace Kind = "Replace"
+	// Remove removes the member called Name.
 	Remove Kind = "Remove"
 )
 
-// Action is one change of the membership, for the member or new replica called
-// Name. Reason is for the log.
+// Action is one change of the membership. Reason is for the log.
 type Action struct {
-	Kind   Kind
-	Name   string
-	Reason string
+	Kind    Kind
+	Name    string
+	Voter   identifier.Replica
+	Standby identifier.Replica
+	Reason  string
 }
 
 // Repairer decides on membership changes. It keeps no state between decisions.
@@ -66,32 +76,115 @@
 // Decide returns the next change for the leader's status s. The kind is None if
 // nothing is to be changed or s is not that of a leader.
 func (r *Repairer) Decide(now time.Time, s replicator.Status) Action {
-	if s.Role != replicator.Leader {
+	if s.Role != replicator.Leader || now.Sub(s.LeaderSince) < r.cfg.AnswerTimeout {
 		return Action{Kind: None}
 	}
+	m := r.classify(now, s)
 	joiners := r.joiners(now, s)
 	for _, j := range joiners {
-		if m, ok := findByName(s.Members, j.Name); ok && m.Replica != s.Replica && r.silent(now, s, m, r.cfg.JoinerLifetime) {
-			return Action{Kind: Admit, Name: j.Name, Reason: "its disk was lost"}
+		if known, ok := findByName(s.Members, j.Name); ok && r.mayReadmit(now, s, known, m.changing) {
+			return r.readmit(j, known)
 		}
 	}
-	voters, responsive, learners := r.countMembers(now, s)
-	if learners > 0 {
-		return r.removeSilentLearner(now, s)
+	if m.changing {
+		return r.cancelSilentLearner(now, s)
 	}
-	if responsive < r.DesiredVoters() && voters <= r.DesiredVoters() {
-		for _, j := range joiners {
-			if _, ok := findByName(s.Members, j.Name); !ok {
-				return Action{Kind: Admit, Name: j.Name, Reason: "too few voters respond"}
-			}
+	if a := r.replaceVoter(m); a.Kind != None {
+		return a
+	}
+	for _, j := range joiners {
+		if _, ok := findByName(s.Members, j.Name); !ok && m.standbys < r.DesiredVoters() {
+			return Action{Kind: AddStandby, Name: j.Name, Reason: "it is new"}
 		}
 	}
-	if voters > r.DesiredVoters() {
-		return r.removeSilentVoter(now, s)
+	if m.silentStandby != nil {
+		return Action{Kind: Remove, Name: m.silentStandby.Name, Reason: "the standby stopped responding"}
 	}
 	return Action{Kind: None}
 }
 
+// mayReadmit reports whether a new replica that bears the name of the member may replace it.
+// During the admission of another replica it has to wait, since both would get a vote.
+func (r *Repairer) mayReadmit(now time.Time, s replicator.Status, known replicator.MemberStatus, changing bool) bool {
+	if known.Replica == s.Replica || !r.silent(now, s, known, r.cfg.JoinerLifetime) {
+		return false
+	}
+	return !changing || slices.ContainsFunc(s.Members, func(m replicator.MemberStatus) bool {
+		return m.Name == known.Name && isChanging(m) && r.silent(now, s, m, r.cfg.JoinerLifetime)
+	})
+}
+
+// isChanging reports whether the member is a learner on its way to a vote.
+func isChanging(m replicator.MemberStatus) bool {
+	return !m.Voter && !m.Standby
+}
+
+// readmit returns the action for a new replica that bears the name of a silent member.
+func (r *Repairer) readmit(j replicator.JoinerStatus, known replicator.MemberStatus) Action {
+	if known.Standby {
+		return Action{Kind: AddStandby, Name: j.Name, Reason: "the standby lost its disk"}
+	}
+	return Action{Kind: Admit, Name: j.Name, Reason: "its disk was lost"}
+}
+
+// members are the members by what can be done with them.
+type members struct {
+	voters   int
+	standbys int
+	// changing is set while a learner is on its way to a vote.
+	changing bool
+	// lost is the voter whose place is to be given away, or nil: the one that has been
+	// silent for longest, or else one that is leaving.
+	lost *replicator.MemberStatus
+	// best is the standby that responds and has the longest log, or nil.
+	best          *replicator.MemberStatus
+	silentStandby *replicator.MemberStatus
+}
+
+func (r *Repairer) classify(now time.Time, s replicator.Status) members {
+	var c members
+	for i := range s.Members {
+		m := &s.Members[i]
+		switch {
+		case m.Voter:
+			c.voters++
+			if r.isLost(now, s, *m) && (c.lost == nil || m.LastHeard.Before(c.lost.LastHeard)) {
+				c.lost = m
+			}
+		case isChanging(*m):
+			c.changing = true
+		default:
+			c.standbys++
+			if r.silent(now, s, *m, r.cfg.SilentAfter) {
+				c.silentStandby = m
+			}
+			if !r.silent(now, s, *m, r.cfg.JoinerLifetime) && (c.best == nil || m.Match > c.best.Match) {
+				c.best = m
+			}
+		}
+	}
+	return c
+}
+
+// isLost reports whether the voter is silent or is about to stop.
+func (r *Repairer) isLost(now time.Time, s replicator.Status, m replicator.MemberStatus) bool {
+	return r.silent(now, s, m, r.cfg.SilentAfter) || m.Leaving && m.Replica != s.Replica
+}
+
+// replaceVoter keeps as many voters that respond as there should be.
+func (r *Repairer) replaceVoter(m members) Action {
+	switch {
+	case m.voters > r.DesiredVoters() && m.lost != nil:
+		return Action{Kind: Remove, Name: m.lost.Name, Reason: "there are more voters than needed, and it is not available"}
+	case m.voters < r.DesiredVoters() && m.best != nil:
+		return Action{Kind: Replace, Name: m.best.Name, Standby: m.best.Replica, Reason: "there are too few voters"}
+	case m.voters == r.DesiredVoters() && m.lost != nil && m.best != nil:
+		return Action{Kind: Replace, Name: m.lost.Name, Voter: m.lost.Replica, Standby: m.best.Replica, Reason: "it is not available"}
+	default:
+		return Action{Kind: None}
+	}
+}
+
 // joiners returns the new replicas that wait to be admitted, sorted by name.
 func (r *Repairer) joiners(now time.Time, s replicator.Status) []replicator.JoinerStatus {
 	var list []replicator.JoinerStatus
@@ -104,44 +197,16 @@
 	return list
 }
 
-func (r *Repairer) countMembers(now time.Time, s replicator.Status) (voters, responsive, learners int) {
+// cancelSilentLearner cancels the admission of a learner that became silent.
+func (r *Repairer) cancelSilentLearner(now time.Time, s replicator.Status) Action {
 	for _, m := range s.Members {
-		if !m.Voter {
-			learners++
-			continue
-		}
-		voters++
-		if !r.silent(now, s, m, r.cfg.SilentAfter) {
-			responsive++
-		}
-	}
-	return voters, responsive, learners
-}
-
-// removeSilentLearner cancels the admission of a learner that became silent.
-func (r *Repairer) removeSilentLearner(now time.Time, s replicator.Status) Action {
-	for _, m := range s.Members {
-		if !m.Voter && r.silent(now, s, m, r.cfg.SilentAfter) {
+		if isChanging(m) && r.silent(now, s, m, r.cfg.SilentAfter) {
 			return Action{Kind: Remove, Name: m.Name, Reason: "the new replica stopped responding"}
 		}
 	}
 	return Action{Kind: None}
 }
 
-// removeSilentVoter removes the voter that has been silent the longest.
-func (r *Repairer) removeSilentVoter(now time.Time, s replicator.Status) Action {
-	var longestSilent *replicator.MemberStatus
-	for i, m := range s.Members {
-		if m.Voter && r.silent(now, s, m, r.cfg.SilentAfter) && (longestSilent == nil || m.LastHeard.Before(longestSilent.LastHeard)) {
-			longestSilent = &s.Members[i]
-		}
-	}
-	if longestSilent == nil {
-		return Action{Kind: None}
-	}
-	return Action{Kind: Remove, Name: longestSilent.Name, Reason: "it stopped responding and has been replaced"}
-}
-
 func (r *Repairer) silent(now time.Time, s replicator.Status, m replicator.MemberStatus, timeout time.Duration) bool {
 	return m.Replica != s.Replica && now.Sub(m.LastHeard) > timeout
 }
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -62,12 +62,26 @@
 
 // AdmitRequested asks the leader to add the new replica that announced itself
 // under Name to the membership, as a learner first. An older member of that name
-// is removed once the new one has caught up.
+// is removed once the new one has caught up. With Standby, the new replica remains
+// a learner until a ReplaceRequested names it.
 type AdmitRequested struct {
-	ID   RequestID
-	Name string
+	ID      RequestID
+	Name    string
+	Standby bool
 }
 
+// ReplaceRequested asks the leader to make the standby a voter in the place of Voter. If
+// Voter is empty, the standby becomes a further voter.
+type ReplaceRequested struct {
+	ID      RequestID
+	Voter   identifier.Replica
+	Standby identifier.Replica
+}
+
+// LeaveAnnounced reports that this replica is about to stop. The leader learns it from
+// the replica's answers and shows it as MemberStatus.Leaving.
+type LeaveAnnounced struct{}
+
 // ContactsChanged sets the addresses at which an empty replica announces itself in
 // addition to the founders. They play no part in bootstrapping a cluster.
 type ContactsChanged struct {
@@ -95,6 +109,8 @@
 func (SnapshotTaken) event()     {}
 func (AdmitRequested) event()    {}
 func (RemoveRequested) event()   {}
+func (ReplaceRequested) event()  {}
+func (LeaveAnnounced) event()    {}
 func (ContactsChanged) event()   {}
 func (TransferRequested) event() {}
 
--- a/replicator/follower.go
+++ b/replicator/follower.go
@@ -107,7 +107,7 @@
 // acknowledges only what is synced already, so that the answer to a heartbeat does
 // not wait for entries to be written.
 func (r *Replicator) acceptAppend(m *AppendRequest, match recorder.Index, appended bool) {
-	response := &AppendResponse{Envelope: r.envelopeTo(m.From), Accepted: true, Match: match, Round: m.Round}
+	response := &AppendResponse{Envelope: r.envelopeTo(m.From), Accepted: true, Match: match, Round: m.Round, Leaving: r.leaving}
 	after := r.disk.lastHardState
 	if appended {
 		after = r.disk.lastIssued
@@ -129,6 +129,7 @@
 		Refused:  m.Previous.Index,
 		Hint:     hint,
 		Round:    m.Round,
+		Leaving:  r.leaving,
 	}
 	r.sendAfter(r.disk.lastHardState, Send{To: m.Addr, Message: response})
 }
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -28,6 +28,8 @@
 	heartbeatAt time.Time
 	round       Round
 	snapshot    *outgoingSnapshot
+	// leaving is set if the member's last answer said that it is about to stop.
+	leaving bool
 }
 
 func (r *Replicator) becomeLeader() {
@@ -36,6 +38,7 @@
 	r.election.sawLeader = true
 	r.progress = make(map[replica]*progress)
 	r.round = 0
+	r.leaderSince = r.now
 	r.pendingBytes = 0
 	r.trackMembers()
 	r.roleChanged()
@@ -69,6 +72,7 @@
 			delete(r.progress, id)
 		}
 	}
+	r.forgetRemoved()
 	for _, m := range r.membership.Members {
 		if m.Replica == r.cfg.Replica || r.progress[m.Replica] != nil {
 			continue
@@ -224,6 +228,7 @@
 		Previous: previous,
 		Commit:   r.commit,
 		Round:    r.round,
+		Silences: r.silences(),
 	})
 }
 
@@ -284,6 +289,7 @@
 		return
 	}
 	p.heardAt = r.now
+	p.leaving = m.Leaving
 	p.round = max(p.round, m.Round)
 	if m.Accepted {
 		r.advanceMatch(p, m.Match)
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -11,7 +11,7 @@
 // pendingChange is a requested membership change that is not completed yet.
 type pendingChange struct {
 	id RequestID
-	// admitted is the new replica to become a voter, or empty for a removal.
+	// admitted is the replica to become a voter, or empty if there is none.
 	admitted replica
 }
 
@@ -51,7 +51,8 @@
 // admit adds the new replica of that name as a learner. A voter of the same name
 // must no longer answer: otherwise a delayed announcement could admit a disk that
 // has itself been replaced by that voter's.
-func (r *Replicator) admit(id RequestID, name string) {
+func (r *Replicator) admit(request AdmitRequested) {
+	id, name := request.ID, request.Name
 	if !r.beginChange(id) {
 		return
 	}
@@ -65,7 +66,7 @@
 		return
 	}
 	next := recorder.Membership{}
-	added := recorder.Member{Replica: j.peer.replica, Name: name, Addr: j.peer.addr}
+	added := recorder.Member{Replica: j.peer.replica, Name: name, Addr: j.peer.addr, Standby: request.Standby}
 	for _, m := range r.membership.Members {
 		switch {
 		case m.Name != name:
@@ -77,30 +78,50 @@
 			r.reject(id, NotPossible, fmt.Sprintf("member %s of that name still answers, so it can't be replaced", m.Replica))
 			return
 		case m.Voter:
-			added.Replaces = m.Replica
+			added.Replaces, added.Standby = m.Replica, false
 			next.Members = append(next.Members, m)
 		}
 	}
 	next.Members = append(next.Members, added)
-	r.change = &pendingChange{id: id, admitted: added.Replica}
+	r.change = &pendingChange{id: id}
+	if !added.Standby {
+		r.change.admitted = added.Replica
+	}
 	r.changeMembership(next)
 }
 
+// replace begins to give the place of a voter to a standby. advanceLearners does the rest.
+func (r *Replicator) replace(request ReplaceRequested) {
+	if !r.beginChange(request.ID) {
+		return
+	}
+	if m, ok := r.membership.Find(request.Standby); !ok || !m.Standby {
+		r.reject(request.ID, NotPossible, fmt.Sprintf("replica %q is not a standby", request.Standby))
+		return
+	}
+	if m, ok := r.membership.Find(request.Voter); request.Voter != "" && (!ok || !m.Voter) {
+		r.reject(request.ID, NotPossible, fmt.Sprintf("replica %q is not a voter", request.Voter))
+		return
+	}
+	r.change = &pendingChange{id: request.ID, admitted: request.Standby}
+	r.changeMembership(r.withMember(request.Standby, func(m *recorder.Member) {
+		m.Standby, m.Replaces = false, request.Voter
+	}))
+}
+
 // remove removes the member of that name. If a learner has the name, only the
 // learner is removed: this cancels an admission that does not complete.
 func (r *Replicator) remove(id RequestID, name string) {
 	if !r.beginChange(id) {
 		return
 	}
-	next, removed := r.without(func(m recorder.Member) bool { return m.Name == name && !m.Voter })
-	if !removed {
-		next, removed = r.without(func(m recorder.Member) bool { return m.Name == name })
-	}
-	if !removed {
+	member, ok := r.findToRemove(name)
+	if !ok {
 		r.reject(id, NotPossible, fmt.Sprintf("no member has the name %q", name))
 		return
 	}
-	if _, ok := next.Find(r.cfg.Replica); !ok {
+	next := r.without(member.Replica)
+	if member.Replica == r.cfg.Replica {
 		r.reject(id, NotPossible, "the leader can't remove itself; transfer the leadership first")
 		return
 	}
@@ -134,17 +155,21 @@
 	return true
 }
 
-// without returns the membership without the members for which pred holds, and
-// whether there were any.
-func (r *Replicator) without(pred func(recorder.Member) bool) (next recorder.Membership, removed bool) {
+// findToRemove returns the member of that name, a learner rather than a voter.
+func (r *Replicator) findToRemove(name string) (member recorder.Member, ok bool) {
 	for _, m := range r.membership.Members {
-		if pred(m) {
-			removed = true
-			continue
+		if m.Name == name && (!ok || !m.Voter) {
+			member, ok = m, true
 		}
-		next.Members = append(next.Members, m)
 	}
-	return next, removed
+	return member, ok
+}
+
+// without returns the membership without the member.
+func (r *Replicator) without(id replica) recorder.Membership {
+	next := r.membership.Clone()
+	next.Members = slices.DeleteFunc(next.Members, func(m recorder.Member) bool { return m.Replica == id })
+	return next
 }
 
 // hasQuorumOf reports whether a majority of the voters of next is active.
@@ -173,43 +198,78 @@
 
 func (r *Replicator) changeMembership(next recorder.Membership) {
 	next = next.Clone()
+	for _, m := range next.Members {
+		if _, ok := r.membership.Find(m.Replica); !ok {
+			r.lastHeard[m.Replica] = r.now
+		}
+	}
 	r.appendLocal(recorder.Entry{Kind: recorder.MembershipChange, Membership: &next})
 	r.reloadMembership()
 	r.trackMembers()
 	r.replicateAll()
 }
 
-// advanceLearners takes the next step in the admission of a learner. Once it has
-// synced the log, the member that it replaces is removed, and after that the
-// learner becomes a voter. Either step keeps a majority of the remaining voters
+// advanceLearners takes the next step of a learner towards its vote. Once it has synced
+// the log, it takes the place of the voter that it replaces: if that one no longer answers,
+// it is removed first, so that no majority needs it; otherwise the learner votes first, so
+// that another voter may be lost meanwhile. Either step keeps a majority of the voters
 // active. A new leader continues where the previous one stopped.
 func (r *Replicator) advanceLearners() {
 	if !r.isLeader() || r.changeBlockedReason() != "" {
 		return
 	}
 	for _, m := range r.membership.Members {
-		if m.Voter || !r.caughtUp(m.Replica) {
+		if m.Standby || m.Voter && m.Replaces == "" || !r.caughtUp(m.Replica) {
 			continue
 		}
-		if next, removed := r.without(func(o recorder.Member) bool { return o.Replica == m.Replaces }); removed {
-			if m.Replaces != r.cfg.Replica && r.hasQuorumOf(next) {
-				r.changeMembership(next)
-			}
-			return
+		_, present := r.membership.Find(m.Replaces)
+		switch {
+		case m.Voter:
+			r.removeReplaced(m)
+		case present && !r.answers(m.Replaces):
+			r.removeBeforeVote(m)
+		default:
+			r.changeMembership(r.withMember(m.Replica, func(m *recorder.Member) {
+				m.Voter = true
+				if !present {
+					m.Replaces = ""
+				}
+			}))
 		}
-		r.changeMembership(r.promoted(m.Replica))
 		return
 	}
 	r.completeChange()
 }
 
-// promoted returns the membership with the learner as a voter.
-func (r *Replicator) promoted(id replica) recorder.Membership {
+// removeBeforeVote removes the voter whose place the learner m takes.
+func (r *Replicator) removeBeforeVote(m recorder.Member) {
+	if next := r.without(m.Replaces); r.hasQuorumOf(next) {
+		r.changeMembership(next)
+	}
+}
+
+// removeReplaced removes the member whose place the voter m has taken. A leader hands over
+// the leadership before it is removed.
+func (r *Replicator) removeReplaced(m recorder.Member) {
+	if m.Replaces == r.cfg.Replica {
+		if r.transfer == nil {
+			r.startTransfer(0)
+		}
+		return
+	}
+	next := r.withMember(m.Replica, func(m *recorder.Member) { m.Replaces = "" })
+	next.Members = slices.DeleteFunc(next.Members, func(o recorder.Member) bool { return o.Replica == m.Replaces })
+	if r.hasQuorumOf(next) {
+		r.changeMembership(next)
+	}
+}
+
+// withMember returns the membership with change applied to the member.
+func (r *Replicator) withMember(id replica, change func(*recorder.Member)) recorder.Membership {
 	next := r.membership.Clone()
 	for i := range next.Members {
 		if next.Members[i].Replica == id {
-			next.Members[i].Voter = true
-			next.Members[i].Replaces = ""
+			change(&next.Members[i])
 		}
 	}
 	return next
@@ -231,7 +291,7 @@
 	}
 	if c.admitted != "" {
 		m, ok := r.membership.Find(c.admitted)
-		if !ok || !m.Voter || r.progress[c.admitted].match < r.membershipIndex {
+		if !ok || !m.Voter || m.Replaces != "" || r.progress[c.admitted].match < r.membershipIndex {
 			return
 		}
 	}
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -61,6 +61,14 @@
 	Entries  []recorder.Entry
 	Commit   recorder.Index
 	Round    Round
+	// Silences lists, in a heartbeat, the members that have not answered the leader lately.
+	Silences []Silence `cbor:",omitempty"`
+}
+
+// Silence is how long the leader has heard nothing from a member.
+type Silence struct {
+	Replica  identifier.Replica
+	Duration time.Duration
 }
 
 // AppendResponse answers an AppendRequest once its entries are synced.
@@ -76,6 +84,8 @@
 	// Accepted is not set.
 	Hint  recorder.Index
 	Round Round
+	// Leaving reports that the sender is about to stop.
+	Leaving bool `cbor:",omitempty"`
 }
 
 // SnapshotRequest carries one chunk of a snapshot.
--- a/replicator/receive.go
+++ b/replicator/receive.go
@@ -20,6 +20,7 @@
 	if !r.adoptCluster(env.Cluster) || !r.updateTerm(message) {
 		return
 	}
+	r.lastHeard[env.From] = r.now
 	r.handle(message)
 }
 
@@ -99,6 +100,7 @@
 		r.handleVoteResponse(m)
 	case *AppendRequest:
 		if r.acceptLeader(m.Envelope) {
+			r.adoptSilences(m)
 			r.handleAppend(m)
 		}
 	case *AppendResponse:
--- a/replicator/repairer_test.go
+++ b/replicator/repairer_test.go
@@ -24,6 +24,12 @@
 	switch action := r.Decide(leader.clock(), leader.reducer.Status()); action.Kind {
 	case repairer.Admit:
 		sim.admit(leader, action.Name)
+	case repairer.AddStandby:
+		sim.nextID++
+		leader.feed(replicator.AdmitRequested{ID: sim.nextID, Name: action.Name, Standby: true})
+	case repairer.Replace:
+		sim.nextID++
+		leader.feed(replicator.ReplaceRequested{ID: sim.nextID, Voter: action.Voter, Standby: action.Standby})
 	case repairer.Remove:
 		sim.nextID++
 		leader.feed(replicator.RemoveRequested{ID: sim.nextID, Name: action.Name})
--- /dev/null
+++ b/replicator/replacement_test.go
@@ -0,0 +1,182 @@
+package replicator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"celeryvalve/repairer"
+	"celeryvalve/replicator"
+)
+
+// The times of the platform: catchUp is how long a successor counts as lost after its start,
+// stopTime the least time between SIGTERM and the end of a process.
+const (
+	catchUp          = 4 * time.Second
+	stopTime         = 2500 * time.Millisecond
+	repairerInterval = 200 * time.Millisecond
+)
+
+// core is a simulation with the times of the platform, whose repairer runs all the time.
+type core struct {
+	*simulation
+	repairer *repairer.Repairer
+}
+
+func newCore(t tester, seed uint64, tolerated int) *core {
+	c := &core{simulation: newSimulation(t, seed, 2*tolerated+1)}
+	c.cfg.HeartbeatInterval, c.cfg.ElectionTimeout = 100*time.Millisecond, 600*time.Millisecond
+	c.repairer = repairer.New(repairer.Config{
+		ToleratedLosses: tolerated, SilentAfter: catchUp / 2, JoinerLifetime: time.Second, AnswerTimeout: 300 * time.Millisecond,
+	})
+	for _, n := range c.nodes {
+		n.boot()
+	}
+	c.schedule(repairerInterval, c.repairRegularly)
+	c.converge()
+	return c
+}
+
+func (c *core) repairRegularly() {
+	c.runRepairer(c.repairer)
+	c.schedule(repairerInterval, c.repairRegularly)
+}
+
+// drawWeather makes the links slow, and the disk of one node.
+func (c *core) drawWeather(t *rapid.T) {
+	c.maxDelay = time.Duration(rapid.SampledFrom([]int{1, 20, 60}).Draw(t, "delay")) * time.Millisecond
+	if slow := rapid.IntRange(0, 2*len(c.nodes)).Draw(t, "slow"); slow < len(c.nodes) {
+		c.nodes[slow].slowDisk = true
+	}
+}
+
+// bootSpare starts a successor at a new address with an empty disk.
+func (c *core) bootSpare() *node {
+	n := c.addNode()
+	n.spare = true
+	n.boot()
+	return n
+}
+
+// lose ends a node for good.
+func (c *core) lose(n *node) {
+	n.crash()
+	n.newDisk()
+}
+
+// drain plays SIGTERM: the node announces that it leaves, hands the leadership over and ends.
+func (c *core) drain(n *node) {
+	n.feed(replicator.LeaveAnnounced{})
+	if n.reducer.Status().Role == replicator.Leader {
+		c.nextID++
+		n.feed(replicator.TransferRequested{ID: c.nextID})
+	}
+	c.advance(stopTime)
+	c.lose(n)
+}
+
+// requireWorks fails unless a command is committed within the time in which the platform asks
+// for recovery.
+func (c *core) requireWorks() {
+	const recovery = 12 * time.Second
+	before := c.lastCommitted
+	for end := c.now.Add(recovery); c.now.Before(end); c.advance(tickEvery) {
+		if leader := c.leader(); leader != nil && c.lastCommitted == before {
+			c.propose(leader)
+		}
+	}
+	require.Greater(c.t, c.lastCommitted, before, "no command is committed: %s", c)
+}
+
+func (c *core) pick(t *rapid.T) *node {
+	var running []*node
+	for _, n := range c.nodes {
+		if m, ok := c.membership().Find(n.replica); ok && m.Voter && n.running {
+			running = append(running, n)
+		}
+	}
+	if leader := c.leader(); leader != nil && rapid.Bool().Draw(t, "leader") {
+		return leader
+	}
+	return rapid.SampledFrom(running).Draw(t, "node")
+}
+
+// TestPlannedReplacementsOneAfterAnother: planned stops of replicas whose successors have had
+// their time must not end the cluster, however shortly they follow each other.
+func TestPlannedReplacementsOneAfterAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tolerated := rapid.IntRange(1, 2).Draw(t, "tolerated")
+		c := newCore(t, rapid.Uint64().Draw(t, "seed"), tolerated)
+		c.drawWeather(t)
+		replaced := rapid.IntRange(2, 2*tolerated+1).Draw(t, "replaced")
+		old := make([]*node, replaced)
+		copy(old, c.nodes)
+		for range replaced {
+			c.bootSpare()
+		}
+		c.advance(catchUp)
+		for _, n := range old {
+			c.drain(n)
+			if rapid.Bool().Draw(t, "pause") {
+				c.advance(time.Duration(rapid.IntRange(0, 4000).Draw(t, "pauseMillis")) * time.Millisecond)
+			}
+		}
+		c.requireWorks()
+	})
+}
+
+// TestLossOnceTheSuccessorHasHadItsTime: once the successor of a lost replica has run for
+// catchUp, another disk may be lost, whether or not the first loss was that of the leader.
+func TestLossOnceTheSuccessorHasHadItsTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 2).Draw(t, "tolerated"))
+		c.drawWeather(t)
+		for range rapid.IntRange(1, 3).Draw(t, "replaced") {
+			c.lose(c.pick(t))
+			c.advance(time.Duration(rapid.SampledFrom([]int{0, 100, 500, 1000, 3000}).Draw(t, "successorMillis")) * time.Millisecond)
+			c.bootSpare()
+			c.disturb(t, catchUp+100*time.Millisecond)
+		}
+		second := c.pick(t)
+		second.loseDisk()
+		second.spare = true
+		c.advance(500 * time.Millisecond)
+		second.boot()
+		c.requireWorks()
+	})
+}
+
+// disturb lets the time pass, with hand-overs of the leadership.
+func (c *core) disturb(t *rapid.T, d time.Duration) {
+	end := c.now.Add(d)
+	for range rapid.IntRange(0, 2).Draw(t, "handOvers") {
+		c.advance(min(end.Sub(c.now), time.Duration(rapid.IntRange(0, 2000).Draw(t, "handOverMillis"))*time.Millisecond))
+		if leader := c.leader(); leader != nil {
+			c.nextID++
+			leader.feed(replicator.TransferRequested{ID: c.nextID})
+		}
+	}
+	c.advance(end.Sub(c.now))
+}
+
+// TestStandstillDuringReplacement: a voter that stands still loses its place to a standby, and
+// must do no harm when it goes on.
+func TestStandstillDuringReplacement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
+		c.drawWeather(t)
+		c.bootSpare()
+		c.advance(catchUp)
+		for range rapid.IntRange(1, 3).Draw(t, "standstills") {
+			n := c.pick(t)
+			n.frozen = true
+			c.advance(time.Duration(rapid.IntRange(100, 6000).Draw(t, "millis")) * time.Millisecond)
+			n.thaw()
+			c.advance(time.Duration(rapid.IntRange(4100, 8000).Draw(t, "calmMillis")) * time.Millisecond)
+		}
+		c.lose(c.pick(t))
+		c.requireWorks()
+	})
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -58,8 +58,14 @@
 	// contacts are the addresses at which this replica announces itself while it is
 	// empty, in addition to the founders.
 	contacts []netip.AddrPort
+	// lastHeard is when each other member last sent a message, to this replica or, as far
+	// as known, to the leader.
+	lastHeard map[replica]time.Time
+	// leaving is set once this replica is about to stop.
+	leaving bool
 
 	// The fields below are used by the leader only.
+	leaderSince  time.Time
 	progress     map[replica]*progress
 	round        Round
 	reads        readQueue
@@ -85,6 +91,7 @@
 		role:          Follower,
 		joiners:       make(map[string]joiner),
 		emptyFounders: make(map[string]joiner),
+		lastHeard:     make(map[replica]time.Time),
 		election:      election{needsJitter: true},
 	}
 	if state.Snapshot != nil {
@@ -132,9 +139,13 @@
 	case SnapshotTaken:
 		r.compact(ev.Snapshot)
 	case AdmitRequested:
-		r.admit(ev.ID, ev.Name)
+		r.admit(ev)
 	case RemoveRequested:
 		r.remove(ev.ID, ev.Name)
+	case ReplaceRequested:
+		r.replace(ev)
+	case LeaveAnnounced:
+		r.leaving = true
 	case TransferRequested:
 		r.startTransfer(ev.ID)
 	case ContactsChanged:
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -14,9 +14,11 @@
 type MemberStatus struct {
 	recorder.Member
 	// Match is the last index that the member is known to have synced, LastHeard
-	// when it last answered. Only the leader knows them.
+	// when it last sent a message to this leader or an earlier one. Leaving is set if it has
+	// said that it is about to stop. Only the leader knows them.
 	Match     recorder.Index
 	LastHeard time.Time
+	Leaving   bool
 }
 
 // JoinerStatus is a new replica that waits to be admitted.
@@ -37,6 +39,8 @@
 	// Leader and LeaderAddr are the identity and the address of the leader, if known.
 	Leader     identifier.Replica
 	LeaderAddr netip.AddrPort
+	// LeaderSince is when this replica became the leader, if it leads.
+	LeaderSince time.Time
 	// Last is the index of the last entry, Stable the last index that is synced,
 	// Commit the last one that is committed and SnapshotIndex that of the last snapshot.
 	Last          recorder.Index
@@ -59,6 +63,7 @@
 		Role:            r.role,
 		Term:            r.term,
 		Leader:          r.leader.replica,
+		LeaderSince:     r.leaderSince,
 		LeaderAddr:      r.leader.addr,
 		Last:            r.log.last().Index,
 		Stable:          r.disk.stable,
@@ -70,7 +75,7 @@
 	for _, m := range r.membership.Members {
 		member := MemberStatus{Member: m}
 		if p := r.progress[m.Replica]; p != nil {
-			member.Match, member.LastHeard = p.match, p.heardAt
+			member.Match, member.LastHeard, member.Leaving = p.match, r.heardSince(m.Replica), p.leaving
 		}
 		s.Members = append(s.Members, member)
 	}
--- a/replicator/transfer.go
+++ b/replicator/transfer.go
@@ -20,20 +20,30 @@
 		r.reject(id, Busy, "another leadership transfer is in progress")
 		return
 	}
+	to := r.successor()
+	if to == "" {
+		r.reject(id, NotPossible, "no other voter answers, so none can take over the leadership")
+		return
+	}
+	r.transfer = &transfer{id: id, to: to, deadline: r.now.Add(r.cfg.ElectionTimeout)}
+	r.continueTransfer()
+}
+
+// successor returns the active voter with the longest log, or "" if there is none. A voter
+// that is about to stop comes last.
+func (r *Replicator) successor() replica {
 	var best *progress
 	var to replica
 	for _, m := range r.others() {
 		p := r.progress[m.Replica]
-		if m.Voter && r.isActive(m.Replica) && (best == nil || p.match > best.match) {
+		if !m.Voter || !r.isActive(m.Replica) {
+			continue
+		}
+		if best == nil || best.leaving && !p.leaving || best.leaving == p.leaving && p.match > best.match {
 			best, to = p, m.Replica
 		}
 	}
-	if best == nil {
-		r.reject(id, NotPossible, "no other voter answers, so none can take over the leadership")
-		return
-	}
-	r.transfer = &transfer{id: id, to: to, deadline: r.now.Add(r.cfg.ElectionTimeout)}
-	r.continueTransfer()
+	return to
 }
 
 // continueTransfer asks the target to campaign once it has every entry.
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -74,6 +74,7 @@
 // what each of them commits, applies and answers, and asserts the invariants.
 type simulation struct {
 	t            tester
+	cfg          replicator.Config
 	random       *rand.Rand
 	start        time.Time
 	now          time.Time
@@ -114,6 +115,8 @@
 	clockRate    float64
 	pausedEvents []replicator.Event
 
+	// spare is set for a replica that is added to a running cluster: it knows no founders.
+	spare    bool
 	slowDisk bool
 	durable  recorder.State
 	writes   []replicator.Effect
@@ -128,7 +131,7 @@
 func newSimulation(t tester, seed uint64, n int) *simulation {
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	sim := &simulation{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), start: start, now: start,
+		t: t, cfg: simulationConfig, random: rand.New(rand.NewPCG(seed, 1)), start: start, now: start,
 		maxDelay:  5 * time.Millisecond,
 		cut:       make(map[link]bool),
 		log:       make(map[recorder.Index]recorder.Entry),
@@ -139,16 +142,22 @@
 		reads:     make(map[replicator.RequestID]recorder.Index),
 		proposed:  make(map[replicator.RequestID]replicator.Accepted),
 	}
-	for i := range n {
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7001+i))
-		sim.nodes = append(sim.nodes, &node{sim: sim, name: fmt.Sprintf("c%d", i+1), addr: addr, clockRate: 1})
-	}
-	for _, n := range sim.nodes {
-		n.newDisk()
+	for range n {
+		sim.addNode()
 	}
 	return sim
 }
 
+// addNode adds a node with an empty disk, which does not run yet.
+func (sim *simulation) addNode() *node {
+	i := len(sim.nodes)
+	addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7001+i))
+	n := &node{sim: sim, name: fmt.Sprintf("c%d", i+1), addr: addr, clockRate: 1}
+	sim.nodes = append(sim.nodes, n)
+	n.newDisk()
+	return n
+}
+
 // String returns the state of every node.
 func (sim *simulation) String() string {
 	var b strings.Builder
@@ -217,10 +226,14 @@
 
 // boot starts the replica from its disk.
 func (n *node) boot() {
-	cfg := simulationConfig
+	cfg := n.sim.cfg
 	cfg.Replica, cfg.Name, cfg.Addr = n.replica, n.name, n.addr
+	var contacts []netip.AddrPort
 	for _, other := range n.sim.nodes {
-		cfg.Founders = append(cfg.Founders, replicator.Founder{Name: other.name, Addr: other.addr})
+		contacts = append(contacts, other.addr)
+		if !n.spare && !other.spare {
+			cfg.Founders = append(cfg.Founders, replicator.Founder{Name: other.name, Addr: other.addr})
+		}
 	}
 	n.generation++
 	n.running, n.frozen = true, false
@@ -232,6 +245,7 @@
 	stored := n.durable
 	stored.Entries = slices.Clone(stored.Entries)
 	n.reducer = replicator.New(cfg, stored, asserter.Strict{})
+	n.feed(replicator.ContactsChanged{Addrs: contacts})
 	n.tick(n.generation)
 }
 
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -110,7 +110,8 @@
 	// two lists the one with the higher index is newer.
 	Index     uint64
 	Addresses []netip.AddrPort
-	// Disks holds the identities of the replicas' disks, in the order of Addresses.
+	// Disks holds the identities of the disks of the replicas and of their standbys, which
+	// have no place in Addresses.
 	Disks []identifier.Replica
 	// Regions maps the addresses to their regions, where these are known.
 	Regions map[string]identifier.Region `cbor:",omitempty"`
