replicator: let a founder that restarts during the first start found the cluster

No configuration was ever acknowledged.

Cause: only the first founder by name bootstraps, and only the settings of the first start name the founders. A restart before the cluster exists forgot them.

Change: a founder notes the founders on its disk and names them in its announcements; a replica with an empty log uses either. It still bootstraps only once every other founder has told this disk that it is empty, so that no second cluster can begin. A replica whose disk was emptied since it was replaced is no founder any more.

--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -99,7 +99,7 @@
 		ElectionTimeout:   c.ElectionTimeout,
 	}
 	for _, m := range c.Members {
-		cfg.Founders = append(cfg.Founders, replicator.Founder{Name: m.Name, Addr: m.Addr})
+		cfg.Founders = append(cfg.Founders, recorder.Founder{Name: m.Name, Addr: m.Addr})
 	}
 	return cfg
 }
--- a/placer/outcast.go
+++ b/placer/outcast.go
@@ -40,5 +40,7 @@
 	if err == nil {
 		err = os.RemoveAll(old)
 	}
+	// The cluster exists: this replica must not found another one with its new disk.
+	r.deps.Placement.FirstStart = false
 	r.log.Warn("Emptied the disk of a replica that is no longer a member.", zap.Error(err))
 }
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -127,12 +127,20 @@
 	return Membership{Members: append([]Member(nil), m.Members...)}
 }
 
+// Founder is one of the replicas that bootstrap the cluster, as the settings name it.
+type Founder struct {
+	Name string
+	Addr netip.AddrPort
+}
+
 // HardState is the state of elections that a replica must keep across restarts.
 type HardState struct {
 	Cluster Cluster
 	Term    Term
 	// Vote is the replica that received this replica's vote in Term, or empty.
 	Vote identifier.Replica
+	// Founders are the replicas that bootstrap the cluster, as long as this one has no entry.
+	Founders []Founder `cbor:",omitempty"`
 }
 
 // Position identifies an entry of the log. The zero value is the position before
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -210,7 +211,7 @@
 }
 
 func stateEqual(a, b recorder.State) bool {
-	if a.HardState != b.HardState || len(a.Entries) != len(b.Entries) || (a.Snapshot == nil) != (b.Snapshot == nil) {
+	if !reflect.DeepEqual(a.HardState, b.HardState) || len(a.Entries) != len(b.Entries) || (a.Snapshot == nil) != (b.Snapshot == nil) {
 		return false
 	}
 	if a.Snapshot != nil && a.Snapshot.Position != b.Snapshot.Position {
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryvalve/identifier"
+	"celeryvalve/recorder"
 )
 
 // Defaults of Config.
@@ -24,13 +25,6 @@
 // other fields in a frame between replicas.
 const MaxCommandBytes identifier.ByteCount = 4 << 20
 
-// Founder is one of the replicas that bootstrap the cluster, as the settings
-// name it.
-type Founder struct {
-	Name string
-	Addr netip.AddrPort
-}
-
 // Config configures a replicator. The fields from HeartbeatInterval on take
 // their defaults where they are zero.
 type Config struct {
@@ -39,8 +33,9 @@
 	Name    string
 	Addr    netip.AddrPort
 	// Founders are the replicas that bootstrap the cluster. They must be the same
-	// on every founder.
-	Founders []Founder
+	// on every founder. A founder that is given none uses those that its disk or another
+	// founder names, as after a restart during the first start.
+	Founders []recorder.Founder
 
 	HeartbeatInterval time.Duration
 	// ElectionTimeout is the shortest time without a leader after which a
--- a/replicator/discovery.go
+++ b/replicator/discovery.go
@@ -28,9 +28,10 @@
 		return
 	}
 	r.election.lastHelloAt = r.now
+	r.saveFounders()
 	for _, f := range r.cfg.Founders {
 		if f.Name != r.cfg.Name {
-			r.send(f.Addr, &Hello{Envelope: r.envelopeTo(""), Name: r.cfg.Name})
+			r.send(f.Addr, &Hello{Envelope: r.envelopeTo(""), Name: r.cfg.Name, Founders: r.cfg.Founders})
 		}
 	}
 	for _, addr := range r.contacts {
@@ -41,14 +42,31 @@
 	r.bootstrap()
 }
 
+// saveFounders notes the founders on the disk: the settings name them only at the first
+// start, and this replica may restart before the cluster exists.
+func (r *Replicator) saveFounders() {
+	if !r.foundersSaved && len(r.cfg.Founders) > 0 {
+		r.foundersSaved = true
+		r.persistHardState()
+	}
+}
+
+// adoptFounders takes over the founders that another one names, if this replica is one of
+// them and was killed before it had saved them.
+func (r *Replicator) adoptFounders(founders []recorder.Founder) {
+	if r.empty() && len(r.cfg.Founders) == 0 && slices.Contains(founders, recorder.Founder{Name: r.cfg.Name, Addr: r.cfg.Addr}) {
+		r.cfg.Founders = founders
+	}
+}
+
 func (r *Replicator) isFounder(addr netip.AddrPort) bool {
-	return slices.ContainsFunc(r.cfg.Founders, func(f Founder) bool { return f.Addr == addr })
+	return slices.ContainsFunc(r.cfg.Founders, func(f recorder.Founder) bool { return f.Addr == addr })
 }
 
 // bootstrap creates the cluster with all founders as voters, if this replica is the
 // first founder by name and all others are known to be empty.
 func (r *Replicator) bootstrap() {
-	founders := slices.SortedFunc(slices.Values(r.cfg.Founders), func(a, b Founder) int {
+	founders := slices.SortedFunc(slices.Values(r.cfg.Founders), func(a, b recorder.Founder) int {
 		return strings.Compare(a.Name, b.Name)
 	})
 	if len(founders) == 0 || founders[0].Name != r.cfg.Name {
@@ -83,6 +101,7 @@
 	if m.From == r.cfg.Replica {
 		return
 	}
+	r.adoptFounders(m.Founders)
 	_, member := r.membership.Find(m.From)
 	if known := r.joiners[m.Name].peer.replica; known != m.From && !member && !r.empty() {
 		r.emit(Announced{Replica: m.From, Name: m.Name, Addr: m.Addr})
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -25,6 +25,8 @@
 type Hello struct {
 	Envelope
 	Name string
+	// Founders are those that the sender bootstraps the cluster with, if it is one of them.
+	Founders []recorder.Founder `cbor:",omitempty"`
 }
 
 // HelloResponse answers a Hello with the name and the identity of the replica at
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -55,6 +55,8 @@
 	// emptyFounders holds the replicas that answered that they are empty, by name.
 	// Bootstrapping looks up the founders in it.
 	emptyFounders map[string]joiner
+	// foundersSaved is set once the disk names the founders.
+	foundersSaved bool
 	// contacts are the addresses at which this replica announces itself while it is
 	// empty, in addition to the founders.
 	contacts []netip.AddrPort
@@ -94,6 +96,10 @@
 		lastHeard:     make(map[replica]time.Time),
 		election:      election{needsJitter: true},
 	}
+	if len(cfg.Founders) == 0 {
+		r.cfg.Founders = state.HardState.Founders
+	}
+	r.foundersSaved = len(state.HardState.Founders) > 0
 	if state.Snapshot != nil {
 		r.snapshot = *state.Snapshot
 		r.log.reset(*state.Snapshot)
@@ -215,7 +221,11 @@
 }
 
 func (r *Replicator) hardState() recorder.HardState {
-	return recorder.HardState{Cluster: r.cluster, Term: r.term, Vote: r.vote}
+	hs := recorder.HardState{Cluster: r.cluster, Term: r.term, Vote: r.vote}
+	if r.empty() {
+		hs.Founders = r.cfg.Founders
+	}
+	return hs
 }
 
 func (r *Replicator) roleChanged() {
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -232,7 +232,7 @@
 	for _, other := range n.sim.nodes {
 		contacts = append(contacts, other.addr)
 		if !n.spare && !other.spare {
-			cfg.Founders = append(cfg.Founders, replicator.Founder{Name: other.name, Addr: other.addr})
+			cfg.Founders = append(cfg.Founders, recorder.Founder{Name: other.name, Addr: other.addr})
 		}
 	}
 	n.generation++
