placer, declarer: keep confirmed departures in the log of control

Cause: a departure was confirmed once a majority of the control replicas held it in their tables, which are in memory.

Change: Depart is a command of the log, and the confirmation waits for it. Leaving is final for an incarnation, so that no later record of it counts, whoever tells it; this is why the fix holds for any process that stood still. The message between tables is gone.

--- a/declarer/command.go
+++ b/declarer/command.go
@@ -68,6 +68,7 @@
 		encoder.Message[NameRelease]("Declarer.NameRelease"),
 		encoder.Message[PinRelease]("Declarer.PinRelease"),
 		encoder.Message[Evacuate]("Declarer.Evacuate"),
+		encoder.Message[Depart]("Declarer.Depart"),
 		encoder.Message[quarantiner.ReportCrash]("Declarer.ReportCrash"),
 		encoder.Message[quarantiner.ClearSuspects]("Declarer.ClearSuspects"),
 	}
--- a/placer/disk.go
+++ b/placer/disk.go
@@ -25,17 +25,22 @@
 	*declarer.State
 	view     *declarer.View
 	spreader *spreader.Spreader
+	clock    clockwork.Clock
 	log      *zap.Logger
+
+	// departuresSpread is the index of the last departure that the spreader got.
+	departuresSpread uint64
 }
 
 // Apply applies one committed command.
-func (m stateMachine) Apply(index uint64, at time.Time, data []byte) any {
+func (m *stateMachine) Apply(index uint64, at time.Time, data []byte) any {
 	answer := m.State.Apply(index, at, data)
 	m.updateView()
+	m.spreadDepartures()
 	return answer
 }
 
-func (m stateMachine) updateView() {
+func (m *stateMachine) updateView() {
 	before := m.view.CurrentVersion()
 	m.view.Set(m.Declared())
 	m.spreader.SetQuarantine(m.Quarantine())
@@ -45,10 +50,11 @@
 }
 
 // Restore replaces the whole state with a snapshot.
-func (m stateMachine) Restore(data []byte) error {
+func (m *stateMachine) Restore(data []byte) error {
 	err := m.State.Restore(data)
 	if err == nil {
 		m.updateView()
+		m.spreadDepartures()
 	}
 	return err
 }
@@ -93,7 +99,8 @@
 		}
 	}
 	state := declarer.New(deps.Asserter)
-	c := coordinator.New(cfg, store, stateMachine{state, deps.View, deps.Spreader, deps.Log.Named("replica")}, coordinator.NewTransport(deps.Endpoint), deps.Clock, deps.Asserter, deps.Log)
+	machine := &stateMachine{State: state, view: deps.View, spreader: deps.Spreader, clock: deps.Clock, log: deps.Log.Named("replica")}
+	c := coordinator.New(cfg, store, machine, coordinator.NewTransport(deps.Endpoint), deps.Clock, deps.Asserter, deps.Log)
 	if err := c.Start(context.Background()); err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
--- a/placer/office.go
+++ b/placer/office.go
@@ -60,6 +60,8 @@
 	clock     clockwork.Clock
 	set       *metrics.Set
 	log       *zap.Logger
+
+	departures confirmedDepartures
 }
 
 func newControlAPI(placement parser.Placement, s *submitter.Submitter, sp *spreader.Spreader, e *connector.Endpoint,
@@ -152,7 +154,7 @@
 }
 
 // Report records what an upstream reports of itself. A report that it accepts no new requests
-// is confirmed only once a majority of the control replicas hold it.
+// is confirmed only once the log of the control replicas holds it.
 func (c *controlAPI) Report(ctx context.Context, r registrar.Record) error {
 	r.Region = c.placement.Regions[r.AvailabilityZone]
 	var changed bool
@@ -170,8 +172,8 @@
 	return err
 }
 
-// Leave records that an upstream has left. It returns an error of kind Unavailable unless a
-// majority of the control replicas hold that.
+// Leave records that an upstream has left. It returns an error of kind Unavailable unless the
+// log of the control replicas holds that.
 func (c *controlAPI) Leave(ctx context.Context, upstream identifier.Upstream, incarnation identifier.Incarnation) error {
 	r, ok := c.spreader.Find(upstream)
 	if !ok {
@@ -187,16 +189,3 @@
 	c.log.Info("Upstream left.", zap.String("upstream", string(upstream)))
 	return nil
 }
-
-// reportDeparture records that an upstream accepts no new requests, and returns whether that
-// changed what is known of it.
-func (c *controlAPI) reportDeparture(ctx context.Context, r registrar.Record) (bool, error) {
-	if !c.spreader.Connected() {
-		return false, explainer.New(explainer.Unavailable, "this process has no connection to a led control replica", "report to another process")
-	}
-	changed, err := c.spreader.ReportDeparture(ctx, r)
-	if err != nil {
-		c.log.Warn("Can't confirm a departure.", zap.String("upstream", string(r.Upstream)), zap.String("state", string(r.State)), zap.Error(err))
-	}
-	return changed, err
-}
--- a/spreader/doc.go
+++ b/spreader/doc.go
@@ -29,6 +29,6 @@
 //	s.Register(endpoint)
 //	s.Start()
 //	s.Report(record)        // a record that an upstream reported to this process
-//	_, err := s.ReportDeparture(ctx, record) // of an upstream that leaves
 //	s.SetReplicas(replicas) // on a control replica only
+//	s.RecordDepartures(records) // on a control replica only
 package spreader
--- a/spreader/message.go
+++ b/spreader/message.go
@@ -140,23 +140,10 @@
 	Evacuations declarer.Evacuations `cbor:",omitempty"`
 }
 
-// DepartureRequest asks a control replica to merge the record of an upstream that accepts no
-// new requests.
-type DepartureRequest struct {
-	Record registrar.Record
-}
-
-// DepartureResponse confirms that a control replica holds the record.
-type DepartureResponse struct {
-	// Index is that of the replica's list of replicas.
-	Index uint64
-}
-
 // The kinds of messages that a stream can begin with.
 const (
 	FollowKind           encoder.Kind = "Spreader.Follow"
 	FetchDeclarationKind encoder.Kind = "Spreader.FetchDeclared"
-	DepartureKind        encoder.Kind = "Spreader.Departure"
 )
 
 const updateKind encoder.Kind = "Spreader.Told"
@@ -170,7 +157,5 @@
 		encoder.Message[Update](updateKind).Optional(recordsField, refreshesField, loadsField, "Serving", "Caches", "Replicas", "Quarantine"),
 		encoder.Message[FetchDeclarationRequest](FetchDeclarationKind),
 		encoder.Message[FetchDeclarationResponse]("Spreader.DeclaredAnswer"),
-		encoder.Message[DepartureRequest](DepartureKind),
-		encoder.Message[DepartureResponse]("Spreader.DepartureAnswer"),
 	}
 }
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -282,6 +282,18 @@
 	s.recordNote(func() bool { return s.table.RecordLeaving(name, incarnation) })
 }
 
+// RecordDepartures merges the records of upstreams that accept no new requests, as the log of
+// the control replicas holds them.
+func (s *Spreader) RecordDepartures(records []registrar.Record) {
+	s.recordNote(func() bool {
+		changed := false
+		for _, r := range records {
+			changed = s.table.Merge(s.clock.Now(), r) || changed
+		}
+		return changed
+	})
+}
+
 // Upstreams returns the upstreams of the table, without those that are gone or displaced.
 func (s *Spreader) Upstreams() []registrar.KnownUpstream {
 	s.mu.Lock()
--- a/spreader/stream.go
+++ b/spreader/stream.go
@@ -29,7 +29,6 @@
 func (s *Spreader) Register(h HandlerRegistry) {
 	h.Handle(FollowKind, s.serveFollow)
 	h.Handle(FetchDeclarationKind, s.serveFetch)
-	h.Handle(DepartureKind, s.serveDeparture)
 }
 
 // serveFollow sends updates to a follower and applies the updates received from it.
