dialer, relayer: refuse an end without a length after a failed write

Callers got a part of an answer as the whole (MIXED): a runner answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the write of the upload takes the socket's error, and the read after it sees a plain end, which ends an answer without a length.

Change: package dialer has a connection that fails to read on after a failed write, and a transport for net/http's clients that also waits for the write of the request. All readers of upstreams, engines and origins use it. An answer with a length of its own doesn't need the end of the connection, so that an early one stays good.

--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"celeryvalve/admitter"
+	"celeryvalve/dialer"
 	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/limiter"
@@ -42,16 +43,15 @@
 )
 
 func newClient(keepAlive bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+		Transport: dialer.NewTransport(&http.Transport{
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableCompression:     true,
 			DisableKeepAlives:      !keepAlive,
 			MaxIdleConnsPerHost:    64,
 			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxResponseHeaderSize,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/loader/runner.go
+++ b/loader/runner.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"celeryvalve/dialer"
+
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -52,7 +54,7 @@
 		clock:    clock,
 		log:      log.Named("loader"),
 		files:    files,
-		engine:   &engineClient{base: cfg.EngineURL, client: &http.Client{}},
+		engine:   &engineClient{base: cfg.EngineURL, client: &http.Client{Transport: dialer.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}},
 		events:   make(chan Event, eventBacklog),
 		OnEffect: func(Effect) {},
 		loader:   New(cfg.Loader, a),
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
+	"celeryvalve/dialer"
 	"celeryvalve/limiter"
 	"celeryvalve/reader"
 )
@@ -121,7 +121,7 @@
 	responseHeader = response.Header
 	a.load, a.answer = header.Load, header
 	fullyRead := func() bool {
-		return writeErr == nil && isFramed(response) && !response.Close && c.reader.Buffered() == 0
+		return writeErr == nil && dialer.IsFramed(response) && !response.Close && c.reader.Buffered() == 0
 	}
 	switch {
 	case header.Misdirected, header.NotExecuted:
@@ -181,12 +181,6 @@
 	return err
 }
 
-// isFramed reports whether the response has a length or chunks, so that its end can be told
-// from that of its connection.
-func isFramed(response *http.Response) bool {
-	return response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")
-}
-
 // connect returns a connection from the pool. A request that must not run twice
 // gets a new connection, because the upstream may close an idle one just as the
 // request is sent, and then it is not known whether the request ran.
--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 
+	"celeryvalve/dialer"
 	"celeryvalve/identifier"
 	"celeryvalve/reader"
 )
@@ -64,8 +65,7 @@
 	defer cancel()
 	timer := clock.AfterFunc(connectTimeout, cancel)
 	defer timer.Stop()
-	dialer := net.Dialer{Control: setUserTimeout, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp4", addr.String())
+	conn, err := dialer.Dial(ctx, &net.Dialer{Control: setUserTimeout, KeepAlive: -1}, addr.String())
 	if err != nil {
 		return nil, err
 	}
@@ -204,7 +204,7 @@
 // a close it would be sent again until the host goes on, and the upstream would run a request that
 // nobody waits for.
 func (c *connection) reset() {
-	if conn, ok := c.conn.(*net.TCPConn); ok {
+	if conn, ok := c.conn.(*dialer.Conn); ok {
 		_ = conn.SetLinger(0)
 	}
 	c.close()
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
+	"celeryvalve/dialer"
 	"celeryvalve/reader"
 )
 
@@ -208,7 +209,7 @@
 		Attempt:  a.send.Attempt,
 		Load:     a.load,
 		IsError:  status >= http.StatusInternalServerError || meansNotExecuted(status),
-		Unframed: !isFramed(m.response),
+		Unframed: !dialer.IsFramed(m.response),
 	})
 	switch effect.(type) {
 	case balancer.Send:
--- /dev/null
+++ b/relayer/head_test.go
@@ -0,0 +1,48 @@
+package relayer_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"celeryvalve/declarer"
+)
+
+// answerWith returns an answer to the first attempt whose head has these lines besides.
+func answerWith(status, lines, body string) string {
+	return "HTTP/1.1 " + status + " X\r\nAttempt: a1\r\nSignature: s\r\n" + lines + "\r\n" + body
+}
+
+// requireNoAnswer requires that the caller of a long upload is told of a failure.
+func requireNoAnswer(t *testing.T, kind declarer.RequestKind, answer string) {
+	route := declarer.Route{Kind: kind, Timeout: requestTimeout, MaximumAttempts: 2}
+	server, _ := startRoute(t, clockwork.NewFakeClockAt(time.Now()), route, startEarly(t, answer))
+	o := wait(t, startCall(t, server, strings.Repeat("b", longBody), 0).outcome, "the request ends")
+	require.True(t, o.err != nil || o.status == http.StatusBadGateway, "%+v", o)
+}
+
+// Guards against a part of an answer that passes for the whole: the answer has no length, and the
+// upstream resets the connection while the upload is still being written.
+func TestAnswerThatIsResetDuringTheUploadIsNotWhole(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind   declarer.RequestKind
+		answer string
+	}{
+		"not repeatable":   {declarer.NonIdempotent, answerWith("200", "", "part")},
+		"repeatable":       {declarer.Idempotent, answerWith("200", "", "part")},
+		"an error":         {declarer.NonIdempotent, answerWith("404", "", "part")},
+		"stream":           {declarer.Streaming, answerWith("200", "Content-Type: text/event-stream\r\n", "id: 0\ndata: x\n\n")},
+		"cut-off length":   {declarer.NonIdempotent, answerWith("200", "Content-Length: 9\r\n", "part")},
+		"cut-off chunks":   {declarer.NonIdempotent, answerWith("200", "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n")},
+		"an older version": {declarer.NonIdempotent, strings.Replace(answerWith("200", "", "part"), "HTTP/1.1", "HTTP/1.0", 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswer(t, test.kind, test.answer)
+		})
+	}
+}
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"celeryvalve/balancer"
+	"celeryvalve/dialer"
 )
 
 // progressInterval is the number of events after which the reducer is told of a stream's progress.
@@ -72,7 +73,7 @@
 // endStream reports the complete stream to the reducer.
 func (x *exchange) endStream(a *attempt, response *http.Response) {
 	x.relayer.meters.longestPause.Update(x.longestPause.Seconds())
-	x.relayer.reduce(balancer.ResponseCompleted{Request: x.request.ID, Attempt: a.send.Attempt, Unframed: !isFramed(response)})
+	x.relayer.reduce(balancer.ResponseCompleted{Request: x.request.ID, Attempt: a.send.Attempt, Unframed: !dialer.IsFramed(response)})
 	x.recordServed(a, http.StatusOK)
 }
 
--- a/transferrer/origin.go
+++ b/transferrer/origin.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"celeryvalve/dialer"
+
 	"github.com/jonboulle/clockwork"
 
 	"celeryvalve/fetcher"
@@ -63,6 +65,10 @@
 	onETagChange func(url string)
 }
 
+func newOriginClient() *http.Client {
+	return &http.Client{Transport: dialer.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+}
+
 // readBufferSize is how many bytes are read between two waits for the rate limiter.
 const readBufferSize = 64 << 10
 
--- a/transferrer/transferrer.go
+++ b/transferrer/transferrer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -125,7 +124,7 @@
 	}
 	t.uploads = newUploadQueue(t.uploadLimiter, cfg.Relays)
 	t.origin = &origin{
-		client:       &http.Client{},
+		client:       newOriginClient(),
 		clock:        clock,
 		stallTimeout: cfg.OriginStallTimeout,
 		limiter:      t.downloadLimiter,
