dialer, relayer: refuse an answer whose status is none of HTTP

On the settings path the entry's handler panicked and gave no answer.

Cause: each status below 200 was skipped as informational, 101 too, and what net/http takes besides (three digits) was passed on.

Change: final statuses are 200 to 599, informational ones 100 to 199 but 101; all else breaks the attempt. Every reader checks it: the relayer's loop over heads, the transport of the other clients, and the entry of the settings path for heads that agents pass on and for stored answers.

--- a/dialer/doc.go
+++ b/dialer/doc.go
@@ -3,7 +3,8 @@
 //
 // An answer without a length ends with its connection. If a write on the connection has
 // failed, that end is an error: the write may have taken the error of a reset, after
-// which a read sees a plain end. So is the end before the request was written.
+// which a read sees a plain end. So is the end before the request was written. An
+// answer whose status is not one of HTTP is an error as well.
 //
 // # Usage
 //
@@ -13,4 +14,5 @@
 //
 //	conn, err := dialer.Dial(ctx, &net.Dialer{}, address)
 //	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+//	err = dialer.CheckHead(response)
 package dialer
--- a/dialer/transport.go
+++ b/dialer/transport.go
@@ -44,6 +44,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckFinal(response.StatusCode); err != nil {
+		return nil, errors.Join(err, response.Body.Close())
+	}
 	if !IsFramed(response) && response.Body != http.NoBody {
 		response.Body = &unframedBody{ReadCloser: response.Body, ctx: r.Context(), sent: &sent}
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"celeryvalve/asserter"
+	"celeryvalve/dialer"
 	"celeryvalve/identifier"
 	"celeryvalve/router"
 )
@@ -244,6 +245,10 @@
 	if l.progress.head != nil {
 		return nil
 	}
+	if dialer.CheckFinal(m.Status) != nil {
+		f.reportBreak(ex, l, router.Damaged)
+		return errAttemptEnded
+	}
 	f.post(router.AttemptAnswering{Request: ex.id, Attempt: l.attempt, Status: m.Status})
 	if !ex.isSelected(l.attempt) {
 		return errAttemptEnded
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"celeryvalve/dialer"
+
 	"go.uber.org/zap"
 
 	"celeryvalve/identifier"
@@ -317,7 +319,7 @@
 
 // endStored sends the stored outcome of an earlier request with the same key.
 func (p *reply) endStored(stored *router.StoredAnswer) {
-	if stored.TooLarge || stored.Status == 0 {
+	if stored.TooLarge || dialer.CheckFinal(stored.Status) != nil {
 		writeLocalReply(p.w, http.StatusConflict, localReply{
 			Outcome: stored.Outcome,
 			Message: "the request ran, but its response is not stored (read the result from the service)",
--- a/relayer/connection.go
+++ b/relayer/connection.go
@@ -149,16 +149,19 @@
 }
 
 // read reads the head of the response to the request and skips informational (1xx)
-// responses.
+// responses. The error is a dialer.HeadError if a head is not one of HTTP.
 func (c *connection) read(r *http.Request) (*http.Response, error) {
 	c.bound.begin(maxHeadSize)
 	defer c.bound.end()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
+		if err == nil {
+			err = dialer.CheckHead(response)
+		}
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if !dialer.IsInformational(response.StatusCode) {
 			return response, nil
 		}
 	}
--- a/relayer/head_test.go
+++ b/relayer/head_test.go
@@ -46,3 +46,22 @@
 		})
 	}
 }
+
+// Guards against an answer whose status is none, and against what follows it being taken for the
+// answer.
+func TestAnswerWithoutAStatusOfHTTPIsNone(t *testing.T) {
+	const whole = "Content-Length: 5\r\n"
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		for name, answer := range map[string]string{
+			"alone":             answerWith(status, whole, "right"),
+			"before another":    answerWith(status, "Content-Length: 0\r\n", "") + answerWith("200", whole, "right"),
+			"without a length":  answerWith(status, "", "right"),
+			"after information": "HTTP/1.1 103 X\r\n\r\n" + answerWith(status, whole, "right"),
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				t.Parallel()
+				requireNoAnswer(t, declarer.NonIdempotent, answer)
+			})
+		}
+	}
+}
