dialer, relayer: refuse an answer whose head has an invalid field name

Cause: net/http refuses control bytes in field names and lets blanks through.

Change: each field name of an answer is a token, also in informational heads and in trailers; all else breaks the attempt. All readers check it as they check the status.

--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -92,10 +92,14 @@
 // Guards against answers of engines and origins that net/http takes for whole ones.
 func TestTransportRefusesWhatIsNoWholeAnswer(t *testing.T) {
 	for name, answer := range map[string]string{
-		"status 000": "HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nright",
-		"status 099": "HTTP/1.1 099 X\r\nContent-Length: 5\r\n\r\nright",
-		"status 101": "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nright",
-		"status 600": "HTTP/1.1 600 X\r\nContent-Length: 5\r\n\r\nright",
+		"status 000":             "HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nright",
+		"status 099":             "HTTP/1.1 099 X\r\nContent-Length: 5\r\n\r\nright",
+		"status 101":             "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nright",
+		"status 600":             "HTTP/1.1 600 X\r\nContent-Length: 5\r\n\r\nright",
+		"blank in a name":        "HTTP/1.1 200 X\r\nX Y: 1\r\nContent-Length: 5\r\n\r\nright",
+		"blank after a name":     "HTTP/1.1 200 X\r\nContent-Length : 5\r\n\r\nright",
+		"control byte in a name": "HTTP/1.1 200 X\r\nX\x01Y: 1\r\nContent-Length: 5\r\n\r\nright",
+		"blank in a hint":        "HTTP/1.1 103 X\r\nX Y: 1\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nright",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, _, err := exchange(t, answer, nil)
--- a/dialer/doc.go
+++ b/dialer/doc.go
@@ -4,7 +4,8 @@
 // An answer without a length ends with its connection. If a write on the connection has
 // failed, that end is an error: the write may have taken the error of a reset, after
 // which a read sees a plain end. So is the end before the request was written. An
-// answer whose status is not one of HTTP is an error as well.
+// answer whose status is not one of HTTP, or whose head has a field name that is no
+// token, is an error as well: what follows can't be told from its body.
 //
 // # Usage
 //
--- a/dialer/head.go
+++ b/dialer/head.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // HeadError says why the head of an answer is none.
@@ -13,10 +15,13 @@
 // Error returns the problem.
 func (e *HeadError) Error() string { return e.Problem }
 
-// CheckHead returns a HeadError if the response is neither informational nor a final one. It
-// refuses 101, since no request asks for another protocol.
+// CheckHead returns a HeadError if the response is neither informational nor a final one, or if
+// a name in its header is no token. It refuses 101, since no request asks for another protocol.
 func CheckHead(response *http.Response) error {
-	return checkStatus(response.StatusCode)
+	if err := checkStatus(response.StatusCode); err != nil {
+		return err
+	}
+	return CheckNames(response.Header)
 }
 
 // IsInformational reports whether another response follows the one with this status.
@@ -38,3 +43,14 @@
 	}
 	return CheckFinal(status)
 }
+
+// CheckNames returns a HeadError if a name in the header, or the trailer, is no token. net/http
+// lets names with blanks through.
+func CheckNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &HeadError{fmt.Sprintf("the field name %q has bytes that no field name may have", name)}
+		}
+	}
+	return nil
+}
--- a/dialer/transport.go
+++ b/dialer/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"slices"
 	"sync"
 )
@@ -39,12 +40,15 @@
 	trace := &httptrace.ClientTrace{
 		GotConn:      func(httptrace.GotConnInfo) { sent.begin() },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { sent.end(info.Err) },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			return CheckNames(http.Header(header))
+		},
 	}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckFinal(response.StatusCode); err != nil {
+	if err := errors.Join(CheckFinal(response.StatusCode), CheckNames(response.Header)); err != nil {
 		return nil, errors.Join(err, response.Body.Close())
 	}
 	if !IsFramed(response) && response.Body != http.NoBody {
--- a/executor/head_test.go
+++ b/executor/head_test.go
@@ -36,7 +36,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		hijack(w, fmt.Sprintf("HTTP/1.1 %s X\r\n%s%sContent-Length: 5\r\n\r\nright", status, named, lines))
 	})
-	for _, answer := range []string{"000", "099", "101", "600", "reset"} {
+	for _, answer := range []string{"000", "099", "101", "600", "200|X+Y:+1%0d%0a", "200|Content-Length+:+5%0d%0a", "reset"} {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
 			got := c.send(t.Context(), method, "/slots?answer="+answer, strings.NewReader(strings.Repeat("x", 512<<10)),
 				"Idempotency-Key", method+answer)
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -104,6 +104,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := dialer.CheckNames(resp.Trailer); err != nil {
+		return nil, explainer.Wrap(err, explainer.Corrupt, "the response has an invalid trailer", "check the upstream")
+	}
 	if !detector.isSatisfied() {
 		return nil, explainer.New(explainer.Corrupt, "the event stream ended without the event that marks its end",
 			"check whether the upstream was interrupted, or change EventStreamEnd to the data of its last event")
--- a/relayer/head_test.go
+++ b/relayer/head_test.go
@@ -65,3 +65,26 @@
 		}
 	}
 }
+
+// Guards against a field name with a blank or a control byte, which is passed on, or hides the
+// length of the answer.
+func TestAnswerWithAnInvalidFieldNameIsNone(t *testing.T) {
+	for name, lines := range map[string]string{
+		"blank inside":           "X Y: 1\r\nContent-Length: 5\r\n",
+		"blank before the colon": "Content-Length : 5\r\nContent-Length: 5\r\n",
+		"control byte":           "X\x01Y: 1\r\nContent-Length: 5\r\n",
+		"no name":                ": 1\r\nContent-Length: 5\r\n",
+		"hidden chunks":          "Transfer-Encoding : chunked\r\nContent-Length: 5\r\n",
+	} {
+		for place, answer := range map[string]string{
+			"":                  answerWith("200", lines, "right"),
+			" of a stream":      answerWith("200", "Content-Type: text/event-stream\r\n"+strings.ReplaceAll(lines, ": 5", ": 15"), "id: 0\ndata: x\n\n"),
+			" of a hint before": "HTTP/1.1 103 X\r\n" + strings.Replace(lines, "Content-Length: 5\r\n", "", 1) + "\r\n" + answerWith("200", "Content-Length: 5\r\n", "right"),
+		} {
+			t.Run(name+place, func(t *testing.T) {
+				t.Parallel()
+				requireNoAnswer(t, declarer.NonIdempotent, answer)
+			})
+		}
+	}
+}
