coordinator: allow for repeated proposals in the test of agreement

The test now counts what was proposed again, and allows for nothing else: without a repetition it asks for 210 as before.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -148,6 +148,9 @@
 	random  io.Reader
 	cfg     coordinator.Config
 	nodes   []*node
+	// repeated and repeatedSum are the number and the sum of the values that were proposed
+	// again after an unknown outcome.
+	repeated, repeatedSum atomic.Uint64
 }
 
 // newCluster returns n replicas that are not started, each with its own clock.
@@ -290,6 +293,11 @@
 				result = answer
 				return true
 			}
+			var unknown *coordinator.OutcomeUnknownError
+			if errors.As(err, &unknown) {
+				c.repeated.Add(1)
+				c.repeatedSum.Add(value)
+			}
 		}
 		return false
 	})
@@ -348,9 +356,12 @@
 		require.NotNil(t, c.propose(i))
 	}
 	c.agree()
+	// A disk that stalls ends the leadership, and what is proposed again may be added twice.
 	total, count := c.nodes[0].sum.value()
-	require.Equal(t, uint64(210), total)
-	require.Equal(t, uint64(20), count)
+	require.GreaterOrEqual(t, total, uint64(210))
+	require.LessOrEqual(t, total, 210+c.repeatedSum.Load())
+	require.GreaterOrEqual(t, count, uint64(20))
+	require.LessOrEqual(t, count, 20+c.repeated.Load())
 }
 
 func TestSingleReplicaServes(t *testing.T) {
