placer: end the hand-over of a place once others list the replica as gone

Once it is removed no leader tells it so; only the list of replicas that other processes pass on does.

TestHandOverEndsWhenTheListLacksTheReplica fails without the check of the list and passes now.

--- a/placer/replica.go
+++ b/placer/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -142,7 +143,7 @@
 	r.transferLeadership(ctx, node)
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	for isReplaceable(node.coordinator.Status().Status) {
+	for r.isReplaceable(node.coordinator.Status().Status) {
 		select {
 		case <-ctx.Done():
 			r.log.Warn("No standby took the place of this replica in time.")
@@ -152,8 +153,12 @@
 	}
 }
 
-// isReplaceable reports whether the replica is a voter and a learner could take its place.
-func isReplaceable(s replicator.Status) bool {
+// isReplaceable reports whether the replica is a voter and a learner could take its place. A
+// replica that was removed learns it from the list that the others pass on.
+func (r *replica) isReplaceable(s replicator.Status) bool {
+	if list := r.spreader.ReplicaList(); list.Index > uint64(s.MembershipIndex) && !slices.Contains(list.Disks, s.Replica) {
+		return false
+	}
 	voter, learner := false, false
 	for _, m := range s.Members {
 		voter = voter || m.Replica == s.Replica && m.Voter
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -1,16 +1,23 @@
 package placer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"celeryvalve/asserter"
+	"celeryvalve/declarer"
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
 	"celeryvalve/recorder"
+	"celeryvalve/registrar"
 	"celeryvalve/repairer"
 	"celeryvalve/replicator"
+	"celeryvalve/spreader"
 )
 
 // Guards against the loss of a majority when a second replica is lost as soon as the
@@ -48,3 +55,22 @@
 	// The steps of the change have the rest of the time, also if the successor starts at the loss.
 	require.LessOrEqual(t, replacedAt, catchUp/2+2*replicaReconcileInterval)
 }
+
+// Guards against a stopping replica that waits in vain to lose its place: once it is removed, no
+// leader tells it so, only the list that other processes pass on.
+func TestHandOverEndsWhenTheListLacksTheReplica(t *testing.T) {
+	view := declarer.NewView(asserter.Strict{})
+	s := spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{}), view, nil, clockwork.NewFakeClock(), zap.NewNop())
+	r := &replica{spreader: s}
+	status := replicator.Status{Replica: "a", MembershipIndex: 5, Members: []replicator.MemberStatus{
+		{Member: recorder.Member{Replica: "a", Voter: true}}, {Member: recorder.Member{Replica: "b", Voter: true}},
+	}}
+	require.False(t, r.isReplaceable(status), "there is no standby")
+	status.Members = append(status.Members, replicator.MemberStatus{Member: recorder.Member{Replica: "d", Standby: true}})
+	require.True(t, r.isReplaceable(status))
+	addresses := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}
+	s.SetReplicas(spreader.Replicas{Index: 6, Led: true, Addresses: addresses, Disks: []identifier.Replica{"a", "b", "d"}})
+	require.True(t, r.isReplaceable(status))
+	s.SetReplicas(spreader.Replicas{Index: 7, Led: true, Addresses: addresses, Disks: []identifier.Replica{"b", "d"}})
+	require.False(t, r.isReplaceable(status))
+}
