placer: log what a replica knows while nobody leads

"No leader is known." now lists the members with their votes and when each was last heard, and the new replicas that wait, after 3 s and each 5 s from then on.

That this is what the users met is only suspected (docs/incidents/no-leader.md).

--- a/placer/replica.go
+++ b/placer/replica.go
@@ -36,8 +36,9 @@
 	lastOpenAttempt  time.Time
 	changeInProgress bool
 
-	// excludedSince is used only by the goroutine of reconcile.
+	// excludedSince and leaderless are used only by the goroutine of reconcile.
 	excludedSince time.Time
+	leaderless    leaderlessLog
 }
 
 func newReplica(deps replicaDeps) *replica {
@@ -49,6 +50,7 @@
 		clock:    deps.Clock,
 		log:      deps.Log.Named("replica"),
 	}
+	r.leaderless.log = r.log
 	r.reconciler = repeater.New(r.clock, replicaReconcileInterval, r.reconcile)
 	deps.View.Watch(r.reconciler.Trigger) // a named release is pinned at once
 	return r
@@ -194,6 +196,7 @@
 	}
 	node.coordinator.SetContacts(r.spreader.ReplicaAddresses())
 	r.publishMembership(status.Status)
+	r.leaderless.observe(r.clock.Now(), status.Status)
 	if r.isExcluded(status.Status) {
 		r.resetDisk(node)
 		return
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -13,12 +13,13 @@
 // MemberStatus is a replica's view of one member.
 type MemberStatus struct {
 	recorder.Member
-	// Match is the last index that the member is known to have synced, LastHeard
-	// when it last sent a message to this leader or an earlier one. Leaving is set if it has
-	// said that it is about to stop. Only the leader knows them.
-	Match     recorder.Index
+	// LastHeard is when the member last sent a message, to this replica or, as far as
+	// known, to a leader. It is zero if that is not known.
 	LastHeard time.Time
-	Leaving   bool
+	// Match is the last index that the member is known to have synced. Leaving is set if
+	// it has said that it is about to stop. Only the leader knows them.
+	Match   recorder.Index
+	Leaving bool
 }
 
 // JoinerStatus is a new replica that waits to be admitted.
@@ -73,7 +74,7 @@
 		Halted:          r.halted,
 	}
 	for _, m := range r.membership.Members {
-		member := MemberStatus{Member: m}
+		member := MemberStatus{Member: m, LastHeard: r.lastHeard[m.Replica]}
 		if p := r.progress[m.Replica]; p != nil {
 			member.Match, member.LastHeard, member.Leaving = p.match, r.heardSince(m.Replica), p.leaving
 		}
