repairer: let a replica that lost its place come back within the time to catch up

What callers saw: on real processes, control that acknowledges nothing any more and answers 503 to reads for good. A voter restarts as planned work and gives its place to a standby; more than 4 s (catch_up_s) later another one is stopped for good, and then one is lost.

Cause: a replica that is no longer a member waited 5 s before it emptied its disk and 3 s more before it opened it again, as after a failed disk. It was a standby some 8 s after it was back; the place of the next voter could not be given to it, and two of three voters were gone at the next loss. The simulation emptied the disks of such replicas at once, so that its tests could not find this.

Change: the configuration by which places are given away moves to package repairer, so that the simulation has the times of the program, and Exclusion decides there when a disk is given up: after a quarter of a voter's silence, 0.5 s where catch_up_s is 4 s. It opens at the next look (0.2 s). The disk holds nothing that the committed membership needs, whenever it is emptied (isExcluded has the reason); the wait only spares a disk whose admission is on its way.

--- a/placer/control.go
+++ b/placer/control.go
@@ -19,21 +19,7 @@
 	// replicaReconcileInterval is how often the replica checks its disk and the
 	// membership.
 	replicaReconcileInterval = 200 * time.Millisecond
-	// defaultVoterSilence is how long a voter may be silent before it may be replaced,
-	// where the platform sets no time to catch up. It is longer than freezes, restarts
-	// and network partitions that end without a repair.
-	defaultVoterSilence = 10 * time.Second
-	// voterSilenceFraction is the part of the time to catch up for which a voter may be
-	// silent before a standby takes its place. The rest is for the steps of the change.
-	voterSilenceFraction = 0.5
-	// minVoterSilence is longer than a restart and two elections take.
-	minVoterSilence = 2 * time.Second
-	// memberAnswerTimeout is three heartbeats of the consensus protocol.
-	memberAnswerTimeout = 300 * time.Millisecond
-	// joinerLifetime is how long an announcement of a new replica is valid.
-	// Announcements are repeated with every heartbeat of the consensus protocol.
-	joinerLifetime = time.Second
-	changeTimeout  = 5 * time.Second
+	changeTimeout            = 5 * time.Second
 	// reopenInterval is how often a failed disk is opened again.
 	reopenInterval            = 3 * time.Second
 	leadershipTransferTimeout = time.Second
@@ -43,9 +29,6 @@
 	// removedFolder is where the control folder is moved before it is deleted, so
 	// that a partly deleted folder is not opened as a replica's disk.
 	removedFolder = "control-removed"
-	// exclusionTimeout is how long a replica that is not in the membership waits for
-	// a leader that includes it.
-	exclusionTimeout = 5 * time.Second
 	// electionTimeout is six heartbeats of the consensus protocol. It leaves time for
 	// two elections in a row within one second, after which an operator tries another
 	// instance.
--- a/placer/outcast.go
+++ b/placer/outcast.go
@@ -11,27 +11,16 @@
 	"celeryvalve/explainer"
 	"celeryvalve/recorder"
 	"celeryvalve/repairer"
-	"celeryvalve/replicator"
 )
 
-// isExcluded reports whether, for exclusionTimeout, the newest known membership has not
-// contained this replica and the replica has known no leader.
-func (r *replica) isExcluded(status replicator.Status) bool {
-	membership := r.spreader.ReplicaList()
-	committed := repairer.CommittedMembership{Index: recorder.Index(membership.Index), Replicas: membership.Disks}
-	now := r.clock.Now()
-	if status.LeaderAddr.IsValid() || !repairer.IsExcluded(status, committed) {
-		r.excludedSince = time.Time{}
-		return false
-	}
-	if r.excludedSince.IsZero() {
-		r.excludedSince = now
-	}
-	return now.Sub(r.excludedSince) >= exclusionTimeout
+// newestMembership returns the newest committed membership that this process has heard of.
+func (r *replica) newestMembership() repairer.CommittedMembership {
+	list := r.spreader.ReplicaList()
+	return repairer.CommittedMembership{Index: recorder.Index(list.Index), Replicas: list.Disks}
 }
 
-// resetDisk stops the replica and deletes its data. The replica then joins again with
-// an empty disk.
+// resetDisk stops the replica and deletes its data. The replica joins again with an empty
+// disk at the next reconcile.
 func (r *replica) resetDisk(node *replicaNode) {
 	r.closeNode(node, explainer.New(explainer.Fenced, "this replica is no longer a member", "none: it joins again with an empty disk"))
 	folder := filepath.Join(r.deps.Placement.DataFolder, controlFolder)
@@ -40,6 +29,9 @@
 	if err == nil {
 		err = os.RemoveAll(old)
 	}
+	r.mu.Lock()
+	r.lastOpenAttempt = time.Time{} // the disk has not failed
+	r.mu.Unlock()
 	// The cluster exists: this replica must not found another one with its new disk.
 	r.deps.Placement.FirstStart = false
 	r.log.Warn("Emptied the disk of a replica that is no longer a member.", zap.Error(err))
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
-	"celeryvalve/parser"
 	"celeryvalve/repairer"
 	"celeryvalve/repeater"
 	"celeryvalve/replicator"
@@ -36,19 +35,21 @@
 	lastOpenAttempt  time.Time
 	changeInProgress bool
 
-	// excludedSince and leaderless are used only by the goroutine of reconcile.
-	excludedSince time.Time
-	leaderless    leaderlessLog
+	// exclusion and leaderless are used only by the goroutine of reconcile.
+	exclusion  *repairer.Exclusion
+	leaderless leaderlessLog
 }
 
 func newReplica(deps replicaDeps) *replica {
+	cfg := repairer.NewConfig(deps.Placement.ToleratedLosses, deps.Placement.Bounds.CatchUp)
 	r := &replica{
-		deps:     deps,
-		spreader: deps.Spreader,
-		repairer: repairer.New(repairerConfig(deps.Placement)),
-		pinner:   newPinner(deps.Log),
-		clock:    deps.Clock,
-		log:      deps.Log.Named("replica"),
+		deps:      deps,
+		spreader:  deps.Spreader,
+		repairer:  repairer.New(cfg),
+		exclusion: repairer.NewExclusion(cfg),
+		pinner:    newPinner(deps.Log),
+		clock:     deps.Clock,
+		log:       deps.Log.Named("replica"),
 	}
 	r.leaderless.log = r.log
 	r.reconciler = repeater.New(r.clock, replicaReconcileInterval, r.reconcile)
@@ -56,22 +57,6 @@
 	return r
 }
 
-// repairerConfig returns the configuration by which a replacement votes, and the replica
-// that it replaces does not, before the platform may take another one.
-// docs/design/0023-replacements.md divides the time.
-func repairerConfig(placement parser.Placement) repairer.Config {
-	silence := defaultVoterSilence
-	if placement.Bounds.CatchUp > 0 {
-		silence = max(minVoterSilence, time.Duration(voterSilenceFraction*float64(placement.Bounds.CatchUp)))
-	}
-	return repairer.Config{
-		ToleratedLosses: placement.ToleratedLosses,
-		SilentAfter:     silence,
-		JoinerLifetime:  joinerLifetime,
-		AnswerTimeout:   memberAnswerTimeout,
-	}
-}
-
 // open opens the disk, unless it is open or was tried less than reopenInterval ago.
 func (r *replica) open() {
 	r.mu.Lock()
@@ -197,7 +182,7 @@
 	node.coordinator.SetContacts(r.spreader.ReplicaAddresses())
 	r.publishMembership(status.Status)
 	r.leaderless.observe(r.clock.Now(), status.Status)
-	if r.isExcluded(status.Status) {
+	if r.exclusion.Observe(r.clock.Now(), status.Status, r.newestMembership()) {
 		r.resetDisk(node)
 		return
 	}
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -12,7 +12,6 @@
 	"celeryvalve/asserter"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
-	"celeryvalve/parser"
 	"celeryvalve/recorder"
 	"celeryvalve/registrar"
 	"celeryvalve/repairer"
@@ -25,8 +24,7 @@
 // The replacement then must have a vote, and the lost replica none.
 func TestReplacementVotesBeforeTheNextLoss(t *testing.T) {
 	const catchUp, replacedAfter = 4 * time.Second, time.Second
-	placement := parser.Placement{ToleratedLosses: 1, Bounds: parser.PlatformLimits{CatchUp: catchUp}}
-	r := repairer.New(repairerConfig(placement))
+	r := repairer.New(repairer.NewConfig(1, catchUp))
 	lost := time.Unix(1_700_000_000, 0)
 	status := replicator.Status{Role: replicator.Leader, Replica: "a", Commit: 9, MembershipIndex: 1}
 	status.Members = []replicator.MemberStatus{
--- a/repairer/repairer.go
+++ b/repairer/repairer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"celeryvalve/identifier"
-	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
 
@@ -17,21 +16,6 @@
 	maximumVoters = 7
 )
 
-// Config configures a Repairer.
-type Config struct {
-	// ToleratedLosses is the number of replicas that may be lost at the same time.
-	ToleratedLosses int
-	// SilentAfter is how long a voter must be silent before a standby takes its place.
-	// It must be longer than a restart takes.
-	SilentAfter time.Duration
-	// JoinerLifetime is how long an announcement of a new replica remains valid. It
-	// is also how long a member must be silent before a new replica of the same
-	// name may replace it.
-	JoinerLifetime time.Duration
-	// AnswerTimeout is how long a new leader waits for the first answers of the members.
-	AnswerTimeout time.Duration
-}
-
 // Kind is the kind of an Action.
 type Kind string
 
@@ -211,37 +195,6 @@
 	return m.Replica != s.Replica && now.Sub(m.LastHeard) > timeout
 }
 
-// CommittedMembership is a membership that a leader has committed. Index is that of its log
-// entry.
-type CommittedMembership struct {
-	Index    recorder.Index
-	Replicas []identifier.Replica
-}
-
-// IsExcluded reports whether the replica with status s has log entries but is not
-// in the committed membership c, which is at least as recent as any membership that
-// the replica knows. The replica was removed, or its admission was lost with the
-// leader that began it. Since a replica with entries does not announce itself, it
-// would wait forever; it may discard its disk and start with an empty one. At worst
-// the disk is that of a learner that has not received its admission yet. It is not
-// that of a voter, because a voter knows the entry that made it one.
-func IsExcluded(s replicator.Status, c CommittedMembership) bool {
-	return s.Last > 0 && c.Index >= s.MembershipIndex && len(c.Replicas) > 0 && !slices.Contains(c.Replicas, s.Replica)
-}
-
-// CommittedMembershipOf returns the membership in the status s. It returns false if s is not
-// that of a leader, or if the leader has not committed its latest membership yet.
-func CommittedMembershipOf(s replicator.Status) (CommittedMembership, bool) {
-	if s.Role != replicator.Leader || s.MembershipIndex > s.Commit {
-		return CommittedMembership{}, false
-	}
-	c := CommittedMembership{Index: s.MembershipIndex}
-	for _, m := range s.Members {
-		c.Replicas = append(c.Replicas, m.Replica)
-	}
-	return c, true
-}
-
 func findByName(members []replicator.MemberStatus, name string) (replicator.MemberStatus, bool) {
 	i := slices.IndexFunc(members, func(m replicator.MemberStatus) bool { return m.Name == name })
 	if i < 0 {
--- a/replicator/repairer_test.go
+++ b/replicator/repairer_test.go
@@ -16,12 +16,12 @@
 
 // runRepairer lets the repairer make one decision on the leader's status, and
 // carries it out.
-func (sim *simulation) runRepairer(r *repairer.Repairer) {
+func (sim *simulation) runRepairer(cfg repairer.Config) {
 	leader := sim.leader()
 	if leader == nil {
 		return
 	}
-	switch action := r.Decide(leader.clock(), leader.reducer.Status()); action.Kind {
+	switch action := repairer.New(cfg).Decide(leader.clock(), leader.reducer.Status()); action.Kind {
 	case repairer.Admit:
 		sim.admit(leader, action.Name)
 	case repairer.AddStandby:
@@ -34,21 +34,34 @@
 		sim.nextID++
 		leader.feed(replicator.RemoveRequested{ID: sim.nextID, Name: action.Name})
 	}
-	sim.wipeRemovedReplicas(leader)
+	sim.wipeExcludedReplicas(leader, cfg)
 }
 
-// wipeRemovedReplicas restarts, with an empty disk, the replicas that can learn
-// from the leader that they are no longer members.
-func (sim *simulation) wipeRemovedReplicas(leader *node) {
+// reopenTime is how long an excluded replica takes to open its emptied disk.
+const reopenTime = 200 * time.Millisecond
+
+// wipeExcludedReplicas restarts, with an empty disk, the replicas that have learned from the
+// leader that they are no longer members.
+func (sim *simulation) wipeExcludedReplicas(leader *node, cfg repairer.Config) {
 	committed, ok := repairer.CommittedMembershipOf(leader.reducer.Status())
 	if !ok {
 		return
 	}
 	for _, n := range sim.nodes {
-		cut := sim.cut[link{leader.addr, n.addr}]
-		if n.running && !n.frozen && !cut && repairer.IsExcluded(n.reducer.Status(), committed) {
+		if !n.running || n.frozen || sim.cut[link{leader.addr, n.addr}] {
+			continue
+		}
+		if n.exclusion == nil {
+			n.exclusion = repairer.NewExclusion(cfg)
+		}
+		if n.exclusion.Observe(n.clock(), n.reducer.Status(), committed) {
 			n.loseDisk()
-			n.boot()
+			emptied := n.replica
+			sim.schedule(reopenTime, func() {
+				if !n.running && n.replica == emptied {
+					n.boot()
+				}
+			})
 		}
 	}
 }
@@ -61,7 +74,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{3, 5}).Draw(t, "n")
 		sim := newSimulation(t, rapid.Uint64().Draw(t, "seed"), n)
-		r := repairer.New(repairer.Config{ToleratedLosses: n / 2, SilentAfter: 10 * time.Second, JoinerLifetime: time.Second})
+		cfg := repairer.NewConfig(n/2, 0)
 		sim.heal()
 		sim.advance(3 * time.Second)
 		all := actions(sim)
@@ -72,11 +85,11 @@
 				continue
 			}
 			all[name](t)
-			sim.runRepairer(r)
+			sim.runRepairer(cfg)
 		}
 		sim.heal()
 		sim.advanceUntil("the repairer has restored the set of voters", func() bool {
-			sim.runRepairer(r)
+			sim.runRepairer(cfg)
 			sim.advance(200 * time.Millisecond)
 			return sim.leader() != nil && sim.fullyRepaired()
 		})
--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -22,15 +22,13 @@
 // core is a simulation with the times of the platform, whose repairer runs all the time.
 type core struct {
 	*simulation
-	repairer *repairer.Repairer
+	repairer repairer.Config
 }
 
 func newCore(t tester, seed uint64, tolerated int) *core {
 	c := &core{simulation: newSimulation(t, seed, 2*tolerated+1)}
 	c.cfg.HeartbeatInterval, c.cfg.ElectionTimeout = 100*time.Millisecond, 600*time.Millisecond
-	c.repairer = repairer.New(repairer.Config{
-		ToleratedLosses: tolerated, SilentAfter: catchUp / 2, JoinerLifetime: time.Second, AnswerTimeout: 300 * time.Millisecond,
-	})
+	c.repairer = repairer.NewConfig(tolerated, catchUp)
 	for _, n := range c.nodes {
 		n.boot()
 	}
@@ -68,13 +66,17 @@
 
 // drain plays SIGTERM: the node announces that it leaves, hands the leadership over and ends.
 func (c *core) drain(n *node) {
+	c.announceLeave(n)
+	c.lose(n)
+}
+
+func (c *core) announceLeave(n *node) {
 	n.feed(replicator.LeaveAnnounced{})
 	if n.reducer.Status().Role == replicator.Leader {
 		c.nextID++
 		n.feed(replicator.TransferRequested{ID: c.nextID})
 	}
 	c.advance(stopTime)
-	c.lose(n)
 }
 
 // requireWorks fails unless a command is committed within the time in which the platform asks
@@ -180,3 +182,42 @@
 		c.requireWorks()
 	})
 }
+
+// leave plays an event after which the node comes back with its disk: a planned restart, a kill or a
+// standstill.
+func (c *core) leave(t *rapid.T, n *node) {
+	away := time.Duration(rapid.IntRange(100, 5000).Draw(t, "awayMillis")) * time.Millisecond
+	switch rapid.SampledFrom([]string{"restart", "kill", "standstill"}).Draw(t, "kind") {
+	case "restart":
+		c.announceLeave(n)
+		n.crash()
+		c.advance(500 * time.Millisecond)
+		n.boot()
+	case "kill":
+		n.crash()
+		c.advance(away)
+		n.boot()
+	case "standstill":
+		n.frozen = true
+		c.advance(away)
+		n.thaw()
+	}
+}
+
+// TestReturnedReplicaTakesTheNextPlace: a replica that lost its place to a standby while it was away
+// must be a standby itself, once it is back for catchUp: its place may be needed at once.
+func TestReturnedReplicaTakesTheNextPlace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
+		c.drawWeather(t)
+		c.bootSpare()
+		c.advance(catchUp)
+		for range rapid.IntRange(1, 2).Draw(t, "away") {
+			c.leave(t, c.pick(t))
+			c.advance(catchUp)
+		}
+		c.drain(c.pick(t))
+		c.lose(c.pick(t))
+		c.requireWorks()
+	})
+}
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -16,6 +16,7 @@
 	"celeryvalve/asserter"
 	"celeryvalve/identifier"
 	"celeryvalve/recorder"
+	"celeryvalve/repairer"
 	"celeryvalve/replicator"
 )
 
@@ -126,6 +127,8 @@
 	applied    recorder.Position
 	snapshotAt recorder.Index
 	membership recorder.Membership
+	// exclusion is nil until the node has been observed.
+	exclusion *repairer.Exclusion
 }
 
 func newSimulation(t tester, seed uint64, n int) *simulation {
