replicator: forget a silent leader also without a vote

What callers saw: nothing by itself; a control machine that stood still for more than 2 s as a standby is never a member again until its process restarts, so that the next lost replica has no successor.

Cause: only a campaign made a follower forget its leader, and only voters campaign. A standby that was removed while it stood still, and a voter that got the entry of its own removal, followed their last leader for good. A replica that knows a leader doesn't count as excluded.

Change: a follower that may not campaign forgets the leader when its election timer runs out.

--- a/replicator/election.go
+++ b/replicator/election.go
@@ -39,11 +39,19 @@
 // time and whose followers refuse the pre-vote.
 const startTimeoutDivisor = 3
 
-func (r *Replicator) electionDue() bool {
-	self, ok := r.membership.Find(r.cfg.Replica)
-	if !ok || !self.Voter || r.cluster == "" || r.diskStalled() {
-		return false
+// tickFollower campaigns, or forgets the leader, once that has been silent for too long.
+func (r *Replicator) tickFollower() {
+	switch {
+	case !r.leaderIsOverdue():
+	case r.mayCampaign():
+		r.startPreVote()
+	case r.leader.replica != "":
+		r.becomeFollower(r.term, peer{})
 	}
+}
+
+// leaderIsOverdue reports whether the election timer has run out.
+func (r *Replicator) leaderIsOverdue() bool {
 	spread := time.Duration(float64(r.cfg.ElectionTimeout) * r.election.jitter)
 	wait := r.cfg.ElectionTimeout + spread
 	if !r.election.sawLeader {
@@ -52,6 +60,11 @@
 	return r.now.Sub(r.election.timerStart) >= wait
 }
 
+func (r *Replicator) mayCampaign() bool {
+	self, ok := r.membership.Find(r.cfg.Replica)
+	return ok && self.Voter && r.cluster != "" && !r.diskStalled()
+}
+
 // hasActiveLeader reports whether this replica leads, or knows a leader and has
 // restarted its election timer within the election timeout. If so, it ignores vote
 // requests of later terms other than those of a leadership transfer, so that no
--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -221,3 +221,18 @@
 		c.requireWorks()
 	})
 }
+
+// TestReturnedStandbyIsAStandbyAgain: a standby that was removed while it was away must not follow its
+// last leader for good: it has to learn that it is no member any more, and join anew.
+func TestReturnedStandbyIsAStandbyAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
+		c.drawWeather(t)
+		n := c.bootSpare()
+		c.advance(catchUp)
+		c.leave(t, n)
+		c.advance(catchUp)
+		m, ok := c.membership().Find(n.replica)
+		require.True(t, ok && m.Standby, "%s", c)
+	})
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -196,9 +196,7 @@
 		r.tickLeader()
 		return
 	}
-	if r.electionDue() {
-		r.startPreVote()
-	}
+	r.tickFollower()
 }
 
 // envelopeTo returns the envelope of a message of the current term.
