replicator: hand over the leadership of a stopping leader until it succeeds

What callers saw: in the simulation, control that commits nothing any more. A leader gets SIGTERM while a new replica is admitted; its process ends as the leader of three voters, its place is free only 2 s later, and the next loss comes before that.

Cause: three parts of one path. The repairer could begin a membership change during a transfer of the leadership, so that the successor lacked an entry and got no votes, above all one with a slow disk. The leader that had stepped down for it campaigned like the others and led again. A leader that is about to stop transferred the leadership once; what failed was not tried again, and the place of a leader can't be given away by itself.

Change: no membership change begins or goes on during a transfer. A replica that is about to stop waits twice as long before it campaigns. A leader that is about to stop transfers the leadership until another one has it, to a voter that stays.

TestStoppingLeaderHandsOverAgain and TestSuccessorLacksNoChange fail without it. In the simulation a replica that gives up its disk could found another cluster, which the program rules out; it no longer can.

--- a/replicator/election.go
+++ b/replicator/election.go
@@ -39,6 +39,10 @@
 // time and whose followers refuse the pre-vote.
 const startTimeoutDivisor = 3
 
+// leavingTimeoutFactor multiplies the election timeout of a replica that is about to stop, so that
+// the others campaign first.
+const leavingTimeoutFactor = 2
+
 // tickFollower campaigns, or forgets the leader, once that has been silent for too long.
 func (r *Replicator) tickFollower() {
 	switch {
@@ -57,6 +61,9 @@
 	if !r.election.sawLeader {
 		wait /= startTimeoutDivisor
 	}
+	if r.leaving {
+		wait *= leavingTimeoutFactor
+	}
 	return r.now.Sub(r.election.timerStart) >= wait
 }
 
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -162,6 +162,7 @@
 		}
 	}
 	r.tickTransfer()
+	r.handOver()
 	r.advanceLearners()
 }
 
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -37,8 +37,12 @@
 
 // changeBlockedReason returns why the membership can't be changed now, or "". The
 // last change must be committed, and so must an entry of the leader's own term.
-// Otherwise two leaders could rely on majorities that don't overlap.
+// Otherwise two leaders could rely on majorities that don't overlap. During a transfer of
+// the leadership nothing may be appended, since the successor would lack it.
 func (r *Replicator) changeBlockedReason() string {
+	if r.transfer != nil {
+		return "the leadership is being transferred"
+	}
 	if !r.committedInTerm() {
 		return "the leader has not committed an entry of its term yet"
 	}
--- a/replicator/repairer_test.go
+++ b/replicator/repairer_test.go
@@ -56,6 +56,7 @@
 		}
 		if n.exclusion.Observe(n.clock(), n.reducer.Status(), committed) {
 			n.loseDisk()
+			n.spare = true // it must not found another cluster
 			emptied := n.replica
 			sim.schedule(reopenTime, func() {
 				if !n.running && n.replica == emptied {
--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -183,11 +183,11 @@
 	})
 }
 
-// leave plays an event after which the node comes back with its disk: a planned restart, a kill or a
-// standstill.
+// leave plays an event after which the node is there again with its disk: a planned restart, a
+// kill, a standstill or a partition.
 func (c *core) leave(t *rapid.T, n *node) {
 	away := time.Duration(rapid.IntRange(100, 5000).Draw(t, "awayMillis")) * time.Millisecond
-	switch rapid.SampledFrom([]string{"restart", "kill", "standstill"}).Draw(t, "kind") {
+	switch rapid.SampledFrom([]string{"restart", "kill", "standstill", "partition"}).Draw(t, "kind") {
 	case "restart":
 		c.announceLeave(n)
 		n.crash()
@@ -201,7 +201,121 @@
 		n.frozen = true
 		c.advance(away)
 		n.thaw()
+	case "partition":
+		c.isolate(n)
+		c.advance(away)
+		clear(c.cut)
+	}
+}
+
+// isolate cuts the node off from all others.
+func (c *core) isolate(n *node) {
+	for _, other := range c.nodes {
+		c.cut[link{n.addr, other.addr}] = true
+		c.cut[link{other.addr, n.addr}] = true
+	}
+}
+
+// killAll kills all nodes, which are back within a second.
+func (c *core) killAll(t *rapid.T) {
+	for _, n := range c.nodes {
+		if !n.running {
+			continue
+		}
+		n.crash()
+		c.schedule(time.Duration(rapid.IntRange(200, 1000).Draw(t, "backMillis"))*time.Millisecond, n.boot)
 	}
+	c.advance(time.Second)
+}
+
+// replaceNode plays one loss of a disk and returns how long the successor has run since its start.
+func (c *core) replaceNode(t *rapid.T) time.Duration {
+	n := c.pick(t)
+	pause := time.Duration(rapid.IntRange(0, 6000).Draw(t, "pauseMillis")) * time.Millisecond
+	switch rapid.SampledFrom([]string{"lost", "stopped", "planned", "wiped"}).Draw(t, "replacement") {
+	case "lost":
+		c.lose(n)
+		c.advance(min(pause, 3*time.Second))
+		c.bootSpare()
+	case "stopped":
+		c.drain(n)
+		c.advance(min(pause, 3*time.Second))
+		c.bootSpare()
+	case "planned":
+		c.bootSpare()
+		c.advance(pause)
+		c.drain(n)
+		return pause + stopTime
+	case "wiped":
+		n.loseDisk()
+		n.spare = true
+		c.advance(200*time.Millisecond + min(pause, 3*time.Second))
+		n.boot()
+	}
+	return 0
+}
+
+// TestLossesAsEarlyAsThePlatformAllows: however losses of disks, absences and kills of all follow each
+// other, control must work as long as each node had its time before the next loss.
+func TestLossesAsEarlyAsThePlatformAllows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
+		c.drawWeather(t)
+		for range rapid.IntRange(0, 2).Draw(t, "spares") {
+			c.bootSpare()
+		}
+		c.advance(catchUp)
+		for range rapid.IntRange(1, 6).Draw(t, "events") {
+			had := time.Duration(0)
+			switch rapid.SampledFrom([]string{"replacement", "absence", "both"}).Draw(t, "event") {
+			case "replacement":
+				had = c.replaceNode(t)
+			case "absence":
+				c.leave(t, c.pick(t))
+			case "both":
+				c.replaceNode(t)
+				c.leave(t, c.pick(t))
+			}
+			if rapid.IntRange(0, 5).Draw(t, "killAll") == 0 {
+				had = 0
+				c.killAll(t)
+			}
+			c.advance(max(0, catchUp-had))
+		}
+		c.lose(c.pick(t))
+		c.requireWorks()
+	})
+}
+
+// TestStoppingLeaderHandsOverAgain: a leader that is about to stop must not keep the leadership because
+// one transfer failed: it would be gone without notice, and so would its place among the voters.
+func TestStoppingLeaderHandsOverAgain(t *testing.T) {
+	const lostMessages = 100 * time.Millisecond
+	c := newCore(t, 1, 1)
+	stopping := c.leader()
+	c.isolate(stopping)
+	stopping.feed(replicator.LeaveAnnounced{})
+	c.nextID++
+	stopping.feed(replicator.TransferRequested{ID: c.nextID})
+	c.advance(lostMessages)
+	clear(c.cut)
+	c.advance(stopTime - lostMessages)
+	require.NotNil(t, c.leader())
+	require.NotEqual(t, stopping.name, c.leader().name)
+}
+
+// TestSuccessorLacksNoChange: a membership change that begins during a transfer of the leadership makes
+// the transfer fail, since the successor lacks its entry.
+func TestSuccessorLacksNoChange(t *testing.T) {
+	c := newCore(t, 1, 1)
+	leader := c.leader()
+	c.bootSpare()
+	c.advance(50 * time.Millisecond)
+	require.NotEmpty(t, leader.reducer.Status().Joiners)
+	leader.feed(replicator.TransferRequested{ID: 100})
+	leader.feed(replicator.AdmitRequested{ID: 101, Name: leader.reducer.Status().Joiners[0].Name, Standby: true})
+	require.IsType(t, replicator.Rejected{}, c.answers[101])
+	require.Equal(t, replicator.Busy, c.answers[101].(replicator.Rejected).Reason)
 }
 
 // TestReturnedReplicaTakesTheNextPlace: a replica that lost its place to a standby while it was away
--- a/replicator/transfer.go
+++ b/replicator/transfer.go
@@ -17,7 +17,7 @@
 		return
 	}
 	if r.transfer != nil {
-		r.reject(id, Busy, "another leadership transfer is in progress")
+		r.joinTransfer(id)
 		return
 	}
 	to := r.successor()
@@ -29,6 +29,26 @@
 	r.continueTransfer()
 }
 
+// joinTransfer answers the request with the outcome of a transfer that the leader began by itself.
+func (r *Replicator) joinTransfer(id RequestID) {
+	if r.transfer.id != 0 {
+		r.reject(id, Busy, "another leadership transfer is in progress")
+		return
+	}
+	r.transfer.id = id
+}
+
+// handOver transfers the leadership of a leader that is about to stop, again and again until a
+// transfer succeeds. Once an entry of its term is committed, it knows who else is about to stop.
+func (r *Replicator) handOver() {
+	if !r.leaving || r.transfer != nil || !r.committedInTerm() {
+		return
+	}
+	if to := r.successor(); to != "" && !r.progress[to].leaving {
+		r.startTransfer(0)
+	}
+}
+
 // successor returns the active voter with the longest log, or "" if there is none. A voter
 // that is about to stop comes last.
 func (r *Replicator) successor() replica {
