replicator: count the silence of members from the start of a replica

A replica is lost while a standby is there, all processes are killed and back within a second, and 4 s (catch_up_s) later another replica is lost.

Cause: no new leader had ever heard of the lost replica, so its silence counted from the election. Restart, election, silence, removal and vote took 5 s in a row.

Change: the silence of a member that a replica has heard nothing of counts from the replica's own start. A member that runs answers within the 0.3 s for which a new leader decides nothing.

--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -287,6 +287,22 @@
 	})
 }
 
+// TestRestartOfAllDuringReplacement: a replica that was lost just before all were restarted must give
+// its place away in time too, although no new leader has ever heard of it.
+func TestRestartOfAllDuringReplacement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
+		c.drawWeather(t)
+		c.bootSpare()
+		c.advance(catchUp)
+		c.lose(c.pick(t))
+		c.killAll(t)
+		c.advance(catchUp)
+		c.lose(c.pick(t))
+		c.requireWorks()
+	})
+}
+
 // TestStoppingLeaderHandsOverAgain: a leader that is about to stop must not keep the leadership because
 // one transfer failed: it would be gone without notice, and so would its place among the voters.
 func TestStoppingLeaderHandsOverAgain(t *testing.T) {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -60,6 +60,8 @@
 	// contacts are the addresses at which this replica announces itself while it is
 	// empty, in addition to the founders.
 	contacts []netip.AddrPort
+	// startedAt is the time of the first event.
+	startedAt time.Time
 	// lastHeard is when each other member last sent a message, to this replica or, as far
 	// as known, to the leader.
 	lastHeard map[replica]time.Time
@@ -123,6 +125,9 @@
 	if now.After(r.now) {
 		r.now = now
 	}
+	if r.startedAt.IsZero() {
+		r.startedAt = r.now
+	}
 	r.effects = nil
 	r.dispatch(event)
 	effects := r.effects
--- a/replicator/silence.go
+++ b/replicator/silence.go
@@ -13,13 +13,14 @@
 	return list
 }
 
-// heardSince returns when the member last sent a message. For one that this leader knows
-// nothing of, that is the beginning of its leadership.
+// heardSince returns when the member last sent a message. For one that this replica has known
+// nothing of since its start, that is its start: after a restart of all, the time that the election
+// took counts as silence.
 func (r *Replicator) heardSince(id replica) time.Time {
 	if heard, ok := r.lastHeard[id]; ok {
 		return heard
 	}
-	return r.leaderSince
+	return r.startedAt
 }
 
 // answers reports whether the member has sent a message within the activity window. Unlike
