--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -37,6 +37,17 @@
 	return c
 }
 
+// drawCore starts a core that tolerates one loss and has as many standbys.
+func drawCore(t *rapid.T, standbys int) *core {
+	c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
+	c.drawWeather(t)
+	for range standbys {
+		c.bootSpare()
+	}
+	c.advance(catchUp)
+	return c
+}
+
 func (c *core) repairRegularly() {
 	c.runRepairer(c.repairer)
 	c.schedule(repairerInterval, c.repairRegularly)
@@ -167,10 +178,7 @@
 // must do no harm when it goes on.
 func TestStandstillDuringReplacement(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
-		c.drawWeather(t)
-		c.bootSpare()
-		c.advance(catchUp)
+		c := drawCore(t, 1)
 		for range rapid.IntRange(1, 3).Draw(t, "standstills") {
 			n := c.pick(t)
 			n.frozen = true
@@ -259,12 +267,7 @@
 // other, control must work as long as each node had its time before the next loss.
 func TestLossesAsEarlyAsThePlatformAllows(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
-		c.drawWeather(t)
-		for range rapid.IntRange(0, 2).Draw(t, "spares") {
-			c.bootSpare()
-		}
-		c.advance(catchUp)
+		c := drawCore(t, rapid.IntRange(0, 2).Draw(t, "standbys"))
 		for range rapid.IntRange(1, 6).Draw(t, "events") {
 			had := time.Duration(0)
 			switch rapid.SampledFrom([]string{"replacement", "absence", "both"}).Draw(t, "event") {
@@ -291,10 +294,7 @@
 // its place away in time too, although no new leader has ever heard of it.
 func TestRestartOfAllDuringReplacement(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
-		c.drawWeather(t)
-		c.bootSpare()
-		c.advance(catchUp)
+		c := drawCore(t, 1)
 		c.lose(c.pick(t))
 		c.killAll(t)
 		c.advance(catchUp)
@@ -338,10 +338,7 @@
 // must be a standby itself, once it is back for catchUp: its place may be needed at once.
 func TestReturnedReplicaTakesTheNextPlace(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
-		c.drawWeather(t)
-		c.bootSpare()
-		c.advance(catchUp)
+		c := drawCore(t, 1)
 		for range rapid.IntRange(1, 2).Draw(t, "away") {
 			c.leave(t, c.pick(t))
 			c.advance(catchUp)
@@ -356,10 +353,8 @@
 // last leader for good: it has to learn that it is no member any more, and join anew.
 func TestReturnedStandbyIsAStandbyAgain(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
-		c.drawWeather(t)
-		n := c.bootSpare()
-		c.advance(catchUp)
+		c := drawCore(t, 1)
+		n := c.nodes[len(c.nodes)-1]
 		c.leave(t, n)
 		c.advance(catchUp)
 		m, ok := c.membership().Find(n.replica)
