--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -37,9 +37,9 @@
 	return c
 }
 
-// drawCore starts a core that tolerates one loss and has as many standbys.
+// drawCore starts a core that has as many standbys.
 func drawCore(t *rapid.T, standbys int) *core {
-	c := newCore(t, rapid.Uint64().Draw(t, "seed"), 1)
+	c := newCore(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 2).Draw(t, "tolerated"))
 	c.drawWeather(t)
 	for range standbys {
 		c.bootSpare()
@@ -236,6 +236,16 @@
 	c.advance(time.Second)
 }
 
+// replaceNodes plays as many losses of disks, one right after the other, as are tolerated. It returns
+// how long all successors have run.
+func (c *core) replaceNodes(t *rapid.T) time.Duration {
+	had := c.replaceNode(t)
+	for range c.repairer.ToleratedLosses - 1 {
+		had = min(had, c.replaceNode(t))
+	}
+	return had
+}
+
 // replaceNode plays one loss of a disk and returns how long the successor has run since its start.
 func (c *core) replaceNode(t *rapid.T) time.Duration {
 	n := c.pick(t)
@@ -272,11 +282,11 @@
 			had := time.Duration(0)
 			switch rapid.SampledFrom([]string{"replacement", "absence", "both"}).Draw(t, "event") {
 			case "replacement":
-				had = c.replaceNode(t)
+				had = c.replaceNodes(t)
 			case "absence":
 				c.leave(t, c.pick(t))
 			case "both":
-				c.replaceNode(t)
+				c.replaceNodes(t)
 				c.leave(t, c.pick(t))
 			}
 			if rapid.IntRange(0, 5).Draw(t, "killAll") == 0 {
@@ -285,7 +295,9 @@
 			}
 			c.advance(max(0, catchUp-had))
 		}
-		c.lose(c.pick(t))
+		for range c.repairer.ToleratedLosses {
+			c.lose(c.pick(t))
+		}
 		c.requireWorks()
 	})
 }
