--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -47,6 +48,8 @@
 	// bytesSinceSnapshot is the size of the commands applied since this replica
 	// last took a snapshot.
 	bytesSinceSnapshot identifier.ByteCount
+	// logBytes is bytesSinceSnapshot for the metrics.
+	logBytes atomic.Int64
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -74,7 +77,7 @@
 	}
 	c.metrics = newMetrics(c)
 	c.inbox = newInbox(c.metrics.dropped)
-	c.writer = newWriter(store, clock, c.metrics.syncSeconds, c.log, c.inbox.put, c.fail)
+	c.writer = newWriter(store, clock, c.metrics, c.log, c.inbox.put, c.fail)
 	return c
 }
 
@@ -167,37 +170,43 @@
 // existing member of the same name, whose disk was lost, is removed before the
 // new replica becomes a voter. AdmitMember works on the leader only.
 func (c *Coordinator) AdmitMember(ctx context.Context, name string) error {
-	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
+	return c.changeMembership(ctx, func(id replicator.RequestID) replicator.Event {
 		return replicator.AdmitRequested{ID: id, Name: name}
 	})
-	return err
 }
 
 // AddStandby adds the new replica that announced itself under the name as a standby: a
 // learner that has no vote until ReplaceMember gives it one. It works on the leader only.
 func (c *Coordinator) AddStandby(ctx context.Context, name string) error {
-	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
+	return c.changeMembership(ctx, func(id replicator.RequestID) replicator.Event {
 		return replicator.AdmitRequested{ID: id, Name: name, Standby: true}
 	})
-	return err
 }
 
 // ReplaceMember gives the place of the voter to the standby, and returns once the standby
 // is a voter, has synced the log, and the other one is no member any more. If voter is
 // empty, the standby becomes a further voter. It works on the leader only.
 func (c *Coordinator) ReplaceMember(ctx context.Context, voter, standby identifier.Replica) error {
-	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
+	return c.changeMembership(ctx, func(id replicator.RequestID) replicator.Event {
 		return replicator.ReplaceRequested{ID: id, Voter: voter, Standby: standby}
 	})
-	return err
 }
 
 // RemoveMember removes the member of that name. If a learner has the name, it
 // cancels the admission of the learner instead. It works on the leader only.
 func (c *Coordinator) RemoveMember(ctx context.Context, name string) error {
-	_, err := c.request(ctx, true, func(id replicator.RequestID) replicator.Event {
+	return c.changeMembership(ctx, func(id replicator.RequestID) replicator.Event {
 		return replicator.RemoveRequested{ID: id, Name: name}
 	})
+}
+
+// changeMembership requests a membership change and measures those that succeed.
+func (c *Coordinator) changeMembership(ctx context.Context, event func(replicator.RequestID) replicator.Event) error {
+	start := c.clock.Now()
+	_, err := c.request(ctx, true, event)
+	if err == nil {
+		c.metrics.changeSeconds.Update(c.clock.Since(start).Seconds())
+	}
 	return err
 }
 
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
@@ -83,7 +85,13 @@
 	}
 }
 
+// slowApply is how long entries take at least to be applied for that to be logged: the replica
+// answers no message meanwhile.
+const slowApply = 500 * time.Millisecond
+
 func (c *Coordinator) apply(entries []recorder.Entry) {
+	start := c.clock.Now()
+	defer func() { c.observeApply(len(entries), c.clock.Since(start)) }()
 	for _, e := range entries {
 		var result any
 		switch e.Kind {
@@ -105,6 +113,15 @@
 	}
 }
 
+func (c *Coordinator) observeApply(entries int, took time.Duration) {
+	c.logBytes.Store(int64(c.bytesSinceSnapshot))
+	c.metrics.applySeconds.Update(took.Seconds())
+	if took >= slowApply {
+		c.log.Warn("Entries took long to be applied.", zap.Duration("took", took), zap.Int("entries", entries),
+			zap.Uint64("last", uint64(c.applied.Index)))
+	}
+}
+
 func (c *Coordinator) setAppliedIndex(index recorder.Index) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -140,5 +157,5 @@
 	c.snapshotIndex = s.Position.Index
 	c.metrics.snapshotsInstalled.Inc()
 	c.setAppliedIndex(s.Position.Index)
-	c.log.Info("Snapshot installed.", zap.Uint64("Index", uint64(s.Position.Index)))
+	c.log.Info("Snapshot installed.", zap.Uint64("Index", uint64(s.Position.Index)), zap.Int("bytes", len(s.Data)))
 }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
+	"celeryvalve/identifier"
 	"celeryvalve/replicator"
 )
 
@@ -15,6 +16,9 @@
 	roleChanges        *metrics.Counter
 	dropped            *metrics.Counter
 	syncSeconds        *metrics.Histogram
+	applySeconds       *metrics.Histogram
+	snapshotSeconds    *metrics.Histogram
+	changeSeconds      *metrics.Histogram
 }
 
 func newMetrics(c *Coordinator) *replicaMetrics {
@@ -34,6 +38,8 @@
 	})
 	set.NewGauge("celeryvalve_control_voters_silent", func() float64 { return float64(c.silentVoters()) })
 	set.NewGauge("celeryvalve_control_replicas_waiting", func() float64 { return float64(len(c.Status().Joiners)) })
+	set.NewGauge("celeryvalve_control_learner_backlog_bytes", func() float64 { return float64(c.learnerBacklog()) })
+	set.NewGauge("celeryvalve_control_log_bytes", func() float64 { return float64(c.logBytes.Load()) })
 	return &replicaMetrics{
 		applied:            set.NewCounter("celeryvalve_control_entries_applied_total"),
 		snapshotsTaken:     set.NewCounter("celeryvalve_control_snapshots_taken_total"),
@@ -41,9 +47,24 @@
 		roleChanges:        set.NewCounter("celeryvalve_control_role_changes_total"),
 		dropped:            set.NewCounter("celeryvalve_control_messages_dropped_total"),
 		syncSeconds:        set.NewHistogram("celeryvalve_control_sync_seconds"),
+		applySeconds:       set.NewHistogram("celeryvalve_control_apply_seconds"),
+		snapshotSeconds:    set.NewHistogram("celeryvalve_control_snapshot_write_seconds"),
+		changeSeconds:      set.NewHistogram("celeryvalve_control_change_seconds"),
 	}
 }
 
+// learnerBacklog returns how many bytes the learners have not acknowledged. It returns 0 on replicas
+// that don't lead.
+func (c *Coordinator) learnerBacklog() identifier.ByteCount {
+	var sum identifier.ByteCount
+	for _, m := range c.Status().Members {
+		if !m.Voter {
+			sum += m.Backlog.EntryBytes + m.Backlog.SnapshotBytes
+		}
+	}
+	return sum
+}
+
 // silentVoters returns the number of voters from which the leader has received
 // no message for more than an election timeout. It returns 0 on other replicas,
 // which don't track this.
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -26,21 +25,21 @@
 // that queue up during one sync are merged and written with the next one. notify
 // is called with an event for each finished write, and fail with the first error.
 type writer struct {
-	store       *recorder.Recorder
-	clock       clockwork.Clock
-	syncSeconds *metrics.Histogram
-	log         *zap.Logger
-	notify      func(replicator.Event)
-	fail        func(error)
+	store   *recorder.Recorder
+	clock   clockwork.Clock
+	metrics *replicaMetrics
+	log     *zap.Logger
+	notify  func(replicator.Event)
+	fail    func(error)
 
 	mu     sync.Mutex
 	jobs   []job
 	signal chan struct{}
 }
 
-func newWriter(store *recorder.Recorder, clock clockwork.Clock, syncSeconds *metrics.Histogram, log *zap.Logger,
+func newWriter(store *recorder.Recorder, clock clockwork.Clock, metrics *replicaMetrics, log *zap.Logger,
 	notify func(replicator.Event), fail func(error)) *writer {
-	return &writer{store: store, clock: clock, syncSeconds: syncSeconds, log: log, notify: notify, fail: fail, signal: make(chan struct{}, 1)}
+	return &writer{store: store, clock: clock, metrics: metrics, log: log, notify: notify, fail: fail, signal: make(chan struct{}, 1)}
 }
 
 func (w *writer) put(j job) {
@@ -80,9 +79,11 @@
 	for len(jobs) > 0 {
 		n, batch, sequence := group(jobs)
 		if n == 0 {
+			start := w.clock.Now()
 			if err := w.writeSnapshot(jobs[0]); err != nil {
 				return err
 			}
+			w.observeSnapshot(w.clock.Since(start))
 			jobs = jobs[1:]
 			continue
 		}
@@ -91,7 +92,7 @@
 			return err
 		}
 		took := w.clock.Since(start)
-		w.syncSeconds.Update(took.Seconds())
+		w.metrics.syncSeconds.Update(took.Seconds())
 		if took >= slowWrite {
 			w.log.Warn("A write of the log took long.", zap.Duration("took", took), zap.Int("merged", n), zap.Int("entries", len(batch.Entries)))
 		}
@@ -101,6 +102,13 @@
 	return nil
 }
 
+func (w *writer) observeSnapshot(took time.Duration) {
+	w.metrics.snapshotSeconds.Update(took.Seconds())
+	if took >= slowWrite {
+		w.log.Warn("A write of a snapshot took long.", zap.Duration("took", took))
+	}
+}
+
 // group merges the jobs before the first snapshot into one batch for the log. n
 // is the number of merged jobs, and sequence is that of the last one.
 func group(jobs []job) (n int, batch recorder.Batch, sequence replicator.Sequence) {
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -35,9 +35,10 @@
 	lastOpenAttempt  time.Time
 	changeInProgress bool
 
-	// exclusion and leaderless are used only by the goroutine of reconcile.
+	// exclusion and the logs are used only by the goroutine of reconcile.
 	exclusion  *repairer.Exclusion
 	leaderless leaderlessLog
+	changing   changeLog
 }
 
 func newReplica(deps replicaDeps) *replica {
@@ -51,7 +52,7 @@
 		clock:     deps.Clock,
 		log:       deps.Log.Named("replica"),
 	}
-	r.leaderless.log = r.log
+	r.leaderless.log, r.changing.log = r.log, r.log
 	r.reconciler = repeater.New(r.clock, replicaReconcileInterval, r.reconcile)
 	deps.View.Watch(r.reconciler.Trigger) // a named release is pinned at once
 	return r
@@ -182,6 +183,7 @@
 	node.coordinator.SetContacts(r.spreader.ReplicaAddresses())
 	r.publishMembership(status.Status)
 	r.leaderless.observe(r.clock.Now(), status.Status)
+	r.changing.observe(r.clock.Now(), status.Status)
 	if r.exclusion.Observe(r.clock.Now(), status.Status, r.newestMembership()) {
 		r.resetDisk(node)
 		return
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -49,6 +49,14 @@
 	return append([]recorder.Entry(nil), l.entries[from:to]...)
 }
 
+// after returns the entries after index, without a copy.
+func (l *log) after(index recorder.Index) []recorder.Entry {
+	if index <= l.begin.Index {
+		return l.entries
+	}
+	return l.entries[min(int(index-l.begin.Index), len(l.entries)):]
+}
+
 // batch returns up to n entries from first on with at most size bytes of data. The
 // first entry is included whatever its size.
 func (l *log) batch(first recorder.Index, n int, size identifier.ByteCount) []recorder.Entry {
--- a/replicator/membership_test.go
+++ b/replicator/membership_test.go
@@ -135,3 +135,31 @@
 	require.Equal(t, term, sim.leader().reducer.Status().Term)
 	require.Less(t, lost.applied.Index, sim.lastCommitted)
 }
+
+// TestChangeSaysWhatItWaitsFor: an admission that lasts must show its step and what is left.
+func TestChangeSaysWhatItWaitsFor(t *testing.T) {
+	sim := startedSimulation(t, 2)
+	leader, lost := sim.leader(), follower(sim)
+	require.Equal(t, replicator.NoChange, leader.reducer.Status().ChangeStep)
+	lost.loseDisk()
+	lost.boot()
+	lost.slowDisk = true
+	for range 30 {
+		sim.propose(leader)
+	}
+	sim.advance(time.Second)
+	sim.admit(leader, lost.name)
+	require.Equal(t, replicator.AwaitingCommit, leader.reducer.Status().ChangeStep)
+	steps := make(map[replicator.ChangeStep]bool)
+	sim.advanceUntil("the change is done", func() bool {
+		status := leader.reducer.Status()
+		steps[status.ChangeStep] = true
+		for _, m := range status.Members {
+			if m.Replica == lost.replica && m.Match < status.Commit {
+				require.Positive(t, m.Backlog.Entries+int(m.Backlog.SnapshotBytes))
+			}
+		}
+		return status.ChangeStep == replicator.NoChange
+	})
+	require.True(t, steps[replicator.AwaitingSnapshot] || steps[replicator.AwaitingEntries], "%v", steps)
+}
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -20,6 +20,8 @@
 	// it has said that it is about to stop. Only the leader knows them.
 	Match   recorder.Index
 	Leaving bool
+	// Backlog is what the member has not acknowledged yet. Only the leader knows it.
+	Backlog Backlog
 }
 
 // JoinerStatus is a new replica that waits to be admitted.
@@ -52,7 +54,9 @@
 	// MembershipIndex is the index of the entry or snapshot that Members is taken from.
 	MembershipIndex recorder.Index
 	Joiners         []JoinerStatus
-	Halted          bool
+	// ChangeStep is what the membership change in progress waits for. Only the leader knows it.
+	ChangeStep ChangeStep
+	Halted     bool
 }
 
 // Status returns the state of the replica.
@@ -71,12 +75,14 @@
 		Commit:          r.commit,
 		SnapshotIndex:   r.snapshot.Position.Index,
 		MembershipIndex: r.membershipIndex,
+		ChangeStep:      r.changeStep(),
 		Halted:          r.halted,
 	}
 	for _, m := range r.membership.Members {
 		member := MemberStatus{Member: m, LastHeard: r.lastHeard[m.Replica]}
 		if p := r.progress[m.Replica]; p != nil {
 			member.Match, member.LastHeard, member.Leaving = p.match, r.heardSince(m.Replica), p.leaving
+			member.Backlog = r.backlog(p)
 		}
 		s.Members = append(s.Members, member)
 	}
