replicator: reproduce newcomers that have no vote when the next disk is lost

The simulation of replicas gets links of limited bandwidth, processors that are busy while entries are applied, writes that share a sync, and declarations of the platform's size; all limits are off in the other tests.

--- /dev/null
+++ b/replicator/newcomer_test.go
@@ -0,0 +1,110 @@
+package replicator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"celeryvalve/identifier"
+	"celeryvalve/recorder"
+	"celeryvalve/replicator"
+)
+
+const (
+	// regionLink is what the narrowest link between two regions of the platform carries a second.
+	regionLink identifier.ByteCount = 21e6 / 8
+	// declarationRate is how many bytes of packed declarations the slowest processor of a control
+	// replica applies a second (BenchmarkApply of declarer, on 0.72 of a core).
+	declarationRate identifier.ByteCount = 4e6
+	// logBeforeSnapshot is how many bytes of commands a snapshot may be old.
+	logBeforeSnapshot = 8 << 20
+)
+
+// newLoadedCore returns a core of the platform's links, processors and disks, with declarations of
+// the given size.
+func newLoadedCore(t tester, seed uint64, tolerated, commandBytes int) *core {
+	c := newCore(t, seed, tolerated)
+	heartbeat, election := c.cfg.HeartbeatInterval, c.cfg.ElectionTimeout
+	c.cfg = replicator.Config{HeartbeatInterval: heartbeat, ElectionTimeout: election}
+	c.bandwidth, c.applyRate, c.groupWrites = regionLink, declarationRate, true
+	c.commandBytes = commandBytes
+	c.snapshotEvery = recorder.Index(max(1, logBeforeSnapshot/commandBytes))
+	for _, n := range c.nodes {
+		n.crash()
+		n.boot()
+	}
+	c.requireWorks()
+	return c
+}
+
+// maxUncommitted is how many changes operators send without waiting for an answer.
+const maxUncommitted = 4
+
+// change has the leader propose commands, one after each gap, for a while.
+func (c *core) change(gap, during time.Duration) {
+	for end := c.now.Add(during); c.now.Before(end); c.advance(gap) {
+		leader := c.leader()
+		if leader == nil {
+			continue
+		}
+		if status := leader.reducer.Status(); status.Last-status.Commit < maxUncommitted {
+			c.propose(leader)
+		}
+	}
+}
+
+// slowDown makes the disk of one node slow, as drawn.
+func (c *core) slowDown(t *rapid.T) {
+	if slow := rapid.IntRange(0, len(c.nodes)).Draw(t, "slow"); slow < len(c.nodes) {
+		c.nodes[slow].slowDisk = true
+	}
+}
+
+// TestNewcomerVotesAmongManyChanges: after many changes of a large declaration, the successor of a lost
+// disk must have its vote within catchUp, while changes go on and whatever disk is slow. It
+// guards against a control that has no leader for good once the next disk is lost, because the
+// successor still learned the log of minutes (the users' record of 2026-12-07, CONFIG).
+func TestNewcomerVotesAmongManyChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tolerated := rapid.IntRange(1, 2).Draw(t, "tolerated")
+		c := newLoadedCore(t, rapid.Uint64().Draw(t, "seed"), tolerated, rapid.SampledFrom([]int{1e3, 12e3, 50e3, 350e3}).Draw(t, "bytes"))
+		c.slowDown(t)
+		gap := time.Duration(rapid.SampledFrom([]int{50, 200, 1000}).Draw(t, "gapMillis")) * time.Millisecond
+		c.change(gap, time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds"))*time.Second)
+		for range tolerated {
+			first := c.pick(t)
+			first.loseDisk()
+			first.spare = true
+			c.schedule(time.Second, first.boot)
+		}
+		c.change(gap, time.Second+catchUp)
+		for range tolerated {
+			c.lose(c.pick(t))
+		}
+		for _, n := range c.nodes {
+			if n.running {
+				n.crash()
+				c.schedule(time.Second, n.boot)
+			}
+		}
+		c.requireWorks()
+	})
+}
+
+// TestNewcomerVotesWithASlowDisk: a successor whose disk syncs more slowly than changes come must have
+// its vote within catchUp. It guards against a learner that is overtaken by the next change for good.
+func TestNewcomerVotesWithASlowDisk(t *testing.T) {
+	for seed := range uint64(5) {
+		c := newLoadedCore(t, seed, 1, 1e3)
+		newcomer := follower(c.simulation)
+		newcomer.slowDisk = true
+		newcomer.loseDisk()
+		newcomer.spare = true
+		c.schedule(time.Second, newcomer.boot)
+		c.change(10*time.Millisecond, time.Second+catchUp)
+		m, ok := c.membership().Find(newcomer.replica)
+		require.True(t, ok && m.Voter, "seed %d: %s", seed, c)
+	}
+}
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -1,6 +1,7 @@
 package replicator_test
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"fmt"
@@ -88,6 +89,19 @@
 	maxDelay          time.Duration
 	// cut holds the links that lose every message.
 	cut map[link]bool
+	// bandwidth is what each link carries a second, and links when it has carried what was sent
+	// over it. Zero stands for no limit.
+	bandwidth identifier.ByteCount
+	links     map[link]time.Time
+	// applyRate is how many bytes of commands, and of snapshots, a replica applies a second. It
+	// handles no event meanwhile. Zero stands for no limit.
+	applyRate identifier.ByteCount
+	// groupWrites lets writes that wait during a sync share the next one.
+	groupWrites bool
+	// snapshotEvery is the number of entries after which a replica takes a snapshot, and commandBytes
+	// the size of a command. Zero stands for the defaults.
+	snapshotEvery recorder.Index
+	commandBytes  int
 
 	nextID replicator.RequestID
 	// log and states hold the committed entries, and the hash of the state after
@@ -115,6 +129,9 @@
 	generation   int
 	clockRate    float64
 	pausedEvents []replicator.Event
+	// waitingEvents are those that came while the node applied entries, which it does until busyUntil.
+	waitingEvents []replicator.Event
+	busyUntil     time.Time
 
 	// spare is set for a replica that is added to a running cluster: it knows no founders.
 	spare    bool
@@ -122,6 +139,8 @@
 	durable  recorder.State
 	writes   []replicator.Effect
 	syncAt   time.Time
+	// syncing is how many of writes the sync in progress covers, if writes are grouped.
+	syncing int
 
 	stateHash  uint64
 	applied    recorder.Position
@@ -137,6 +156,7 @@
 		t: t, cfg: simulationConfig, random: rand.New(rand.NewPCG(seed, 1)), start: start, now: start,
 		maxDelay:  5 * time.Millisecond,
 		cut:       make(map[link]bool),
+		links:     make(map[link]time.Time),
 		log:       make(map[recorder.Index]recorder.Entry),
 		states:    make(map[recorder.Index]uint64),
 		leaders:   make(map[recorder.Term]identifier.Replica),
@@ -207,7 +227,7 @@
 		copies = 2
 	}
 	for range copies {
-		delay := time.Duration(sim.random.Int64N(int64(sim.maxDelay) + 1))
+		delay := sim.transmit(link{from, s.To}, s.Message) + time.Duration(sim.random.Int64N(int64(sim.maxDelay)+1))
 		sim.schedule(delay, func() {
 			for _, n := range sim.nodes {
 				if n.addr == s.To {
@@ -218,6 +238,35 @@
 	}
 }
 
+// transmit returns how long the link needs to carry the message after those before it.
+func (sim *simulation) transmit(l link, message replicator.Message) time.Duration {
+	if sim.bandwidth == 0 {
+		return 0
+	}
+	free := later(sim.links[l], sim.now).Add(timeFor(messageBytes(message), sim.bandwidth))
+	sim.links[l] = free
+	return free.Sub(sim.now)
+}
+
+func timeFor(n, rate identifier.ByteCount) time.Duration {
+	return time.Duration(float64(n) / float64(rate) * float64(time.Second))
+}
+
+// messageBytes returns about how long the encoded message is.
+func messageBytes(message replicator.Message) identifier.ByteCount {
+	const envelope = 200
+	n := identifier.ByteCount(envelope)
+	switch m := message.(type) {
+	case *replicator.AppendRequest:
+		for _, e := range m.Entries {
+			n += identifier.ByteCount(len(e.Data))
+		}
+	case *replicator.SnapshotRequest:
+		n += identifier.ByteCount(len(m.Data))
+	}
+	return n
+}
+
 func (n *node) newDisk() {
 	n.sim.diskCount++
 	if n.replica != "" {
@@ -240,7 +289,8 @@
 	}
 	n.generation++
 	n.running, n.frozen = true, false
-	n.writes, n.pausedEvents = nil, nil
+	n.writes, n.syncing = nil, 0
+	n.pausedEvents, n.waitingEvents, n.busyUntil = nil, nil, time.Time{}
 	n.stateHash, n.applied, n.snapshotAt, n.membership = 0, recorder.Position{}, 0, recorder.Membership{}
 	if s := n.durable.Snapshot; s != nil {
 		n.restore(*s)
@@ -302,11 +352,43 @@
 		n.pausedEvents = append(n.pausedEvents, event)
 		return
 	}
+	if n.sim.now.Before(n.busyUntil) {
+		n.wait(event)
+		return
+	}
 	for _, effect := range n.reducer.Reduce(n.clock(), event) {
 		n.execute(effect)
 	}
 }
 
+// wait keeps an event until the node has applied its entries.
+func (n *node) wait(event replicator.Event) {
+	n.waitingEvents = append(n.waitingEvents, event)
+	if len(n.waitingEvents) == 1 {
+		generation := n.generation
+		n.sim.schedule(n.busyUntil.Sub(n.sim.now), func() { n.resume(generation) })
+	}
+}
+
+// resume handles the events that waited, until one of them makes the node busy again.
+func (n *node) resume(generation int) {
+	if n.generation != generation {
+		return
+	}
+	events := n.waitingEvents
+	n.waitingEvents = nil
+	for _, event := range events {
+		n.feed(event)
+	}
+}
+
+// work makes the node busy for as long as it takes to apply n bytes.
+func (n *node) work(size int) {
+	if n.sim.applyRate > 0 {
+		n.busyUntil = later(n.busyUntil, n.sim.now).Add(timeFor(identifier.ByteCount(size), n.sim.applyRate))
+	}
+}
+
 func (n *node) execute(effect replicator.Effect) {
 	sim := n.sim
 	switch e := effect.(type) {
@@ -339,13 +421,58 @@
 // write queues a write. Writes are synced in order, each after a random delay.
 func (n *node) write(effect replicator.Effect) {
 	n.writes = append(n.writes, effect)
+	if n.sim.groupWrites {
+		n.syncNext()
+		return
+	}
+	n.syncAt = later(n.syncAt, n.sim.now).Add(n.syncTime())
+	generation := n.generation
+	n.sim.schedule(n.syncAt.Sub(n.sim.now), func() { n.completeWrite(generation) })
+}
+
+func (n *node) syncTime() time.Duration {
 	delay := time.Duration(n.sim.random.Int64N(int64(2 * time.Millisecond)))
 	if n.slowDisk {
 		delay *= 100
 	}
-	n.syncAt = later(n.syncAt, n.sim.now).Add(delay)
+	return delay
+}
+
+// snapshotSyncs is how many syncs it takes to write a snapshot and to begin a new segment.
+const snapshotSyncs = 6
+
+// syncNext begins the next sync, unless one is in progress: of one snapshot, or of all writes
+// before the next snapshot.
+func (n *node) syncNext() {
+	if n.syncing > 0 || len(n.writes) == 0 {
+		return
+	}
+	delay := n.syncTime()
+	n.syncing = max(1, slices.IndexFunc(n.writes, isSnapshot))
+	if !slices.ContainsFunc(n.writes, isSnapshot) {
+		n.syncing = len(n.writes)
+	}
+	if isSnapshot(n.writes[0]) {
+		delay *= snapshotSyncs
+	}
 	generation := n.generation
-	n.sim.schedule(n.syncAt.Sub(n.sim.now), func() { n.completeWrite(generation) })
+	n.sim.schedule(delay, func() { n.completeSync(generation) })
+}
+
+func isSnapshot(write replicator.Effect) bool {
+	persist, ok := write.(replicator.Persist)
+	return !ok || persist.Install != nil
+}
+
+func (n *node) completeSync(generation int) {
+	if n.generation != generation {
+		return
+	}
+	for range n.syncing {
+		n.completeWrite(generation)
+	}
+	n.syncing = 0
+	n.syncNext()
 }
 
 func later(a, b time.Time) time.Time {
@@ -437,23 +564,30 @@
 	for _, e := range entries {
 		require.Equal(sim.t, n.applied.Index+1, e.Index, "gap in the entries that %s applies", n.replica)
 		n.stateHash = xxhash.Sum64(binary.BigEndian.AppendUint64(slices.Clone(e.Data), n.stateHash))
+		n.work(len(e.Data))
 		n.applied = e.Position()
 		if e.Membership != nil {
 			n.membership = *e.Membership
 		}
 		sim.committed(n, e)
 	}
-	if n.applied.Index-n.snapshotAt >= snapshotEvery {
+	if n.applied.Index-n.snapshotAt >= cmp.Or(sim.snapshotEvery, snapshotEvery) {
 		n.snapshotAt = n.applied.Index
-		data := binary.BigEndian.AppendUint64(nil, n.stateHash)
-		data = append(data, make([]byte, snapshotBytes)...)
-		snapshot := recorder.Snapshot{Position: n.applied, At: sim.log[n.applied.Index].At, Membership: n.membership, Data: data}
-		n.write(snapshotWrite{snapshot: snapshot})
+		n.write(snapshotWrite{snapshot: n.capture()})
 	}
 }
 
+// capture returns the state of the node as a snapshot. It is as large as a command, but for
+// the defaults.
+func (n *node) capture() recorder.Snapshot {
+	data := binary.BigEndian.AppendUint64(nil, n.stateHash)
+	data = append(data, make([]byte, cmp.Or(n.sim.commandBytes, snapshotBytes))...)
+	return recorder.Snapshot{Position: n.applied, At: n.sim.log[n.applied.Index].At, Membership: n.membership, Data: data}
+}
+
 func (n *node) restore(s recorder.Snapshot) {
 	n.stateHash = binary.BigEndian.Uint64(s.Data)
+	n.work(len(s.Data))
 	n.applied, n.snapshotAt, n.membership = s.Position, s.Position.Index, s.Membership
 	known, ok := n.sim.states[s.Position.Index]
 	require.True(n.sim.t, ok && known == n.stateHash, "snapshot of entry %d has another state", s.Position.Index)
@@ -558,7 +692,11 @@
 func (sim *simulation) propose(n *node) replicator.RequestID {
 	sim.nextID++
 	data := binary.BigEndian.AppendUint64(nil, uint64(sim.nextID))
-	data = append(data, make([]byte, sim.random.IntN(40))...)
+	if sim.commandBytes > 0 {
+		data = append(data, make([]byte, sim.commandBytes)...)
+	} else {
+		data = append(data, make([]byte, sim.random.IntN(40))...)
+	}
 	n.feed(replicator.Proposed{Proposals: []replicator.Proposal{{ID: sim.nextID, Data: data}}})
 	return sim.nextID
 }
