replicator, coordinator: send the state to a replica that is far behind

A newcomer's log ended 81 and 89 entries short of its leader's when the next disk was lost; it had no vote, and nobody led any more.

Each command carries a whole declaration. The time grew with the number of changes, where the state has the size of a few commands. A restarted voter learned the same way.

Change: the leader has the state captured when a member needs it, and sends that, if the committed entries that the member lacks are more than four times as large as the state, are compacted, or the member has joined without any entry. A newcomer gets it once its admission is committed, so that the first entries that it holds include its own membership.

--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -54,6 +54,8 @@
 		c.apply(e.Entries)
 	case replicator.Restore:
 		c.restore(e.Snapshot)
+	case replicator.CaptureState:
+		c.captureState()
 	case replicator.Accepted:
 		c.waiters.accept(e)
 	case replicator.Completed:
@@ -129,20 +131,32 @@
 }
 
 func (c *Coordinator) takeSnapshot() {
-	data, err := c.machine.Snapshot()
-	if err != nil {
-		c.fail(explainer.Wrap(err, explainer.Internal, "the state machine could not create a snapshot", "restart this replica"))
+	s, ok := c.snapshot()
+	if !ok {
 		return
 	}
 	c.snapshotIndex = c.applied.Index
 	c.bytesSinceSnapshot = 0
 	c.metrics.snapshotsTaken.Inc()
-	c.writer.put(job{snapshot: &recorder.Snapshot{
-		Position:   c.applied,
-		At:         c.appliedAt,
-		Membership: c.membership.Clone(),
-		Data:       data,
-	}})
+	c.writer.put(job{snapshot: &s})
+}
+
+// captureState hands the state to the reducer, which sends it to members that lack it.
+func (c *Coordinator) captureState() {
+	if s, ok := c.snapshot(); ok {
+		c.metrics.statesSent.Inc()
+		c.inbox.put(replicator.StateCaptured{Snapshot: s})
+	}
+}
+
+// snapshot returns the applied state. If that fails, the replica fails.
+func (c *Coordinator) snapshot() (recorder.Snapshot, bool) {
+	data, err := c.machine.Snapshot()
+	if err != nil {
+		c.fail(explainer.Wrap(err, explainer.Internal, "the state machine could not create a snapshot", "restart this replica"))
+		return recorder.Snapshot{}, false
+	}
+	return recorder.Snapshot{Position: c.applied, At: c.appliedAt, Membership: c.membership.Clone(), Data: data}, true
 }
 
 func (c *Coordinator) restore(s recorder.Snapshot) {
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -13,6 +13,7 @@
 	applied            *metrics.Counter
 	snapshotsTaken     *metrics.Counter
 	snapshotsInstalled *metrics.Counter
+	statesSent         *metrics.Counter
 	roleChanges        *metrics.Counter
 	dropped            *metrics.Counter
 	syncSeconds        *metrics.Histogram
@@ -43,6 +44,7 @@
 	return &replicaMetrics{
 		applied:            set.NewCounter("celeryvalve_control_entries_applied_total"),
 		snapshotsTaken:     set.NewCounter("celeryvalve_control_snapshots_taken_total"),
+		statesSent:         set.NewCounter("celeryvalve_control_states_sent_total"),
 		snapshotsInstalled: set.NewCounter("celeryvalve_control_snapshots_installed_total"),
 		roleChanges:        set.NewCounter("celeryvalve_control_role_changes_total"),
 		dropped:            set.NewCounter("celeryvalve_control_messages_dropped_total"),
--- a/replicator/backlog.go
+++ b/replicator/backlog.go
@@ -58,7 +58,7 @@
 		return AwaitingCommit
 	case !r.isActive(m.Replica):
 		return AwaitingAnswer
-	case p.snapshot != nil:
+	case p.snapshot != nil || p.awaitsState:
 		return AwaitingSnapshot
 	case !r.caughtUp(m.Replica):
 		return AwaitingEntries
--- a/replicator/effect.go
+++ b/replicator/effect.go
@@ -40,6 +40,10 @@
 	Snapshot recorder.Snapshot
 }
 
+// CaptureState asks the caller for a snapshot of the state after the last entry that it was asked to
+// apply, to be sent to members that lack it. The caller feeds StateCaptured.
+type CaptureState struct{}
+
 // Accepted reports which entry a proposal became. The entry is not committed yet.
 type Accepted struct {
 	ID    RequestID
@@ -103,13 +107,14 @@
 	Detail string
 }
 
-func (Persist) effect()     {}
-func (Send) effect()        {}
-func (Apply) effect()       {}
-func (Restore) effect()     {}
-func (Accepted) effect()    {}
-func (Completed) effect()   {}
-func (Rejected) effect()    {}
-func (RoleChanged) effect() {}
-func (Announced) effect()   {}
-func (Halted) effect()      {}
+func (Persist) effect()      {}
+func (Send) effect()         {}
+func (Apply) effect()        {}
+func (Restore) effect()      {}
+func (CaptureState) effect() {}
+func (Accepted) effect()     {}
+func (Completed) effect()    {}
+func (Rejected) effect()     {}
+func (RoleChanged) effect()  {}
+func (Announced) effect()    {}
+func (Halted) effect()       {}
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -60,6 +60,11 @@
 	Snapshot recorder.Snapshot
 }
 
+// StateCaptured answers CaptureState with a snapshot of the applied state, which need not be saved.
+type StateCaptured struct {
+	Snapshot recorder.Snapshot
+}
+
 // AdmitRequested asks the leader to add the new replica that announced itself
 // under Name to the membership, as a learner first. An older member of that name
 // is removed once the new one has caught up. With Standby, the new replica remains
@@ -107,6 +112,7 @@
 func (Proposed) event()          {}
 func (ReadRequested) event()     {}
 func (SnapshotTaken) event()     {}
+func (StateCaptured) event()     {}
 func (AdmitRequested) event()    {}
 func (RemoveRequested) event()   {}
 func (ReplaceRequested) event()  {}
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -36,8 +36,10 @@
 	number, entriesNumber, answeredNumber uint64
 	// resends counts how often a chunk, or entries to a member that doesn't tell what it has received, were
 	// sent again without progress.
-	resends  int
-	snapshot *outgoingSnapshot
+	resends int
+	// awaitsState is set until the state that the member lacks has been captured.
+	awaitsState bool
+	snapshot    *outgoingSnapshot
 	// leaving is set if the member's last answer said that it is about to stop.
 	leaving bool
 }
@@ -50,6 +52,7 @@
 	r.round = 0
 	r.leaderSince = r.now
 	r.pendingBytes = 0
+	r.capturing = false
 	r.trackMembers()
 	r.roleChanged()
 	r.appendLocal(recorder.Entry{Kind: recorder.Noop})
@@ -254,17 +257,17 @@
 const maxProbeBytes = 4 << 10
 
 // replicate sends the entries that the member lacks, within the limit of requests
-// in flight, or starts to send a snapshot if the log no longer has them.
+// in flight, or the state.
 func (r *Replicator) replicate(m recorder.Member, p *progress) {
-	for p.snapshot == nil && (p.probing || p.next <= r.log.last().Index) {
+	for p.snapshot == nil && !p.awaitsState && (p.probing || p.next <= r.log.last().Index) {
 		if len(p.inflight) >= r.cfg.MaxInflight || p.probing && len(p.inflight) > 0 {
 			return
 		}
-		previous, ok := r.log.at(p.next - 1)
-		if !ok {
-			r.startSnapshot(m, p)
+		if r.lacksState(p) {
+			r.requestState(m, p)
 			return
 		}
+		previous, _ := r.log.at(p.next - 1)
 		limit := r.cfg.MaxAppendBytes
 		if p.probing {
 			limit = min(limit, maxProbeBytes)
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -286,6 +286,19 @@
 	return p != nil && p.match >= r.commit && r.isActive(id)
 }
 
+// committedMembership returns the last membership that is committed.
+func (r *Replicator) committedMembership() recorder.Membership {
+	if r.membershipIndex <= r.commit {
+		return r.membership
+	}
+	for _, e := range slices.Backward(r.log.entries) {
+		if e.Index <= r.commit && e.Kind == recorder.MembershipChange {
+			return *e.Membership
+		}
+	}
+	return r.snapshot.Membership
+}
+
 // completeChange answers the request for the pending change. An admission is
 // complete only when the new voter has itself synced the entry that made it one.
 func (r *Replicator) completeChange() {
--- a/replicator/newcomer_test.go
+++ b/replicator/newcomer_test.go
@@ -109,6 +109,36 @@
 	}
 }
 
+// TestReplicaFarBehindLearnsTheState: a newcomer, and a replica that missed many changes of a large declaration,
+// must not learn the log where the state is smaller. It guards against recovery that grows with history.
+func TestReplicaFarBehindLearnsTheState(t *testing.T) {
+	const changes = 100
+	for _, newcomer := range []bool{true, false} {
+		c := newLoadedCore(t, 1, 1, 51e3)
+		behind := follower(c.simulation)
+		behind.crash()
+		c.change(100*time.Millisecond, changes*100*time.Millisecond)
+		if newcomer {
+			behind.newDisk()
+			behind.spare = true
+		}
+		sent := c.entriesSentTo(behind)
+		behind.boot()
+		c.advanceUntil("the replica holds everything", func() bool { return behind.applied.Index == c.lastCommitted })
+		require.Less(t, c.entriesSentTo(behind)-sent, changes/10, "newcomer %t", newcomer)
+	}
+}
+
+func (sim *simulation) entriesSentTo(n *node) int {
+	sum := 0
+	for l, sent := range sim.entriesSent {
+		if l.to == n.addr {
+			sum += sent
+		}
+	}
+	return sum
+}
+
 // TestEntriesCrossABusyLinkOnce: where nothing is lost, entries must not be sent again only because a link is
 // busy or a disk slow. It guards against a leader whose repeated entries delay each commit.
 func TestEntriesCrossABusyLinkOnce(t *testing.T) {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryvalve/asserter"
+	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 )
 
@@ -36,8 +37,11 @@
 	role    Role
 	leader  peer
 
-	log        log
+	log log
+	// snapshot is the last one on the disk, without its data, and stateBytes the size of the newest
+	// one that this replica has taken, sent or installed.
 	snapshot   recorder.Snapshot
+	stateBytes identifier.ByteCount
 	membership recorder.Membership
 	// membershipIndex is the index of the entry or snapshot that membership is
 	// taken from.
@@ -78,6 +82,8 @@
 	transfer     *transfer
 	change       *pendingChange
 	pendingBytes int
+	// capturing is set while the caller has been asked for the state.
+	capturing bool
 }
 
 // peer is the identity and the address of a replica. The zero value is no replica.
@@ -105,7 +111,7 @@
 	}
 	r.foundersSaved = len(state.HardState.Founders) > 0
 	if state.Snapshot != nil {
-		r.snapshot = *state.Snapshot
+		r.noteSnapshot(*state.Snapshot)
 		r.log.reset(*state.Snapshot)
 		r.commit = state.Snapshot.Position.Index
 	}
@@ -151,6 +157,8 @@
 		r.read(ev.ID)
 	case SnapshotTaken:
 		r.compact(ev.Snapshot)
+	case StateCaptured:
+		r.sendState(ev.Snapshot)
 	case AdmitRequested:
 		r.admit(ev)
 	case RemoveRequested:
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -32,15 +32,74 @@
 	if !r.check(s.Position.Index <= r.commit, "snapshot of entry %d, which is not committed", s.Position.Index) {
 		return
 	}
-	r.snapshot = s
+	r.noteSnapshot(s)
 	r.log.compact(r.log.compactionIndex(s.Position.Index, r.cfg.KeepEntries, r.cfg.KeepBytes))
 }
 
-func (r *Replicator) startSnapshot(m recorder.Member, p *progress) {
-	p.snapshot = &outgoingSnapshot{snapshot: r.snapshot, checksum: xxhash.Sum64(r.snapshot.Data)}
+// logPerState is how many times larger than the state the entries that a member lacks may be: it takes
+// several syncs to install a state, and one to append entries.
+const logPerState = 4
+
+// noteSnapshot makes a snapshot that is on the disk, or is being written to it, the current one.
+func (r *Replicator) noteSnapshot(s recorder.Snapshot) {
+	r.stateBytes = identifier.ByteCount(len(s.Data))
+	r.snapshot = s
+	r.snapshot.Data = nil
+}
+
+// lacksState reports whether the member is to get the state, not the entries from p.next on: the log
+// no longer has them, those that are committed are larger than the state, or the member has joined
+// without any entry. What a newcomer learns is then bounded by the state, and its own membership is part
+// of the first that it holds.
+func (r *Replicator) lacksState(p *progress) bool {
+	_, held := r.log.at(p.next - 1)
+	newcomer := p.next == 1 && r.membershipIndex > 1
+	if !held || newcomer {
+		return true
+	}
+	return len(p.inflight) == 0 && r.committedBytes(p.next) > logPerState*max(r.cfg.MaxAppendBytes, r.stateBytes)
+}
+
+// committedBytes returns the size of the committed entries from first on.
+func (r *Replicator) committedBytes(first recorder.Index) identifier.ByteCount {
+	entries := r.log.after(first - 1)
+	return bytesOf(entries[:max(0, len(entries)-int(r.log.last().Index-r.commit))])
+}
+
+// requestState asks for the state that the member lacks, once the member's admission is committed:
+// the state then includes it.
+func (r *Replicator) requestState(m recorder.Member, p *progress) {
+	if _, ok := r.committedMembership().Find(m.Replica); !ok {
+		return
+	}
+	p.awaitsState = true
 	p.inflight = nil
-	p.resends = 0
-	r.sendChunk(m, p)
+	if !r.capturing {
+		r.capturing = true
+		r.emit(CaptureState{})
+	}
+}
+
+// sendState begins to send the state to the members that wait for it.
+func (r *Replicator) sendState(s recorder.Snapshot) {
+	r.stateBytes = identifier.ByteCount(len(s.Data))
+	if !r.isLeader() {
+		return
+	}
+	r.capturing = false
+	checksum := xxhash.Sum64(s.Data)
+	for _, m := range r.others() {
+		p := r.progress[m.Replica]
+		if !p.awaitsState {
+			continue
+		}
+		p.awaitsState = false
+		if s.Position.Index > p.match {
+			p.snapshot = &outgoingSnapshot{snapshot: s, checksum: checksum}
+			p.resends = 0
+			r.sendChunk(m, p)
+		}
+	}
 }
 
 func (r *Replicator) sendChunk(m recorder.Member, p *progress) {
@@ -146,7 +205,7 @@
 	}
 	r.log.reset(s)
 	r.disk.truncateStable(s.Position.Index + 1)
-	r.snapshot = s
+	r.noteSnapshot(s)
 	r.commit = s.Position.Index
 	r.verified = max(r.verified, s.Position.Index)
 	r.reloadMembership()
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -407,6 +407,14 @@
 		n.apply(e.Entries)
 	case replicator.Restore:
 		n.restore(e.Snapshot)
+	case replicator.CaptureState:
+		captured := replicator.StateCaptured{Snapshot: n.capture()}
+		generation := n.generation
+		sim.schedule(0, func() {
+			if n.generation == generation {
+				n.feed(captured)
+			}
+		})
 	case replicator.Accepted:
 		sim.proposed[e.ID] = e
 	case replicator.Completed:
