replicator: give a vote that raises no quorum before the newcomer has learnt

Cause: a learner got its vote once its synced log held every entry that was committed at that moment, and the lost voter kept its place until then. While changes go on, a newcomer with a slow disk is overtaken by the next one each time; and however little a newcomer learns, the time grows with the size of the state.

Change: once the newcomer has answered, a voter that is silent is removed, and then the newcomer votes. From two voters to three, or from four to five, a majority needs no more of the others than before: an entry that the newcomer lacks is on a majority without it, and an empty log wins no election. What a newcomer has to do until it votes is to answer; the time is that of three commits, whatever the log, the state, the rate of changes and the newcomer's disk. Where the quorum rises, as where the replaced voter still answers, the learner has to keep up first: to hold all that is committed, or to acknowledge each entry within the election timeout. An admission is reported once the vote is committed: from then on another disk may be lost, and the next admission does not wait for the learning of the last.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -166,8 +166,8 @@
 }
 
 // AdmitMember adds the new replica that announced itself under the name, first
-// as a learner, and returns once it is a voter and has synced the log. An
-// existing member of the same name, whose disk was lost, is removed before the
+// as a learner, and returns once its vote is committed. It may still be learning the
+// state then. An existing member of the same name, whose disk was lost, is removed before the
 // new replica becomes a voter. AdmitMember works on the leader only.
 func (c *Coordinator) AdmitMember(ctx context.Context, name string) error {
 	return c.changeMembership(ctx, func(id replicator.RequestID) replicator.Event {
@@ -184,7 +184,7 @@
 }
 
 // ReplaceMember gives the place of the voter to the standby, and returns once the standby
-// is a voter, has synced the log, and the other one is no member any more. If voter is
+// is a voter and the other one is no member any more. If voter is
 // empty, the standby becomes a further voter. It works on the leader only.
 func (c *Coordinator) ReplaceMember(ctx context.Context, voter, standby identifier.Replica) error {
 	return c.changeMembership(ctx, func(id replicator.RequestID) replicator.Event {
--- a/repairer/exclusion.go
+++ b/repairer/exclusion.go
@@ -47,7 +47,8 @@
 // leader that began it. Since a replica with entries does not announce itself, it
 // would wait forever; it may discard its disk and start with an empty one. At worst
 // the disk is that of a learner that has not received its admission yet. It is not
-// that of a voter, because a voter knows the entry that made it one.
+// that of a voter: the first entries that a newcomer holds are a state of which its
+// own membership is a part.
 func isExcluded(s replicator.Status, c CommittedMembership) bool {
 	return s.Last > 0 && c.Index >= s.MembershipIndex && len(c.Replicas) > 0 && !slices.Contains(c.Replicas, s.Replica)
 }
--- a/replicator/backlog.go
+++ b/replicator/backlog.go
@@ -56,11 +56,11 @@
 		return AwaitingTransfer
 	case r.changeBlockedReason() != "":
 		return AwaitingCommit
-	case !r.isActive(m.Replica):
+	case !r.hasAnswered(m.Replica):
 		return AwaitingAnswer
 	case p.snapshot != nil || p.awaitsState:
 		return AwaitingSnapshot
-	case !r.caughtUp(m.Replica):
+	case !r.keepsUp(m.Replica):
 		return AwaitingEntries
 	default:
 		return AwaitingQuorum
--- a/replicator/doc.go
+++ b/replicator/doc.go
@@ -19,8 +19,10 @@
 //
 // The identity of a replica is that of its disk. A replica that lost its disk
 // restarts under a new identity and is admitted as a learner. Once the learner
-// has caught up and synced its log, the member that it replaces is removed, and
-// then the learner becomes a voter.
+// answers, the member that it replaces is removed, and then the learner becomes a
+// voter. Where its vote raises the quorum, it has to keep up with the log first.
+// What it has to learn is the state, not the history: the leader captures the state
+// for it.
 //
 // Nothing is acknowledged before it is synced: a message that depends on a write
 // is sent only after the caller has answered the Persist effect with Persisted.
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -37,6 +37,9 @@
 	// resends counts how often a chunk, or entries to a member that doesn't tell what it has received, were
 	// sent again without progress.
 	resends int
+	// answered is set once the member has answered this leader.
+	answered bool
+	pace     pace
 	// awaitsState is set until the state that the member lacks has been captured.
 	awaitsState bool
 	snapshot    *outgoingSnapshot
@@ -94,6 +97,7 @@
 			next:    r.log.last().Index + 1,
 			probing: true,
 			heardAt: r.now,
+			pace:    pace{until: r.log.last().Index, since: r.now},
 		}
 	}
 }
@@ -333,7 +337,7 @@
 	if p == nil || !ok {
 		return
 	}
-	p.heardAt = r.now
+	p.heardAt, p.answered = r.now, true
 	p.leaving = m.Leaving
 	if m.Number >= p.answeredNumber {
 		p.answeredNumber, p.received = m.Number, m.Received
@@ -379,6 +383,7 @@
 	p.inflight = slices.DeleteFunc(p.inflight, func(last recorder.Index) bool { return last <= match })
 	p.sentAt = r.now
 	p.resends = 0
+	p.pace.acknowledge(match, r.log.last().Index, r.now)
 	r.advanceCommit()
 }
 
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -213,17 +213,16 @@
 	r.replicateAll()
 }
 
-// advanceLearners takes the next step of a learner towards its vote. Once it has synced
-// the log, it takes the place of the voter that it replaces: if that one no longer answers,
-// it is removed first, so that no majority needs it; otherwise the learner votes first, so
-// that another voter may be lost meanwhile. Either step keeps a majority of the voters
-// active. A new leader continues where the previous one stopped.
+// advanceLearners takes the next step of a learner towards its vote. If the voter that it replaces
+// no longer answers, that one is removed first, so that no majority needs it; otherwise the
+// learner votes first, so that another voter may be lost meanwhile. Each step keeps a majority of
+// the voters active. A new leader continues where the previous one stopped.
 func (r *Replicator) advanceLearners() {
 	if !r.isLeader() || r.changeBlockedReason() != "" {
 		return
 	}
 	for _, m := range r.membership.Members {
-		if m.Standby || m.Voter && m.Replaces == "" || !r.caughtUp(m.Replica) {
+		if m.Standby || m.Voter && m.Replaces == "" || !r.hasAnswered(m.Replica) {
 			continue
 		}
 		_, present := r.membership.Find(m.Replaces)
@@ -233,18 +232,28 @@
 		case present && !r.answers(m.Replaces):
 			r.removeBeforeVote(m)
 		default:
-			r.changeMembership(r.withMember(m.Replica, func(m *recorder.Member) {
-				m.Voter = true
-				if !present {
-					m.Replaces = ""
-				}
-			}))
+			r.giveVote(m, present)
 		}
 		return
 	}
 	r.completeChange()
 }
 
+// giveVote makes the learner a voter. If that raises the quorum, the learner must keep up with the log
+// first, since a majority may need it at once. Otherwise a majority needs no more of the other voters than
+// before, so that the vote does not wait for what the learner has to learn.
+func (r *Replicator) giveVote(m recorder.Member, replacedPresent bool) {
+	next := r.withMember(m.Replica, func(m *recorder.Member) {
+		m.Voter = true
+		if !replacedPresent {
+			m.Replaces = ""
+		}
+	})
+	if next.Quorum() == r.membership.Quorum() || r.keepsUp(m.Replica) {
+		r.changeMembership(next)
+	}
+}
+
 // removeBeforeVote removes the voter whose place the learner m takes.
 func (r *Replicator) removeBeforeVote(m recorder.Member) {
 	if next := r.without(m.Replaces); r.hasQuorumOf(next) {
@@ -279,11 +288,17 @@
 	return next
 }
 
-// caughtUp reports whether the member is active and has synced every committed
-// entry.
-func (r *Replicator) caughtUp(id replica) bool {
+// hasAnswered reports whether the member is active and has answered this leader.
+func (r *Replicator) hasAnswered(id replica) bool {
+	p := r.progress[id]
+	return p != nil && p.answered && r.isActive(id)
+}
+
+// keepsUp reports whether the member is active and has synced every committed entry, or acknowledges each
+// entry within the election timeout. While changes go on, a member with a slow disk never holds all of them.
+func (r *Replicator) keepsUp(id replica) bool {
 	p := r.progress[id]
-	return p != nil && p.match >= r.commit && r.isActive(id)
+	return p != nil && r.isActive(id) && (p.match >= r.commit || p.pace.within(r.cfg.ElectionTimeout, r.now))
 }
 
 // committedMembership returns the last membership that is committed.
@@ -299,8 +314,8 @@
 	return r.snapshot.Membership
 }
 
-// completeChange answers the request for the pending change. An admission is
-// complete only when the new voter has itself synced the entry that made it one.
+// completeChange answers the request for the pending change. An admission is complete once the vote of the
+// new replica is committed: from then on another disk may be lost.
 func (r *Replicator) completeChange() {
 	c := r.change
 	if c == nil {
@@ -308,7 +323,7 @@
 	}
 	if c.admitted != "" {
 		m, ok := r.membership.Find(c.admitted)
-		if !ok || !m.Voter || m.Replaces != "" || r.progress[c.admitted].match < r.membershipIndex {
+		if !ok || !m.Voter || m.Replaces != "" {
 			return
 		}
 	}
--- a/replicator/newcomer_test.go
+++ b/replicator/newcomer_test.go
@@ -1,6 +1,7 @@
 package replicator_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -177,3 +178,39 @@
 		})
 	}
 }
+
+// TestLossRightAfterAnEarlyVote: a successor may vote before it has learnt anything. No committed entry may
+// be lost, and control must work again, if the leader's or another disk is lost in that moment.
+func TestLossRightAfterAnEarlyVote(t *testing.T) {
+	for seed := range uint64(40) {
+		c := newLoadedCore(t, seed, 1, 51e3)
+		newcomer := follower(c.simulation)
+		newcomer.slowDisk = seed%2 == 0
+		c.change(50*time.Millisecond, 5*time.Second)
+		newcomer.loseDisk()
+		newcomer.spare = true
+		c.schedule(time.Second, newcomer.boot)
+		c.advanceUntil("the successor votes", func() bool {
+			c.change(20*time.Millisecond, 20*time.Millisecond)
+			m, ok := c.membership().Find(newcomer.replica)
+			return ok && m.Voter
+		})
+		if newcomer.slowDisk {
+			require.Less(t, newcomer.reducer.Status().Last, c.lastCommitted, "seed %d: the vote came late", seed)
+		}
+		second := c.leader()
+		if seed%4 < 2 {
+			second = c.otherThan(c.leader(), newcomer)
+		}
+		second.loseDisk()
+		second.spare = true
+		c.schedule(time.Second, second.boot)
+		c.requireWorks()
+	}
+}
+
+// otherThan returns a node that is none of those given.
+func (c *core) otherThan(nodes ...*node) *node {
+	i := slices.IndexFunc(c.nodes, func(n *node) bool { return !slices.Contains(nodes, n) })
+	return c.nodes[i]
+}
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -127,7 +127,7 @@
 	if p == nil || !ok {
 		return
 	}
-	p.heardAt = r.now
+	p.heardAt, p.answered = r.now, true
 	p.round = max(p.round, m.Round)
 	if p.snapshot != nil && p.snapshot.snapshot.Position.Index == m.Index {
 		r.continueSnapshot(member, p, m)
