replicator: hold commands back while a membership change is not committed

The admission of a newcomer takes three commits, and each waited for the commands that were sent in between: at 21 Mbit/s and 51 kB a command some 20 ms each, for every voter.

Cause: a leader appends commands at once. Those after a membership change can't be committed before it, and the next step of the change comes after them.

Change: commands that arrive while a membership change is not committed are appended once it is, after the next step if that follows at once, or answered as ever if the leadership ends. They count as pending bytes.

TestCommandsWaitForAMembershipChange failed before (the command was appended at once).

--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -77,6 +77,7 @@
 		r.emit(Completed{ID: r.transfer.id})
 		r.transfer = nil
 	}
+	r.releaseHeld()
 	r.resetElectionTimer()
 }
 
@@ -122,6 +123,8 @@
 	r.persistEntries(append([]recorder.Entry(nil), entries...))
 }
 
+// propose appends the commands, or holds them back while a membership change is not committed. They can't be
+// committed before it, and the next step of the change would have to wait for them.
 func (r *Replicator) propose(proposals []Proposal) {
 	if !r.isLeader() {
 		for _, p := range proposals {
@@ -129,6 +132,38 @@
 		}
 		return
 	}
+	if r.membershipIndex > r.commit {
+		r.hold(proposals)
+		return
+	}
+	r.appendCommands(proposals)
+}
+
+func (r *Replicator) hold(proposals []Proposal) {
+	for _, p := range proposals {
+		if reason, detail := r.rejectionReason(p); reason != "" {
+			r.reject(p.ID, reason, detail)
+			continue
+		}
+		r.held = append(r.held, p)
+		r.pendingBytes += len(p.Data)
+	}
+}
+
+// releaseHeld appends the commands that were held back.
+func (r *Replicator) releaseHeld() {
+	if len(r.held) == 0 || r.isLeader() && r.membershipIndex > r.commit {
+		return
+	}
+	held := r.held
+	r.held = nil
+	for _, p := range held {
+		r.pendingBytes -= len(p.Data)
+	}
+	r.propose(held)
+}
+
+func (r *Replicator) appendCommands(proposals []Proposal) {
 	var entries []recorder.Entry
 	next := r.log.last().Index + 1
 	for _, p := range proposals {
@@ -185,6 +220,7 @@
 	r.tickTransfer()
 	r.handOver()
 	r.advanceLearners()
+	r.releaseHeld()
 }
 
 // hasQuorum reports whether a majority of voters answered within the election timeout.
--- a/replicator/membership_test.go
+++ b/replicator/membership_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"celeryvalve/asserter"
 	"celeryvalve/replicator"
 )
 
@@ -161,3 +162,26 @@
 	})
 	require.True(t, steps[replicator.AwaitingSnapshot], "%v", steps)
 }
+
+// TestCommandsWaitForAMembershipChange: the next step of a membership change must not wait for commands that
+// came after the last one, and such a command must be answered in any case.
+func TestCommandsWaitForAMembershipChange(t *testing.T) {
+	command := replicator.Proposed{Proposals: []replicator.Proposal{{ID: 20, Data: []byte("command")}}}
+	h := newHarness(t, voters("a", "b", "c"), asserter.Strict{})
+	h.lead()
+	h.acknowledge("b", 3)
+	h.feed(replicator.RemoveRequested{ID: 10, Name: "c"})
+	require.Len(t, h.entries, 2)
+	h.feed(command)
+	require.Len(t, h.entries, 2, "the change is not committed")
+	h.acknowledge("b", 4)
+	require.Len(t, h.entries, 3)
+
+	h = newHarness(t, voters("a", "b", "c"), asserter.Strict{})
+	h.lead()
+	h.acknowledge("b", 3)
+	h.feed(replicator.RemoveRequested{ID: 10, Name: "c"})
+	h.feed(command)
+	h.feed(replicator.Received{Message: &replicator.AppendRequest{Envelope: h.envelope("c", 9)}})
+	require.Contains(t, h.answers, replicator.Effect(replicator.Rejected{ID: 20, Reason: replicator.NotLeader}))
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -82,6 +82,8 @@
 	transfer     *transfer
 	change       *pendingChange
 	pendingBytes int
+	// held are the proposals that wait for a membership change to be committed.
+	held []Proposal
 	// capturing is set while the caller has been asked for the state.
 	capturing bool
 }
