--- a/recorder/memory_test.go
+++ b/recorder/memory_test.go
@@ -26,6 +26,8 @@
 	// fail; with a negative failAt none does.
 	operations int
 	failAt     int
+	// syncs counts the syncs of files and of the folder.
+	syncs int
 }
 
 // nameChange adds a name to a file and removes a name. Either may be empty.
@@ -164,6 +166,7 @@
 	if err := m.countOperation(); err != nil {
 		return err
 	}
+	m.syncs++
 	m.durable = maps.Clone(m.files)
 	m.changes = nil
 	return nil
@@ -191,6 +194,7 @@
 	if err := f.fs.countOperation(); err != nil {
 		return err
 	}
+	f.fs.syncs++
 	f.synced = slices.Clone(f.data)
 	return nil
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -153,33 +153,63 @@
 // the segments that it covers. A snapshot that is not newer than the stored one is
 // ignored.
 func (r *Recorder) SaveSnapshot(s Snapshot) error {
-	return r.update(func() error {
-		if s.Position.Index <= r.snapshot.Index {
-			return nil
-		}
-		if s.Position.Index > r.lastPosition().Index {
-			return explainer.New(explainer.Internal, "snapshot is newer than the last entry of the log", "")
-		}
-		tail := slices.Clone(r.tail[s.Position.Index-r.snapshot.Index:])
-		if err := r.writeSnapshot(s); err != nil {
+	for _, step := range r.SnapshotSteps(s) {
+		if err := step(); err != nil {
 			return err
 		}
-		r.tail = tail
-		if err := r.rotate(nil); err != nil {
-			return err
-		}
-		return r.compact()
-	})
+	}
+	return nil
+}
+
+// SnapshotSteps returns the steps of SaveSnapshot, which must be called in order. Each
+// takes few syncs, and other calls may come between them, so that entries need not wait
+// for the whole snapshot.
+func (r *Recorder) SnapshotSteps(s Snapshot) []func() error {
+	return []func() error{
+		func() error { return r.update(func() error { return r.stageOwn(s) }) },
+		func() error { return r.update(func() error { return r.publishOwn(s) }) },
+		func() error { return r.update(r.compact) },
+	}
+}
+
+// stageOwn writes the snapshot under its temporary name. If it is never published, Open
+// removes the file.
+func (r *Recorder) stageOwn(s Snapshot) error {
+	if s.Position.Index <= r.snapshot.Index {
+		return nil
+	}
+	if s.Position.Index > r.lastPosition().Index {
+		return explainer.New(explainer.Internal, "snapshot is newer than the last entry of the log", "")
+	}
+	return r.stageSnapshot(s)
+}
+
+// publishOwn gives the staged snapshot its final name and starts a new segment. One sync of
+// the folder covers both, since neither needs the other: what the snapshot covers is
+// removed only by the next step.
+func (r *Recorder) publishOwn(s Snapshot) error {
+	if s.Position.Index <= r.snapshot.Index {
+		return nil
+	}
+	tail := slices.Clone(r.tail[s.Position.Index-r.snapshot.Index:])
+	if err := r.renameStaged(snapshotName(s.Position.Index)); err != nil {
+		return err
+	}
+	r.snapshot, r.tail = s.Position, tail
+	return r.rotate(nil)
 }
 
 // InstallSnapshot stores a snapshot of another replica, which replaces the whole
 // log.
 func (r *Recorder) InstallSnapshot(s Snapshot) error {
 	return r.update(func() error {
-		if err := r.writeSnapshot(s); err != nil {
+		if err := r.stageSnapshot(s); err != nil {
+			return err
+		}
+		if err := r.renameStaged(snapshotName(s.Position.Index)); err != nil {
 			return err
 		}
-		r.tail = nil
+		r.snapshot, r.tail = s.Position, nil
 		if err := r.rotate(&s.Position); err != nil {
 			return err
 		}
@@ -190,7 +220,13 @@
 // Close closes the files and releases the data folder. Later calls return an error.
 func (r *Recorder) Close() error {
 	return r.update(func() error {
-		err := r.closeSegment()
+		err := r.mark.Sync()
+		if err != nil {
+			err = diskError(err, "sync of the mark file of the log")
+		}
+		if closeErr := r.closeSegment(); err == nil {
+			err = closeErr
+		}
 		r.err = explainer.New(explainer.Unavailable, "recorder is closed", "")
 		if lockErr := r.lock.Close(); err == nil {
 			err = lockErr
@@ -242,10 +278,10 @@
 	return r.openSegment(reset)
 }
 
+// closeSegment closes the files of the last segment. Its marks need no sync before the next
+// segment starts: bytes that are missing before a later segment are found by the numbers of
+// the frames.
 func (r *Recorder) closeSegment() error {
-	if err := r.mark.Sync(); err != nil {
-		return diskError(err, "sync of the mark file of the log")
-	}
 	if err := r.mark.Close(); err != nil {
 		return diskError(err, "close of the mark file of the log")
 	}
@@ -288,8 +324,12 @@
 	return nil
 }
 
-// compact removes the segments whose entries are all covered by the snapshot.
+// compact removes the older snapshots and the segments whose entries are all covered by the
+// newest one, which must be synced under its final name.
 func (r *Recorder) compact() error {
+	if err := r.removeOlderSnapshots(); err != nil {
+		return err
+	}
 	for len(r.segments) > 1 && r.segments[1].begin <= r.snapshot.Index {
 		number := r.segments[0].number
 		for _, name := range []string{markName(number), segmentName(number)} {
--- a/recorder/snapshot.go
+++ b/recorder/snapshot.go
@@ -15,27 +15,24 @@
 	return fmt.Sprintf("%s%016x", snapshotPrefix, uint64(index))
 }
 
-// writeSnapshot writes and syncs the snapshot, then removes the older ones.
-func (r *Recorder) writeSnapshot(s Snapshot) error {
+// stageSnapshot writes and syncs the snapshot under its temporary name.
+func (r *Recorder) stageSnapshot(s Snapshot) error {
 	content, err := bodyEncoder.Marshal(s)
 	if err != nil {
 		return err
 	}
-	name := snapshotName(s.Position.Index)
-	if err := r.replaceFile(name, appendFrame(nil, 0, content)); err != nil {
-		return err
-	}
-	r.snapshot = s.Position
-	return r.removeOlderSnapshots(name)
+	return r.stageFile(snapshotName(s.Position.Index), appendFrame(nil, 0, content))
 }
 
-func (r *Recorder) removeOlderSnapshots(newest string) error {
+// removeOlderSnapshots removes the snapshots before the newest one.
+func (r *Recorder) removeOlderSnapshots() error {
 	names, err := r.fs.List(r.cfg.Folder)
 	if err != nil {
 		return diskError(err, "listing of the data folder")
 	}
+	newest := snapshotName(r.snapshot.Index)
 	for _, name := range names {
-		if strings.HasPrefix(name, snapshotPrefix) && name < newest {
+		if strings.HasPrefix(name, snapshotPrefix) && !strings.HasSuffix(name, temporarySuffix) && name < newest {
 			if err := r.fs.Remove(filepath.Join(r.cfg.Folder, name)); err != nil {
 				return diskError(err, "removal of "+name)
 			}
@@ -44,8 +41,7 @@
 	return nil
 }
 
-// loadSnapshot returns the newest snapshot and removes the older ones. It returns
-// nil if there is no snapshot.
+// loadSnapshot returns the newest snapshot, or nil if there is none.
 func (r *Recorder) loadSnapshot(names []string) (*Snapshot, error) {
 	newest := ""
 	for _, name := range names {
@@ -74,14 +70,27 @@
 	}
 	s.At = s.At.UTC()
 	r.snapshot = s.Position
-	return &s, r.removeOlderSnapshots(newest)
+	return &s, nil
 }
 
 // replaceFile writes the whole file under a temporary name, syncs it, and only then
 // renames it, so that a crash never leaves an incomplete file under its final name.
 func (r *Recorder) replaceFile(name string, data []byte) error {
-	path := filepath.Join(r.cfg.Folder, name)
-	f, err := r.fs.Create(path + temporarySuffix)
+	if err := r.stageFile(name, data); err != nil {
+		return err
+	}
+	if err := r.renameStaged(name); err != nil {
+		return err
+	}
+	if err := r.fs.SyncFolder(r.cfg.Folder); err != nil {
+		return diskError(err, "sync of the data folder")
+	}
+	return nil
+}
+
+// stageFile writes and syncs the whole file under a temporary name.
+func (r *Recorder) stageFile(name string, data []byte) error {
+	f, err := r.fs.Create(filepath.Join(r.cfg.Folder, name+temporarySuffix))
 	if err != nil {
 		return diskError(err, "creation of "+name)
 	}
@@ -96,11 +105,14 @@
 	if err := f.Close(); err != nil {
 		return diskError(err, "close of "+name)
 	}
+	return nil
+}
+
+// renameStaged gives a staged file its final name. The caller syncs the folder.
+func (r *Recorder) renameStaged(name string) error {
+	path := filepath.Join(r.cfg.Folder, name)
 	if err := r.fs.Rename(path+temporarySuffix, path); err != nil {
 		return diskError(err, "rename of "+name)
 	}
-	if err := r.fs.SyncFolder(r.cfg.Folder); err != nil {
-		return diskError(err, "sync of the data folder")
-	}
 	return nil
 }
