--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -25,8 +26,11 @@
 	"celeryvalve/recorder"
 )
 
-// sum is a state machine that adds up numbers and counts them.
+// sum is a state machine that adds up the numbers at the beginning of commands and counts them.
 type sum struct {
+	// ballast is the size of what the state holds beside the numbers.
+	ballast int
+
 	mu    sync.Mutex
 	total uint64
 	count uint64
@@ -44,13 +48,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	data := binary.BigEndian.AppendUint64(nil, s.total)
-	return binary.BigEndian.AppendUint64(data, s.count), nil
+	data = binary.BigEndian.AppendUint64(data, s.count)
+	return append(data, make([]byte, s.ballast)...), nil
 }
 
 func (s *sum) Restore(data []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(data) != 16 {
+	if len(data) != 16+s.ballast {
 		return errors.New("snapshot has the wrong size")
 	}
 	s.total = binary.BigEndian.Uint64(data)
@@ -133,9 +138,10 @@
 // node is one replica with its disk.
 type node struct {
 	*coordinator.Coordinator
-	member coordinator.Member
-	store  *recorder.Recorder
-	sum    *sum
+	member  coordinator.Member
+	store   *recorder.Recorder
+	sum     *sum
+	metrics *metrics.Set
 }
 
 // cluster is a group of replicas on one network. The entry of a stopped replica
@@ -147,6 +153,8 @@
 	clocks  []clockwork.Clock
 	random  io.Reader
 	cfg     coordinator.Config
+	// ballast is that of each replica's sum.
+	ballast int
 	nodes   []*node
 	// repeated and repeatedSum are the number and the sum of the values that were proposed
 	// again after an unknown outcome.
@@ -241,7 +249,8 @@
 	require.NoError(c.t, err)
 	cfg := c.cfg
 	cfg.Name, cfg.Addr = member.Name, member.Addr
-	n := &node{member: member, store: store, sum: &sum{}}
+	n := &node{member: member, store: store, sum: &sum{ballast: c.ballast}, metrics: metrics.NewSet()}
+	cfg.Metrics = n.metrics
 	n.Coordinator = coordinator.New(cfg, store, n.sum, nodeTransport{network: c.network, from: member.Addr}, c.clocks[i],
 		asserter.Strict{}, zap.NewNop())
 	c.nodes[i] = n
@@ -283,12 +292,17 @@
 // The value may be added more than once, since it also retries after an unknown
 // outcome.
 func (c *cluster) propose(value uint64) (result any) {
+	return c.proposeCommand(value, number(value))
+}
+
+// proposeCommand is propose with a command that begins with the value.
+func (c *cluster) proposeCommand(value uint64, command []byte) (result any) {
 	c.until(func() bool {
 		for _, n := range c.nodes {
 			if n == nil || !n.IsLeader() {
 				continue
 			}
-			answer, err := n.Propose(c.t.Context(), number(value))
+			answer, err := n.Propose(c.t.Context(), command)
 			if err == nil {
 				result = answer
 				return true
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// step feeds one event to the reducer and executes the effects. It does nothing
-// once the replica has failed.
+// step feeds one event to the reducer, executes the effects and takes a snapshot if one
+// is due. It does nothing once the replica has failed.
 func (c *Coordinator) step(event replicator.Event) {
 	c.mu.Lock()
 	if c.failure != nil {
@@ -42,12 +42,13 @@
 	for _, effect := range effects {
 		c.execute(effect)
 	}
+	c.snapshotIfDue()
 }
 
 func (c *Coordinator) execute(effect replicator.Effect) {
 	switch e := effect.(type) {
 	case replicator.Persist:
-		c.writer.put(job{persist: e})
+		c.writer.put(e)
 	case replicator.Send:
 		c.transport.Send(e.To, e.Message)
 	case replicator.Apply:
@@ -107,16 +108,12 @@
 		c.appliedAt = e.At
 		c.setAppliedIndex(e.Index)
 		c.metrics.applied.Inc()
-		c.bytesSinceSnapshot += identifier.ByteCount(len(e.Data))
+		c.setLogBytes(c.bytesSinceSnapshot + identifier.ByteCount(len(e.Data)))
 		c.waiters.applied(e, result)
 	}
-	if int(c.applied.Index-c.snapshotIndex) >= c.cfg.SnapshotEvery || c.bytesSinceSnapshot > maxBytesSinceSnapshot {
-		c.takeSnapshot()
-	}
 }
 
 func (c *Coordinator) observeApply(entries int, took time.Duration) {
-	c.logBytes.Store(int64(c.bytesSinceSnapshot))
 	c.metrics.applySeconds.Update(took.Seconds())
 	if took >= slowApply {
 		c.log.Warn("Entries took long to be applied.", zap.Duration("took", took), zap.Int("entries", entries),
@@ -129,47 +126,3 @@
 	defer c.mu.Unlock()
 	c.appliedIndex = index
 }
-
-func (c *Coordinator) takeSnapshot() {
-	s, ok := c.snapshot()
-	if !ok {
-		return
-	}
-	c.snapshotIndex = c.applied.Index
-	c.bytesSinceSnapshot = 0
-	c.metrics.snapshotsTaken.Inc()
-	c.writer.put(job{snapshot: &s})
-}
-
-// captureState hands the state to the reducer, which sends it to members that lack it.
-func (c *Coordinator) captureState() {
-	if s, ok := c.snapshot(); ok {
-		c.metrics.statesSent.Inc()
-		c.inbox.put(replicator.StateCaptured{Snapshot: s})
-	}
-}
-
-// snapshot returns the applied state. If that fails, the replica fails.
-func (c *Coordinator) snapshot() (recorder.Snapshot, bool) {
-	data, err := c.machine.Snapshot()
-	if err != nil {
-		c.fail(explainer.Wrap(err, explainer.Internal, "the state machine could not create a snapshot", "restart this replica"))
-		return recorder.Snapshot{}, false
-	}
-	return recorder.Snapshot{Position: c.applied, At: c.appliedAt, Membership: c.membership.Clone(), Data: data}, true
-}
-
-func (c *Coordinator) restore(s recorder.Snapshot) {
-	if err := c.machine.Restore(s.Data); err != nil {
-		c.fail(explainer.Wrap(err, explainer.Corrupt, "the leader's snapshot can't be restored",
-			"run the leader's release on this replica"))
-		return
-	}
-	c.applied = s.Position
-	c.appliedAt = s.At
-	c.membership = s.Membership.Clone()
-	c.snapshotIndex = s.Position.Index
-	c.metrics.snapshotsInstalled.Inc()
-	c.setAppliedIndex(s.Position.Index)
-	c.log.Info("Snapshot installed.", zap.Uint64("Index", uint64(s.Position.Index)), zap.Int("bytes", len(s.Data)))
-}
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -15,15 +15,11 @@
 // then miss the time that their submitters wait.
 const slowWrite = 500 * time.Millisecond
 
-// job is one write: a Persist effect or a snapshot to save.
-type job struct {
-	persist  replicator.Persist
-	snapshot *recorder.Snapshot
-}
-
-// writer writes jobs to the disk in order, in a separate goroutine. Log writes
-// that queue up during one sync are merged and written with the next one. notify
-// is called with an event for each finished write, and fail with the first error.
+// writer writes Persist effects to the disk in order, in a separate goroutine. Log
+// writes that queue up during one sync are merged and written with the next one.
+// Snapshots of the replica's own state are written beside them, in steps between
+// which queued effects come first. notify is called with an event for each finished
+// write, and fail with the first error.
 type writer struct {
 	store   *recorder.Recorder
 	clock   clockwork.Clock
@@ -32,9 +28,17 @@
 	notify  func(replicator.Event)
 	fail    func(error)
 
-	mu     sync.Mutex
-	jobs   []job
-	signal chan struct{}
+	// saving is used by the goroutine of run only.
+	saving *saving
+
+	mu   sync.Mutex
+	jobs []replicator.Persist
+	// snapshot is queued. snapshotPending is set until it is saved.
+	snapshot        *recorder.Snapshot
+	snapshotPending bool
+	// nextSnapshot is the earliest time at which another snapshot is accepted.
+	nextSnapshot time.Time
+	signal       chan struct{}
 }
 
 func newWriter(store *recorder.Recorder, clock clockwork.Clock, metrics *replicaMetrics, log *zap.Logger,
@@ -42,52 +46,84 @@
 	return &writer{store: store, clock: clock, metrics: metrics, log: log, notify: notify, fail: fail, signal: make(chan struct{}, 1)}
 }
 
-func (w *writer) put(j job) {
+func (w *writer) put(p replicator.Persist) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.jobs = append(w.jobs, j)
+	w.jobs = append(w.jobs, p)
+	w.wake()
+}
+
+func (w *writer) wake() {
 	select {
 	case w.signal <- struct{}{}:
 	default:
 	}
 }
 
-func (w *writer) take() []job {
+func (w *writer) take() ([]replicator.Persist, *recorder.Snapshot) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	jobs := w.jobs
-	w.jobs = nil
-	return jobs
+	jobs, snapshot := w.jobs, w.snapshot
+	w.jobs, w.snapshot = nil, nil
+	return jobs, snapshot
 }
 
-// run writes queued jobs until stop is closed or the disk fails.
+// run writes what is queued until stop is closed or the disk fails.
 func (w *writer) run(stop <-chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-w.signal:
-		}
-		if err := w.write(w.take()); err != nil {
+	for w.wait(stop) {
+		if err := w.writeQueued(); err != nil {
 			w.fail(err)
 			return
 		}
 	}
 }
 
-func (w *writer) write(jobs []job) error {
+// wait waits for something to write, and returns false once stop is closed.
+func (w *writer) wait(stop <-chan struct{}) bool {
+	if w.saving != nil {
+		select {
+		case <-stop:
+			return false
+		default:
+			return true
+		}
+	}
+	select {
+	case <-stop:
+		return false
+	case <-w.signal:
+		return true
+	}
+}
+
+// writeQueued writes the queued jobs and one step of a snapshot.
+func (w *writer) writeQueued() error {
+	jobs, snapshot := w.take()
+	if err := w.write(jobs); err != nil {
+		return err
+	}
+	if snapshot != nil {
+		w.saving = &saving{snapshot: *snapshot, steps: w.store.SnapshotSteps(*snapshot)}
+	}
+	if w.saving == nil {
+		return nil
+	}
+	return w.saveStep()
+}
+
+func (w *writer) write(jobs []replicator.Persist) error {
 	for len(jobs) > 0 {
 		n, batch, sequence := group(jobs)
+		start := w.clock.Now()
 		if n == 0 {
-			start := w.clock.Now()
-			if err := w.writeSnapshot(jobs[0]); err != nil {
+			if err := w.store.InstallSnapshot(*jobs[0].Install); err != nil {
 				return err
 			}
 			w.observeSnapshot(w.clock.Since(start))
+			w.notify(replicator.Persisted{Sequence: jobs[0].Sequence})
 			jobs = jobs[1:]
 			continue
 		}
-		start := w.clock.Now()
 		if err := w.store.Append(batch); err != nil {
 			return err
 		}
@@ -102,26 +138,19 @@
 	return nil
 }
 
-func (w *writer) observeSnapshot(took time.Duration) {
-	w.metrics.snapshotSeconds.Update(took.Seconds())
-	if took >= slowWrite {
-		w.log.Warn("A write of a snapshot took long.", zap.Duration("took", took))
-	}
-}
-
-// group merges the jobs before the first snapshot into one batch for the log. n
+// group merges the jobs before the first snapshot to install into one batch for the log. n
 // is the number of merged jobs, and sequence is that of the last one.
-func group(jobs []job) (n int, batch recorder.Batch, sequence replicator.Sequence) {
+func group(jobs []replicator.Persist) (n int, batch recorder.Batch, sequence replicator.Sequence) {
 	for _, j := range jobs {
-		if j.snapshot != nil || j.persist.Install != nil {
+		if j.Install != nil {
 			break
 		}
-		if j.persist.HardState != nil {
-			batch.HardState = j.persist.HardState
+		if j.HardState != nil {
+			batch.HardState = j.HardState
 		}
-		batch.Entries = overwrite(batch.Entries, j.persist.Entries)
-		batch.Committed = j.persist.Committed
-		sequence = j.persist.Sequence
+		batch.Entries = overwrite(batch.Entries, j.Entries)
+		batch.Committed = j.Committed
+		sequence = j.Sequence
 		n++
 	}
 	return n, batch, sequence
@@ -140,20 +169,3 @@
 	}
 	return append(entries[:later[0].Index-first], later...)
 }
-
-// writeSnapshot saves a snapshot that this replica has taken, or installs one
-// that the leader has sent.
-func (w *writer) writeSnapshot(j job) error {
-	if j.snapshot != nil {
-		if err := w.store.SaveSnapshot(*j.snapshot); err != nil {
-			return err
-		}
-		w.notify(replicator.SnapshotTaken{Snapshot: *j.snapshot})
-		return nil
-	}
-	if err := w.store.InstallSnapshot(*j.persist.Install); err != nil {
-		return err
-	}
-	w.notify(replicator.Persisted{Sequence: j.persist.Sequence})
-	return nil
-}
--- a/coordinator/writer_test.go
+++ b/coordinator/writer_test.go
@@ -17,8 +17,8 @@
 	return entries
 }
 
-func entryJob(sequence replicator.Sequence, entries []recorder.Entry) job {
-	return job{persist: replicator.Persist{Sequence: sequence, Entries: entries}}
+func entryJob(sequence replicator.Sequence, entries []recorder.Entry) replicator.Persist {
+	return replicator.Persist{Sequence: sequence, Entries: entries}
 }
 
 // TestGroupKeepsWhatCameLast guards against stale data in a batch of queued
@@ -26,13 +26,13 @@
 func TestGroupKeepsWhatCameLast(t *testing.T) {
 	older := &recorder.HardState{Term: 1}
 	newer := &recorder.HardState{Term: 2}
-	jobs := []job{
-		{persist: replicator.Persist{Sequence: 1, HardState: older}},
+	jobs := []replicator.Persist{
+		{Sequence: 1, HardState: older},
 		entryJob(2, entryRange(1, 5, 8)),
-		{persist: replicator.Persist{Sequence: 3, HardState: newer}},
+		{Sequence: 3, HardState: newer},
 		entryJob(4, entryRange(2, 7, 7)),
 		entryJob(5, entryRange(2, 8, 9)),
-		{persist: replicator.Persist{Sequence: 6, Install: &recorder.Snapshot{}}},
+		{Sequence: 6, Install: &recorder.Snapshot{}},
 		entryJob(7, entryRange(2, 20, 20)),
 	}
 	n, batch, sequence := group(jobs)
