--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -8,7 +8,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"celeryvalve/encoder"
-	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
@@ -16,11 +15,6 @@
 // DefaultSnapshotEvery is the default of Config.SnapshotEvery, in log entries.
 const DefaultSnapshotEvery = 1024
 
-// maxBytesSinceSnapshot is the size of the commands applied since the last
-// snapshot above which a snapshot is taken, even if fewer than
-// Config.SnapshotEvery entries were applied.
-const maxBytesSinceSnapshot identifier.ByteCount = 8 << 20
-
 // StateMachine is the state that committed log entries are applied to. Its
 // methods are never called concurrently. Apply must depend only on its arguments
 // and on earlier calls, so that every replica reaches the same state.
@@ -60,7 +54,8 @@
 
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration
-	// SnapshotEvery is the number of applied entries after which a snapshot is taken.
+	// SnapshotEvery is the number of applied entries after which a snapshot is taken. One is
+	// taken earlier if the log becomes as large as the state.
 	SnapshotEvery int
 	// Random returns numbers in [0, 1) that randomise the election timeouts.
 	Random func() float64
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -45,8 +45,9 @@
 	applied       recorder.Position
 	appliedAt     time.Time
 	snapshotIndex recorder.Index
-	// bytesSinceSnapshot is the size of the commands applied since this replica
-	// last took a snapshot.
+	// snapshotBytes is the size of the last snapshot, and bytesSinceSnapshot that of the
+	// commands applied since.
+	snapshotBytes      identifier.ByteCount
 	bytesSinceSnapshot identifier.ByteCount
 	// logBytes is bytesSinceSnapshot for the metrics.
 	logBytes atomic.Int64
@@ -99,6 +100,7 @@
 		c.appliedAt = s.At
 		c.membership = s.Membership
 		c.snapshotIndex = s.Position.Index
+		c.snapshotBytes = identifier.ByteCount(len(s.Data))
 		c.appliedIndex = s.Position.Index
 	}
 	c.reducer = replicator.New(c.cfg.replicator(c.store), state, c.assert)
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -11,11 +11,24 @@
 	"celeryvalve/replicator"
 )
 
+// minLogBytes is the size of the log up to which no snapshot is taken for its size. A member gets
+// as much in one message, so that a snapshot would spare it nothing.
+const minLogBytes = replicator.DefaultMaxAppendBytes
+
+// maxLogBytes returns the size of the commands since the last snapshot above which the next one is
+// due. It bounds what a start has to read and apply by the size of the state: the log may become as
+// large as the last snapshot, so that snapshots at most double what is written to the disk. To that
+// come the commands that are committed while a snapshot is being saved, and afterwards for as long
+// again, since entries need the disk too.
+func (c *Coordinator) maxLogBytes() identifier.ByteCount {
+	return max(minLogBytes, c.snapshotBytes)
+}
+
 // snapshotIfDue takes a snapshot if the log since the last one is long enough and the disk has
 // time for it.
 func (c *Coordinator) snapshotIfDue() {
 	entries := int(c.applied.Index - c.snapshotIndex)
-	due := entries >= c.cfg.SnapshotEvery || c.bytesSinceSnapshot > maxBytesSinceSnapshot
+	due := entries >= c.cfg.SnapshotEvery || c.bytesSinceSnapshot > c.maxLogBytes()
 	if due && c.writer.acceptsSnapshot() {
 		c.takeSnapshot()
 	}
@@ -27,7 +40,8 @@
 		return
 	}
 	c.snapshotIndex = c.applied.Index
-	c.bytesSinceSnapshot = 0
+	c.snapshotBytes = identifier.ByteCount(len(s.Data))
+	c.setLogBytes(0)
 	c.metrics.snapshotsTaken.Inc()
 	c.writer.putSnapshot(s)
 }
@@ -60,6 +74,7 @@
 	c.appliedAt = s.At
 	c.membership = s.Membership.Clone()
 	c.snapshotIndex = s.Position.Index
+	c.snapshotBytes = identifier.ByteCount(len(s.Data))
 	c.setLogBytes(0)
 	c.metrics.snapshotsInstalled.Inc()
 	c.setAppliedIndex(s.Position.Index)
--- a/coordinator/snapshot_test.go
+++ b/coordinator/snapshot_test.go
@@ -15,6 +15,13 @@
 	"celeryvalve/recorder"
 )
 
+// commandBytes is the size of a large command in these tests.
+const commandBytes = 50_000
+
+func largeCommand() []byte {
+	return append(number(1), make([]byte, commandBytes-len(number(1)))...)
+}
+
 // metric returns the value of a metric of the replica.
 func (n *node) metric(t *testing.T, name string) float64 {
 	var text bytes.Buffer
@@ -30,6 +37,38 @@
 	return 0
 }
 
+// TestStartLoadsNoMoreThanTheState guards against a start that reads and applies minutes of changes of a small state.
+func TestStartLoadsNoMoreThanTheState(t *testing.T) {
+	const commands, floor, patience = 150, 256 << 10, 30 * time.Second
+	for _, state := range []int{0, 1 << 20} {
+		t.Run(fmt.Sprint(state), func(t *testing.T) {
+			c := newFakeCluster(t, 1)
+			c.ballast = state
+			c.startAll()
+			limit := max(floor, state)
+			for range commands {
+				c.proposeCommand(1, largeCommand())
+			}
+			end := c.clocks[0].Now().Add(patience)
+			c.until(func() bool {
+				s := c.nodes[0].Status()
+				return int(s.Last-s.SnapshotIndex)*commandBytes <= limit || c.clocks[0].Now().After(end)
+			})
+			taken := c.nodes[0].metric(t, "celeryvalve_control_snapshots_taken_total")
+			c.stop(0)
+			store, err := recorder.Open(recorder.OSFileSystem{}, recorder.Config{Folder: c.dataFolder(0), Name: c.cfg.Members[0].Name}, c.random)
+			require.NoError(t, err)
+			loaded := 0
+			for _, e := range store.State().Entries {
+				loaded += len(e.Data)
+			}
+			require.NoError(t, store.Close())
+			require.LessOrEqual(t, loaded, limit)
+			require.LessOrEqual(t, taken, float64(commands*commandBytes/limit+1), "snapshots are more than the commands")
+		})
+	}
+}
+
 // stallingDisk blocks each sync between stall and release.
 type stallingDisk struct {
 	recorder.OSFileSystem
