coordinator, placer: publish the state once for entries applied together

A start, or a follower that catches up, built the index of each declaration on its way and told every watcher of it, before the next entry was applied.

A StateMachine may implement Publisher. The coordinator then applies all entries of an Apply effect, publishes once, and only then raises the applied index and answers the proposers, so that an answer still comes after the change is in force on that replica.

--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -28,6 +28,14 @@
 	Restore(data []byte) error
 }
 
+// Publisher is implemented by a StateMachine whose state others see by a copy, or that
+// calls others after a change.
+type Publisher interface {
+	// Publish makes the state visible to others. It is called once after one or more calls
+	// of Apply, and before the proposers of those commands get their results.
+	Publish()
+}
+
 // Transport carries messages between replicas.
 type Transport interface {
 	// Send sends the message or drops it. It must not block.
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -92,24 +92,33 @@
 // answers no message meanwhile.
 const slowApply = 500 * time.Millisecond
 
+// apply applies the entries and publishes the state once. Their proposers get their answers
+// after that.
 func (c *Coordinator) apply(entries []recorder.Entry) {
 	start := c.clock.Now()
 	defer func() { c.observeApply(len(entries), c.clock.Since(start)) }()
-	for _, e := range entries {
-		var result any
+	results := make([]any, len(entries))
+	commands := 0
+	for i, e := range entries {
 		switch e.Kind {
 		case recorder.Command:
-			result = c.machine.Apply(uint64(e.Index), e.At.UTC(), e.Data)
+			results[i] = c.machine.Apply(uint64(e.Index), e.At.UTC(), e.Data)
+			commands++
 		case recorder.MembershipChange:
 			c.membership = *e.Membership
 		case recorder.Noop:
 		}
 		c.applied = e.Position()
 		c.appliedAt = e.At
-		c.setAppliedIndex(e.Index)
 		c.metrics.applied.Inc()
 		c.setLogBytes(c.bytesSinceSnapshot + identifier.ByteCount(len(e.Data)))
-		c.waiters.applied(e, result)
+	}
+	if p, ok := c.machine.(Publisher); ok && commands > 0 {
+		p.Publish()
+	}
+	c.setAppliedIndex(c.applied.Index)
+	for i, e := range entries {
+		c.waiters.applied(e, results[i])
 	}
 }
 
--- a/placer/disk.go
+++ b/placer/disk.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"errors"
 	"path/filepath"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
@@ -20,7 +19,8 @@
 	"celeryvalve/spreader"
 )
 
-// stateMachine applies committed commands and updates the view of this process.
+// stateMachine applies committed commands, and updates the view of this process once for those that are
+// applied together.
 type stateMachine struct {
 	*declarer.State
 	view     *declarer.View
@@ -32,12 +32,12 @@
 	departuresSpread uint64
 }
 
-// Apply applies one committed command.
-func (m *stateMachine) Apply(index uint64, at time.Time, data []byte) any {
-	answer := m.State.Apply(index, at, data)
+var _ coordinator.Publisher = (*stateMachine)(nil)
+
+// Publish updates the view of this process after one or more commands.
+func (m *stateMachine) Publish() {
 	m.updateView()
 	m.spreadDepartures()
-	return answer
 }
 
 func (m *stateMachine) updateView() {
@@ -53,8 +53,7 @@
 func (m *stateMachine) Restore(data []byte) error {
 	err := m.State.Restore(data)
 	if err == nil {
-		m.updateView()
-		m.spreadDepartures()
+		m.Publish()
 	}
 	return err
 }
