--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -22,6 +22,9 @@
 	"members":  {fillMembers, []int{16, 64, 360}},
 	"versions": {fillVersions, []int{100, 500, 1000}},
 	"services": {fillServices, []int{10, 100, 1000}},
+	"history":  {fillHistory, []int{40}},
+	"answers":  {fillAnswers, []int{2500}},
+	"bounds":   {fillBounds, []int{controller.MaximumClaims}},
 }
 
 func fillClaims(r *replica, n int) {
@@ -56,6 +59,22 @@
 	require.Equal(r.t, controller.Accepted, r.submit("fill", 0, string(source)).Outcome)
 }
 
+// fillBounds adds n claims, whose answers take AnswerBudget at MaximumClaims, and as much of
+// all else as the bounds allow.
+func fillBounds(r *replica, n int) {
+	fillHistory(r, 40)
+	fillAnswers(r, 2500)
+	fillMembers(r, controller.MaximumMembers)
+	for i := range n {
+		c := claimOf(fmt.Sprintf("booking-%08d", i), fmt.Sprintf("attempt-%08d", i), "upstream-0000", 1)
+		c.Organisation = identifier.Organisation(fmt.Sprint("organisation-", i%8))
+		granted := r.claim(c)
+		require.Equal(r.t, controller.Granted, granted.Status)
+		r.apply(&controller.Settle{Organisation: c.Organisation, Service: c.Service, Key: c.Key,
+			Token: granted.Token, Outcome: controller.Completed, Answer: make([]byte, int(controller.AnswerBudget)/controller.MaximumClaims)})
+	}
+}
+
 // benchmarkSizes runs a benchmark for each of the named kinds of objects, on
 // replicas that are filled with each number of them.
 func benchmarkSizes(b *testing.B, names []string, run func(b *testing.B, r *replica)) {
@@ -71,7 +90,7 @@
 }
 
 func BenchmarkApplyPatch(b *testing.B) {
-	benchmarkSizes(b, []string{"services", "versions"}, func(b *testing.B, r *replica) {
+	benchmarkSizes(b, []string{"services", "versions", "history"}, func(b *testing.B, r *replica) {
 		for b.Loop() {
 			base := r.state.Configuration().Version
 			r.submit(fmt.Sprint("b", base), base, fmt.Sprintf(plainPatch, base))
@@ -91,7 +110,7 @@
 }
 
 func BenchmarkSnapshot(b *testing.B) {
-	benchmarkSizes(b, []string{"claims", "members", "versions"}, func(b *testing.B, r *replica) {
+	benchmarkSizes(b, []string{"claims", "members", "versions", "history", "answers", "bounds"}, func(b *testing.B, r *replica) {
 		var data []byte
 		for b.Loop() {
 			var err error
@@ -103,7 +122,7 @@
 }
 
 func BenchmarkRestore(b *testing.B) {
-	benchmarkSizes(b, []string{"claims", "members", "versions"}, func(b *testing.B, r *replica) {
+	benchmarkSizes(b, []string{"claims", "members", "versions", "history", "answers", "bounds"}, func(b *testing.B, r *replica) {
 		data, err := r.state.Snapshot()
 		require.NoError(b, err)
 		restored := newReplica(b)
--- a/controller/patches.go
+++ b/controller/patches.go
@@ -164,22 +164,24 @@
 	}
 }
 
+// answerSize returns the size of a stored answer in a snapshot.
 func answerSize(answer PatchAnswer) identifier.ByteCount {
-	return changesSize(answer.Changes) + identifier.ByteCount(len(answer.Faults)+len(answer.ID))
+	return frameSize(answersFrame{[]storedAnswer{{Answer: answer}}}, PatchAnswersBudget)
 }
 
-// recordSize returns the approximate size of a record. It counts the changes twice,
-// since Undo contains them too.
+// recordSize returns the size of a record in a snapshot. Most of it may be Undo, which holds
+// whole objects.
 func recordSize(record Record) identifier.ByteCount {
-	return 2*changesSize(record.Changes) + identifier.ByteCount(len(record.Source))
+	return frameSize(historyFrame{[]Record{record}}, HistoryBudget)
 }
 
-func changesSize(changes []configurer.Change) identifier.ByteCount {
-	size := 0
-	for _, c := range changes {
-		size += len(c.Path) + len(c.Before) + len(c.After)
+// frameSize returns the size of a frame of a snapshot, or tooLarge if it can't be encoded.
+func frameSize(frame any, tooLarge identifier.ByteCount) identifier.ByteCount {
+	data, err := snapshotCodec().Encode(0, frame)
+	if err != nil {
+		return tooLarge
 	}
-	return identifier.ByteCount(size)
+	return identifier.ByteCount(len(data))
 }
 
 // record returns the record of a version, or false if the history doesn't contain
