declarer: keep digests of the models that services run and of four others

Cause: the releases of a model were kept for good, with the digests of its last two. The leader also went on to pin wanted releases of models that were removed.

Change: Declared.Followed returns the models whose releases are pinned and fetched: those that services run, and of the others the four whose releases were named last, for a declaration that is taken back or is still to come. Pins of others are ignored; a model that is declared again is pinned anew.

Why: what is kept follows what is declared, and not what was declared before.

Nothing else differs.

--- a/declarer/state.go
+++ b/declarer/state.go
@@ -159,6 +159,7 @@
 			s.setWanted(at, engine.Model, FirstRelease)
 		}
 	}
+	s.dropSpare()
 	return s.answer(true)
 }
 
@@ -177,6 +178,7 @@
 	names := append(slices.Clone(release.Names), WantedRelease{Number: number, At: at})
 	release.Names = names[max(0, len(names)-maxNames):]
 	s.setRelease(model, release)
+	s.dropSpare()
 	return s.answer(true)
 }
 
@@ -188,6 +190,9 @@
 	if _, ok := release.Pin(c.Pinned.Number); ok || c.Pinned.Number > release.Wanted {
 		return s.answer(false)
 	}
+	if !slices.Contains(s.current.Followed(), c.Model) {
+		return s.answer(false)
+	}
 	pins := append(slices.Clone(release.Pins), c.Pinned)
 	slices.SortFunc(pins, func(a, b Pinned) int { return cmp.Compare(a.Number, b.Number) })
 	release.Pins = pins[max(0, len(pins)-maxPins):]
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -238,7 +238,8 @@
 // of mirrors.
 func (m *mirror) reconcile(context.Context) {
 	declared := m.view.Declared()
-	for model, release := range declared.Releases {
+	for _, model := range declared.Followed() {
+		release := declared.Releases[model]
 		pinned, ok := release.Pin(release.Wanted)
 		if ok {
 			m.followRelease(declared, model, pinned)
--- a/placer/pinner.go
+++ b/placer/pinner.go
@@ -46,8 +46,9 @@
 // in progress.
 func (p *pinner) startPinning(ctx context.Context, node *replicaNode) {
 	declared := node.state.Declared()
+	followed := declared.Followed()
 	for model, release := range declared.Releases {
-		if _, ok := release.Pin(release.Wanted); ok {
+		if _, ok := release.Pin(release.Wanted); ok || !slices.Contains(followed, model) {
 			continue
 		}
 		p.mu.Lock()
