quarantiner: drop the crashes of services without a suspect part

Change: when a service gets its first count, those of the services without a suspect part are dropped. Only the crashes since the first one of a suspect matter, and a fingerprint has its service in it, so no decision changes. As many counts are left as there may be suspects, and one more.

Measured: after one crash each of 1,001 services, with 8 suspects at most, 1,001 counts were kept, and now 9 at most.

--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -120,10 +120,25 @@
 		return
 	}
 	recent, isNew := appendCrash(q.evidence.Recent, crash, maxRecentCrashes)
-	if isNew {
-		q.evidence.Recent = recent
-		q.evidence.Crashes[m.InFlight[first].Service]++
+	if !isNew {
+		return
+	}
+	q.evidence.Recent = recent
+	service := m.InFlight[first].Service
+	if _, ok := q.evidence.Crashes[service]; !ok {
+		q.dropUnusedCounts()
+	}
+	q.evidence.Crashes[service]++
+}
+
+// dropUnusedCounts drops the crashes of the services without a suspect part. Only how many there
+// were since the first one of a suspect matters.
+func (q *Quarantine) dropUnusedCounts() {
+	used := make(map[identifier.Service]bool)
+	for _, s := range q.suspects {
+		used[s.Service] = used[s.Service] || s.Part
 	}
+	maps.DeleteFunc(q.evidence.Crashes, func(service identifier.Service, _ uint64) bool { return !used[service] })
 }
 
 // lastSeen returns when the last of the crashes was, or 0 if there is none.
--- a/quarantiner/quarantine_test.go
+++ b/quarantiner/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantiner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -218,3 +219,24 @@
 	}
 	require.NotContains(t, refusedOf(q), guilty)
 }
+
+// Guards against a state that grows with each service that ever had a crash: all replicas keep it,
+// and new ones fetch it.
+func TestCrashesOfForgottenServicesAreDropped(t *testing.T) {
+	const suspects, crashes = 8, 3
+	q := quarantiner.New(quarantiner.Config{CrashesUntilRefused: 3, PartCrashesUntilRefused: crashes, Retention: 24 * time.Hour, MaxSuspects: suspects})
+	crash := func(i int, service identifier.Service, f quarantiner.Fingerprint) {
+		m := report("a", "entry-1", quarantiner.InFlight{Fingerprint: f, Service: service, Part: true, Age: time.Millisecond})
+		m.Incarnation, m.Crash = identifier.Incarnation(i+1), uint64(i)
+		q.Report(m, quarantiner.Instant(i+1)*60*second, quarantiner.Revision(i+1))
+	}
+	crash(0, "kept", 1)
+	crash(1, "kept", 1)
+	for i := range 1000 {
+		crash(i+2, identifier.Service(fmt.Sprint("service-", i)), quarantiner.Fingerprint(i+2))
+	}
+	require.LessOrEqual(t, len(q.Evidence().Crashes), suspects+1)
+	require.Empty(t, q.Summary().Refused)
+	crash(1002, "kept", 1)
+	require.Len(t, q.Summary().Refused, 1, "the crashes of a suspect's service still count")
+}
