declarer: expire departures with any command

Change: each command drops them, as it does suspects. The time of the oldest departure, which a restored state takes from the list, spares the look at the others.

--- a/declarer/departure.go
+++ b/declarer/departure.go
@@ -82,9 +82,6 @@
 	if err := d.check(); err != nil {
 		return &Rejected{Problem: err.Error()}
 	}
-	maps.DeleteFunc(s.departures, func(_ identifier.Upstream, r RecordedDeparture) bool {
-		return at.Sub(r.At) > DepartureRetention
-	})
 	known, ok := s.departures[d.Upstream]
 	if ok && d.compareTo(known.Departure) < 0 {
 		return s.answer(false)
@@ -93,9 +90,32 @@
 		s.dropOldestDeparture()
 	}
 	s.departures[d.Upstream] = RecordedDeparture{Departure: d, Index: index, At: at}
+	s.noteDeparture(at)
 	return s.answer(true)
 }
 
+// noteDeparture notes the time of a departure for expireDepartures.
+func (s *State) noteDeparture(at time.Time) {
+	if s.oldestDeparture.IsZero() || at.Before(s.oldestDeparture) {
+		s.oldestDeparture = at
+	}
+}
+
+// expireDepartures drops the departures that are older than DepartureRetention.
+func (s *State) expireDepartures(at time.Time) {
+	if len(s.departures) == 0 || at.Sub(s.oldestDeparture) <= DepartureRetention {
+		return
+	}
+	s.oldestDeparture = time.Time{}
+	for upstream, r := range s.departures {
+		if at.Sub(r.At) > DepartureRetention {
+			delete(s.departures, upstream)
+		} else {
+			s.noteDeparture(r.At)
+		}
+	}
+}
+
 func (s *State) dropOldestDeparture() {
 	oldest := slices.MinFunc(s.listDepartures(), func(a, b RecordedDeparture) int { return cmp.Compare(a.Index, b.Index) })
 	delete(s.departures, oldest.Departure.Upstream)
@@ -110,8 +130,10 @@
 
 func (s *State) restoreDepartures(list []RecordedDeparture) {
 	s.departures = make(map[identifier.Upstream]RecordedDeparture, len(list))
+	s.oldestDeparture = time.Time{}
 	for _, r := range list {
 		s.departures[r.Departure.Upstream] = r
+		s.noteDeparture(r.At)
 	}
 }
 
--- a/declarer/departure_test.go
+++ b/declarer/departure_test.go
@@ -78,3 +78,31 @@
 	depart(gone("late", 1))
 	require.Len(t, state.Departures(0), 1)
 }
+
+// Guards against departures that stay in all snapshots until the next upstream departs, after many
+// have departed at once: a new replica fetched ten times what the state takes.
+func TestDeparturesExpireWithAnyCommand(t *testing.T) {
+	const departed = 3000
+	h := newHarness()
+	h.replace(t, 1)
+	before := h.snapshotSize(t)
+	for i := range departed {
+		h.applyAtOnce(t, departureOf(i))
+	}
+	full := h.snapshotSize(t)
+	require.Len(t, h.state.Departures(0), departed)
+	data, err := declarer.EncodeCommand(&declarer.Replace{Declaration: declaration(2), Document: []byte("document 2")})
+	require.NoError(t, err)
+	h.state.Apply(h.index+1, start.Add(declarer.DepartureRetention), data)
+	require.Len(t, h.state.Departures(0), departed, "they are still needed")
+	restored := declarer.New(asserter.Strict{})
+	snapshot, err := h.state.Snapshot()
+	require.NoError(t, err)
+	require.NoError(t, restored.Restore(snapshot))
+	for _, s := range []*declarer.State{h.state, restored} {
+		s.Apply(h.index+2, start.Add(declarer.DepartureRetention+time.Second), data)
+		require.Empty(t, s.Departures(0))
+	}
+	t.Logf("%d bytes before, %d with departures, %d after", before, full, h.snapshotSize(t))
+	require.Less(t, h.snapshotSize(t), 2*before)
+}
--- a/declarer/state.go
+++ b/declarer/state.go
@@ -39,6 +39,8 @@
 	quarantine *quarantiner.Quarantine
 	summary    quarantiner.Summary
 	departures map[identifier.Upstream]RecordedDeparture
+	// oldestDeparture is the time of the oldest of them, or earlier.
+	oldestDeparture time.Time
 }
 
 const (
@@ -102,6 +104,7 @@
 	}
 	now, revision := quarantiner.Instant(at.UnixNano()), quarantiner.Revision(index)
 	s.quarantine.Expire(now, revision)
+	s.expireDepartures(at)
 	defer s.summarise()
 	switch c := command.(type) {
 	case *encodedReplace:
