placer: read only the wanted release from the disk at a start

Cause: a mirror read and verified all chunks that its disk holds, up to 16 MiB of releases that were wanted once, before it took up the wanted one, and gave that up after 0.3 s.

Change: at a start the keeper lists the chunks. A release is read, and each chunk verified, when it is wanted; a damaged one is dropped then. What the disk has read within 0.3 s is used, and the rest fetched from other mirrors.

--- a/placer/keeper.go
+++ b/placer/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/transferrer"
 	"celeryvalve/verifier"
@@ -63,42 +64,70 @@
 	return c
 }
 
-// load finds and verifies the chunks that the disk holds.
+// load finds the chunks that the disk holds. It reads none of them: only those of the wanted
+// releases are needed soon.
 func (c *weightsCache) load() {
 	defer close(c.ready)
 	if c.disk == nil {
 		return
 	}
-	chunks, err := c.disk.Restore()
-	c.log.Info("Loaded the weights cache.", zap.Int("chunks", len(chunks)), zap.Error(err))
+	chunks, err := c.disk.Find()
+	c.log.Info("Loaded the weights cache.", zap.Int("chunks", chunks), zap.Error(err))
 }
 
-// restore passes the cached chunks of the release to add. It gives up if load takes
-// longer than cacheReadTimeout.
+// restore passes the cached chunks of the release to add. It gives up what the disk has not
+// read within cacheReadTimeout.
 func (c *weightsCache) restore(m *verifier.Manifest, add func(identifier.Digest, []byte) error) {
 	timeout := c.clock.After(cacheReadTimeout)
-	select {
-	case <-c.ready:
-	case <-timeout:
-		c.log.Warn("The weights cache took too long to load; fetching the release instead.")
-		return
-	}
-	if c.disk == nil {
-		return
-	}
+	chunks := c.readChunks(m)
 	restored := 0
-	for _, digest := range digestsOf(m) {
-		data, err := c.disk.Get(digest)
-		if err != nil {
-			continue // the chunk is fetched from another source
-		}
-		if err := add(digest, data); err != nil {
-			c.log.Warn("Can't use a cached chunk.", zap.Stringer("chunk", digest), zap.Error(err))
-			continue
+	for {
+		select {
+		case chunk, ok := <-chunks:
+			if !ok {
+				c.log.Info("Took up a kept release.", zap.Stringer("manifest", m.Digest()), zap.Int("chunks", restored))
+				return
+			}
+			if err := add(chunk.digest, chunk.data); err != nil {
+				c.log.Warn("Can't use a cached chunk.", zap.Stringer("chunk", chunk.digest), zap.Error(err))
+				continue
+			}
+			restored++
+		case <-timeout:
+			c.log.Warn("The weights cache took too long to load; fetching the rest of the release instead.", zap.Int("chunks", restored))
+			return
 		}
-		restored++
 	}
-	c.log.Info("Took up a kept release.", zap.Stringer("manifest", m.Digest()), zap.Int("chunks", restored))
+}
+
+// keptChunk is a verified chunk of the cache.
+type keptChunk struct {
+	digest identifier.Digest
+	data   []byte
+}
+
+// readChunks reads the cached chunks of the release in the background. It closes the channel,
+// which has room for all of them, after the last one.
+func (c *weightsCache) readChunks(m *verifier.Manifest) <-chan keptChunk {
+	digests := digestsOf(m)
+	chunks := make(chan keptChunk, len(digests))
+	go func() {
+		defer close(chunks)
+		<-c.ready
+		if c.disk == nil {
+			return
+		}
+		for _, digest := range digests {
+			data, err := c.disk.Get(digest)
+			if explainer.KindOf(err) == explainer.Corrupt {
+				c.disk.Drop([]identifier.Digest{digest})
+			}
+			if err == nil { // otherwise the chunk is fetched from another source
+				chunks <- keptChunk{digest: digest, data: data}
+			}
+		}
+	}()
+	return chunks
 }
 
 // save writes the chunks of a complete release. Older releases are deleted if the cache
--- a/placer/keeper_test.go
+++ b/placer/keeper_test.go
@@ -74,6 +74,22 @@
 	require.NoFileExists(t, corrupt)
 }
 
+// Guards against a mirror that reads all kept releases before the wanted one, and gives that up
+// since they take too long: what isn't wanted stays unread.
+func TestKeeperReadsTheWantedReleaseAlone(t *testing.T) {
+	folder := t.TempDir()
+	first, store := releaseOf(t, "1", 4)
+	loadedCache(folder, store).save(t.Context(), first)
+	second, store := releaseOf(t, "2", 4)
+	loadedCache(folder, store).save(t.Context(), second)
+	old := filepath.Join(folder, weightsFolder, digestsOf(first)[1].String())
+	require.NoError(t, os.WriteFile(old, []byte("rot"), 0o600))
+	require.Equal(t, 4, restored(t, folder, second))
+	require.FileExists(t, old, "it would have been removed if it had been read")
+	require.Equal(t, 3, restored(t, folder, first))
+	require.NoFileExists(t, old)
+}
+
 // Guards against a cache that exceeds its limit, or takes no more releases, when the
 // disk is full of older ones: these must be deleted.
 func TestKeeperMakesRoom(t *testing.T) {
@@ -138,3 +154,35 @@
 	clock.Advance(cacheReadTimeout)
 	<-done
 }
+
+// BenchmarkLoad measures how a mirror takes up a wanted release of 2 MiB beside as many kept ones
+// as the cache has room for.
+func BenchmarkLoad(b *testing.B) {
+	const size, chunks = 64 << 10, 32
+	folder := b.TempDir()
+	var wanted *verifier.Manifest
+	for i := range cacheLimit / (size * chunks) {
+		store, err := transferrer.NewStore(transferrer.StoreConfig{Folder: filepath.Join(folder, weightsFolder), Limit: cacheLimit})
+		require.NoError(b, err)
+		var digests []identifier.Digest
+		for j := range chunks {
+			data := make([]byte, size)
+			data[0], data[1] = byte(i), byte(j)
+			digest := identifier.DigestOf(data)
+			digests = append(digests, digest)
+			chunk, err := verifier.VerifyBytes(digest, data)
+			require.NoError(b, err)
+			require.NoError(b, store.Put(chunk, data))
+		}
+		wanted, err = verifier.FromDigests(verifier.Description{Model: "m", Version: "1", ChunkSize: size}, digests)
+		require.NoError(b, err)
+	}
+	for b.Loop() {
+		n := 0
+		loadedCache(folder, nil).restore(wanted, func(identifier.Digest, []byte) error {
+			n++
+			return nil
+		})
+		require.Equal(b, chunks, n)
+	}
+}
--- a/transferrer/store.go
+++ b/transferrer/store.go
@@ -41,7 +41,8 @@
 const temporarySuffix = ".new"
 
 // NewStore returns an empty store and creates its folder. Restore loads the chunks
-// that the folder already holds.
+// that the folder already holds, or Find those that are not verified yet. Either is called
+// once, before other methods.
 func NewStore(cfg StoreConfig) (*Store, error) {
 	s := &Store{
 		cfg:    cfg,
@@ -73,9 +74,7 @@
 	for _, entry := range entries {
 		digest, err := identifier.ParseDigest(entry.Name())
 		if err != nil {
-			if filepath.Ext(entry.Name()) == temporarySuffix {
-				_ = os.Remove(filepath.Join(s.cfg.Folder, entry.Name()))
-			}
+			s.removeTemporary(entry.Name())
 			continue
 		}
 		chunk, err := s.restoreChunk(digest)
@@ -92,6 +91,43 @@
 	return chunks, nil
 }
 
+// Find records the chunks in the folder without reading them: Get verifies each. It removes
+// incomplete files, and chunks that exceed the limit. It returns how many chunks there are.
+func (s *Store) Find() (int, error) {
+	if s.cfg.Folder == "" {
+		return 0, nil
+	}
+	entries, err := os.ReadDir(s.cfg.Folder)
+	if err != nil {
+		return 0, explainer.Wrap(err, explainer.Unavailable, "chunk folder can't be read", "give the process read access")
+	}
+	found := 0
+	for _, entry := range entries {
+		digest, err := identifier.ParseDigest(entry.Name())
+		if err != nil {
+			s.removeTemporary(entry.Name())
+			continue
+		}
+		info, err := entry.Info()
+		if err != nil {
+			continue // the disk failed, and the file may be intact
+		}
+		if size := identifier.ByteCount(info.Size()); size > verifier.MaxChunkSize || s.reserve(digest, size) != nil {
+			_ = os.Remove(s.path(digest))
+			continue
+		}
+		found++
+	}
+	return found, nil
+}
+
+// removeTemporary removes a file that was not completely written.
+func (s *Store) removeTemporary(name string) {
+	if filepath.Ext(name) == temporarySuffix {
+		_ = os.Remove(filepath.Join(s.cfg.Folder, name))
+	}
+}
+
 func (s *Store) restoreChunk(digest identifier.Digest) (verifier.Chunk, error) {
 	info, err := os.Stat(s.path(digest))
 	if err != nil {
