controller: bound the history and answers by the configuration

Cause: a new control replica fetches the history that operators can look at and the first answers of patches with the state. Their budgets of 16 MiB each were far above the configuration, of which the largest takes 2 MiB, and the replica's loop encodes them for each newcomer.

Change: both budgets are twice the largest configuration. The latest 1024 versions and 4096 answers of one-field patches still fit; of patches that change hundreds of large objects fewer are shown, and a resend of one whose answer is forgotten gets a Conflict, as its base is old.

The rest is claims, which are state.

--- a/controller/history_test.go
+++ b/controller/history_test.go
@@ -81,3 +81,15 @@
 	require.LessOrEqual(t, len(data), int(controller.PatchAnswersBudget)+rest)
 	r.restart()
 }
+
+// Guards against budgets that leave less than MaximumHistory and MaximumPatchAnswers of patches of
+// one field.
+func TestUsualVersionsAndAnswersAreKept(t *testing.T) {
+	r := newReplica(t)
+	fillVersions(r, controller.MaximumHistory)
+	for i := range controller.MaximumPatchAnswers - controller.MaximumHistory {
+		r.submit(fmt.Sprint("c", i), controller.MaximumHistory-1, "")
+	}
+	require.Len(t, r.state.PatchHistory(controller.MaximumHistory), controller.MaximumHistory)
+	require.True(t, r.submit("p0", 0, fmt.Sprintf(plainPatch, 0)).Resent, "the first of all answers")
+}
--- a/controller/patches.go
+++ b/controller/patches.go
@@ -14,12 +14,13 @@
 	// patch whose answer is no longer stored is not applied twice: its base is old,
 	// so it is answered with Conflict.
 	MaximumPatchAnswers = 4096
-	// PatchAnswersBudget is the maximum total size of those answers.
-	PatchAnswersBudget identifier.ByteCount = 16 << 20
+	// PatchAnswersBudget is the maximum total size of those answers, which a new replica
+	// fetches before it can vote.
+	PatchAnswersBudget = 2 * configurer.MaximumConfigurationSize
 	// MaximumHistory is the maximum number of versions in the history.
 	MaximumHistory = 1024
-	// HistoryBudget is the maximum total size of the history.
-	HistoryBudget identifier.ByteCount = 16 << 20
+	// HistoryBudget is the maximum total size of the history, which a new replica fetches too.
+	HistoryBudget = 2 * configurer.MaximumConfigurationSize
 	// MaximumChanges is the maximum number of changes in an answer or a record.
 	MaximumChanges = 256
 	// MaximumFaultsSize is the maximum size of the faults in an answer.
