--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -19,7 +19,8 @@
 // due. It bounds what a start has to read and apply by the size of the state: the log may become as
 // large as the last snapshot, so that snapshots at most double what is written to the disk. To that
 // come the commands that are committed while a snapshot is being saved, and afterwards for as long
-// again, since entries need the disk too.
+// again, since entries need the disk too. A start may also read, and not apply, the commands before
+// the snapshot that are in one segment of the disk with later ones.
 func (c *Coordinator) maxLogBytes() identifier.ByteCount {
 	return max(minLogBytes, c.snapshotBytes)
 }
