--- a/declarer/bench_test.go
+++ b/declarer/bench_test.go
@@ -26,6 +26,7 @@
 	"departures": {fillDepartures, 1 << 13},
 	"suspects":   {fillSuspects, 1024},
 	"models":     {fillModels, 1025},
+	"zones":      {fillZones, 1000},
 }
 
 func fillRoutes(t require.TestingT, h *harness, n int) {
@@ -90,6 +91,15 @@
 	}
 }
 
+// fillZones evacuates n zones and takes that back.
+func fillZones(t require.TestingT, h *harness, n int) {
+	for i := range n {
+		zone := identifier.AvailabilityZone(fmt.Sprintf("hall-%04d", i))
+		h.applyAtOnce(t, &declarer.Evacuate{AvailabilityZone: zone, Seen: 1 << 20})
+		h.applyAtOnce(t, &declarer.Evacuate{AvailabilityZone: zone, Finished: true, Seen: 1 << 20})
+	}
+}
+
 func benchmarkFills(b *testing.B, run func(b *testing.B, h *harness)) {
 	for name, f := range fills {
 		b.Run(fmt.Sprintf("%s=%d", name, f.n), func(b *testing.B) {
