--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -100,6 +100,18 @@
 }
 
 func (p nodeTransport) Send(to netip.AddrPort, msg any) {
+	p.deliver(to, p.encode(msg))
+}
+
+func (p nodeTransport) encode(msg any) []byte {
+	frame, err := p.network.codec.Encode(0, msg)
+	if err != nil {
+		panic(err)
+	}
+	return frame
+}
+
+func (p nodeTransport) deliver(to netip.AddrPort, frame []byte) {
 	n := p.network
 	n.mu.Lock()
 	node := n.nodes[to]
@@ -108,10 +120,6 @@
 	if node == nil || cut {
 		return
 	}
-	frame, err := n.codec.Encode(0, msg)
-	if err != nil {
-		panic(err)
-	}
 	_, decoded, err := n.codec.Decode(frame)
 	if err != nil {
 		panic(err)
@@ -244,20 +252,26 @@
 }
 
 func (c *cluster) start(i int, fs recorder.FileSystem) {
+	machine := &sum{ballast: c.ballast}
+	c.run(i, fs, machine, nodeTransport{network: c.network, from: c.cfg.Members[i].Addr}).sum = machine
+}
+
+// run starts the replica with the state machine and the transport.
+func (c *cluster) run(i int, fs recorder.FileSystem, machine coordinator.StateMachine, transport coordinator.Transport) *node {
 	member := c.cfg.Members[i]
 	store, err := recorder.Open(fs, recorder.Config{Folder: c.dataFolder(i), Name: member.Name}, c.random)
 	require.NoError(c.t, err)
 	cfg := c.cfg
 	cfg.Name, cfg.Addr = member.Name, member.Addr
-	n := &node{member: member, store: store, sum: &sum{ballast: c.ballast}, metrics: metrics.NewSet()}
+	n := &node{member: member, store: store, metrics: metrics.NewSet()}
 	cfg.Metrics = n.metrics
-	n.Coordinator = coordinator.New(cfg, store, n.sum, nodeTransport{network: c.network, from: member.Addr}, c.clocks[i],
-		asserter.Strict{}, zap.NewNop())
+	n.Coordinator = coordinator.New(cfg, store, machine, transport, c.clocks[i], asserter.Strict{}, zap.NewNop())
 	c.nodes[i] = n
 	c.network.mu.Lock()
 	c.network.nodes[member.Addr] = n.Coordinator
 	c.network.mu.Unlock()
 	require.NoError(c.t, n.Start(c.t.Context()))
+	return n
 }
 
 func (c *cluster) dataFolder(i int) string {
