relayer: measure the time limit of requests by the process's clock

Callers saw nothing: in production both clocks are the same. Tests with a fake clock, of relayer and placer, got 504 or 503 for the answer of an upstream where the machine took longer than the route's limit, 3 s, and two tests took the real clock for want of another way.

Cause: ServeHTTP gave the context of a request its deadline by context.WithDeadline, so that this limit went by the system's clock, and all others of a request by the relayer's.

Change: a timer of the relayer's clock ends the context. Only whether it has ended is asked, not why. The two tests take a fake clock. Tests that should reach a time limit advance the clock to it, where they waited a second to five and tried again if the request had not arrived by then; those that wait for timers count the new one.

TestTimeLimitGoesByTheClockOfTheProcess fails without the change in both cases, with 504 for a request whose time has not passed.

--- a/relayer/gone_test.go
+++ b/relayer/gone_test.go
@@ -25,16 +25,9 @@
 	"celeryvalve/relayer"
 )
 
-const (
-	// goneTimeout is the time limit of requests that should reach it while their upstream
-	// stands still. It is too short if the request has not arrived by then.
-	goneTimeout = time.Second
-	// maxGoneTimeout is below the 3 s after which bytes that aren't taken in break a connection.
-	maxGoneTimeout = 2500 * time.Millisecond
-	// bufferedBody is the size of a body that the connection to an upstream that doesn't read
-	// holds as a whole, most of it on the sender's side.
-	bufferedBody = 1 << 20
-)
+// bufferedBody is the size of a body that the connection to an upstream that doesn't read
+// holds as a whole, most of it on the sender's side.
+const bufferedBody = 1 << 20
 
 // sleepingUpstream is an upstream that accepts connections and, after it has answered so many
 // requests on one, reads nothing more until it is woken. It then reads all that lies there.
@@ -123,7 +116,6 @@
 
 // departure is a way in which a request ends before its upstream has read it.
 type departure struct {
-	timeout time.Duration
 	// other says that another upstream is tried and answers.
 	other bool
 	end   func(*goneRequest)
@@ -139,10 +131,10 @@
 }
 
 var departures = map[string]departure{
-	"the caller leaves":     {timeout: requestTimeout, end: func(g *goneRequest) { g.leave() }},
-	"the time limit passes": {timeout: goneTimeout, end: func(*goneRequest) {}, status: http.StatusGatewayTimeout},
-	"another one answers":   {timeout: requestTimeout, other: true, end: func(g *goneRequest) { g.clock.Advance(silence) }, status: http.StatusOK},
-	"the entry stops":       {timeout: requestTimeout, end: func(g *goneRequest) { g.relayer.EndRequests() }, status: http.StatusGatewayTimeout},
+	"the caller leaves":     {end: func(g *goneRequest) { g.leave() }},
+	"the time limit passes": {end: func(g *goneRequest) { g.clock.Advance(requestTimeout) }, status: http.StatusGatewayTimeout},
+	"another one answers":   {other: true, end: func(g *goneRequest) { g.clock.Advance(silence) }, status: http.StatusOK},
+	"the entry stops":       {end: func(g *goneRequest) { g.relayer.EndRequests() }, status: http.StatusGatewayTimeout},
 }
 
 // Guards against requests that an upstream which stood still finds whole when it wakes, though they
@@ -158,10 +150,7 @@
 					}
 					t.Run(fmt.Sprintf("%s, %s body, %s connection, %v", name, size, connection, kind), func(t *testing.T) {
 						t.Parallel()
-						var left *leftover
-						for d := d; left == nil; d.timeout = min(2*d.timeout, max(d.timeout, maxGoneTimeout)) {
-							left = depart(t, d, kind, kept, strings.Repeat("b", body))
-						}
+						left := depart(t, d, kind, kept, strings.Repeat("b", body))
 						if left.whole {
 							require.Less(t, body, bufferedBody, "the upstream finds %d bytes, a whole request", left.size)
 							require.ErrorIs(t, left.err, syscall.ECONNRESET, "the upstream finds a whole request")
@@ -174,8 +163,8 @@
 }
 
 // depart sends a request that ends as the departure says, and returns what its upstream finds
-// afterwards, or nil if the time limit had passed before the request arrived.
-func depart(t *testing.T, d departure, kind declarer.RequestKind, kept int, body string) *leftover {
+// afterwards.
+func depart(t *testing.T, d departure, kind declarer.RequestKind, kept int, body string) leftover {
 	u := startSleeping(t, kept)
 	views := []balancer.UpstreamView{u.view("a")}
 	if d.other {
@@ -184,7 +173,7 @@
 		views = append(views, v)
 	}
 	g := &goneRequest{clock: clockwork.NewFakeClockAt(time.Now())}
-	route := declarer.Route{Kind: kind, Timeout: d.timeout, MaximumAttempts: 2}
+	route := declarer.Route{Kind: kind, Timeout: requestTimeout, MaximumAttempts: 2}
 	var server *httptest.Server
 	server, g.relayer = startRoute(t, g.clock, route, views...)
 	if kept > 0 {
@@ -203,17 +192,13 @@
 		d.end(g)
 		o = wait(t, g.outcome, "the request ends")
 	case o = <-g.outcome:
-		if d.timeout < requestTimeout {
-			return nil
-		}
 		require.FailNow(t, "the request has ended", "%+v", o)
 	}
 	require.Equal(t, d.status, o.status, "%+v", o)
 	require.Eventually(t, func() bool { return g.relayer.InFlight() == 0 }, patience, time.Millisecond)
 	time.Sleep(settleTime) // the connection is closed
 	close(u.wake)
-	left := wait(t, u.found, "the connection ends")
-	return &left
+	return wait(t, u.found, "the connection ends")
 }
 
 // answeringUpstream is an upstream that answers one request on each connection and reads on.
@@ -316,23 +301,17 @@
 type slowCaller struct {
 	conn     net.Conn
 	response *http.Response
-	sentAt   time.Time
 }
 
-const (
-	// longAnswer is the size of an answer that is passed on whole, and more than the
-	// connection to a caller that doesn't read can hold.
-	longAnswer = 15 << 20
-	// longAnswerTimeout is the time limit of a request whose answer should come before it, and
-	// be passed on after it.
-	longAnswerTimeout = 3 * time.Second
-)
+// longAnswer is the size of an answer that is passed on whole, and more than the
+// connection to a caller that doesn't read can hold.
+const longAnswer = 15 << 20
 
 func startSlowCaller(t *testing.T, server *httptest.Server) *slowCaller {
 	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	c := &slowCaller{conn: conn, sentAt: time.Now()}
+	c := &slowCaller{conn: conn}
 	require.NoError(t, request(t, server, "/slots/1").Write(conn))
 	c.response, err = http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err)
@@ -346,25 +325,26 @@
 func TestAnswerOnItsWayIsNotCut(t *testing.T) {
 	text, _ := responseOf(http.StatusOK, "a", "text/plain", strings.Repeat("x", longAnswer))
 	for name, test := range map[string]struct {
-		timeout time.Duration
-		end     func(*slowCaller, *relayer.Relayer)
-		gone    bool
+		end  func(*slowCaller, *relayer.Relayer, *clockwork.FakeClock)
+		gone bool
 	}{
-		"the time limit passes": {longAnswerTimeout, func(c *slowCaller, _ *relayer.Relayer) {
-			time.Sleep(time.Until(c.sentAt.Add(longAnswerTimeout + settleTime)))
+		"the time limit passes": {func(_ *slowCaller, _ *relayer.Relayer, clock *clockwork.FakeClock) {
+			clock.Advance(requestTimeout)
+			time.Sleep(settleTime)
 		}, false},
-		"the entry stops":   {requestTimeout, func(_ *slowCaller, r *relayer.Relayer) { r.EndRequests() }, false},
-		"the caller leaves": {requestTimeout, func(c *slowCaller, _ *relayer.Relayer) { _ = c.conn.Close() }, true},
+		"the entry stops":   {func(_ *slowCaller, r *relayer.Relayer, _ *clockwork.FakeClock) { r.EndRequests() }, false},
+		"the caller leaves": {func(c *slowCaller, _ *relayer.Relayer, _ *clockwork.FakeClock) { _ = c.conn.Close() }, true},
 	} {
 		for _, kind := range []declarer.RequestKind{declarer.Idempotent, declarer.NonIdempotent} {
 			t.Run(fmt.Sprintf("%s, %v", name, kind), func(t *testing.T) {
 				t.Parallel()
 				u := startAnswering(t, text, false)
-				route := declarer.Route{Kind: kind, Timeout: test.timeout, MaximumAttempts: 2}
-				server, r := startRoute(t, clockwork.NewFakeClockAt(time.Now()), route, u.view("a"))
+				route := declarer.Route{Kind: kind, Timeout: requestTimeout, MaximumAttempts: 2}
+				clock := clockwork.NewFakeClockAt(time.Now())
+				server, r := startRoute(t, clock, route, u.view("a"))
 				c := startSlowCaller(t, server)
 				require.Equal(t, 1, r.InFlight(), "the answer is on its way")
-				test.end(c, r)
+				test.end(c, r, clock)
 				if !test.gone {
 					require.Equal(t, http.StatusOK, c.response.StatusCode)
 					n, err := io.Copy(io.Discard, c.response.Body)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -540,7 +540,7 @@
 			healthy := startUpstream(t, signedResponse("right"))
 			first, second := faulty.view("a"), healthy.view("b")
 			second.Region = "far" // so that the faulty upstream is chosen first
-			response, body := send(t, startRelayer(t, declarer.Idempotent, false, first, second))
+			response, body := send(t, startRelayerAt(t, clockwork.NewFakeClockAt(time.Now()), declarer.Idempotent, false, first, second))
 			require.Equal(t, http.StatusOK, response.StatusCode)
 			require.Equal(t, "right", body)
 			require.Less(t, <-sent, enough, "the connection is closed")
--- a/relayer/report_test.go
+++ b/relayer/report_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"celeryvalve/declarer"
@@ -110,7 +112,7 @@
 		})
 		for n := range len(head) {
 			cut <- n
-			response, body := send(t, startRelayer(t, declarer.NonIdempotent, false, u.view("u")))
+			response, body := send(t, startRelayerAt(t, clockwork.NewFakeClockAt(time.Now()), declarer.NonIdempotent, false, u.view("u")))
 			require.Equal(t, http.StatusBadGateway, response.StatusCode, "%q", head[:n])
 			require.Empty(t, response.Header.Get("Signature"))
 			require.Contains(t, body, "error")
--- a/relayer/serve.go
+++ b/relayer/serve.go
@@ -93,8 +93,9 @@
 		x.replyLocally(status, problem, retryAfter)
 		return
 	}
-	ctx, cancel := context.WithDeadline(req.Context(), x.request.Deadline)
+	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
+	defer r.clock.AfterFunc(x.request.Deadline.Sub(r.clock.Now()), cancel).Stop()
 	defer context.AfterFunc(r.serving, cancel)()
 	defer x.limitReply(ctx)()
 	x.ctx = ctx
--- a/relayer/silence_test.go
+++ b/relayer/silence_test.go
@@ -38,12 +38,9 @@
 	settleTime = 50 * time.Millisecond
 	// patience is how long a test waits for what should happen at once before it fails.
 	patience = 30 * time.Second
-	// requestTimeout is the time limit of requests that should end before it: no test that
-	// passes comes near it, and one that fails doesn't wait for it.
+	// requestTimeout is the time limit of requests by the fake clock: only tests that advance it
+	// by so much reach it.
 	requestTimeout = time.Hour
-	// shortTimeout is the time limit of requests that should reach it, once two upstreams have
-	// them.
-	shortTimeout = 5 * time.Second
 	// longBody is the size of a body that is accepted, and larger than what the connection to
 	// an upstream that doesn't read can hold.
 	longBody = 4<<20 - 4<<10
@@ -316,7 +313,7 @@
 		wait(t, s.begun, "the stream begins")
 	}
 	time.Sleep(settleTime)
-	require.NoError(t, s.clock.BlockUntilContext(t.Context(), 1))
+	require.NoError(t, s.clock.BlockUntilContext(t.Context(), 2), "the time limit and the silence are waited for")
 }
 
 // passSilence lets the time of the silence pass, and waits until the upstream of the number has the
@@ -436,20 +433,19 @@
 	for name, c := range conversations {
 		for end, test := range map[string]struct {
 			then     func(t *testing.T, s *silentCall)
-			timeout  time.Duration
 			answered bool
 		}{
-			"answers":           {func(t *testing.T, s *silentCall) { s.letAnswer(t, 0) }, requestTimeout, true},
-			"breaks":            {func(_ *testing.T, s *silentCall) { close(s.upstreams[0].breakUp) }, requestTimeout, false},
-			"stays silent":      {func(*testing.T, *silentCall) {}, shortTimeout, false},
-			"breaks in the end": {breakInTheEnd, requestTimeout, false},
+			"answers":           {func(t *testing.T, s *silentCall) { s.letAnswer(t, 0) }, true},
+			"breaks":            {func(_ *testing.T, s *silentCall) { close(s.upstreams[0].breakUp) }, false},
+			"stays silent":      {func(_ *testing.T, s *silentCall) { s.clock.Advance(requestTimeout) }, false},
+			"breaks in the end": {breakInTheEnd, false},
 		} {
 			if end == "breaks in the end" && c.before > 0 {
 				continue // what has come until then has gone to the caller
 			}
 			t.Run(fmt.Sprintf("%s, the first upstream %s", name, end), func(t *testing.T) {
 				t.Parallel()
-				s := newSilentCall(t, c, test.timeout, failure)
+				s := newSilentCall(t, c, requestTimeout, failure)
 				s.clock.Advance(silence)
 				wait(t, s.upstreams[1].reached, "another upstream gets the request")
 				time.Sleep(settleTime) // its error has arrived
@@ -542,7 +538,7 @@
 				t.Parallel()
 				s := newSilentCall(t, c, requestTimeout, "", "")
 				s.passSilence(t, 1)
-				require.NoError(t, s.clock.BlockUntilContext(t.Context(), 1))
+				require.NoError(t, s.clock.BlockUntilContext(t.Context(), 2))
 				s.passSilence(t, 2)
 				s.letAnswer(t, winner)
 				s.requireAnswerOf(t, winner)
@@ -592,8 +588,9 @@
 	for name, c := range conversations {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newSilentCall(t, c, shortTimeout, "")
+			s := newSilentCall(t, c, requestTimeout, "")
 			s.passSilence(t, 1)
+			s.clock.Advance(requestTimeout)
 			o := wait(t, s.outcome, "the request ends")
 			s.requireAllLeft(t, -1)
 			if c.before > 0 {
@@ -613,7 +610,7 @@
 	t.Parallel()
 	clock := clockwork.NewFakeClockAt(time.Now())
 	a, b := startHeld(t, ""), startHeld(t, "")
-	server, _ := startRoute(t, clock, conversation{kind: declarer.Idempotent}.route(2, shortTimeout), a.views(b)...)
+	server, _ := startRoute(t, clock, conversation{kind: declarer.Idempotent}.route(2, requestTimeout), a.views(b)...)
 	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
@@ -621,6 +618,7 @@
 	wait(t, a.reached, "the first upstream gets the request")
 	clock.Advance(silence)
 	wait(t, b.reached, "another upstream gets the request")
+	clock.Advance(requestTimeout)
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
 	require.NoError(t, err)
@@ -634,6 +632,35 @@
 	require.Error(t, err, "more than one answer")
 }
 
+// Guards against a time limit of requests that goes by another clock than all other limits.
+func TestTimeLimitGoesByTheClockOfTheProcess(t *testing.T) {
+	t.Parallel()
+	const timeout = 2 * settleTime
+	c := conversations["an answer"]
+	for name, test := range map[string]struct {
+		then   func(*heldUpstream, *clockwork.FakeClock)
+		status int
+	}{
+		"answers late":         {func(u *heldUpstream, _ *clockwork.FakeClock) { whole, _ := c.response("a", 0); u.steps <- whole }, http.StatusOK},
+		"the limit is reached": {func(_ *heldUpstream, clock *clockwork.FakeClock) { clock.Advance(timeout) }, http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := startHeld(t, "")
+			clock := clockwork.NewFakeClockAt(time.Now())
+			server, _ := startRoute(t, clock, c.route(1, timeout), u.view("a"))
+			call := startCall(t, server, "body", 0)
+			wait(t, u.reached, "the upstream gets the request")
+			time.Sleep(2 * timeout) // by the clock of the system
+			call.noOutcome(t)
+			test.then(u, clock)
+			o := wait(t, call.outcome, "the request ends")
+			require.NoError(t, o.err)
+			require.Equal(t, test.status, o.status, "%+v", o)
+		})
+	}
+}
+
 // longRequestUpstream is an upstream that accepts a connection and reads nothing until it is told to. It
 // then reads the whole request and answers.
 type longRequestUpstream struct {
@@ -770,7 +797,7 @@
 			clock := clockwork.NewFakeClockAt(time.Now())
 			server, _ := startRoute(t, clock, c.route(2, requestTimeout), first, view)
 			call := startCall(t, server, "body", 0)
-			require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+			require.NoError(t, clock.BlockUntilContext(t.Context(), 3), "the time limit, the silence and the connection are waited for")
 			clock.Advance(silence)
 			wait(t, second.reached, "another upstream gets the request")
 			time.Sleep(connectionTimeout + settleTime)
