executor: let a test's request run however slow the machine is

TestSilenceEndsNoRequestBeforeItsDeadline found no request within 60 s that ran, beside the race detector and other load; callers saw nothing.

Cause: it repeats a request with a deadline of 0.5 s until one reaches the upstream. Where the way there takes longer, none ever does.

Change: each further request has twice the deadline. The test asks as before for a request that runs, ends with an unknown outcome at its deadline, and leaves the upstream, within the same 60 s. The package passes, and the test three times with the race detector.

--- a/executor/failure_test.go
+++ b/executor/failure_test.go
@@ -89,8 +89,10 @@
 		require.Equal(t, router.Completed, got.outcome)
 		require.Equal(t, "data: 1\n\ndata: 2\n\n", got.body)
 	}
+	deadline := 500 * time.Millisecond
 	require.Eventually(t, func() bool {
-		got := c.send(t.Context(), http.MethodPost, "/hangs", strings.NewReader("x"), "Celeryvalve-Deadline", "500ms")
+		got := c.send(t.Context(), http.MethodPost, "/hangs", strings.NewReader("x"), "Celeryvalve-Deadline", deadline.String())
+		deadline *= 2 // the machine may be too slow for a request to run within it
 		return got.outcome == router.Unknown
 	}, waitTimeout, pollInterval, "a request runs")
 	<-ended // the upstream is left once the deadline has passed
