placer: expose the metrics of the control replica

What operators saw: none of the celeryvalve_control_* metrics of a replica on the platform stood at /metrics, among them those that operators/control.md names and the learners' backlog.

Cause: the replica got no set, so that its metrics went into one of its own that nobody served. Two replicas can't share a set, and each opening of the disk makes a new one.

Change: the process's set writes that of the running replica too. TestMetricsOfTheReplicaAreExposed opens a disk twice; it can't be built without the change.

--- a/placer/disk.go
+++ b/placer/disk.go
@@ -6,6 +6,7 @@
 	"errors"
 	"path/filepath"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
@@ -69,6 +70,7 @@
 	Spreader  *spreader.Spreader
 	Asserter  asserter.Asserter
 	Clock     clockwork.Clock
+	Metrics   *metrics.Set
 	Log       *zap.Logger
 }
 
@@ -77,6 +79,7 @@
 	store       *recorder.Recorder
 	state       *declarer.State
 	coordinator *coordinator.Coordinator
+	metrics     *metrics.Set
 }
 
 // openNode opens the disk and starts a replica with the state that it holds.
@@ -91,6 +94,7 @@
 		Name:            placement.InternalAddress.String(),
 		Addr:            placement.InternalAddress,
 		ElectionTimeout: electionTimeout,
+		Metrics:         metrics.NewSet(),
 	}
 	if placement.FirstStart {
 		for _, seed := range placement.Seeds {
@@ -103,7 +107,7 @@
 	if err := c.Start(context.Background()); err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
-	return &replicaNode{store: store, state: state, coordinator: c}, nil
+	return &replicaNode{store: store, state: state, coordinator: c, metrics: cfg.Metrics}, nil
 }
 
 // close stops the replica and closes the disk.
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/netip"
 	"slices"
 	"sync"
@@ -55,9 +56,17 @@
 	r.leaderless.log, r.changing.log = r.log, r.log
 	r.reconciler = repeater.New(r.clock, replicaReconcileInterval, r.reconcile)
 	deps.View.Watch(r.reconciler.Trigger) // a named release is pinned at once
+	deps.Metrics.RegisterMetricsWriter(r.writeMetrics)
 	return r
 }
 
+// writeMetrics writes the metrics of the running replica, which begin anew with each opened disk.
+func (r *replica) writeMetrics(w io.Writer) {
+	if node := r.currentNode(); node != nil {
+		node.metrics.WritePrometheus(w)
+	}
+}
+
 // open opens the disk, unless it is open or was tried less than reopenInterval ago.
 func (r *replica) open() {
 	r.mu.Lock()
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -1,10 +1,13 @@
 package placer
 
 import (
+	"bytes"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -12,6 +15,7 @@
 	"celeryvalve/asserter"
 	"celeryvalve/declarer"
 	"celeryvalve/identifier"
+	"celeryvalve/parser"
 	"celeryvalve/recorder"
 	"celeryvalve/registrar"
 	"celeryvalve/repairer"
@@ -72,3 +76,31 @@
 	s.SetReplicas(spreader.Replicas{Index: 7, Led: true, Addresses: addresses, Disks: []identifier.Replica{"b", "d"}})
 	require.False(t, r.isReplaceable(status))
 }
+
+// Guards against metrics of the control replica that the process does not expose, or no longer does once the disk was
+// opened again.
+func TestMetricsOfTheReplicaAreExposed(t *testing.T) {
+	const gauge = "celeryvalve_control_learner_backlog_bytes"
+	view, clock, set := declarer.NewView(asserter.Strict{}), clockwork.NewFakeClock(), metrics.NewSet()
+	r := newReplica(replicaDeps{
+		Placement: parser.Placement{DataFolder: t.TempDir()},
+		View:      view,
+		Spreader:  spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{}), view, nil, clock, zap.NewNop()),
+		Asserter:  asserter.Strict{},
+		Clock:     clock,
+		Metrics:   set,
+		Log:       zap.NewNop(),
+	})
+	exposed := func() int {
+		var text bytes.Buffer
+		set.WritePrometheus(&text)
+		return strings.Count(text.String(), gauge+" 0\n")
+	}
+	require.Zero(t, exposed(), "no disk is open")
+	for range 2 {
+		clock.Advance(reopenInterval)
+		r.open()
+		require.Equal(t, 1, exposed())
+		r.closeNode(r.currentNode(), nil)
+	}
+}
