balancer: count crashes of upstreams that have left the table

Callers saw a request with a part that crashes upstreams end four more of them than allowed, and sound requests refused for a part that was in flight beside it by chance.

Cause: an upstream that loses connections is probed 0.1 s later. If it had left the table meanwhile, the refusal of the probe was ignored, on all entries alike, and the crash counted nowhere.

Change: a refused probe is evidence although the upstream has left since. Losses are recorded only of upstreams that are in the table and don't drain, so that an end that was known to be planned before the loss is none; neither is one whose upstream drained before it left. An upstream that leaves without draining within 0.1 s after it lost connections counts now, as it did when it left later than that.

--- a/balancer/crash.go
+++ b/balancer/crash.go
@@ -210,14 +210,16 @@
 }
 
 // refuseConnection records that the upstream refuses connections. If it has just lost
-// connections, it has crashed.
+// connections, it has crashed, even if it has left the table since: losses are recorded only
+// of upstreams that are in it.
 func (r *Reducer) refuseConnection(now time.Time, e ConnectionRefused) {
 	p := process{e.Upstream, e.Incarnation}
-	u, ok := r.upstreams[e.Upstream]
-	if !ok || u.process() != p || u.draining() {
-		return
+	if u, ok := r.upstreams[e.Upstream]; ok {
+		if u.process() != p || u.draining() {
+			return
+		}
+		u.forgetPrefixes()
 	}
-	u.forgetPrefixes()
 	recent := slices.ContainsFunc(r.crashes.losses[p], func(l lostAttempt) bool { return !l.silent && now.Sub(l.at) <= crashSpan })
 	if recent {
 		r.crashes.confirm(now, p, RefusesConnections)
--- a/balancer/crash_test.go
+++ b/balancer/crash_test.go
@@ -77,6 +77,14 @@
 		e.change(now)
 		e.views = append(e.views, view)
 	}
+	leaveAndRefuse := func(e *crashEntry, now time.Time) {
+		leave(e, now)
+		refuse(e, now)
+	}
+	drainLeaveAndRefuse := func(e *crashEntry, now time.Time) {
+		drain(e, now)
+		leaveAndRefuse(e, now)
+	}
 	sayLeaving := func(e *crashEntry, now time.Time) {
 		e.Reduce(now, balancer.LeavingStated{Upstream: "a", Incarnation: 1})
 	}
@@ -108,6 +116,8 @@
 		"freeze":                      {nothing, refuse, balancer.FirstByteTimedOut, 0},
 		"planned stop":                {drain, refuse, balancer.ConnectionLost, 0},
 		"said that it leaves":         {sayLeaving, refuse, balancer.ConnectionLost, 0},
+		"left, refuses connections":   {leave, refuse, balancer.ConnectionLost, 0},
+		"drains and leaves meanwhile": {nothing, drainLeaveAndRefuse, balancer.ConnectionLost, 0},
 		"planned restart":             {drain, restart, balancer.ConnectionLost, 0},
 		"left, address used again":    {leave, replace, balancer.ConnectionLost, 0},
 	} {
@@ -122,6 +132,19 @@
 	}
 }
 
+// Guards against crashes that count nowhere, since their upstreams leave the table before the probe.
+func TestCrashCountsThoughItsUpstreamHasLeftTheTable(t *testing.T) {
+	e := newCrashEntry("a")
+	e.loseAttempt(t, start, balancer.ConnectionLost)
+	e.views = nil
+	e.change(start.Add(time.Second))
+	e.Reduce(start.Add(1100*time.Millisecond), balancer.ConnectionRefused{Upstream: "a", Incarnation: 1})
+	crashes := e.TakeCrashFindings().Crashes
+	require.Len(t, crashes, 1)
+	require.Equal(t, balancer.RefusesConnections, crashes[0].Evidence)
+	require.EqualValues(t, 7, crashes[0].InFlight[0].Fingerprint)
+}
+
 // Guards against a reset long before a crash that makes a suspect of what it hit.
 func TestEarlierResetIsNoCrash(t *testing.T) {
 	e := newCrashEntry("a")
--- a/balancer/part_rule_test.go
+++ b/balancer/part_rule_test.go
@@ -314,6 +314,11 @@
 	}
 }
 
+// Guards against crashes that upstreams which have left the table hide, until the part has reached too many.
+func TestGuiltyPartIsRefusedAlthoughCrashedUpstreamsLeaveTheTable(t *testing.T) {
+	partDay{entries: 8, upstreams: 8, luck: 0xf, shape: "beside one", guilty: 0.5, rack: true, restart: true}.play(t)
+}
+
 // partDay is a day on which a part of prompts crashes upstreams.
 type partDay struct {
 	entries, upstreams int
--- a/balancer/reducer.go
+++ b/balancer/reducer.go
@@ -264,8 +264,11 @@
 		r.learnLimit(now, u, v.Limit)
 		r.updateCold(now, u)
 	}
-	for name := range r.upstreams {
+	for name, u := range r.upstreams {
 		if !known[name] {
+			if u.draining() {
+				delete(r.crashes.losses, u.process()) // its end was planned
+			}
 			delete(r.upstreams, name) // requests in flight there keep their pointer to it
 			regroup = true
 		}
