replicator: send no state to a member that it doesn't contain

Cause: a member gets the state only once its admission is committed, so that its own membership is part of the first that it holds. If another member's request was under way, it got the state that was captured for that one, which may be older. A voter that doesn't know that it is one may empty its disk because of an old list of members.

Evidence: TestStateContainsTheMembershipOfItsReceiver plays a standby that asks, and a newcomer whose admission is committed before the captured state arrives: the newcomer voted, its state lacked it, and Exclusion told it to empty its disk. It failed before.

Change: a member that the captured state does not contain waits for the next one.

--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -74,6 +74,10 @@
 	}
 	p.awaitsState = true
 	p.inflight = nil
+	r.capture()
+}
+
+func (r *Replicator) capture() {
 	if !r.capturing {
 		r.capturing = true
 		r.emit(CaptureState{})
@@ -93,6 +97,10 @@
 		if !p.awaitsState {
 			continue
 		}
+		if _, ok := s.Membership.Find(m.Replica); !ok { // it was admitted after the capture
+			r.capture()
+			continue
+		}
 		p.awaitsState = false
 		if s.Position.Index > p.match {
 			p.snapshot = &outgoingSnapshot{snapshot: s, checksum: checksum}
