replicator: acknowledge nothing of the old log while a state is written

Cause: until an installed state was synced, the index up to which the disk is synced still counted entries of the old log, up to the index of the state. An answer to a heartbeat acknowledged them, though they may differ from the leader's.

By reading it did no harm: the leader had committed what was acknowledged, and sends the state again.

Change: only what is committed counts as synced until the state is.

--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -212,7 +212,8 @@
 		return
 	}
 	r.log.reset(s)
-	r.disk.truncateStable(s.Position.Index + 1)
+	// Until the snapshot is synced, the disk holds entries that may differ from the leader's.
+	r.disk.truncateStable(r.commit + 1)
 	r.noteSnapshot(s)
 	r.commit = s.Position.Index
 	r.verified = max(r.verified, s.Position.Index)
--- a/replicator/snapshot_test.go
+++ b/replicator/snapshot_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"celeryvalve/asserter"
@@ -80,3 +81,23 @@
 	_, ok := received.Membership.Find("n")
 	require.True(t, ok, "n's state lacks its membership")
 }
+
+// TestUnsyncedStateIsNotAcknowledged: while a state is being written, the disk still holds the old log, whose
+// last entries may differ from the leader's. An answer to a heartbeat must not acknowledge them.
+func TestUnsyncedStateIsNotAcknowledged(t *testing.T) {
+	h := newHarness(t, voters("a", "b", "c"), asserter.Strict{})
+	at := recorder.Position{Index: 20, Term: 3, Chain: 1}
+	for _, effect := range h.reducer.Reduce(h.now, replicator.Received{Message: &replicator.SnapshotRequest{
+		Envelope: h.envelope("b", 3), Position: at, Membership: *voters("a", "b", "c"), Checksum: xxhash.Sum64(nil),
+	}}) {
+		if p, ok := effect.(replicator.Persist); ok && p.Install == nil {
+			h.feed(replicator.Persisted{Sequence: p.Sequence}) // the term
+		}
+	}
+	require.Equal(t, recorder.Index(20), h.reducer.Status().Last)
+	for _, effect := range h.reducer.Reduce(h.now, replicator.Received{Message: &replicator.AppendRequest{Envelope: h.envelope("b", 3), Previous: at}}) {
+		if s, ok := effect.(replicator.Send); ok {
+			require.LessOrEqual(t, s.Message.(*replicator.AppendResponse).Match, recorder.Index(1), "entry 2 on the disk was never compared with the leader's")
+		}
+	}
+}
