replicator: count held commands apart from uncommitted ones

Cause: bytes of held commands were added to the pending ones, which never fall below 0 when entries of an earlier term are committed, and taken off again once the commands were appended. After an election the limit of uncommitted bytes was loose by up to what had been held.

Change: they are counted apart. TestHeldCommandsCountAsPending failed before: a command beyond the limit was accepted.

--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		r.held = append(r.held, p)
-		r.pendingBytes += len(p.Data)
+		r.heldBytes += len(p.Data)
 	}
 }
 
@@ -156,10 +156,7 @@
 		return
 	}
 	held := r.held
-	r.held = nil
-	for _, p := range held {
-		r.pendingBytes -= len(p.Data)
-	}
+	r.held, r.heldBytes = nil, 0
 	r.propose(held)
 }
 
@@ -190,7 +187,7 @@
 		return NotPossible, fmt.Sprintf("the command has %d bytes, more than the limit of %d", len(p.Data), MaxCommandBytes)
 	case r.transfer != nil:
 		return Busy, "the leadership is being transferred"
-	case r.pendingBytes > int(r.cfg.MaxPendingBytes):
+	case r.pendingBytes+r.heldBytes > int(r.cfg.MaxPendingBytes):
 		return Busy, "too many proposed bytes are not committed yet"
 	default:
 		return "", ""
--- a/replicator/membership_test.go
+++ b/replicator/membership_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"celeryvalve/asserter"
+	"celeryvalve/recorder"
 	"celeryvalve/replicator"
 )
 
@@ -185,3 +186,32 @@
 	h.feed(replicator.Received{Message: &replicator.AppendRequest{Envelope: h.envelope("c", 9)}})
 	require.Contains(t, h.answers, replicator.Effect(replicator.Rejected{ID: 20, Reason: replicator.NotLeader}))
 }
+
+// TestHeldCommandsCountAsPending: commands that are held back while the entries of an earlier term are committed
+// must count as pending bytes once they are appended.
+func TestHeldCommandsCountAsPending(t *testing.T) {
+	const limit = 1000
+	members := voters("a", "b", "c")
+	changed := members.Clone()
+	changed.Members = append(changed.Members, recorder.Member{Replica: "d", Name: "d", Standby: true})
+	old := second(members)
+	change := recorder.Entry{Index: 3, Term: 2, Kind: recorder.MembershipChange, Membership: &changed}
+	change.Chain = change.ChainAfter(old.Chain)
+	h := newHarness(t, members, asserter.Strict{})
+	h.reducer = replicator.New(replicator.Config{Replica: "a", Name: "a", MaxPendingBytes: limit}, recorder.State{
+		HardState: recorder.HardState{Cluster: "x", Term: 2},
+		Snapshot:  &recorder.Snapshot{Position: first(members).Position(), Membership: *members},
+		Entries:   []recorder.Entry{old, change},
+	}, asserter.Strict{})
+	h.lead()
+	propose := func(id replicator.RequestID, size int) {
+		h.feed(replicator.Proposed{Proposals: []replicator.Proposal{{ID: id, Data: make([]byte, size)}}})
+	}
+	propose(20, limit)
+	propose(21, 1)
+	require.Empty(t, h.answers)
+	h.acknowledge("b", 4)
+	propose(22, 1)
+	require.Len(t, h.answers, 1)
+	require.Equal(t, replicator.Busy, h.answers[0].(replicator.Rejected).Reason)
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -83,7 +83,8 @@
 	change       *pendingChange
 	pendingBytes int
 	// held are the proposals that wait for a membership change to be committed.
-	held []Proposal
+	held      []Proposal
+	heldBytes int
 	// capturing is set while the caller has been asked for the state.
 	capturing bool
 }
