placer: let tests of kept releases take their time

Callers saw nothing.

Cause: since a kept release is read when it is wanted, cacheReadTimeout, 0.3 s, is for its chunks too, and the tests restored with the real clock. They ask what is found on the disk, not how fast: the clock stands still for that now. TestKeeperWithAStalledDisk asks for the limit, with a fake clock as before.

--- a/placer/keeper_test.go
+++ b/placer/keeper_test.go
@@ -44,11 +44,13 @@
 	return c
 }
 
-// restored returns how many chunks of the release a new cache finds on the disk.
+// restored returns how many chunks of the release a new cache finds on the disk, however long that takes.
 func restored(t *testing.T, folder string, m *verifier.Manifest) int {
 	t.Helper()
 	n := 0
-	loadedCache(folder, nil).restore(m, func(d identifier.Digest, data []byte) error {
+	c := newWeightsCache(folder, nil, clockwork.NewFakeClock(), zap.NewNop())
+	c.load()
+	c.restore(m, func(d identifier.Digest, data []byte) error {
 		require.Equal(t, d, identifier.DigestOf(data))
 		n++
 		return nil
