replicator: commit what a follower is known to hold, synced or not

What callers would have seen: an entry whose disk stands still, or is slow, served an old configuration until the disk went on or the next change came.

Cause: a follower committed no further than the request reached that told it the commit index, and a heartbeat begins at the last acknowledged entry. The entries were sent again after 0.2 s before, with the new commit index, which hid that.

Change: it commits up to the last index at which its log is known to equal the leader's, which no leader of the term replaces.

--- a/replicator/follower.go
+++ b/replicator/follower.go
@@ -23,7 +23,7 @@
 	}
 	match := previous.Index + recorder.Index(len(entries))
 	r.verified = max(r.verified, match)
-	r.commitTo(min(m.Commit, match))
+	r.commitTo(min(m.Commit, r.verified))
 	r.acceptAppend(m, match, appended)
 }
 
--- a/replicator/snapshot_test.go
+++ b/replicator/snapshot_test.go
@@ -101,3 +101,24 @@
 		}
 	}
 }
+
+// TestStalledDiskDelaysNoCommit: a follower whose disk stands still must apply what the leader has committed without
+// it. It guards against a replica that shows an old configuration until its disk goes on.
+func TestStalledDiskDelaysNoCommit(t *testing.T) {
+	members := voters("a", "b", "c")
+	h := newHarness(t, members, asserter.Strict{})
+	e := recorder.Entry{Index: 3, Term: 3, Data: []byte("change")}
+	e.Chain = e.ChainAfter(h.command.Chain)
+	var applied recorder.Index
+	for _, m := range []*replicator.AppendRequest{
+		{Envelope: h.envelope("b", 3), Previous: second(members).Position(), Entries: []recorder.Entry{e}},
+		{Envelope: h.envelope("b", 3), Previous: first(members).Position(), Commit: 3},
+	} {
+		for _, effect := range h.reducer.Reduce(h.now, replicator.Received{Message: m}) {
+			if a, ok := effect.(replicator.Apply); ok {
+				applied = a.Entries[len(a.Entries)-1].Index
+			}
+		}
+	}
+	require.Equal(t, recorder.Index(3), applied)
+}
