placer, replicator: name the log of membership changes and known indexes for what they are

changelog.go read as the project's list of changes, and held stood for both commands that wait and entries that a member has. Names alone change; tests of placer and replicator pass.

--- a/placer/changelog.go
+++ b/placer/membershiplog.go
@@ -9,13 +9,13 @@
 	"celeryvalve/replicator"
 )
 
-// changeLogInterval is how often a membership change that lasts is logged, and the state of a
+// membershipLogInterval is how often a membership change that lasts is logged, and the state of a
 // replica that has no vote yet.
-const changeLogInterval = time.Second
+const membershipLogInterval = time.Second
 
-// changeLog logs what a membership change waits for, at the leader, and how far a replica without
+// membershipLog logs what a membership change waits for, at the leader, and how far a replica without
 // a vote has come, at that replica.
-type changeLog struct {
+type membershipLog struct {
 	log *zap.Logger
 	// step is the last one that was logged.
 	step     replicator.ChangeStep
@@ -25,20 +25,20 @@
 }
 
 // observe logs the status if a change is in progress, or if this replica has no vote and its log has grown.
-func (l *changeLog) observe(now time.Time, s replicator.Status) {
-	if s.ChangeStep != l.step || s.ChangeStep != replicator.NoChange && now.Sub(l.loggedAt) >= changeLogInterval {
+func (l *membershipLog) observe(now time.Time, s replicator.Status) {
+	if s.ChangeStep != l.step || s.ChangeStep != replicator.NoChange && now.Sub(l.loggedAt) >= membershipLogInterval {
 		l.logChange(now, s)
 		return
 	}
 	grown := s.Last != l.last || s.Commit != l.commit
-	if s.Role != replicator.Leader && grown && !isVoter(s) && now.Sub(l.loggedAt) >= changeLogInterval {
+	if s.Role != replicator.Leader && grown && !isVoter(s) && now.Sub(l.loggedAt) >= membershipLogInterval {
 		l.loggedAt, l.last, l.commit = now, s.Last, s.Commit
 		l.log.Info("This replica has no vote yet.", zap.Uint64("last", uint64(s.Last)), zap.Uint64("stable", uint64(s.Stable)),
 			zap.Uint64("commit", uint64(s.Commit)), zap.Uint64("snapshot", uint64(s.SnapshotIndex)))
 	}
 }
 
-func (l *changeLog) logChange(now time.Time, s replicator.Status) {
+func (l *membershipLog) logChange(now time.Time, s replicator.Status) {
 	l.step, l.loggedAt = s.ChangeStep, now
 	if s.ChangeStep == replicator.NoChange {
 		return
--- a/placer/changelog_test.go
+++ b/placer/membershiplog_test.go
@@ -15,7 +15,7 @@
 // Guards against an admission that lasts without a log line that says what it waits for.
 func TestLastingChangeIsExplained(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
-	l := changeLog{log: zap.New(core)}
+	l := membershipLog{log: zap.New(core)}
 	now := time.Unix(1_700_000_000, 0)
 	status := replicator.Status{Replica: "a", Role: replicator.Leader, ChangeStep: replicator.AwaitingEntries, Members: []replicator.MemberStatus{
 		{Member: recorder.Member{Replica: "a", Name: "a", Voter: true}},
@@ -42,7 +42,7 @@
 // Guards against a newcomer whose log does not tell how far it has come.
 func TestReplicaWithoutVoteLogsItsProgress(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
-	l := changeLog{log: zap.New(core)}
+	l := membershipLog{log: zap.New(core)}
 	now := time.Unix(1_700_000_000, 0)
 	status := replicator.Status{Replica: "b", Role: replicator.Follower, Members: []replicator.MemberStatus{
 		{Member: recorder.Member{Replica: "a", Name: "a", Voter: true}},
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -39,7 +39,7 @@
 	// exclusion and the logs are used only by the goroutine of reconcile.
 	exclusion  *repairer.Exclusion
 	leaderless leaderlessLog
-	changing   changeLog
+	membership membershipLog
 }
 
 func newReplica(deps replicaDeps) *replica {
@@ -53,7 +53,7 @@
 		clock:     deps.Clock,
 		log:       deps.Log.Named("replica"),
 	}
-	r.leaderless.log, r.changing.log = r.log, r.log
+	r.leaderless.log, r.membership.log = r.log, r.log
 	r.reconciler = repeater.New(r.clock, replicaReconcileInterval, r.reconcile)
 	deps.View.Watch(r.reconciler.Trigger) // a named release is pinned at once
 	deps.Metrics.RegisterMetricsWriter(r.writeMetrics)
@@ -192,7 +192,7 @@
 	node.coordinator.SetContacts(r.spreader.ReplicaAddresses())
 	r.publishMembership(status.Status)
 	r.leaderless.observe(r.clock.Now(), status.Status)
-	r.changing.observe(r.clock.Now(), status.Status)
+	r.membership.observe(r.clock.Now(), status.Status)
 	if r.exclusion.Observe(r.clock.Now(), status.Status, r.newestMembership()) {
 		r.resetDisk(node)
 		return
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -330,13 +330,13 @@
 // resendLost sends entries again that the member lacks although it has answered a later request. Messages
 // arrive in the order in which they are sent.
 func (r *Replicator) resendLost(p *progress) {
-	held := max(p.received, p.match)
-	if len(p.inflight) == 0 || p.answeredNumber <= p.entriesNumber || !p.probing && held+1 >= p.next {
+	known := max(p.received, p.match)
+	if len(p.inflight) == 0 || p.answeredNumber <= p.entriesNumber || !p.probing && known+1 >= p.next {
 		return
 	}
 	p.inflight = nil
 	if !p.probing {
-		p.next = held + 1
+		p.next = known + 1
 	}
 }
 
@@ -394,11 +394,11 @@
 
 // locate ends the probing of a member whose log is known to equal the leader's up to the next entry.
 func (r *Replicator) locate(p *progress, m *AppendResponse) {
-	if held := max(m.Received, m.Match); p.probing && held+1 >= p.next {
+	if known := max(m.Received, m.Match); p.probing && known+1 >= p.next {
 		p.probing = false
 		p.inflight = nil
 		p.resends = 0
-		p.next = min(held, r.log.last().Index) + 1
+		p.next = min(known, r.log.last().Index) + 1
 	}
 }
 
