placer: log each committed set of replicas

When a newcomer got its vote could be told from the leader's log only if the leader that began the admission also ended it: a new leader carries an admission on without a line. A newcomer said that it has no vote only once its log had grown, so that its silence could mean a vote, or a disk that stood still.

Each replica with a disk now logs the set of replicas, its index, voters and learners, once it knows that it is committed.

--- a/placer/membershiplog.go
+++ b/placer/membershiplog.go
@@ -13,10 +13,12 @@
 // replica that has no vote yet.
 const membershipLogInterval = time.Second
 
-// membershipLog logs what a membership change waits for, at the leader, and how far a replica without
-// a vote has come, at that replica.
+// membershipLog logs each committed set of replicas, what a membership change waits for, at the leader,
+// and how far a replica without a vote has come, at that replica.
 type membershipLog struct {
 	log *zap.Logger
+	// index is that of the last committed set that was logged.
+	index recorder.Index
 	// step is the last one that was logged.
 	step     replicator.ChangeStep
 	loggedAt time.Time
@@ -24,8 +26,10 @@
 	last, commit recorder.Index
 }
 
-// observe logs the status if a change is in progress, or if this replica has no vote and its log has grown.
+// observe logs the status if the set of replicas has changed, if a change is in progress, or if this
+// replica has no vote and its log has grown.
 func (l *membershipLog) observe(now time.Time, s replicator.Status) {
+	l.observeMembers(s)
 	if s.ChangeStep != l.step || s.ChangeStep != replicator.NoChange && now.Sub(l.loggedAt) >= membershipLogInterval {
 		l.logChange(now, s)
 		return
@@ -38,6 +42,24 @@
 	}
 }
 
+// observeMembers logs the newest set of replicas once it is committed.
+func (l *membershipLog) observeMembers(s replicator.Status) {
+	if s.MembershipIndex == l.index || s.MembershipIndex > s.Commit {
+		return
+	}
+	l.index = s.MembershipIndex
+	voters, learners := []string{}, []string{}
+	for _, m := range s.Members {
+		if m.Voter {
+			voters = append(voters, string(m.Replica))
+		} else {
+			learners = append(learners, string(m.Replica))
+		}
+	}
+	l.log.Info("The set of replicas is committed.", zap.Uint64("index", uint64(s.MembershipIndex)),
+		zap.Strings("voters", voters), zap.Strings("learners", learners))
+}
+
 func (l *membershipLog) logChange(now time.Time, s replicator.Status) {
 	l.step, l.loggedAt = s.ChangeStep, now
 	if s.ChangeStep == replicator.NoChange {
--- a/placer/membershiplog_test.go
+++ b/placer/membershiplog_test.go
@@ -58,3 +58,26 @@
 	l.observe(now.Add(2*time.Hour), status)
 	require.Empty(t, logs.TakeAll(), "nothing has changed")
 }
+
+// Guards against a log from which nobody can tell when a replica got its vote.
+func TestCommittedSetOfReplicasIsLogged(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	l := membershipLog{log: zap.New(core)}
+	status := replicator.Status{Replica: "a", Role: replicator.Leader, MembershipIndex: 5, Commit: 4, Members: []replicator.MemberStatus{
+		{Member: recorder.Member{Replica: "a", Voter: true}},
+		{Member: recorder.Member{Replica: "b"}},
+	}}
+	l.observe(time.Time{}, status)
+	require.Empty(t, logs.TakeAll(), "not committed yet")
+	status.Commit = 5
+	l.observe(time.Time{}, status)
+	l.observe(time.Time{}, status)
+	lines := logs.TakeAll()
+	require.Len(t, lines, 1)
+	require.Equal(t, map[string]any{"index": uint64(5), "voters": []any{"a"}, "learners": []any{"b"}}, lines[0].ContextMap())
+	status.MembershipIndex, status.Commit, status.Members[1].Voter = 9, 9, true
+	l.observe(time.Time{}, status)
+	lines = logs.TakeAll()
+	require.Len(t, lines, 1)
+	require.Equal(t, []any{"a", "b"}, lines[0].ContextMap()["voters"])
+}
