replicator: let commands wait at the leader, not on the links

Callers who change configurations faster than the links between control replicas carry them, without waiting for answers, delayed each membership change: its entry went behind all commands before it, up to 32 MB, 12 s on a link of 21 Mbit/s (worked out). The successor of a lost disk then got no vote within the time to catch up, and the next lost disk left control without a leader. A leadership transfer, which needs the successor to hold the whole log, had to wait as long.

The leader now appends commands only while those that are not committed stay within 256 KiB; a larger command is appended alone. Others wait at the leader, in order, and count as pending as before. Membership changes don't wait for them, so that what an admission waits for no longer depends on the rate of changes.

--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -1,11 +1,9 @@
 package replicator
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
-	"celeryvalve/identifier"
 	"celeryvalve/recorder"
 )
 
@@ -77,7 +75,7 @@
 		r.emit(Completed{ID: r.transfer.id})
 		r.transfer = nil
 	}
-	r.releaseHeld()
+	r.rejectWaiting(NotLeader, "")
 	r.resetElectionTimer()
 }
 
@@ -123,77 +121,6 @@
 	r.persistEntries(append([]recorder.Entry(nil), entries...))
 }
 
-// propose appends the commands, or holds them back while a membership change is not committed. They can't be
-// committed before it, and the next step of the change would have to wait for them.
-func (r *Replicator) propose(proposals []Proposal) {
-	if !r.isLeader() {
-		for _, p := range proposals {
-			r.reject(p.ID, NotLeader, "")
-		}
-		return
-	}
-	if r.membershipIndex > r.commit {
-		r.hold(proposals)
-		return
-	}
-	r.appendCommands(proposals)
-}
-
-func (r *Replicator) hold(proposals []Proposal) {
-	for _, p := range proposals {
-		if reason, detail := r.rejectionReason(p); reason != "" {
-			r.reject(p.ID, reason, detail)
-			continue
-		}
-		r.held = append(r.held, p)
-		r.heldBytes += len(p.Data)
-	}
-}
-
-// releaseHeld appends the commands that were held back.
-func (r *Replicator) releaseHeld() {
-	if len(r.held) == 0 || r.isLeader() && r.membershipIndex > r.commit {
-		return
-	}
-	held := r.held
-	r.held, r.heldBytes = nil, 0
-	r.propose(held)
-}
-
-func (r *Replicator) appendCommands(proposals []Proposal) {
-	var entries []recorder.Entry
-	next := r.log.last().Index + 1
-	for _, p := range proposals {
-		if reason, detail := r.rejectionReason(p); reason != "" {
-			r.reject(p.ID, reason, detail)
-			continue
-		}
-		entries = append(entries, recorder.Entry{Kind: recorder.Command, Data: p.Data})
-		r.emit(Accepted{ID: p.ID, Index: next, Term: r.term})
-		next++
-	}
-	if len(entries) == 0 {
-		return
-	}
-	r.appendLocal(entries...)
-	r.replicateAll()
-}
-
-// rejectionReason returns why the leader can't accept the proposal now, as a reason
-// and a detail, or empty strings if it can.
-func (r *Replicator) rejectionReason(p Proposal) (Reason, string) {
-	switch {
-	case identifier.ByteCount(len(p.Data)) > MaxCommandBytes:
-		return NotPossible, fmt.Sprintf("the command has %d bytes, more than the limit of %d", len(p.Data), MaxCommandBytes)
-	case r.transfer != nil:
-		return Busy, "the leadership is being transferred"
-	case r.pendingBytes+r.heldBytes > int(r.cfg.MaxPendingBytes):
-		return Busy, "too many proposed bytes are not committed yet"
-	default:
-		return "", ""
-	}
-}
-
 func (r *Replicator) reject(id RequestID, reason Reason, detail string) {
 	rejected := Rejected{ID: id, Reason: reason, Detail: detail}
 	if !r.isLeader() {
@@ -217,7 +144,7 @@
 	r.tickTransfer()
 	r.handOver()
 	r.advanceLearners()
-	r.releaseHeld()
+	r.appendWaiting()
 }
 
 // hasQuorum reports whether a majority of voters answered within the election timeout.
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -340,5 +340,5 @@
 		return
 	}
 	r.advanceLearners()
-	r.releaseHeld()
+	r.appendWaiting()
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -75,16 +75,15 @@
 	leaving bool
 
 	// The fields below are used by the leader only.
-	leaderSince  time.Time
-	progress     map[replica]*progress
-	round        Round
-	reads        readQueue
-	transfer     *transfer
-	change       *pendingChange
+	leaderSince time.Time
+	progress    map[replica]*progress
+	round       Round
+	reads       readQueue
+	transfer    *transfer
+	change      *pendingChange
+	// pendingBytes is the size of the commands in the log that are not committed.
 	pendingBytes int
-	// held are the proposals that wait for a membership change to be committed.
-	held      []Proposal
-	heldBytes int
+	waiting      proposalQueue
 	// capturing is set while the caller has been asked for the state.
 	capturing bool
 }
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -35,6 +35,8 @@
 	MaxInflight:       3,
 	SnapshotChunkSize: 64,
 	KeepEntries:       5,
+
+	MaxUncommittedBytes: 128,
 }
 
 // tester is the part of *testing.T and *rapid.T that the simulation uses.
