replicator: play a newcomer beside a follower far behind

Two replicas that are near each other commit faster than the links to the third one carry. When one of the two is lost, each step of the successor's admission needs the third, which has up to 6 MB of the log to receive first.

--- a/replicator/newcomer_test.go
+++ b/replicator/newcomer_test.go
@@ -155,6 +155,29 @@
 	}
 }
 
+// TestNewcomerVotesBesideAFollowerFarBehind: where two replicas commit faster than the links to the third one carry
+// that, the successor of the nearer one must have its vote within catchUp. It guards against a membership
+// change that waits until a follower has received the log of many changes.
+func TestNewcomerVotesBesideAFollowerFarBehind(t *testing.T) {
+	for seed := range uint64(4) {
+		for _, size := range []int{12e3, 51e3, 350e3} {
+			t.Run(fmt.Sprintf("seed %d, commands of %d bytes", seed, size), func(t *testing.T) {
+				c := newLoadedCore(t, seed, 1, size)
+				leader, near := c.leader(), follower(c.simulation)
+				c.wide[link{leader.addr, near.addr}], c.wide[link{near.addr, leader.addr}] = true, true
+				gap := timeFor(identifier.ByteCount(size), 3*regionLink/2)
+				c.change(gap, time.Duration(5+seed)*time.Second)
+				near.loseDisk()
+				near.spare = true
+				c.schedule(time.Second, near.boot)
+				c.change(gap, time.Second+catchUp)
+				m, ok := c.membership().Find(near.replica)
+				require.True(t, ok && m.Voter, c)
+			})
+		}
+	}
+}
+
 // TestReplicaFarBehindLearnsTheState: a newcomer, and a replica that missed many changes of a large declaration,
 // must not learn the log where the state is smaller. It guards against recovery that grows with history.
 func TestReplicaFarBehindLearnsTheState(t *testing.T) {
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -95,6 +95,8 @@
 	// over it. Zero stands for no limit.
 	bandwidth identifier.ByteCount
 	links     map[link]time.Time
+	// wide holds the links that have no limit.
+	wide map[link]bool
 	// entriesSent counts the entries that were sent over each link.
 	entriesSent map[link]int
 	// applyRate is how many bytes of commands, and of snapshots, a replica applies a second. It
@@ -161,6 +163,7 @@
 		maxDelay: 5 * time.Millisecond,
 		cut:      make(map[link]bool),
 		links:    make(map[link]time.Time),
+		wide:     make(map[link]bool),
 
 		entriesSent: make(map[link]int),
 		log:         make(map[recorder.Index]recorder.Entry),
@@ -249,7 +252,7 @@
 
 // transmit returns how long the link needs to carry the message after those before it.
 func (sim *simulation) transmit(l link, message replicator.Message) time.Duration {
-	if sim.bandwidth == 0 {
+	if sim.bandwidth == 0 || sim.wide[l] {
 		return 0
 	}
 	free := later(sim.links[l], sim.now).Add(timeFor(messageBytes(message), sim.bandwidth))
