placer: start a process whose disk is slow to open

What callers saw: a front whose disk took longer than startTimeout, 10 s, to open ended by itself with "context deadline exceeded", as all may do that start at once after a loss of power. Where the disk failed later, its replica was opened or closed slowly while calls, messages of other replicas and the metrics waited for it.

Cause: the hook of the start opened the disk, and opening and closing it held the mutex of the replica.

Change: the start only begins to open the disk, in the background, and goes on to do so for as long as it takes. Until then the process runs as where the disk has failed: it serves requests, and its replica answers Unavailable. A stop waits for a node that starts, not for the disk; a disk that is open only then is closed again. The mutex is held for the fields alone.

Evidence: TestReplicaStartsWithoutItsDisk and TestStopDoesNotWaitForTheDisk fail when the start opens the disk ("it waits for the disk"), and pass 20 times with the race detector.

Why it works: no hook of the start waits for the replica's disk, and what works without a replica has had to since a failed disk ends the replica alone. TestMetricsOfTheReplicaAreExposed waits for the opening, which it called before.

--- a/placer/control.go
+++ b/placer/control.go
@@ -37,7 +37,7 @@
 
 func controlModule() fx.Option {
 	return fx.Options(
-		fx.Provide(newReplica, newMirror),
+		fx.Provide(newFileSystem, newReplica, newMirror),
 		fx.Invoke(serveControl, serveMirror),
 	)
 }
@@ -53,14 +53,7 @@
 	}
 	e.Handle(submitter.Kind, submitter.NewServer(r, authorise, log).Serve)
 	e.Handle(readDocumentKind, r.serveDocument)
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			r.open()
-			r.reconciler.Start()
-			return nil
-		},
-		OnStop: r.stop,
-	})
+	lc.Append(fx.Hook{OnStart: r.start, OnStop: r.stop})
 }
 
 // replicaHandler returns a handler that passes on the messages of other replicas. It
--- a/placer/disk.go
+++ b/placer/disk.go
@@ -72,8 +72,12 @@
 	Clock     clockwork.Clock
 	Metrics   *metrics.Set
 	Log       *zap.Logger
+	// FileSystem holds the disk.
+	FileSystem recorder.FileSystem
 }
 
+func newFileSystem() recorder.FileSystem { return recorder.OSFileSystem{} }
+
 // replicaNode is a running replica with its open disk.
 type replicaNode struct {
 	store       *recorder.Recorder
@@ -82,14 +86,15 @@
 	metrics     *metrics.Set
 }
 
-// openNode opens the disk and starts a replica with the state that it holds.
-func openNode(deps replicaDeps) (*replicaNode, error) {
+// openStore opens the disk, which takes as long as its syncs.
+func openStore(deps replicaDeps) (*recorder.Recorder, error) {
+	folder := filepath.Join(deps.Placement.DataFolder, controlFolder)
+	return recorder.Open(deps.FileSystem, recorder.Config{Folder: folder, Name: deps.Placement.InternalAddress.String()}, rand.Reader)
+}
+
+// newNode starts a replica with the state that the store holds. It closes the store if that fails.
+func newNode(deps replicaDeps, store *recorder.Recorder) (*replicaNode, error) {
 	placement := deps.Placement
-	folder := filepath.Join(placement.DataFolder, controlFolder)
-	store, err := recorder.Open(recorder.OSFileSystem{}, recorder.Config{Folder: folder, Name: placement.InternalAddress.String()}, rand.Reader)
-	if err != nil {
-		return nil, err
-	}
 	cfg := coordinator.Config{
 		Name:            placement.InternalAddress.String(),
 		Addr:            placement.InternalAddress,
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -12,13 +12,15 @@
 	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
+	"celeryvalve/recorder"
 	"celeryvalve/repairer"
 	"celeryvalve/repeater"
 	"celeryvalve/replicator"
 	"celeryvalve/spreader"
 )
 
-// replica runs the control replica of this process. It stops if the disk fails, and
+// replica runs the control replica of this process. It starts once the disk is open, however long
+// that takes, and the process works without it until then. It stops if the disk fails, and
 // starts again once the disk can be opened: the disk then holds everything that the
 // replica has acknowledged, or opening it returns an error.
 type replica struct {
@@ -30,9 +32,12 @@
 	log        *zap.Logger
 	reconciler *repeater.Repeater
 
-	changes          sync.WaitGroup
+	// work holds the starts of nodes and the membership changes in progress.
+	work             sync.WaitGroup
 	mu               sync.Mutex
 	node             *replicaNode // nil while the disk can't be used
+	opening          bool
+	stopped          bool
 	lastOpenAttempt  time.Time
 	changeInProgress bool
 
@@ -67,46 +72,95 @@
 	}
 }
 
-// open opens the disk, unless it is open or was tried less than reopenInterval ago.
-func (r *replica) open() {
+// startOpening opens the disk in the background, unless it is open, is being opened, or was
+// tried less than reopenInterval ago.
+func (r *replica) startOpening() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.node != nil || r.clock.Since(r.lastOpenAttempt) < reopenInterval {
+	if r.node != nil || r.opening || r.stopped || r.clock.Since(r.lastOpenAttempt) < reopenInterval {
 		return
 	}
-	r.lastOpenAttempt = r.clock.Now()
-	node, err := openNode(r.deps)
+	r.opening = true
+	go r.open()
+}
+
+// open opens the disk and starts a node with it, unless the replica was stopped meanwhile.
+func (r *replica) open() {
+	begun := r.clock.Now()
+	store, err := openStore(r.deps)
 	if err != nil {
-		r.log.Error("Can't open the disk; trying again.", zap.Error(err))
+		r.endOpening(nil, err)
 		return
 	}
-	r.node = node
+	r.log.Info("Opened the disk.", zap.Duration("took", r.clock.Since(begun)))
+	if !r.startNode(store) {
+		r.log.Info("Closed the disk of a stopped replica.", zap.Error(store.Close()))
+	}
 }
 
-// closeNode stops a node whose disk has failed or must be emptied.
-func (r *replica) closeNode(node *replicaNode, failure error) {
+// startNode starts a node in the background, or returns false once the replica was stopped.
+func (r *replica) startNode(store *recorder.Recorder) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.node != node {
+	if r.stopped {
+		return false
+	}
+	r.work.Go(func() { r.endOpening(newNode(r.deps, store)) })
+	return true
+}
+
+// endOpening takes up the node, which is nil if there is an error.
+func (r *replica) endOpening(node *replicaNode, err error) {
+	if err != nil {
+		r.log.Error("Can't open the disk; trying again.", zap.Error(err))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.node, r.opening, r.lastOpenAttempt = node, false, r.clock.Now()
+}
+
+// closeNode stops a node whose disk has failed or must be emptied.
+func (r *replica) closeNode(node *replicaNode, failure error) {
+	if !r.removeNode(node) {
 		return
 	}
-	r.node = nil
-	r.lastOpenAttempt = r.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
 	r.log.Error("The replica ends and begins anew.", zap.NamedError("failure", failure), zap.Error(node.close(ctx)))
 }
 
+// removeNode reports whether the node was the current one, which it is no more.
+func (r *replica) removeNode(node *replicaNode) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.node != node {
+		return false
+	}
+	r.node, r.lastOpenAttempt = nil, r.clock.Now()
+	return true
+}
+
 func (r *replica) currentNode() *replicaNode {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.node
 }
 
-// stop waits for membership changes in progress and stops the replica.
+// start begins to open the disk.
+func (r *replica) start(context.Context) error {
+	r.startOpening()
+	r.reconciler.Start()
+	return nil
+}
+
+// stop waits for membership changes in progress and stops the replica. It does not wait for a
+// disk that is being opened.
 func (r *replica) stop(ctx context.Context) error {
+	r.mu.Lock()
+	r.stopped = true
+	r.mu.Unlock()
 	r.reconciler.Stop()
-	r.changes.Wait()
+	r.work.Wait()
 	if node := r.currentNode(); node != nil {
 		return node.close(ctx)
 	}
@@ -175,10 +229,10 @@
 	}
 }
 
-// reconcile reopens a failed disk, publishes the list of replicas and, while this
+// reconcile opens the disk again if that failed, publishes the list of replicas and, while this
 // replica leads, repairs the membership and pins releases.
 func (r *replica) reconcile(ctx context.Context) {
-	r.open()
+	r.startOpening()
 	node := r.currentNode()
 	if node == nil {
 		r.spreader.SetReplicas(spreader.Replicas{})
@@ -231,7 +285,7 @@
 		return
 	}
 	r.changeInProgress = true
-	r.changes.Go(func() { r.changeMembership(node, action) })
+	r.work.Go(func() { r.changeMembership(node, action) })
 }
 
 func (r *replica) changeMembership(node *replicaNode, action repairer.Action) {
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
+	"io"
 	"net/netip"
 	"strings"
 	"testing"
@@ -14,6 +17,7 @@
 
 	"celeryvalve/asserter"
 	"celeryvalve/declarer"
+	"celeryvalve/explainer"
 	"celeryvalve/identifier"
 	"celeryvalve/parser"
 	"celeryvalve/recorder"
@@ -77,20 +81,27 @@
 	require.False(t, r.isReplaceable(status))
 }
 
+// newTestReplica returns a replica with a disk on the file system, and the set of its process's metrics.
+func newTestReplica(t *testing.T, clock clockwork.Clock, disk recorder.FileSystem) (*replica, *metrics.Set) {
+	view, set := declarer.NewView(asserter.Strict{}), metrics.NewSet()
+	return newReplica(replicaDeps{
+		Placement:  parser.Placement{DataFolder: t.TempDir()},
+		View:       view,
+		Spreader:   spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{}), view, nil, clock, zap.NewNop()),
+		Asserter:   asserter.Strict{},
+		Clock:      clock,
+		Metrics:    set,
+		Log:        zap.NewNop(),
+		FileSystem: disk,
+	}), set
+}
+
 // Guards against metrics of the control replica that the process does not expose, or no longer does once the disk was
 // opened again.
 func TestMetricsOfTheReplicaAreExposed(t *testing.T) {
 	const gauge = "celeryvalve_control_learner_backlog_bytes"
-	view, clock, set := declarer.NewView(asserter.Strict{}), clockwork.NewFakeClock(), metrics.NewSet()
-	r := newReplica(replicaDeps{
-		Placement: parser.Placement{DataFolder: t.TempDir()},
-		View:      view,
-		Spreader:  spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{}), view, nil, clock, zap.NewNop()),
-		Asserter:  asserter.Strict{},
-		Clock:     clock,
-		Metrics:   set,
-		Log:       zap.NewNop(),
-	})
+	clock := clockwork.NewFakeClock()
+	r, set := newTestReplica(t, clock, recorder.OSFileSystem{})
 	exposed := func() int {
 		var text bytes.Buffer
 		set.WritePrometheus(&text)
@@ -99,8 +110,103 @@
 	require.Zero(t, exposed(), "no disk is open")
 	for range 2 {
 		clock.Advance(reopenInterval)
-		r.open()
+		r.startOpening()
+		requireOpen(t, r)
 		require.Equal(t, 1, exposed())
 		r.closeNode(r.currentNode(), nil)
 	}
 }
+
+func requireOpen(t *testing.T, r *replica) {
+	t.Helper()
+	require.Eventually(t, func() bool { return r.currentNode() != nil }, time.Minute, time.Millisecond)
+}
+
+func (r *replica) isOpening() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opening
+}
+
+// stallingDisk is a file system that stalls whenever the disk is opened, until it gets an outcome.
+type stallingDisk struct {
+	recorder.OSFileSystem
+	opening  chan bool
+	outcomes chan error
+	unlocked chan bool
+}
+
+func newStallingDisk() stallingDisk {
+	return stallingDisk{opening: make(chan bool), outcomes: make(chan error), unlocked: make(chan bool, 1)}
+}
+
+func (d stallingDisk) MakeFolder(path string) error {
+	d.opening <- true
+	if err := <-d.outcomes; err != nil {
+		return err
+	}
+	return d.OSFileSystem.MakeFolder(path)
+}
+
+func (d stallingDisk) Lock(path string) (io.Closer, error) {
+	lock, err := d.OSFileSystem.Lock(path)
+	return reportingLock{lock, d.unlocked}, err
+}
+
+// reportingLock reports when it is closed.
+type reportingLock struct {
+	io.Closer
+	closed chan<- bool
+}
+
+func (l reportingLock) Close() error {
+	l.closed <- true
+	return l.Closer.Close()
+}
+
+// requireHook requires that the hook of the process ends without an error while the disk stalls.
+func requireHook(t *testing.T, hook func(context.Context) error) {
+	t.Helper()
+	ended := make(chan error, 1)
+	go func() { ended <- hook(t.Context()) }()
+	require.Eventually(t, func() bool { return len(ended) == 1 }, time.Minute, time.Millisecond, "it waits for the disk")
+	require.NoError(t, <-ended)
+}
+
+// Guards against a process that ends by itself, or stands still, since its disk takes longer to open than its start may.
+func TestReplicaStartsWithoutItsDisk(t *testing.T) {
+	clock, disk := clockwork.NewFakeClock(), newStallingDisk()
+	r, set := newTestReplica(t, clock, disk)
+	requireHook(t, r.start)
+	<-disk.opening
+	_, err := r.Propose(t.Context(), nil)
+	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
+	require.Equal(t, &DocumentAnswer{}, r.document(t.Context()))
+	r.receive(netip.AddrPort{}, nil)
+	set.WritePrometheus(io.Discard)
+	r.handOver(t.Context())
+	r.reconcile(t.Context())
+
+	disk.outcomes <- errors.New("input/output error")
+	require.Eventually(t, func() bool { return !r.isOpening() }, time.Minute, time.Millisecond)
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(reopenInterval)
+	<-disk.opening
+	disk.outcomes <- nil
+	requireOpen(t, r)
+	require.NoError(t, r.stop(t.Context()))
+}
+
+// Guards against a process that outlasts its grace period since its disk is still being opened, and against a replica that
+// starts in a process that stops.
+func TestStopDoesNotWaitForTheDisk(t *testing.T) {
+	clock, disk := clockwork.NewFakeClock(), newStallingDisk()
+	r, _ := newTestReplica(t, clock, disk)
+	requireHook(t, r.start)
+	<-disk.opening
+	r.handOver(t.Context())
+	requireHook(t, r.stop)
+	disk.outcomes <- nil
+	<-disk.unlocked
+	require.Nil(t, r.currentNode())
+}
