placer: open the weights cache of a mirror in the background

What callers saw: nothing was served, and SIGTERM was not heard, before the folder of the weights cache was created: a process is built before its start, so that no limit of time was for it. A stop waited for the listing of the folder and for the sync of a chunk; where each sync takes 3 s, a front ended with "context deadline exceeded" and status 1.

Cause: newWeightsCache created the folder, and the stop of the mirror waited for load and save.

Change: load creates the folder, which everything else in the cache has waited for already. The stop waits for neither load nor save: chunks get their names once they are synced, and the next start removes the rest.

Evidence: TestKeeperIsBuiltWithoutItsDisk fails before ("directory exists") and passes with the race detector.

--- a/placer/keeper.go
+++ b/placer/keeper.go
@@ -38,40 +38,39 @@
 // immediately after a power failure, while the origin would need seconds. If the disk
 // stalls or fails, only the cached copy is lost.
 type weightsCache struct {
+	folder string
 	memory *transferrer.Store
-	disk   *transferrer.Store // nil if the disk can't be used
 	log    *zap.Logger
 	clock  clockwork.Clock
-	// ready is closed once the contents of the disk are known.
+	// ready is closed once the contents of the disk are known. Until then only load uses disk.
 	ready chan struct{}
+	disk  *transferrer.Store // nil if the disk can't be used
 
 	mu     sync.Mutex
 	cached []*verifier.Manifest // newest last
 }
 
 func newWeightsCache(folder string, memory *transferrer.Store, clock clockwork.Clock, log *zap.Logger) *weightsCache {
-	c := &weightsCache{memory: memory, clock: clock, log: log.Named("keeper"), ready: make(chan struct{})}
-	disk, err := transferrer.NewStore(transferrer.StoreConfig{
-		Folder:  filepath.Join(folder, weightsFolder),
-		Limit:   cacheLimit,
-		Durable: true,
-	})
-	if err != nil {
-		c.log.Error("Can't use the weights cache on this disk.", zap.Error(err))
-		return c
+	return &weightsCache{
+		folder: filepath.Join(folder, weightsFolder),
+		memory: memory,
+		clock:  clock,
+		log:    log.Named("keeper"),
+		ready:  make(chan struct{}),
 	}
-	c.disk = disk
-	return c
 }
 
-// load finds the chunks that the disk holds. It reads none of them: only those of the wanted
-// releases are needed soon.
+// load opens the disk and finds the chunks that it holds. It reads none of them: only those of
+// the wanted releases are needed soon.
 func (c *weightsCache) load() {
 	defer close(c.ready)
-	if c.disk == nil {
+	disk, err := transferrer.NewStore(transferrer.StoreConfig{Folder: c.folder, Limit: cacheLimit, Durable: true})
+	if err != nil {
+		c.log.Error("Can't use the weights cache on this disk.", zap.Error(err))
 		return
 	}
-	chunks, err := c.disk.Find()
+	c.disk = disk
+	chunks, err := disk.Find()
 	c.log.Info("Loaded the weights cache.", zap.Int("chunks", chunks), zap.Error(err))
 }
 
@@ -133,7 +132,11 @@
 // save writes the chunks of a complete release. Older releases are deleted if the cache
 // would exceed its limit.
 func (c *weightsCache) save(ctx context.Context, m *verifier.Manifest) {
-	<-c.ready
+	select {
+	case <-c.ready:
+	case <-ctx.Done():
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.disk == nil {
--- a/placer/keeper_test.go
+++ b/placer/keeper_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"errors"
 	"os"
 	"path/filepath"
@@ -157,6 +158,19 @@
 	<-done
 }
 
+// Guards against a process that neither starts nor stops while its disk takes long to create a folder.
+func TestKeeperIsBuiltWithoutItsDisk(t *testing.T) {
+	m, store := releaseOf(t, "1", 1)
+	folder := t.TempDir()
+	c := newWeightsCache(folder, store, clockwork.NewRealClock(), zap.NewNop())
+	require.NoDirExists(t, filepath.Join(folder, weightsFolder))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	c.save(ended, m)
+	c.load()
+	require.DirExists(t, filepath.Join(folder, weightsFolder))
+}
+
 // BenchmarkLoad measures how a mirror takes up a wanted release of 2 MiB beside as many kept ones
 // as the cache has room for.
 func BenchmarkLoad(b *testing.B) {
--- a/placer/mirror.go
+++ b/placer/mirror.go
@@ -206,7 +206,7 @@
 					m.log.Error("Transfers stopped with an error.", zap.Error(err))
 				}
 			})
-			m.work.Go(m.cache.load)
+			go m.cache.load()
 			m.reconciler.Start()
 			return nil
 		},
@@ -224,14 +224,15 @@
 	return m.transferrer.AddChunk(m.ctx, digest, data)
 }
 
-// cacheRelease saves a release in the disk cache once all its chunks are held.
+// cacheRelease saves a release in the disk cache once all its chunks are held. A stop waits for
+// neither this nor load: they take as long as the disk, which has whole chunks at any time.
 func (m *mirror) cacheRelease(effect fetcher.Effect) {
 	completed, ok := effect.(fetcher.Completed)
 	if !ok {
 		return
 	}
 	manifest := completed.Weights.Manifest()
-	m.work.Go(func() { m.cache.save(m.ctx, manifest) })
+	go m.cache.save(m.ctx, manifest)
 }
 
 // reconcile starts to mirror newly wanted releases, and passes on changes of the list
