placer: stop a replica without waiting long for its disk

What callers saw: where syncs take seconds, closing the disk took the rest of the grace period. The connections of callers, which are closed after it, were cut off, and the process ended with "context deadline exceeded" and status 1.

Cause: the stop waited for the write in progress and for a last sync, however long they took.

The disk outlives a crash at any point, so that what is left needs no wait.

--- a/placer/replica.go
+++ b/placer/replica.go
@@ -154,17 +154,26 @@
 }
 
 // stop waits for membership changes in progress and stops the replica. It does not wait for a
-// disk that is being opened.
+// disk that is being opened, nor long for one that is being closed: what it holds outlives a crash.
 func (r *replica) stop(ctx context.Context) error {
 	r.mu.Lock()
 	r.stopped = true
 	r.mu.Unlock()
 	r.reconciler.Stop()
 	r.work.Wait()
-	if node := r.currentNode(); node != nil {
-		return node.close(ctx)
+	node := r.currentNode()
+	if node == nil {
+		return nil
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- node.close(ctx) }()
+	select {
+	case err := <-closed:
+		return err
+	case <-r.clock.After(closeTimeout):
+		r.log.Warn("The disk was not closed in time.")
+		return nil
 	}
-	return nil
 }
 
 // Propose commits a command if this replica leads.
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -134,10 +135,12 @@
 	opening  chan bool
 	outcomes chan error
 	unlocked chan bool
+	// syncing stalls the syncs of files while it is locked.
+	syncing *sync.Mutex
 }
 
 func newStallingDisk() stallingDisk {
-	return stallingDisk{opening: make(chan bool), outcomes: make(chan error), unlocked: make(chan bool, 1)}
+	return stallingDisk{opening: make(chan bool), outcomes: make(chan error), unlocked: make(chan bool, 1), syncing: &sync.Mutex{}}
 }
 
 func (d stallingDisk) MakeFolder(path string) error {
@@ -148,6 +151,22 @@
 	return d.OSFileSystem.MakeFolder(path)
 }
 
+func (d stallingDisk) Create(path string) (recorder.File, error) {
+	f, err := d.OSFileSystem.Create(path)
+	return stallingFile{f, d.syncing}, err
+}
+
+type stallingFile struct {
+	recorder.File
+	syncing *sync.Mutex
+}
+
+func (f stallingFile) Sync() error {
+	f.syncing.Lock()
+	defer f.syncing.Unlock()
+	return f.File.Sync()
+}
+
 func (d stallingDisk) Lock(path string) (io.Closer, error) {
 	lock, err := d.OSFileSystem.Lock(path)
 	return reportingLock{lock, d.unlocked}, err
@@ -210,3 +229,24 @@
 	<-disk.unlocked
 	require.Nil(t, r.currentNode())
 }
+
+// Guards against a process that stops with an error, and closes neither its connections nor its port, since its disk takes
+// long to close.
+func TestStopDoesNotWaitLongForTheDisk(t *testing.T) {
+	clock, disk := clockwork.NewFakeClock(), newStallingDisk()
+	r, _ := newTestReplica(t, clock, disk)
+	require.NoError(t, r.start(t.Context()))
+	<-disk.opening
+	disk.outcomes <- nil
+	requireOpen(t, r)
+	disk.syncing.Lock()
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.stop(t.Context()) }()
+	require.Eventually(t, func() bool {
+		clock.Advance(closeTimeout)
+		return len(stopped) == 1
+	}, time.Minute, time.Millisecond, "it waits for the disk")
+	require.NoError(t, <-stopped)
+	disk.syncing.Unlock()
+	<-disk.unlocked
+}
