prover: hold bookings until the test has killed what runs them

TestKilledEntryLeavesTheBookingToItsResend and TestKilledUpstreamMakesABookingUnknown failed on a loaded machine: "An error is expected but got nil", and Completed for Unknown.

Cause: a booking takes 2 s, and the tests ask up to three stand-ins one after the other, with a process each, until they see the run. If that takes longer, the booking is over before the kill. TestKilledAgentMakesABookingUnknownAndNeverRunsItAgain and TestLeaderAndAgentLostTogether have the same race.

Change: a stand-in service holds its answers while it is told so (Hold, as all misbehaviour by POST /misbehave). The four tests hold their bookings, and release them where one must end. The checks are as before.

--- a/imitator/misbehaviour.go
+++ b/imitator/misbehaviour.go
@@ -1,6 +1,7 @@
 package imitator
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -21,6 +22,8 @@
 	StallAll bool
 	// Short ends answers half way as if they were whole.
 	Short bool
+	// Hold keeps back the answers of a service until another misbehaviour is in force.
+	Hold bool
 	// Late delays the end of every answer.
 	Late Duration
 	// Crossed gives a request the answer that the request before it was owed.
@@ -67,11 +70,13 @@
 type Switch struct {
 	mu sync.Mutex
 	m  Misbehaviour
+	// changed is closed and replaced when m is.
+	changed chan struct{}
 }
 
 // NewSwitch returns a switch that starts with m.
 func NewSwitch(m Misbehaviour) *Switch {
-	return &Switch{m: m}
+	return &Switch{m: m, changed: make(chan struct{})}
 }
 
 // Get returns the misbehaviour in force.
@@ -86,6 +91,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.m = m
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// awaitRelease waits until answers are not held. It returns an error if ctx ends first.
+func (s *Switch) awaitRelease(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		hold, changed := s.m.Hold, s.changed
+		s.mu.Unlock()
+		if !hold {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // ServeHTTP answers GET with the misbehaviour in force and replaces it on POST.
--- a/imitator/service.go
+++ b/imitator/service.go
@@ -100,7 +100,7 @@
 		}
 		answer := work(r, body)
 		pause := time.Duration(float64(s.cfg.Delay)*m.slow()) + time.Duration(m.Late)
-		if repeater.Sleep(r.Context(), s.clock, pause) != nil {
+		if repeater.Sleep(r.Context(), s.clock, pause) != nil || s.sw.awaitRelease(r.Context()) != nil {
 			return
 		}
 		s.answer(w, r, m, body, answer)
--- a/prover/cluster_test.go
+++ b/prover/cluster_test.go
@@ -83,6 +83,8 @@
 	unfenced bool
 	// drain is the drain deadline of every process, if any.
 	drain string
+	// deadline is that of every request, or empty for that of its service.
+	deadline string
 	// descriptors is how many files and sockets every process may have open, or 0 for no lower limit.
 	descriptors int
 	// memory is what every process may take, by its settings, or 0 where they don't say.
@@ -482,6 +484,9 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	if c.deadline != "" {
+		req.Header.Set("Celeryvalve-Deadline", c.deadline)
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	resp, err := (&http.Client{Transport: transport}).Do(req)
 	if err != nil {
--- a/prover/request_test.go
+++ b/prover/request_test.go
@@ -13,7 +13,7 @@
 
 const slot = `{"slot":"10:30"}`
 
-// slow is how long a booking takes in tests that interrupt it.
+// slow is how long a booking takes in tests that interrupt it and let it end.
 const slow = "2s"
 
 // startBookings starts entries and n booking upstreams that take the given time.
@@ -27,6 +27,23 @@
 	c.inForce(1, entries+n)
 }
 
+// startHeldBookings starts entries and n booking upstreams that answer nothing until
+// release. Requests have a deadline that they don't reach meanwhile.
+func startHeldBookings(c *cluster, n int) {
+	startBookings(c, n, "0s")
+	c.deadline = "1h"
+	for i := 1; i <= n; i++ {
+		c.misbehave(c.upstreamIP("booking", i)+":9000", `{"Hold":true}`)
+	}
+}
+
+// release lets the booking stand-ins 1 to n answer.
+func release(c *cluster, n int) {
+	for i := 1; i <= n; i++ {
+		c.misbehave(c.upstreamIP("booking", i)+":9000", `{}`)
+	}
+}
+
 // untilStarted waits until the key runs at one of n stand-ins and returns which.
 func untilStarted(c *cluster, n int, key string) int {
 	running := 0
@@ -61,7 +78,7 @@
 
 func TestKilledAgentMakesABookingUnknownAndNeverRunsItAgain(t *testing.T) {
 	c := newCluster(t, 72)
-	startBookings(c, 3, slow)
+	startHeldBookings(c, 3)
 	pending := c.background(1, "/booking/slots", "slot-1", slot)
 	at := untilStarted(c, 3, "slot-1")
 	c.processes[fmt.Sprintf("booking-%d", at)].kill()
@@ -78,7 +95,7 @@
 
 func TestKilledUpstreamMakesABookingUnknown(t *testing.T) {
 	c := newCluster(t, 73)
-	startBookings(c, 2, slow)
+	startHeldBookings(c, 2)
 	pending := c.background(1, "/booking/slots", "slot-1", slot)
 	at := untilStarted(c, 2, "slot-1")
 	c.processes[fmt.Sprintf("service-%d", at)].kill()
@@ -93,11 +110,12 @@
 
 func TestKilledEntryLeavesTheBookingToItsResend(t *testing.T) {
 	c := newCluster(t, 74)
-	startBookings(c, 3, slow)
+	startHeldBookings(c, 3)
 	pending := c.background(1, "/booking/slots", "slot-1", slot)
 	untilStarted(c, 3, "slot-1")
 	c.processes["entry-1"].kill()
 	require.Error(t, (<-pending).err)
+	release(c, 3)
 	var again answer
 	c.eventually("the resend is answered", func() bool {
 		again = c.post(2, "/booking/slots", "slot-1", slot)
--- a/prover/rollout_test.go
+++ b/prover/rollout_test.go
@@ -96,7 +96,7 @@
 
 func TestLeaderAndAgentLostTogether(t *testing.T) {
 	c := newCluster(t, 105)
-	startBookings(c, 3, slow)
+	startHeldBookings(c, 3)
 	leader, other := c.leader()
 	pending := c.background(other, "/booking/slots", "slot-1", slot)
 	at := untilStarted(c, 3, "slot-1")
@@ -108,6 +108,7 @@
 		return c.post(other, "/booking/slots", "slot-1", slot).outcome == "Unknown"
 	})
 	require.Equal(t, 1, c.runs(3, "slot-1"))
+	release(c, 3)
 	c.eventually("others run", func() bool {
 		return c.post(other, "/booking/slots", "slot-2", slot).outcome == "Completed"
 	})
