transferrer: let no peer that doesn't read stop a transferrer

An agent to which this happens would take and serve no more chunks until it is restarted.

Cause: the replies to a peer's request go through a channel with room for a delay message and the final reply, but two delay messages could fill it while the goroutine of the request sends an earlier one. The final reply then blocked Run, under the lock that the goroutine needs to end the request once the peer has left.

Change: a delay message is queued only if nothing is.

--- a/transferrer/peer.go
+++ b/transferrer/peer.go
@@ -222,18 +222,17 @@
 	delete(t.requests, id)
 }
 
-// deliverReply passes the reducer's decision to the request if that is still open.
+// deliverReply passes the reducer's decision to the request if that is still open. It
+// does not block: the channel holds at most one delay, so the final reply has room.
 func (t *Transferrer) deliverReply(id fetcher.RequestID, r reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	request, ok := t.requests[id]
 	switch {
 	case !ok:
+	case r.delayed && len(request.answer) > 0: // an earlier delay is not sent yet
 	case r.delayed:
-		select {
-		case request.answer <- r:
-		default: // an earlier delay is not sent yet
-		}
+		request.answer <- r
 	default:
 		request.answer <- r
 		delete(t.requests, id)
