transferrer: measure one copy of the origin without a time limit

TestAgentsShareOneCopyOfTheOrigin failed if a peer was without a processor for more than a second.

Cause: the progress deadline was 1 s by the system clock, after which a peer counts as stalled and chunks are read from the origin again. The test also waited for Completed alone, so that a transfer that failed would have made it wait for good.

Change: the progress deadline of this test is an hour, so no transfer may need it either. Tests that wait for complete weights end with the cause if the transfer has failed. The checks are as before.

--- a/transferrer/transferrer_test.go
+++ b/transferrer/transferrer_test.go
@@ -79,6 +79,8 @@
 	sw              *imitator.Switch
 	origin          *imitator.Origin
 	corrupt, silent identifier.Upstream
+	// progressDeadline is how long a peer may send nothing by the system clock.
+	progressDeadline time.Duration
 
 	mu           sync.Mutex
 	agents       map[netip.AddrPort]*agent
@@ -98,6 +100,7 @@
 	c := &testCluster{
 		t: t, clock: clockwork.NewRealClock(), sw: imitator.NewSwitch(imitator.Misbehaviour{}),
 		agents: make(map[netip.AddrPort]*agent), leaseHolders: make(map[verifier.ChunkIndex]identifier.Upstream),
+		progressDeadline: time.Second,
 	}
 	cfg.Folder = t.TempDir()
 	var err error
@@ -173,7 +176,7 @@
 	require.NoError(c.t, err)
 	cfg := fetcher.DefaultConfig()
 	cfg.Self = a.peer
-	cfg.ProgressDeadline = time.Second
+	cfg.ProgressDeadline = c.progressDeadline
 	a.Transferrer = transferrer.New(transferrer.Config{Fetcher: cfg, OriginStallTimeout: time.Minute, LeaseTimeout: time.Minute},
 		c.clock, store, a, a, metrics.NewSet(), zap.NewNop(), asserter.Strict{})
 	a.OnEffect = func(e fetcher.Effect) {
@@ -201,6 +204,18 @@
 	return a
 }
 
+// complete waits until the weights are complete, or fails the test with the cause if the
+// transfer can't continue.
+func (a *agent) complete() verifier.Weights {
+	select {
+	case weights := <-a.completed:
+		return weights
+	case failed := <-a.failed:
+		require.FailNow(a.cluster.t, "the transfer has failed", "%s: %s (%s)", a.peer.Upstream, failed.Problem, failed.Remedy)
+		panic("unreachable")
+	}
+}
+
 // startTransfers makes the agents fetch the weights from each other.
 func (c *testCluster) startTransfers(agents ...*agent) {
 	var peers []fetcher.Peer
@@ -223,10 +238,11 @@
 
 func TestAgentsShareOneCopyOfTheOrigin(t *testing.T) {
 	c := newTestCluster(t, imitator.OriginConfig{})
+	c.progressDeadline = time.Hour // no peer is given up, however slow the machine is
 	agents := c.startAll(6)
 	c.startTransfers(agents...)
 	for _, a := range agents {
-		require.Equal(t, c.pinned, (<-a.completed).Manifest().Digest())
+		require.Equal(t, c.pinned, a.complete().Manifest().Digest())
 	}
 	read := identifier.ByteCount(0)
 	for name, n := range c.origin.Counters().Files {
@@ -243,7 +259,7 @@
 	agents := c.startAll(6)
 	c.startTransfers(agents...)
 	for _, a := range agents {
-		<-a.completed
+		a.complete()
 	}
 }
 
@@ -251,7 +267,7 @@
 	c := newTestCluster(t, imitator.OriginConfig{StoreRate: 200 << 10, StoreBurst: 16 << 10})
 	a := c.start(0, "")
 	c.startTransfers(a)
-	<-a.completed
+	a.complete()
 	require.Positive(t, c.origin.Counters().Refused)
 }
 
@@ -268,7 +284,7 @@
 	folder := t.TempDir()
 	a := c.start(0, folder)
 	c.startTransfers(a)
-	<-a.completed
+	a.complete()
 	a.stop()
 	entries, err := os.ReadDir(folder)
 	require.NoError(t, err)
@@ -277,7 +293,7 @@
 	bytesBefore := c.origin.Counters().Bytes
 	restarted := c.start(0, folder)
 	c.startTransfers(restarted)
-	<-restarted.completed
+	restarted.complete()
 	manifest := c.origin.Counters().Files["m/1/"+verifier.ManifestPath] / 2
 	require.LessOrEqual(t, c.origin.Counters().Bytes-bytesBefore-manifest, identifier.ByteCount(1<<10))
 	require.EqualValues(t, 99<<10, restarted.Snapshot()[0].Reused)
