--- a/replicator/config.go
+++ b/replicator/config.go
@@ -15,7 +15,7 @@
 	DefaultMaxAppendBytes      identifier.ByteCount = 256 << 10
 	DefaultMaxAppendEntries                         = 512
 	DefaultMaxInflight                              = 8
-	DefaultMaxUncommittedBytes identifier.ByteCount = 256 << 10
+	DefaultMaxUncommittedBytes identifier.ByteCount = 512 << 10
 	DefaultMaxPendingBytes     identifier.ByteCount = 32 << 20
 	DefaultSnapshotChunkSize   identifier.ByteCount = 256 << 10
 	DefaultKeepEntries                              = 256
