--- a/recorder/open.go
+++ b/recorder/open.go
@@ -50,10 +50,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.openSegment(reset); err != nil {
-		return err
-	}
-	return r.compact()
+	return r.openSegment(reset)
 }
 
 // reconcile combines the snapshot and the log into the loaded state. A log without
--- a/recorder/steps_test.go
+++ b/recorder/steps_test.go
@@ -102,3 +102,27 @@
 		requireReopens(t, fs.crash(0, 1, keepNoNames), recorder.State{Snapshot: &installed, Committed: 20})
 	}
 }
+
+// TestOpenTakesFewSyncs guards against a replica that starts late on a slow disk, after all were killed, since it first
+// removes what older snapshots left.
+func TestOpenTakesFewSyncs(t *testing.T) {
+	fs := newMemFS()
+	r, err := open(fs)
+	require.NoError(t, err)
+	list := entries(recorder.Position{}, 1, 20)
+	for _, e := range list {
+		require.NoError(t, r.Append(recorder.Batch{Entries: []recorder.Entry{e}}))
+		if e.Index%5 != 0 {
+			continue
+		}
+		for _, step := range r.SnapshotSteps(recorder.Snapshot{Position: e.Position(), At: e.At})[:2] {
+			require.NoError(t, step())
+		}
+	}
+	fs = fs.clone()
+	before := fs.syncs
+	r, err = open(fs)
+	require.NoError(t, err)
+	require.LessOrEqual(t, fs.syncs-before, 2, "the new segment's name and its first frame")
+	require.Empty(t, r.State().Entries)
+}
