placer: let a start take as long as it takes

A front had not started within 10 s and ended by itself with "context deadline exceeded". The tests start it no more, and the first start of control needs all its replicas; users are charged for a process that ends by itself.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,7 +35,6 @@
 )
 
 const (
-	startTimeout = 10 * time.Second
 	// stopMargin is the part of the grace period that is left for the exit of the
 	// process itself.
 	stopMargin = 400 * time.Millisecond
@@ -88,16 +87,14 @@
 	var parts lifecycle
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StartTimeout(startTimeout),
 		options.modules(placement, log),
 		fx.Populate(&parts),
 	)
 	if err := app.Err(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
-	defer cancel()
-	if err := app.Start(ctx); err != nil {
+	// No part waits for a disk or another process, so that only a machine that stands still delays the start.
+	if err := app.Start(context.Background()); err != nil {
 		return err
 	}
 	log.Info("Started.", zap.Stringers("seeds", placement.Seeds), zap.String("zone", string(placement.AvailabilityZone)), zap.Bool("firstStart", placement.FirstStart),
