commander, connector: limit a question to an entry by the process's clock

Operators saw nothing: in production both clocks are the same. TestRouteSaysWhatThenHappens and TestRouteRejectsWithAnExitCode had exit code 6 for 0, "context deadline exceeded" or "no recent network activity", where the machine gave the process no processor for 3 s.

Cause: routeTimeout and the handshake and idle timeouts of QUIC go by the system clock.

Change: routeTimeout goes by the session's clock. The timeouts of QUIC can be set in connector.Config; the defaults are as before. celeryvalve route sets a minute, as routeTimeout ends its questions before.

--- a/commander/route.go
+++ b/commander/route.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
@@ -24,8 +25,13 @@
 	"celeryvalve/relayer"
 )
 
-// routeTimeout limits the question to one entry: several round trips between regions.
-const routeTimeout = 3 * time.Second
+const (
+	// routeTimeout limits the question to one entry: several round trips between regions.
+	routeTimeout = 3 * time.Second
+	// connectionTimeout is that of connections to entries. It is never reached: routeTimeout
+	// ends the question before.
+	connectionTimeout = time.Minute
+)
 
 // routeCommand asks placed entries what they would do with a request. The request is not
 // sent to any upstream.
@@ -52,7 +58,7 @@
 	var all []relayer.Explanation
 	var failures []error
 	for _, text := range c.Entry {
-		x, err := ask(endpoint, text, data)
+		x, err := s.ask(endpoint, text, data)
 		if err == nil {
 			err = rejection(x)
 			all = append(all, x)
@@ -84,16 +90,18 @@
 		return nil, err
 	}
 	source := certifier.NewSource(certifier.PathsIn(s.line.KeysFolder, s.line.Name))
-	e := connector.New(connector.Config{Listen: netip.MustParseAddrPort("0.0.0.0:0")}, codec, source, noVersions{}, zap.NewNop())
+	e := connector.New(connector.Config{
+		Listen: netip.MustParseAddrPort("0.0.0.0:0"), HandshakeTimeout: connectionTimeout, IdleTimeout: connectionTimeout,
+	}, codec, source, noVersions{}, zap.NewNop())
 	return e, e.Start()
 }
 
-func ask(e *connector.Endpoint, text string, request []byte) (relayer.Explanation, error) {
+func (s *session) ask(e *connector.Endpoint, text string, request []byte) (relayer.Explanation, error) {
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
 		return relayer.Explanation{}, explainer.Wrap(err, explainer.InvalidInput, fmt.Sprintf("entry %q is no address", text), "write an IP number and a port, as 10.0.0.1:7400")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), routeTimeout)
+	ctx, cancel := clockwork.WithTimeout(context.Background(), s.clock, routeTimeout)
 	defer cancel()
 	answer, err := e.Call(ctx, address, &relayer.ExplainRequest{Request: request})
 	if err != nil {
--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -66,6 +67,12 @@
 	// Metrics is the set in which the endpoint registers its metrics. Nil selects a set of
 	// its own.
 	Metrics *metrics.Set
+	// HandshakeTimeout closes a connection if nothing is received for so long before the
+	// end of its handshake. Zero means 3 s.
+	HandshakeTimeout time.Duration
+	// IdleTimeout closes a connection if nothing is received for so long, keep-alives
+	// included. Zero means 6 s. The lower one of both peers applies.
+	IdleTimeout time.Duration
 }
 
 // Endpoint accepts connections and dials peers on one UDP socket.
@@ -143,7 +150,7 @@
 		VerifySourceAddress: e.handshakes.validate,
 		ConnContext:         e.handshakes.begin,
 	}
-	e.listener, err = e.transport.Listen(e.source.ServerConfig(alpnProtocol), quicConfig())
+	e.listener, err = e.transport.Listen(e.source.ServerConfig(alpnProtocol), e.cfg.quicConfig())
 	if err != nil {
 		return errors.Join(err, conn.Close())
 	}
@@ -171,10 +178,10 @@
 	return netip.MustParseAddrPort(e.transport.Conn.LocalAddr().String())
 }
 
-func quicConfig() *quic.Config {
+func (c Config) quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:           handshakeTimeout,
-		MaxIdleTimeout:                 keepAliveTimeout,
+		HandshakeIdleTimeout:           cmp.Or(c.HandshakeTimeout, handshakeTimeout),
+		MaxIdleTimeout:                 cmp.Or(c.IdleTimeout, keepAliveTimeout),
 		KeepAlivePeriod:                keepAlivePeriod,
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
--- a/connector/link.go
+++ b/connector/link.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), tlsConfig, quicConfig())
+	conn, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), tlsConfig, e.cfg.quicConfig())
 	if err != nil {
 		return nil, unreachable(err, addr)
 	}
