balancer, quarantiner: ask for more evidence while two parts are alike

Callers of sound requests were refused because of a part that was in flight by chance at about as many crashes as the part that caused them, and the guilty part went on crashing upstreams.

The first that had enough of them was refused, and explained the crashes of the other one, whose count began anew. Which was first depended on the order of the reports: each entry reports a crash with what it had in flight there, some 10 ms after others. With luck both were at three crashes that count, and the report of the next one that named the innocent part came before the one that named the guilty part. With luck the innocent part was at five crashes, one of them of the rack, and the guilty one at four of the same.

Change: against a part twice the evidence is needed, as against one that ran to its end before, while another one that has never run to its end was at half of the same crashes, in other prompts, and is not behind by half as many crashes again. This is the lead that a part in the same prompts has to have. A part that was there by chance falls behind with each further crash or runs to its end; twice the evidence bounds the wait if neither comes.

--- a/balancer/part_rule_test.go
+++ b/balancer/part_rule_test.go
@@ -314,6 +314,19 @@
 	}
 }
 
+// Guards against the refusal of a part that was at about as many crashes as the guilty one, in
+// other prompts, and reported first. (Found by TestGuiltyPartIsRefusedAndNoOther.)
+func TestPartAtAsManyCrashesAsTheGuiltyOneIsNotRefused(t *testing.T) {
+	for _, d := range []partDay{
+		{entries: 2, upstreams: 9, luck: 405404149, shape: "alone", guilty: 2, rack: true},
+		{entries: 5, upstreams: 8, luck: 1028458767, shape: "alone", guilty: 2, rack: true},
+		{entries: 4, upstreams: 8, luck: 100431514, shape: "beside any", guilty: 0.5, rack: true},
+		{entries: 6, upstreams: 9, luck: 993427011, shape: "beside the most", guilty: 2, rack: true, restart: true},
+	} {
+		t.Run(fmt.Sprint(d.entries), func(t *testing.T) { d.play(t) })
+	}
+}
+
 // Guards against crashes that upstreams which have left the table hide, until the part has reached too many.
 func TestGuiltyPartIsRefusedAlthoughCrashedUpstreamsLeaveTheTable(t *testing.T) {
 	partDay{entries: 8, upstreams: 8, luck: 0xf, shape: "beside one", guilty: 0.5, rack: true, restart: true}.play(t)
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -23,7 +23,8 @@
 // large share of all crashes, more so if requests with it have run to their end before. If
 // two parts were in the same prompts at the crashes, the one that has never run to its end is
 // the cause, or the one that was at more crashes; as long as either may be, only prompts with
-// both are refused. A part that is refused explains the crashes at which it was, so that the
+// both are refused. Twice the evidence is needed while a part of other prompts was at about as
+// many of the crashes. A part that is refused explains the crashes at which it was, so that the
 // others are no suspects for them; and a part that ran to its end after it became a suspect
 // is none for a minute, since the likely cause is beside it.
 //
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -18,9 +18,10 @@
 	// so that they count as minRounds or little more.
 	minSeriesPresence = 0.5
 	minRounds         = 2
-	// completedBeforeFactor is how much more evidence is needed against a part that was proven
-	// harmless before: as many times the crashes, and the share of all crashes.
-	completedBeforeFactor = 2
+	// doubtFactor is how much more evidence is needed against a part that was proven harmless
+	// before, or while another one may as well be the cause: as many times the crashes, and the
+	// share of all crashes.
+	doubtFactor = 2
 	// maxCompanions bounds the companions that are stored for one part.
 	maxCompanions = 8
 	// maxBeside bounds the companions that are counted at one crash: the parts of two prompts.
@@ -202,8 +203,8 @@
 	crashes := float64(q.evidence.Crashes[s.Service] - s.Since + 1)
 	share := float64(s.Presence) / crashes
 	counted := min(s.Crashes, s.Presence)
-	if s.CompletedBefore {
-		return counted >= completedBeforeFactor*needed && share >= completedBeforeFactor*minPresence
+	if s.CompletedBefore || q.hasEqual(s) {
+		return counted >= doubtFactor*needed && share >= doubtFactor*minPresence
 	}
 	// Crashes at about the same time count as one, but a part that has never run to its end
 	// and was at most of them is not there by chance.
@@ -230,6 +231,35 @@
 	return 0, false
 }
 
+// hasEqual reports whether another suspect that has never run to its end was in flight at half
+// of the suspect's crashes at least, in other prompts, and at about as many in all. Processes report
+// one crash one after the other, so that either may seem to be ahead.
+func (q *Quarantine) hasEqual(s Suspect) bool {
+	companions := q.companionsOf(s)
+	for f, other := range q.suspects {
+		if f == s.Fingerprint || !other.Part || other.Refused || other.CompletedBefore || other.Service != s.Service || 2*s.Presence >= 3*other.Presence {
+			continue
+		}
+		isCompanion := slices.ContainsFunc(companions, func(c Suspect) bool { return c.Fingerprint == f })
+		if !isCompanion && 2*s.sharedCrashes(&other.History) >= len(s.SeenCrashes) {
+			return true
+		}
+	}
+	return false
+}
+
+// sharedCrashes returns how many of the latest crashes of the suspect are among those of the
+// other one.
+func (h *History) sharedCrashes(other *History) int {
+	n := 0
+	for _, c := range h.SeenCrashes {
+		if slices.ContainsFunc(other.SeenCrashes, c.isSame) {
+			n++
+		}
+	}
+	return n
+}
+
 // companionsOf returns the suspects that were in the same prompts as the suspect at two of
 // three of its crashes at least.
 func (q *Quarantine) companionsOf(s Suspect) []Suspect {
--- a/quarantiner/quarantine_test.go
+++ b/quarantiner/quarantine_test.go
@@ -186,6 +186,35 @@
 	require.Empty(t, q.Summary().Pairs)
 }
 
+// Guards against a part that is refused since its report of a crash came before that of the guilty
+// one, which was in flight at the same crashes in other prompts.
+func TestPartIsNotRefusedWhileAnotherWasAtAsManyCrashes(t *testing.T) {
+	const other quarantiner.Fingerprint = 9
+	for name, c := range map[string]struct {
+		together, alone int
+		want            []quarantiner.Fingerprint
+	}{
+		"as many":                  {together: 4},
+		"one more":                 {together: 4, alone: 1},
+		"half as many again":       {together: 4, alone: 2, want: []quarantiner.Fingerprint{guilty}},
+		"the doubt is not endless": {together: 8, want: []quarantiner.Fingerprint{other}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newPartQuarantine()
+			for range c.together {
+				at := quarantiner.Instant(10*(len(q.Reports())+1)) * second
+				for _, f := range []quarantiner.Fingerprint{other, guilty} {
+					m := partReport(fmt.Sprint("both-", at), quarantiner.InFlight{Fingerprint: f})
+					m.Reporter = fmt.Sprint("entry-", f)
+					q.Report(m, at, quarantiner.Revision(len(q.Reports())+1))
+				}
+			}
+			crashInTurn(q, c.alone, quarantiner.InFlight{Fingerprint: guilty})
+			require.Equal(t, c.want, refusedOf(q))
+		})
+	}
+}
+
 // Guards against a cleared part that is a suspect again at the next crash beside it.
 func TestClearedPartIsNoSuspectForAWhile(t *testing.T) {
 	q := newPartQuarantine()
