replicator: give a hand-over time for the election of the successor

A leader that hands over waits for an election timeout in all: until the successor holds the whole log and has been elected. Where the successor needed most of that to catch up, the leader took the hand-over for failed while the successor synced its own vote, went on, and appended entries that the successor lacked. It then stepped down for the vote request of the later term and refused it, and there was no leader until the next election: 1.1 to 1.5 s, in which no admission goes on.

The successor has an election timeout from when it is asked to campaign. A hand-over takes up to two of them, 1.2 s on the platform, where a planned stop has 2.5 s.

TestHandOverHasTimeForTheElection fails before.

--- a/replicator/leader_test.go
+++ b/replicator/leader_test.go
@@ -250,3 +250,23 @@
 	require.Len(t, reported, 1)
 	require.Empty(t, heartbeat("a"))
 }
+
+// Guards against a hand-over that times out while the successor, asked to campaign, syncs its vote: the leader would go on, and
+// then step down for an election that the successor can't win.
+func TestHandOverHasTimeForTheElection(t *testing.T) {
+	h := newHarness(t, voters("a", "b", "c"), asserter.Strict{})
+	h.lead()
+	h.acknowledge("b", 2)
+	h.feed(replicator.TransferRequested{ID: 20})
+	h.now = h.now.Add(replicator.DefaultElectionTimeout * 9 / 10)
+	h.acknowledge("b", 3)
+	h.now = h.now.Add(replicator.DefaultElectionTimeout * 9 / 10)
+	h.acknowledge("b", 3)
+	h.feed(replicator.Ticked{})
+	require.Empty(t, h.answers, "the successor still has time")
+	h.now = h.now.Add(replicator.DefaultElectionTimeout / 5)
+	h.acknowledge("b", 3)
+	h.feed(replicator.Ticked{})
+	require.Len(t, h.answers, 1)
+	require.Equal(t, replicator.NotPossible, h.answers[0].(replicator.Rejected).Reason)
+}
--- a/replicator/transfer.go
+++ b/replicator/transfer.go
@@ -78,6 +78,7 @@
 		return
 	}
 	t.timeoutNowSent = true
+	t.deadline = r.now.Add(r.cfg.ElectionTimeout)
 	r.send(m.Addr, &TimeoutNow{Envelope: r.envelopeTo(t.to)})
 }
 
