replicator: let commands wait for what is on the links, not for disks

The leader appended commands only while few bytes were not committed. What delays a membership change is what is on the links before it. A sync covers all that has arrived.

TestNewcomerVotesAtAnyRate holds as before.

Commands of earlier terms count from the election on. They were left out, so that as many again could be on the links.

--- a/replicator/commit.go
+++ b/replicator/commit.go
@@ -27,21 +27,27 @@
 
 // quorumMatch returns the highest index that a majority of voters has synced.
 func (r *Replicator) quorumMatch() recorder.Index {
-	var matches []recorder.Index
+	return r.quorumIndex(r.disk.stable, func(p *progress) recorder.Index { return p.match })
+}
+
+// quorumIndex returns the highest index that a majority of voters has reached: own is that of this replica, of
+// those of the others.
+func (r *Replicator) quorumIndex(own recorder.Index, of func(*progress) recorder.Index) recorder.Index {
+	var reached []recorder.Index
 	for _, m := range r.membership.Members {
 		switch {
 		case !m.Voter:
 		case m.Replica == r.cfg.Replica:
-			matches = append(matches, r.disk.stable)
+			reached = append(reached, own)
 		default:
-			matches = append(matches, r.progress[m.Replica].match)
+			reached = append(reached, of(r.progress[m.Replica]))
 		}
 	}
-	if len(matches) == 0 {
+	if len(reached) == 0 {
 		return 0
 	}
-	slices.Sort(matches)
-	return matches[len(matches)-r.membership.Quorum()]
+	slices.Sort(reached)
+	return reached[len(reached)-r.membership.Quorum()]
 }
 
 // broadcastCommit sends the commit index to the members that have been sent every
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -10,16 +10,16 @@
 
 // Defaults of Config.
 const (
-	DefaultHeartbeatInterval                        = 100 * time.Millisecond
-	DefaultElectionTimeout                          = time.Second
-	DefaultMaxAppendBytes      identifier.ByteCount = 256 << 10
-	DefaultMaxAppendEntries                         = 512
-	DefaultMaxInflight                              = 8
-	DefaultMaxUncommittedBytes identifier.ByteCount = 512 << 10
-	DefaultMaxPendingBytes     identifier.ByteCount = 32 << 20
-	DefaultSnapshotChunkSize   identifier.ByteCount = 256 << 10
-	DefaultKeepEntries                              = 256
-	DefaultKeepBytes           identifier.ByteCount = 4 << 20
+	DefaultHeartbeatInterval                       = 100 * time.Millisecond
+	DefaultElectionTimeout                         = time.Second
+	DefaultMaxAppendBytes     identifier.ByteCount = 256 << 10
+	DefaultMaxAppendEntries                        = 512
+	DefaultMaxInflight                             = 8
+	DefaultMaxUnreceivedBytes identifier.ByteCount = 512 << 10
+	DefaultMaxPendingBytes    identifier.ByteCount = 32 << 20
+	DefaultSnapshotChunkSize  identifier.ByteCount = 256 << 10
+	DefaultKeepEntries                             = 256
+	DefaultKeepBytes          identifier.ByteCount = 4 << 20
 )
 
 // MaxCommandBytes is the size of the largest command. It leaves room for the
@@ -49,10 +49,10 @@
 	// MaxInflight limits the unanswered append requests with entries to one
 	// follower.
 	MaxInflight int
-	// MaxUncommittedBytes limits the commands in the leader's log that are not committed yet, so that
+	// MaxUnreceivedBytes limits the commands in the leader's log that no majority has received yet, so that
 	// membership changes and leadership transfers don't wait long for them. Further ones wait at the
 	// leader.
-	MaxUncommittedBytes identifier.ByteCount
+	MaxUnreceivedBytes identifier.ByteCount
 	// MaxPendingBytes limits the proposals that are not committed yet, in the log or waiting: the leader
 	// rejects further ones while it is exceeded.
 	MaxPendingBytes   identifier.ByteCount
@@ -69,7 +69,7 @@
 	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
 	setDefault(&c.MaxAppendEntries, DefaultMaxAppendEntries)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
-	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	setDefault(&c.MaxUnreceivedBytes, DefaultMaxUnreceivedBytes)
 	setDefault(&c.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&c.SnapshotChunkSize, DefaultSnapshotChunkSize)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -52,7 +52,8 @@
 	r.progress = make(map[replica]*progress)
 	r.round = 0
 	r.leaderSince = r.now
-	r.pendingBytes = 0
+	r.pendingBytes = int(bytesOf(r.log.after(r.commit)))
+	r.unreceived = unreceived{index: r.commit, bytes: r.pendingBytes}
 	r.capturing = false
 	r.trackMembers()
 	r.roleChanged()
@@ -317,6 +318,7 @@
 	r.completeReads()
 	r.continueTransfer()
 	r.advanceLearners()
+	r.appendWaiting()
 }
 
 // locate ends the probing of a member whose log is known to equal the leader's up to the next entry.
--- a/replicator/proposal.go
+++ b/replicator/proposal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"celeryvalve/identifier"
 	"celeryvalve/recorder"
@@ -30,12 +31,19 @@
 		size += len(p.Data)
 		n++
 	}
-	taken := q.proposals[:n]
-	q.proposals = q.proposals[n:]
+	taken := slices.Clone(q.proposals[:n])
+	q.proposals = slices.Delete(q.proposals, 0, n)
 	q.bytes -= size
 	return taken
 }
 
+// unreceived is the size of the commands in the leader's log that no majority is known to have received, synced
+// or not: those after index.
+type unreceived struct {
+	index recorder.Index
+	bytes int
+}
+
 // propose appends the commands, or lets them wait until they may be appended.
 func (r *Replicator) propose(proposals []Proposal) {
 	for _, p := range proposals {
@@ -65,7 +73,7 @@
 	}
 }
 
-// appendWaiting appends commands that wait, in order, as long as the entries that are not committed stay within
+// appendWaiting appends commands that wait, in order, as long as those that no majority has received stay within
 // the limit. A command that is larger is appended alone. While a membership change is not committed none is
 // appended: it could not be committed before the change, and the next step of the change would have to wait for it.
 func (r *Replicator) appendWaiting() {
@@ -76,7 +84,8 @@
 		r.rejectWaiting(Busy, "the leadership is being transferred")
 		return
 	}
-	proposals := r.waiting.take(int(r.cfg.MaxUncommittedBytes)-r.pendingBytes, r.pendingBytes == 0)
+	r.updateUnreceived()
+	proposals := r.waiting.take(int(r.cfg.MaxUnreceivedBytes)-r.unreceived.bytes, r.unreceived.bytes == 0)
 	if len(proposals) == 0 {
 		return
 	}
@@ -85,11 +94,22 @@
 	for i, p := range proposals {
 		entries = append(entries, recorder.Entry{Kind: recorder.Command, Data: p.Data})
 		r.emit(Accepted{ID: p.ID, Index: next + recorder.Index(i), Term: r.term})
+		r.unreceived.bytes += len(p.Data)
 	}
 	r.appendLocal(entries...)
 	r.replicateAll()
 }
 
+// updateUnreceived drops what a majority has received by now.
+func (r *Replicator) updateUnreceived() {
+	received := r.quorumIndex(r.log.last().Index, func(p *progress) recorder.Index { return max(p.received, p.match) })
+	if received <= r.unreceived.index {
+		return
+	}
+	r.unreceived.bytes = int(bytesOf(r.log.after(received)))
+	r.unreceived.index = received
+}
+
 // rejectWaiting rejects the commands that wait. They have had no effect.
 func (r *Replicator) rejectWaiting(reason Reason, detail string) {
 	for _, p := range r.waiting.proposals {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -84,6 +84,7 @@
 	// pendingBytes is the size of the commands in the log that are not committed.
 	pendingBytes int
 	waiting      proposalQueue
+	unreceived   unreceived
 	// capturing is set while the caller has been asked for the state.
 	capturing bool
 }
