replicator, coordinator: drop a waiting command whose caller has left

A caller who had waited long enough sent its command again, while the first one still waited at the leader and was committed later. In a burst the leader then commits commands for which nobody waits.

The coordinator now withdraws a command whose caller has left. It is dropped unless it is in the log; the caller still hears that the outcome is unknown, as the command may have been appended by then.

TestCommandWhoseCallerHasLeftIsDropped can't be built without the change.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -291,6 +291,7 @@
 	default:
 	}
 	if mutating {
+		c.inbox.put(replicator.Withdrawn{ID: w.id})
 		return nil, newOutcomeUnknownError(0, 0, ctx.Err())
 	}
 	return nil, explainer.New(explainer.Unavailable, "no majority of replicas answered in time",
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -49,6 +49,12 @@
 	Proposals []Proposal
 }
 
+// Withdrawn reports that nobody waits for the answer to a proposal any more. It is dropped if it has not
+// been accepted yet.
+type Withdrawn struct {
+	ID RequestID
+}
+
 // ReadRequested asks for Completed once the applied state includes everything that
 // was committed before the request.
 type ReadRequested struct {
@@ -110,6 +116,7 @@
 func (Received) event()          {}
 func (Persisted) event()         {}
 func (Proposed) event()          {}
+func (Withdrawn) event()         {}
 func (ReadRequested) event()     {}
 func (SnapshotTaken) event()     {}
 func (StateCaptured) event()     {}
--- a/replicator/leader_test.go
+++ b/replicator/leader_test.go
@@ -270,3 +270,24 @@
 	require.Len(t, h.answers, 1)
 	require.Equal(t, replicator.NotPossible, h.answers[0].(replicator.Rejected).Reason)
 }
+
+// Guards against commands that are committed although their callers have left: under load the leader would do nothing else.
+func TestCommandWhoseCallerHasLeftIsDropped(t *testing.T) {
+	h := newHarness(t, voters("a", "b", "c"), asserter.Strict{})
+	h.lead()
+	h.acknowledge("b", 3)
+	before := len(h.entries)
+	const large = int(replicator.DefaultMaxUnreceivedBytes)
+	for id := range replicator.RequestID(3) {
+		h.feed(replicator.Proposed{Proposals: []replicator.Proposal{{ID: 20 + id, Data: make([]byte, large)}}})
+	}
+	require.Len(t, h.entries, before+1, "the others wait")
+	h.feed(replicator.Withdrawn{ID: 20})
+	h.feed(replicator.Withdrawn{ID: 21})
+	h.acknowledge("b", 4)
+	require.Len(t, h.entries, before+2)
+	h.acknowledge("b", 5)
+	require.Len(t, h.entries, before+2)
+	require.Equal(t, recorder.Index(5), h.applied)
+	require.Empty(t, h.answers)
+}
--- a/replicator/proposal.go
+++ b/replicator/proposal.go
@@ -37,6 +37,15 @@
 	return taken
 }
 
+// remove removes the proposal with the id, if it is in the queue.
+func (q *proposalQueue) remove(id RequestID) {
+	i := slices.IndexFunc(q.proposals, func(p Proposal) bool { return p.ID == id })
+	if i >= 0 {
+		q.bytes -= len(q.proposals[i].Data)
+		q.proposals = slices.Delete(q.proposals, i, i+1)
+	}
+}
+
 // unreceived is the size of the commands in the leader's log that no majority is known to have received, synced
 // or not: those after index.
 type unreceived struct {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -156,6 +156,8 @@
 		r.handlePersisted(ev.Sequence)
 	case Proposed:
 		r.propose(ev.Proposals)
+	case Withdrawn:
+		r.waiting.remove(ev.ID)
 	case ReadRequested:
 		r.read(ev.ID)
 	case SnapshotTaken:
