placer: start no replica after the hand-over

What callers saw: a front that got SIGTERM while its disk was being opened could start its replica in the seconds before its stop. The replica took part as if the process stayed, nobody was told that it leaves, and no standby took its place. The same went for a disk that failed and was opened again after the hand-over.

Cause: handOver returned at once while there was no node, and only stop, which comes after the drain, kept nodes from starting.

Change: the hand-over keeps them from starting too. A disk that is open only then is closed again, and a node that has just started is closed together with its disk.

Evidence: the three cases of TestNoReplicaStartsAfterTheHandOver fail without the change and pass with it, 5 times with the race detector. TestReplicaStartsWithoutItsDisk no longer hands over before the disk opens, since no replica starts after that; the new test hands over without a disk. TestStopDoesNotWaitForTheDisk stops without a hand-over, so that it goes on to test that the stop alone keeps a replica from starting.

Why it works: handOver sets the flag and reads the node under the mutex under which a node is taken up. A node is thus either handed over or closed.

--- a/placer/replica.go
+++ b/placer/replica.go
@@ -37,7 +37,7 @@
 	mu               sync.Mutex
 	node             *replicaNode // nil while the disk can't be used
 	opening          bool
-	stopped          bool
+	leaving          bool // no node starts any more
 	lastOpenAttempt  time.Time
 	changeInProgress bool
 
@@ -77,14 +77,14 @@
 func (r *replica) startOpening() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.node != nil || r.opening || r.stopped || r.clock.Since(r.lastOpenAttempt) < reopenInterval {
+	if r.node != nil || r.opening || r.leaving || r.clock.Since(r.lastOpenAttempt) < reopenInterval {
 		return
 	}
 	r.opening = true
 	go r.open()
 }
 
-// open opens the disk and starts a node with it, unless the replica was stopped meanwhile.
+// open opens the disk and starts a node with it, unless the process leaves meanwhile.
 func (r *replica) open() {
 	begun := r.clock.Now()
 	store, err := openStore(r.deps)
@@ -94,29 +94,52 @@
 	}
 	r.log.Info("Opened the disk.", zap.Duration("took", r.clock.Since(begun)))
 	if !r.startNode(store) {
-		r.log.Info("Closed the disk of a stopped replica.", zap.Error(store.Close()))
+		r.log.Info("Closed the disk since the process stops.", zap.Error(store.Close()))
 	}
 }
 
-// startNode starts a node in the background, or returns false once the replica was stopped.
+// startNode starts a node in the background, or returns false once the process leaves.
 func (r *replica) startNode(store *recorder.Recorder) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopped {
+	if r.leaving {
 		return false
 	}
 	r.work.Go(func() { r.endOpening(newNode(r.deps, store)) })
 	return true
 }
 
-// endOpening takes up the node, which is nil if there is an error.
+// endOpening takes up the node, which is nil if there is an error, or closes it if the process leaves.
 func (r *replica) endOpening(node *replicaNode, err error) {
 	if err != nil {
 		r.log.Error("Can't open the disk; trying again.", zap.Error(err))
 	}
+	if r.setNode(node) || node == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	r.log.Info("Closed a replica that had just started since the process stops.", zap.Error(node.close(ctx)))
+}
+
+// setNode ends the opening of the disk, and reports whether the node is the current one now.
+func (r *replica) setNode(node *replicaNode) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.node, r.opening, r.lastOpenAttempt = node, false, r.clock.Now()
+	r.opening, r.lastOpenAttempt = false, r.clock.Now()
+	if r.leaving {
+		return false
+	}
+	r.node = node
+	return true
+}
+
+// leave lets no further node start, and returns the current one, if any.
+func (r *replica) leave() *replicaNode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+	return r.node
 }
 
 // closeNode stops a node whose disk has failed or must be emptied.
@@ -156,9 +179,7 @@
 // stop waits for membership changes in progress and stops the replica. It does not wait for a
 // disk that is being opened, nor long for one that is being closed: what it holds outlives a crash.
 func (r *replica) stop(ctx context.Context) error {
-	r.mu.Lock()
-	r.stopped = true
-	r.mu.Unlock()
+	r.leave()
 	r.reconciler.Stop()
 	r.work.Wait()
 	node := r.currentNode()
@@ -193,9 +214,9 @@
 }
 
 // handOver gives up the leadership and, if there is a standby, the place among the voters
-// before the process stops.
+// before the process stops. No other node starts from then on: it would take part as if the process stayed.
 func (r *replica) handOver(ctx context.Context) {
-	node := r.currentNode()
+	node := r.leave()
 	if node == nil {
 		return
 	}
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -203,7 +203,6 @@
 	require.Equal(t, &DocumentAnswer{}, r.document(t.Context()))
 	r.receive(netip.AddrPort{}, nil)
 	set.WritePrometheus(io.Discard)
-	r.handOver(t.Context())
 	r.reconcile(t.Context())
 
 	disk.outcomes <- errors.New("input/output error")
@@ -216,6 +215,45 @@
 	require.NoError(t, r.stop(t.Context()))
 }
 
+// Guards against a replica that starts after the hand-over, when no leader would be told that it leaves.
+func TestNoReplicaStartsAfterTheHandOver(t *testing.T) {
+	t.Run("disk being opened", func(t *testing.T) {
+		clock, disk := clockwork.NewFakeClock(), newStallingDisk()
+		r, _ := newTestReplica(t, clock, disk)
+		requireHook(t, r.start)
+		<-disk.opening
+		r.handOver(t.Context())
+		disk.outcomes <- nil
+		require.Eventually(t, func() bool { return len(disk.unlocked) == 1 || r.currentNode() != nil }, time.Minute, time.Millisecond)
+		require.Nil(t, r.currentNode())
+		require.NoError(t, r.stop(t.Context()))
+	})
+	t.Run("replica being started", func(t *testing.T) {
+		r, _ := newTestReplica(t, clockwork.NewFakeClock(), recorder.OSFileSystem{})
+		store, err := openStore(r.deps)
+		require.NoError(t, err)
+		node, err := newNode(r.deps, store)
+		require.NoError(t, err)
+		r.handOver(t.Context())
+		r.endOpening(node, nil)
+		require.Nil(t, r.currentNode())
+		again, err := openStore(r.deps)
+		require.NoError(t, err, "the disk is still open")
+		require.NoError(t, again.Close())
+	})
+	t.Run("disk that fails", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		r, _ := newTestReplica(t, clock, recorder.OSFileSystem{})
+		r.startOpening()
+		requireOpen(t, r)
+		r.handOver(t.Context())
+		r.closeNode(r.currentNode(), nil)
+		clock.Advance(reopenInterval)
+		r.startOpening()
+		require.False(t, r.isOpening())
+	})
+}
+
 // Guards against a process that outlasts its grace period since its disk is still being opened, and against a replica that
 // starts in a process that stops.
 func TestStopDoesNotWaitForTheDisk(t *testing.T) {
@@ -223,7 +261,6 @@
 	r, _ := newTestReplica(t, clock, disk)
 	requireHook(t, r.start)
 	<-disk.opening
-	r.handOver(t.Context())
 	requireHook(t, r.stop)
 	disk.outcomes <- nil
 	<-disk.unlocked
