placer: stop without waiting long for a disk that is being closed

What callers can see: where syncs take seconds, a front that is stopped while its replica closes or empties the disk waits for that for as long as it takes. The connections of callers, which are closed after it, are cut off once the grace period ends.

Cause: closeTimeout limited the close of the current node alone. Before it, stop waited without a limit for the reconciler, which closes the node of a failed disk and empties that of a removed replica, and for starts and membership changes.

Change: closeTimeout limits all of it.

Why it works: the disk outlives a crash at any point, and so does its removal, which begins with a rename. To the others, a membership change that is cut off is one whose leader has crashed.

--- a/placer/control.go
+++ b/placer/control.go
@@ -23,7 +23,7 @@
 	// reopenInterval is how often a failed disk is opened again.
 	reopenInterval            = 3 * time.Second
 	leadershipTransferTimeout = time.Second
-	// closeTimeout is how long a stopping replica waits for its disk.
+	// closeTimeout is how long a stopping replica waits for its disk and for membership changes.
 	closeTimeout = time.Second
 	// handOverTimeout is how long a stopping replica waits, after the transfer of the
 	// leadership, for a standby to take its place.
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -176,25 +176,30 @@
 	return nil
 }
 
-// stop waits for membership changes in progress and stops the replica. It does not wait for a
-// disk that is being opened, nor long for one that is being closed: what it holds outlives a crash.
+// stop stops the replica and what it does in the background. It does not wait for a disk that is being opened, nor
+// longer than closeTimeout for one that is in use or being closed: what it holds outlives a crash.
 func (r *replica) stop(ctx context.Context) error {
 	r.leave()
-	r.reconciler.Stop()
-	r.work.Wait()
-	node := r.currentNode()
-	if node == nil {
-		return nil
-	}
 	closed := make(chan error, 1)
-	go func() { closed <- node.close(ctx) }()
+	go func() { closed <- r.close(ctx) }()
 	select {
 	case err := <-closed:
 		return err
 	case <-r.clock.After(closeTimeout):
-		r.log.Warn("The disk was not closed in time.")
+		r.log.Warn("The replica did not stop in time.")
+		return nil
+	}
+}
+
+// close waits for what is done in the background and closes the current node, if any.
+func (r *replica) close(ctx context.Context) error {
+	r.reconciler.Stop()
+	r.work.Wait()
+	node := r.currentNode()
+	if node == nil {
 		return nil
 	}
+	return node.close(ctx)
 }
 
 // Propose commits a command if this replica leads.
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -24,6 +24,7 @@
 	"celeryvalve/recorder"
 	"celeryvalve/registrar"
 	"celeryvalve/repairer"
+	"celeryvalve/repeater"
 	"celeryvalve/replicator"
 	"celeryvalve/spreader"
 )
@@ -277,6 +278,33 @@
 	disk.outcomes <- nil
 	requireOpen(t, r)
 	disk.syncing.Lock()
+	requireStopDespiteTheDisk(t, r, clock)
+	disk.syncing.Unlock()
+	<-disk.unlocked
+}
+
+// Guards against a process that outlasts its grace period since the disk of a replica that was removed is still being closed.
+func TestStopDoesNotWaitLongForAReset(t *testing.T) {
+	clock, disk := clockwork.NewFakeClock(), newStallingDisk()
+	r, _ := newTestReplica(t, clock, disk)
+	r.startOpening()
+	<-disk.opening
+	disk.outcomes <- nil
+	requireOpen(t, r)
+	node := r.currentNode()
+	r.reconciler = repeater.New(clock, replicaReconcileInterval, func(context.Context) { r.resetDisk(node) })
+	disk.syncing.Lock()
+	r.reconciler.Start()
+	r.reconciler.Trigger()
+	require.Eventually(t, func() bool { return r.currentNode() == nil }, time.Minute, time.Millisecond)
+	requireStopDespiteTheDisk(t, r, clock)
+	disk.syncing.Unlock()
+	r.reconciler.Stop()
+}
+
+// requireStopDespiteTheDisk requires that the replica stops without an error once closeTimeout has passed, while the disk stalls.
+func requireStopDespiteTheDisk(t *testing.T, r *replica, clock *clockwork.FakeClock) {
+	t.Helper()
 	stopped := make(chan error, 1)
 	go func() { stopped <- r.stop(t.Context()) }()
 	require.Eventually(t, func() bool {
@@ -284,6 +312,4 @@
 		return len(stopped) == 1
 	}, time.Minute, time.Millisecond, "it waits for the disk")
 	require.NoError(t, <-stopped)
-	disk.syncing.Unlock()
-	<-disk.unlocked
 }
