recorder: release the data folder of a recorder that failed

What callers saw: a replica whose disk had failed could not open it again, "data folder is in use by another process", until the garbage collector had closed the old lock.

Cause: Close returned the error that had stopped the recorder before it closed anything. An Open that failed while it started a segment released the lock, but not the files of the segment; and where the mark file failed to close, the log stayed open.

Change: Close closes the files and the lock once, whatever happened before, and returns the same errors as before. An Open that fails goes the same way. A recorder that failed no longer syncs its marks: its last write was not acknowledged.

Evidence: TestCloseAfterAFailureReleasesTheFolder, where the disk fails at each operation in turn and the file system keeps count of what is open, fails without the change: after an Open that failed the two files were open, after a Close the files and the lock. It passes with it.

Why it works: a lock or file is closed by one call of Close only, and the files of a segment that was closed before return os.ErrClosed, which the earlier error hides.

--- a/recorder/memory_test.go
+++ b/recorder/memory_test.go
@@ -28,6 +28,8 @@
 	failAt     int
 	// syncs counts the syncs of files and of the folder.
 	syncs int
+	// open holds the files that are open for writing and the locks.
+	open map[io.Closer]bool
 }
 
 // nameChange adds a name to a file and removes a name. Either may be empty.
@@ -82,7 +84,7 @@
 }
 
 func newMemFS() *memFS {
-	return &memFS{files: make(map[string]*memFile), durable: make(map[string]*memFile), capacity: -1, failAt: -1}
+	return &memFS{files: make(map[string]*memFile), durable: make(map[string]*memFile), open: make(map[io.Closer]bool), capacity: -1, failAt: -1}
 }
 
 // crash returns the file system after a crash. Of the unsynced bytes of each file
@@ -143,6 +145,7 @@
 	}
 	f := &memFile{fs: m}
 	m.change(nameChange{added: path, file: f})
+	m.open[f] = true
 	return f, nil
 }
 
@@ -172,7 +175,23 @@
 	return nil
 }
 
-func (m *memFS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+func (m *memFS) Lock(string) (io.Closer, error) {
+	l := &memLock{fs: m}
+	m.open[l] = true
+	return l, nil
+}
+
+func (m *memFS) close(c io.Closer) error {
+	if !m.open[c] {
+		return fs.ErrClosed
+	}
+	delete(m.open, c)
+	return nil
+}
+
+type memLock struct{ fs *memFS }
+
+func (l *memLock) Close() error { return l.fs.close(l) }
 
 func (f *memFile) Write(p []byte) (int, error) {
 	if err := f.fs.countOperation(); err != nil {
@@ -199,4 +218,4 @@
 	return nil
 }
 
-func (f *memFile) Close() error { return nil }
+func (f *memFile) Close() error { return f.fs.close(f) }
--- a/recorder/open.go
+++ b/recorder/open.go
@@ -21,8 +21,8 @@
 	}
 	r := &Recorder{fs: fs, cfg: cfg, lock: lock}
 	if err := r.load(random); err != nil {
-		_ = lock.Close()
-		return nil, err
+		r.err = err
+		return nil, r.Close()
 	}
 	return r, nil
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -58,6 +58,7 @@
 
 	mu        sync.Mutex
 	err       error
+	closed    bool
 	lock      io.Closer
 	loaded    State
 	hardState HardState
@@ -217,22 +218,39 @@
 	})
 }
 
-// Close closes the files and releases the data folder. Later calls return an error.
+// Close closes the files and releases the data folder, whether or not the recorder works. It returns the error that
+// stopped the recorder, if there is one. Later calls return an error.
 func (r *Recorder) Close() error {
-	return r.update(func() error {
-		err := r.mark.Sync()
-		if err != nil {
-			err = diskError(err, "sync of the mark file of the log")
-		}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return r.err
+	}
+	r.closed = true
+	err := r.err
+	if err == nil {
+		err = r.syncMark()
+	}
+	if r.file != nil { // Open has come that far
 		if closeErr := r.closeSegment(); err == nil {
 			err = closeErr
 		}
+	}
+	if lockErr := r.lock.Close(); err == nil {
+		err = lockErr
+	}
+	r.err = err
+	if err == nil {
 		r.err = explainer.New(explainer.Unavailable, "recorder is closed", "")
-		if lockErr := r.lock.Close(); err == nil {
-			err = lockErr
-		}
-		return err
-	})
+	}
+	return err
+}
+
+func (r *Recorder) syncMark() error {
+	if err := r.mark.Sync(); err != nil {
+		return diskError(err, "sync of the mark file of the log")
+	}
+	return nil
 }
 
 // update runs change while it holds r.mu. An error stops the recorder for good.
@@ -282,11 +300,12 @@
 // segment starts: bytes that are missing before a later segment are found by the numbers of
 // the frames.
 func (r *Recorder) closeSegment() error {
-	if err := r.mark.Close(); err != nil {
-		return diskError(err, "close of the mark file of the log")
+	markErr, fileErr := r.mark.Close(), r.file.Close()
+	if markErr != nil {
+		return diskError(markErr, "close of the mark file of the log")
 	}
-	if err := r.file.Close(); err != nil {
-		return diskError(err, "close of the log")
+	if fileErr != nil {
+		return diskError(fileErr, "close of the log")
 	}
 	return nil
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -311,6 +311,34 @@
 	require.Empty(t, again.State().Entries)
 }
 
+// TestCloseAfterAFailureReleasesTheFolder guards against a data folder that can't be opened again since the recorder that
+// failed still holds its lock, and against files that stay open. The disk fails at each operation in turn.
+func TestCloseAfterAFailureReleasesTheFolder(t *testing.T) {
+	reference := newMemFS()
+	runScript(t, reference)
+	for failAt := range reference.operations {
+		fs := newMemFS()
+		fs.failAt = failAt
+		r, err := open(fs)
+		if err != nil {
+			require.Empty(t, fs.open)
+			continue
+		}
+		for _, a := range script() {
+			if err = a.call(r); err != nil {
+				break
+			}
+		}
+		closeErr := r.Close()
+		require.ErrorIs(t, closeErr, errDisk)
+		if err != nil {
+			require.ErrorIs(t, closeErr, err)
+		}
+		require.Empty(t, fs.open)
+		require.ErrorIs(t, r.Close(), closeErr)
+	}
+}
+
 func TestForeignFolderIsRefused(t *testing.T) {
 	fs := newMemFS()
 	runScript(t, fs)
