placer, transferrer: log no empty set of replicas, plainer names

What operators saw: after a replica had emptied its disk, its log told that a set of replicas was committed, with index 0 and no members.

Cause: the status of an empty disk has index 0 and commit 0, which differs from the index that was logged last.

Change: only sets with members are logged. lastOpenAttempt was the end of the last attempt and is named so; deliverReply has one branch that sends instead of two alike.

Evidence: TestCommittedSetOfReplicasIsLogged, which now goes on with an empty disk, fails without the change and passes with it. The tests of transferrer pass.

--- a/placer/membershiplog.go
+++ b/placer/membershiplog.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// observeMembers logs the newest set of replicas once it is committed.
+// observeMembers logs the newest set of replicas once it is committed. A replica with an empty disk knows none.
 func (l *membershipLog) observeMembers(s replicator.Status) {
-	if s.MembershipIndex == l.index || s.MembershipIndex > s.Commit {
+	if len(s.Members) == 0 || s.MembershipIndex == l.index || s.MembershipIndex > s.Commit {
 		return
 	}
 	l.index = s.MembershipIndex
--- a/placer/membershiplog_test.go
+++ b/placer/membershiplog_test.go
@@ -80,4 +80,6 @@
 	lines = logs.TakeAll()
 	require.Len(t, lines, 1)
 	require.Equal(t, []any{"a", "b"}, lines[0].ContextMap()["voters"])
+	l.observe(time.Time{}, replicator.Status{Replica: "c"})
+	require.Empty(t, logs.TakeAll(), "a replica with an empty disk knows no set")
 }
--- a/placer/outcast.go
+++ b/placer/outcast.go
@@ -30,7 +30,7 @@
 		err = os.RemoveAll(old)
 	}
 	r.mu.Lock()
-	r.lastOpenAttempt = time.Time{} // the disk has not failed
+	r.lastAttemptEnd = time.Time{} // the disk has not failed
 	r.mu.Unlock()
 	// The cluster exists: this replica must not found another one with its new disk.
 	r.deps.Placement.FirstStart = false
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -38,7 +38,7 @@
 	node             *replicaNode // nil while the disk can't be used
 	opening          bool
 	leaving          bool // no node starts any more
-	lastOpenAttempt  time.Time
+	lastAttemptEnd   time.Time
 	changeInProgress bool
 
 	// exclusion and the logs are used only by the goroutine of reconcile.
@@ -77,7 +77,7 @@
 func (r *replica) startOpening() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.node != nil || r.opening || r.leaving || r.clock.Since(r.lastOpenAttempt) < reopenInterval {
+	if r.node != nil || r.opening || r.leaving || r.clock.Since(r.lastAttemptEnd) < reopenInterval {
 		return
 	}
 	r.opening = true
@@ -126,7 +126,7 @@
 func (r *replica) setNode(node *replicaNode) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.opening, r.lastOpenAttempt = false, r.clock.Now()
+	r.opening, r.lastAttemptEnd = false, r.clock.Now()
 	if r.leaving {
 		return false
 	}
@@ -159,7 +159,7 @@
 	if r.node != node {
 		return false
 	}
-	r.node, r.lastOpenAttempt = nil, r.clock.Now()
+	r.node, r.lastAttemptEnd = nil, r.clock.Now()
 	return true
 }
 
--- a/transferrer/peer.go
+++ b/transferrer/peer.go
@@ -228,13 +228,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	request, ok := t.requests[id]
-	switch {
-	case !ok:
-	case r.delayed && len(request.answer) > 0: // an earlier delay is not sent yet
-	case r.delayed:
-		request.answer <- r
-	default:
-		request.answer <- r
+	if !ok || r.delayed && len(request.answer) > 0 { // an earlier delay is not sent yet
+		return
+	}
+	request.answer <- r
+	if !r.delayed {
 		delete(t.requests, id)
 	}
 }
