prover: resend a booking while it is held

A resend of a running booking that is answered wrongly could pass TestKilledEntryLeavesTheBookingToItsResend.

Cause: the test released the held bookings before the resend, so that mostly the booking was over when the resend came. Before bookings were held, the resend could find it running.

Change: the resend is sent while the booking is held, and the booking is released when entry 2 has asked the holder of the claim about it, as celeryvalve_entry_asks_total of that entry shows. The resend must not be answered before the release. The checks after it are as before: Completed, and one run.

The other three tests that hold bookings kill what runs the booking. They send their resends after the kill and before any release, as they did before, and stay as they are.

--- a/prover/cluster_test.go
+++ b/prover/cluster_test.go
@@ -523,6 +523,26 @@
 	return total
 }
 
+// counter returns the value of a metric of entry i, or 0 if the entry doesn't show it.
+func (c *cluster) counter(i int, name string) float64 {
+	resp, err := http.Get("http://" + c.entryIP(i) + ":7401/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		var value float64
+		if _, err := fmt.Sscanf(line, name+" %g", &value); err == nil {
+			return value
+		}
+	}
+	return 0
+}
+
 // misbehave tells a stand-in what to do wrong from now on.
 func (c *cluster) misbehave(address, text string) {
 	c.control("http://"+address+"/misbehave", text)
--- a/prover/request_test.go
+++ b/prover/request_test.go
@@ -108,6 +108,7 @@
 	require.Equal(t, "0", strings.TrimSpace(out))
 }
 
+// Guards against a resend that runs a booking again, or doesn't get its answer, while it still runs.
 func TestKilledEntryLeavesTheBookingToItsResend(t *testing.T) {
 	c := newCluster(t, 74)
 	startHeldBookings(c, 3)
@@ -115,12 +116,22 @@
 	untilStarted(c, 3, "slot-1")
 	c.processes["entry-1"].kill()
 	require.Error(t, (<-pending).err)
-	release(c, 3)
-	var again answer
-	c.eventually("the resend is answered", func() bool {
-		again = c.post(2, "/booking/slots", "slot-1", slot)
-		return again.outcome != "NotRun"
+	resend := make(chan answer, 1)
+	go func() {
+		got := c.post(2, "/booking/slots", "slot-1", slot)
+		for got.outcome == "NotRun" {
+			time.Sleep(pollInterval)
+			got = c.post(2, "/booking/slots", "slot-1", slot)
+		}
+		resend <- got
+	}()
+	// An entry asks the holder of a claim about the booking, so the resend has arrived then.
+	c.eventually("the resend finds the booking running", func() bool {
+		return c.counter(2, "celeryvalve_entry_asks_total") > 0 || len(resend) > 0
 	})
+	require.Zero(t, len(resend), "the resend is answered while the booking runs")
+	release(c, 3)
+	again := <-resend
 	require.Equal(t, "Completed", again.outcome, again)
 	require.Equal(t, 1, c.runs(3, "slot-1"))
 }
