quarantiner: tell the search for another cause from what makes one

hasEqual searched the suspects and weighed each in one condition. The search is hasAlternative now, and mayExplain says what makes a suspect the likely cause of another one's crashes. No decision changes.

--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -203,7 +203,7 @@
 	crashes := float64(q.evidence.Crashes[s.Service] - s.Since + 1)
 	share := float64(s.Presence) / crashes
 	counted := min(s.Crashes, s.Presence)
-	if s.CompletedBefore || q.hasEqual(s) {
+	if s.CompletedBefore || q.hasAlternative(s) {
 		return counted >= doubtFactor*needed && share >= doubtFactor*minPresence
 	}
 	// Crashes at about the same time count as one, but a part that has never run to its end
@@ -231,23 +231,28 @@
 	return 0, false
 }
 
-// hasEqual reports whether another suspect that has never run to its end was in flight at half
-// of the suspect's crashes at least, in other prompts, and at about as many in all. Processes report
-// one crash one after the other, so that either may seem to be ahead.
-func (q *Quarantine) hasEqual(s Suspect) bool {
+// hasAlternative reports whether a suspect that was not in the same prompts may as well be the cause.
+func (q *Quarantine) hasAlternative(s Suspect) bool {
 	companions := q.companionsOf(s)
 	for f, other := range q.suspects {
-		if f == s.Fingerprint || !other.Part || other.Refused || other.CompletedBefore || other.Service != s.Service || 2*s.Presence >= 3*other.Presence {
-			continue
-		}
 		isCompanion := slices.ContainsFunc(companions, func(c Suspect) bool { return c.Fingerprint == f })
-		if !isCompanion && 2*s.sharedCrashes(&other.History) >= len(s.SeenCrashes) {
+		if f != s.Fingerprint && !isCompanion && other.Part && other.Service == s.Service && other.mayExplain(&s) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayExplain reports whether the suspect, rather than the other one, may be the cause of the crashes of the other
+// one: it has never run to its end, was in flight at half of them at least, and at about as many in all.
+// Processes report one crash one after the other, so that either may seem to be ahead.
+func (s *Suspect) mayExplain(other *Suspect) bool {
+	if s.Refused || s.CompletedBefore || 2*other.Presence >= 3*s.Presence {
+		return false
+	}
+	return 2*other.sharedCrashes(&s.History) >= len(other.SeenCrashes)
+}
+
 // sharedCrashes returns how many of the latest crashes of the suspect are among those of the
 // other one.
 func (h *History) sharedCrashes(other *History) int {
