--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -41,7 +41,7 @@
 // the leadership nothing may be appended, since the successor would lack it.
 func (r *Replicator) changeBlockedReason() string {
 	if r.transfer != nil {
-		return "the leadership is being transferred"
+		return transferring
 	}
 	if !r.committedInTerm() {
 		return "the leader has not committed an entry of its term yet"
--- a/replicator/proposal.go
+++ b/replicator/proposal.go
@@ -8,6 +8,9 @@
 	"celeryvalve/recorder"
 )
 
+// transferring is the detail of proposals that are rejected during a leadership transfer.
+const transferring = "the leadership is being transferred"
+
 // proposalQueue holds commands that wait until the leader may append them. What is in the log goes over the links
 // before a membership change or the end of a leadership transfer; what waits here does not.
 type proposalQueue struct {
@@ -74,7 +77,7 @@
 	case identifier.ByteCount(len(p.Data)) > MaxCommandBytes:
 		return NotPossible, fmt.Sprintf("the command has %d bytes, more than the limit of %d", len(p.Data), MaxCommandBytes)
 	case r.transfer != nil:
-		return Busy, "the leadership is being transferred"
+		return Busy, transferring
 	case r.pendingBytes+r.waiting.bytes > int(r.cfg.MaxPendingBytes):
 		return Busy, "too many proposed bytes are not committed yet"
 	default:
@@ -90,7 +93,7 @@
 		return
 	}
 	if r.transfer != nil {
-		r.rejectWaiting(Busy, "the leadership is being transferred")
+		r.rejectWaiting(Busy, transferring)
 		return
 	}
 	r.updateUnreceived()
