--- a/replicator/newcomer_test.go
+++ b/replicator/newcomer_test.go
@@ -74,7 +74,7 @@
 // TestNewcomerVotesAmongManyChanges: after many changes of a large declaration, the successor of a lost
 // disk must have its vote within catchUp, while changes go on and whatever disk is slow. It
 // guards against a control that has no leader for good once the next disk is lost, because the
-// successor still learned the log of minutes (the users' record of 2026-12-07, CONFIG).
+// successor still learned the log of many changes.
 func TestNewcomerVotesAmongManyChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tolerated := rapid.IntRange(1, 2).Draw(t, "tolerated")
