--- a/controller/patches.go
+++ b/controller/patches.go
@@ -15,7 +15,7 @@
 	// so it is answered with Conflict.
 	MaximumPatchAnswers = 4096
 	// PatchAnswersBudget is the maximum total size of those answers, which a new replica
-	// fetches before it can vote.
+	// fetches.
 	PatchAnswersBudget = 2 * configurer.MaximumConfigurationSize
 	// MaximumHistory is the maximum number of versions in the history.
 	MaximumHistory = 1024
