submitter: log which replicas a failed command called

Cause: a command that no leader took failed with "no leader of 3 control replicas answered". Which replicas were called, how long each call took and which one was taken for the leader was in no log and no metric, so that a wrong belief of the leader could not be told from a leader that is slow.

Change: "No leader answered." holds the leader that was believed at the beginning and each call with its address, duration and outcome. celeryvalve_submission_seconds and celeryvalve_submissions_unavailable_total count all commands of a process. No decision changes.

--- a/assembler/process.go
+++ b/assembler/process.go
@@ -185,8 +185,8 @@
 	return addresses
 }
 
-func newSubmitter(settings parser.Settings, e *connector.Endpoint, clock clockwork.Clock) *submitter.Submitter {
-	return submitter.New(e, controlAddresses(settings), clock)
+func newSubmitter(settings parser.Settings, e *connector.Endpoint, clock clockwork.Clock, set *metrics.Set, logger *zap.Logger) *submitter.Submitter {
+	return submitter.New(e, controlAddresses(settings), clock, set, logger)
 }
 
 func subscribeWithoutUpstream(lc fx.Lifecycle, settings parser.Settings, view *subscriber.View,
--- a/placer/evacuation_test.go
+++ b/placer/evacuation_test.go
@@ -70,7 +70,7 @@
 				}
 			}()
 			placement := parser.Placement{Regions: map[identifier.AvailabilityZone]identifier.Region{"z1": "r", "z2": "r"}}
-			api := newControlAPI(placement, submitter.New(caller, []netip.AddrPort{address}, clock), sp, nil, nil, view, clock, set, zap.NewNop())
+			api := newControlAPI(placement, submitter.New(caller, []netip.AddrPort{address}, clock, set, zap.NewNop()), sp, nil, nil, view, clock, set, zap.NewNop())
 			require.NoError(t, api.Evacuate(t.Context(), "z1", false))
 			require.NoError(t, api.submitEvacuation(t.Context(), "z1", true))
 			before := caller.state.Declared()
--- a/placer/office_test.go
+++ b/placer/office_test.go
@@ -63,7 +63,7 @@
 			replica := netip.MustParseAddrPort("10.0.0.1:1")
 			s := spreader.New(spreader.Config{Process: "entry-1"}, nil, registrar.New(registrar.Config{}), view, nil, clock, zap.NewNop())
 			s.SetReplicas(spreader.Replicas{Index: 7, Led: true, Addresses: []netip.AddrPort{replica}})
-			c := newControlAPI(parser.Placement{}, submitter.New(l, nil, clock), s, nil, nil, view, clock, metrics.NewSet(), zap.NewNop())
+			c := newControlAPI(parser.Placement{}, submitter.New(l, nil, clock, metrics.NewSet(), zap.NewNop()), s, nil, nil, view, clock, metrics.NewSet(), zap.NewNop())
 			ready := registrar.Record{Upstream: "i-1", Incarnation: 1, Sequence: 1, Service: "booking", State: registrar.Ready}
 			require.NoError(t, c.Report(t.Context(), ready))
 			require.Zero(t, l.last, "an upstream that is ready reports again")
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -259,8 +259,8 @@
 	return s
 }
 
-func newSubmitter(placement parser.Placement, e *connector.Endpoint, clock clockwork.Clock) *submitter.Submitter {
-	return submitter.New(e, placement.Seeds, clock)
+func newSubmitter(placement parser.Placement, e *connector.Endpoint, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *submitter.Submitter {
+	return submitter.New(e, placement.Seeds, clock, set, log)
 }
 
 func newExposer(placement parser.Placement, set *metrics.Set, clock clockwork.Clock, log *zap.Logger) *exposer.Exposer {
--- a/submitter/doc.go
+++ b/submitter/doc.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	s := submitter.New(endpoint, addresses, clock)
+//	s := submitter.New(endpoint, addresses, clock, metrics, logger)
 //	result, err := s.Submit(ctx, data)
 //
 // On a control replica:
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
 )
@@ -28,8 +30,10 @@
 
 // Submitter finds the leader of the control replicas and submits commands to it.
 type Submitter struct {
-	caller Caller
-	clock  clockwork.Clock
+	caller  Caller
+	clock   clockwork.Clock
+	metrics submitterMetrics
+	log     *zap.Logger
 
 	mu        sync.Mutex
 	addresses []netip.AddrPort
@@ -40,8 +44,11 @@
 
 // New returns a submitter that knows the addresses of the control replicas. Without any,
 // Submit waits for SetAddresses.
-func New(caller Caller, addresses []netip.AddrPort, clock clockwork.Clock) *Submitter {
-	return &Submitter{caller: caller, clock: clock, addresses: addresses, failedAt: make(map[netip.AddrPort]time.Time)}
+func New(caller Caller, addresses []netip.AddrPort, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *Submitter {
+	return &Submitter{
+		caller: caller, clock: clock, metrics: newMetrics(set), log: log.Named("submitter"),
+		addresses: addresses, failedAt: make(map[netip.AddrPort]time.Time),
+	}
 }
 
 // SetAddresses replaces the addresses of the control replicas. It ignores an empty list.
@@ -58,6 +65,13 @@
 // than Unavailable, or if ctx ends. In the second case the kind is Unavailable, and the
 // command may or may not have been applied.
 func (s *Submitter) Submit(ctx context.Context, data []byte) (any, error) {
+	a := account{begun: s.clock.Now(), believed: s.knownLeader()}
+	answer, err := s.submit(ctx, data, &a)
+	s.report(&a, err)
+	return answer, err
+}
+
+func (s *Submitter) submit(ctx context.Context, data []byte, a *account) (any, error) {
 	for {
 		addr := s.pickReplica()
 		if !addr.IsValid() {
@@ -66,7 +80,9 @@
 			}
 			continue
 		}
+		begun := s.clock.Now()
 		answer, err := s.submitOnce(ctx, addr, data)
+		a.add(addr, s.clock.Since(begun), answer, err)
 		refused, isRefusal := answer.(*Refused)
 		switch {
 		case err != nil:
@@ -124,6 +140,12 @@
 	return s.leader
 }
 
+func (s *Submitter) knownLeader() netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader
+}
+
 func (s *Submitter) addressCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/submitter/submitter_test.go
+++ b/submitter/submitter_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"celeryvalve/explainer"
 	"celeryvalve/submitter"
@@ -48,7 +50,7 @@
 			return &submitter.Refused{Kind: explainer.Unavailable, Leader: addresses[2]}, nil
 		}
 		return "done", nil
-	}), addresses, clock)
+	}), addresses, clock, metrics.NewSet(), zap.NewNop())
 	result, err := submit(t.Context(), clock, s)
 	require.NoError(t, err)
 	require.Equal(t, "done", result)
@@ -62,7 +64,7 @@
 			return nil, errors.New("unreachable")
 		}
 		return "done", nil
-	}), addresses, clock)
+	}), addresses, clock, metrics.NewSet(), zap.NewNop())
 	result, err := submit(t.Context(), clock, s)
 	require.NoError(t, err)
 	require.Equal(t, "done", result)
@@ -72,7 +74,7 @@
 	clock := clockwork.NewFakeClock()
 	s := submitter.New(callerFunc(func(netip.AddrPort) (any, error) {
 		return &submitter.Refused{Kind: explainer.InvalidInput, Problem: "bad command"}, nil
-	}), addresses, clock)
+	}), addresses, clock, metrics.NewSet(), zap.NewNop())
 	_, err := submit(t.Context(), clock, s)
 	require.Equal(t, explainer.InvalidInput, explainer.KindOf(err))
 }
@@ -87,7 +89,7 @@
 			cancel()
 		}
 		return nil, errors.New("unreachable")
-	}), addresses, clock)
+	}), addresses, clock, metrics.NewSet(), zap.NewNop())
 	_, err := submit(ctx, clock, s)
 	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
 }
@@ -95,7 +97,7 @@
 // Guards against a process that ends because its settings name no control replica.
 func TestSubmitWithoutAddresses(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	s := submitter.New(callerFunc(func(netip.AddrPort) (any, error) { return nil, errors.New("no address") }), nil, clock)
+	s := submitter.New(callerFunc(func(netip.AddrPort) (any, error) { return nil, errors.New("no address") }), nil, clock, metrics.NewSet(), zap.NewNop())
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := s.Submit(ctx, []byte("command"))
@@ -119,7 +121,7 @@
 		default:
 			return "done", nil
 		}
-	}), addresses, clock)
+	}), addresses, clock, metrics.NewSet(), zap.NewNop())
 	began := clock.Now()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
