connector: end a call with its context while its message is sent

What callers saw: a call of a silent peer with a message beyond the congestion window, as a large configuration, did not end with its context. It lasted until the connection was given up, 6 s later, so that no other replica was asked within the caller's second.

Cause: Open sent the first message without a look at its context, and a stream accepts no more bytes than the peer acknowledges.

Change: the end of the context ends the write as well, for Open and thus for Call. That is the same for every peer and size.

--- a/connector/stream.go
+++ b/connector/stream.go
@@ -177,19 +177,31 @@
 	s.finish()
 }
 
-// Open opens a stream to addr and sends its first message.
+// Open opens a stream to addr and sends its first message. It returns the error of ctx if that ends before the
+// message is on its way.
 func (e *Endpoint) Open(ctx context.Context, addr netip.AddrPort, first any) (*Stream, error) {
 	s, err := e.openStream(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	if err := s.Send(first); err != nil {
+	if err := s.sendWithin(ctx, first); err != nil {
 		s.Cancel()
 		return nil, err
 	}
 	return s, nil
 }
 
+// sendWithin sends one message, or returns the error of ctx once that ends. A peer that acknowledges nothing holds up
+// a message that is larger than the congestion window.
+func (s *Stream) sendWithin(ctx context.Context, msg any) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.raw.SetWriteDeadline(time.Unix(0, 1)) })
+	err := s.Send(msg)
+	if !stop() {
+		return ctx.Err()
+	}
+	return err
+}
+
 // Call opens a stream to addr, sends the request and returns the answer. It returns an
 // error of kind Unavailable if the peer closes the stream without an answer.
 func (e *Endpoint) Call(ctx context.Context, addr netip.AddrPort, request any) (any, error) {
