submitter: ask all replicas for the leader while a request waits

What callers saw: a change failed at process after process, also at the leader's own, while a majority of control was connected and had a leader; the operator's pauses grew, and a change had no acknowledgement for 4 to 5 s.

Cause: the replicas were called in turn, each for up to a second, which is as long as callers wait. The first one was the leader that had answered last, or the first address of the list. One silent replica took the whole call.

Change: a request goes to the known leader. If that one has not answered after a heartbeat between replicas (100 ms), or none is known, all replicas are asked at once which one leads (LeaderRequest). They name the leader and its term; the highest term counts, and the request goes there as well. The process's own replica is asked like the others. A request is sent to a second replica only once that is known to lead in a later term, or the first call has failed, so that a slow leader still gets a large command once. Two leaders may have one command; it was sent again after a lost answer before as well, and commands are idempotent. Many waiting requests ask together. Reports of crashes use the same submitter: their short timeouts no longer make others avoid a leader. A request that can't be encoded fails at once; it was sent again until its caller left.

A replica of the release before does not know LeaderRequest. It becomes the candidate if no leader is known, and names the leader when it refuses.

The tests of Submitter asked for calls in turn, with a clock that was advanced by hand. They ask for the same outcomes now, each without a wait between replicas. TestOrdersToEvacuate runs in simulated time instead of a clock that runs ahead by itself.

--- a/assembler/codec_test.go
+++ b/assembler/codec_test.go
@@ -30,6 +30,7 @@
 		&subscriber.Report{Sequence: 5, Transfers: []subscriber.Transfer{{Model: "summaries"}}},
 		&publisher.RenewLeases{Renewals: []publisher.Renewal{{Upstream: "u1", Incarnation: 6}}},
 		&submitter.Refused{Kind: explainer.Unavailable},
+		&submitter.LeaderAnswer{Term: 4},
 		&controller.ClaimAnswer{Status: controller.Granted, Token: 7},
 		&fetcher.ChunkRequest{Chunk: 8, Wait: true},
 		&sampler.HistoryAnswer{},
--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -112,6 +112,14 @@
 	return replicator.Messages()
 }
 
+// Leadership is what a replica knows of the leader.
+type Leadership struct {
+	// Leader is the address at which the leader receives messages. It is invalid if none is known.
+	Leader netip.AddrPort
+	// Term is that in which the leader was elected. A leader of a higher term has deposed it.
+	Term recorder.Term
+}
+
 // Status is the state of a replica for operators.
 type Status struct {
 	replicator.Status
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -233,6 +233,17 @@
 	return err
 }
 
+// Leadership returns the leader that this replica knows. One that has failed or is stopping names none.
+func (c *Coordinator) Leadership() Leadership {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := Leadership{Leader: c.role.Leader, Term: c.role.Term}
+	if c.failure != nil || c.stopped {
+		known.Leader = netip.AddrPort{}
+	}
+	return known
+}
+
 // Leader returns the address at which the leader receives messages, and whether
 // the leader is known.
 func (c *Coordinator) Leader() (netip.AddrPort, bool) {
--- a/placer/control.go
+++ b/placer/control.go
@@ -53,7 +53,7 @@
 	for _, entry := range coordinator.Messages() {
 		e.Handle(entry.Kind(), replicaHandler(r, log))
 	}
-	e.Handle(submitter.Kind, submitter.NewServer(r, authorise, log).Serve)
+	submitter.NewServer(r, authorise, log).Register(e)
 	e.Handle(readDocumentKind, r.serveDocument)
 	lc.Append(fx.Hook{OnStart: r.start, OnStop: r.stop})
 }
--- a/placer/crash.go
+++ b/placer/crash.go
@@ -5,13 +5,11 @@
 	"errors"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"celeryvalve/balancer"
-	"celeryvalve/connector"
 	"celeryvalve/declarer"
 	"celeryvalve/explainer"
 	"celeryvalve/parser"
@@ -46,11 +44,10 @@
 	done   chan struct{}
 }
 
-func newCrashReporter(lc fx.Lifecycle, placement parser.Placement, e *connector.Endpoint, sp *spreader.Spreader, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *crashReporter {
+func newCrashReporter(lc fx.Lifecycle, placement parser.Placement, s *submitter.Submitter, sp *spreader.Spreader, clock clockwork.Clock, log *zap.Logger) *crashReporter {
 	c := &crashReporter{
 		placement: placement,
-		// Its short timeouts must not make operators' commands avoid a slow leader.
-		submitter: newSubmitter(placement, e, clock, set, log.Named("crash")),
+		submitter: s,
 		spreader:  sp,
 		clock:     clock,
 		log:       log.Named("crash"),
--- a/placer/evacuation_test.go
+++ b/placer/evacuation_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,15 +26,17 @@
 // stateCaller is a control replica that applies each command after a delay.
 type stateCaller struct {
 	state *declarer.State
-	clock *clockwork.FakeClock
 	delay time.Duration
 	calls uint64
 }
 
-func (c *stateCaller) Call(_ context.Context, _ netip.AddrPort, request any) (any, error) {
-	c.clock.Advance(c.delay)
+func (c *stateCaller) Call(_ context.Context, addr netip.AddrPort, request any) (any, error) {
+	if _, ok := request.(*submitter.LeaderRequest); ok {
+		return &submitter.LeaderAnswer{Leader: addr, Term: 1}, nil
+	}
+	time.Sleep(c.delay)
 	c.calls++
-	return c.state.Apply(c.calls, c.clock.Now(), request.(*submitter.SubmitCommand).Data), nil
+	return c.state.Apply(c.calls, time.Now(), request.(*submitter.SubmitCommand).Data), nil
 }
 
 // Guards against an order that hangs here and undoes a later one, one that is refused because
@@ -57,49 +60,46 @@
 		"no zone":                  {expected: explainer.InvalidInput},
 	} {
 		t.Run(name, func(t *testing.T) {
-			clock := clockwork.NewFakeClock()
-			caller := &stateCaller{state: declarer.New(asserter.Strict{}), clock: clock}
-			view, set := declarer.NewView(asserter.Strict{}), metrics.NewSet()
-			address := netip.MustParseAddrPort("127.0.0.1:1")
-			sp := spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{StaleAfter: time.Hour, ForgetAfter: time.Hour}), view, nil, clock, zap.NewNop())
-			_, err := sp.Report(registrar.Record{Upstream: "u", Service: "app", State: registrar.Ready, AvailabilityZone: "z3", Address: address})
-			require.NoError(t, err)
-			go func() {
-				for clock.BlockUntilContext(t.Context(), 1) == nil {
-					clock.Advance(hangUpNotice)
-				}
-			}()
-			placement := parser.Placement{Regions: map[identifier.AvailabilityZone]identifier.Region{"z1": "r", "z2": "r"}}
-			api := newControlAPI(placement, submitter.New(caller, []netip.AddrPort{address}, clock, set, zap.NewNop()), sp, nil, nil, view, clock, set, zap.NewNop())
-			require.NoError(t, api.Evacuate(t.Context(), "z1", false))
-			require.NoError(t, api.submitEvacuation(t.Context(), "z1", true))
-			before := caller.state.Declared()
-			require.Empty(t, before.Evacuations)
-			if !c.behind {
-				view.Set(before)
-			}
-			caller.delay, caller.calls = c.delay, 0
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			if c.hungUp {
-				cancel()
-			}
-			err = api.Evacuate(ctx, c.zone, false)
-			require.Equal(t, c.calls, caller.calls)
-			var text bytes.Buffer
-			set.WritePrometheus(&text)
-			if c.expected == "" {
+			synctest.Test(t, func(t *testing.T) {
+				clock := clockwork.NewRealClock()
+				caller := &stateCaller{state: declarer.New(asserter.Strict{})}
+				view, set := declarer.NewView(asserter.Strict{}), metrics.NewSet()
+				address := netip.MustParseAddrPort("127.0.0.1:1")
+				sp := spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{StaleAfter: time.Hour, ForgetAfter: time.Hour}), view, nil, clock, zap.NewNop())
+				_, err := sp.Report(registrar.Record{Upstream: "u", Service: "app", State: registrar.Ready, AvailabilityZone: "z3", Address: address})
 				require.NoError(t, err)
-				require.Contains(t, caller.state.Declared().Evacuations, c.zone)
-				return
-			}
-			require.Equal(t, c.expected, explainer.KindOf(err))
-			require.Equal(t, before, caller.state.Declared())
-			require.Contains(t, text.String(), `outcome="`+string(c.expected)+`"} 1`)
-			if c.expected == explainer.InvalidInput {
-				require.ErrorContains(t, err, `"`+string(c.zone)+`" does not exist`)
-				require.ErrorContains(t, err, "z1, z2, z3")
-			}
+				placement := parser.Placement{Regions: map[identifier.AvailabilityZone]identifier.Region{"z1": "r", "z2": "r"}}
+				api := newControlAPI(placement, submitter.New(caller, []netip.AddrPort{address}, clock, set, zap.NewNop()), sp, nil, nil, view, clock, set, zap.NewNop())
+				require.NoError(t, api.Evacuate(t.Context(), "z1", false))
+				require.NoError(t, api.submitEvacuation(t.Context(), "z1", true))
+				before := caller.state.Declared()
+				require.Empty(t, before.Evacuations)
+				if !c.behind {
+					view.Set(before)
+				}
+				caller.delay, caller.calls = c.delay, 0
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if c.hungUp {
+					cancel()
+				}
+				err = api.Evacuate(ctx, c.zone, false)
+				require.Equal(t, c.calls, caller.calls)
+				var text bytes.Buffer
+				set.WritePrometheus(&text)
+				if c.expected == "" {
+					require.NoError(t, err)
+					require.Contains(t, caller.state.Declared().Evacuations, c.zone)
+					return
+				}
+				require.Equal(t, c.expected, explainer.KindOf(err))
+				require.Equal(t, before, caller.state.Declared())
+				require.Contains(t, text.String(), `outcome="`+string(c.expected)+`"} 1`)
+				if c.expected == explainer.InvalidInput {
+					require.ErrorContains(t, err, `"`+string(c.zone)+`" does not exist`)
+					require.ErrorContains(t, err, "z1, z2, z3")
+				}
+			})
 		})
 	}
 }
--- a/placer/office_test.go
+++ b/placer/office_test.go
@@ -33,8 +33,11 @@
 	last  uint64
 }
 
-func (l *controlLog) Call(ctx context.Context, _ netip.AddrPort, request any) (any, error) {
+func (l *controlLog) Call(ctx context.Context, addr netip.AddrPort, request any) (any, error) {
 	answer, err := l.answer(ctx)
+	if _, ok := request.(*submitter.LeaderRequest); ok && err == nil {
+		return &submitter.LeaderAnswer{Leader: addr, Term: 1}, nil
+	}
 	if _, taken := answer.(*declarer.Answer); !taken {
 		return answer, err
 	}
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"celeryvalve/coordinator"
 	"celeryvalve/explainer"
 	"celeryvalve/recorder"
 	"celeryvalve/repairer"
@@ -348,6 +349,15 @@
 	}
 }
 
+// Leadership returns the leader that this replica knows.
+func (r *replica) Leadership() coordinator.Leadership {
+	node := r.currentNode()
+	if node == nil {
+		return coordinator.Leadership{}
+	}
+	return node.coordinator.Leadership()
+}
+
 // document returns the declaration as the operator wrote it, or the leader's address if
 // this replica does not lead.
 func (r *replica) document(ctx context.Context) *DocumentAnswer {
--- a/placer/replica_test.go
+++ b/placer/replica_test.go
@@ -202,6 +202,7 @@
 	_, err := r.Propose(t.Context(), nil)
 	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
 	require.Equal(t, &DocumentAnswer{}, r.document(t.Context()))
+	require.Zero(t, r.Leadership())
 	r.receive(netip.AddrPort{}, nil)
 	set.WritePrometheus(io.Discard)
 	r.reconcile(t.Context())
--- a/submitter/leader_test.go
+++ b/submitter/leader_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -56,17 +55,17 @@
 	if err := wait(ctx, 2*c.delay); err != nil {
 		return nil, err
 	}
-	if _, ok := request.(*submitter.SubmitCommand); !ok {
-		return nil, fmt.Errorf("request %T is not known", request)
-	}
+	_, isQuestion := request.(*submitter.LeaderRequest)
 	switch {
+	case isQuestion && !r.silent:
+		return &submitter.LeaderAnswer{Leader: r.named, Term: r.term}, nil
 	case r.silent, r.named == addr && !r.commits:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	case r.commits:
 		return "done", wait(ctx, c.commit)
 	default:
-		return &submitter.Refused{Kind: explainer.Unavailable, Leader: r.named}, nil
+		return &submitter.Refused{Kind: explainer.Unavailable, Leader: r.named, Term: r.term}, nil
 	}
 }
 
--- a/submitter/submitter_test.go
+++ b/submitter/submitter_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,119 +24,216 @@
 	netip.MustParseAddrPort("127.0.0.3:1"),
 }
 
-type callerFunc func(addr netip.AddrPort) (any, error)
+// replicas stand for the control replicas. Without command or leader, none answers.
+type replicas struct {
+	command func(ctx context.Context, addr netip.AddrPort) (any, error)
+	leader  func(addr netip.AddrPort) (*submitter.LeaderAnswer, error)
 
-func (f callerFunc) Call(_ context.Context, addr netip.AddrPort, _ any) (any, error) {
-	return f(addr)
+	mu       sync.Mutex
+	commands []netip.AddrPort // to which commands were sent
+	asked    map[netip.AddrPort]int
 }
 
-// submit runs Submit, and advances the clock by a second whenever the submitter waits
-// for it.
-func submit(ctx context.Context, clock *clockwork.FakeClock, s *submitter.Submitter) (any, error) {
-	advanceCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		for clock.BlockUntilContext(advanceCtx, 1) == nil {
-			clock.Advance(time.Second)
-		}
-	}()
-	return s.Submit(ctx, []byte("command"))
+func (r *replicas) Call(ctx context.Context, addr netip.AddrPort, request any) (any, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := request.(*submitter.LeaderRequest); ok {
+		r.asked[addr]++
+		answer, err := r.leader(addr)
+		return answer, err
+	}
+	r.commands = append(r.commands, addr)
+	r.mu.Unlock()
+	defer r.mu.Lock()
+	if r.command == nil {
+		return nil, errors.New("unreachable")
+	}
+	return r.command(ctx, addr)
+}
+
+// names returns a leader function of which all replicas name the leader.
+func names(leader netip.AddrPort, term uint64) func(netip.AddrPort) (*submitter.LeaderAnswer, error) {
+	return func(netip.AddrPort) (*submitter.LeaderAnswer, error) {
+		return &submitter.LeaderAnswer{Leader: leader, Term: term}, nil
+	}
+}
+
+func unreachable(netip.AddrPort) (*submitter.LeaderAnswer, error) {
+	return nil, errors.New("unreachable")
+}
+
+func newSubmitter(r *replicas, addresses []netip.AddrPort) *submitter.Submitter {
+	r.asked = make(map[netip.AddrPort]int)
+	return submitter.New(r, addresses, clockwork.NewRealClock(), metrics.NewSet(), zap.NewNop())
 }
 
 func TestSubmitFollowsTheLeader(t *testing.T) {
-	var asked []netip.AddrPort
-	clock := clockwork.NewFakeClock()
-	s := submitter.New(callerFunc(func(addr netip.AddrPort) (any, error) {
-		asked = append(asked, addr)
-		if addr != addresses[2] {
-			return &submitter.Refused{Kind: explainer.Unavailable, Leader: addresses[2]}, nil
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: names(addresses[0], 1)}
+		r.command = func(_ context.Context, addr netip.AddrPort) (any, error) {
+			if addr != addresses[2] {
+				return &submitter.Refused{Kind: explainer.Unavailable, Leader: addresses[2], Term: 2}, nil
+			}
+			return "done", nil
 		}
-		return "done", nil
-	}), addresses, clock, metrics.NewSet(), zap.NewNop())
-	result, err := submit(t.Context(), clock, s)
-	require.NoError(t, err)
-	require.Equal(t, "done", result)
-	require.Equal(t, []netip.AddrPort{addresses[0], addresses[2]}, asked)
+		result, err := newSubmitter(r, addresses).Submit(t.Context(), []byte("command"))
+		require.NoError(t, err)
+		require.Equal(t, "done", result)
+		require.Equal(t, []netip.AddrPort{addresses[0], addresses[2]}, r.commands)
+	})
 }
 
 func TestSubmitPassesOverTheUnreachable(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	s := submitter.New(callerFunc(func(addr netip.AddrPort) (any, error) {
-		if addr == addresses[0] {
-			return nil, errors.New("unreachable")
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: names(addresses[0], 1)}
+		r.command = func(_ context.Context, addr netip.AddrPort) (any, error) {
+			if addr == addresses[0] {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.leader = names(addresses[1], 2)
+				return nil, errors.New("unreachable")
+			}
+			return "done", nil
 		}
-		return "done", nil
-	}), addresses, clock, metrics.NewSet(), zap.NewNop())
-	result, err := submit(t.Context(), clock, s)
-	require.NoError(t, err)
-	require.Equal(t, "done", result)
+		result, err := newSubmitter(r, addresses).Submit(t.Context(), []byte("command"))
+		require.NoError(t, err)
+		require.Equal(t, "done", result)
+	})
 }
 
 func TestSubmitReturnsARefusalForGood(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	s := submitter.New(callerFunc(func(netip.AddrPort) (any, error) {
-		return &submitter.Refused{Kind: explainer.InvalidInput, Problem: "bad command"}, nil
-	}), addresses, clock, metrics.NewSet(), zap.NewNop())
-	_, err := submit(t.Context(), clock, s)
-	require.Equal(t, explainer.InvalidInput, explainer.KindOf(err))
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: names(addresses[0], 1)}
+		r.command = func(context.Context, netip.AddrPort) (any, error) {
+			return &submitter.Refused{Kind: explainer.InvalidInput, Problem: "bad command"}, nil
+		}
+		_, err := newSubmitter(r, addresses).Submit(t.Context(), []byte("command"))
+		require.Equal(t, explainer.InvalidInput, explainer.KindOf(err))
+	})
+}
+
+// Guards against a command that is sent again and again although no replica can ever take it.
+func TestSubmitEndsAtOnceIfTheCommandCantBeEncoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: names(addresses[0], 1)}
+		r.command = func(context.Context, netip.AddrPort) (any, error) {
+			return nil, explainer.New(explainer.InvalidInput, "the message is too long", "send less")
+		}
+		_, err := newSubmitter(r, addresses).Submit(t.Context(), []byte("command"))
+		require.Equal(t, explainer.InvalidInput, explainer.KindOf(err))
+		require.Len(t, r.commands, 1)
+	})
 }
 
 func TestSubmitWithoutALeaderEndsUnavailable(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	calls := 0
-	clock := clockwork.NewFakeClock()
-	s := submitter.New(callerFunc(func(netip.AddrPort) (any, error) {
-		calls++
-		if calls == len(addresses) {
-			cancel()
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: unreachable}
+		ctx, cancel := context.WithTimeout(t.Context(), callersTime)
+		defer cancel()
+		_, err := newSubmitter(r, addresses).Submit(ctx, []byte("command"))
+		require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
+		for _, addr := range addresses {
+			require.Greater(t, r.asked[addr], 1, "a leader may be elected while the caller waits")
 		}
-		return nil, errors.New("unreachable")
-	}), addresses, clock, metrics.NewSet(), zap.NewNop())
-	_, err := submit(ctx, clock, s)
-	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
+	})
+}
+
+// Guards against a release that finds no leader among replicas of the one before, which don't know the question
+// for it and name the leader without its term.
+func TestSubmitFindsTheLeaderAmongEarlierReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: unreachable}
+		r.command = func(_ context.Context, addr netip.AddrPort) (any, error) {
+			if addr != addresses[2] {
+				return &submitter.Refused{Kind: explainer.Unavailable, Leader: addresses[2]}, nil
+			}
+			return "done", nil
+		}
+		s := newSubmitter(r, addresses)
+		for range 2 {
+			took, err := submitWithin(t, s, callersTime)
+			require.NoError(t, err)
+			require.Zero(t, took)
+		}
+	})
 }
 
 // Guards against a process that ends because its settings name no control replica.
 func TestSubmitWithoutAddresses(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	s := submitter.New(callerFunc(func(netip.AddrPort) (any, error) { return nil, errors.New("no address") }), nil, clock, metrics.NewSet(), zap.NewNop())
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	_, err := s.Submit(ctx, []byte("command"))
-	require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), callersTime)
+		defer cancel()
+		_, err := newSubmitter(&replicas{}, nil).Submit(ctx, []byte("command"))
+		require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
+	})
 }
 
 // Guards against a claim that ends unanswered, since a leader that was late once is left alone
 // for as long as callers wait (TestKilledEntryLeavesTheBookingToItsResend failed so once).
 func TestSubmitReturnsToALeaderThatWasLateOnce(t *testing.T) {
 	const callersWait = 3 * time.Second // a claim's timeout
-	clock := clockwork.NewFakeClock()
-	late := true
-	s := submitter.New(callerFunc(func(addr netip.AddrPort) (any, error) {
-		switch {
-		case addr != addresses[0]:
-			return &submitter.Refused{Kind: explainer.Unavailable, Leader: addresses[0]}, nil
-		case late:
-			late = false
-			clock.Advance(time.Second) // the call's timeout
-			return nil, context.DeadlineExceeded
-		default:
+	synctest.Test(t, func(t *testing.T) {
+		late := true
+		r := &replicas{leader: names(addresses[0], 1)}
+		r.command = func(ctx context.Context, _ netip.AddrPort) (any, error) {
+			if late {
+				late = false
+				<-ctx.Done() // the call's timeout
+				return nil, ctx.Err()
+			}
 			return "done", nil
 		}
-	}), addresses, clock, metrics.NewSet(), zap.NewNop())
-	began := clock.Now()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go func() {
-		for clock.BlockUntilContext(ctx, 1) == nil {
-			if clock.Since(began) > callersWait {
-				cancel()
-				return
-			}
-			clock.Advance(100 * time.Millisecond) // the pause between two tries
+		ctx, cancel := context.WithTimeout(t.Context(), callersWait)
+		defer cancel()
+		result, err := newSubmitter(r, addresses).Submit(ctx, []byte("command"))
+		require.NoError(t, err)
+		require.Equal(t, "done", result)
+	})
+}
+
+// Guards against large commands that are sent to other replicas, or again, while a leader with a slow disk or link
+// still works on them.
+func TestSlowLeaderGetsACommandOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: names(addresses[0], 1)}
+		r.command = func(ctx context.Context, _ netip.AddrPort) (any, error) { return "done", wait(ctx, callersTime*9/10) }
+		_, err := newSubmitter(r, addresses).Submit(t.Context(), []byte("command"))
+		require.NoError(t, err)
+		require.Equal(t, []netip.AddrPort{addresses[0]}, r.commands)
+	})
+}
+
+// Guards against processes that ask the replicas once for each of the commands that wait.
+func TestManyWaitingCommandsAskTogether(t *testing.T) {
+	const commands, mostAsked = 200, 25 // 20 a second, and those that a first answer is waited for with
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: func(netip.AddrPort) (*submitter.LeaderAnswer, error) { return &submitter.LeaderAnswer{Term: 1}, nil }}
+		s := newSubmitter(r, addresses)
+		ctx, cancel := context.WithTimeout(t.Context(), callersTime)
+		defer cancel()
+		var done sync.WaitGroup
+		for i := range commands {
+			done.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				_, err := s.Submit(ctx, []byte("command"))
+				require.Error(t, err)
+			})
+		}
+		done.Wait()
+		for _, addr := range addresses {
+			require.LessOrEqual(t, r.asked[addr], mostAsked)
 		}
-	}()
-	result, err := s.Submit(ctx, []byte("command"))
-	require.NoError(t, err)
-	require.Equal(t, "done", result)
+	})
+}
+
+func TestFindLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: unreachable}
+		s := newSubmitter(r, addresses)
+		ctx, cancel := context.WithTimeout(t.Context(), callersTime)
+		defer cancel()
+		require.Equal(t, explainer.Unavailable, explainer.KindOf(s.FindLeader(ctx)))
+		r.leader = names(addresses[2], 1)
+		require.NoError(t, s.FindLeader(t.Context()))
+	})
 }
