placer: read the configuration through the submitter

What callers saw: a read of the configuration got 503 although a majority of control had a leader.

Cause: the replicas were asked in turn, 300 ms each, of the 900 ms that a read has: three silent ones of seven took all of it.

Change: ReadDocument goes to the leader as commands do. An answer of a replica that does not lead counts as a refusal and names the leader with its term. Only a leader that a majority has confirmed answers, as before. While there is no leader the read waits for one, as a command does, for as long as its caller.

Evidence: that the read failed is worked out from the two time limits, not seen.

--- a/placer/evacuation_test.go
+++ b/placer/evacuation_test.go
@@ -69,7 +69,7 @@
 				_, err := sp.Report(registrar.Record{Upstream: "u", Service: "app", State: registrar.Ready, AvailabilityZone: "z3", Address: address})
 				require.NoError(t, err)
 				placement := parser.Placement{Regions: map[identifier.AvailabilityZone]identifier.Region{"z1": "r", "z2": "r"}}
-				api := newControlAPI(placement, submitter.New(caller, []netip.AddrPort{address}, clock, set, zap.NewNop()), sp, nil, nil, view, clock, set, zap.NewNop())
+				api := newControlAPI(placement, submitter.New(caller, []netip.AddrPort{address}, clock, set, zap.NewNop()), sp, view, clock, set, zap.NewNop())
 				require.NoError(t, api.Evacuate(t.Context(), "z1", false))
 				require.NoError(t, api.submitEvacuation(t.Context(), "z1", true))
 				before := caller.state.Declared()
--- a/placer/office.go
+++ b/placer/office.go
@@ -4,13 +4,11 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
-	"celeryvalve/connector"
 	"celeryvalve/declarer"
 	"celeryvalve/encoder"
 	"celeryvalve/explainer"
@@ -29,12 +27,21 @@
 
 // DocumentAnswer is the answer to ReadDocument.
 type DocumentAnswer struct {
-	// Known is set if the replica leads, as confirmed by a majority.
+	// Known is set if the replica leads, as confirmed by a majority. Otherwise the answer stands for a refusal.
 	Known bool
 	// Document is packed; declarer.DecompressDocument unpacks it.
 	Document []byte
-	// Leader is the replica to ask instead, if it is known.
+	// Leader is the replica to ask instead, if it is known, and Term the term in which it was elected.
 	Leader netip.AddrPort
+	Term   uint64 `cbor:",omitempty"`
+}
+
+// Refusal implements submitter.Refusable.
+func (a *DocumentAnswer) Refusal() *submitter.Refused {
+	if a.Known {
+		return nil
+	}
+	return &submitter.Refused{Kind: explainer.Unavailable, Problem: "this replica does not lead", Leader: a.Leader, Term: a.Term}
 }
 
 func controlAPIMessages() []encoder.MessageType {
@@ -44,18 +51,12 @@
 	}
 }
 
-// documentTimeout limits the request to one replica, so that time is left to ask the
-// next one.
-const documentTimeout = 300 * time.Millisecond
-
 // controlAPI implements platform.ControlAPI. It submits operators' declarations to the
 // control replicas, and passes on the reports of upstreams to the other processes.
 type controlAPI struct {
 	placement parser.Placement
 	submitter *submitter.Submitter
 	spreader  *spreader.Spreader
-	endpoint  *connector.Endpoint
-	replica   *replica // nil if this process has none
 	view      *declarer.View
 	clock     clockwork.Clock
 	set       *metrics.Set
@@ -64,10 +65,9 @@
 	departures confirmedDepartures
 }
 
-func newControlAPI(placement parser.Placement, s *submitter.Submitter, sp *spreader.Spreader, e *connector.Endpoint,
-	r *replica, view *declarer.View, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *controlAPI {
+func newControlAPI(placement parser.Placement, s *submitter.Submitter, sp *spreader.Spreader, view *declarer.View, clock clockwork.Clock, set *metrics.Set, log *zap.Logger) *controlAPI {
 	return &controlAPI{
-		placement: placement, submitter: s, spreader: sp, endpoint: e, replica: r, view: view, clock: clock, set: set, log: log.Named("office"),
+		placement: placement, submitter: s, spreader: sp, view: view, clock: clock, set: set, log: log.Named("office"),
 	}
 }
 
@@ -109,48 +109,29 @@
 	case *declarer.Answer, *quarantiner.Answer:
 		return nil
 	default:
-		return explainer.New(explainer.Internal, fmt.Sprintf("answer %T is not known", answer), "run the same release on all instances")
+		return unknownAnswer(answer)
 	}
 }
 
-// Document returns the current declaration as the operator wrote it, from the leader.
-func (c *controlAPI) Document(ctx context.Context) ([]byte, error) {
-	tried := make(map[netip.AddrPort]bool)
-	queue := c.spreader.ReplicaAddresses()
-	if c.replica != nil {
-		queue = append([]netip.AddrPort{c.placement.InternalAddress}, queue...)
-	}
-	for len(queue) > 0 && ctx.Err() == nil {
-		addr := queue[0]
-		queue = queue[1:]
-		if tried[addr] {
-			continue
-		}
-		tried[addr] = true
-		answer := c.requestDocument(ctx, addr)
-		if answer.Known && len(answer.Document) > 0 {
-			return declarer.DecompressDocument(answer.Document)
-		}
-		if answer.Leader.IsValid() {
-			queue = append([]netip.AddrPort{answer.Leader}, queue...)
-		}
-	}
-	return nil, explainer.New(explainer.Unavailable, "no leader could say which configuration is the newest", "try again")
+func unknownAnswer(answer any) error {
+	return explainer.New(explainer.Internal, fmt.Sprintf("answer %T is not known", answer), "run the same release on all instances")
 }
 
-func (c *controlAPI) requestDocument(ctx context.Context, addr netip.AddrPort) *DocumentAnswer {
-	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
-	defer cancel()
-	if c.replica != nil && addr == c.placement.InternalAddress {
-		return c.replica.document(ctx)
+// Document returns the current declaration as the operator wrote it, from the leader.
+func (c *controlAPI) Document(ctx context.Context) ([]byte, error) {
+	c.submitter.SetAddresses(c.spreader.ReplicaAddresses())
+	msg, err := c.submitter.Call(ctx, &ReadDocument{})
+	if err != nil {
+		return nil, explainer.Wrap(err, explainer.KindOf(err), "no leader could say which configuration is the newest", "try again")
 	}
-	msg, err := c.endpoint.Call(ctx, addr, &ReadDocument{})
 	answer, ok := msg.(*DocumentAnswer)
-	if err != nil || !ok {
-		c.log.Debug("Replica did not answer.", zap.Stringer("address", addr), zap.Error(err))
-		return &DocumentAnswer{}
+	if !ok {
+		return nil, unknownAnswer(msg)
+	}
+	if len(answer.Document) == 0 {
+		return nil, explainer.New(explainer.Unavailable, "no configuration has been declared yet", "declare one")
 	}
-	return answer
+	return declarer.DecompressDocument(answer.Document)
 }
 
 // Report records what an upstream reports of itself. A report that it accepts no new requests
--- a/placer/office_test.go
+++ b/placer/office_test.go
@@ -66,7 +66,7 @@
 			replica := netip.MustParseAddrPort("10.0.0.1:1")
 			s := spreader.New(spreader.Config{Process: "entry-1"}, nil, registrar.New(registrar.Config{}), view, nil, clock, zap.NewNop())
 			s.SetReplicas(spreader.Replicas{Index: 7, Led: true, Addresses: []netip.AddrPort{replica}})
-			c := newControlAPI(parser.Placement{}, submitter.New(l, nil, clock, metrics.NewSet(), zap.NewNop()), s, nil, nil, view, clock, metrics.NewSet(), zap.NewNop())
+			c := newControlAPI(parser.Placement{}, submitter.New(l, nil, clock, metrics.NewSet(), zap.NewNop()), s, view, clock, metrics.NewSet(), zap.NewNop())
 			ready := registrar.Record{Upstream: "i-1", Incarnation: 1, Sequence: 1, Service: "booking", State: registrar.Ready}
 			require.NoError(t, c.Report(t.Context(), ready))
 			require.Zero(t, l.last, "an upstream that is ready reports again")
@@ -101,7 +101,7 @@
 	view := declarer.NewView(asserter.Strict{})
 	s := spreader.New(spreader.Config{}, nil, registrar.New(registrar.Config{StaleAfter: time.Hour, ForgetAfter: time.Hour}), view, nil, clock, zap.NewNop())
 	s.SetReplicas(spreader.Replicas{Index: 1, Led: true})
-	c := newControlAPI(parser.Placement{}, nil, s, nil, nil, view, clock, metrics.NewSet(), zap.NewNop())
+	c := newControlAPI(parser.Placement{}, nil, s, view, clock, metrics.NewSet(), zap.NewNop())
 	sound := registrar.Record{
 		Upstream: "i-1", Incarnation: identifier.Incarnation(clock.Now().UnixMilli()), Sequence: 1, Service: "booking", State: registrar.Ready,
 	}
--- a/placer/replica.go
+++ b/placer/replica.go
@@ -365,12 +365,9 @@
 	if node == nil {
 		return &DocumentAnswer{}
 	}
-	leader, _ := node.coordinator.Leader()
-	if !node.coordinator.IsLeader() {
-		return &DocumentAnswer{Leader: leader}
-	}
 	if err := node.coordinator.Barrier(ctx); err != nil {
-		return &DocumentAnswer{}
+		known := node.coordinator.Leadership()
+		return &DocumentAnswer{Leader: known.Leader, Term: uint64(known.Term)}
 	}
 	return &DocumentAnswer{Known: true, Document: node.state.CompressedDocument()}
 }
