placer: reject calls at once while control is lost

What callers saw: a process that was cut off held each call until its caller left after a second, though it had known for seconds that it had lost control.

Cause: a call waited for a leader for as long as its caller, whatever the process knew.

Change: a process that is not connected to a replica that knows the leader looks for one for 200 ms, by asking all replicas, and rejects the call if none names one. It does not trust its own belief either: a process that was cut off until just now serves the call. Within 1.6 s after its start, in which it finds control, a process waits as before.

Evidence: TestProcessThatLostControlRejectsAtOnce holds each of the six kinds of call to half of the caller's second; without the check they end with the caller. TestCallsAreServedBesideSilentReplicas asks them with four of five replicas silent, also after control was lost: on the code before, Report and Leave are rejected there.

--- a/placer/departure.go
+++ b/placer/departure.go
@@ -31,9 +31,6 @@
 // log of the control replicas: an upstream that leaves may report only once, and a process that
 // stood still may say later that it is ready.
 func (c *controlAPI) reportDeparture(ctx context.Context, r registrar.Record) (bool, error) {
-	if !c.spreader.Connected() {
-		return false, explainer.New(explainer.Unavailable, "this process has no connection to a led control replica", "report to another process")
-	}
 	changed, err := c.spreader.Report(r)
 	if err != nil {
 		return changed, err
--- a/placer/office.go
+++ b/placer/office.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
@@ -51,6 +52,11 @@
 	}
 }
 
+// reachTimeout is how long a process that has lost control looks for it before it rejects a call. It is a fifth of
+// the second for which callers wait: enough for a handshake with a replica in another region, and early enough
+// for the caller to ask another process.
+const reachTimeout = 200 * time.Millisecond
+
 // controlAPI implements platform.ControlAPI. It submits operators' declarations to the
 // control replicas, and passes on the reports of upstreams to the other processes.
 type controlAPI struct {
@@ -95,10 +101,24 @@
 	if err != nil {
 		return nil, err
 	}
-	c.submitter.SetAddresses(c.spreader.ReplicaAddresses())
+	if err := c.reachControl(ctx); err != nil {
+		return nil, err
+	}
 	return c.submitter.Submit(ctx, data)
 }
 
+// reachControl prepares a call of the control replicas. It returns an error of kind Unavailable if this process
+// has lost control and does not find it again at once.
+func (c *controlAPI) reachControl(ctx context.Context) error {
+	c.submitter.SetAddresses(c.spreader.ReplicaAddresses())
+	if !c.spreader.HasLostControl() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	return c.submitter.FindLeader(ctx)
+}
+
 // answerError returns the error that the answer to a command stands for, if any.
 func answerError(answer any) error {
 	switch a := answer.(type) {
@@ -119,7 +139,9 @@
 
 // Document returns the current declaration as the operator wrote it, from the leader.
 func (c *controlAPI) Document(ctx context.Context) ([]byte, error) {
-	c.submitter.SetAddresses(c.spreader.ReplicaAddresses())
+	if err := c.reachControl(ctx); err != nil {
+		return nil, err
+	}
 	msg, err := c.submitter.Call(ctx, &ReadDocument{})
 	if err != nil {
 		return nil, explainer.Wrap(err, explainer.KindOf(err), "no leader could say which configuration is the newest", "try again")
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -313,6 +313,18 @@
 func (s *Spreader) Connected() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.isConnected()
+}
+
+// HasLostControl reports whether the process is not Connected. It is false for heartbeatTimeout after the start,
+// in which a process finds control.
+func (s *Spreader) HasLostControl() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.isConnected() && s.clock.Since(s.startedAt) >= heartbeatTimeout
+}
+
+func (s *Spreader) isConnected() bool {
 	if s.ownReplicas != nil && s.ownReplicas.Led {
 		return true
 	}
