submitter: make only replicas that refuse the question candidates

Change: only a peer that resets the stream, as one of the release before does with a message that it does not know, becomes the candidate.

--- a/connector/endpoint_test.go
+++ b/connector/endpoint_test.go
@@ -103,6 +103,22 @@
 	require.Equal(t, &pong{N: 5}, answer)
 }
 
+// Guards against a release that takes a peer of the one before, which does not know a message, for one that is away.
+func TestMessageThatThePeerDoesNotKnowIsRefused(t *testing.T) {
+	folder := newFolder(t, "a", "b")
+	a := newEndpoint(t, folder, "a", &versions{})
+	b := newEndpoint(t, folder, "b", &versions{})
+	_, err := a.Call(t.Context(), b.Address(), &pong{}) // b has no handler for it
+	require.True(t, connector.IsRefused(err))
+	a.Replace(b.Address())
+	s, err := a.Open(t.Context(), b.Address(), &ping{})
+	require.NoError(t, err)
+	a.Replace(b.Address())
+	_, err = s.Receive(t.Context())
+	require.Error(t, err)
+	require.False(t, connector.IsRefused(err), "the connection was lost")
+}
+
 func TestReplacedConnectionDialsAgain(t *testing.T) {
 	folder := newFolder(t, "a", "b")
 	a := newEndpoint(t, folder, "a", &versions{})
--- a/connector/stream.go
+++ b/connector/stream.go
@@ -151,6 +151,13 @@
 	return explainer.Wrap(err, explainer.Unavailable, "the stream failed while receiving", "try again on a new stream")
 }
 
+// IsRefused reports whether the peer reset the stream before it answered, as with a message of a kind that it does
+// not know.
+func IsRefused(err error) bool {
+	var reset *quic.StreamError
+	return errors.As(err, &reset) && reset.Remote
+}
+
 // CloseSend closes the sending direction. The peer's Receive returns io.EOF after the
 // messages sent so far.
 func (s *Stream) CloseSend() error {
--- a/submitter/call.go
+++ b/submitter/call.go
@@ -69,10 +69,10 @@
 			nextAsk = c.clock.After(askInterval)
 		case a := <-c.ended:
 			answer, err := a.outcome()
-			c.note(a.leader, err)
 			if explainer.KindOf(err) != explainer.Unavailable {
 				return answer, err
 			}
+			c.note(a.leader, err)
 			delete(c.running, a.leader)
 			c.failed[a.leader] = true
 			c.learnFrom(a)
--- a/submitter/finder.go
+++ b/submitter/finder.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"celeryvalve/connector"
 	"celeryvalve/coordinator"
 	"celeryvalve/recorder"
 )
@@ -98,8 +99,8 @@
 	f.signal()
 }
 
-// suggest makes a replica that can't tell the leader, as one of an earlier release, the candidate for requests
-// if none is known. It answers with the leader's address.
+// suggest makes a replica that does not know LeaderRequest, as one of an earlier release, the candidate for requests
+// if no leader is known. It names the leader when it refuses one.
 func (f *finder) suggest(addr netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -152,7 +153,7 @@
 	f.inquiries[addr] = i
 	f.mu.Unlock()
 	f.learn(i.answer)
-	if err != nil && ctx.Err() == nil {
+	if connector.IsRefused(err) {
 		f.suggest(addr)
 	}
 }
