submitter: wait for a slow leader's first answer

Cause: each call of a leader ended after a second, and the command was sent anew. The leader's disk took 1.64 s for the first one, whose answer nobody waited for any more, and another 1.04 s for the second one.

Change: a leader that has not answered for a second gets the request again, in case the first one was lost with its connection, but the answer to the first one still counts. No call is ended before its caller's time is over.

Evidence: TestAnswerOfAVerySlowLeaderCounts fails without the change ("no leader of 3 control replicas answered") and passes with it. The delay in TestOrdersToEvacuate, which must exceed freshOrderTime, was as long as the one after which commands are sent again; it is twice freshOrderTime now.

--- a/placer/evacuation_test.go
+++ b/placer/evacuation_test.go
@@ -52,8 +52,8 @@
 	}{
 		"in time":                  {zone: "z1", calls: 1},
 		"behind":                   {zone: "z1", behind: true, calls: 2},
-		"behind and held up":       {zone: "z1", behind: true, delay: time.Second, expected: explainer.Unavailable, calls: 1},
-		"held up":                  {zone: "z1", delay: time.Second, calls: 1},
+		"behind and held up":       {zone: "z1", behind: true, delay: 2 * freshOrderTime, expected: explainer.Unavailable, calls: 1},
+		"held up":                  {zone: "z1", delay: 2 * freshOrderTime, calls: 1},
 		"of an upstream":           {zone: "z3", calls: 1},
 		"hung up":                  {zone: "z1", hungUp: true, expected: explainer.Unavailable},
 		"a zone that is not there": {zone: "z9", expected: explainer.InvalidInput},
--- a/submitter/call.go
+++ b/submitter/call.go
@@ -12,6 +12,10 @@
 	"celeryvalve/recorder"
 )
 
+// resendDelay is how long a leader may take until it gets a request again, which may have been lost with its
+// connection.
+const resendDelay = time.Second
+
 // maxLoggedAttempts bounds the attempts in one line of the log. The first ones are kept.
 const maxLoggedAttempts = 16
 
@@ -23,7 +27,7 @@
 	request  any
 	begun    time.Time
 	believed coordinator.Leadership // at the beginning
-	// running holds since when each leader has the request.
+	// running holds when the request was last sent to each leader that has not answered it.
 	running map[coordinator.Leadership]time.Time
 	// failed holds the leaders that did not serve the request since the replicas were last asked. They are
 	// left alone until they are asked again.
@@ -80,16 +84,16 @@
 	}
 }
 
-// begin sends the request to the leader, unless that one has it or has failed just now.
+// begin sends the request to the leader, unless that one has it or has failed just now. One that has not answered for
+// resendDelay gets it again. Its answer to the first one still counts: on a slow disk both take as long.
 func (c *call) begin(ctx context.Context, leader coordinator.Leadership) {
-	if _, ok := c.running[leader]; ok || c.failed[leader] || !leader.Leader.IsValid() {
+	sentAt, sent := c.running[leader]
+	if sent && c.clock.Since(sentAt) < resendDelay || c.failed[leader] || !leader.Leader.IsValid() {
 		return
 	}
 	c.running[leader] = c.clock.Now()
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		answer, err := c.caller.Call(callCtx, leader.Leader, c.request)
+		answer, err := c.caller.Call(ctx, leader.Leader, c.request)
 		select {
 		case c.ended <- attempt{leader: leader, answer: answer, err: err}:
 		case <-ctx.Done():
--- a/submitter/finder.go
+++ b/submitter/finder.go
@@ -22,6 +22,8 @@
 	askInterval = 100 * time.Millisecond
 	// minAskPause bounds how often one replica is asked, however many requests wait.
 	minAskPause = askInterval / 2
+	// answerTimeout is how long a replica may take to answer until it is asked again. The others are asked meanwhile.
+	answerTimeout = time.Second
 )
 
 // finder finds the leader of the control replicas. It asks all of them at once, so that a silent one delays
@@ -142,7 +144,7 @@
 }
 
 func (f *finder) inquire(addr netip.AddrPort, now time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	msg, err := f.caller.Call(ctx, addr, &LeaderRequest{})
 	i := inquiry{askedAt: now, took: f.clock.Since(now), answered: true, err: err}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
@@ -13,9 +12,6 @@
 	"celeryvalve/explainer"
 )
 
-// callTimeout limits the call of one replica. Others are called meanwhile.
-const callTimeout = time.Second
-
 // Caller sends one request to an address and returns its answer.
 type Caller interface {
 	Call(ctx context.Context, addr netip.AddrPort, request any) (any, error)
--- a/submitter/submitter_test.go
+++ b/submitter/submitter_test.go
@@ -204,6 +204,19 @@
 	})
 }
 
+// Guards against a command that is sent anew each second to a leader whose disk takes longer, and whose answer to
+// the first one nobody waits for (TestEvacuationOutlivesLosses failed so beside load).
+func TestAnswerOfAVerySlowLeaderCounts(t *testing.T) {
+	const commit, callersWait = 1600 * time.Millisecond, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		r := &replicas{leader: names(addresses[0], 1)}
+		r.command = func(ctx context.Context, _ netip.AddrPort) (any, error) { return "done", wait(ctx, commit) }
+		took, err := submitWithin(t, newSubmitter(r, addresses), callersWait)
+		require.NoError(t, err)
+		require.Equal(t, commit, took)
+	})
+}
+
 // Guards against processes that ask the replicas once for each of the commands that wait.
 func TestManyWaitingCommandsAskTogether(t *testing.T) {
 	const commands, mostAsked = 200, 25 // 20 a second, and those that a first answer is waited for with
