submitter: make the tests free of data races

Cause: the tests changed what their replicas answer, and read how often these were asked, while questions that nobody waits for any more were on their way. No race is in the code that they test.

Change: locks and atomic values in the tests. What they check is unchanged.

--- a/submitter/leader_test.go
+++ b/submitter/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,11 +115,12 @@
 			for _, addr := range addresses {
 				before.replicas[addr] = replica{commits: addr == believed, named: believed, term: 2}
 			}
-			caller := &switchedCaller{now: before}
+			caller := &switchedCaller{}
+			caller.now.Store(before)
 			s := submitter.New(caller, addresses, clockwork.NewRealClock(), metrics.NewSet(), zap.NewNop())
 			_, err = s.Submit(t.Context(), []byte("command"))
 			require.NoError(t, err)
-			caller.now = c
+			caller.now.Store(c)
 			took, err = submitWithin(t, s, callersTime)
 			time.Sleep(2 * callersTime) // the requests to silent replicas have ended then
 		})
@@ -129,11 +131,11 @@
 
 // switchedCaller calls the control replicas of now.
 type switchedCaller struct {
-	now *control
+	now atomic.Pointer[control]
 }
 
 func (s *switchedCaller) Call(ctx context.Context, addr netip.AddrPort, request any) (any, error) {
-	return s.now.Call(ctx, addr, request)
+	return s.now.Load().Call(ctx, addr, request)
 }
 
 // submitWithin submits a command for a caller that waits for the given time, and returns how long that took.
--- a/submitter/submitter_test.go
+++ b/submitter/submitter_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,13 @@
 	return r.command(ctx, addr)
 }
 
+// timesAsked returns how often the replica was asked for the leader.
+func (r *replicas) timesAsked(addr netip.AddrPort) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked[addr]
+}
+
 // names returns a leader function of which all replicas name the leader.
 func names(leader netip.AddrPort, term uint64) func(netip.AddrPort) (*submitter.LeaderAnswer, error) {
 	return func(netip.AddrPort) (*submitter.LeaderAnswer, error) {
@@ -134,7 +142,7 @@
 		_, err := newSubmitter(r, addresses).Submit(ctx, []byte("command"))
 		require.Equal(t, explainer.Unavailable, explainer.KindOf(err))
 		for _, addr := range addresses {
-			require.Greater(t, r.asked[addr], 1, "a leader may be elected while the caller waits")
+			require.Greater(t, r.timesAsked(addr), 1, "a leader may be elected while the caller waits")
 		}
 	})
 }
@@ -174,11 +182,10 @@
 func TestSubmitReturnsToALeaderThatWasLateOnce(t *testing.T) {
 	const callersWait = 3 * time.Second // a claim's timeout
 	synctest.Test(t, func(t *testing.T) {
-		late := true
+		var calls atomic.Int32
 		r := &replicas{leader: names(addresses[0], 1)}
 		r.command = func(ctx context.Context, _ netip.AddrPort) (any, error) {
-			if late {
-				late = false
+			if calls.Add(1) == 1 {
 				<-ctx.Done() // the call's timeout
 				return nil, ctx.Err()
 			}
@@ -235,7 +242,7 @@
 		}
 		done.Wait()
 		for _, addr := range addresses {
-			require.LessOrEqual(t, r.asked[addr], mostAsked)
+			require.LessOrEqual(t, r.timesAsked(addr), mostAsked)
 		}
 	})
 }
@@ -247,7 +254,9 @@
 		ctx, cancel := context.WithTimeout(t.Context(), callersTime)
 		defer cancel()
 		require.Equal(t, explainer.Unavailable, explainer.KindOf(s.FindLeader(ctx)))
+		r.mu.Lock()
 		r.leader = names(addresses[2], 1)
+		r.mu.Unlock()
 		require.NoError(t, s.FindLeader(t.Context()))
 	})
 }
